--- /dev/null
+++ b/catkinhollow/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the commands of the command line, one module each."""
--- /dev/null
+++ b/catkinhollow/exchange.py
@@ -0,0 +1,95 @@
+"""Define the requests and responses that pass through a daemon."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+NOT_RUN_HEADER = b"catkinhollow-not-run"
+OUTCOME_HEADER = b"catkinhollow-outcome"
+REQUEST_ID_HEADER = b"x-request-id"
+DEADLINE_HEADER = b"x-deadline-ms"
+BACKER_HEADER = b"x-backer"
+VERSION_HEADER = b"x-target-version"
+IDEMPOTENCY_HEADER = b"idempotency-key"
+TRACE_HEADER = b"traceparent"
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Outcome(StrEnum):
+    """Classify what is known about one attempt."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@frozen(kw_only=True)
+class Request:
+    """Hold one request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: bytes
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return find_header(self.headers, name)
+
+
+@frozen(kw_only=True)
+class Response:
+    """Hold one whole response; header names are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return find_header(self.headers, name)
+
+
+@frozen(kw_only=True)
+class Attempt:
+    """Hold what one attempt at a target came to."""
+
+    outcome: Outcome
+    response: Response | None = None
+    reason: str = ""
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def with_header(headers: Headers, name: bytes, value: bytes) -> Headers:
+    """Return the headers with one of them set."""
+    return [(key, old) for key, old in headers if key != name] + [(name, value)]
+
+
+def plain_response(
+    status: int, reason: str, headers: Headers | None = None
+) -> Response:
+    """Return a one-line text response of the daemon itself."""
+    return Response(
+        status=status,
+        headers=[(b"content-type", b"text/plain"), *(headers or [])],
+        body=f"{reason}\n".encode(),
+    )
+
+
+def not_run_response(reason: str, status: int = 503) -> Response:
+    """Return a refusal that states that the request did not run."""
+    return plain_response(status, reason, [(NOT_RUN_HEADER, b"1")])
+
+
+def unknown_response(reason: str) -> Response:
+    """Return the answer to a request whose outcome is unknown."""
+    return plain_response(504, reason, [(OUTCOME_HEADER, b"unknown")])
--- /dev/null
+++ b/catkinhollow/snapshot.py
@@ -0,0 +1,52 @@
+"""Decide which configuration version a daemon enforces."""
+
+from expression import Error, Ok, Result
+
+from catkinhollow.errors import SnapshotRejected
+from catkinhollow.generated.fleet import Snapshot
+from catkinhollow.validation import find_problems
+
+
+class SnapshotHolder:
+    """Hold the newest accepted snapshot and refuse older or invalid ones."""
+
+    def __init__(self) -> None:
+        self._snapshot: Snapshot | None = None
+        self._floor = 0
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """Return the snapshot in force, if there is one."""
+        return self._snapshot
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force, 0 when there is none."""
+        return self._snapshot.revision if self._snapshot else 0
+
+    @property
+    def floor(self) -> int:
+        """Return the lowest revision that may be enforced."""
+        return self._floor
+
+    def raise_floor(self, revision: int) -> None:
+        """Refuse every snapshot older than the revision from now on."""
+        self._floor = max(self._floor, revision)
+
+    def offer(self, snapshot: Snapshot) -> Result[Snapshot, SnapshotRejected]:
+        """Take the snapshot whole, or refuse it whole."""
+        if snapshot.revision < self._floor:
+            return self._reject(snapshot, f"older than the floor {self._floor}")
+        if snapshot.revision <= self.revision:
+            return self._reject(snapshot, f"not newer than {self.revision}")
+        problems = find_problems(snapshot.fleet)
+        if problems:
+            return self._reject(snapshot, str(problems[0]))
+        self._snapshot = snapshot
+        self._floor = snapshot.revision
+        return Ok(snapshot)
+
+    def _reject(
+        self, snapshot: Snapshot, reason: str
+    ) -> Result[Snapshot, SnapshotRejected]:
+        return Error(SnapshotRejected(revision=snapshot.revision, reason=reason))
--- /dev/null
+++ b/catkinhollow/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the stand-ins and the programs that start processes."""
--- /dev/null
+++ b/catkinhollow/validation.py
@@ -0,0 +1,93 @@
+"""Check the references and limits of a whole fleet configuration."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+from catkinhollow.errors import Problem
+from catkinhollow.generated.fleet import Fleet, Service
+
+FULL_SHARE_PERCENT = 100.0
+SHARE_TOLERANCE_PERCENT = 0.001
+
+
+def find_problems(fleet: Fleet) -> list[Problem]:
+    """Return every fault that the schema cannot express."""
+    return [
+        *_duplicates("services", (service.name for service in fleet.services)),
+        *_duplicates("routes", (route.name for route in fleet.routes)),
+        *_duplicates("exceptions", (item.name for item in fleet.exceptions)),
+        *_unknown_services(fleet),
+        *_ambiguous_routes(fleet),
+        *_exception_problems(fleet),
+        *_share_problems(fleet.services),
+        *_duplicates("failure_domains_out", fleet.failure_domains_out),
+    ]
+
+
+def _duplicates(section: str, names: Iterable[str]) -> Iterator[Problem]:
+    for name, uses in Counter(names).items():
+        if uses > 1:
+            yield Problem(path=section, reason=f"'{name}' is listed {uses} times")
+
+
+def _unknown_services(fleet: Fleet) -> Iterator[Problem]:
+    services = {service.name for service in fleet.services}
+    for index, route in enumerate(fleet.routes):
+        if route.service not in services:
+            yield Problem(
+                path=f"routes[{index}].service",
+                reason=f"there is no service '{route.service}'",
+            )
+
+
+def _ambiguous_routes(fleet: Fleet) -> Iterator[Problem]:
+    owners: dict[tuple[str, str], str] = {}
+    for index, route in enumerate(fleet.routes):
+        for method in route.methods:
+            owner = owners.setdefault((method, route.path_prefix), route.name)
+            if owner != route.name:
+                yield Problem(
+                    path=f"routes[{index}].path_prefix",
+                    reason=f"{method} {route.path_prefix} belongs to route '{owner}'",
+                )
+
+
+def _exception_problems(fleet: Fleet) -> Iterator[Problem]:
+    services = {service.name for service in fleet.services}
+    routes = {route.name for route in fleet.routes}
+    seen: dict[tuple[str, str, str], str] = {}
+    for index, item in enumerate(fleet.exceptions):
+        path = f"exceptions[{index}]"
+        if not item.service and not item.route:
+            yield Problem(path=path, reason="names neither a service nor a route")
+        if item.service and item.service not in services:
+            yield Problem(
+                path=f"{path}.service", reason=f"there is no service '{item.service}'"
+            )
+        if item.route and item.route not in routes:
+            yield Problem(
+                path=f"{path}.route", reason=f"there is no route '{item.route}'"
+            )
+        scope = (item.service, item.route, item.setting.value)
+        other = seen.setdefault(scope, item.name)
+        if other != item.name:
+            yield Problem(
+                path=path, reason=f"exception '{other}' already sets {item.setting}"
+            )
+
+
+def _share_problems(services: Iterable[Service]) -> Iterator[Problem]:
+    for index, service in enumerate(services):
+        path = f"services[{index}]"
+        yield from _duplicates(f"{path}.backers", (b.name for b in service.backers))
+        yield from _duplicates(f"{path}.split", (w.version for w in service.split))
+        promised = sum(backer.share_percent for backer in service.backers)
+        if promised > FULL_SHARE_PERCENT + SHARE_TOLERANCE_PERCENT:
+            yield Problem(
+                path=f"{path}.backers", reason=f"shares add up to {promised:g} %"
+            )
+        split = sum(weight.percent for weight in service.split)
+        if service.split and abs(split - FULL_SHARE_PERCENT) > SHARE_TOLERANCE_PERCENT:
+            yield Problem(
+                path=f"{path}.split", reason=f"percentages add up to {split:g}, not 100"
+            )
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,19 @@
+"""Tests of the encoding of messages."""
+
+from catkinhollow.codec import decode_message, encode_envelope
+from catkinhollow.generated.messages import Envelope, Ping
+
+
+def test_envelope_keeps_its_body_and_drops_empty_ones():
+    """Guards against bodies lost or empty bodies sent on the wire."""
+    ping = Ping(sequence=3, revision=7, digest=11)
+    envelope = Envelope(sender="127.0.0.1:1", incarnation=5, ping=ping)
+    data = encode_envelope(envelope)
+    assert decode_message(data, Envelope).ok == envelope
+    assert b"gossip" not in data
+
+
+def test_malformed_bytes_are_an_error_value():
+    """Guards against a damaged message that raises in the receiving loop."""
+    assert decode_message(b"\xc1", Envelope).is_error()
+    assert decode_message(b"\x80", Envelope).is_error()
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,32 @@
+"""Run the tests, passing over exactly those listed in KNOWN-RED.txt."""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def known_red() -> list[str]:
+    """Return the pytest node ids of the entries in KNOWN-RED.txt."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [
+        line.removeprefix("test:").strip() for line in lines if line.startswith("test:")
+    ]
+
+
+def main() -> int:
+    """Run pytest and print each test that is passed over."""
+    red = known_red()
+    for node_id in red:
+        print(f"known red, not run: {node_id}")
+    deselect = [f"--deselect={node_id}" for node_id in red]
+    return int(pytest.main([*deselect, *sys.argv[1:]]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
