Add the protocol of the store client

Cause: the command line, the watchers and the controller need one interface to the object store before any of them is written.

--- a/catkinhollow/codec.py
+++ b/catkinhollow/codec.py
@@ -18,7 +18,7 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Encode an envelope without its empty bodies, which would take 120 bytes."""
+    """Encode an envelope, leaving out empty bodies to save 120 bytes."""
     filled = {
         field.name: value
         for field in fields(Envelope)
--- /dev/null
+++ b/catkinhollow/store.py
@@ -0,0 +1,33 @@
+"""Call the platform's object store."""
+
+from typing import Any, Protocol
+
+from expression import Result
+
+from catkinhollow.errors import StoreError
+from catkinhollow.generated.store import ObjectList, StoredObject
+
+
+class StoreClient(Protocol):
+    """Read, write and watch objects; every outcome is a value."""
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject, StoreError]:
+        """Return one object."""
+
+    async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
+        """Return all objects of a kind."""
+
+    async def put(
+        self, kind: str, name: str, value: Any, *, if_revision: int
+    ) -> Result[StoredObject, StoreError]:
+        """Write an object if its revision is still the given one, 0 if new."""
+
+    async def delete(
+        self, kind: str, name: str, *, if_revision: int
+    ) -> Result[StoredObject, StoreError]:
+        """Delete an object if its revision still is the given one."""
+
+    async def watch(
+        self, kind: str, *, after: int, wait_s: float
+    ) -> Result[ObjectList, StoreError]:
+        """Return objects changed after a revision, waiting for the first."""
