--- /dev/null
+++ b/catkinhollow/logs.py
@@ -0,0 +1,69 @@
+"""Write one structured line for each event."""
+
+import logging as standard_logging
+from typing import Any
+
+from absl import logging as absl_logging
+from msgspec import json
+
+LEVELS = {
+    "debug": absl_logging.DEBUG,
+    "info": absl_logging.INFO,
+    "warning": absl_logging.WARNING,
+    "error": absl_logging.ERROR,
+}
+
+
+class _JsonFormatter(standard_logging.Formatter):
+    """Format a record as one JSON line."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the record's time, level and message with its fields."""
+        line = {
+            "time_ms": int(record.created * 1000),
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        return json.encode(line).decode()
+
+
+class EventLogger:
+    """Log events of one module with named fields."""
+
+    def __init__(self, module: str) -> None:
+        self._module = module
+
+    def debug(self, event: str, **fields: Any) -> None:
+        """Log an event that helps to find a fault."""
+        self._log(standard_logging.DEBUG, event, fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Log a change that operators may want to see."""
+        self._log(standard_logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Log an event that may need attention."""
+        self._log(standard_logging.WARNING, event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Log an event that needs attention."""
+        self._log(standard_logging.ERROR, event, fields)
+
+    def _log(self, level: int, event: str, fields: dict[str, Any]) -> None:
+        logger = absl_logging.get_absl_logger()
+        if logger.isEnabledFor(level):
+            extra = {"fields": {"module": self._module, **fields}}
+            logger.log(level, event, extra=extra)
+
+
+def get_logger(module: str) -> EventLogger:
+    """Return the logger of a module."""
+    return EventLogger(module)
+
+
+def configure_logging(level: str) -> None:
+    """Write lines of the given level and above to standard error."""
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_handler().setFormatter(_JsonFormatter())
+    absl_logging.set_verbosity(LEVELS[level])
--- /dev/null
+++ b/catkinhollow/watcher.py
@@ -0,0 +1,123 @@
+"""Watch the store for new configuration versions."""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+from expression import Result
+
+from catkinhollow.codec import from_plain
+from catkinhollow.errors import SnapshotRejected, StoreError, StoreErrorKind
+from catkinhollow.generated.fleet import Fleet, Snapshot
+from catkinhollow.generated.settings import StoreSettings
+from catkinhollow.generated.store import ObjectList, StoredObject
+from catkinhollow.logs import get_logger
+from catkinhollow.store import StoreClient
+
+logger = get_logger(__name__)
+
+FLEET_KIND = "config"
+FLEET_NAME = "fleet"
+
+OfferSnapshot = Callable[[Snapshot], Result[Snapshot, SnapshotRejected]]
+
+
+class StoreWatcher:
+    """Offer each new version of the fleet configuration while elected."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        settings: StoreSettings,
+        offer: OfferSnapshot,
+        on_answer: Callable[[int], None],
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._settings = settings
+        self._offer = offer
+        self._on_answer = on_answer
+        self._random = random
+        self._elected = False
+        self._changed = trio.Event()
+        self._scope: trio.CancelScope | None = None
+        self._failures = 0
+
+    @property
+    def elected(self) -> bool:
+        """Tell whether this daemon watches the store."""
+        return self._elected
+
+    def set_elected(self, elected: bool) -> None:
+        """Start or stop watching."""
+        if elected == self._elected:
+            return
+        self._elected = elected
+        self._changed.set()
+        if not elected and self._scope is not None:
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        """Watch while elected, until cancelled."""
+        while True:
+            if not self._elected:
+                await self._wait_for_election()
+            with trio.CancelScope() as self._scope:
+                await self._watch()
+            self._scope = None
+
+    async def read_once(self) -> bool:
+        """Read the newest version and tell whether the store answered."""
+        result = await self._store.get(FLEET_KIND, FLEET_NAME)
+        if result.is_ok():
+            self._take(result.ok)
+            return True
+        if result.error.kind is StoreErrorKind.NOT_FOUND:
+            self._on_answer(0)
+            return True
+        logger.warning("store read failed", reason=result.error.reason)
+        return False
+
+    async def _wait_for_election(self) -> None:
+        self._changed = trio.Event()
+        if not self._elected:
+            await self._changed.wait()
+
+    async def _watch(self) -> None:
+        after = 0
+        while self._elected:
+            result = await self._store.watch(
+                FLEET_KIND, after=after, wait_s=self._settings.watch_s
+            )
+            if result.is_error():
+                await self._back_off(result.error)
+                continue
+            self._failures = 0
+            after = self._take_all(result.ok)
+
+    def _take_all(self, listing: ObjectList) -> int:
+        for stored in listing.objects:
+            if stored.name == FLEET_NAME and not stored.deleted:
+                self._take(stored)
+        return listing.revision
+
+    def _take(self, stored: StoredObject) -> None:
+        decoded = from_plain(stored.value, Fleet)
+        if decoded.is_error():
+            logger.error(
+                "configuration refused",
+                revision=stored.revision,
+                reason=decoded.error.reason,
+            )
+            return
+        self._on_answer(stored.revision)
+        self._offer(Snapshot(revision=stored.revision, fleet=decoded.ok))
+
+    async def _back_off(self, error: StoreError) -> None:
+        ceiling_ms = min(
+            self._settings.retry_max_ms,
+            self._settings.retry_base_ms * 2 ** min(self._failures, 16),
+        )
+        self._failures += 1
+        logger.warning("store watch failed", reason=error.reason)
+        await trio.sleep(self._random.uniform(0, ceiling_ms) / 1000)
