--- /dev/null
+++ b/tests/asgi_pool.py
@@ -0,0 +1,49 @@
+"""Call an ASGI application in memory through httpcore's interface."""
+
+import trio
+from httpcore import AsyncConnectionPool, RemoteProtocolError, Request, Response
+
+from catkinhollow.http_store import SENDING_EVENT
+
+
+class AsgiPool(AsyncConnectionPool):
+    """Run each request as a task that outlives a caller who gives up."""
+
+    def __init__(self, app, nursery):
+        super().__init__()
+        self._app = app
+        self._nursery = nursery
+
+    async def handle_async_request(self, request: Request) -> Response:
+        if "trace" in request.extensions:
+            await request.extensions["trace"](SENDING_EVENT, {})
+        body = b"".join([chunk async for chunk in request.stream])
+        path, _, query = request.url.target.partition(b"?")
+        scope = {
+            "type": "http",
+            "method": request.method.decode(),
+            "raw_path": path,
+            "query_string": query,
+            "headers": [(name.lower(), value) for name, value in request.headers],
+        }
+        to_app, receive_channel = trio.open_memory_channel(2)
+        to_app.send_nowait({"type": "http.request", "body": body})
+        from_app, replies = trio.open_memory_channel(10)
+        self._nursery.start_soon(self._run, scope, receive_channel, from_app)
+        try:
+            return await _collect(replies)
+        finally:
+            to_app.send_nowait({"type": "http.disconnect"})
+
+    async def _run(self, scope, receive_channel, from_app):
+        async with from_app:
+            await self._app(scope, receive_channel.receive, from_app.send)
+
+
+async def _collect(replies) -> Response:
+    messages = [message async for message in replies]
+    if not messages or messages[-1]["type"] != "http.response.body":
+        raise RemoteProtocolError("the connection was cut")
+    body = b"".join(message["body"] for message in messages[1:])
+    head = messages[0]
+    return Response(head["status"], headers=head["headers"], content=body)
