Read YAML files with lines and check them against the schema

Operators need the file and line of a fault, and PyYAML's loader gives plain values without them and takes the last of two equal keys.

--- a/catkinhollow/errors.py
+++ b/catkinhollow/errors.py
@@ -23,8 +23,9 @@
 
     def __str__(self) -> str:
         """Return the fault on one line."""
-        place = f"{self.file}:{self.line}: " if self.file else ""
-        return f"{place}{self.path}: {self.reason}"
+        line = f":{self.line}" if self.line else ""
+        parts = (f"{self.file}{line}" if self.file else "", self.path, self.reason)
+        return ": ".join(part for part in parts if part)
 
 
 class StoreErrorKind(StrEnum):
--- /dev/null
+++ b/catkinhollow/settings.py
@@ -0,0 +1,139 @@
+"""Read and check the settings file of a daemon."""
+
+from collections.abc import Iterator
+from itertools import combinations
+from pathlib import Path
+from typing import Any
+
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from catkinhollow.codec import encode_json, from_plain, to_plain
+from catkinhollow.documents import (
+    Document,
+    ValuePath,
+    format_path,
+    parse_path,
+    read_document,
+)
+from catkinhollow.errors import Problem
+from catkinhollow.generated.settings import Address, Settings
+from catkinhollow.schema_check import find_schema_problems
+
+WILDCARD_HOSTS = {"0.0.0.0", "::"}
+
+
+@frozen(kw_only=True)
+class SettingsFile:
+    """Hold checked settings and the document that they come from."""
+
+    settings: Settings
+    document: Document
+
+
+@frozen(kw_only=True)
+class EffectiveValue:
+    """Hold one value in force and where it comes from."""
+
+    path: str
+    text: str
+    origin: str
+
+
+def load_settings(path: Path) -> Result[Settings, list[Problem]]:
+    """Return the settings of a file, or everything wrong with it."""
+    return read_settings_file(path).map(lambda loaded: loaded.settings)
+
+
+def read_settings_file(path: Path) -> Result[SettingsFile, list[Problem]]:
+    """Return the settings of a file together with its lines."""
+    return read_document(path).bind(_check_document)
+
+
+def find_settings_problems(settings: Settings) -> Iterator[Problem]:
+    """Yield every fault that the schema cannot express."""
+    yield from _address_problems(settings)
+    lease = settings.lease
+    if lease.renew_interval_s >= lease.stop_deciding_s:
+        yield Problem(
+            path="lease.renew_interval_s",
+            reason=f"{lease.renew_interval_s:g} s must be less than"
+            f" stop_deciding_s, {lease.stop_deciding_s:g} s",
+        )
+    if lease.stop_deciding_s >= lease.takeover_s:
+        yield Problem(
+            path="lease.stop_deciding_s",
+            reason=f"{lease.stop_deciding_s:g} s must be less than"
+            f" takeover_s, {lease.takeover_s:g} s",
+        )
+    store = settings.store
+    if store.retry_base_ms > store.retry_max_ms:
+        yield Problem(
+            path="store.retry_base_ms",
+            reason=f"{store.retry_base_ms} is greater than"
+            f" retry_max_ms, {store.retry_max_ms}",
+        )
+
+
+def _check_document(document: Document) -> Result[SettingsFile, list[Problem]]:
+    problems = find_schema_problems(document, "settings.yaml", "Settings")
+    if problems:
+        return Error(problems)
+    decoded = from_plain(document.value, Settings)
+    if decoded.is_error():
+        return Error([document.problem((), decoded.error.reason)])
+    problems = [
+        document.problem(parse_path(problem.path), problem.reason)
+        for problem in find_settings_problems(decoded.ok)
+    ]
+    if problems:
+        return Error(problems)
+    return Ok(SettingsFile(settings=decoded.ok, document=document))
+
+
+def _address_problems(settings: Settings) -> Iterator[Problem]:
+    listeners = {
+        "traffic": settings.traffic,
+        "admin": settings.admin,
+        "peer": settings.peer,
+    }
+    for (first, one), (second, other) in combinations(listeners.items(), 2):
+        if _overlap(one, other):
+            yield Problem(
+                path=second,
+                reason=f"{other.host}:{other.port} is also the address of '{first}'",
+            )
+    for name, listener in listeners.items():
+        if listener == settings.store.address:
+            yield Problem(
+                path="store.address", reason=f"is also the address of '{name}'"
+            )
+
+
+def _overlap(one: Address, other: Address) -> bool:
+    same_host = one.host == other.host
+    wildcard = bool(WILDCARD_HOSTS & {one.host, other.host})
+    return one.port == other.port and (same_host or wildcard)
+
+
+def list_values(loaded: SettingsFile) -> Iterator[EffectiveValue]:
+    """Yield every value in force and where it comes from."""
+    for path, value in _leaves((), to_plain(loaded.settings)):
+        given = path in loaded.document.lines
+        place = f"{loaded.document.file}:{loaded.document.line_of(path)}"
+        yield EffectiveValue(
+            path=format_path(path),
+            text=encode_json(value).decode(),
+            origin=place if given else "default",
+        )
+
+
+def _leaves(path: ValuePath, value: Any) -> Iterator[tuple[ValuePath, Any]]:
+    if isinstance(value, dict) and value:
+        for key, item in value.items():
+            yield from _leaves((*path, key), item)
+    elif isinstance(value, list) and value:
+        for index, item in enumerate(value):
+            yield from _leaves((*path, index), item)
+    else:
+        yield path, value
--- a/catkinhollow/validation.py
+++ b/catkinhollow/validation.py
@@ -1,21 +1,38 @@
 """Check the references and limits of a whole fleet configuration."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from typing import get_args
+
+from attrs import fields
+from msgspec import Meta
 
 from catkinhollow.errors import Problem
-from catkinhollow.generated.fleet import Fleet, Service
+from catkinhollow.generated.fleet import (
+    Defaults,
+    Fleet,
+    FleetException,
+    RetryPolicy,
+    Service,
+)
 
 FULL_SHARE_PERCENT = 100.0
 SHARE_TOLERANCE_PERCENT = 0.001
 
+# An exception has the bounds of the default that it replaces.
+SETTING_TYPES = {
+    item.name: get_args(item.type)
+    for item in (*fields(Defaults), *fields(RetryPolicy))
+    if get_args(item.type)
+}
+
 
 def find_problems(fleet: Fleet) -> list[Problem]:
     """Return every fault that the schema cannot express."""
     return [
-        *_duplicates("services", (service.name for service in fleet.services)),
-        *_duplicates("routes", (route.name for route in fleet.routes)),
-        *_duplicates("exceptions", (item.name for item in fleet.exceptions)),
+        *_duplicates("services", [service.name for service in fleet.services]),
+        *_duplicates("routes", [route.name for route in fleet.routes]),
+        *_duplicates("exceptions", [item.name for item in fleet.exceptions]),
         *_unknown_services(fleet),
         *_ambiguous_routes(fleet),
         *_exception_problems(fleet),
@@ -24,10 +41,16 @@
     ]
 
 
-def _duplicates(section: str, names: Iterable[str]) -> Iterator[Problem]:
-    for name, uses in Counter(names).items():
-        if uses > 1:
-            yield Problem(path=section, reason=f"'{name}' is listed {uses} times")
+def _duplicates(section: str, names: Sequence[str]) -> Iterator[Problem]:
+    uses = Counter(names)
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield Problem(
+                path=f"{section}[{index}]",
+                reason=f"'{name}' is listed {uses[name]} times",
+            )
+        seen.add(name)
 
 
 def _unknown_services(fleet: Fleet) -> Iterator[Problem]:
@@ -74,13 +97,25 @@
             yield Problem(
                 path=path, reason=f"exception '{other}' already sets {item.setting}"
             )
+        yield from _value_problems(f"{path}.value", item)
+
+
+def _value_problems(path: str, item: FleetException) -> Iterator[Problem]:
+    base_type, bounds = SETTING_TYPES[item.setting]
+    assert isinstance(bounds, Meta)
+    if base_type is int and item.value % 1:
+        yield Problem(path=path, reason=f"{item.setting} is a whole number")
+    elif bounds.ge is not None and not item.value >= bounds.ge:
+        yield Problem(path=path, reason=f"{item.value:g} is less than {bounds.ge:g}")
+    elif bounds.le is not None and not item.value <= bounds.le:
+        yield Problem(path=path, reason=f"{item.value:g} is greater than {bounds.le:g}")
 
 
 def _share_problems(services: Iterable[Service]) -> Iterator[Problem]:
     for index, service in enumerate(services):
         path = f"services[{index}]"
-        yield from _duplicates(f"{path}.backers", (b.name for b in service.backers))
-        yield from _duplicates(f"{path}.split", (w.version for w in service.split))
+        yield from _duplicates(f"{path}.backers", [b.name for b in service.backers])
+        yield from _duplicates(f"{path}.split", [w.version for w in service.split])
         promised = sum(backer.share_percent for backer in service.backers)
         if promised > FULL_SHARE_PERCENT + SHARE_TOLERANCE_PERCENT:
             yield Problem(
