--- /dev/null
+++ b/catkinhollow/editing.py
@@ -0,0 +1,162 @@
+"""Decide how commands change the fleet configuration."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any, Protocol
+
+from attrs import asdict, evolve, fields, frozen
+from expression import Error, Ok, Result
+
+from catkinhollow.generated.fleet import Defaults, Fleet
+
+
+@frozen(kw_only=True)
+class EditRefused:
+    """Report an edit that would leave a wrong configuration."""
+
+    reason: str
+
+
+class FleetEdit(Protocol):
+    """Derive the wanted configuration from the stored one."""
+
+    @property
+    def may_create(self) -> bool:
+        """Tell whether the edit may write the first configuration."""
+
+    def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
+        """Return the wanted configuration."""
+
+    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+        """Tell whether the edit may be made again after another change."""
+
+
+@frozen
+class ApplyFiles:
+    """Replace what files define; keep splits and failure domains out."""
+
+    files: Fleet
+    may_create: bool = True
+
+    def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
+        """Return the files' configuration with the stored operations."""
+        splits = {service.name: service.split for service in stored.services}
+        wanted = evolve(
+            self.files,
+            services=[
+                evolve(service, split=splits.get(service.name, []))
+                for service in self.files.services
+            ],
+            failure_domains_out=stored.failure_domains_out,
+        )
+        return Ok(wanted)
+
+    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+        """Allow changes of splits and failure domains only."""
+        return without_operations(before) == without_operations(now)
+
+
+@frozen
+class TakeDomainOut:
+    """Take a failure domain out of service."""
+
+    name: str
+    known_domains: frozenset[str] = frozenset()
+    force: bool = False
+    may_create: bool = False
+
+    def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
+        """Return the configuration without the failure domain."""
+        out = stored.failure_domains_out
+        if self.name in out:
+            return Ok(stored)
+        left = self.known_domains - {*out, self.name}
+        if self.known_domains and not left and not self.force:
+            reason = f"no failure domain would be left in service without {self.name}"
+            return Error(EditRefused(reason=f"{reason}; --force takes it out anyway"))
+        return Ok(evolve(stored, failure_domains_out=[*out, self.name]))
+
+    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+        """Allow every other change, as this one is independent of it."""
+        return True
+
+
+@frozen
+class ReturnDomain:
+    """Return a failure domain to service."""
+
+    name: str
+    may_create: bool = False
+
+    def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
+        """Return the configuration with the failure domain in service."""
+        out = [name for name in stored.failure_domains_out if name != self.name]
+        return Ok(evolve(stored, failure_domains_out=out))
+
+    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+        """Allow every other change, as this one is independent of it."""
+        return True
+
+
+def without_operations(fleet: Fleet) -> Fleet:
+    """Return the configuration without what moves and operators set."""
+    return evolve(
+        fleet,
+        services=[evolve(service, split=[]) for service in fleet.services],
+        failure_domains_out=[],
+    )
+
+
+def list_changes(before: Fleet, after: Fleet) -> list[str]:
+    """Return one line for each thing that differs."""
+    return [
+        *_default_changes(before.defaults, after.defaults),
+        *_entry_changes("service", before.services, after.services),
+        *_entry_changes("route", before.routes, after.routes),
+        *_entry_changes("exception", before.exceptions, after.exceptions),
+        *_domain_changes(before.failure_domains_out, after.failure_domains_out),
+    ]
+
+
+def _default_changes(before: Defaults, after: Defaults) -> Iterator[str]:
+    old, new = _flatten(asdict(before)), _flatten(asdict(after))
+    for name, value in new.items():
+        if old[name] != value:
+            yield f"default {name}: {old[name]} -> {value}"
+
+
+def _flatten(values: dict[str, Any]) -> dict[str, Any]:
+    flat: dict[str, Any] = {}
+    for name, value in values.items():
+        flat.update(_flatten(value) if isinstance(value, dict) else {name: value})
+    return flat
+
+
+def _entry_changes(
+    kind: str, before: Iterable[Any], after: Iterable[Any]
+) -> Iterator[str]:
+    old = {entry.name: entry for entry in before}
+    new = {entry.name: entry for entry in after}
+    for name, entry in new.items():
+        if name not in old:
+            yield f"{kind} {name}: added"
+        elif old[name] != entry:
+            differing = (
+                item.name
+                for item in fields(type(entry))
+                if getattr(old[name], item.name) != getattr(entry, item.name)
+            )
+            yield f"{kind} {name}: changed {', '.join(differing)}"
+    for name in old:
+        if name not in new:
+            yield f"{kind} {name}: removed"
+    if old.keys() == new.keys() and list(old) != list(new):
+        yield f"{kind}s: in another order"
+
+
+def _domain_changes(before: list[str], after: list[str]) -> Iterator[str]:
+    for name in after:
+        if name not in before:
+            yield f"failure domain {name}: out of service"
+    for name in before:
+        if name not in after:
+            yield f"failure domain {name}: returned to service"
--- /dev/null
+++ b/catkinhollow/fleet_updates.py
@@ -0,0 +1,139 @@
+"""Change the fleet configuration in the store by conditional updates."""
+
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from catkinhollow.codec import from_plain, to_plain
+from catkinhollow.editing import EditRefused, FleetEdit
+from catkinhollow.errors import StoreError, StoreErrorKind
+from catkinhollow.generated.fleet import Fleet, SeedList
+from catkinhollow.store import StoreClient
+from catkinhollow.validation import find_problems
+
+FLEET_KIND = "config"
+FLEET_NAME = "fleet"
+MEMBERS_KIND = "members"
+
+# Each lost race means that another operator's write took effect, so more than
+# a few in a row are a fault.
+MAX_ATTEMPTS = 10
+
+
+@frozen(kw_only=True)
+class StoredFleet:
+    """Hold the stored configuration; revision 0 when there is none."""
+
+    revision: int
+    fleet: Fleet
+
+
+@frozen(kw_only=True)
+class FleetUpdate:
+    """Hold the outcome of a change; the revisions differ if it was written."""
+
+    before: StoredFleet
+    after: StoredFleet
+
+
+UpdateError = StoreError | EditRefused
+
+
+async def read_fleet(store: StoreClient) -> Result[StoredFleet, UpdateError]:
+    """Return the stored configuration, an empty one if there is none."""
+    result = await store.get(FLEET_KIND, FLEET_NAME)
+    if result.is_error():
+        if result.error.kind is StoreErrorKind.NOT_FOUND:
+            return Ok(StoredFleet(revision=0, fleet=Fleet()))
+        return Error(result.error)
+    decoded = from_plain(result.ok.value, Fleet)
+    if decoded.is_error():
+        reason = f"the stored configuration is not valid: {decoded.error.reason}"
+        return Error(EditRefused(reason=reason))
+    return Ok(StoredFleet(revision=result.ok.revision, fleet=decoded.ok))
+
+
+async def plan_update(
+    store: StoreClient, edit: FleetEdit
+) -> Result[FleetUpdate, UpdateError]:
+    """Return what an edit would change, and write nothing."""
+    stored = await read_fleet(store)
+    return stored.bind(lambda before: _plan(before, edit))
+
+
+async def update_fleet(
+    store: StoreClient, edit: FleetEdit
+) -> Result[FleetUpdate, UpdateError]:
+    """Make an edit, again after a lost race if the edit allows that."""
+    base: StoredFleet | None = None
+    for _ in range(MAX_ATTEMPTS):
+        planned = await plan_update(store, edit)
+        if planned.is_error():
+            return planned
+        before, after = planned.ok.before, planned.ok.after
+        base = base or before
+        if before.revision and before.fleet == after.fleet:
+            return planned
+        if not edit.may_follow(base.fleet, before.fleet):
+            return Error(_conflict(base, before))
+        written = await store.put(
+            FLEET_KIND,
+            FLEET_NAME,
+            to_plain(after.fleet),
+            if_revision=before.revision,
+        )
+        if written.is_ok():
+            revision = written.ok.revision
+            after = StoredFleet(revision=revision, fleet=after.fleet)
+            return Ok(FleetUpdate(before=before, after=after))
+        if written.error.kind is not StoreErrorKind.CONFLICT:
+            return Error(written.error)
+    reason = f"lost {MAX_ATTEMPTS} races against other changes"
+    return Error(StoreError(kind=StoreErrorKind.CONFLICT, reason=reason))
+
+
+def _plan(before: StoredFleet, edit: FleetEdit) -> Result[FleetUpdate, UpdateError]:
+    if not before.revision and not edit.may_create:
+        return Error(EditRefused(reason="no configuration has been applied yet"))
+    checked = edit.edit(before.fleet).bind(_check)
+    if checked.is_error():
+        return Error(checked.error)
+    after = StoredFleet(revision=before.revision, fleet=checked.ok)
+    return Ok(FleetUpdate(before=before, after=after))
+
+
+def _check(fleet: Fleet) -> Result[Fleet, EditRefused]:
+    # Daemons refuse a version that they cannot decode as a whole, so nothing
+    # is written that does not pass the same checks.
+    decoded = from_plain(to_plain(fleet), Fleet)
+    if decoded.is_error():
+        return Error(EditRefused(reason=decoded.error.reason))
+    problems = find_problems(fleet)
+    if problems:
+        return Error(EditRefused(reason=str(problems[0])))
+    return Ok(fleet)
+
+
+def _conflict(base: StoredFleet, now: StoredFleet) -> StoreError:
+    return StoreError(
+        kind=StoreErrorKind.CONFLICT,
+        reason=f"the configuration was changed from revision {base.revision}"
+        f" to {now.revision} by someone else meanwhile",
+        revision=now.revision,
+    )
+
+
+async def list_known_domains(
+    store: StoreClient,
+) -> Result[frozenset[str], UpdateError]:
+    """Return the failure domains that have members."""
+    result = await store.list_objects(MEMBERS_KIND)
+    if result.is_error():
+        return Error(result.error)
+    return Ok(
+        frozenset(item.name for item in result.ok.objects if _has_members(item.value))
+    )
+
+
+def _has_members(value: object) -> bool:
+    seeds = from_plain(value, SeedList)
+    return seeds.is_ok() and bool(seeds.ok.addresses)
