--- /dev/null
+++ b/catkinhollow/commands/apply.py
@@ -0,0 +1,57 @@
+"""Write the operators' files to the store."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from cleo.helpers import argument, option
+
+from catkinhollow.commands.exit_codes import ExitCode
+from catkinhollow.commands.store_command import STORE_OPTION, StoreCommand
+
+if TYPE_CHECKING:
+    from catkinhollow.fleet_updates import FleetUpdate
+
+
+class ApplyCommand(StoreCommand):
+    """Replace the stored configuration by that of the files."""
+
+    name = "apply"
+    description = "Put fleet configuration files in force."
+    arguments = [
+        argument("files", "YAML files that together are one fleet.", False, True)
+    ]
+    options = [
+        STORE_OPTION,
+        option("dry-run", description="Show the changes and write nothing."),
+    ]
+
+    def handle(self) -> int:
+        """Write the configuration if all of it is valid."""
+        from catkinhollow.editing import ApplyFiles
+        from catkinhollow.fleet_files import load_fleet
+        from catkinhollow.fleet_updates import plan_update, update_fleet
+
+        loaded = load_fleet([Path(name) for name in self.argument("files")])
+        if loaded.is_error():
+            return self.print_problems(loaded.error)
+        change = plan_update if self.option("dry-run") else update_fleet
+        edit = ApplyFiles(loaded.ok)
+        result = self.use_store(lambda store: change(store, edit))
+        if result.is_error():
+            return self.report_error(result.error)
+        self._report(result.ok)
+        return ExitCode.OK
+
+    def _report(self, update: FleetUpdate) -> None:
+        from catkinhollow.editing import list_changes
+
+        for change in list_changes(update.before.fleet, update.after.fleet):
+            self.print_line(change)
+        if self.option("dry-run"):
+            self.print_line(f"dry run: revision {update.before.revision} is unchanged")
+        elif update.before.revision == update.after.revision:
+            self.print_line(f"no changes: revision {update.after.revision}")
+        else:
+            self.print_line(f"applied: revision {update.after.revision}")
--- /dev/null
+++ b/catkinhollow/commands/exit_codes.py
@@ -0,0 +1,13 @@
+"""Define the exit codes of the command line."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """Tell scripts why a command ended."""
+
+    OK = 0
+    INVALID = 1
+    CONFLICT = 2
+    UNREACHABLE = 3
+    USAGE = 64
