--- a/tools/check_generated.py
+++ b/tools/check_generated.py
@@ -1,4 +1,4 @@
-"""Check that generating again changes no committed module."""
+"""Check that generating again changes no committed file."""
 
 import sys
 from pathlib import Path
@@ -7,10 +7,11 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 from generate import OUTPUT_DIR, SCHEMA_DIR, generate  # noqa: E402
+from generate_reference import REFERENCE, build_reference  # noqa: E402
 
 
 def main() -> int:
-    """Return 1 and name the modules that differ from their schema."""
+    """Return 1 and name the files that differ from their schema."""
     stale = []
     with TemporaryDirectory(dir=OUTPUT_DIR.parent) as directory:
         for schema in sorted(SCHEMA_DIR.glob("*.yaml")):
@@ -19,10 +20,12 @@
             committed = OUTPUT_DIR / output.name
             if not committed.exists() or committed.read_text() != output.read_text():
                 stale.append(committed.name)
+    if not REFERENCE.exists() or REFERENCE.read_text() != build_reference():
+        stale.append(REFERENCE.name)
     if stale:
-        print(f"run 'make generate': stale modules: {', '.join(stale)}")
+        print(f"run 'make generate': stale files: {', '.join(stale)}")
         return 1
-    print("generated modules match their schema")
+    print("generated modules and the reference match their schema")
     return 0
 
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -4,6 +4,10 @@
 import sys
 from pathlib import Path
 
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+from generate_reference import REFERENCE, build_reference  # noqa: E402
+
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMA_DIR = ROOT / "catkinhollow" / "schema"
 OUTPUT_DIR = ROOT / "catkinhollow" / "generated"
@@ -53,9 +57,10 @@
 
 
 def main() -> None:
-    """Generate every module."""
+    """Generate every module and the reference."""
     for schema in sorted(SCHEMA_DIR.glob("*.yaml")):
         generate(schema, OUTPUT_DIR / f"{schema.stem}.py")
+    REFERENCE.write_text(build_reference())
 
 
 if __name__ == "__main__":
