Let a listener linger before it closes idle connections

Cause: hypercorn closes idle connections at once on shutdown; a request that a caller sends at that moment is lost with an unknown outcome.

Change: serve_app takes linger_s, a time after the shutdown in which it still answers, each answer closing its connection.

Result: python -m pytest tests/test_http_server.py passes, and fails without the wait. A request on a connection that stays idle through the whole linger can still be lost.

--- a/catkinhollow/http_server.py
+++ b/catkinhollow/http_server.py
@@ -32,13 +32,21 @@
     *,
     shutdown: trio.Event,
     drain_s: float,
+    linger_s: float = 0.0,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until shutdown, then let requests finish for at most drain_s."""
+
+    # While lingering, the listener still answers, and each answer closes its
+    # connection; later hypercorn closes idle connections without notice.
+    async def trigger() -> None:
+        await shutdown.wait()
+        await trio.sleep(linger_s)
+
     await serve(
         cast(Framework, _ServedApp(app, shutdown)),
         _config(address, http, drain_s),
-        shutdown_trigger=shutdown.wait,
+        shutdown_trigger=trigger,
         task_status=task_status,
         mode="asgi",
     )
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -35,9 +35,10 @@
 class Served:
     """Serve an application on a free port until the shutdown."""
 
-    def __init__(self, app):
+    def __init__(self, app, *, linger_s=0.0):
         self.shutdown = trio.Event()
         self._app = app
+        self._linger_s = linger_s
 
     async def run(self, task_status):
         with socket.socket() as probe:
@@ -49,6 +50,7 @@
             HTTP,
             shutdown=self.shutdown,
             drain_s=30.0,
+            linger_s=self._linger_s,
             task_status=task_status,
         )
 
@@ -68,17 +70,25 @@
     served.shutdown.set()
 
 
-async def test_shutdown_finishes_the_request_and_announces_the_close():
+async def test_shutdown_finishes_requests_and_announces_the_close(nursery):
     """Guards against requests cut by a shutdown and silent closes after it."""
     app = GatedApp()
     served = Served(app)
-    async with AsyncConnectionPool() as pool, trio.open_nursery() as nursery:
-        [url] = await nursery.start(served.run)
-        nursery.start_soon(check_last_answer, pool, url)
+    async with AsyncConnectionPool() as pool, trio.open_nursery() as server:
+        [url] = await server.start(served.run)
+        server.start_soon(check_last_answer, pool, url)
         await app.started.wait()
         served.shutdown.set()
         await trio.testing.wait_all_tasks_blocked()
         app.gate.set()
+    lingering = Served(app, linger_s=600.0)
+    [url] = await nursery.start(lingering.run)
+    async with AsyncConnectionPool() as pool:
+        assert (await pool.request("GET", url)).status == 200
+        lingering.shutdown.set()
+        await trio.testing.wait_all_tasks_blocked()
+        await check_last_answer(pool, url)
+    nursery.cancel_scope.cancel()
 
 
 async def check_last_answer(pool, url):
