--- /dev/null
+++ b/catkinhollow/testbed/responses.py
@@ -0,0 +1,23 @@
+"""Answer or abandon a call the way a failing server does."""
+
+import trio
+
+from catkinhollow.exchange import Response
+from catkinhollow.http_server import Receive, Send, wait_disconnect
+
+
+async def send_cut(send: Send, response: Response) -> None:
+    """Send the head and half of the body, for a connection to be cut."""
+    length = (b"content-length", str(len(response.body)).encode())
+    headers = [*response.headers, length]
+    await send(
+        {"type": "http.response.start", "status": response.status, "headers": headers}
+    )
+    half = response.body[: len(response.body) // 2]
+    await send({"type": "http.response.body", "body": half, "more_body": True})
+
+
+async def cancel_on_disconnect(receive: Receive, nursery: trio.Nursery) -> None:
+    """Cancel the nursery when the client has closed the connection."""
+    await wait_disconnect(receive)
+    nursery.cancel_scope.cancel()
--- a/catkinhollow/testbed/store.py
+++ b/catkinhollow/testbed/store.py
@@ -25,6 +25,7 @@
     send_response,
     wait_disconnect,
 )
+from catkinhollow.testbed.responses import cancel_on_disconnect, send_cut
 from catkinhollow.testbed.store_state import StoreState
 from catkinhollow.testbed.switches import merge_switches
 
@@ -109,7 +110,7 @@
             case None:
                 await send_response(send, response)
             case ResponseLoss.CUT:
-                await _send_cut(send, response)
+                await send_cut(send, response)
             case ResponseLoss.HANG:
                 await wait_disconnect(receive)
 
@@ -150,7 +151,7 @@
 
     async def _wait_for_changes(self, watch: _Watch, receive: Receive) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_disconnect, receive, nursery)
+            nursery.start_soon(cancel_on_disconnect, receive, nursery)
             with trio.move_on_after(watch.wait_s):
                 while self._must_wait(watch):
                     await self._changed.wait()
@@ -190,21 +191,6 @@
         changed.set()
 
 
-async def _cancel_on_disconnect(receive: Receive, nursery: trio.Nursery) -> None:
-    await wait_disconnect(receive)
-    nursery.cancel_scope.cancel()
-
-
-async def _send_cut(send: Send, response: Response) -> None:
-    # hypercorn closes the connection when the application returns before the
-    # end of the body.
-    length = (b"content-length", str(len(response.body)).encode())
-    headers = [*response.headers, length]
-    await send(
-        {"type": "http.response.start", "status": response.status, "headers": headers}
-    )
-
-
 def _call_name(method: str, segments: list[str]) -> str:
     if method != "GET":
         return method.lower()
--- a/tests/asgi_pool.py
+++ b/tests/asgi_pool.py
@@ -42,7 +42,7 @@
 
 async def _collect(replies) -> Response:
     messages = [message async for message in replies]
-    if not messages or messages[-1]["type"] != "http.response.body":
+    if not messages or messages[-1].get("more_body", False):
         raise RemoteProtocolError("the connection was cut")
     body = b"".join(message["body"] for message in messages[1:])
     head = messages[0]
--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -64,21 +64,23 @@
     lose_mode=st.sampled_from(ResponseLoss),
     stale_reads=st.booleans(),
 )
+# Faults that end after 1 s let a retry overtake its delayed first attempt.
+STEP = st.tuples(FAULTS, st.sampled_from([1.0, 3.0]), st.booleans(), st.booleans())
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
-@given(st.lists(st.tuples(FAULTS, st.booleans(), st.booleans()), max_size=6))
+@given(st.lists(STEP, max_size=6))
 def test_write_takes_effect_at_most_once_and_is_reported_truly(steps):
     """Guards against lost responses taken for lost writes, and repeats."""
 
     async def scenario(state, client):
-        for faults, deletes, has_rival in steps:
-            await write_under_faults(state, client, faults, deletes, has_rival)
+        for step in steps:
+            await write_under_faults(state, client, *step)
 
     run_scenario(scenario)
 
 
-async def write_under_faults(state, client, faults, deletes, has_rival):
+async def write_under_faults(state, client, faults, end_s, deletes, has_rival):
     present = state.get("config", "fleet")
     revision = present.revision if present and not present.deleted else 0
     state.set_faults(faults)
@@ -87,7 +89,7 @@
         nursery.start_soon(trio.sleep, 20)
         if has_rival:
             nursery.start_soon(call_later, 1.0, state.write_as_rival)
-        nursery.start_soon(call_later, 3.0, partial(state.set_faults, StoreFaults()))
+        nursery.start_soon(call_later, end_s, partial(state.set_faults, StoreFaults()))
         if deletes:
             result = await client.delete("config", "fleet", if_revision=revision)
         else:
@@ -105,23 +107,6 @@
     callback()
 
 
-def test_slow_write_is_not_applied_again_by_its_retry():
-    """Guards against a retry that lands twice when the first try is late."""
-
-    async def scenario(state, client):
-        state.set_faults(StoreFaults(delay_ms=3000))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                call_later, 1.0, partial(state.set_faults, StoreFaults())
-            )
-            result = await client.put("leases", "controller", 1, if_revision=0)
-        await trio.sleep(10)
-        assert result.is_ok()
-        assert state.writers == [result.ok.writer_id]
-
-    run_scenario(scenario)
-
-
 def test_read_of_an_older_view_does_not_settle_a_lost_write():
     """Guards against a conflict or a retry decided on a stale read."""
     intent = WriteIntent(if_revision=5, writer_id="own")
