--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -14,6 +14,7 @@
 from catkinhollow.commands.exceptions import ExceptionsCommand
 from catkinhollow.commands.exit_codes import ExitCode
 from catkinhollow.commands.settings_show import SettingsShowCommand
+from catkinhollow.commands.standin import StandinStoreCommand, StandinTargetCommand
 from catkinhollow.commands.status import StatusCommand
 from catkinhollow.commands.store_command import StoreConnector, connect_store
 from catkinhollow.commands.validate import ValidateCommand
@@ -30,6 +31,8 @@
         StatusCommand(),
         SettingsShowCommand(),
         DaemonCommand(),
+        StandinStoreCommand(),
+        StandinTargetCommand(),
     ]
 
 
