--- /dev/null
+++ b/catkinhollow/dissemination.py
@@ -0,0 +1,348 @@
+"""Decide what a daemon tells its neighbours and asks of them."""
+
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from math import inf
+from random import Random
+from typing import Any
+
+from catkinhollow.anti_entropy import TableComparison
+from catkinhollow.events import EvidenceReported, FloorRaised, MeshJoined, MeshReady
+from catkinhollow.flooding import Flooding
+from catkinhollow.generated.messages import (
+    Ack,
+    Envelope,
+    EvidenceReport,
+    Gossip,
+    Join,
+    JoinReply,
+    MemberRecord,
+    MemberState,
+    Quarantine,
+    TargetRecord,
+)
+from catkinhollow.generated.settings import PeerSettings
+from catkinhollow.joining import Admission, Joiner
+from catkinhollow.membership import MemberTable
+from catkinhollow.mesh_commands import (
+    Command,
+    CommandQueue,
+    Connect,
+    Disconnect,
+)
+from catkinhollow.monitoring import Monitor
+from catkinhollow.neighbours import Neighbours
+from catkinhollow.pulling import SnapshotExchange
+from catkinhollow.quarantines import QuarantineSet
+
+# Enforced revisions reach ring neighbours with each ping. The rest of the
+# table learns them from refreshed records. Flooding one record costs each
+# member about 6.6 KB, so the fleet refreshes one record in 4 s: 1.6 KB/s.
+_REFRESH_S_PER_MEMBER = 4.0
+
+# A link outside the rings stays open between reports, once a second.
+_TEMPORARY_LINK_S = 10.0
+_MAX_WAITING_REPORTS = 16
+
+
+class Mesh:
+    """Hold the state of one daemon among its peers; do no input or output."""
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        seeds: Sequence[str],
+        peers: PeerSettings,
+        random: Random,
+        now_s: float,
+    ) -> None:
+        self._own_address = own.address
+        self._random = random
+        self._table = MemberTable(
+            own,
+            suspect_timeout_s=peers.suspect_timeout_s,
+            dead_retention_s=peers.dead_retention_s,
+        )
+        self._quarantines = QuarantineSet()
+        self._neighbours = Neighbours(peers.missed_pings * peers.ping_interval_s)
+        self._commands = CommandQueue(self._table, self._neighbours)
+        self._flooding = Flooding(
+            self._table,
+            self._quarantines,
+            self._neighbours,
+            self._commands,
+            peers.batch_interval_ms / 1000,
+        )
+        self._comparison = TableComparison(
+            self._table, self._quarantines, self._flooding, self._commands
+        )
+        self._snapshots = SnapshotExchange(self._commands, peers.pull_timeout_ms / 1000)
+        self._admission = Admission(peers.max_joins_per_s)
+        self._joiner = Joiner(self._without_own(seeds), random, now_s)
+        self._monitor = Monitor(
+            self._table,
+            self._neighbours,
+            self._flooding,
+            self._comparison,
+            self._snapshots,
+            self._joiner,
+            self._commands,
+            peers,
+            random,
+            now_s,
+        )
+        self._reports: deque[tuple[str, EvidenceReport]] = deque(
+            maxlen=_MAX_WAITING_REPORTS
+        )
+        self._refresh_due_s = inf
+        self._handlers: dict[str, Callable[[Envelope, Any, float], None]] = {
+            "ping": self._monitor.take_ping,
+            "ack": self._on_ack,
+            "gossip": self._on_gossip,
+            "pull_snapshot": self._snapshots.take_pull,
+            "snapshot_reply": self._snapshots.take_reply,
+            "join": self._on_join,
+            "join_reply": self._on_join_reply,
+            "compare_members": self._comparison.take_request,
+            "member_positions": self._comparison.take_positions,
+            "pull_members": self._comparison.take_pull,
+            "evidence_report": self._on_evidence_report,
+        }
+
+    @property
+    def table(self) -> MemberTable:
+        """Return the member table."""
+        return self._table
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the daemon may serve calls."""
+        return self._joiner.ready
+
+    @property
+    def floor(self) -> int:
+        """Return the lowest revision the daemon may start to serve with."""
+        return self._joiner.floor
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that peers can pull here."""
+        return self._snapshots.revision
+
+    @property
+    def quarantines(self) -> list[Quarantine]:
+        """Return every known quarantine."""
+        return self._quarantines.items
+
+    @property
+    def links(self) -> frozenset[str]:
+        """Return the addresses with a link."""
+        return self._neighbours.up
+
+    @property
+    def due_s(self) -> float:
+        """Return when the next tick is needed."""
+        return min(
+            self._monitor.due_s,
+            self._flooding.due_s,
+            self._snapshots.puller.due_s,
+            self._joiner.due_s,
+        )
+
+    def receive(self, envelope: Envelope, now_s: float) -> list[Command]:
+        """Take one message from a peer."""
+        if envelope.sender == self._own_address:
+            return []
+        self._neighbours.heard(envelope.sender, now_s)
+        for name, handler in self._handlers.items():
+            body = getattr(envelope, name)
+            if body is not None:
+                handler(envelope, body, now_s)
+        return self._finish(now_s)
+
+    def tick(self, now_s: float) -> list[Command]:
+        """Do everything that is due."""
+        self._monitor.tick(now_s)
+        if now_s >= self._refresh_due_s:
+            self._refresh_due_s = inf
+            self._table.update_own(now_s)
+            self._flooding.spread_member(self._own_address, now_s)
+        self._ask_seed(now_s)
+        if now_s >= self._flooding.due_s:
+            self._flooding.flush()
+        return self._finish(now_s)
+
+    def link_up(self, address: str, now_s: float) -> list[Command]:
+        """Note that messages can be sent to a peer."""
+        self._neighbours.link_up(address)
+        if address == self._joiner.target:
+            self._send_join(address)
+        if self._neighbours.is_wanted(address):
+            self._monitor.ping(address)
+        self._send_waiting_reports(address)
+        return self._finish(now_s)
+
+    def link_down(self, address: str, now_s: float) -> list[Command]:
+        """Note that messages to a peer are lost from now on."""
+        self._neighbours.link_down(address)
+        self._snapshots.puller.forget(address)
+        self._comparison.forget(address)
+        return self._finish(now_s)
+
+    def update_own(
+        self,
+        now_s: float,
+        *,
+        enforced_revision: int | None = None,
+        targets: list[TargetRecord] | None = None,
+    ) -> list[Command]:
+        """Publish what this daemon enforces and which targets it has."""
+        if enforced_revision is not None:
+            self._table.note_enforced(self._own_address, enforced_revision)
+            spread_s = _REFRESH_S_PER_MEMBER * len(self._table.rings.members)
+            delay_s = self._random.uniform(0.0, spread_s)
+            self._refresh_due_s = min(self._refresh_due_s, now_s + delay_s)
+        if targets is not None:
+            self._table.update_own(now_s, targets=targets)
+            self._flooding.spread_member(self._own_address, now_s)
+        return self._finish(now_s)
+
+    def leave(self, now_s: float) -> list[Command]:
+        """Tell all neighbours at once that this daemon shuts down."""
+        self._table.update_own(now_s, state=MemberState.LEFT)
+        self._flooding.spread_member(self._own_address, now_s)
+        self._flooding.flush()
+        return self._finish(now_s)
+
+    def revision_available(
+        self, revision: int, encoded_snapshot: bytes, now_s: float
+    ) -> list[Command]:
+        """Announce a snapshot that this daemon enforces and can send."""
+        if self._snapshots.offer(revision, encoded_snapshot):
+            informed = self._snapshots.puller.announcers(revision)
+            self._flooding.announce(revision, informed, now_s)
+        return self._finish(now_s)
+
+    def quarantine(self, quarantine: Quarantine, now_s: float) -> list[Command]:
+        """Flood a quarantine that this daemon decided."""
+        self._flooding.take_quarantines([quarantine], "", now_s)
+        return self._finish(now_s)
+
+    def store_answered(self, revision: int, now_s: float) -> list[Command]:
+        """Note the newest revision in the store."""
+        self._raise_floor(revision)
+        self._joiner.answered(now_s)
+        return self._finish(now_s)
+
+    def add_seeds(self, seeds: Iterable[str], now_s: float) -> list[Command]:
+        """Ask these addresses too when joining or healing a partition."""
+        self._joiner.add_seeds(self._without_own(seeds))
+        return self._finish(now_s)
+
+    def send_evidence(
+        self, address: str, report: EvidenceReport, now_s: float
+    ) -> list[Command]:
+        """Send outcome counts to a collector, over a new link if needed."""
+        self._neighbours.want_until(address, now_s + _TEMPORARY_LINK_S)
+        self._reports.append((address, report))
+        if self._neighbours.is_up(address):
+            self._send_waiting_reports(address)
+        return self._finish(now_s)
+
+    def _on_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
+        self._joiner.heard(envelope.sender)
+        self._take_answer(ack.ready, ack.revision, ack.floor_revision, now_s)
+        self._monitor.take_ack(envelope, ack, now_s)
+
+    def _on_gossip(self, envelope: Envelope, gossip: Gossip, now_s: float) -> None:
+        self._snapshots.puller.learn(envelope.sender, gossip.revision)
+        self._flooding.take_members(gossip.members, envelope.sender, now_s)
+        self._flooding.take_quarantines(gossip.quarantines, envelope.sender, now_s)
+
+    def _on_join(self, envelope: Envelope, join: Join, now_s: float) -> None:
+        sender = envelope.sender
+        delay_s = self._admission.retry_delay_s(now_s)
+        if delay_s > 0:
+            refusal = JoinReply(
+                request_id=join.request_id, retry_after_ms=round(delay_s * 1000)
+            )
+            self._commands.send(sender, join_reply=refusal)
+            return
+        self._flooding.take_members([join.member], sender, now_s)
+        reply = JoinReply(
+            request_id=join.request_id,
+            ready=self.ready,
+            revision=self.revision,
+            floor_revision=self._table.enforced_at(sender),
+            members=self._table.present(),
+            quarantines=self._quarantines.items,
+        )
+        self._commands.send(sender, join_reply=reply)
+
+    def _on_join_reply(
+        self, envelope: Envelope, reply: JoinReply, now_s: float
+    ) -> None:
+        if not self._joiner.reply(reply, now_s):
+            return
+        self._commands.add(MeshJoined())
+        self._snapshots.puller.learn(envelope.sender, reply.revision)
+        self._take_answer(reply.ready, reply.revision, reply.floor_revision, now_s)
+        self._flooding.take_table(reply.members, now_s)
+        self._flooding.take_quarantines(reply.quarantines, envelope.sender, now_s)
+
+    def _on_evidence_report(
+        self, envelope: Envelope, report: EvidenceReport, now_s: float
+    ) -> None:
+        arrived = EvidenceReported(sender=envelope.sender, report=report)
+        self._commands.add(arrived)
+
+    def _take_answer(
+        self, ready: bool, revision: int, floor_revision: int, now_s: float
+    ) -> None:
+        self._raise_floor(floor_revision)
+        if ready:
+            self._raise_floor(revision)
+            self._joiner.answered(now_s)
+
+    def _raise_floor(self, revision: int) -> None:
+        if self._joiner.raise_floor(revision):
+            self._commands.add(FloorRaised(revision=revision))
+
+    def _ask_seed(self, now_s: float) -> None:
+        seed = self._joiner.poll(now_s)
+        if seed is not None:
+            self._send_join(seed)
+
+    def _send_join(self, seed: str) -> None:
+        join = Join(request_id=self._joiner.request_id, member=self._table.own)
+        self._commands.send(seed, join=join)
+
+    def _send_waiting_reports(self, address: str) -> None:
+        waiting = [item for item in self._reports if item[0] != address]
+        for receiver, report in self._reports:
+            if receiver == address:
+                self._commands.send(address, evidence_report=report)
+        self._reports = deque(waiting, maxlen=_MAX_WAITING_REPORTS)
+
+    def _keep_links(self, now_s: float) -> None:
+        target = [self._joiner.target] if self._joiner.target else []
+        closed, opened = self._neighbours.want([*self._monitor.pinged, *target], now_s)
+        for address in closed:
+            self._commands.add(Disconnect(address=address))
+        for address in opened:
+            self._commands.add(Connect(address=address))
+
+    def _check_ready(self, now_s: float) -> None:
+        successors = self._table.rings.successors(self._own_address)
+        if self._joiner.check_ready(self.revision, successors, now_s):
+            self._commands.add(MeshReady())
+
+    def _finish(self, now_s: float) -> list[Command]:
+        self._snapshots.poll(now_s)
+        self._keep_links(now_s)
+        self._check_ready(now_s)
+        self._flooding.report_change()
+        return self._commands.take()
+
+    def _without_own(self, addresses: Iterable[str]) -> list[str]:
+        return [address for address in addresses if address != self._own_address]
--- a/catkinhollow/events.py
+++ b/catkinhollow/events.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from catkinhollow.generated.fleet import Snapshot
-from catkinhollow.generated.messages import Quarantine, TargetRecord
+from catkinhollow.generated.messages import EvidenceReport, Quarantine, TargetRecord
 
 EventT = TypeVar("EventT")
 
@@ -38,6 +38,31 @@
     quarantine: Quarantine
 
 
+@frozen(kw_only=True)
+class FloorRaised:
+    """Announce the lowest revision that the daemon may enforce."""
+
+    revision: int
+
+
+@frozen(kw_only=True)
+class MeshJoined:
+    """Announce that a peer has sent its member table."""
+
+
+@frozen(kw_only=True)
+class MeshReady:
+    """Announce that the daemon may serve calls."""
+
+
+@frozen(kw_only=True)
+class EvidenceReported:
+    """Announce outcome counts that a peer has sent."""
+
+    sender: str
+    report: EvidenceReport
+
+
 @frozen(kw_only=True)
 class DrainStarted:
     """Announce that the daemon is shutting down."""
--- /dev/null
+++ b/catkinhollow/flooding.py
@@ -0,0 +1,125 @@
+"""Spread changes from neighbour to neighbour, once each."""
+
+from collections.abc import Iterable
+from math import inf
+
+from attrs import define, field
+
+from catkinhollow.events import MembersChanged, VersionQuarantined
+from catkinhollow.generated.messages import Gossip, MemberRecord, Quarantine
+from catkinhollow.membership import MemberTable
+from catkinhollow.mesh_commands import CommandQueue
+from catkinhollow.neighbours import Neighbours
+from catkinhollow.quarantines import QuarantineSet
+
+
+@define
+class _Pending:
+    """Hold what one neighbour has not been told yet."""
+
+    members: set[str] = field(factory=set)
+    quarantines: list[Quarantine] = field(factory=list)
+    revision: int = 0
+
+
+class Flooding:
+    """Batch changes, so that a burst costs one message per neighbour."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        quarantines: QuarantineSet,
+        neighbours: Neighbours,
+        commands: CommandQueue,
+        batch_interval_s: float,
+    ) -> None:
+        self._table = table
+        self._quarantines = quarantines
+        self._neighbours = neighbours
+        self._commands = commands
+        self._batch_interval_s = batch_interval_s
+        self._pending: dict[str, _Pending] = {}
+        self._due_s = inf
+        self._table_changed = False
+
+    @property
+    def due_s(self) -> float:
+        """Return when the batch is to be sent."""
+        return self._due_s
+
+    def take_members(
+        self, records: Iterable[MemberRecord], sender: str, now_s: float
+    ) -> None:
+        """Merge records and pass on those that were news."""
+        for record in records:
+            if self._table.merge(record, now_s):
+                merged = self._table.records[record.address]
+                # A sender whose record was only a part needs the merged one.
+                informed = sender if merged == record else ""
+                self.spread_member(record.address, now_s, informed=informed)
+
+    def take_table(self, records: Iterable[MemberRecord], now_s: float) -> None:
+        """Merge the table that a joiner gets, which others already have."""
+        for record in records:
+            if self._table.merge(record, now_s):
+                self._table_changed = True
+
+    def take_quarantines(
+        self, quarantines: Iterable[Quarantine], sender: str, now_s: float
+    ) -> None:
+        """Keep quarantines and pass on those that were news."""
+        for quarantine in quarantines:
+            if self._quarantines.add(quarantine):
+                self._commands.add(VersionQuarantined(quarantine=quarantine))
+                for neighbour in self._targets(sender):
+                    self._open(neighbour, now_s).quarantines.append(quarantine)
+
+    def spread_member(self, address: str, now_s: float, *, informed: str = "") -> None:
+        """Tell the neighbours about a changed record of the table."""
+        self._table_changed = True
+        for neighbour in self._targets(informed):
+            self._open(neighbour, now_s).members.add(address)
+
+    def announce(self, revision: int, informed: Iterable[str], now_s: float) -> None:
+        """Tell the neighbours which revision can be pulled here."""
+        for neighbour in self._targets(*informed):
+            self._open(neighbour, now_s).revision = revision
+
+    def report_change(self) -> None:
+        """Add one command if the table has changed since the last call."""
+        if self._table_changed:
+            self._commands.add(MembersChanged())
+            self._table_changed = False
+
+    def flush(self) -> None:
+        """Send everything that waits."""
+        pending, self._pending = self._pending, {}
+        self._due_s = inf
+        records = self._table.records
+        for neighbour, news in pending.items():
+            gossip = Gossip(
+                # A record may have expired since it was queued.
+                members=[records[a] for a in sorted(news.members) if a in records],
+                revision=news.revision,
+                quarantines=news.quarantines,
+            )
+            self._commands.send(neighbour, gossip=gossip)
+
+    def _targets(self, *informed: str) -> list[str]:
+        # Links outside the rings carry joins and reports only: a collector
+        # of reports has too many to flood over all of them.
+        rings = self._table.rings
+        own_address = self._table.own.address
+        around = dict.fromkeys(
+            [*rings.successors(own_address), *rings.predecessors(own_address)]
+        )
+        return [
+            address
+            for address in around
+            if self._neighbours.is_up(address) and address not in informed
+        ]
+
+    def _open(self, neighbour: str, now_s: float) -> _Pending:
+        if not self._pending:
+            self._due_s = now_s + self._batch_interval_s
+        return self._pending.setdefault(neighbour, _Pending())
--- /dev/null
+++ b/catkinhollow/mesh_service.py
@@ -0,0 +1,181 @@
+"""Run the mesh of one daemon over its peer link."""
+
+import logging
+from collections.abc import Callable, Iterable
+from random import Random
+
+from expression import Result
+
+from catkinhollow.codec import decode_message, encode_message
+from catkinhollow.dissemination import Mesh
+from catkinhollow.errors import SnapshotRejected
+from catkinhollow.events import EventManager, SnapshotEnforced, TargetAnnounced
+from catkinhollow.generated.fleet import Snapshot
+from catkinhollow.generated.messages import EvidenceReport, MemberRecord, Quarantine
+from catkinhollow.generated.settings import Settings
+from catkinhollow.membership import MemberTable
+from catkinhollow.mesh_commands import (
+    Command,
+    Connect,
+    Disconnect,
+    Send,
+    SnapshotArrived,
+)
+from catkinhollow.peers import LinkDown, LinkUp, PeerEvent, PeerLink, address_text
+from catkinhollow.timer import Subscription, Timer
+
+logger = logging.getLogger(__name__)
+
+SnapshotOffer = Callable[[Snapshot], Result[Snapshot, SnapshotRejected]]
+
+
+def own_record(settings: Settings, incarnation: int) -> MemberRecord:
+    """Return the record that a starting daemon publishes."""
+    return MemberRecord(
+        address=address_text(settings.peer),
+        incarnation=incarnation,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        traffic_address=address_text(settings.traffic),
+        admin_address=address_text(settings.admin),
+    )
+
+
+class MeshService:
+    """Feed time and messages to the mesh and carry out its commands."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        timer: Timer,
+        events: EventManager,
+        offer: SnapshotOffer,
+        link: PeerLink,
+    ) -> None:
+        self._timer = timer
+        self._clock = timer.clock
+        self._events = events
+        self._offer = offer
+        self._link = link
+        self._wake: Subscription | None = None
+        self._wake_due_s = 0.0
+        own = own_record(settings, self._clock.unix_ms())
+        self._mesh = Mesh(
+            own,
+            [address_text(seed) for seed in settings.seeds],
+            settings.peers,
+            Random(f"{own.address} {own.incarnation}"),
+            self._clock.monotonic(),
+        )
+        events.connect(SnapshotEnforced, self._publish_snapshot)
+        events.connect(TargetAnnounced, self._publish_target)
+
+    @property
+    def table(self) -> MemberTable:
+        """Return the member table."""
+        return self._mesh.table
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the daemon may serve calls."""
+        return self._mesh.ready
+
+    @property
+    def quarantines(self) -> list[Quarantine]:
+        """Return every known quarantine."""
+        return self._mesh.quarantines
+
+    def store_answered(self, revision: int) -> None:
+        """Note the newest revision in the store."""
+        self._carry_out(self._mesh.store_answered(revision, self._now_s()))
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Ask these peers too when joining or healing a partition."""
+        self._carry_out(self._mesh.add_seeds(addresses, self._now_s()))
+
+    def quarantine(self, quarantine: Quarantine) -> None:
+        """Spread a quarantine that this daemon decided."""
+        self._carry_out(self._mesh.quarantine(quarantine, self._now_s()))
+
+    def send_evidence(self, address: str, report: EvidenceReport) -> None:
+        """Send outcome counts to a collector."""
+        self._carry_out(self._mesh.send_evidence(address, report, self._now_s()))
+
+    def leave(self) -> None:
+        """Tell the neighbours that this daemon shuts down."""
+        self._carry_out(self._mesh.leave(self._now_s()))
+
+    async def run(self) -> None:
+        """Serve the peer link until cancelled."""
+        self._schedule_tick()
+        try:
+            await self._link.run(self._take_event)
+        finally:
+            if self._wake is not None:
+                self._wake.cancel()
+
+    def _take_event(self, event: PeerEvent) -> None:
+        now_s = self._now_s()
+        match event:
+            case LinkUp(address=address):
+                commands = self._mesh.link_up(address, now_s)
+            case LinkDown(address=address):
+                commands = self._mesh.link_down(address, now_s)
+            case envelope:
+                commands = self._mesh.receive(envelope, now_s)
+        self._carry_out(commands)
+
+    def _tick(self) -> None:
+        self._wake = None
+        self._carry_out(self._mesh.tick(self._now_s()))
+
+    def _carry_out(self, commands: list[Command]) -> None:
+        for command in commands:
+            match command:
+                case Send(address=address, envelope=envelope):
+                    self._link.send(address, envelope)
+                case Connect(address=address):
+                    self._link.connect(address)
+                case Disconnect(address=address):
+                    self._link.disconnect(address)
+                case SnapshotArrived(data=data):
+                    self._offer_snapshot(data)
+                case event:
+                    self._events.emit(event)
+        self._schedule_tick()
+
+    def _schedule_tick(self) -> None:
+        due_s = self._mesh.due_s
+        if self._wake is not None:
+            if self._wake_due_s <= due_s:
+                return
+            self._wake.cancel()
+        self._wake_due_s = due_s
+        delay_s = max(0.0, due_s - self._now_s())
+        self._wake = self._timer.call_after(delay_s, self._tick)
+
+    def _offer_snapshot(self, data: bytes) -> None:
+        decoded = decode_message(data, Snapshot)
+        if decoded.is_error():
+            logger.warning("dropped a snapshot: %s", decoded.error.reason)
+            return
+        result = self._offer(decoded.ok)
+        if result.is_error():
+            rejected = result.error
+            logger.warning(
+                "refused revision %d: %s", rejected.revision, rejected.reason
+            )
+
+    def _publish_snapshot(self, event: SnapshotEnforced) -> None:
+        now_s = self._now_s()
+        revision = event.snapshot.revision
+        data = encode_message(event.snapshot)
+        self._carry_out(self._mesh.update_own(now_s, enforced_revision=revision))
+        self._carry_out(self._mesh.revision_available(revision, data, now_s))
+
+    def _publish_target(self, event: TargetAnnounced) -> None:
+        commands = self._mesh.update_own(self._now_s(), targets=[event.record])
+        self._carry_out(commands)
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic()
--- /dev/null
+++ b/catkinhollow/monitoring.py
@@ -0,0 +1,140 @@
+"""Watch ring neighbours, and retry members that are gone."""
+
+from random import Random
+
+from catkinhollow.anti_entropy import TableComparison
+from catkinhollow.flooding import Flooding
+from catkinhollow.generated.messages import (
+    Ack,
+    Envelope,
+    Gossip,
+    MemberState,
+    Ping,
+)
+from catkinhollow.generated.settings import PeerSettings
+from catkinhollow.joining import Joiner
+from catkinhollow.membership import MemberTable
+from catkinhollow.mesh_commands import CommandQueue
+from catkinhollow.neighbours import Neighbours
+from catkinhollow.pulling import SnapshotExchange
+
+
+class Monitor:
+    """Ping the successors on the rings and judge their silence."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        neighbours: Neighbours,
+        flooding: Flooding,
+        comparison: TableComparison,
+        snapshots: SnapshotExchange,
+        joiner: Joiner,
+        commands: CommandQueue,
+        peers: PeerSettings,
+        random: Random,
+        now_s: float,
+    ) -> None:
+        self._own_address = table.own.address
+        self._table = table
+        self._neighbours = neighbours
+        self._flooding = flooding
+        self._comparison = comparison
+        self._snapshots = snapshots
+        self._joiner = joiner
+        self._commands = commands
+        self._peers = peers
+        self._random = random
+        self._sequence = 0
+        self._retried: str | None = None
+        self._ticked_s = now_s
+        self._due_s = now_s + random.uniform(0.0, peers.ping_interval_s)
+        self._retry_due_s = now_s + random.uniform(0.5, 1.0) * peers.rejoin_interval_s
+
+    @property
+    def due_s(self) -> float:
+        """Return when the next pings are due."""
+        return self._due_s
+
+    @property
+    def pinged(self) -> list[str]:
+        """Return the peers that get pings."""
+        successors = self._table.rings.successors(self._own_address)
+        retried = [self._retried] if self._retried else []
+        return list(dict.fromkeys([*successors, *retried]))
+
+    def tick(self, now_s: float) -> None:
+        """Ping, suspect, declare dead and retry what is due."""
+        self._resume_after_pause(now_s)
+        if now_s >= self._due_s:
+            self._due_s = now_s + self._peers.ping_interval_s
+            self._check_members(now_s)
+            self._ping_all()
+        if now_s >= self._retry_due_s:
+            self._retry_due_s = now_s + self._peers.rejoin_interval_s
+            self._choose_retried()
+
+    def ping(self, address: str) -> None:
+        """Tell a peer this daemon's state and ask for the peer's."""
+        ping = Ping(
+            sequence=self._sequence,
+            revision=self._snapshots.revision,
+            digest=self._comparison.digest,
+            ready=self._joiner.ready,
+        )
+        self._commands.send(address, ping=ping)
+
+    def take_ping(self, envelope: Envelope, ping: Ping, now_s: float) -> None:
+        """Answer a ping, with the floor if the peer is not ready."""
+        sender = envelope.sender
+        self._learn(envelope, ping.revision)
+        ack = Ack(
+            sequence=ping.sequence,
+            revision=self._snapshots.revision,
+            digest=self._comparison.digest,
+            ready=self._joiner.ready,
+            floor_revision=0 if ping.ready else self._table.enforced_at(sender),
+        )
+        self._commands.send(sender, ack=ack)
+
+    def take_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
+        """Note the state of a peer and compare tables if they differ."""
+        self._learn(envelope, ack.revision)
+        self._comparison.take_digest(envelope.sender, ack.digest, now_s)
+
+    def _learn(self, envelope: Envelope, revision: int) -> None:
+        sender = envelope.sender
+        self._snapshots.puller.learn(sender, revision)
+        self._table.note_enforced(sender, revision)
+        record = self._table.records.get(sender)
+        if record is None or record.state is MemberState.ALIVE:
+            return
+        if record.incarnation >= envelope.incarnation:
+            # The sender is alive and refutes this once it knows.
+            self._commands.send(sender, gossip=Gossip(members=[record]))
+
+    def _resume_after_pause(self, now_s: float) -> None:
+        # After a long pause every neighbour seems silent, but none was asked.
+        if now_s - self._ticked_s > 2 * self._peers.ping_interval_s:
+            self._neighbours.restart_watches(now_s)
+            self._table.restart_timeouts(now_s)
+        self._ticked_s = now_s
+
+    def _check_members(self, now_s: float) -> None:
+        watched = self._table.rings.successors(self._own_address)
+        for address in self._neighbours.watch(watched, now_s):
+            if self._table.suspect(address, now_s):
+                self._flooding.spread_member(address, now_s)
+        for address in self._table.expire(now_s):
+            self._flooding.spread_member(address, now_s)
+
+    def _ping_all(self) -> None:
+        self._sequence += 1
+        for address in self.pinged:
+            self.ping(address)
+
+    def _choose_retried(self) -> None:
+        present = self._table.rings.members
+        absent = {*self._table.gone, *self._joiner.seeds} - present
+        absent.discard(self._own_address)
+        self._retried = self._random.choice(sorted(absent)) if absent else None
--- /dev/null
+++ b/catkinhollow/peers.py
@@ -0,0 +1,267 @@
+"""Exchange messages with other daemons over nng."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol, TypeAlias
+
+import pynng
+import trio
+from attrs import frozen
+
+from catkinhollow.codec import decode_message, encode_envelope
+from catkinhollow.generated.messages import Envelope
+from catkinhollow.generated.settings import Address
+
+logger = logging.getLogger(__name__)
+
+# pynng carries no type annotations.
+_nng: Any = pynng
+_lib: Any = _nng._nng.lib
+
+# Messages that wait in nng; a full queue drops instead of blocking.
+_SEND_QUEUE_MESSAGES = 256
+_RECEIVE_QUEUE_MESSAGES = 512
+# A snapshot has at most 1 MB, a table of 1,400 members about 0.6 MB.
+_MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+_RECONNECT_MIN_MS = 100
+_RECONNECT_MAX_MS = 2000
+
+_THREAD_COUNTS = (
+    "NNG_INIT_NUM_TASK_THREADS",
+    "NNG_INIT_MAX_TASK_THREADS",
+    "NNG_INIT_NUM_EXPIRE_THREADS",
+    "NNG_INIT_MAX_EXPIRE_THREADS",
+    "NNG_INIT_NUM_POLLER_THREADS",
+    "NNG_INIT_MAX_POLLER_THREADS",
+    "NNG_INIT_NUM_RESOLVER_THREADS",
+)
+
+
+class _Pipe(Protocol):
+    """Describe one connection of an nng socket."""
+
+    id: int
+    pipe: Any
+
+
+class _Dialer(Protocol):
+    """Describe what keeps connecting to one address."""
+
+    id: int
+
+    def close(self) -> None:
+        """Stop connecting, and close the connection."""
+
+
+class _Message(Protocol):
+    """Describe one message that was received."""
+
+    bytes: bytes
+    pipe: _Pipe | None
+
+
+@frozen(kw_only=True)
+class LinkUp:
+    """Tell that messages can be sent to a peer."""
+
+    address: str
+
+
+@frozen(kw_only=True)
+class LinkDown:
+    """Tell that no connection to a peer is left."""
+
+    address: str
+
+
+PeerEvent: TypeAlias = LinkUp | LinkDown | Envelope
+
+
+class PeerLink(Protocol):
+    """Keep connections to peers; never block on a slow or dead one."""
+
+    def connect(self, address: str) -> None:
+        """Keep a connection to a peer until disconnected."""
+
+    def disconnect(self, address: str) -> None:
+        """Close this end's connection to a peer."""
+
+    def send(self, address: str, envelope: Envelope) -> bool:
+        """Send a message, or return False if it is dropped here."""
+
+    async def run(self, receiver: Callable[[PeerEvent], None]) -> None:
+        """Call the receiver for each event until cancelled."""
+
+
+def address_text(address: Address) -> str:
+    """Return an address of the settings as host:port."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
+
+
+def limit_nng_threads() -> None:
+    """Let nng start the fewest threads; call before the first socket."""
+    for name in _THREAD_COUNTS:
+        _lib.nng_init_set_parameter(getattr(_lib, name), 1)
+
+
+class NngPeerLink:
+    """Address each peer by its pipe on one polyamorous socket."""
+
+    def __init__(self, own_address: str) -> None:
+        limit_nng_threads()
+        self._own_address = own_address
+        self._socket = _nng.Pair1(
+            polyamorous=True,
+            send_buffer_size=_SEND_QUEUE_MESSAGES,
+            recv_buffer_size=_RECEIVE_QUEUE_MESSAGES,
+            recv_max_size=_MAX_MESSAGE_BYTES,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+        )
+        self._receiver: Callable[[PeerEvent], None] | None = None
+        self._wanted: set[str] = set()
+        self._dialers: dict[str, _Dialer] = {}
+        self._dialled: dict[int, str] = {}
+        self._pipes: dict[str, dict[int, _Pipe]] = {}
+        self._senders: dict[int, str] = {}
+        self._open_pipes: set[int] = set()
+
+    def connect(self, address: str) -> None:
+        """Keep a connection to a peer until disconnected."""
+        self._wanted.add(address)
+        self._dial_if_needed(address)
+
+    def disconnect(self, address: str) -> None:
+        """Close this end's connection to a peer."""
+        self._wanted.discard(address)
+        self._close_dialer(address)
+
+    def send(self, address: str, envelope: Envelope) -> bool:
+        """Send a message, or return False if it is dropped here."""
+        pipes = self._pipes.get(address)
+        if not pipes:
+            return False
+        # The newest pipe: an older one may lead to a former process.
+        pipe = next(reversed(pipes.values()))
+        try:
+            message = _nng.Message(encode_envelope(envelope), pipe)
+            self._socket.send_msg(message, block=False)
+        except _nng.NNGException:
+            return False
+        return True
+
+    async def run(self, receiver: Callable[[PeerEvent], None]) -> None:
+        """Call the receiver for each event until cancelled."""
+        self._receiver = receiver
+        self._report_pipes(trio.lowlevel.current_trio_token())
+        self._socket.listen(f"tcp://{self._own_address}")
+        try:
+            for address in self._wanted:
+                self._dial_if_needed(address)
+            while True:
+                message = await self._socket.arecv_msg()
+                self._take(message)
+        finally:
+            self._receiver = None
+            self._socket.close()
+
+    def _report_pipes(self, token: trio.lowlevel.TrioToken) -> None:
+        # nng calls back on its own threads; all state stays on the loop.
+        def opened(pipe: _Pipe) -> None:
+            self._hand_over(token, self._open_pipes.add, pipe.id)
+
+        def added(pipe: _Pipe) -> None:
+            self._hand_over(token, self._pipe_added, pipe, _dialer_id(pipe))
+
+        def removed(pipe: _Pipe) -> None:
+            self._hand_over(token, self._pipe_removed, pipe.id)
+
+        self._socket.add_pre_pipe_connect_cb(opened)
+        self._socket.add_post_pipe_connect_cb(added)
+        self._socket.add_post_pipe_remove_cb(removed)
+
+    def _hand_over(
+        self,
+        token: trio.lowlevel.TrioToken,
+        callback: Callable[..., None],
+        *arguments: object,
+    ) -> None:
+        try:
+            token.run_sync_soon(callback, *arguments)
+        except trio.RunFinishedError:
+            logger.debug("pipe event after the end of the loop")
+
+    def _pipe_added(self, pipe: _Pipe, dialer_id: int) -> None:
+        address = self._dialled.get(dialer_id)
+        if address is not None:
+            self._identify(address, pipe)
+
+    def _pipe_removed(self, pipe_id: int) -> None:
+        self._open_pipes.discard(pipe_id)
+        self._forget_sender(pipe_id)
+
+    def _forget_sender(self, pipe_id: int) -> None:
+        address = self._senders.pop(pipe_id, None)
+        if address is None:
+            return
+        pipes = self._pipes[address]
+        del pipes[pipe_id]
+        if not pipes:
+            del self._pipes[address]
+            self._emit(LinkDown(address=address))
+            self._dial_if_needed(address)
+
+    def _take(self, message: _Message) -> None:
+        decoded = decode_message(message.bytes, Envelope)
+        if decoded.is_error():
+            logger.warning("dropped a message: %s", decoded.error.reason)
+            return
+        envelope = decoded.ok
+        if message.pipe is not None:
+            self._identify(envelope.sender, message.pipe)
+        self._emit(envelope)
+
+    def _identify(self, address: str, pipe: _Pipe) -> None:
+        # A message can be read after its pipe has closed; nng would drop
+        # everything sent to such a pipe without an error.
+        if pipe.id not in self._open_pipes or self._senders.get(pipe.id) == address:
+            return
+        self._forget_sender(pipe.id)
+        self._senders[pipe.id] = address
+        known = address in self._pipes
+        self._pipes.setdefault(address, {})[pipe.id] = pipe
+        if not known:
+            self._emit(LinkUp(address=address))
+        # Both ends dialled: the one with the lower address keeps its pipe.
+        accepted = _dialer_id(pipe) not in self._dialled
+        if accepted and address < self._own_address:
+            self._close_dialer(address)
+
+    def _dial_if_needed(self, address: str) -> None:
+        running = self._receiver is not None
+        needed = address in self._wanted and address not in self._pipes
+        if not running or not needed or address in self._dialers:
+            return
+        try:
+            dialer: _Dialer = self._socket.dial(f"tcp://{address}", block=False)
+        except _nng.NNGException as error:
+            # The address may come from a faulty record of another member.
+            logger.warning("cannot dial %s: %s", address, error)
+            return
+        self._dialers[address] = dialer
+        self._dialled[dialer.id] = address
+
+    def _close_dialer(self, address: str) -> None:
+        dialer = self._dialers.pop(address, None)
+        if dialer is not None:
+            del self._dialled[dialer.id]
+            dialer.close()
+
+    def _emit(self, event: PeerEvent) -> None:
+        if self._receiver is not None:
+            self._receiver(event)
+
+
+def _dialer_id(pipe: _Pipe) -> int:
+    return int(_lib.nng_dialer_id(_lib.nng_pipe_dialer(pipe.pipe)))
--- /dev/null
+++ b/catkinhollow/pulling.py
@@ -0,0 +1,146 @@
+"""Pull newer snapshots from peers and send them the newest."""
+
+from math import inf
+
+from attrs import frozen
+
+from catkinhollow.generated.messages import Envelope, PullSnapshot, SnapshotReply
+from catkinhollow.mesh_commands import CommandQueue, SnapshotArrived
+
+
+@frozen(kw_only=True)
+class Pull:
+    """Hold one request for a snapshot."""
+
+    address: str
+    request_id: int
+
+
+class SnapshotPuller:
+    """Pull from the first announcer, then from the next after a timeout."""
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._announced: dict[str, int] = {}
+        self._tried: set[str] = set()
+        self._in_flight: Pull | None = None
+        self._deadline_s = inf
+        self._received_revision = 0
+        self._request_id = 0
+
+    @property
+    def due_s(self) -> float:
+        """Return when the request in flight times out."""
+        return self._deadline_s
+
+    def announcers(self, revision: int) -> list[str]:
+        """Return the peers known to have the revision or a newer one."""
+        return [peer for peer, newest in self._announced.items() if newest >= revision]
+
+    def learn(self, address: str, revision: int) -> None:
+        """Remember that a peer has a revision."""
+        if revision > self._announced.get(address, 0):
+            # The order of the dict is the order of the announcements.
+            self._announced.pop(address, None)
+            self._announced[address] = revision
+
+    def forget(self, address: str) -> None:
+        """Drop a peer whose link is down."""
+        self._announced.pop(address, None)
+        self._tried.discard(address)
+        if self._in_flight is not None and self._in_flight.address == address:
+            self._end()
+
+    def received(self, address: str, revision: int) -> bool:
+        """End the request and tell whether the snapshot is new here."""
+        if self._in_flight is not None and self._in_flight.address == address:
+            self._end()
+        self._announced[address] = revision
+        if revision <= self._received_revision:
+            return False
+        self._received_revision = revision
+        self._tried.clear()
+        return True
+
+    def poll(self, enforced_revision: int, now_s: float) -> Pull | None:
+        """Return the request to send now, if there is one."""
+        if self._in_flight is not None:
+            if now_s < self._deadline_s:
+                return None
+            self._tried.add(self._in_flight.address)
+            self._end()
+        # A snapshot that was received and refused is not pulled again.
+        known = max(enforced_revision, self._received_revision)
+        newer = [a for a, revision in self._announced.items() if revision > known]
+        if not newer:
+            return None
+        if self._tried.issuperset(newer):
+            self._tried.clear()
+        address = next(a for a in newer if a not in self._tried)
+        return self._start(address, now_s)
+
+    def _start(self, address: str, now_s: float) -> Pull:
+        self._request_id += 1
+        self._in_flight = Pull(address=address, request_id=self._request_id)
+        self._deadline_s = now_s + self._timeout_s
+        return self._in_flight
+
+    def _end(self) -> None:
+        self._in_flight = None
+        self._deadline_s = inf
+
+
+class SnapshotExchange:
+    """Hold the snapshot that peers can pull, and pull newer ones."""
+
+    def __init__(self, commands: CommandQueue, timeout_s: float) -> None:
+        self._commands = commands
+        self._puller = SnapshotPuller(timeout_s)
+        self._revision = 0
+        self._snapshot = b""
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that peers can pull here."""
+        return self._revision
+
+    @property
+    def puller(self) -> SnapshotPuller:
+        """Return what decides whom to ask."""
+        return self._puller
+
+    def offer(self, revision: int, encoded_snapshot: bytes) -> bool:
+        """Take a snapshot for peers and tell whether it is newer."""
+        if revision <= self._revision:
+            return False
+        self._revision = revision
+        self._snapshot = encoded_snapshot
+        return True
+
+    def poll(self, now_s: float) -> None:
+        """Ask a peer if one has a newer snapshot."""
+        pull = self._puller.poll(self._revision, now_s)
+        if pull is not None:
+            request = PullSnapshot(
+                request_id=pull.request_id, known_revision=self._revision
+            )
+            self._commands.send(pull.address, pull_snapshot=request)
+
+    def take_pull(self, envelope: Envelope, pull: PullSnapshot, now_s: float) -> None:
+        """Send the snapshot if the peer's one is older."""
+        newer = self._revision > pull.known_revision
+        reply = SnapshotReply(
+            request_id=pull.request_id,
+            revision=self._revision,
+            snapshot=self._snapshot if newer else b"",
+        )
+        self._commands.send(envelope.sender, snapshot_reply=reply)
+
+    def take_reply(
+        self, envelope: Envelope, reply: SnapshotReply, now_s: float
+    ) -> None:
+        """Pass a newer snapshot to the edge."""
+        is_new = self._puller.received(envelope.sender, reply.revision)
+        if is_new and reply.snapshot and reply.revision > self._revision:
+            arrived = SnapshotArrived(revision=reply.revision, data=reply.snapshot)
+            self._commands.add(arrived)
--- /dev/null
+++ b/catkinhollow/quarantines.py
@@ -0,0 +1,53 @@
+"""Keep the set of quarantined target versions."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from catkinhollow.generated.messages import Quarantine
+
+# Far more than the moves that run at once; bounds memory and messages.
+_MAX_QUARANTINES = 256
+_DIGEST_MASK = (1 << 64) - 1
+
+_Key = tuple[int, str, str]
+
+
+def _key(quarantine: Quarantine) -> _Key:
+    return (quarantine.move_started_ms, quarantine.service, quarantine.version)
+
+
+class QuarantineSet:
+    """Hold the newest quarantines, the same ones in any order of arrival."""
+
+    def __init__(self) -> None:
+        self._items: dict[_Key, Quarantine] = {}
+        self._digest = 0
+
+    @property
+    def items(self) -> list[Quarantine]:
+        """Return all quarantines."""
+        return list(self._items.values())
+
+    @property
+    def digest(self) -> int:
+        """Return the sum of the hashes of the keys."""
+        return self._digest
+
+    def add(self, quarantine: Quarantine) -> bool:
+        """Keep a quarantine and tell whether it is new and recent enough."""
+        key = _key(quarantine)
+        if key in self._items:
+            return False
+        self._items[key] = quarantine
+        if len(self._items) > _MAX_QUARANTINES:
+            oldest = min(self._items)
+            del self._items[oldest]
+            if oldest == key:
+                return False
+        self._digest = self._sum(self._items)
+        return True
+
+    def _sum(self, keys: Iterable[_Key]) -> int:
+        hashes = (xxh3_64_intdigest(repr(key).encode()) for key in keys)
+        return sum(hashes) & _DIGEST_MASK
--- /dev/null
+++ b/tests/mesh_network.py
@@ -0,0 +1,211 @@
+"""A network in memory, in virtual time, for many Mesh objects."""
+
+from collections import Counter
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from attrs import define, field
+
+from catkinhollow.codec import encode_envelope
+from catkinhollow.dissemination import Mesh
+from catkinhollow.events import FloorRaised
+from catkinhollow.generated.messages import MemberRecord
+from catkinhollow.generated.settings import PeerSettings
+from catkinhollow.mesh_commands import (
+    Connect,
+    Disconnect,
+    Send,
+    SnapshotArrived,
+)
+
+
+def snapshot_bytes(revision, size=100):
+    return str(revision).encode().ljust(size)
+
+
+@define(eq=False)
+class Node:
+    """One life of a daemon; the oracle's knowledge about it is beside."""
+
+    address: str
+    mesh: Mesh
+    enforced: int = 0
+    floor: int = 0
+    alive: bool = True
+    stopped: bool = False
+    due_s: float = 0.0
+    wanted: set = field(factory=set)
+    inbox: list = field(factory=list)
+    heard: Counter = field(factory=Counter)
+    required: int = 0
+    was_ready: bool = False
+
+
+class Network:
+    """Carry messages with delay, loss and partitions."""
+
+    def __init__(self, seed, *, count_bytes=False):
+        self.random = Random(seed)
+        self.now_s = 0.0
+        self.loss = 0.0
+        self.sides = {}
+        self.nodes = {}
+        self.newest = 0
+        self.snapshots = Counter()
+        self.messages = Counter()
+        self.bytes = Counter()
+        self._count_bytes = count_bytes
+        self._links = set()
+        self._events = []
+        self._order = count()
+
+    def start(self, address, seeds, *, incarnation=None):
+        self.kill(address)
+        if incarnation is None:
+            incarnation = int(self.now_s * 1000)
+        record = MemberRecord(
+            address=address, incarnation=incarnation, failure_domain="a", region="r"
+        )
+        random = Random(self.random.random())
+        mesh = Mesh(record, seeds, PeerSettings(), random, self.now_s)
+        node = self.nodes[address] = Node(address, mesh)
+        self._run(node, mesh.tick(self.now_s))
+        return node
+
+    def kill(self, address):
+        node = self.nodes.pop(address, None)
+        if node is not None:
+            node.alive = False
+            for link in [link for link in self._links if address in link]:
+                self._close(link)
+
+    def resume(self, node):
+        node.stopped = False
+        inbox, node.inbox = node.inbox, []
+        for sender, envelope in inbox:
+            self._deliver(sender, node, envelope)
+        self._tick(node, node.due_s)
+
+    def reachable(self, one, other):
+        return self.sides.get(one, 0) == self.sides.get(other, 0)
+
+    def enforce(self, node, revision, size=100):
+        if revision <= node.enforced or revision < node.floor:
+            return
+        node.enforced = revision
+        mesh, now_s = node.mesh, self.now_s
+        data = snapshot_bytes(revision, size)
+        self._run(node, mesh.update_own(now_s, enforced_revision=revision))
+        self._run(node, mesh.revision_available(revision, data, now_s))
+
+    def answer_from_store(self, node):
+        self.enforce(node, self.newest)
+        node.required = max(node.required, self.newest)
+        self._run(node, node.mesh.store_answered(self.newest, self.now_s))
+
+    def call(self, node, method, *args):
+        self._run(node, getattr(node.mesh, method)(*args, self.now_s))
+
+    def advance(self, delay_s):
+        end_s = self.now_s + delay_s
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action, args = heappop(self._events)
+            action(*args)
+        self.now_s = end_s
+
+    def _later(self, delay_s, action, *args):
+        self._at(self.now_s + delay_s, action, *args)
+
+    def _at(self, time_s, action, *args):
+        heappush(self._events, (time_s, next(self._order), action, args))
+
+    def _run(self, node, commands):
+        for command in commands:
+            match command:
+                case Send(address=address, envelope=envelope):
+                    self._send(node, address, envelope)
+                case Connect(address=address):
+                    node.wanted.add(address)
+                    self._later(self._delay_s(), self._dial, node, address)
+                case Disconnect(address=address):
+                    node.wanted.discard(address)
+                    self._drop_unwanted(node, address)
+                case SnapshotArrived(revision=revision, data=data):
+                    assert int(data) == revision
+                    self.enforce(node, revision, len(data))
+                case FloorRaised(revision=revision):
+                    node.floor = max(node.floor, revision)
+        if node.mesh.ready and not node.was_ready:
+            node.was_ready = True
+            assert node.enforced >= node.required
+        if node.due_s <= self.now_s or node.mesh.due_s < node.due_s:
+            node.due_s = max(self.now_s + 0.001, node.mesh.due_s)
+            self._at(node.due_s, self._tick, node, node.due_s)
+
+    def _tick(self, node, due_s):
+        if node.alive and not node.stopped and due_s == node.due_s:
+            self._run(node, node.mesh.tick(self.now_s))
+
+    def _delay_s(self):
+        return self.random.uniform(0.001, 0.02)
+
+    def _dial(self, node, address):
+        if not node.alive or address not in node.wanted:
+            return
+        link = frozenset((node.address, address))
+        if address in self.nodes and self.reachable(*link):
+            self._links.add(link)
+            self._run(node, node.mesh.link_up(address, self.now_s))
+        else:
+            self._later(1.0, self._dial, node, address)
+
+    def _drop_unwanted(self, node, address):
+        link = frozenset((node.address, address))
+        peer = self.nodes.get(address)
+        if link in self._links and (peer is None or node.address not in peer.wanted):
+            self._close(link)
+
+    def _close(self, link):
+        self._links.discard(link)
+        for address in sorted(link):
+            node = self.nodes.get(address)
+            (other,) = link - {address}
+            if node is not None:
+                self._run(node, node.mesh.link_down(other, self.now_s))
+                if other in node.wanted:
+                    self._later(0.1, self._dial, node, other)
+
+    def _send(self, node, address, envelope):
+        body = envelope.ack or envelope.join_reply
+        knows = 0
+        if body is not None and body.ready:
+            knows = max(node.enforced, node.heard[address])
+        if self._count_bytes:
+            size = len(encode_envelope(envelope))
+            self.messages[node.address] += 1
+            self.bytes[node.address] += size
+            self.bytes[address] += size
+        if self.random.random() >= self.loss:
+            self._later(self._delay_s(), self._arrive, node, address, envelope, knows)
+
+    def _arrive(self, sender, address, envelope, knows):
+        node = self.nodes.get(address)
+        link = frozenset((sender.address, address))
+        if node is None or link not in self._links or not self.reachable(*link):
+            return
+        if node.stopped:
+            node.inbox.append((sender.address, envelope))
+            return
+        node.required = max(node.required, 0 if node.was_ready else knows)
+        self._deliver(sender.address, node, envelope)
+
+    def _deliver(self, sender, node, envelope):
+        probe = envelope.ping or envelope.ack
+        if probe is not None:
+            node.heard[sender] = max(node.heard[sender], probe.revision)
+        if envelope.snapshot_reply is not None and envelope.snapshot_reply.snapshot:
+            self.snapshots[node.address] += 1
+        if sender not in node.mesh.links:
+            self._run(node, node.mesh.link_up(sender, self.now_s))
+        self._run(node, node.mesh.receive(envelope, self.now_s))
--- /dev/null
+++ b/tests/test_mesh_service.py
@@ -0,0 +1,101 @@
+"""Tests of the mesh service on real loopback sockets."""
+
+import trio
+from expression import Ok
+
+from catkinhollow.clock import TrioClock
+from catkinhollow.events import (
+    EventManager,
+    EvidenceReported,
+    SnapshotEnforced,
+    TargetAnnounced,
+    VersionQuarantined,
+)
+from catkinhollow.generated.fleet import Fleet, Snapshot
+from catkinhollow.generated.messages import EvidenceReport, Quarantine, TargetRecord
+from catkinhollow.generated.settings import (
+    Address,
+    PeerSettings,
+    Settings,
+    StoreSettings,
+)
+from catkinhollow.mesh_service import MeshService
+from catkinhollow.peers import NngPeerLink
+from catkinhollow.snapshot import SnapshotHolder
+from catkinhollow.timer import Timer
+from tests.test_peers import free_address
+
+ANY = Address(host="127.0.0.1", port=1)
+
+
+class Daemon:
+    def __init__(self, address, seeds):
+        parts = [(text, *text.split(":")) for text in [address, *seeds]]
+        own, *others = [Address(host=host, port=int(port)) for _, host, port in parts]
+        settings = Settings(
+            region="r",
+            failure_domain="a",
+            traffic=ANY,
+            admin=ANY,
+            peer=own,
+            seeds=others,
+            store=StoreSettings(address=ANY),
+            peers=PeerSettings(ping_interval_s=0.1, suspect_timeout_s=0.3),
+        )
+        self.address = address
+        self.received = []
+        self.events = EventManager()
+        for kind in (VersionQuarantined, EvidenceReported):
+            self.events.connect(kind, self.received.append)
+        self.holder = SnapshotHolder()
+        self.timer = Timer(TrioClock())
+        self.mesh = MeshService(
+            settings, self.timer, self.events, self.offer, NngPeerLink(address)
+        )
+
+    def offer(self, snapshot):
+        result = self.holder.offer(snapshot)
+        if result.is_ok():
+            self.events.emit(SnapshotEnforced(snapshot=snapshot))
+        return result
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.timer.run)
+            nursery.start_soon(self.mesh.run)
+
+
+async def until(condition):
+    with trio.fail_after(20):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+async def test_services_share_members_snapshots_and_quarantines(nursery):
+    """Guards against messages, snapshots or events lost at the edge."""
+    addresses = [free_address() for _ in range(3)]
+    daemons = [Daemon(address, addresses[:1]) for address in addresses]
+    first, second, third = daemons
+    for daemon in daemons:
+        nursery.start_soon(daemon.run)
+    assert first.offer(Snapshot(revision=5, fleet=Fleet())) == Ok(first.holder.snapshot)
+    first.mesh.store_answered(5)
+    await until(lambda: all(daemon.mesh.ready for daemon in daemons))
+    assert {daemon.holder.revision for daemon in daemons} == {5}
+
+    record = TargetRecord(
+        service="s", version="v", address="h:1", slots=1, started_ms=0
+    )
+    second.events.emit(TargetAnnounced(record=record))
+    quarantine = Quarantine(service="s", version="v", move_started_ms=1, reason="bad")
+    second.mesh.quarantine(quarantine)
+    report = EvidenceReport(window_ms=1000)
+    second.mesh.send_evidence(third.address, report)
+    await until(lambda: len(third.received) == 2)
+    assert VersionQuarantined(quarantine=quarantine) in third.received
+    assert EvidenceReported(sender=second.address, report=report) in third.received
+    await until(lambda: first.mesh.table.records[second.address].targets == [record])
+
+    second.mesh.leave()
+    await until(lambda: len(first.mesh.table.present()) == 2)
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,96 @@
+"""Tests of the links between daemons on real loopback sockets."""
+
+import socket
+
+import trio
+
+from catkinhollow.generated.messages import Envelope, Ping, SnapshotReply
+from catkinhollow.peers import LinkDown, LinkUp, NngPeerLink
+
+
+def free_address():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+class Peer:
+    def __init__(self, address):
+        self.address = address
+        self.link = NngPeerLink(address)
+        self.scope = trio.CancelScope()
+        self.sender, self.events = trio.open_memory_channel(1000)
+
+    async def run(self):
+        with self.scope:
+            await self.link.run(self.sender.send_nowait)
+
+    def send(self, address, **body):
+        envelope = Envelope(sender=self.address, incarnation=1, **body)
+        return self.link.send(address, envelope)
+
+    async def expect(self, wanted):
+        with trio.fail_after(10):
+            async for event in self.events:
+                if event == wanted:
+                    return
+
+
+def ping(sender, sequence):
+    body = Ping(sequence=sequence, revision=0, digest=0)
+    return Envelope(sender=sender, incarnation=1, ping=body)
+
+
+async def test_link_reconnects_to_a_restarted_peer(nursery):
+    """Guards against pipes mapped to a wrong peer or kept after its death."""
+    one, other = Peer(free_address()), Peer(free_address())
+    one.link.connect(other.address)
+    nursery.start_soon(one.run)
+    assert not one.send(other.address, ping=ping("", 0).ping)
+    for sequence in range(3):
+        nursery.start_soon(other.run)
+        await one.expect(LinkUp(address=other.address))
+        assert one.send(other.address, ping=ping("", sequence).ping)
+        await other.expect(LinkUp(address=one.address))
+        await other.expect(ping(one.address, sequence))
+        assert other.send(one.address, ping=ping("", sequence).ping)
+        await one.expect(ping(other.address, sequence))
+        other.scope.cancel()
+        await one.expect(LinkDown(address=other.address))
+        other = Peer(other.address)
+    one.scope.cancel()
+
+
+async def test_both_ends_dial_and_disconnect(nursery):
+    """Guards against a pair that loses its link when one end lets go."""
+    one, other = Peer(free_address()), Peer(free_address())
+    for peer, remote in ((one, other), (other, one)):
+        peer.link.connect(remote.address)
+        nursery.start_soon(peer.run)
+    for sequence in range(3):
+        # An accepted pipe has no address before the dialling end has sent.
+        for peer, remote in ((other, one), (one, other)):
+            with trio.fail_after(10):
+                while not peer.send(remote.address, ping=ping("", sequence).ping):
+                    await trio.sleep(0.01)
+            await remote.expect(ping(peer.address, sequence))
+        one.link.disconnect(other.address)
+        await trio.sleep(0.05)
+    other.link.disconnect(one.address)
+    await one.expect(LinkDown(address=other.address))
+    one.scope.cancel()
+    other.scope.cancel()
+
+
+async def test_slow_peer_does_not_block(nursery):
+    """Guards against a daemon that waits for a peer that reads nothing."""
+    one, other = Peer(free_address()), Peer(free_address())
+    one.link.connect(other.address)
+    nursery.start_soon(one.run)
+    nursery.start_soon(other.run)
+    await one.expect(LinkUp(address=other.address))
+    other.scope.cancel()
+    reply = SnapshotReply(request_id=1, revision=1, snapshot=bytes(500_000))
+    for _ in range(200):
+        one.send(other.address, snapshot_reply=reply)
+    one.scope.cancel()
