Keep the responses of keyed requests

Ruled out: dropping keys to bound the bytes; the stored response is dropped first and its repeats get "unknown". Only answered keys are dropped to bound the entries, because the target still knows them. Change: add IdempotencyTable, bounded in entries and bytes, with waiters.

--- /dev/null
+++ b/catkinhollow/idempotency.py
@@ -0,0 +1,165 @@
+"""Keep the responses of keyed requests, so that no repeat runs again."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+from xxhash import xxh3_128_digest
+
+from catkinhollow.exchange import Outcome, Response
+
+RETENTION_S = 600.0
+# Bounds that keep the table within a quarter of a daemon's 32 MB.
+MAX_ENTRIES = 10_000
+MAX_BYTES = 4_000_000
+
+
+@frozen(kw_only=True)
+class Fresh:
+    """Tell the caller to send the request and to finish its key."""
+
+
+@frozen(kw_only=True)
+class InFlight:
+    """Tell the caller to wait for the request with the same key."""
+
+
+@frozen(kw_only=True)
+class Replay:
+    """Give the stored response."""
+
+    response: Response
+
+
+@frozen(kw_only=True)
+class Unknown:
+    """Tell that the request may have run and is not sent again."""
+
+
+@frozen(kw_only=True)
+class Conflict:
+    """Tell that the key belongs to a different request."""
+
+
+@frozen(kw_only=True)
+class TableFull:
+    """Tell that no key can be forgotten safely; the request did not run."""
+
+
+Step = Fresh | InFlight | Replay | Unknown | Conflict | TableFull
+
+
+def fingerprint(method: str, path: str, body: bytes) -> bytes:
+    """Return a hash that tells different requests apart; path with query."""
+    return xxh3_128_digest(f"{method} {path}\n".encode() + xxh3_128_digest(body))
+
+
+@define(kw_only=True)
+class _KeyedRequest:
+    fingerprint: bytes
+    begun_s: float
+    outcome: Outcome | None = None
+    response: Response | None = None
+    size_bytes: int = 0
+    waiters: list[Callable[[], None]] = field(factory=list)
+
+
+class IdempotencyTable:
+    """Hold keyed requests for the retention time, within its bounds."""
+
+    def __init__(
+        self, max_entries: int = MAX_ENTRIES, max_bytes: int = MAX_BYTES
+    ) -> None:
+        self._max_entries = max_entries
+        self._max_bytes = max_bytes
+        self._entries: OrderedDict[str, _KeyedRequest] = OrderedDict()
+        self._stored: OrderedDict[str, int] = OrderedDict()
+        self._bytes = 0
+
+    @property
+    def stored_bytes(self) -> int:
+        """Return the size of all stored responses."""
+        return self._bytes
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def begin(self, key: str, fingerprint: bytes, now_s: float) -> Step:
+        """Decide about a keyed request; `Fresh` puts its key in flight."""
+        self._expire(now_s)
+        known = self._entries.get(key)
+        if known is not None:
+            return _repeat(known, fingerprint)
+        if len(self._entries) >= self._max_entries and not self._drop_oldest():
+            return TableFull()
+        self._entries[key] = _KeyedRequest(fingerprint=fingerprint, begun_s=now_s)
+        return Fresh()
+
+    def wait(self, key: str, waiter: Callable[[], None]) -> None:
+        """Call the waiter once when the key in flight is finished."""
+        self._entries[key].waiters.append(waiter)
+
+    def finish(
+        self, key: str, outcome: Outcome, response: Response | None, now_s: float
+    ) -> None:
+        """Store what became of the request; forget it if it did not run."""
+        entry = self._entries[key]
+        if outcome is Outcome.NOT_RUN:
+            del self._entries[key]
+        else:
+            entry.outcome = outcome
+            entry.begun_s = now_s
+            self._entries.move_to_end(key)
+            if outcome is Outcome.ANSWERED and response is not None:
+                self._store(key, entry, response)
+        waiters, entry.waiters = entry.waiters, []
+        for waiter in waiters:
+            waiter()
+
+    def _store(self, key: str, entry: _KeyedRequest, response: Response) -> None:
+        size = len(response.body)
+        size += sum(len(name) + len(value) for name, value in response.headers)
+        if size > self._max_bytes:
+            return
+        entry.response, entry.size_bytes = response, size
+        self._stored[key] = size
+        self._bytes += size
+        while self._bytes > self._max_bytes:
+            # The key stays, so that a repeat gets "unknown" and does not run.
+            oldest = next(iter(self._stored))
+            self._drop_response(oldest)
+
+    def _drop_response(self, key: str) -> None:
+        self._bytes -= self._stored.pop(key, 0)
+        self._entries[key].response = None
+
+    def _drop_oldest(self) -> bool:
+        # Keys whose request may still run, or may have run, are kept. A
+        # dropped one was answered, and the target still knows its key.
+        for key, entry in self._entries.items():
+            if entry.outcome is Outcome.ANSWERED:
+                self._drop_response(key)
+                del self._entries[key]
+                return True
+        return False
+
+    def _expire(self, now_s: float) -> None:
+        while self._entries:
+            key, entry = next(iter(self._entries.items()))
+            if now_s - entry.begun_s < RETENTION_S:
+                return
+            if entry.outcome is None:
+                # A request still in flight is looked at again later.
+                entry.begun_s = now_s
+                self._entries.move_to_end(key)
+                continue
+            self._drop_response(key)
+            del self._entries[key]
+
+
+def _repeat(known: _KeyedRequest, fingerprint: bytes) -> Step:
+    if known.fingerprint != fingerprint:
+        return Conflict()
+    if known.outcome is None:
+        return InFlight()
+    return Replay(response=known.response) if known.response else Unknown()
