Decide about every call of an entry daemon

A limit of one call per entry daemon and cold target, which lets 20 entry daemons send 20 calls; a part below one call is now kept by resting between calls. Change: add CallRouter and its parts: policy, directory, target statistics, pool, balancer, admission, retries, evidence counts. Not proved: behaviour of real targets, and the entry share of a large fleet.

--- /dev/null
+++ b/catkinhollow/call_router.py
@@ -0,0 +1,212 @@
+"""Decide about every call of an entry daemon."""
+
+from collections.abc import Iterable
+from random import Random
+
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from catkinhollow.admission import worth_of
+from catkinhollow.balancer import Balancer, Picker
+from catkinhollow.call import Call, CallFacts, Refusal
+from catkinhollow.directory import TargetDirectory
+from catkinhollow.evidence_counts import EvidenceCounts
+from catkinhollow.generated.fleet import Fleet, Route, Service
+from catkinhollow.generated.messages import MemberRecord, MemberState, VersionCounts
+from catkinhollow.latency import LatencyBook
+from catkinhollow.policy import Policy, resolve
+from catkinhollow.pool import Location, PoolSettings, ServicePool
+from catkinhollow.routing import RouteTable
+from catkinhollow.service_calls import CallCounters, ServiceCalls, ServiceStatus
+from catkinhollow.targets import TargetLimits
+
+MIN_ENTRY_SHARE = 1e-6
+
+
+@frozen(kw_only=True)
+class RouterStatus:
+    """Hold the values of the router for the metrics."""
+
+    in_flight: int
+    calls: int
+    attempts: int
+    retries: int
+    retries_denied: int
+    refusals: dict[str, int]
+    outcomes: dict[str, int]
+    services: list[ServiceStatus]
+
+
+class CallRouter:
+    """Admit calls, choose their targets, and learn from their attempts."""
+
+    def __init__(
+        self, location: Location, random: Random, picker: Picker | None = None
+    ) -> None:
+        self._location = location
+        self._picker = picker or Balancer(random)
+        self._directory = TargetDirectory(random)
+        self._latencies = LatencyBook()
+        self._evidence = EvidenceCounts()
+        self._counters = CallCounters()
+        self._fleet = Fleet()
+        self._routes: RouteTable | None = None
+        self._policies: dict[str, Policy] = {}
+        self._services: dict[str, ServiceCalls] = {}
+        self._quarantined: set[tuple[str, str]] = set()
+        self._default_share = 1.0
+        self._entry_shares: dict[str, float] = {}
+
+    def enforce(self, fleet: Fleet, now_s: float) -> None:
+        """Apply a configuration version to every later decision."""
+        self._fleet = fleet
+        self._routes = RouteTable(fleet)
+        self._policies = {
+            route.name: resolve(fleet, route.service, route.name)
+            for route in fleet.routes
+        }
+        self._latencies.keep_routes({route.name for route in fleet.routes})
+        names = {service.name for service in fleet.services}
+        for name in self._services.keys() - names:
+            # Calls in flight of a service that is gone are not sent again.
+            self._services[name].pool.rebuild([], now_s)
+        self._services = {
+            service.name: self._services.get(service.name) or self._new(service)
+            for service in fleet.services
+        }
+        for service in fleet.services:
+            self._configure(service, now_s)
+
+    def update_members(
+        self, members: Iterable[MemberRecord], now_s: float, unix_ms: int
+    ) -> None:
+        """Take the whole member table.
+
+        The number of alive members gives the entry share of the services for
+        which none is set.
+        """
+        table = list(members)
+        changed = self._directory.update(table, now_s, unix_ms)
+        alive = sum(member.state is MemberState.ALIVE for member in table)
+        share = 1.0 / max(1, alive)
+        if share != self._default_share:
+            self._default_share = share
+            changed = {service.name for service in self._fleet.services}
+        self._configure_named(changed, now_s)
+
+    def quarantine(self, service: str, version: str, now_s: float) -> None:
+        """Send a version nothing more."""
+        self._quarantined.add((service, version))
+        self._configure_named({service}, now_s)
+
+    def lift_quarantine(self, service: str, version: str, now_s: float) -> None:
+        """Let a version have traffic again, when a new move to it starts."""
+        self._quarantined.discard((service, version))
+        self._configure_named({service}, now_s)
+
+    def set_entry_share(self, service: str, share: float, now_s: float) -> None:
+        """Set this daemon's estimated part of all calls to a service."""
+        self._entry_shares[service] = min(1.0, max(MIN_ENTRY_SHARE, share))
+        self._configure_named({service}, now_s)
+
+    def begin(self, facts: CallFacts, now_s: float) -> Result[Call, Refusal]:
+        """Admit a call, or refuse it; what is refused did not run."""
+        if self._routes is None:
+            return self._refuse(503, "no configuration yet")
+        route = self._routes.match(facts.method, facts.path)
+        if route is None:
+            return self._refuse(404, "no route")
+        policy, service = self._policies[route.name], self._services[route.service]
+        service.pool.refresh(now_s)
+        if not service.pool.groups:
+            return self._refuse(503, "no target")
+        account = service.admission.account(facts.backer)
+        if not service.admit(account, worth_of(route), now_s):
+            return self._refuse(503, "shed")
+        time_ms = policy.timeout_ms
+        if facts.deadline_ms is not None:
+            time_ms = min(time_ms, facts.deadline_ms)
+        return Ok(
+            Call(
+                route=route,
+                policy=policy,
+                account=account,
+                deadline_s=now_s + time_ms / 1000,
+                host=service,
+            )
+        )
+
+    def take_counts(self) -> list[VersionCounts]:
+        """Return the evidence by version and route since the last take."""
+        return self._evidence.take()
+
+    def status(self, now_s: float) -> RouterStatus:
+        """Return the values for the metrics."""
+        counters = self._counters
+        return RouterStatus(
+            in_flight=counters.in_flight,
+            calls=counters.calls,
+            attempts=counters.attempts,
+            retries=counters.retries,
+            retries_denied=counters.retries_denied,
+            refusals=dict(counters.refusals),
+            outcomes=dict(counters.outcomes),
+            services=[item.status(now_s) for item in self._services.values()],
+        )
+
+    def _refuse(self, status: int, reason: str) -> Result[Call, Refusal]:
+        self._counters.refusals[reason] += 1
+        return Error(Refusal(status=status, reason=reason))
+
+    def _new(self, service: Service) -> ServiceCalls:
+        settings = self._pool_settings(service, resolve(self._fleet, service.name, ""))
+        return ServiceCalls(
+            name=service.name,
+            pool=ServicePool(location=self._location, settings=settings),
+            picker=self._picker,
+            latencies=self._latencies,
+            evidence=self._evidence,
+            counters=self._counters,
+        )
+
+    def _configure_named(self, names: set[str], now_s: float) -> None:
+        for service in self._fleet.services:
+            if service.name in names:
+                self._configure(service, now_s)
+
+    def _configure(self, service: Service, now_s: float) -> None:
+        name = service.name
+        policy = resolve(self._fleet, name, "")
+        calls = self._services[name]
+        calls.slow_start_s = policy.slow_start_s
+        calls.budget.percent = policy.budget_percent
+        calls.admission.configure(service, self._routes_of(name))
+        self._directory.configure(name, self._target_limits(name, policy), now_s)
+        calls.pool.settings = self._pool_settings(service, policy)
+        calls.pool.rebuild(self._directory.usable(name), now_s)
+
+    def _target_limits(self, service: str, policy: Policy) -> TargetLimits:
+        # A route may allow more per target than its service does; the target's
+        # bound is then the highest, and the balancer keeps that of each route.
+        allowed = [policy.max_in_flight_per_target]
+        for route in self._routes_of(service):
+            allowed.append(self._policies[route.name].max_in_flight_per_target)
+        return TargetLimits(
+            slow_start_s=policy.slow_start_s,
+            max_in_flight=max(allowed),
+            entry_share=self._entry_shares.get(service, self._default_share),
+        )
+
+    def _routes_of(self, service: str) -> list[Route]:
+        return [route for route in self._fleet.routes if route.service == service]
+
+    def _pool_settings(self, service: Service, policy: Policy) -> PoolSettings:
+        return PoolSettings(
+            split=service.split,
+            failure_domains_out=frozenset(self._fleet.failure_domains_out),
+            quarantined=frozenset(
+                version for name, version in self._quarantined if name == service.name
+            ),
+            max_ejected_percent=policy.max_ejected_percent,
+            local_preference=policy.local_preference,
+        )
--- /dev/null
+++ b/catkinhollow/pool.py
@@ -0,0 +1,171 @@
+"""Keep the targets of one service in the order in which they get work."""
+
+import math
+from collections.abc import Collection, Iterable
+
+from attrs import define, field, frozen
+
+from catkinhollow.directory import TargetEntry
+from catkinhollow.generated.fleet import VersionWeight
+from catkinhollow.generated.messages import TargetState
+from catkinhollow.targets import Sample
+
+# In this time a slow start of 5 s moves by 1 %.
+REFRESH_INTERVAL_S = 0.05
+STRIKE_WEIGHT = 0.02
+# In a service without strikes, five in a row are needed to call a target cold.
+MIN_STRIKE_RATE = 0.05
+
+_STRIKES = (Sample.REFUSED, Sample.SLOW, Sample.FAILED, Sample.UNREACHABLE)
+
+
+@frozen(kw_only=True)
+class Location:
+    """Hold where this entry daemon runs."""
+
+    failure_domain: str
+    region: str
+
+
+@frozen(kw_only=True)
+class PoolSettings:
+    """Hold what the configuration says about a service's targets."""
+
+    split: list[VersionWeight]
+    failure_domains_out: frozenset[str]
+    quarantined: frozenset[str]
+    max_ejected_percent: float
+    local_preference: bool
+
+
+@frozen(kw_only=True)
+class VersionGroup:
+    """Hold the targets of a share of the traffic, the nearest tier first."""
+
+    percent: float
+    tiers: list[list[TargetEntry]]
+
+    @property
+    def entries(self) -> list[TargetEntry]:
+        """Return the targets of every tier."""
+        return [entry for tier in self.tiers for entry in tier]
+
+
+@define(kw_only=True, eq=False)
+class ServicePool:
+    """Hold the targets of a service that may get work now."""
+
+    location: Location
+    settings: PoolSettings
+    groups: list[VersionGroup] = field(factory=list, init=False)
+    entries: list[TargetEntry] = field(factory=list, init=False)
+    capacity: float = field(default=0.0, init=False)
+    strike_rate: float = field(default=MIN_STRIKE_RATE, init=False)
+    _refresh_at_s: float = field(default=-math.inf, init=False)
+
+    def rebuild(self, usable: Iterable[TargetEntry], now_s: float) -> None:
+        """Sort the usable targets by version and distance."""
+        settings = self.settings
+        self.groups = self._find_groups(
+            [
+                entry
+                for entry in usable
+                if entry.failure_domain not in settings.failure_domains_out
+                and entry.record.version not in settings.quarantined
+            ]
+        )
+        self.entries = [entry for group in self.groups for entry in group.entries]
+        self._follow_announced_failures(now_s)
+        self._keep_ejection_bound(now_s)
+        self._refresh_at_s = -math.inf
+        self.refresh(now_s)
+
+    def refresh(self, now_s: float) -> None:
+        """Bring limits and the capacity up to date, at most every 50 ms."""
+        if now_s < self._refresh_at_s:
+            return
+        self._refresh_at_s = now_s + REFRESH_INTERVAL_S
+        for entry in self.entries:
+            if entry.stats.changes_with_time:
+                entry.stats.refresh(now_s)
+        self.capacity = float(sum(entry.stats.limit for entry in self.entries))
+
+    def observe(self, entry: TargetEntry, sample: Sample, now_s: float) -> None:
+        """Learn from an attempt that its target has already learned from."""
+        if sample is not Sample.IGNORED:
+            struck = sample in _STRIKES
+            rate = self.strike_rate + STRIKE_WEIGHT * (struck - self.strike_rate)
+            self.strike_rate = max(MIN_STRIKE_RATE, rate)
+        stats = entry.stats
+        if not stats.wants_ejection or stats.ejected_until_s > now_s:
+            return
+        for group in self.groups:
+            if entry in group.entries and self._may_eject(group, now_s):
+                stats.eject(now_s)
+
+    def ejected(self, now_s: float) -> list[TargetEntry]:
+        """Return the targets that are out because of failures."""
+        return [entry for entry in self.entries if _is_ejected(entry, now_s)]
+
+    def _ejection_bound(self, group: VersionGroup) -> int:
+        # The bound holds for each version, because a service whose targets of
+        # the main version are all out is as good as empty.
+        return int(len(group.entries) * self.settings.max_ejected_percent / 100)
+
+    def _may_eject(self, group: VersionGroup, now_s: float) -> bool:
+        ejected = sum(_is_ejected(entry, now_s) for entry in group.entries)
+        return ejected < self._ejection_bound(group)
+
+    def _follow_announced_failures(self, now_s: float) -> None:
+        # The health signal of a target lags or misleads, so it counts only
+        # within the bound on ejections.
+        for group in self.groups:
+            for entry in group.entries:
+                held = entry.stats.ejected_until_s == math.inf
+                failed = entry.record.state is TargetState.FAILED
+                if held and not failed:
+                    entry.stats.readmit(now_s)
+                elif failed and not held and self._may_eject(group, now_s):
+                    entry.stats.hold_out(math.inf, now_s)
+
+    def _keep_ejection_bound(self, now_s: float) -> None:
+        for group in self.groups:
+            ejected = [item for item in group.entries if _is_ejected(item, now_s)]
+            ejected.sort(key=lambda entry: entry.stats.ejected_until_s)
+            surplus = len(ejected) - self._ejection_bound(group)
+            for entry in ejected[: max(0, surplus)]:
+                entry.stats.readmit(now_s)
+
+    def _find_groups(self, entries: list[TargetEntry]) -> list[VersionGroup]:
+        by_version: dict[str, list[TargetEntry]] = {}
+        for entry in entries:
+            by_version.setdefault(entry.record.version, []).append(entry)
+        quarantined = self.settings.quarantined
+        weights = [weight for weight in self.settings.split if weight.percent > 0]
+        weights = [item for item in weights if item.version not in quarantined]
+        if not weights:
+            # Without a split, or with every version of the split quarantined,
+            # any other version is better than no service.
+            return [self._group(100.0, entries)] if entries else []
+        return [
+            self._group(weight.percent, by_version[weight.version])
+            for weight in weights
+            if weight.version in by_version
+        ]
+
+    def _group(self, percent: float, entries: Collection[TargetEntry]) -> VersionGroup:
+        if not self.settings.local_preference:
+            return VersionGroup(percent=percent, tiers=[list(entries)])
+        tiers: list[list[TargetEntry]] = [[], [], []]
+        for entry in entries:
+            tiers[self._distance(entry)].append(entry)
+        return VersionGroup(percent=percent, tiers=[tier for tier in tiers if tier])
+
+    def _distance(self, entry: TargetEntry) -> int:
+        if entry.failure_domain == self.location.failure_domain:
+            return 0
+        return 1 if entry.region == self.location.region else 2
+
+
+def _is_ejected(entry: TargetEntry, now_s: float) -> bool:
+    return entry.stats.ejected_until_s > now_s
--- /dev/null
+++ b/catkinhollow/service_calls.py
@@ -0,0 +1,156 @@
+"""Provide the calls of one service with targets, and learn from them."""
+
+from collections import Counter
+
+from attrs import define, field, frozen
+
+from catkinhollow.admission import ServiceAdmission, Worth, worth_of
+from catkinhollow.balancer import Picker
+from catkinhollow.call import Call, FinishedAttempt
+from catkinhollow.directory import TargetEntry
+from catkinhollow.evidence_counts import EvidenceCounts
+from catkinhollow.latency import LatencyBook, RouteLatency
+from catkinhollow.pool import ServicePool
+from catkinhollow.retries import AttemptKind, RetryBudget
+from catkinhollow.targets import Sample
+
+# A timeout counts as a failure of the target only if the attempt had at least
+# this part of the route's time; callers may leave less than any target needs.
+FULL_TIMEOUT_PART = 0.2
+
+_SAMPLES = {
+    AttemptKind.REFUSED: Sample.REFUSED,
+    AttemptKind.NOT_CONNECTED: Sample.UNREACHABLE,
+    AttemptKind.BROKEN: Sample.FAILED,
+    AttemptKind.CANCELLED: Sample.IGNORED,
+}
+
+
+@frozen(kw_only=True)
+class ServiceStatus:
+    """Hold the state of one service for the metrics."""
+
+    name: str
+    in_flight: int
+    capacity: float
+    targets: int
+    cold: int
+    ejected: int
+
+
+@define(kw_only=True)
+class CallCounters:
+    """Hold the counters that all services of a router share."""
+
+    in_flight: int = 0
+    calls: int = 0
+    attempts: int = 0
+    retries: int = 0
+    retries_denied: int = 0
+    refusals: Counter[str] = field(factory=Counter)
+    outcomes: Counter[str] = field(factory=Counter)
+
+
+@define(kw_only=True, eq=False)
+class ServiceCalls:
+    """Hold what the router keeps for one service; host of its calls."""
+
+    name: str
+    pool: ServicePool
+    picker: Picker
+    latencies: LatencyBook
+    evidence: EvidenceCounts
+    counters: CallCounters
+    slow_start_s: float = 0.0
+    admission: ServiceAdmission = field(factory=ServiceAdmission)
+    budget: RetryBudget = field(factory=lambda: RetryBudget(percent=0.0))
+
+    def admit(self, account: str, worth: Worth, now_s: float) -> bool:
+        """Count a new call in flight if there is room for it."""
+        capacity = self.pool.capacity
+        if not self.admission.admit(account, worth, capacity, now_s):
+            return False
+        self.budget.earn()
+        self.counters.in_flight += 1
+        self.counters.calls += 1
+        return True
+
+    def pick_target(
+        self, call: Call, excluded: list[TargetEntry], now_s: float
+    ) -> TargetEntry | None:
+        """Return a target with free capacity, or None."""
+        self.pool.refresh(now_s)
+        max_in_flight = call.policy.max_in_flight_per_target
+        return self.picker.pick(self.pool, max_in_flight, excluded, now_s)
+
+    def spend_retry(self, call: Call, cost: float) -> bool:
+        """Take a retry from the service's budget if it is there."""
+        allowed = self.budget.spend(cost)
+        self.counters.retries += allowed
+        self.counters.retries_denied += not allowed
+        return allowed
+
+    def usual_latency_s(self, call: Call) -> float:
+        """Return the usual latency of the call's route, 0 if unknown."""
+        region = self.pool.location.region
+        return self.latencies.find(call.route.name, region).median_s
+
+    def learn(self, call: Call, attempt: FinishedAttempt, now_s: float) -> None:
+        """Count an attempt that has ended."""
+        entry, busy_s = attempt.entry, attempt.busy_s
+        self.counters.attempts += 1
+        usual = self.latencies.find(call.route.name, entry.region)
+        ratio = usual.ratio(busy_s)
+        sample = _classify(call, attempt, ratio)
+        slow = self._is_slow(entry, sample, usual, busy_s, now_s)
+        rate = self.pool.strike_rate
+        entry.stats.finish(sample, busy_s, ratio, rate, now_s)
+        self.pool.observe(entry, sample, now_s)
+        if sample in (Sample.CLEAN, Sample.SLOW):
+            usual.add(busy_s)
+        key = (self.name, entry.record.version, call.route.name)
+        self.evidence.add(key, sample, busy_s, slow)
+
+    def release(self, call: Call, now_s: float) -> None:
+        """Take the call out of flight."""
+        assert call.outcome is not None
+        self.admission.release(call.account, worth_of(call.route), now_s)
+        self.counters.in_flight -= 1
+        self.counters.outcomes[call.outcome.value] += 1
+
+    def status(self, now_s: float) -> ServiceStatus:
+        """Return the values for the metrics."""
+        pool = self.pool
+        return ServiceStatus(
+            name=self.name,
+            in_flight=self.admission.in_flight,
+            capacity=pool.capacity,
+            targets=len(pool.entries),
+            cold=sum(entry.stats.is_cold for entry in pool.entries),
+            ejected=len(pool.ejected(now_s)),
+        )
+
+    def _is_slow(
+        self,
+        entry: TargetEntry,
+        sample: Sample,
+        usual: RouteLatency,
+        busy_s: float,
+        now_s: float,
+    ) -> bool:
+        # Targets of a good version are slow too while they are cold.
+        warm = now_s - entry.started_s >= self.slow_start_s
+        answered = sample in (Sample.CLEAN, Sample.SLOW)
+        return warm and answered and busy_s > usual.slow_limit_s
+
+
+def _classify(call: Call, attempt: FinishedAttempt, ratio: float) -> Sample:
+    result = attempt.result
+    if result.is_server_error:
+        return Sample.FAILED
+    if result.kind is AttemptKind.ANSWERED:
+        return Sample.SLOW if attempt.entry.stats.is_slow(ratio) else Sample.CLEAN
+    if result.kind is AttemptKind.TIMEOUT:
+        full_s = FULL_TIMEOUT_PART * call.policy.timeout_ms / 1000
+        return Sample.FAILED if attempt.timeout_s >= full_s else Sample.SLOW
+    return _SAMPLES[result.kind]
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,76 @@
+"""Build configurations, members and routers for the tests of calls."""
+
+from random import Random
+
+from catkinhollow.call import CallFacts, SendTo
+from catkinhollow.call_router import CallRouter
+from catkinhollow.generated.fleet import Fleet, Method, RequestKind, Route, Service
+from catkinhollow.generated.messages import MemberRecord, MemberState, TargetRecord
+from catkinhollow.pool import Location
+from catkinhollow.retries import AttemptKind, AttemptResult
+
+HOME = Location(failure_domain="fd0", region="r0")
+OK = AttemptResult(kind=AttemptKind.ANSWERED, status=200)
+ERROR = AttemptResult(kind=AttemptKind.ANSWERED, status=500)
+REFUSED = AttemptResult(kind=AttemptKind.REFUSED, status=503)
+UNREACHABLE = AttemptResult(kind=AttemptKind.NOT_CONNECTED)
+BROKEN = AttemptResult(kind=AttemptKind.BROKEN)
+TIMEOUT = AttemptResult(kind=AttemptKind.TIMEOUT)
+CANCELLED = AttemptResult(kind=AttemptKind.CANCELLED)
+LOOKUP = Route(name="lookup", service="orders", path_prefix="/o")
+ORDER = Route(
+    name="order",
+    service="orders",
+    path_prefix="/o",
+    methods=[Method.POST],
+    kind=RequestKind.ORDER,
+    idempotent=False,
+)
+
+
+def fleet(service=None, **changes):
+    service = service or Service(name="orders")
+    return Fleet(services=[service], routes=[LOOKUP, ORDER], **changes)
+
+
+def member(index, domain="fd0", region="r0", state=MemberState.ALIVE, **target):
+    """Return a member with one warm target, its fields changed as given."""
+    fields = {"version": "v1", "slots": 10, "started_ms": 0} | target
+    record = TargetRecord(service="orders", address=f"t{index}:1", **fields)
+    return MemberRecord(
+        address=f"m{index}:1",
+        incarnation=1,
+        failure_domain=domain,
+        region=region,
+        state=state,
+        targets=[record],
+    )
+
+
+def make_router(members, configuration=None, share=1.0, random=None, picker=None):
+    """Return a router at 1000 s, when targets started at 0 are warm."""
+    router = CallRouter(HOME, random or Random(1), picker)
+    router.enforce(configuration or fleet(), 1000.0)
+    router.update_members(members, 1000.0, 1_000_000)
+    router.set_entry_share("orders", share, 1000.0)
+    return router
+
+
+def begin(router, now_s, method="GET", backer="", deadline_ms=None):
+    facts = CallFacts(
+        method=method, path="/o/1", backer=backer, deadline_ms=deadline_ms
+    )
+    return router.begin(facts, now_s)
+
+
+def send(router, now_s, method="GET"):
+    """Begin a call and return it with its target, or None if refused."""
+    result = begin(router, now_s, method)
+    step = result.ok.next_step(now_s) if result.is_ok() else None
+    return (result.ok, step.entry) if isinstance(step, SendTo) else None
+
+
+def fill(router, count):
+    """Return the targets that so many orders reach at the same time."""
+    sent = [send(router, 1000.0, "POST") for _ in range(count)]
+    return [item[1] for item in sent if item]
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,77 @@
+"""Tests of the choice among versions, failure domains and targets."""
+
+from collections import Counter
+
+import pytest
+from attrs import evolve
+
+from catkinhollow.generated.fleet import Service, VersionWeight
+from catkinhollow.generated.messages import TargetState
+from tests.builders import OK, fill, fleet, make_router, member, send
+
+
+def split(v1, v2):
+    weights = {"v1": v1, "v2": v2}.items()
+    split = [VersionWeight(version=name, percent=value) for name, value in weights]
+    return fleet(Service(name="orders", split=split))
+
+
+def versions(entries):
+    return Counter(entry.record.version for entry in entries)
+
+
+def test_work_spills_to_the_region_and_then_elsewhere():
+    """Guards against far targets with free near ones, and against refusals."""
+    others = [member(1, "fd1", slots=5), member(2, "fd2", "r1", slots=5)]
+    sent = fill(make_router([member(0, slots=5), *others]), 16)
+    domains = [entry.failure_domain for entry in sent]
+    assert domains == ["fd0"] * 5 + ["fd1"] * 5 + ["fd2"] * 5
+
+
+@pytest.mark.parametrize("configuration", [split(80, 20), None])
+def test_load_follows_the_split_or_else_the_capacity(configuration):
+    """Guards against a version or a small target with more than its share."""
+    slots = 10 if configuration else 2
+    members = [member(0, slots=8), member(1, version="v2", slots=slots)]
+    router, sent = make_router(members, configuration), []
+    for number in range(2000):
+        call, entry = send(router, 1000.0 + number * 0.01)
+        call.finished(OK, 1000.0 + number * 0.01)
+        sent.append(entry)
+    assert 340 < versions(sent)["v2"] < 460
+
+
+def test_share_of_a_cold_version_goes_to_the_other():
+    """Guards against forcing a version's share on its cold targets."""
+    members = [member(0), member(1, version="v2", started_ms=1_000_000)]
+    sent = fill(make_router(members, split(50, 50)), 11)
+    assert versions(sent) == {"v1": 10, "v2": 1}
+
+
+def test_cold_target_rests_between_the_calls_of_one_entry_daemon():
+    """Guards against a share below one call at a time that is not kept."""
+    cold = member(0, started_ms=1_000_000)
+    router = make_router([cold], share=0.1)
+    call, _ = send(router, 1000.5)
+    call.finished(OK, 1000.51)
+    assert send(router, 1000.52) is None
+    assert send(router, 1000.6)
+
+
+def test_version_of_weight_0_gets_nothing_until_the_rest_is_quarantined():
+    """Guards against traffic on a version that the operator closed."""
+    members = [member(0, slots=2), member(1, version="v2")]
+    router = make_router(members, split(100, 0))
+    assert versions(fill(router, 5)) == {"v1": 2}
+    router.quarantine("orders", "v1", 1000.0)
+    assert versions(fill(router, 5)) == {"v2": 5}
+
+
+def test_reported_failures_cannot_empty_a_service():
+    """Guards against a misleading health signal of every target."""
+    members = [member(index) for index in range(4)]
+    for item in members:
+        item.targets[0] = evolve(item.targets[0], state=TargetState.FAILED)
+    router = make_router(members)
+    assert router.status(1000.0).services[0].ejected == 2
+    assert fill(router, 3)
