--- a/catkinhollow/testbed/cluster.py
+++ b/catkinhollow/testbed/cluster.py
@@ -169,9 +169,11 @@
         """Set the fault switches of a target."""
         await self._send("POST", node.target, "/control/faults", encode_json(faults))
 
-    async def request(self, method: str, address: str, path: str) -> int:
+    async def request(
+        self, method: str, address: str, path: str, body: bytes = b""
+    ) -> int:
         """Return the status of a request, 0 without an answer."""
-        response = await self._send(method, address, path, b"")
+        response = await self._send(method, address, path, body)
         return response.status if response else 0
 
     async def stop(self) -> None:
