Add the controller: lease, evidence and moves

Cause: operators move services to target versions by a deadline, and a bad version must lose its traffic at once, whichever daemon is in charge.

Change: LeaseKeeper, VersionEvidence, MoveDriver and EvidenceFlow decide; MoveRunner and Controller make the store calls. A move is written before its split, and an end in three writes, so MoveState gains withdrawing and cancelling. A new holder writes each running move's split once more, because its new revision makes delayed writes of an earlier holder fail.

Ruled out: a fixed-sample test, which is not valid when looked at each second; a plain product of likelihood ratios, which finds late faults only after it has made up for the good time; an epoch inside config/fleet, since the revision of the extra write fences as well.

--- /dev/null
+++ b/catkinhollow/move_runner.py
@@ -0,0 +1,215 @@
+"""Make the store calls that the drivers of moves ask for."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from absl import logging
+
+from catkinhollow.codec import from_plain, to_plain
+from catkinhollow.errors import StoreErrorKind
+from catkinhollow.generated.fleet import Move, Snapshot
+from catkinhollow.generated.messages import Quarantine, VersionCounts
+from catkinhollow.generated.store import StoredObject
+from catkinhollow.lease import LeaseKeeper
+from catkinhollow.moves import (
+    ENDED,
+    Capacity,
+    MoveDriver,
+    WriteMove,
+    WriteSplit,
+    replace_split,
+)
+from catkinhollow.store import StoreClient
+from catkinhollow.timer import Clock
+
+# Without a move, new ones are looked for this often, in passes.
+IDLE_PASSES = 3
+# Other writers of config/fleet are rare, so a conflict clears at once.
+SPLIT_ATTEMPTS = 3
+
+
+class CapacitySource(Protocol):
+    """Supply the capacity of target versions."""
+
+    def capacity(self, service: str, version: str) -> Capacity:
+        """Return the slots of the version's targets."""
+
+
+class MoveRunner:
+    """Hold the drivers of all moves and carry out their commands."""
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        clock: Clock,
+        keeper: LeaseKeeper,
+        capacity: CapacitySource,
+        report_end: Callable[[Move], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._keeper = keeper
+        self._capacity = capacity
+        self._report_end = report_end
+        self._drivers: dict[str, MoveDriver] = {}
+        self._revisions: dict[str, int] = {}
+        self._quarantines: dict[str, Quarantine] = {}
+        self._idle_passes = IDLE_PASSES
+
+    def observe(self, counts: Iterable[VersionCounts]) -> list[Quarantine]:
+        """Give each driver its counts and return the versions found bad."""
+        by_service: dict[str, list[VersionCounts]] = {}
+        for entry in counts:
+            by_service.setdefault(entry.service, []).append(entry)
+        found = [
+            driver.observe(by_service.get(service, []))
+            for service, driver in self._drivers.items()
+        ]
+        return [quarantine for quarantine in found if quarantine]
+
+    def on_quarantine(self, quarantine: Quarantine) -> None:
+        """Withdraw a version that any daemon has quarantined."""
+        known = self._quarantines.get(quarantine.service)
+        if known is None or known.move_started_ms < quarantine.move_started_ms:
+            self._quarantines[quarantine.service] = quarantine
+        self._apply_quarantines()
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Notice splits of running moves that another writer changed."""
+        for service in snapshot.fleet.services:
+            driver = self._drivers.get(service.name)
+            if driver:
+                driver.on_split_seen(service.split, snapshot.revision)
+
+    def forget_moves(self) -> None:
+        """Drop the drivers, but for those with an end still to report."""
+        self._drivers = {
+            service: driver
+            for service, driver in self._drivers.items()
+            if driver.has_unknown_end
+        }
+
+    async def run_pass(self) -> None:
+        """Read the moves and make the writes that are due."""
+        if not self._is_pass_due():
+            return
+        listed = await self._store.list_objects("moves")
+        if listed.is_error():
+            return
+        self._sync(listed.ok.objects)
+        for service, driver in list(self._drivers.items()):
+            await self._drive(driver)
+            if driver.move.state in ENDED:
+                del self._drivers[service]
+
+    def _is_pass_due(self) -> bool:
+        if not self._keeper.may_decide(self._clock.monotonic()):
+            self._idle_passes = IDLE_PASSES
+            return any(driver.has_unknown_end for driver in self._drivers.values())
+        self._idle_passes += 1
+        if not self._drivers and self._idle_passes < IDLE_PASSES:
+            return False
+        self._idle_passes = 0
+        return True
+
+    def _sync(self, objects: Iterable[StoredObject]) -> None:
+        # A store may answer with an older view; an ended move must not start
+        # again from it.
+        for stored in objects:
+            if stored.revision <= self._revisions.get(stored.name, 0):
+                continue
+            decoded = from_plain(stored.value, Move)
+            if decoded.is_ok():
+                self._revisions[stored.name] = stored.revision
+                self._sync_move(decoded.ok, stored.revision)
+            else:
+                logging.error("moves/%s: %s", stored.name, decoded.error.reason)
+        self._start_terms()
+        self._apply_quarantines()
+
+    def _sync_move(self, move: Move, revision: int) -> None:
+        driver = self._drivers.get(move.service)
+        if driver and driver.move.started_ms == move.started_ms:
+            self._take_record(driver, move, revision)
+        elif move.state not in ENDED:
+            self._drivers[move.service] = MoveDriver(move, revision)
+        else:
+            self._drivers.pop(move.service, None)
+
+    def _start_terms(self) -> None:
+        for driver in self._drivers.values():
+            if self._keeper.epoch and driver.epoch != self._keeper.epoch:
+                driver.start_term(self._keeper.epoch)
+
+    def _apply_quarantines(self) -> None:
+        for driver in self._drivers.values():
+            move = driver.move
+            found = self._quarantines.get(move.service)
+            if found and found.move_started_ms == move.started_ms:
+                driver.withdraw(found.reason)
+
+    def _may_act(self, driver: MoveDriver) -> bool:
+        is_current = driver.epoch == self._keeper.epoch
+        return is_current and self._keeper.may_decide(self._clock.monotonic())
+
+    def _next_command(self, driver: MoveDriver) -> WriteMove | WriteSplit | None:
+        move = driver.move
+        capacity = self._capacity.capacity(move.service, move.version)
+        return driver.next_command(self._clock.unix_ms(), capacity)
+
+    async def _drive(self, driver: MoveDriver) -> None:
+        written = True
+        while written and self._may_act(driver):
+            command = self._next_command(driver)
+            if command is None:
+                return
+            if isinstance(command, WriteMove):
+                written = await self._write_move(driver, command)
+            else:
+                written = await self._write_split(driver, command)
+
+    async def _write_move(self, driver: MoveDriver, command: WriteMove) -> bool:
+        service = command.move.service
+        driver.on_move_sent(command.move)
+        result = await self._store.put(
+            "moves", service, to_plain(command.move), if_revision=command.if_revision
+        )
+        if result.is_error():
+            return False
+        self._revisions[service] = result.ok.revision
+        self._take_record(driver, command.move, result.ok.revision)
+        return True
+
+    async def _write_split(self, driver: MoveDriver, command: WriteSplit) -> bool:
+        for _ in range(SPLIT_ATTEMPTS):
+            stored = await self._store.get("config", "fleet")
+            if stored.is_error():
+                return False
+            # Checked between the read and the write: a later holder changes
+            # the revision after this daemon's term, so that a write delayed
+            # after this check fails.
+            if not self._may_act(driver) or self._next_command(driver) != command:
+                return False
+            fleet = _with_split(stored.ok.value, command)
+            if fleet is None:
+                driver.on_service_missing()
+                return True
+            result = await self._store.put(
+                "config", "fleet", fleet, if_revision=stored.ok.revision
+            )
+            if result.is_ok():
+                driver.on_split_written(self._clock.unix_ms(), result.ok.revision)
+                return True
+            if result.error.kind != StoreErrorKind.CONFLICT:
+                return False
+        return False
+
+    def _take_record(self, driver: MoveDriver, move: Move, revision: int) -> None:
+        ended = driver.on_record(move, revision)
+        if ended:
+            self._report_end(ended)
+
+
+def _with_split(fleet: Any, command: WriteSplit) -> Any | None:
+    return replace_split(fleet, command.service, to_plain(command.split))
--- /dev/null
+++ b/tests/test_controller_states.py
@@ -0,0 +1,185 @@
+"""Stateful test of racing controllers over a store that fails."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from catkinhollow.codec import from_plain
+from catkinhollow.generated.fleet import Lease, Move, MoveState
+from catkinhollow.moves import ENDED
+from tests.controller_world import JOBS, World, split_percent, window
+
+NUMBERS = st.integers(0, 2)
+DURATIONS = st.sampled_from([20, 60, 300])
+FATES = st.sampled_from(
+    ["ok", "lost answer", "refused", "late", "pause", "slow answer", "old view"]
+)
+PAUSES = st.sampled_from(["pause", "slow answer"])
+CALLS = st.sampled_from(
+    [
+        ("list", "moves"),
+        ("put", "moves"),
+        ("get", "config"),
+        ("put", "config"),
+        ("put", "leases"),
+    ]
+)
+
+
+class RacingControllers(RuleBasedStateMachine):
+    """Interleave three daemons, an operator and a store call by call."""
+
+    @initialize(duration_s=DURATIONS)
+    def begin(self, duration_s):
+        self.world = World()
+        self.crashed = False
+        self.checked = 0
+        self.last_move = None
+        self.last_lease = Lease(holder="", epoch=0)
+        self.world.start_move(duration_s)
+
+    @rule(duration_s=DURATIONS)
+    def start_next_move(self, duration_s):
+        if self.world.move.state in ENDED:
+            # An end whose write got no answer must be read before the
+            # operator replaces the move, or it cannot be reported.
+            self.heal(30)
+            self.check_ends()
+            self.world.start_move(duration_s)
+
+    @rule(seconds=st.sampled_from([1, 2, 6, 11]))
+    def pass_time(self, seconds):
+        self.world.tick(seconds)
+
+    @rule(seconds=st.sampled_from([1, 3, 15, 40]))
+    def run_fairly(self, seconds):
+        self.world.run_fairly(seconds)
+
+    @rule(call=CALLS, fate=FATES, seconds=st.sampled_from([5, 15]))
+    def run_until_fate(self, call, fate, seconds):
+        """Run until a call of one sort, which meets the given fate."""
+        self.world.fate_call, self.world.fate = call, fate
+        self.world.run_fairly(seconds)
+
+    @rule(
+        call=CALLS,
+        fate=PAUSES,
+        preferred=st.sets(NUMBERS, min_size=1),
+        meanwhile=st.sampled_from(["", "cancel", "bad"]),
+        seconds=st.sampled_from([3, 9, 15]),
+    )
+    def pause_holder(self, call, fate, preferred, meanwhile, seconds):
+        """Pause a daemon at a call while the others and the operator act."""
+        self.run_until_fate(call, fate, 15)
+        paused = [item for item in self.world.daemons if item.paused]
+        if meanwhile == "cancel":
+            self.world.cancel_move()
+        if meanwhile == "bad":
+            for number in range(3):
+                self.find_bad_version(number)
+        self.world.preferred = preferred
+        self.world.run_fairly(seconds)
+        for daemon in paused:
+            self.world.resume(daemon)
+
+    @rule(preferred=st.sets(NUMBERS, min_size=1))
+    def prefer(self, preferred):
+        self.world.preferred = preferred
+
+    @rule(number=NUMBERS, job=st.sampled_from(JOBS), fate=FATES)
+    def step(self, number, job, fate):
+        """Start one job, or end its waiting call, without the others."""
+        daemon = self.world.daemons[number]
+        if job in daemon.jobs:
+            self.world.answer(daemon, job, fate)
+        else:
+            daemon.start(job)
+
+    @rule()
+    def deliver_late_call(self):
+        if self.world.late:
+            self.world.carry_out(self.world.late.pop(0))
+
+    @rule(number=NUMBERS)
+    def crash(self, number):
+        self.crashed = True
+        self.world.restart(number)
+
+    @rule(number=NUMBERS)
+    def find_bad_version(self, number):
+        daemon = self.world.daemons[number]
+        for _ in range(8):
+            daemon.counts += window(0.5)
+            daemon.controller.tick()
+
+    @rule()
+    def cancel(self):
+        self.world.cancel_move()
+
+    @invariant()
+    def check_new_writes(self):
+        """Check each write against the one before it."""
+        for stored in self.world.store.writes[self.checked :]:
+            if stored.kind == "moves":
+                self.check_move(from_plain(stored.value, Move).ok)
+            if stored.kind == "leases":
+                self.check_lease(from_plain(stored.value, Lease).ok)
+            if stored.kind == "config" and self.last_move:
+                self.check_split(split_percent(stored))
+        self.checked = len(self.world.store.writes)
+
+    def check_move(self, move):
+        last, self.last_move = self.last_move, move
+        if last is None:
+            return
+        if move.started_ms != last.started_ms:
+            return
+        assert last.state not in ENDED, "a move changed after its end"
+        assert move.epoch >= last.epoch, "an earlier term changed the move"
+        if last.state != MoveState.RUNNING:
+            assert move.percent <= last.percent
+            assert move.state != MoveState.RUNNING
+
+    def check_lease(self, lease):
+        last, self.last_lease = self.last_lease, lease
+        is_taken = lease.holder not in ("", last.holder)
+        assert lease.epoch > last.epoch if is_taken else lease.epoch >= last.epoch
+
+    def check_split(self, percent):
+        if self.last_move.state in ENDED:
+            assert percent == final_percent(self.last_move)
+
+    def check_ends(self):
+        """Check that each ended move was reported, and none twice."""
+        ends = [move.started_ms for move in self.world.ends]
+        assert len(set(ends)) == len(ends)
+        assert self.crashed or self.world.move.started_ms in ends
+
+    def heal(self, seconds):
+        """Run with the store up, every daemon alive and one preferred."""
+        self.world.fate_call = None
+        self.world.preferred = {min(self.world.preferred)}
+        for daemon in self.world.daemons:
+            self.world.resume(daemon)
+        self.world.run_fairly(seconds)
+
+    def teardown(self):
+        self.heal(400)
+        while self.world.late:
+            self.deliver_late_call()
+        self.check_new_writes()
+        assert self.world.move.state in ENDED
+        assert self.world.percent == final_percent(self.world.move)
+        (number,) = self.world.preferred
+        assert self.world.daemons[number].controller.may_decide
+        self.check_ends()
+
+
+def final_percent(move):
+    return 100.0 if move.state == MoveState.DONE else 0.0
+
+
+RacingControllers.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=300, stateful_step_count=40
+)
+TestRacingControllers = RacingControllers.TestCase
