Wire the controller, the evidence and the first split into the daemon

Cause: the controller's decisions ran in tests only.

Change: each daemon ends a window of evidence every second, for services whose split has two versions; the preferred daemon holds the lease and drives moves. The weight of a version carries the start of its move, so that a quarantine ends with a later move to the same version, also on a restarted daemon.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -12,6 +12,7 @@
 from catkinhollow.bootstrap import Bootstrap
 from catkinhollow.call_router import CallRouter
 from catkinhollow.clock import TrioClock
+from catkinhollow.controller import Controller
 from catkinhollow.dispatch import Dispatcher
 from catkinhollow.egress import HttpTargetClient
 from catkinhollow.elections import Elections
@@ -26,12 +27,15 @@
     TargetAnnounced,
     VersionQuarantined,
 )
+from catkinhollow.evidence_service import EvidenceService
+from catkinhollow.fleet_updates import update_fleet
 from catkinhollow.generated.fleet import Snapshot
 from catkinhollow.generated.messages import MemberState, TargetRecord
 from catkinhollow.generated.settings import Address, Settings
 from catkinhollow.http_server import App, serve_app
 from catkinhollow.http_store import HttpStoreClient
 from catkinhollow.ingress import TrafficApplication
+from catkinhollow.initial_split import FixInitialVersions, choose_initial_versions
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh_service import MeshService
 from catkinhollow.metrics import Metrics
@@ -51,6 +55,7 @@
 # Gathers the changes of a burst; the table of a large fleet takes a while.
 MEMBERS_DELAY_S = 0.05
 SEEDS_INTERVAL_S = 10.0
+SPLITS_INTERVAL_S = 1.0
 ADMIN_DRAIN_S = 0.5
 # Callers with an open connection learn from its next answer to close it.
 LINGER_S = 1.0
@@ -112,6 +117,19 @@
             self._mesh.table, settings.store.watchers_per_failure_domain
         )
         self._seeds = SeedPublisher(self._store, settings.failure_domain)
+        self._evidence = EvidenceService(
+            self._router, self._mesh, self._elections, self._clock
+        )
+        self._controller = Controller(
+            holder=address_text(settings.peer),
+            store=self._store,
+            clock=self._clock,
+            settings=settings.lease,
+            is_preferred=lambda: self.ready and self._elections.is_controller(),
+            evidence=self._evidence,
+            capacity=self._evidence,
+            quarantine=self._mesh.quarantine,
+        )
 
     def _connect_events(self) -> None:
         connect = self._events.connect
@@ -121,6 +139,7 @@
         connect(MeshReady, lambda _: logger.info("ready", revision=self.revision))
         connect(VersionQuarantined, self._on_quarantine)
         connect(TargetAnnounced, self._on_members_changed)
+        self._evidence.connect(self._events)
 
     @property
     def ready(self) -> bool:
@@ -184,6 +203,7 @@
                 self._mesh.run,
                 self._watcher.run,
                 self._bootstrap.run,
+                self._run_controller,
             ):
                 nursery.start_soon(task)
             self._subscribe(nursery)
@@ -229,6 +249,9 @@
 
         await nursery.start(serve)
 
+    async def _run_controller(self) -> None:
+        await self._controller.run(self._timer)
+
     def _subscribe(self, nursery: trio.Nursery) -> None:
         def start(job: Callable[[], Any]) -> Callable[[], None]:
             return lambda: nursery.start_soon(job)
@@ -236,11 +259,23 @@
         settings = self._settings
         self._timer.subscribe(settings.probe.interval_s, start(self._supervisor.check))
         self._timer.subscribe(SEEDS_INTERVAL_S, start(self._publish_seeds))
+        self._timer.subscribe(SPLITS_INTERVAL_S, start(self._fix_initial_versions))
+        self._evidence.subscribe(self._timer)
 
     async def _publish_seeds(self) -> None:
         if self.ready and self._elections.is_first_watcher():
             await self._seeds.publish(self._elections.domain_members())
 
+    async def _fix_initial_versions(self) -> None:
+        snapshot = self._holder.snapshot
+        if snapshot is None or not self._controller.may_decide:
+            return
+        records = self._mesh.table.records.values()
+        versions = choose_initial_versions(snapshot.fleet, records)
+        if versions:
+            logger.info("initial versions", versions=versions)
+            await update_fleet(self._store, FixInitialVersions(versions))
+
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
@@ -263,6 +298,7 @@
         self._apply_quarantines()
         is_out = self._settings.failure_domain in fleet.failure_domains_out
         self._supervisor.set_drain(is_out)
+        self._controller.on_snapshot(event.snapshot)
 
     def _on_quarantine(self, event: VersionQuarantined) -> None:
         quarantine = event.quarantine
@@ -272,6 +308,7 @@
             version=quarantine.version,
             reason=quarantine.reason,
         )
+        self._controller.on_quarantine(quarantine)
         self._apply_quarantines()
 
     def _apply_quarantines(self) -> None:
--- /dev/null
+++ b/catkinhollow/evidence_service.py
@@ -0,0 +1,105 @@
+"""Bring the outcomes of calls to the controller."""
+
+from catkinhollow.call_router import CallRouter
+from catkinhollow.elections import Elections
+from catkinhollow.events import EventManager, EvidenceReported, SnapshotEnforced
+from catkinhollow.generated.fleet import Fleet
+from catkinhollow.generated.messages import MemberRecord, TargetState, VersionCounts
+from catkinhollow.mesh_service import MeshService
+from catkinhollow.moves import Capacity
+from catkinhollow.reporting import EvidenceFlow, Sender
+from catkinhollow.timer import Clock, Timer
+
+WINDOW_S = 1.0
+
+
+class ComparedCounts:
+    """Take the router's counts of services that split their traffic."""
+
+    def __init__(self, router: CallRouter) -> None:
+        self._router = router
+        self._compared: frozenset[str] = frozenset()
+
+    def enforce(self, fleet: Fleet) -> None:
+        """Compare the services that split their traffic over two versions."""
+        self._compared = frozenset(
+            service.name for service in fleet.services if len(service.split) > 1
+        )
+
+    def take(self) -> list[VersionCounts]:
+        """End the window and return its counts."""
+        counts = self._router.take_counts()
+        return [entry for entry in counts if entry.service in self._compared]
+
+
+class EvidenceService:
+    """Send this daemon's counts once a second and take those of others."""
+
+    def __init__(
+        self,
+        router: CallRouter,
+        mesh: MeshService,
+        elections: Elections,
+        clock: Clock,
+    ) -> None:
+        self._mesh = mesh
+        self._elections = elections
+        self._clock = clock
+        own = mesh.table.own
+        self._counts = ComparedCounts(router)
+        self._flow = EvidenceFlow(_sender(own), self._counts)
+
+    def connect(self, events: EventManager) -> None:
+        """Take the reports of peers and the splits in force."""
+        events.connect(
+            SnapshotEnforced, lambda event: self._counts.enforce(event.snapshot.fleet)
+        )
+        events.connect(EvidenceReported, self._on_report)
+
+    def subscribe(self, timer: Timer) -> None:
+        """End a window every second."""
+        timer.subscribe(WINDOW_S, self._end_window)
+
+    def take(self) -> list[VersionCounts]:
+        """Return the counts that arrived since the last call."""
+        return self._flow.take()
+
+    def capacity(self, service: str, version: str) -> Capacity:
+        """Return the slots of the version's targets."""
+        ready = cold = 0
+        for member in self._mesh.table.present():
+            for target in member.targets:
+                if (target.service, target.version) != (service, version):
+                    continue
+                ready += target.slots * (target.state is TargetState.READY)
+                cold += target.slots * (target.state is TargetState.COLD)
+        return Capacity(ready_slots=ready, cold_slots=cold)
+
+    def _end_window(self) -> None:
+        self._flow.keep_senders(self._mesh.table.records)
+        reports = self._flow.end_window(
+            self._clock.unix_ms(),
+            collector=self._elections.collector(),
+            controller=self._elections.controller(),
+        )
+        for report in reports:
+            self._mesh.send_evidence(report.to, report.report)
+
+    def _on_report(self, event: EvidenceReported) -> None:
+        record = self._mesh.table.records.get(event.sender)
+        if record is None:
+            return
+        self._flow.on_report(
+            _sender(record),
+            event.report,
+            self._clock.unix_ms(),
+            is_controller=self._elections.is_controller(),
+        )
+
+
+def _sender(record: MemberRecord) -> Sender:
+    return Sender(
+        address=record.address,
+        incarnation=record.incarnation,
+        failure_domain=record.failure_domain,
+    )
--- a/catkinhollow/moves.py
+++ b/catkinhollow/moves.py
@@ -261,12 +261,11 @@
 def wanted_split(move: Move) -> list[VersionWeight]:
     """Return the split that a move at its present share asks for."""
     percent = move.percent if move.state == MoveState.RUNNING else 0.0
-    shares = [(move.old_version, 100.0 - percent), (move.version, percent)]
-    return [
-        VersionWeight(version=version, percent=share)
-        for version, share in shares
-        if share > 0
-    ]
+    old = VersionWeight(version=move.old_version, percent=100.0 - percent)
+    new = VersionWeight(
+        version=move.version, percent=percent, move_started_ms=move.started_ms
+    )
+    return [weight for weight in (old, new) if weight.percent > 0]
 
 
 def replace_split(fleet: Any, service: str, split: Any) -> Any | None:
--- a/catkinhollow/reporting.py
+++ b/catkinhollow/reporting.py
@@ -1,6 +1,7 @@
 """Count outcomes per version and bring them to the controller."""
 
 from collections.abc import Iterable
+from typing import Protocol
 
 from attrs import frozen, mutable
 
@@ -117,6 +118,13 @@
             del self._window[key]
 
 
+class CountSource(Protocol):
+    """Supply the counts of the own daemon's window."""
+
+    def take(self) -> list[VersionCounts]:
+        """End the window and return its counts."""
+
+
 @frozen(kw_only=True)
 class Sender:
     """Name the process and place that a report comes from."""
@@ -194,7 +202,7 @@
 class EvidenceFlow:
     """Decide where the counts of each window go."""
 
-    def __init__(self, sender: Sender, counter: OutcomeCounter) -> None:
+    def __init__(self, sender: Sender, counter: CountSource) -> None:
         self._sender = sender
         self._counter = counter
         self._sum = ReportSum()
