Load opentelemetry only where traces are recorded

Cause: each daemon loaded opentelemetry-sdk, and with it psutil, though tracing is off by default. Ruled out: -OO, which would save another 2.4 MB of docstrings but also drops the assertions on invariants. Change: the recording tracer is in span_recorder.py, which make_tracer loads when the settings ask for traces.

--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -36,7 +36,7 @@
     """Guards against spans that do not join the caller's trace."""
     lines = []
     monkeypatch.setattr(
-        "catkinhollow.tracing.stderr",
+        "catkinhollow.span_recorder.stderr",
         type("Out", (), {"write": lines.append, "flush": lambda self: None})(),
     )
     settings = TracingSettings(output=Output.STDERR)
