Measure the CPU time of our own code in a call

Cause: changes of some microseconds do not show in the figures of whole hops on a busy machine. Change: tools/measure_call_path.py runs ingress, dispatcher and router without sockets, and the target client with httpcore on a stream in memory.

--- /dev/null
+++ b/tools/measure_call_path.py
@@ -0,0 +1,168 @@
+"""Measure the CPU time of our own code in a call, without any socket."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from statistics import median
+from time import process_time
+from typing import Any
+
+import trio
+from httpcore import AsyncHTTP11Connection, AsyncMockStream, Origin
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from catkinhollow.call_router import CallRouter  # noqa: E402
+from catkinhollow.clock import TrioClock  # noqa: E402
+from catkinhollow.dispatch import Dispatcher  # noqa: E402
+from catkinhollow.egress import Attempt, HttpTargetClient  # noqa: E402
+from catkinhollow.exchange import Request, Response  # noqa: E402
+from catkinhollow.generated.fleet import Backer, Fleet, Route, Service  # noqa: E402
+from catkinhollow.generated.messages import MemberRecord, TargetRecord  # noqa: E402
+from catkinhollow.generated.settings import HttpSettings  # noqa: E402
+from catkinhollow.ingress import TrafficApplication  # noqa: E402
+from catkinhollow.metrics import Metrics  # noqa: E402
+from catkinhollow.pool import Location  # noqa: E402
+from catkinhollow.retries import AttemptKind  # noqa: E402
+from catkinhollow.tracing import PassingTracer  # noqa: E402
+
+CALLS = 3000
+ROUNDS = 9
+TARGETS = 5
+HEADERS = [
+    (b"host", b"127.0.0.1:8080"),
+    (b"accept", b"*/*"),
+    (b"x-request-id", b"0af7651916cd43dd8448eb211c80319c"),
+    (b"x-deadline-ms", b"10000"),
+    (b"x-backer", b"b0"),
+]
+ANSWER = Response(
+    status=200,
+    headers=[
+        (b"content-type", b"application/json"),
+        (b"x-request-id", HEADERS[2][1]),
+        (b"x-target-version", b"v1"),
+    ],
+    body=b"{}" * 60,
+)
+SCOPE = {
+    "type": "http",
+    "method": "GET",
+    "raw_path": b"/s/x",
+    "query_string": b"",
+    "headers": HEADERS,
+}
+ON_THE_WIRE = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+    b"x-target-version: v1\r\ncontent-length: 2\r\n\r\n{}"
+)
+
+
+class InstantClient:
+    """Answer every request at once."""
+
+    async def send(self, address: str, request: Request, timeout_s: float) -> Attempt:
+        """Return the same answer to each request."""
+        return Attempt(kind=AttemptKind.ANSWERED, response=ANSWER)
+
+
+def make_router() -> CallRouter:
+    """Return a router of one service."""
+    router = CallRouter(Location(failure_domain="fd0", region="r0"), Random(1))
+    service = Service(name="s", backers=[Backer(name="b0", share_percent=100)])
+    route = Route(name="r", service="s", path_prefix="/s")
+    router.enforce(Fleet(services=[service], routes=[route]), 0.0)
+    members = [
+        MemberRecord(
+            address=f"m{index}:1",
+            incarnation=1,
+            failure_domain="fd0",
+            region="r0",
+            targets=[
+                TargetRecord(
+                    service="s",
+                    version="v1",
+                    address=f"127.0.0.1:{index + 1}",
+                    slots=10,
+                    started_ms=0,
+                )
+            ],
+        )
+        for index in range(TARGETS)
+    ]
+    router.update_members(members, 0.0, 10**9)
+    return router
+
+
+def make_application() -> TrafficApplication:
+    """Return the application without its sockets."""
+    dispatcher = Dispatcher(
+        router=make_router(),
+        client=InstantClient(),
+        tracer=PassingTracer(Random(1)),
+        clock=TrioClock(),
+        metrics=Metrics(),
+        is_ready=lambda: True,
+    )
+    return TrafficApplication(dispatcher, 1024)
+
+
+async def measure(name: str, call: Callable[[], Awaitable[Any]]) -> None:
+    """Print the median CPU time of a call over some rounds."""
+    times_us = []
+    for _ in range(ROUNDS):
+        began_s = process_time()
+        for _ in range(CALLS):
+            await call()
+        times_us.append(1e6 * (process_time() - began_s) / CALLS)
+    print(f"{name:20} median {median(times_us):6.1f} us, least {min(times_us):6.1f} us")
+
+
+async def main() -> None:
+    """Measure the application, and the client on a stream in memory."""
+    application = make_application()
+    statuses: list[int] = []
+
+    async def receive() -> Any:
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(message: Any) -> None:
+        if message["type"] == "http.response.start":
+            statuses.append(message["status"])
+
+    await measure("ingress to decision", lambda: application(SCOPE, receive, send))
+    assert set(statuses) == {200}
+    await measure_client()
+
+
+async def measure_client() -> None:
+    """Measure our client and httpcore on a stream in memory."""
+    client = HttpTargetClient(HttpSettings())
+    stream = AsyncMockStream([ON_THE_WIRE] * (CALLS * ROUNDS + 1))
+    origin = Origin(b"http", b"127.0.0.1", 1)
+    connection = AsyncHTTP11Connection(origin, stream)
+    connections = client._targets["127.0.0.1:1"]
+    connections.idle.append(connection)
+    connections.count = 1
+    request = Request(method="GET", path="/s/x", query=b"", headers=HEADERS, body=b"")
+
+    async def call() -> None:
+        attempt = await client.send("127.0.0.1:1", request, 1.0)
+        assert attempt.kind is AttemptKind.ANSWERED, attempt
+
+    # A connection that has never been used counts as new and not as idle.
+    connections.idle.clear()
+    await client._give_back(connections, await _used(connection), True)
+    await measure("client and httpcore", call)
+
+
+async def _used(connection: AsyncHTTP11Connection) -> AsyncHTTP11Connection:
+    response = await connection.request("GET", "http://127.0.0.1:1/s/x")
+    await response.aread()
+    await response.aclose()
+    return connection
+
+
+if __name__ == "__main__":
+    trio.run(main)
