--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -14,6 +14,12 @@
 from catkinhollow.commands.domain import DomainInCommand, DomainOutCommand
 from catkinhollow.commands.exceptions import ExceptionsCommand
 from catkinhollow.commands.exit_codes import ExitCode
+from catkinhollow.commands.move import (
+    MoveCancelCommand,
+    MoveStartCommand,
+    MoveStatusCommand,
+    MoveWaitCommand,
+)
 from catkinhollow.commands.settings_show import SettingsShowCommand
 from catkinhollow.commands.standin import StandinStoreCommand, StandinTargetCommand
 from catkinhollow.commands.status import StatusCommand
@@ -29,6 +35,10 @@
         DomainOutCommand(connector),
         DomainInCommand(connector),
         ExceptionsCommand(connector),
+        MoveStartCommand(connector),
+        MoveStatusCommand(connector),
+        MoveWaitCommand(connector),
+        MoveCancelCommand(connector),
         StatusCommand(),
         SettingsShowCommand(),
         DaemonCommand(),
