--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -55,6 +55,8 @@
 # Gathers the changes of a burst; the table of a large fleet takes a while.
 MEMBERS_DELAY_S = 0.05
 SEEDS_INTERVAL_S = 10.0
+# A new failure domain is known to commands soon after its first daemon.
+FIRST_SEEDS_S = 2.0
 SPLITS_INTERVAL_S = 1.0
 ADMIN_DRAIN_S = 0.5
 # Callers with an open connection learn from its next answer to close it.
@@ -258,7 +260,9 @@
 
         settings = self._settings
         self._timer.subscribe(settings.probe.interval_s, start(self._supervisor.check))
-        self._timer.subscribe(SEEDS_INTERVAL_S, start(self._publish_seeds))
+        self._timer.subscribe(
+            SEEDS_INTERVAL_S, start(self._publish_seeds), first_delay_s=FIRST_SEEDS_S
+        )
         self._timer.subscribe(SPLITS_INTERVAL_S, start(self._fix_initial_versions))
         self._evidence.subscribe(self._timer)
 
--- a/catkinhollow/testbed/cluster.py
+++ b/catkinhollow/testbed/cluster.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Iterable, Iterator, Mapping
+from itertools import count
 from pathlib import Path
 
 import trio
@@ -87,6 +88,7 @@
         self._daemon_settings = daemon_settings or {}
         self._group = ProcessGroup(directory)
         self._store_port = free_ports(1)[0]
+        self._commands = count(1)
         self.nodes: dict[str, Node] = {}
 
     @property
@@ -127,7 +129,8 @@
 
     async def run_command(self, *arguments: str, limit_s: float = 30.0) -> int:
         """Run an operator's command to its end and return its exit code."""
-        child = self._group.start("commands", [*arguments, "--store", self.store])
+        name = f"command-{next(self._commands)}"
+        child = self._group.start(name, [*arguments, "--store", self.store])
         if not await child.wait(limit_s):
             child.process.kill()
         return child.process.wait()
@@ -135,7 +138,7 @@
     async def wait_ready(self, limit_s: float) -> bool:
         """Wait until every daemon accepts calls; tell whether all do."""
         with trio.move_on_after(limit_s):
-            for node in self.nodes.values():
+            for node in list(self.nodes.values()):
                 while await self.request("GET", node.admin, "/health") != 200:
                     await trio.sleep(POLL_S)
             return True
--- a/catkinhollow/testbed/demo.py
+++ b/catkinhollow/testbed/demo.py
@@ -15,6 +15,7 @@
 from catkinhollow.generated.fleet import Fleet, Move, MoveState
 from catkinhollow.generated.settings import Address, StoreSettings
 from catkinhollow.http_store import HttpStoreClient
+from catkinhollow.moves import ENDED
 from catkinhollow.testbed.audit import AuditReport, audit
 from catkinhollow.testbed.callers import (
     CallerGroup,
@@ -63,8 +64,10 @@
 CHANGE_PAUSE_S = 0.4
 DOMAIN_OUT_S = 2.5
 DOMAIN_SETTLE_S = 2.0
-MOVE_LIMIT_S = 16.0
-WITHDRAW_LIMIT_S = 16.0
+MOVE_LIMIT_S = 17.0
+WITHDRAW_LIMIT_S = 17.0
+# The end is written to the store shortly after the deadline at the latest.
+MOVE_GRACE_S = 3.0
 SEED = 20261204
 NOT_RUN = "not run"
 
@@ -140,11 +143,12 @@
             self._change_configuration,
             self._take_domain_out_and_back,
             self._kill_daemon,
-            self._move_to_good_version,
-            self._move_to_bad_version,
         ]
         for step in steps:
             await step()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._move_to_good_version)
+            nursery.start_soon(self._move_to_bad_version)
 
     async def _change_configuration(self) -> None:
         alive = len(self._cluster.nodes)
@@ -251,8 +255,8 @@
 
     async def _wait_for_move(self, service: str, limit_s: float) -> str:
         state = MoveState.RUNNING
-        with trio.move_on_after(limit_s):
-            while state is MoveState.RUNNING:
+        with trio.move_on_after(limit_s + MOVE_GRACE_S):
+            while state not in ENDED:
                 await trio.sleep(0.2)
                 stored = await self._store.get("moves", service)
                 if stored.is_ok():
