Measure the time that daemons add to a call

Cause: the target of 1.1 ms a hop had no measurement on real processes.

Add 'bench run NAME' with checked experiment files and the experiment 'hop': chains of daemons, each call paired with a direct one. A stand-in target calls on when a request carries 'then=ADDRESS/PATH,...', so that the direct chain runs in the same targets; a start option for the next address was ruled out because the direct chain would need other targets. Count messages and bytes of the peer link. The test bed takes ports below the ephemeral range, where an outgoing connection cannot take the port of a daemon that restarts.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -169,6 +169,7 @@
         """Return the metrics with their gauges up to date."""
         self._metrics.enforced_revision.set({}, self.revision)
         self._metrics.ready.set({}, int(self.ready))
+        self._metrics.set_peer_counters(self._link.counters)
         records = self._mesh.table.records.values()
         for state in MemberState:
             count = sum(record.state is state for record in records)
--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -9,6 +9,7 @@
 
 from catkinhollow import __version__
 from catkinhollow.commands.apply import ApplyCommand
+from catkinhollow.commands.bench import BenchRunCommand
 from catkinhollow.commands.daemon import DaemonCommand
 from catkinhollow.commands.demo import DemoCommand
 from catkinhollow.commands.domain import DomainInCommand, DomainOutCommand
@@ -35,6 +36,7 @@
         StandinStoreCommand(),
         StandinTargetCommand(),
         DemoCommand(),
+        BenchRunCommand(),
     ]
 
 
--- a/catkinhollow/metrics.py
+++ b/catkinhollow/metrics.py
@@ -2,6 +2,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from catkinhollow.peers import LinkCounters
+
 LATENCY_BUCKETS_S = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10]
 
 
@@ -48,6 +50,23 @@
             "Configuration versions refused as a whole",
             registry=registry,
         )
+        self._peer_messages = Counter(
+            "catkinhollow_peer_messages_total",
+            "Messages exchanged with other daemons, by direction",
+            registry=registry,
+        )
+        self._peer_bytes = Counter(
+            "catkinhollow_peer_bytes_total",
+            "Bytes of these messages, by direction, without those of nng and TCP",
+            registry=registry,
+        )
+
+    def set_peer_counters(self, counters: LinkCounters) -> None:
+        """Take over the counts of the peer link."""
+        self._peer_messages.set({"direction": "sent"}, counters.messages_sent)
+        self._peer_messages.set({"direction": "received"}, counters.messages_received)
+        self._peer_bytes.set({"direction": "sent"}, counters.bytes_sent)
+        self._peer_bytes.set({"direction": "received"}, counters.bytes_received)
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text form and their HTTP headers."""
--- a/catkinhollow/peers.py
+++ b/catkinhollow/peers.py
@@ -6,7 +6,7 @@
 
 import pynng
 import trio
-from attrs import frozen
+from attrs import define, frozen
 
 from catkinhollow.codec import decode_message, encode_envelope
 from catkinhollow.generated.messages import Envelope
@@ -77,6 +77,26 @@
 PeerEvent: TypeAlias = LinkUp | LinkDown | Envelope
 
 
+@define
+class LinkCounters:
+    """Count messages and their bytes, without those of nng and TCP."""
+
+    messages_sent: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    bytes_received: int = 0
+
+    def sent(self, size_bytes: int) -> None:
+        """Count a message that nng accepted."""
+        self.messages_sent += 1
+        self.bytes_sent += size_bytes
+
+    def received(self, size_bytes: int) -> None:
+        """Count a message that arrived."""
+        self.messages_received += 1
+        self.bytes_received += size_bytes
+
+
 class PeerLink(Protocol):
     """Keep connections to peers; never block on a slow or dead one."""
 
@@ -111,6 +131,7 @@
     def __init__(self, own_address: str) -> None:
         limit_nng_threads()
         self._own_address = own_address
+        self._counters = LinkCounters()
         self._socket = _nng.Pair1(
             polyamorous=True,
             send_buffer_size=_SEND_QUEUE_MESSAGES,
@@ -127,6 +148,11 @@
         self._senders: dict[int, str] = {}
         self._open_pipes: set[int] = set()
 
+    @property
+    def counters(self) -> LinkCounters:
+        """Return the counts since the start."""
+        return self._counters
+
     def connect(self, address: str) -> None:
         """Keep a connection to a peer until disconnected."""
         self._wanted.add(address)
@@ -145,10 +171,11 @@
         # The newest pipe: an older one may lead to a former process.
         pipe = next(reversed(pipes.values()))
         try:
-            message = _nng.Message(encode_envelope(envelope), pipe)
-            self._socket.send_msg(message, block=False)
+            data = encode_envelope(envelope)
+            self._socket.send_msg(_nng.Message(data, pipe), block=False)
         except _nng.NNGException:
             return False
+        self._counters.sent(len(data))
         return True
 
     async def run(self, receiver: Callable[[PeerEvent], None]) -> None:
@@ -213,7 +240,9 @@
             self._dial_if_needed(address)
 
     def _take(self, message: _Message) -> None:
-        decoded = decode_message(message.bytes, Envelope)
+        data = message.bytes
+        self._counters.received(len(data))
+        decoded = decode_message(data, Envelope)
         if decoded.is_error():
             logger.warning("dropped a message: %s", decoded.error.reason)
             return
--- a/catkinhollow/testbed/cluster.py
+++ b/catkinhollow/testbed/cluster.py
@@ -38,6 +38,7 @@
     version: str
     failure_domain: str
     target_options: dict[str, str] = Factory(dict)
+    has_target: bool = True
 
 
 @define(kw_only=True)
@@ -112,7 +113,8 @@
         for node in nodes:
             self._write_settings(node)
             self.start_daemon(node)
-            self._start_target(node)
+            if node.spec.has_target:
+                self._start_target(node)
         return nodes
 
     def start_daemon(self, node: Node) -> Child:
@@ -132,10 +134,12 @@
             child.process.kill()
         return child.process.wait()
 
-    async def wait_ready(self, limit_s: float) -> bool:
+    async def wait_ready(
+        self, limit_s: float, nodes: Iterable[Node] | None = None
+    ) -> bool:
         """Wait until every daemon accepts calls; tell whether all do."""
         with trio.move_on_after(limit_s):
-            for node in self.nodes.values():
+            for node in self.nodes.values() if nodes is None else nodes:
                 while await self.request("GET", node.admin, "/health") != 200:
                     await trio.sleep(POLL_S)
             return True
@@ -143,7 +147,7 @@
 
     async def status(self, node: Node) -> DaemonStatus | None:
         """Return the status of a daemon, if it answers."""
-        response = await self._send("GET", node.admin, "/status", b"")
+        response = await self.fetch("GET", node.admin, "/status", b"")
         if response is None:
             return None
         decoded = decode_json(response.content, DaemonStatus)
@@ -158,7 +162,7 @@
 
     async def executions_at(self, node: Node) -> list[str]:
         """Return the request id of every execution at one target."""
-        response = await self._send("GET", node.target, "/control/executions", b"")
+        response = await self.fetch("GET", node.target, "/control/executions", b"")
         if response is None:
             logger.error("no execution log", target=node.spec.name)
             return []
@@ -167,26 +171,31 @@
 
     async def set_faults(self, node: Node, faults: TargetFaults) -> None:
         """Set the fault switches of a target."""
-        await self._send("POST", node.target, "/control/faults", encode_json(faults))
+        await self.fetch("POST", node.target, "/control/faults", encode_json(faults))
 
     async def request(self, method: str, address: str, path: str) -> int:
         """Return the status of a request, 0 without an answer."""
-        response = await self._send(method, address, path, b"")
+        response = await self.fetch(method, address, path, b"")
         return response.status if response else 0
 
     async def stop(self) -> None:
         """End every process."""
         await self._group.stop_all()
 
+    def kill(self) -> None:
+        """End every process at once, without a drain."""
+        self._group.kill_all()
+
     def find(self, service: str, version: str) -> Iterator[Node]:
         """Return the nodes of one target version."""
         for node in self.nodes.values():
             if (node.spec.service, node.spec.version) == (service, version):
                 yield node
 
-    async def _send(
-        self, method: str, address: str, path: str, body: bytes
+    async def fetch(
+        self, method: str, address: str, path: str, body: bytes = b""
     ) -> Response | None:
+        """Return the answer to a request to any process, if there is one."""
         with trio.move_on_after(CONTROL_LIMIT_S):
             try:
                 async with AsyncConnectionPool() as pool:
--- a/catkinhollow/testbed/processes.py
+++ b/catkinhollow/testbed/processes.py
@@ -5,26 +5,46 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from itertools import cycle, islice
 from pathlib import Path
+from random import randrange
 
 import trio
 from attrs import define
 
 STOP_GRACE_S = 8.0
+
+# Below the ports of outgoing connections (32768 and above on Linux): one of
+# those could take a port before its process listens or while it restarts.
+FIRST_PORT = 12000
+END_PORT = 32000
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 
 
+def _count_ports() -> Iterator[int]:
+    first = randrange(FIRST_PORT, END_PORT)
+    return cycle([*range(first, END_PORT), *range(FIRST_PORT, first)])
+
+
+# No port is given out twice, as its process may not listen yet.
+_ports = _count_ports()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing on loopback listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    return list(islice(filter(_is_free, _ports), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 @define
@@ -82,6 +102,13 @@
         self._children[name] = child
         return child
 
+    def kill_all(self) -> None:
+        """End every child at once, without a drain."""
+        for child in self._children.values():
+            child.send(signal.SIGKILL)
+        for child in self._children.values():
+            child.process.wait()
+
     async def stop_all(self) -> None:
         """End every child, by force where it does not end by itself."""
         for child in self._children.values():
--- a/catkinhollow/testbed/target.py
+++ b/catkinhollow/testbed/target.py
@@ -5,6 +5,7 @@
 from uuid import uuid4
 
 import trio
+from attrs import evolve
 from expression import Error, Ok, Result
 
 from catkinhollow.codec import encode_json
@@ -25,6 +26,7 @@
     read_request,
     send_response,
 )
+from catkinhollow.testbed.onward import OnwardCaller, parse_then
 from catkinhollow.testbed.responses import cancel_on_disconnect, send_cut
 from catkinhollow.testbed.target_control import TargetControl
 from catkinhollow.testbed.target_model import Call, Plan, TargetModel, Work
@@ -32,15 +34,21 @@
 
 MAX_REQUEST_BYTES = 8 * 1024 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+ONWARD_FAILED_STATUS = 502
 
 
 class TargetApp:
     """Answer the HTTP calls to a stand-in target."""
 
     def __init__(
-        self, model: TargetModel, clock: Clock, control: TargetControl
+        self,
+        model: TargetModel,
+        clock: Clock,
+        control: TargetControl,
+        onward: OnwardCaller | None = None,
     ) -> None:
         self._model = model
+        self._onward = onward or OnwardCaller()
         self._clock = clock
         self._control = control
         self._slot_given: dict[Work, trio.Event] = {}
@@ -76,8 +84,8 @@
             self._release(work)
             await self._send_refusal(call, plan.error.reason, send)
             return
-        await self._run(work, plan.ok)
-        await self._send_answer(call, plan.ok, send)
+        finished = await self._run(work, plan.ok)
+        await self._send_answer(call, finished, send)
 
     async def _wait_for_slot(self, work: Work, receive: Receive) -> bool:
         given = self._slot_given[work] = trio.Event()
@@ -93,7 +101,7 @@
         if following is not None:
             self._slot_given[following].set()
 
-    async def _run(self, work: Work, plan: Plan) -> None:
+    async def _run(self, work: Work, plan: Plan) -> Plan:
         call = work.call
         number = self._control.recorder.start(
             Execution(
@@ -105,9 +113,12 @@
             )
         )
         await trio.sleep(plan.duration_s)
+        if not await self._onward.call(call):
+            plan = evolve(plan, status=ONWARD_FAILED_STATUS)
         end_ms = self._clock.unix_ms()
         self._control.recorder.finish(number, end_ms=end_ms, status=plan.status)
         self._release(work)
+        return plan
 
     async def _send_answer(self, call: Call, plan: Plan, send: Send) -> None:
         told = self._answered if plan.fault is FaultMode.MISMATCH else call
@@ -167,6 +178,7 @@
         deadline_s=int(deadline_ms) / 1000 if deadline_ms else None,
         work_ms=_number(query, "work_ms"),
         body_bytes=min(int(_number(query, "size") or 0), MAX_RESPONSE_BYTES),
+        then=parse_then(query.get("then", [""])[0]),
     )
 
 
--- a/catkinhollow/testbed/target_model.py
+++ b/catkinhollow/testbed/target_model.py
@@ -34,6 +34,7 @@
     deadline_s: float | None = None
     work_ms: float | None = None
     body_bytes: int = 0
+    then: tuple[str, ...] = ()
 
 
 @define(eq=False, kw_only=True)
