--- a/catkinhollow/dissemination.py
+++ b/catkinhollow/dissemination.py
@@ -253,6 +253,10 @@
         self._joiner.heard(envelope.sender)
         self._take_answer(ack.ready, ack.revision, ack.floor_revision, now_s)
         self._monitor.take_ack(envelope, ack, now_s)
+        # A neighbour that pinged first has already repaired this table;
+        # a seed would send all of it once more.
+        if ack.digest == self._comparison.digest and self._joiner.skip():
+            self._commands.add(MeshJoined())
 
     def _on_gossip(self, envelope: Envelope, gossip: Gossip, now_s: float) -> None:
         self._snapshots.puller.learn(envelope.sender, gossip.revision)
--- a/catkinhollow/joining.py
+++ b/catkinhollow/joining.py
@@ -117,6 +117,14 @@
         self._joined = True
         return True
 
+    def skip(self) -> bool:
+        """Stop asking seeds and tell whether that ends the joining."""
+        if self._joined:
+            return False
+        self._target = None
+        self._joined = True
+        return True
+
     def raise_floor(self, revision: int) -> bool:
         """Require a revision and tell whether that raised the floor."""
         if self._ready or revision <= self._floor:
--- /dev/null
+++ b/tests/test_pulling.py
@@ -0,0 +1,28 @@
+"""Tests of the choice of the peer that sends a snapshot."""
+
+from catkinhollow.mesh_commands import CommandQueue
+from catkinhollow.pulling import SnapshotExchange, SnapshotPuller
+
+
+def test_pull_goes_to_the_next_announcer_after_a_timeout():
+    """Guards against a lost reply that blocks all later revisions."""
+    puller = SnapshotPuller(0.5)
+    for address in ("a", "b"):
+        puller.learn(address, 7)
+    assert puller.poll(6, 0.0).address == "a"
+    assert puller.poll(6, 0.4) is None
+    assert puller.poll(6, 0.5).address == "b"
+    assert puller.poll(6, 1.0).address == "a"
+    puller.forget("a")
+    assert puller.poll(6, 1.1).address == "b"
+    assert puller.received("b", 7)
+    assert not puller.received("b", 7)
+    assert puller.poll(6, 9.0) is None
+
+
+def test_older_snapshot_is_not_offered_to_peers():
+    """Guards against peers that pull an older revision again."""
+    exchange = SnapshotExchange(CommandQueue(None, None), 0.5)
+    assert exchange.offer(7, b"new")
+    assert not exchange.offer(6, b"old")
+    assert exchange.revision == 7
