--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -63,19 +63,22 @@
 
 async def test_both_ends_dial_and_disconnect(nursery):
     """Guards against a pair that loses its link when one end lets go."""
-    one, other = Peer(free_address()), Peer(free_address())
-    for peer, remote in ((one, other), (other, one)):
+    # The lower address keeps its pipe, so the other end has to dial again.
+    one, other = map(Peer, sorted([free_address(), free_address()]))
+    pairs = [(one, other), (other, one)]
+    for peer, remote in pairs:
         peer.link.connect(remote.address)
         nursery.start_soon(peer.run)
     for sequence in range(3):
-        # An accepted pipe has no address before the dialling end has sent.
-        for peer, remote in ((other, one), (one, other)):
+        for peer, remote in pairs:
             with trio.fail_after(10):
                 while not peer.send(remote.address, ping=ping("", sequence).ping):
                     await trio.sleep(0.01)
             await remote.expect(ping(peer.address, sequence))
         one.link.disconnect(other.address)
         await trio.sleep(0.05)
+        # An accepted pipe has no address before the dialling end has sent.
+        pairs = [(other, one), (one, other)]
     other.link.disconnect(one.address)
     await one.expect(LinkDown(address=other.address))
     one.scope.cancel()
--- a/tests/test_pulling.py
+++ b/tests/test_pulling.py
@@ -1,6 +1,7 @@
 """Tests of the choice of the peer that sends a snapshot."""
 
-from catkinhollow.pulling import SnapshotPuller
+from catkinhollow.mesh_commands import CommandQueue
+from catkinhollow.pulling import SnapshotExchange, SnapshotPuller
 
 
 def test_pull_goes_to_the_next_announcer_after_a_timeout():
@@ -17,3 +18,11 @@
     assert puller.received("b", 7)
     assert not puller.received("b", 7)
     assert puller.poll(6, 9.0) is None
+
+
+def test_older_snapshot_is_not_offered_to_peers():
+    """Guards against peers that pull an older revision again."""
+    exchange = SnapshotExchange(CommandQueue(None, None), 0.5)
+    assert exchange.offer(7, b"new")
+    assert not exchange.offer(6, b"old")
+    assert exchange.revision == 7
