Add the move commands

Cause: operators had no way to request, follow or cancel a move.

Change: move start, status, wait and cancel over the store. Exit code 4 tells a withdrawn or cancelled move.

--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -13,6 +13,12 @@
 from catkinhollow.commands.domain import DomainInCommand, DomainOutCommand
 from catkinhollow.commands.exceptions import ExceptionsCommand
 from catkinhollow.commands.exit_codes import ExitCode
+from catkinhollow.commands.move import (
+    MoveCancelCommand,
+    MoveStartCommand,
+    MoveStatusCommand,
+    MoveWaitCommand,
+)
 from catkinhollow.commands.settings_show import SettingsShowCommand
 from catkinhollow.commands.status import StatusCommand
 from catkinhollow.commands.store_command import StoreConnector, connect_store
@@ -27,6 +33,10 @@
         DomainOutCommand(connector),
         DomainInCommand(connector),
         ExceptionsCommand(connector),
+        MoveStartCommand(connector),
+        MoveStatusCommand(connector),
+        MoveWaitCommand(connector),
+        MoveCancelCommand(connector),
         StatusCommand(),
         SettingsShowCommand(),
         DaemonCommand(),
--- a/catkinhollow/commands/exit_codes.py
+++ b/catkinhollow/commands/exit_codes.py
@@ -10,4 +10,5 @@
     INVALID = 1
     CONFLICT = 2
     UNREACHABLE = 3
+    NOT_MOVED = 4
     USAGE = 64
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -65,6 +65,18 @@
     assert world.percent == 1.0
 
 
+def test_older_view_does_not_start_an_ended_move_again():
+    """Guards against a split that follows an outdated answer of the store."""
+    world = World(count=1)
+    world.start_move(60)
+    while world.move.state != MoveState.DONE:
+        world.run_fairly(1)
+    world.fate_call, world.fate = ("list", "moves"), "old view"
+    world.run_fairly(4)
+    assert world.fate_call is None
+    assert world.percent == 100.0
+
+
 class DirectCalls:
     """Answer each call after a short time."""
 
