--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -9,7 +9,9 @@
 
 from catkinhollow import __version__
 from catkinhollow.commands.apply import ApplyCommand
+from catkinhollow.commands.bench import BenchRunCommand
 from catkinhollow.commands.daemon import DaemonCommand
+from catkinhollow.commands.demo import DemoCommand
 from catkinhollow.commands.domain import DomainInCommand, DomainOutCommand
 from catkinhollow.commands.exceptions import ExceptionsCommand
 from catkinhollow.commands.exit_codes import ExitCode
@@ -20,6 +22,7 @@
     MoveWaitCommand,
 )
 from catkinhollow.commands.settings_show import SettingsShowCommand
+from catkinhollow.commands.standin import StandinStoreCommand, StandinTargetCommand
 from catkinhollow.commands.status import StatusCommand
 from catkinhollow.commands.store_command import StoreConnector, connect_store
 from catkinhollow.commands.validate import ValidateCommand
@@ -40,6 +43,10 @@
         StatusCommand(),
         SettingsShowCommand(),
         DaemonCommand(),
+        StandinStoreCommand(),
+        StandinTargetCommand(),
+        DemoCommand(),
+        BenchRunCommand(),
     ]
 
 
--- /dev/null
+++ b/catkinhollow/ingress.py
@@ -0,0 +1,56 @@
+"""Accept calls over HTTP and answer them."""
+
+from typing import Protocol
+from uuid import uuid4
+
+from attrs import evolve
+
+from catkinhollow.egress import end_to_end
+from catkinhollow.exchange import (
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+    Request,
+    Response,
+    with_header,
+)
+from catkinhollow.http_server import Receive, Scope, Send, read_request, send_response
+
+
+class CallHandler(Protocol):
+    """Answer a call."""
+
+    async def dispatch(self, request: Request) -> Response:
+        """Return the whole answer to the request."""
+
+
+class TrafficApplication:
+    """Serve calls as an ASGI application."""
+
+    def __init__(self, handler: CallHandler, max_body_bytes: int) -> None:
+        self._handler = handler
+        self._max_body_bytes = max_body_bytes
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        read = await read_request(scope, receive, self._max_body_bytes)
+        if read.is_error():
+            await send_response(send, _mark_not_run(read.error))
+            return
+        request = with_request_id(read.ok)
+        response = await self._handler.dispatch(request)
+        request_id = request.header(REQUEST_ID_HEADER) or b""
+        headers = with_header(response.headers, REQUEST_ID_HEADER, request_id)
+        await send_response(send, evolve(response, headers=headers))
+
+
+def with_request_id(request: Request) -> Request:
+    """Return the request to pass on, with an id of its own if it has none."""
+    headers = end_to_end(request.headers)
+    if request.header(REQUEST_ID_HEADER) is None:
+        headers.append((REQUEST_ID_HEADER, uuid4().hex.encode()))
+    return evolve(request, headers=headers)
+
+
+def _mark_not_run(response: Response) -> Response:
+    headers = with_header(response.headers, NOT_RUN_HEADER, b"1")
+    return evolve(response, headers=headers)
--- /dev/null
+++ b/catkinhollow/metrics.py
@@ -0,0 +1,74 @@
+"""Hold the metrics of a daemon."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from catkinhollow.peers import LinkCounters
+
+LATENCY_BUCKETS_S = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10]
+
+
+class Metrics:
+    """Register and render the metrics of one daemon."""
+
+    def __init__(self) -> None:
+        registry = Registry()
+        self._registry = registry
+        self.calls = Counter(
+            "catkinhollow_calls_total",
+            "Calls by route and outcome",
+            registry=registry,
+        )
+        self.call_seconds = Histogram(
+            "catkinhollow_call_seconds",
+            "Time from the request to the answer in seconds, by route",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "catkinhollow_refusals_total",
+            "Calls refused before any attempt, by reason",
+            registry=registry,
+        )
+        self.enforced_revision = Gauge(
+            "catkinhollow_enforced_revision",
+            "Revision of the configuration in force",
+            registry=registry,
+        )
+        self.members = Gauge(
+            "catkinhollow_members", "Members by state", registry=registry
+        )
+        self.targets = Gauge(
+            "catkinhollow_targets", "Known targets by service", registry=registry
+        )
+        self.ready = Gauge(
+            "catkinhollow_ready",
+            "1 when the daemon accepts calls, else 0",
+            registry=registry,
+        )
+        self.snapshots_refused = Counter(
+            "catkinhollow_snapshots_refused_total",
+            "Configuration versions refused as a whole",
+            registry=registry,
+        )
+        self._peer_messages = Counter(
+            "catkinhollow_peer_messages_total",
+            "Messages exchanged with other daemons, by direction",
+            registry=registry,
+        )
+        self._peer_bytes = Counter(
+            "catkinhollow_peer_bytes_total",
+            "Bytes of these messages, by direction, without those of nng and TCP",
+            registry=registry,
+        )
+
+    def set_peer_counters(self, counters: LinkCounters) -> None:
+        """Take over the counts of the peer link."""
+        self._peer_messages.set({"direction": "sent"}, counters.messages_sent)
+        self._peer_messages.set({"direction": "received"}, counters.messages_received)
+        self._peer_bytes.set({"direction": "sent"}, counters.bytes_sent)
+        self._peer_bytes.set({"direction": "received"}, counters.bytes_received)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics in text form and their HTTP headers."""
+        content, headers = render(self._registry, ["text/plain"])
+        return content, dict(headers)
--- /dev/null
+++ b/catkinhollow/tracing.py
@@ -0,0 +1,120 @@
+"""Pass the W3C trace context on and record a span for each hop."""
+
+from contextlib import AbstractContextManager, nullcontext
+from random import Random
+from typing import Protocol
+
+from attrs import frozen
+
+from catkinhollow.exchange import TRACE_HEADER, Request
+from catkinhollow.generated.settings import Output, TracingSettings
+
+TRACE_ID_DIGITS = 32
+SPAN_ID_DIGITS = 16
+SAMPLED_FLAG = 1
+
+
+@frozen(kw_only=True)
+class TraceParent:
+    """Hold the trace context of a request."""
+
+    trace_id: int
+    span_id: int
+    sampled: bool
+
+    def encode(self) -> bytes:
+        """Return the value of the traceparent header."""
+        flags = SAMPLED_FLAG if self.sampled else 0
+        return f"00-{self.trace_id:032x}-{self.span_id:016x}-{flags:02x}".encode()
+
+
+def parse_traceparent(value: bytes | None) -> TraceParent | None:
+    """Return the context of a traceparent header, if it is well formed."""
+    parts = (value or b"").split(b"-")
+    if len(parts) < 4 or len(parts[1]) != TRACE_ID_DIGITS:
+        return None
+    if len(parts[2]) != SPAN_ID_DIGITS:
+        return None
+    try:
+        trace_id, span_id, flags = (int(part, 16) for part in parts[1:4])
+    except ValueError:
+        return None
+    if not trace_id or not span_id:
+        return None
+    sampled = bool(flags & SAMPLED_FLAG)
+    return TraceParent(trace_id=trace_id, span_id=span_id, sampled=sampled)
+
+
+class HopSpan(Protocol):
+    """Record one hop of a call."""
+
+    @property
+    def traceparent(self) -> bytes:
+        """Return the header value to pass on."""
+
+    def set(self, key: str, value: str | int | float) -> None:
+        """Set an attribute of the span."""
+
+    def attempt(self, address: str) -> AbstractContextManager[None]:
+        """Record one attempt at a target as a child span."""
+
+    def end(self) -> None:
+        """End the span."""
+
+
+class Tracer(Protocol):
+    """Start the span of a hop."""
+
+    def start(self, request: Request, route: str) -> HopSpan:
+        """Start a span that continues the request's trace."""
+
+
+class _PassedSpan:
+    """Pass a trace context on without recording."""
+
+    def __init__(self, traceparent: bytes) -> None:
+        self._traceparent = traceparent
+
+    @property
+    def traceparent(self) -> bytes:
+        """Return the header value to pass on."""
+        return self._traceparent
+
+    def set(self, key: str, value: str | int | float) -> None:
+        """Drop the attribute."""
+
+    def attempt(self, address: str) -> AbstractContextManager[None]:
+        """Record nothing."""
+        return nullcontext()
+
+    def end(self) -> None:
+        """Record nothing."""
+
+
+class PassingTracer:
+    """Pass trace contexts on, and make one where there is none."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+
+    def start(self, request: Request, route: str) -> HopSpan:
+        """Return a span that records nothing."""
+        value = request.header(TRACE_HEADER)
+        if value is not None:
+            return _PassedSpan(value)
+        parent = TraceParent(
+            trace_id=self._random.getrandbits(128) or 1,
+            span_id=self._random.getrandbits(64) or 1,
+            sampled=False,
+        )
+        return _PassedSpan(parent.encode())
+
+
+def make_tracer(settings: TracingSettings, instance: str, random: Random) -> Tracer:
+    """Return the tracer that the settings ask for."""
+    if settings.output is Output.NONE:
+        return PassingTracer(random)
+    # opentelemetry takes over 2 MB, so only a daemon that records loads it.
+    from catkinhollow.span_recorder import RecordingTracer
+
+    return RecordingTracer(settings, instance)
