Measure convergence, rest and mass restarts, and report results

Cause: the stated bounds of convergence, CPU, memory and control bytes had no measurement against the number of daemons.

Add the experiments 'convergence', 'rest' and 'storm', 'bench report' with straight lines over N and log2 N carried to the design size, and 'bench compare' with the ratio of each figure.

--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -9,7 +9,11 @@
 
 from catkinhollow import __version__
 from catkinhollow.commands.apply import ApplyCommand
-from catkinhollow.commands.bench import BenchRunCommand
+from catkinhollow.commands.bench import (
+    BenchCompareCommand,
+    BenchReportCommand,
+    BenchRunCommand,
+)
 from catkinhollow.commands.daemon import DaemonCommand
 from catkinhollow.commands.demo import DemoCommand
 from catkinhollow.commands.domain import DomainInCommand, DomainOutCommand
@@ -37,6 +41,8 @@
         StandinTargetCommand(),
         DemoCommand(),
         BenchRunCommand(),
+        BenchReportCommand(),
+        BenchCompareCommand(),
     ]
 
 
--- a/catkinhollow/commands/bench.py
+++ b/catkinhollow/commands/bench.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cleo.exceptions import CleoValueError
 from cleo.helpers import argument, option
@@ -12,6 +13,9 @@
 
 INCOMPLETE = 1
 
+if TYPE_CHECKING:
+    from catkinhollow.testbed.compare import Comparison, Unmatched
+
 
 class BenchRunCommand(BaseCommand):
     """Run one experiment."""
@@ -50,3 +54,66 @@
         if not text.isdecimal() or not int(text):
             raise CleoValueError("--repeat is a whole number above 0")
         return int(text)
+
+
+class BenchReportCommand(BaseCommand):
+    """Write the reports of results."""
+
+    name = "bench report"
+    description = "Write a table and a plot beside each result in a directory."
+    arguments = [argument("directory", "Directory of results, or one result.")]
+
+    def handle(self) -> int:
+        """Write two files for each result."""
+        from catkinhollow.testbed.report import write_report
+        from catkinhollow.testbed.results import read_results
+
+        path = Path(self.argument("directory"))
+        results = read_results(path)
+        if results.is_error():
+            return self.print_problems(results.error)
+        directory = path if path.is_dir() else path.parent
+        for result in results.ok:
+            for written in write_report(result, directory):
+                self.print_line(str(written))
+        return ExitCode.OK
+
+
+class BenchCompareCommand(BaseCommand):
+    """Compare results of two versions."""
+
+    name = "bench compare"
+    description = "Show the ratio of each figure between two results."
+    arguments = [
+        argument("old", "Result or directory of the older version."),
+        argument("new", "Result or directory of the newer version."),
+    ]
+
+    def handle(self) -> int:
+        """Print one row for each figure."""
+        from catkinhollow.testbed.compare import compare
+        from catkinhollow.testbed.results import read_results
+
+        old = read_results(Path(self.argument("old")))
+        new = read_results(Path(self.argument("new")))
+        for results in (old, new):
+            if results.is_error():
+                return self.print_problems(results.error)
+        rows = [_row(item) for item in compare(old.ok, new.ok)]
+        if not rows:
+            self.print_error("the results have no experiment in common")
+            return ExitCode.INVALID
+        headers = ["experiment", "series", "size", "figure", "old", "new", "ratio"]
+        self.print_table(headers, rows)
+        return ExitCode.OK
+
+
+def _row(item: Comparison | Unmatched) -> list[str]:
+    from catkinhollow.testbed.compare import Comparison
+
+    cell = item.cell
+    name = [item.experiment, cell.series, str(cell.size), cell.figure]
+    if not isinstance(item, Comparison):
+        return [*name, "", "", "only one side"]
+    ratio = "-" if item.ratio is None else f"{item.ratio:.3f}"
+    return [*name, f"{item.old:.4g}", f"{item.new:.4g}", ratio]
--- a/catkinhollow/testbed/bench.py
+++ b/catkinhollow/testbed/bench.py
@@ -11,10 +11,13 @@
 
 from catkinhollow.codec import encode_json
 from catkinhollow.generated.bench import BenchResult, Experiment, Point
+from catkinhollow.testbed.convergence_bench import ConvergenceRunner
 from catkinhollow.testbed.deployment import BenchError
 from catkinhollow.testbed.experiments import NamedExperiment
 from catkinhollow.testbed.hop import HopRunner
 from catkinhollow.testbed.measures import Recorder, read_commit, read_machine
+from catkinhollow.testbed.rest_bench import RestRunner
+from catkinhollow.testbed.storm_bench import StormRunner
 
 Printer = Callable[[str], None]
 
@@ -30,6 +33,12 @@
     """Return the runner of the plan that is given."""
     if experiment.hop is not None:
         return HopRunner(experiment, experiment.hop)
+    if experiment.convergence is not None:
+        return ConvergenceRunner(experiment, experiment.convergence)
+    if experiment.rest is not None:
+        return RestRunner(experiment, experiment.rest)
+    if experiment.storm is not None:
+        return StormRunner(experiment, experiment.storm)
     raise AssertionError("the experiment was not checked")
 
 
--- /dev/null
+++ b/catkinhollow/testbed/convergence_bench.py
@@ -0,0 +1,238 @@
+"""Measure the time until all daemons enforce a change, and its cost."""
+
+from collections.abc import Sequence
+from random import Random
+from statistics import median
+
+import trio
+from attrs import Factory, define, frozen
+
+from catkinhollow.generated.bench import ConvergencePlan, Experiment, Point
+from catkinhollow.generated.testbed import OutageMode, StoreFaults
+from catkinhollow.testbed.cluster import Node
+from catkinhollow.testbed.daemon_logs import (
+    LogEvent,
+    enforced_ms,
+    now_ms,
+    read_events,
+    ready_ms,
+)
+from catkinhollow.testbed.deployment import (
+    Deployment,
+    bare_specs,
+    open_deployment,
+    plain_fleet,
+)
+from catkinhollow.testbed.fleet_load import (
+    FleetLoad,
+    load_between,
+    machine_load,
+    take_sample,
+)
+from catkinhollow.testbed.measures import Recorder, Times
+
+FIRST_TIMEOUT_MS = 1000
+BASELINE_S = 5.0
+MS_PER_S = 1000.0
+
+
+@frozen(kw_only=True)
+class Change:
+    """Hold a change that the store accepted."""
+
+    revision: int
+    accepted_ms: float
+
+
+@define
+class Delays:
+    """Collect the delays of changes at daemons."""
+
+    all: Times = Factory(Times)
+    last_ms: list[float] = Factory(list)
+    late: int = 0
+
+    def add(self, change: Change, logs: Sequence[Sequence[LogEvent]]) -> None:
+        """Add one change with the log of each daemon."""
+        delays_ms = []
+        for events in logs:
+            arrived_ms = enforced_ms(events, change.revision)
+            if arrived_ms is None:
+                self.late += 1
+            else:
+                delays_ms.append(max(0.0, arrived_ms - change.accepted_ms))
+        for delay_ms in delays_ms:
+            self.all.add_s(delay_ms / MS_PER_S)
+        if delays_ms:
+            self.last_ms.append(max(delays_ms))
+
+    def figures(self) -> dict[str, float]:
+        """Return the percentiles, and the last daemon's delay per change."""
+        last = {"last_daemon_median_ms": median(self.last_ms)} if self.last_ms else {}
+        return {**self.all.figures("delay"), **last, "late": self.late}
+
+
+def cost_figures(load: FleetLoad, rest: FleetLoad, changes: int) -> dict[str, float]:
+    """Return the cost of a change beyond that of the rest."""
+
+    def per_change(name: str) -> float:
+        return (load.mean(name) - rest.rate(name) * load.period_s) / changes
+
+    rest_calls = rest.store_calls / rest.period_s * load.period_s
+    return {
+        "messages_per_daemon_change": per_change("messages"),
+        "peer_bytes_per_daemon_change": per_change("bytes"),
+        "cpu_per_daemon_change_ms": per_change("cpu_s") * MS_PER_S,
+        "store_calls_per_change": (load.store_calls - rest_calls) / changes,
+        "peer_bytes_per_s": load.rate("bytes"),
+        "cpu_percent": load.rate("cpu_s") * 100,
+    }
+
+
+class ConvergenceRunner:
+    """Change the configuration of fleets of several sizes."""
+
+    def __init__(self, experiment: Experiment, plan: ConvergencePlan) -> None:
+        self._experiment = experiment
+        self._plan = plan
+
+    async def run(self, repeat: int, record: Recorder) -> None:
+        """Record the points of one repeat."""
+        random = Random(self._experiment.seed + repeat)
+        for size in self._plan.sizes:
+
+            def record_series(
+                series: str, figures: dict[str, float], size: int = size
+            ) -> None:
+                record(Point(series=series, size=size, repeat=repeat, figures=figures))
+
+            async with open_deployment(self._experiment) as deployment:
+                nodes = await deployment.start(
+                    plain_fleet(["service"]), bare_specs(size)
+                )
+                await trio.sleep(self._plan.settle_s)
+                fleet = _FleetMeasure(deployment, nodes, self._plan, random)
+                await fleet.measure_rest()
+                record_series("plain", await fleet.plain())
+                if self._plan.restart_percent:
+                    record_series("restarts", await fleet.restarts())
+                if self._plan.outage_s:
+                    record_series("store outage", await fleet.outage())
+
+
+class _FleetMeasure:
+    """Make the changes at one fleet."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        nodes: Sequence[Node],
+        plan: ConvergencePlan,
+        random: Random,
+    ) -> None:
+        self._deployment = deployment
+        self._nodes = nodes
+        self._plan = plan
+        self._random = random
+        self._timeout_ms = FIRST_TIMEOUT_MS
+        self._rest: FleetLoad | None = None
+
+    async def measure_rest(self) -> None:
+        """Measure what the daemons use without changes."""
+        before = await take_sample(self._deployment, self._nodes)
+        await trio.sleep(BASELINE_S)
+        after = await take_sample(self._deployment, self._nodes)
+        self._rest = load_between(before, after)
+
+    async def plain(self) -> dict[str, float]:
+        """Make changes while nothing else happens."""
+        assert self._rest is not None
+        load = machine_load()
+        before = await take_sample(self._deployment, self._nodes)
+        changes = await self._make_changes()
+        await trio.sleep(self._plan.arrive_s)
+        after = await take_sample(self._deployment, self._nodes)
+        used = load_between(before, after)
+        return {
+            **self._delays(changes, self._nodes).figures(),
+            **cost_figures(used, self._rest, len(changes)),
+            **load,
+        }
+
+    async def restarts(self) -> dict[str, float]:
+        """Make changes while some daemons are killed and start again."""
+        load = machine_load()
+        share = self._plan.restart_percent / 100
+        chosen = self._random.sample(
+            list(self._nodes), max(1, round(share * len(self._nodes)))
+        )
+        killed_ms: dict[str, float] = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._restart_all, chosen, killed_ms)
+            changes = await self._make_changes()
+        await self._deployment.wait_ready(chosen)
+        await trio.sleep(self._plan.arrive_s)
+        others = [node for node in self._nodes if node not in chosen]
+        back = Times()
+        for node in chosen:
+            since_ms = killed_ms[node.spec.name]
+            back_ms = ready_ms(self._events(node), since_ms)
+            if back_ms is not None:
+                back.add_s((back_ms - since_ms) / MS_PER_S)
+        last = Delays()
+        last.add(changes[-1], [self._events(node) for node in chosen])
+        return {
+            **self._delays(changes, others).figures(),
+            **back.figures("restarted_ready"),
+            "restarted": len(chosen),
+            "restarted_late": last.late,
+            **load,
+        }
+
+    async def outage(self) -> dict[str, float]:
+        """Make a change just before the store is out, and one after."""
+        load = machine_load()
+        before = await self._change()
+        await self._deployment.set_store_faults(StoreFaults(outage=OutageMode.REFUSE))
+        await trio.sleep(self._plan.outage_s)
+        during = self._delays([before], self._nodes)
+        await self._deployment.set_store_faults(StoreFaults())
+        after = await self._change()
+        await trio.sleep(self._plan.arrive_s + BASELINE_S)
+        later = self._delays([after], self._nodes)
+        return {
+            **during.figures(),
+            **{f"after_{name}": value for name, value in later.figures().items()},
+            **load,
+        }
+
+    async def _make_changes(self) -> list[Change]:
+        changes = []
+        for _ in range(self._plan.changes):
+            changes.append(await self._change())
+            await trio.sleep(self._random.expovariate(1 / self._plan.pause_s))
+        return changes
+
+    async def _change(self) -> Change:
+        self._timeout_ms += 1
+        revision = await self._deployment.change_timeout(self._timeout_ms)
+        return Change(revision=revision, accepted_ms=now_ms())
+
+    async def _restart_all(
+        self, chosen: Sequence[Node], killed_ms: dict[str, float]
+    ) -> None:
+        period_s = self._plan.changes * self._plan.pause_s / 2
+        for node in chosen:
+            killed_ms[node.spec.name] = now_ms()
+            self._deployment.restart(node)
+            await trio.sleep(period_s / len(chosen))
+
+    def _delays(self, changes: Sequence[Change], nodes: Sequence[Node]) -> Delays:
+        logs = [self._events(node) for node in nodes]
+        delays = Delays()
+        for change in changes:
+            delays.add(change, logs)
+        return delays
+
+    def _events(self, node: Node) -> list[LogEvent]:
+        return read_events(self._deployment.log_path(node))
--- a/catkinhollow/testbed/deployment.py
+++ b/catkinhollow/testbed/deployment.py
@@ -138,6 +138,20 @@
         """Return the process id of a node's daemon."""
         return self.cluster.daemon(node.spec.name).process.pid
 
+    def log_path(self, node: Node) -> Path:
+        """Return the log of a node's daemon."""
+        return self.directory / f"{node.daemon_name}.log"
+
+    def kill(self, node: Node) -> None:
+        """End a daemon with SIGKILL and wait for its end."""
+        self.cluster.kill_daemon(node.spec.name)
+        self.cluster.daemon(node.spec.name).process.wait()
+
+    def restart(self, node: Node) -> None:
+        """End a daemon with SIGKILL and start it again."""
+        self.kill(node)
+        self.cluster.start_daemon(node)
+
     async def close(self) -> None:
         """End every process."""
         await self._store.aclose()
--- /dev/null
+++ b/catkinhollow/testbed/rest_bench.py
@@ -0,0 +1,55 @@
+"""Measure what daemons use while nothing changes."""
+
+import trio
+
+from catkinhollow.generated.bench import Experiment, Point, RestPlan
+from catkinhollow.testbed.deployment import (
+    bare_specs,
+    open_deployment,
+    plain_fleet,
+)
+from catkinhollow.testbed.fleet_load import load_between, machine_load, take_sample
+from catkinhollow.testbed.measures import Recorder, read_usage, spread
+
+MEBIBYTE = 1024 * 1024
+
+
+class RestRunner:
+    """Observe fleets of several sizes at rest."""
+
+    def __init__(self, experiment: Experiment, plan: RestPlan) -> None:
+        self._experiment = experiment
+        self._plan = plan
+
+    async def run(self, repeat: int, record: Recorder) -> None:
+        """Record the points of one repeat."""
+        for size in self._plan.sizes:
+            figures = await self._measure(size)
+            record(Point(series="rest", size=size, repeat=repeat, figures=figures))
+
+    async def _measure(self, size: int) -> dict[str, float]:
+        async with open_deployment(self._experiment) as deployment:
+            nodes = await deployment.start(plain_fleet(["service"]), bare_specs(size))
+            await trio.sleep(self._plan.settle_s)
+            load = machine_load()
+            before = await take_sample(deployment, nodes)
+            await trio.sleep(self._plan.window_s)
+            after = await take_sample(deployment, nodes)
+            usages = [read_usage(deployment.pid(node)) for node in nodes]
+        used = load_between(before, after)
+        period_s = used.period_s
+        cpu = [daemon.cpu_s / period_s * 100 for daemon in used.daemons]
+        sent = [daemon.bytes / period_s for daemon in used.daemons]
+        messages = [daemon.messages / period_s for daemon in used.daemons]
+        calls_per_s = used.store_calls / period_s
+        return {
+            **spread("cpu", "percent", cpu),
+            **spread("rss", "mib", [usage.rss_bytes / MEBIBYTE for usage in usages]),
+            **spread("uss", "mib", [usage.uss_bytes / MEBIBYTE for usage in usages]),
+            **spread("threads", "count", [usage.threads for usage in usages]),
+            **spread("peer", "bytes_per_s", sent),
+            **spread("peer", "messages_per_s", messages),
+            "store_calls_per_s": calls_per_s,
+            "store_calls_per_s_and_daemon": calls_per_s / size,
+            **load,
+        }
