--- a/catkinhollow/testbed/report.py
+++ b/catkinhollow/testbed/report.py
@@ -89,6 +89,7 @@
 
 
 def _tables(result: BenchResult) -> Iterator[str]:
+    # The size of a hop experiment is the length of a chain, not of a fleet.
     cells = gather(result.points)
     for series in _series(result):
         own = {cell: values for cell, values in cells.items() if cell.series == series}
@@ -98,7 +99,8 @@
         yield "Median over the repeats, with the extremes where they differ."
         yield ""
         yield from _value_table(own)
-        yield from _fit_table(own)
+        if result.settings.hop is None:
+            yield from _fit_table(own)
 
 
 def _value_table(cells: Mapping[Cell, Sequence[float]]) -> Iterator[str]:
