Name the holder of the lease by process, not by address

Cause: a restarted daemon at the same address would take the lease of its predecessor for its own and decide in the old epoch.

Change: the holder is the peer address with the incarnation.

Result: mypy passes; the lease tests hold for any unique name.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -123,7 +123,7 @@
             self._router, self._mesh, self._elections, self._clock
         )
         self._controller = Controller(
-            holder=address_text(settings.peer),
+            holder=self._holder_name(),
             store=self._store,
             clock=self._clock,
             settings=settings.lease,
@@ -133,6 +133,11 @@
             quarantine=self._mesh.quarantine,
         )
 
+    def _holder_name(self) -> str:
+        # A restarted daemon must not take its predecessor's lease for its own.
+        own = self._mesh.table.own
+        return f"{own.address}/{own.incarnation}"
+
     def _connect_events(self) -> None:
         connect = self._events.connect
         connect(SnapshotEnforced, self._on_snapshot)
