--- a/catkinhollow/testbed/convergence_bench.py
+++ b/catkinhollow/testbed/convergence_bench.py
@@ -100,24 +100,25 @@
         """Record the points of one repeat."""
         random = Random(self._experiment.seed + repeat)
         for size in self._plan.sizes:
+            await self._measure(size, repeat, random, record)
 
-            def record_series(
-                series: str, figures: dict[str, float], size: int = size
-            ) -> None:
-                record(Point(series=series, size=size, repeat=repeat, figures=figures))
-
-            async with open_deployment(self._experiment) as deployment:
-                nodes = await deployment.start(
-                    plain_fleet(["service"]), bare_specs(size)
-                )
-                await trio.sleep(self._plan.settle_s)
-                fleet = _FleetMeasure(deployment, nodes, self._plan, random)
-                await fleet.measure_rest()
-                record_series("plain", await fleet.plain())
-                if self._plan.restart_percent:
-                    record_series("restarts", await fleet.restarts())
-                if self._plan.outage_s:
-                    record_series("store outage", await fleet.outage())
+    async def _measure(
+        self, size: int, repeat: int, random: Random, record: Recorder
+    ) -> None:
+        def record_series(series: str, figures: dict[str, float]) -> None:
+            record(Point(series=series, size=size, repeat=repeat, figures=figures))
+
+        plan = self._plan
+        async with open_deployment(self._experiment) as deployment:
+            nodes = await deployment.start(plain_fleet(["service"]), bare_specs(size))
+            await trio.sleep(plan.settle_s)
+            fleet = _FleetMeasure(deployment, nodes, plan, random)
+            await fleet.measure_rest()
+            record_series("plain", await fleet.plain())
+            if plan.restart_percent:
+                record_series("restarts", await fleet.restarts())
+            if plan.outage_s:
+                record_series("store outage", await fleet.outage())
 
 
 class _FleetMeasure:
