Log with one structured line everywhere and name store kinds once

Change: peers, mesh service, controller and move runner log through catkinhollow.logs; the kinds are constants of catkinhollow.store. The test of the end of a move now compares every field of the line instead of its text.

--- a/catkinhollow/controller.py
+++ b/catkinhollow/controller.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 import trio
-from absl import logging
 
 from catkinhollow.codec import from_plain, to_plain
 from catkinhollow.errors import StoreErrorKind
@@ -13,10 +12,13 @@
 from catkinhollow.generated.settings import LeaseSettings
 from catkinhollow.generated.store import StoredObject
 from catkinhollow.lease import LeaseKeeper, ReadLease, WriteLease
+from catkinhollow.logs import get_logger
 from catkinhollow.move_runner import CapacitySource, MoveRunner
-from catkinhollow.store import StoreClient
+from catkinhollow.store import CONTROLLER_LEASE, LEASES_KIND, StoreClient
 from catkinhollow.timer import Clock, Timer
 
+logger = get_logger(__name__)
+
 TICK_S = 1.0
 
 
@@ -29,13 +31,13 @@
 
 def log_end(move: Move) -> None:
     """Log the end of a move on one line."""
-    logging.info(
-        "move of %s to %s by %s: %s%s",
-        move.service,
-        move.version,
-        move.operator,
-        move.state,
-        f": {move.reason}" if move.reason else "",
+    logger.info(
+        "move ended",
+        service=move.service,
+        version=move.version,
+        operator=move.operator,
+        state=move.state.value,
+        reason=move.reason,
     )
 
 
@@ -131,7 +133,7 @@
             await job()
 
     async def _read_lease(self) -> None:
-        result = await self._store.get("leases", "controller")
+        result = await self._store.get(LEASES_KIND, CONTROLLER_LEASE)
         now_s = self._clock.monotonic()
         if result.is_ok():
             self._take_lease(now_s, result.ok)
@@ -145,13 +147,13 @@
         if decoded.is_ok():
             self._keeper.on_read(now_s, decoded.ok, stored.revision)
             return
-        logging.error("leases/controller: %s", decoded.error.reason)
+        logger.error("stored lease refused", reason=decoded.error.reason)
         self._keeper.on_unavailable(now_s)
 
     async def _write_lease(self, command: WriteLease) -> None:
         result = await self._store.put(
-            "leases",
-            "controller",
+            LEASES_KIND,
+            CONTROLLER_LEASE,
             to_plain(command.lease),
             if_revision=command.if_revision,
         )
--- a/catkinhollow/fleet_updates.py
+++ b/catkinhollow/fleet_updates.py
@@ -7,13 +7,14 @@
 from catkinhollow.editing import EditRefused, FleetEdit
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import Fleet, SeedList
-from catkinhollow.store import StoreClient
+from catkinhollow.store import (
+    FLEET_KIND,
+    FLEET_NAME,
+    MEMBERS_KIND,
+    StoreClient,
+)
 from catkinhollow.validation import find_problems
 
-FLEET_KIND = "config"
-FLEET_NAME = "fleet"
-MEMBERS_KIND = "members"
-
 # Each lost race means that another operator's write took effect, so more than
 # a few in a row are a fault.
 MAX_ATTEMPTS = 10
--- a/catkinhollow/mesh_service.py
+++ b/catkinhollow/mesh_service.py
@@ -1,6 +1,5 @@
 """Run the mesh of one daemon over its peer link."""
 
-import logging
 from collections.abc import Callable, Iterable
 from random import Random
 
@@ -13,6 +12,7 @@
 from catkinhollow.generated.fleet import Snapshot
 from catkinhollow.generated.messages import EvidenceReport, MemberRecord, Quarantine
 from catkinhollow.generated.settings import Settings
+from catkinhollow.logs import get_logger
 from catkinhollow.membership import MemberTable
 from catkinhollow.mesh_commands import (
     Command,
@@ -24,7 +24,7 @@
 from catkinhollow.peers import LinkDown, LinkUp, PeerEvent, PeerLink, address_text
 from catkinhollow.timer import Subscription, Timer
 
-logger = logging.getLogger(__name__)
+logger = get_logger(__name__)
 
 SnapshotOffer = Callable[[Snapshot], Result[Snapshot, SnapshotRejected]]
 
@@ -157,13 +157,13 @@
     def _offer_snapshot(self, data: bytes) -> None:
         decoded = decode_message(data, Snapshot)
         if decoded.is_error():
-            logger.warning("dropped a snapshot: %s", decoded.error.reason)
+            logger.warning("snapshot dropped", reason=decoded.error.reason)
             return
         result = self._offer(decoded.ok)
         if result.is_error():
             rejected = result.error
-            logger.warning(
-                "refused revision %d: %s", rejected.revision, rejected.reason
+            logger.debug(
+                "snapshot refused", revision=rejected.revision, reason=rejected.reason
             )
 
     def _publish_snapshot(self, event: SnapshotEnforced) -> None:
--- a/catkinhollow/move_requests.py
+++ b/catkinhollow/move_requests.py
@@ -14,9 +14,8 @@
 from catkinhollow.generated.fleet import Fleet, Move, MoveState
 from catkinhollow.generated.store import StoredObject
 from catkinhollow.moves import ENDED
-from catkinhollow.store import StoreClient
+from catkinhollow.store import MOVES_KIND, StoreClient
 
-KIND = "moves"
 # A version cannot be judged in less time.
 SHORTEST_MOVE_MS = 15_000
 WATCH_S = 30.0
@@ -89,7 +88,7 @@
             return _refused(f"the move of {service} to {move.version} is {move.state}")
         cancelled = evolve(move, state=MoveState.CANCELLING, reason="by the operator")
         written = await store.put(
-            KIND, service, to_plain(cancelled), if_revision=stored.ok.revision
+            MOVES_KIND, service, to_plain(cancelled), if_revision=stored.ok.revision
         )
         if written.is_ok():
             return Ok(cancelled)
@@ -114,7 +113,7 @@
 
 async def list_moves(store: StoreClient) -> Result[list[Move], UpdateError]:
     """Return the last move of each service."""
-    listed = await store.list_objects(KIND)
+    listed = await store.list_objects(MOVES_KIND)
     if listed.is_error():
         return Error(listed.error)
     moves = []
@@ -151,7 +150,7 @@
         # Moves of other services also end the watch, so the next one starts
         # after everything that this one has told.
         seen_revision = max(seen_revision, stored.ok.revision)
-        changed = await store.watch(KIND, after=seen_revision, wait_s=WATCH_S)
+        changed = await store.watch(MOVES_KIND, after=seen_revision, wait_s=WATCH_S)
         if changed.is_error():
             await trio.sleep(RETRY_S)
         else:
@@ -161,7 +160,9 @@
 async def _create(
     store: StoreClient, move: Move, revision: int
 ) -> Result[Move, UpdateError]:
-    written = await store.put(KIND, move.service, to_plain(move), if_revision=revision)
+    written = await store.put(
+        MOVES_KIND, move.service, to_plain(move), if_revision=revision
+    )
     if written.is_ok():
         return Ok(move)
     if written.error.kind != StoreErrorKind.CONFLICT:
@@ -175,7 +176,7 @@
 async def _read(
     store: StoreClient, service: str
 ) -> Result[StoredMove | None, UpdateError]:
-    stored = await store.get(KIND, service)
+    stored = await store.get(MOVES_KIND, service)
     if stored.is_error():
         if stored.error.kind == StoreErrorKind.NOT_FOUND:
             return Ok(None)
--- a/catkinhollow/move_runner.py
+++ b/catkinhollow/move_runner.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from absl import logging
-
 from catkinhollow.codec import from_plain, to_plain
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.fleet import Move, Snapshot
 from catkinhollow.generated.messages import Quarantine, VersionCounts
 from catkinhollow.generated.store import StoredObject
 from catkinhollow.lease import LeaseKeeper
+from catkinhollow.logs import get_logger
 from catkinhollow.moves import (
     ENDED,
     Capacity,
@@ -19,9 +18,11 @@
     WriteSplit,
     replace_split,
 )
-from catkinhollow.store import StoreClient
+from catkinhollow.store import FLEET_KIND, FLEET_NAME, MOVES_KIND, StoreClient
 from catkinhollow.timer import Clock
 
+logger = get_logger(__name__)
+
 # Without a move, new ones are looked for this often, in passes.
 IDLE_PASSES = 3
 # Other writers of config/fleet are rare, so a conflict clears at once.
@@ -94,7 +95,7 @@
         """Read the moves and make the writes that are due."""
         if not self._is_pass_due():
             return
-        listed = await self._store.list_objects("moves")
+        listed = await self._store.list_objects(MOVES_KIND)
         if listed.is_error():
             return
         self._sync(listed.ok.objects)
@@ -124,7 +125,11 @@
                 self._revisions[stored.name] = stored.revision
                 self._sync_move(decoded.ok, stored.revision)
             else:
-                logging.error("moves/%s: %s", stored.name, decoded.error.reason)
+                logger.error(
+                    "stored move refused",
+                    service=stored.name,
+                    reason=decoded.error.reason,
+                )
         self._start_terms()
         self._apply_quarantines()
 
@@ -173,7 +178,7 @@
         service = command.move.service
         driver.on_move_sent(command.move)
         result = await self._store.put(
-            "moves", service, to_plain(command.move), if_revision=command.if_revision
+            MOVES_KIND, service, to_plain(command.move), if_revision=command.if_revision
         )
         if result.is_error():
             return False
@@ -183,7 +188,7 @@
 
     async def _write_split(self, driver: MoveDriver, command: WriteSplit) -> bool:
         for _ in range(SPLIT_ATTEMPTS):
-            stored = await self._store.get("config", "fleet")
+            stored = await self._store.get(FLEET_KIND, FLEET_NAME)
             if stored.is_error():
                 return False
             # Checked between the read and the write: a later holder changes
@@ -196,7 +201,7 @@
                 driver.on_service_missing()
                 return True
             result = await self._store.put(
-                "config", "fleet", fleet, if_revision=stored.ok.revision
+                FLEET_KIND, FLEET_NAME, fleet, if_revision=stored.ok.revision
             )
             if result.is_ok():
                 driver.on_split_written(self._clock.unix_ms(), result.ok.revision)
--- a/catkinhollow/peers.py
+++ b/catkinhollow/peers.py
@@ -1,6 +1,5 @@
 """Exchange messages with other daemons over nng."""
 
-import logging
 from collections.abc import Callable
 from typing import Any, Protocol, TypeAlias
 
@@ -11,8 +10,9 @@
 from catkinhollow.codec import decode_message, encode_envelope
 from catkinhollow.generated.messages import Envelope
 from catkinhollow.generated.settings import Address
+from catkinhollow.logs import get_logger
 
-logger = logging.getLogger(__name__)
+logger = get_logger(__name__)
 
 # pynng carries no type annotations.
 _nng: Any = pynng
@@ -244,7 +244,7 @@
         self._counters.received(len(data))
         decoded = decode_message(data, Envelope)
         if decoded.is_error():
-            logger.warning("dropped a message: %s", decoded.error.reason)
+            logger.warning("peer message dropped", reason=decoded.error.reason)
             return
         envelope = decoded.ok
         if message.pipe is not None:
@@ -276,7 +276,7 @@
             dialer: _Dialer = self._socket.dial(f"tcp://{address}", block=False)
         except _nng.NNGException as error:
             # The address may come from a faulty record of another member.
-            logger.warning("cannot dial %s: %s", address, error)
+            logger.warning("dial failed", address=address, reason=str(error))
             return
         self._dialers[address] = dialer
         self._dialled[dialer.id] = address
--- a/catkinhollow/seeds.py
+++ b/catkinhollow/seeds.py
@@ -6,11 +6,10 @@
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.fleet import SeedList
 from catkinhollow.logs import get_logger
-from catkinhollow.store import StoreClient
+from catkinhollow.store import MEMBERS_KIND, StoreClient
 
 logger = get_logger(__name__)
 
-SEED_KIND = "members"
 # A joiner needs one live address; 16 outlive the restarts of many minutes.
 MAX_SEEDS = 16
 # Rewriting the list on every restart would cost writes for no gain.
@@ -40,7 +39,7 @@
         if not self.is_stale(members):
             return
         result = await self._store.put(
-            SEED_KIND,
+            MEMBERS_KIND,
             self._failure_domain,
             to_plain(SeedList(addresses=members)),
             if_revision=self._revision or 0,
@@ -53,7 +52,7 @@
         logger.warning("seed list not written", reason=result.error.reason)
 
     async def _load(self) -> bool:
-        result = await self._store.get(SEED_KIND, self._failure_domain)
+        result = await self._store.get(MEMBERS_KIND, self._failure_domain)
         if result.is_error():
             if result.error.kind is StoreErrorKind.NOT_FOUND:
                 self._published, self._revision = [], 0
@@ -67,7 +66,7 @@
 
 async def read_seeds(store: StoreClient) -> list[str]:
     """Return the addresses of every seed list, none if the store is away."""
-    result = await store.list_objects(SEED_KIND)
+    result = await store.list_objects(MEMBERS_KIND)
     if result.is_error():
         return []
     addresses: list[str] = []
--- a/catkinhollow/store.py
+++ b/catkinhollow/store.py
@@ -7,6 +7,13 @@
 from catkinhollow.errors import StoreError
 from catkinhollow.generated.store import ObjectList, StoredObject
 
+FLEET_KIND = "config"
+FLEET_NAME = "fleet"
+MOVES_KIND = "moves"
+LEASES_KIND = "leases"
+CONTROLLER_LEASE = "controller"
+MEMBERS_KIND = "members"
+
 
 class StoreClient(Protocol):
     """Read, write and watch objects; every outcome is a value."""
--- a/catkinhollow/testbed/demo.py
+++ b/catkinhollow/testbed/demo.py
@@ -16,6 +16,7 @@
 from catkinhollow.generated.settings import Address, StoreSettings
 from catkinhollow.http_store import HttpStoreClient
 from catkinhollow.moves import ENDED
+from catkinhollow.store import FLEET_KIND, FLEET_NAME, MOVES_KIND
 from catkinhollow.testbed.audit import AuditReport, audit
 from catkinhollow.testbed.callers import (
     CallerGroup,
@@ -167,12 +168,12 @@
         self._report.add("change configuration under load", f"{CHANGES} changes")
 
     async def _edit_timeout(self, timeout_ms: int) -> int | None:
-        stored = (await self._store.get("config", "fleet")).ok
+        stored = (await self._store.get(FLEET_KIND, FLEET_NAME)).ok
         fleet = from_plain(stored.value, Fleet).ok
         defaults = evolve(fleet.defaults, timeout_ms=timeout_ms)
         result = await self._store.put(
-            "config",
-            "fleet",
+            FLEET_KIND,
+            FLEET_NAME,
             to_plain(evolve(fleet, defaults=defaults)),
             if_revision=stored.revision,
         )
@@ -258,7 +259,7 @@
         with trio.move_on_after(limit_s + MOVE_GRACE_S):
             while state not in ENDED:
                 await trio.sleep(0.2)
-                stored = await self._store.get("moves", service)
+                stored = await self._store.get(MOVES_KIND, service)
                 if stored.is_ok():
                     state = from_plain(stored.ok.value, Move).ok.state
         return state.value
--- a/catkinhollow/watcher.py
+++ b/catkinhollow/watcher.py
@@ -18,13 +18,10 @@
 from catkinhollow.generated.settings import StoreSettings
 from catkinhollow.generated.store import ObjectList, StoredObject
 from catkinhollow.logs import get_logger
-from catkinhollow.store import StoreClient
+from catkinhollow.store import FLEET_KIND, FLEET_NAME, StoreClient
 
 logger = get_logger(__name__)
 
-FLEET_KIND = "config"
-FLEET_NAME = "fleet"
-
 OfferSnapshot = Callable[[Snapshot], Result[Snapshot, SnapshotRejected]]
 
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -122,5 +122,14 @@
     world.cancel_move()
     await trio.sleep(30)
     assert world.percent == 0.0
-    ends = [line for line in caplog.messages if line.startswith("move of")]
-    assert ends == ["move of orders to new by anna: cancelled"]
+    ends = [entry.fields for entry in caplog.records if entry.message == "move ended"]
+    assert ends == [
+        {
+            "module": "catkinhollow.controller",
+            "service": "orders",
+            "version": "new",
+            "operator": "anna",
+            "state": "cancelled",
+            "reason": "",
+        }
+    ]
