--- a/tests/controller_world.py
+++ b/tests/controller_world.py
@@ -108,7 +108,7 @@
         return counts
 
     def capacity(self, service, version):
-        return Capacity(ready_slots=100)
+        return self.world.capacity
 
     def start(self, job):
         if job not in self.jobs:
@@ -143,6 +143,7 @@
         self.names = 0
         self.late = []
         self.fate = "ok"
+        self.capacity = Capacity(ready_slots=100)
         self.fate_call = None
         self.last_list = self.old_list = UNAVAILABLE
         fleet = Fleet(services=[Service(name="orders", split=OLD_ONLY)])
--- /dev/null
+++ b/tests/move_oracle.py
@@ -0,0 +1,68 @@
+"""The oracle of a move: what may follow each write in the store."""
+
+from catkinhollow.codec import from_plain
+from catkinhollow.generated.fleet import Lease, Move, MoveState
+from catkinhollow.moves import ENDED
+from tests.controller_world import split_percent
+
+
+class MoveOracle:
+    """Check every write of the moves, the lease and the split in order."""
+
+    def __init__(self, world):
+        self.world = world
+        self.crashed = False
+        self.checked = 0
+        self.last_move = None
+        self.last_lease = Lease(holder="", epoch=0)
+
+    def check_new_writes(self):
+        """Check each write against the one before it."""
+        for stored in self.world.store.writes[self.checked :]:
+            if stored.kind == "moves":
+                self.check_move(from_plain(stored.value, Move).ok)
+            if stored.kind == "leases":
+                self.check_lease(from_plain(stored.value, Lease).ok)
+            if stored.kind == "config" and self.last_move:
+                self.check_split(split_percent(stored))
+        self.checked = len(self.world.store.writes)
+
+    def check_move(self, move):
+        last, self.last_move = self.last_move, move
+        if last is None:
+            return
+        if move.started_ms != last.started_ms:
+            return
+        assert last.state not in ENDED, "a move changed after its end"
+        assert move.epoch >= last.epoch, "an earlier term changed the move"
+        if last.state != MoveState.RUNNING:
+            assert move.percent <= last.percent
+            assert move.state != MoveState.RUNNING
+
+    def check_lease(self, lease):
+        last, self.last_lease = self.last_lease, lease
+        is_taken = lease.holder not in ("", last.holder)
+        assert lease.epoch > last.epoch if is_taken else lease.epoch >= last.epoch
+
+    def check_split(self, percent):
+        if self.last_move.state in ENDED:
+            assert percent == final_percent(self.last_move)
+
+    def check_ends(self):
+        """Check that each ended move was reported, and none twice."""
+        ends = [move.started_ms for move in self.world.ends]
+        assert len(set(ends)) == len(ends)
+        assert self.crashed or self.world.move.started_ms in ends
+
+    def check_settled(self):
+        """Check that the move has ended and that the split says so."""
+        self.check_new_writes()
+        assert self.world.move.state in ENDED
+        assert self.world.percent == final_percent(self.world.move)
+        (number,) = self.world.preferred
+        assert self.world.daemons[number].controller.may_decide
+        self.check_ends()
+
+
+def final_percent(move):
+    return 100.0 if move.state == MoveState.DONE else 0.0
--- a/tests/test_controller_states.py
+++ b/tests/test_controller_states.py
@@ -4,10 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from catkinhollow.codec import from_plain
-from catkinhollow.generated.fleet import Lease, Move, MoveState
 from catkinhollow.moves import ENDED
-from tests.controller_world import JOBS, World, split_percent, window
+from tests.controller_world import JOBS, World, window
+from tests.move_oracle import MoveOracle
 
 NUMBERS = st.integers(0, 2)
 DURATIONS = st.sampled_from([20, 60, 300])
@@ -32,10 +31,7 @@
     @initialize(duration_s=DURATIONS)
     def begin(self, duration_s):
         self.world = World()
-        self.crashed = False
-        self.checked = 0
-        self.last_move = None
-        self.last_lease = Lease(holder="", epoch=0)
+        self.oracle = MoveOracle(self.world)
         self.world.start_move(duration_s)
 
     @rule(duration_s=DURATIONS)
@@ -44,7 +40,7 @@
             # An end whose write got no answer must be read before the
             # operator replaces the move, or it cannot be reported.
             self.heal(30)
-            self.check_ends()
+            self.oracle.check_ends()
             self.world.start_move(duration_s)
 
     @rule(seconds=st.sampled_from([1, 2, 6, 11]))
@@ -102,7 +98,7 @@
 
     @rule(number=NUMBERS)
     def crash(self, number):
-        self.crashed = True
+        self.oracle.crashed = True
         self.world.restart(number)
 
     @rule(number=NUMBERS)
@@ -118,42 +114,7 @@
 
     @invariant()
     def check_new_writes(self):
-        """Check each write against the one before it."""
-        for stored in self.world.store.writes[self.checked :]:
-            if stored.kind == "moves":
-                self.check_move(from_plain(stored.value, Move).ok)
-            if stored.kind == "leases":
-                self.check_lease(from_plain(stored.value, Lease).ok)
-            if stored.kind == "config" and self.last_move:
-                self.check_split(split_percent(stored))
-        self.checked = len(self.world.store.writes)
-
-    def check_move(self, move):
-        last, self.last_move = self.last_move, move
-        if last is None:
-            return
-        if move.started_ms != last.started_ms:
-            return
-        assert last.state not in ENDED, "a move changed after its end"
-        assert move.epoch >= last.epoch, "an earlier term changed the move"
-        if last.state != MoveState.RUNNING:
-            assert move.percent <= last.percent
-            assert move.state != MoveState.RUNNING
-
-    def check_lease(self, lease):
-        last, self.last_lease = self.last_lease, lease
-        is_taken = lease.holder not in ("", last.holder)
-        assert lease.epoch > last.epoch if is_taken else lease.epoch >= last.epoch
-
-    def check_split(self, percent):
-        if self.last_move.state in ENDED:
-            assert percent == final_percent(self.last_move)
-
-    def check_ends(self):
-        """Check that each ended move was reported, and none twice."""
-        ends = [move.started_ms for move in self.world.ends]
-        assert len(set(ends)) == len(ends)
-        assert self.crashed or self.world.move.started_ms in ends
+        self.oracle.check_new_writes()
 
     def heal(self, seconds):
         """Run with the store up, every daemon alive and one preferred."""
@@ -167,16 +128,7 @@
         self.heal(400)
         while self.world.late:
             self.deliver_late_call()
-        self.check_new_writes()
-        assert self.world.move.state in ENDED
-        assert self.world.percent == final_percent(self.world.move)
-        (number,) = self.world.preferred
-        assert self.world.daemons[number].controller.may_decide
-        self.check_ends()
-
-
-def final_percent(move):
-    return 100.0 if move.state == MoveState.DONE else 0.0
+        self.oracle.check_settled()
 
 
 RacingControllers.TestCase.settings = settings(
