Exempt the loaded code from garbage collection

Cause: a full collection visits the 51,000 objects that the imports leave and stops every call in flight for 31.9 ms, far above the 1.1 ms of a call. Ruled out: higher collection thresholds; the call path leaves few objects behind (12 young collections in 18,000 calls), and no CPU was saved. Change: the daemon collects and freezes once before its loop starts. Conclusion: kept for the pause, not for CPU or memory.

--- a/catkinhollow/daemon.py
+++ b/catkinhollow/daemon.py
@@ -1,5 +1,6 @@
 """Start the lean daemon process; the daemon command checks its settings."""
 
+import gc
 import sys
 
 import trio
@@ -19,10 +20,18 @@
         print(f"settings: {settings.error.reason}", file=sys.stderr)
         return INVALID_SETTINGS
     configure_logging(settings.ok.log_level.value)
+    _exempt_loaded_code_from_collection()
     trio.run(_run, settings.ok)
     return 0
 
 
+def _exempt_loaded_code_from_collection() -> None:
+    # What the imports leave lives as long as the process, and a full
+    # collection that visits it stops every call for about 30 ms.
+    gc.collect()
+    gc.freeze()
+
+
 async def _run(settings: Settings) -> None:
     await Daemon(settings).run()
 
