Send one Date header with a response

Cause: hypercorn adds a Date to each response, so the response of a target came through a daemon with two. Ruled out: leaving the date out of our own responses; RFC 9110 asks a server with a clock to send one. Change: send_response adds a date where there is none, and hypercorn's is off.

--- a/catkinhollow/http_server.py
+++ b/catkinhollow/http_server.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Awaitable, Callable, MutableMapping
 from sys import maxsize
+from time import time
 from typing import Any, cast
+from wsgiref.handlers import format_date_time
 
 import trio
 from expression import Error, Ok, Result
@@ -23,6 +25,7 @@
 # Connections that wait to be accepted; a mass restart of callers overruns
 # hypercorn's default of 100.
 BACKLOG = 1024
+DATE_HEADER = b"date"
 
 
 async def serve_app(
@@ -83,13 +86,16 @@
 
 
 async def send_response(send: Send, response: Response) -> None:
-    """Send a whole response with its length."""
+    """Send a whole response with its length and a date."""
     length = (b"content-length", str(len(response.body)).encode())
+    headers = [*response.headers, length]
+    if response.header(DATE_HEADER) is None:
+        headers.append((DATE_HEADER, format_date_time(time()).encode()))
     await send(
         {
             "type": "http.response.start",
             "status": response.status,
-            "headers": [*response.headers, length],
+            "headers": headers,
         }
     )
     await send({"type": "http.response.body", "body": response.body})
@@ -154,6 +160,8 @@
     config.accesslog = None
     config.loglevel = "WARNING"
     config.include_server_header = False
+    # hypercorn would add a second date to the response of a target.
+    config.include_date_header = False
     config.keep_alive_timeout = http.keep_alive_s
     config.keep_alive_max_requests = maxsize
     config.h11_max_incomplete_size = http.max_header_bytes
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -95,3 +95,24 @@
     response = await pool.request("GET", url)
     assert response.status == 200
     assert (b"connection", b"close") in response.headers
+
+
+async def test_response_has_one_date(nursery):
+    """Guards against a second date beside that of a target, or none at all."""
+    target_date = (b"date", b"Fri, 04 Dec 2026 11:39:05 GMT")
+    responses = [
+        plain_response(200, "own"),
+        plain_response(200, "passed on", [target_date]),
+    ]
+
+    async def app(scope, receive, send):
+        await send_response(send, responses.pop(0))
+
+    served = Served(app)
+    [url] = await nursery.start(served.run)
+    async with AsyncConnectionPool() as pool:
+        own, passed_on = [await pool.request("GET", url) for _ in range(2)]
+    dates = [header for header in own.headers if header[0] == b"date"]
+    assert len(dates) == 1
+    assert [item for item in passed_on.headers if item[0] == b"date"] == [target_date]
+    served.shutdown.set()
