Count the results of calls in the hop measurement

Cause: a run at load average 16 reported 15 and 4 failed calls of 3,200 without saying how they had failed. Change: tools/measure_hop.py prints how many calls had each result.

--- a/tools/measure_hop.py
+++ b/tools/measure_hop.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 from argparse import ArgumentParser
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
@@ -21,7 +22,6 @@
     CallerGroup,
     CallKind,
     CallLog,
-    CallResult,
 )
 from catkinhollow.testbed.cluster import Cluster, NodeSpec  # noqa: E402
 from catkinhollow.testbed.processes import free_ports  # noqa: E402
@@ -52,13 +52,14 @@
     entry: str
     process: psutil.Process
     times_s: list[float] = Factory(list)
-    failed: int = 0
+    results: Counter[str] = Factory(Counter)
     cpu_s: float = 0.0
 
     def reset(self) -> None:
         """Forget what was measured."""
         self.times_s.clear()
-        self.cpu_s, self.failed = 0.0, 0
+        self.results.clear()
+        self.cpu_s = 0.0
 
     def print(self, base: "Route") -> None:
         """Print the figures, and what they add to those of another route."""
@@ -68,7 +69,7 @@
         cpu_ms = 1000 * self.cpu_s / len(self.times_s)
         rss_mib = self.process.memory_info().rss / 2**20
         print(
-            f"{self.name:9} {len(self.times_s):6} calls, {self.failed} failed; "
+            f"{self.name:9} {dict(self.results)}; "
             f"p50/p90/p99 {shown} ms; added {added} ms; "
             f"CPU {cpu_ms:.3f} ms a call; rss {rss_mib:.1f} MiB"
         )
@@ -93,7 +94,7 @@
     route.cpu_s += after.user + after.system - before.user - before.system
     for record in log.records:
         route.times_s.append(record.taken_s)
-        route.failed += record.result is not CallResult.OK
+        route.results[record.result.value] += 1
 
 
 async def measure(rate_per_s: float, blocks: int, other: Path | None) -> None:
