--- a/catkinhollow/testbed/report.py
+++ b/catkinhollow/testbed/report.py
@@ -123,6 +123,8 @@
             if cell.figure == figure
             for value in values
         ]
+        if len({value for _, value in points}) == 1:
+            continue
         for fit in fit_all(points):
             numbers = (fit.slope, fit.intercept, fit.r_squared, fit.at_design_size)
             rows.append(_row([figure, fit.scale, *map(_number, numbers)]))
