Let calls wait for free capacity instead of refusing them

The 11 entry daemons divide the cold limit of a target, so that one of them may hold one call at each of the two orders targets that are left. Its capacity is then 2, and a second call is above every share, although both calls have 2 s. No refusal came from a target, and none from the balancer.

Ruled out: an overshoot above the own share of a cold target, which leaves the refusal to the target.

Change: a call without room joins its service's list of at most 100 calls for at most a quarter of its remaining time, and at most 1 s. The target is reserved in the decision, so that the order does not depend on how the loop runs its tasks. A full list drops the least worth. A wait without capacity ends as "not run", and the wait ends when the caller closes its connection. The daemon now counts a call in flight at a service only while it is with a target.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -92,7 +92,7 @@
             router=self._router,
             client=self._client,
             tracer=make_tracer(settings.tracing, settings.instance, random),
-            clock=self._clock,
+            timer=self._timer,
             metrics=self._metrics,
             is_ready=lambda: self.ready,
         )
--- a/catkinhollow/call.py
+++ b/catkinhollow/call.py
@@ -1,5 +1,6 @@
 """Decide the steps of one call."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from attrs import define, field, frozen
@@ -18,6 +19,11 @@
     may_send_again,
     retry_cost,
 )
+from catkinhollow.waiting import wait_time_s
+
+NO_CAPACITY = "no target has free capacity"
+SHED = "shed"
+NO_BUDGET = "the retry budget is used up"
 
 
 @frozen(kw_only=True)
@@ -46,6 +52,13 @@
     timeout_s: float
 
 
+@frozen(kw_only=True)
+class Wait:
+    """Tell the edge to ask again when it is notified, or at this time."""
+
+    until_s: float
+
+
 @frozen(kw_only=True)
 class GiveUp:
     """Tell the edge to end the call.
@@ -76,6 +89,18 @@
     ) -> TargetEntry | None:
         """Return a target with free capacity, or None."""
 
+    def admit(self, call: "Call", now_s: float) -> bool:
+        """Count the call in flight if there is room for it."""
+
+    def is_outranked(self, call: "Call") -> bool:
+        """Return whether a waiting call goes before this one."""
+
+    def enqueue(self, call: "Call", now_s: float) -> bool:
+        """Take the call out of flight and put it on the waiting list."""
+
+    def dequeue(self, call: "Call") -> None:
+        """Take the call off the waiting list."""
+
     def spend_retry(self, call: "Call", cost: float) -> bool:
         """Take a retry from the service's budget if it is there."""
 
@@ -86,12 +111,17 @@
         """Count an attempt that has ended."""
 
     def release(self, call: "Call", now_s: float) -> None:
-        """Take the call out of flight."""
+        """Count the end of the call and give way to waiting ones."""
 
 
 @define(kw_only=True, eq=False)
 class Call:
-    """Hold one call: ask `next_step`, report `finished`, until it is done."""
+    """Hold one call: ask `next_step`, report `finished`, until it is done.
+
+    A waiting call is sent by its host as soon as there is room. `grant` then
+    reserves the target, so that the order of waiting calls does not depend on
+    the order in which the edge runs its tasks.
+    """
 
     route: Route
     policy: Policy
@@ -100,6 +130,12 @@
     host: CallHost
     outcome: Outcome | None = field(default=None, init=False)
     attempts: int = field(default=0, init=False)
+    admitted: bool = field(default=False, init=False)
+    _waiting: bool = field(default=False, init=False)
+    _wait_until_s: float | None = field(default=None, init=False)
+    _granted: bool = field(default=False, init=False)
+    _refusal: str = field(default="", init=False)
+    _notify: Callable[[], None] | None = field(default=None, init=False)
     _tried: list[TargetEntry] = field(factory=list, init=False)
     _outcomes: list[Outcome] = field(factory=list, init=False)
     _last: AttemptResult | None = field(default=None, init=False)
@@ -117,28 +153,46 @@
         """Return the target that the request is with, if it is with one."""
         return self._sent.entry if self._sent else None
 
-    def next_step(self, now_s: float) -> SendTo | GiveUp:
+    def next_step(self, now_s: float) -> SendTo | Wait | GiveUp:
         """Return where to send the request now, or how the call ends."""
         assert not self.done
+        if self._granted and self._sent:
+            self._granted = False
+            return self._sent
         assert self._sent is None
-        remaining_s = self.deadline_s - now_s
-        if remaining_s < MIN_ATTEMPT_S:
-            return self._give_up("the deadline has passed", now_s)
-        refused = self._refuse_retry() if self._last else ""
-        if refused:
-            return self._give_up(refused, now_s)
-        entry = self._pick(now_s)
-        if entry is None:
-            return self._give_up("no target has free capacity", now_s)
-        if self._last and not self.host.spend_retry(self, retry_cost(self._last)):
-            return self._give_up("the retry budget is used up", now_s)
-        return self._send(entry, remaining_s, now_s)
+        refusal = self._refuse(now_s)
+        if refusal:
+            return self._give_up(refusal, now_s)
+        if not self._waiting and self._start(now_s):
+            assert self._sent
+            return self._sent
+        return self._wait(now_s)
+
+    def on_change(self, notify: Callable[[], None]) -> None:
+        """Call the function when the wait ends before its time."""
+        self._notify = notify
+
+    def grant(self, now_s: float) -> bool:
+        """Reserve a target if there is room; return whether the wait ended."""
+        self._granted = self._start(now_s)
+        ended = self._granted or self._refusal is NO_BUDGET
+        if ended:
+            self._leave_list()
+            self._tell_edge()
+        return ended
+
+    def drop(self) -> None:
+        """End the wait for a worthier call; it has left the waiting list."""
+        self._waiting = False
+        self._refusal = SHED
+        self._tell_edge()
 
     def finished(self, result: AttemptResult, now_s: float) -> None:
         """Take what the attempt in flight came to."""
         sent = self._sent
         assert sent is not None
         self._sent = None
+        self._granted = False
         attempt = FinishedAttempt(
             entry=sent.entry,
             result=result,
@@ -161,12 +215,62 @@
         """
         if self.done:
             return
+        if self._granted:
+            # The edge never sent this attempt.
+            self.outcome = combine(self._outcomes)
+            self.finished(AttemptResult(kind=AttemptKind.CANCELLED), now_s)
+            return
         if self._sent is not None:
             self._outcomes.append(Outcome.UNKNOWN)
         self._end(now_s)
 
-    def _refuse_retry(self) -> str:
-        return "" if self.attempts < self.policy.max_attempts else "too many attempts"
+    def _refuse(self, now_s: float) -> str:
+        if self.deadline_s - now_s < MIN_ATTEMPT_S:
+            return "the deadline has passed"
+        if self.attempts >= self.policy.max_attempts:
+            return "too many attempts"
+        return "" if self._waiting else self._refusal
+
+    def _start(self, now_s: float) -> bool:
+        if not self._waiting and self.host.is_outranked(self):
+            self._refusal = self._refusal or NO_CAPACITY
+            return False
+        entry = self._pick(now_s)
+        if entry is None:
+            self._refusal = NO_CAPACITY
+            return False
+        if not self.admitted and not self.host.admit(self, now_s):
+            self._refusal = SHED
+            return False
+        self.admitted = True
+        if self._last and not self.host.spend_retry(self, retry_cost(self._last)):
+            self._refusal = NO_BUDGET
+            return False
+        self._refusal = ""
+        self._send(entry, now_s)
+        return True
+
+    def _wait(self, now_s: float) -> Wait | GiveUp:
+        if self._wait_until_s is None:
+            self._wait_until_s = now_s + wait_time_s(self.deadline_s - now_s)
+        if now_s >= self._wait_until_s or self._refusal is NO_BUDGET:
+            return self._give_up(self._refusal, now_s)
+        if not self._waiting:
+            # A target that refused may have a free slot after the wait.
+            self._tried.clear()
+            if not self.host.enqueue(self, now_s):
+                return self._give_up(SHED, now_s)
+            self._waiting = True
+        return Wait(until_s=self._wait_until_s)
+
+    def _leave_list(self) -> None:
+        if self._waiting:
+            self._waiting = False
+            self.host.dequeue(self)
+
+    def _tell_edge(self) -> None:
+        if self._notify:
+            self._notify()
 
     def _pick(self, now_s: float) -> TargetEntry | None:
         entry = self.host.pick_target(self, self._tried, now_s)
@@ -176,12 +280,12 @@
             return self.host.pick_target(self, [], now_s)
         return entry
 
-    def _send(self, entry: TargetEntry, remaining_s: float, now_s: float) -> SendTo:
+    def _send(self, entry: TargetEntry, now_s: float) -> None:
         timeout_s = attempt_time_s(
             self.policy,
             self.route.idempotent,
             self.attempts,
-            remaining_s,
+            self.deadline_s - now_s,
             self.host.usual_latency_s(self),
         )
         self.attempts += 1
@@ -189,13 +293,13 @@
         self._sent = SendTo(entry=entry, timeout_s=timeout_s)
         self._sent_at_s = now_s
         entry.stats.start()
-        return self._sent
 
     def _give_up(self, reason: str, now_s: float) -> GiveUp:
         outcome = self._end(now_s)
         return GiveUp(outcome=outcome, reason=reason)
 
     def _end(self, now_s: float) -> Outcome:
+        self._leave_list()
         self.outcome = combine(self._outcomes)
         self._release(now_s)
         return self.outcome
--- a/catkinhollow/call_router.py
+++ b/catkinhollow/call_router.py
@@ -6,7 +6,6 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from catkinhollow.admission import worth_of
 from catkinhollow.balancer import Balancer, Picker
 from catkinhollow.call import Call, CallFacts, Refusal
 from catkinhollow.directory import TargetDirectory
@@ -110,7 +109,7 @@
         self._configure_named({service}, now_s)
 
     def begin(self, facts: CallFacts, now_s: float) -> Result[Call, Refusal]:
-        """Admit a call, or refuse it; what is refused did not run."""
+        """Begin a call, or refuse it; what is refused did not run."""
         if self._routes is None:
             return self._refuse(503, "no configuration yet")
         route = self._routes.match(facts.method, facts.path)
@@ -121,8 +120,7 @@
         if not service.pool.groups:
             return self._refuse(503, "no target")
         account = service.admission.account(facts.backer)
-        if not service.admit(account, worth_of(route), now_s):
-            return self._refuse(503, "shed")
+        service.begin()
         time_ms = policy.timeout_ms
         if facts.deadline_ms is not None:
             time_ms = min(time_ms, facts.deadline_ms)
@@ -136,6 +134,16 @@
             )
         )
 
+    def wake(self, now_s: float) -> bool:
+        """Send waiting calls that have room; return whether others wait.
+
+        Releases do so too; this finds capacity that appears with time.
+        """
+        waiting = [item for item in self._services.values() if item.waiting]
+        for service in waiting:
+            service.wake(now_s)
+        return any(service.waiting for service in waiting)
+
     def take_counts(self) -> list[VersionCounts]:
         """Return the evidence by version and route since the last take."""
         return self._evidence.take()
--- a/catkinhollow/dispatch.py
+++ b/catkinhollow/dispatch.py
@@ -1,11 +1,11 @@
 """Carry out what the call router decides."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 from attrs import evolve
 
-from catkinhollow.call import Call, CallFacts, GiveUp, SendTo
+from catkinhollow.call import Call, CallFacts, GiveUp, SendTo, Wait
 from catkinhollow.call_router import CallRouter
 from catkinhollow.egress import TargetClient
 from catkinhollow.exchange import (
@@ -36,11 +36,16 @@
 from catkinhollow.logs import get_logger
 from catkinhollow.metrics import Metrics
 from catkinhollow.retries import AttemptKind, AttemptResult
-from catkinhollow.timer import Clock
+from catkinhollow.timer import Timer
 from catkinhollow.tracing import HopSpan, Tracer
 
 logger = get_logger(__name__)
 
+# Capacity that appears without a release is used at most this much later.
+WAKE_INTERVAL_S = 0.01
+
+Disconnected = Callable[[], Awaitable[None]]
+
 
 class Dispatcher:
     """Answer calls: admit, attempt, retry."""
@@ -51,20 +56,25 @@
         router: CallRouter,
         client: TargetClient,
         tracer: Tracer,
-        clock: Clock,
+        timer: Timer,
         metrics: Metrics,
         is_ready: Callable[[], bool],
     ) -> None:
         self._router = router
         self._client = client
         self._tracer = tracer
-        self._clock = clock
+        self._timer = timer
+        self._clock = timer.clock
         self._metrics = metrics
         self._is_ready = is_ready
         self._keys = IdempotencyTable()
+        self._wake_due = False
+
+    async def dispatch(self, request: Request, disconnected: Disconnected) -> Response:
+        """Return the whole answer to the request.
 
-    async def dispatch(self, request: Request) -> Response:
-        """Return the whole answer to the request."""
+        `disconnected` returns when the caller has gone away.
+        """
         if not self._is_ready():
             return not_run_response("this daemon has no configuration yet")
         started_s = self._clock.monotonic()
@@ -74,29 +84,34 @@
             self._metrics.refusals.inc({"reason": refusal.reason})
             return not_run_response(refusal.reason, status=refusal.status)
         call = begun.ok
-        response = await self._answer(call, request)
+        response = await self._answer(call, request, disconnected)
         taken_s = self._clock.monotonic() - started_s
         self._count(call, taken_s)
         return response
 
-    async def _answer(self, call: Call, request: Request) -> Response:
+    async def _answer(
+        self, call: Call, request: Request, disconnected: Disconnected
+    ) -> Response:
         key = request.header(IDEMPOTENCY_HEADER)
         try:
             if key is None or call.route.idempotent:
-                return await self._run(call, request)
-            return await self._run_once(call, request, key.decode("latin-1"))
+                return await self._run(call, request, disconnected)
+            name = key.decode("latin-1")
+            return await self._run_once(call, request, name, disconnected)
         finally:
             # Reached early only when the caller's task is cancelled.
             call.close(self._clock.monotonic())
 
-    async def _run_once(self, call: Call, request: Request, key: str) -> Response:
+    async def _run_once(
+        self, call: Call, request: Request, key: str, disconnected: Disconnected
+    ) -> Response:
         path = f"{request.path}?{request.query.decode('latin-1')}"
         print_of_request = fingerprint(request.method, path, request.body)
         while True:
             step = self._keys.begin(key, print_of_request, self._clock.monotonic())
             match step:
                 case Fresh():
-                    return await self._run_fresh(call, request, key)
+                    return await self._run_fresh(call, request, key, disconnected)
                 case InFlight():
                     await self._wait_for(key)
                 case Replay(response=response):
@@ -109,10 +124,12 @@
                 case TableFull():
                     return not_run_response("too many keyed requests")
 
-    async def _run_fresh(self, call: Call, request: Request, key: str) -> Response:
+    async def _run_fresh(
+        self, call: Call, request: Request, key: str, disconnected: Disconnected
+    ) -> Response:
         outcome, response = Outcome.UNKNOWN, None
         try:
-            response = await self._run(call, request)
+            response = await self._run(call, request, disconnected)
             outcome = call.outcome or Outcome.UNKNOWN
             return response
         finally:
@@ -123,23 +140,31 @@
         self._keys.wait(key, finished.set)
         await finished.wait()
 
-    async def _run(self, call: Call, request: Request) -> Response:
+    async def _run(
+        self, call: Call, request: Request, disconnected: Disconnected
+    ) -> Response:
         span = self._tracer.start(request, call.route.name)
         try:
-            response = await self._attempt_until_done(call, request, span)
+            response = await self._attempt_until_done(call, request, span, disconnected)
             span.set("http.response.status_code", response.status)
             return response
         finally:
             span.end()
 
     async def _attempt_until_done(
-        self, call: Call, request: Request, span: HopSpan
+        self, call: Call, request: Request, span: HopSpan, disconnected: Disconnected
     ) -> Response:
         last: Response | None = None
         while True:
             step = call.next_step(self._clock.monotonic())
             if isinstance(step, GiveUp):
+                if not call.attempts:
+                    self._metrics.refusals.inc({"reason": step.reason})
                 return _give_up(step, last)
+            if isinstance(step, Wait):
+                if not await self._wait(call, step, disconnected):
+                    return not_run_response("the caller went away")
+                continue
             answer = await self._attempt(call, step, request, span)
             last = answer or last
             if call.done:
@@ -150,6 +175,36 @@
                     GiveUp(outcome=call.outcome or Outcome.UNKNOWN, reason=reason), last
                 )
 
+    async def _wait(self, call: Call, step: Wait, disconnected: Disconnected) -> bool:
+        """Wait for the call's turn; return False if the caller went away."""
+        changed = trio.Event()
+        call.on_change(changed.set)
+        self._schedule_wake()
+        gone = trio.Event()
+
+        async def watch() -> None:
+            await disconnected()
+            gone.set()
+            nursery.cancel_scope.cancel()
+
+        left_s = max(0.0, step.until_s - self._clock.monotonic())
+        with trio.move_on_after(left_s):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                await changed.wait()
+                nursery.cancel_scope.cancel()
+        return not gone.is_set()
+
+    def _schedule_wake(self) -> None:
+        if not self._wake_due:
+            self._wake_due = True
+            self._timer.call_after(WAKE_INTERVAL_S, self._wake)
+
+    def _wake(self) -> None:
+        self._wake_due = False
+        if self._router.wake(self._clock.monotonic()):
+            self._schedule_wake()
+
     async def _attempt(
         self, call: Call, step: SendTo, request: Request, span: HopSpan
     ) -> Response | None:
--- a/catkinhollow/ingress.py
+++ b/catkinhollow/ingress.py
@@ -1,5 +1,7 @@
 """Accept calls over HTTP and answer them."""
 
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Protocol
 from uuid import uuid4
 
@@ -13,14 +15,23 @@
     Response,
     with_header,
 )
-from catkinhollow.http_server import Receive, Scope, Send, read_request, send_response
+from catkinhollow.http_server import (
+    Receive,
+    Scope,
+    Send,
+    read_request,
+    send_response,
+    wait_disconnect,
+)
 
 
 class CallHandler(Protocol):
     """Answer a call."""
 
-    async def dispatch(self, request: Request) -> Response:
-        """Return the whole answer to the request."""
+    async def dispatch(
+        self, request: Request, disconnected: Callable[[], Awaitable[None]]
+    ) -> Response:
+        """Return the whole answer, or any once the caller has gone away."""
 
 
 class TrafficApplication:
@@ -37,7 +48,9 @@
             await send_response(send, _mark_not_run(read.error))
             return
         request = with_request_id(read.ok)
-        response = await self._handler.dispatch(request)
+        response = await self._handler.dispatch(
+            request, partial(wait_disconnect, receive)
+        )
         request_id = request.header(REQUEST_ID_HEADER) or b""
         headers = with_header(response.headers, REQUEST_ID_HEADER, request_id)
         await send_response(send, evolve(response, headers=headers))
--- a/catkinhollow/service_calls.py
+++ b/catkinhollow/service_calls.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from catkinhollow.admission import ServiceAdmission, Worth, worth_of
+from catkinhollow.admission import ServiceAdmission, worth_of
 from catkinhollow.balancer import Picker
 from catkinhollow.call import Call, FinishedAttempt
 from catkinhollow.directory import TargetEntry
@@ -13,6 +13,7 @@
 from catkinhollow.pool import ServicePool
 from catkinhollow.retries import AttemptKind, RetryBudget
 from catkinhollow.targets import Sample
+from catkinhollow.waiting import WaitClass, WaitingList
 
 # A timeout counts as a failure of the target only if the attempt had at least
 # this part of the route's time; callers may leave less than any target needs.
@@ -32,6 +33,7 @@
 
     name: str
     in_flight: int
+    waiting: int
     capacity: float
     targets: int
     cold: int
@@ -64,16 +66,44 @@
     slow_start_s: float = 0.0
     admission: ServiceAdmission = field(factory=ServiceAdmission)
     budget: RetryBudget = field(factory=lambda: RetryBudget(percent=0.0))
+    waiting: WaitingList[Call] = field(factory=lambda: WaitingList[Call]())
 
-    def admit(self, account: str, worth: Worth, now_s: float) -> bool:
-        """Count a new call in flight if there is room for it."""
-        capacity = self.pool.capacity
-        if not self.admission.admit(account, worth, capacity, now_s):
-            return False
+    def begin(self) -> None:
+        """Count a new call."""
         self.budget.earn()
         self.counters.in_flight += 1
         self.counters.calls += 1
-        return True
+
+    def admit(self, call: Call, now_s: float) -> bool:
+        """Count the call in flight if there is room for it."""
+        capacity = self.pool.capacity
+        worth = worth_of(call.route)
+        return self.admission.admit(call.account, worth, capacity, now_s)
+
+    def is_outranked(self, call: Call) -> bool:
+        """Return whether a waiting call goes before this one."""
+        return bool(self.waiting) and self.waiting.outranks(_wait_class(call))
+
+    def enqueue(self, call: Call, now_s: float) -> bool:
+        """Take the call out of flight and put it on the waiting list."""
+        self._take_out(call, now_s)
+        dropped = self.waiting.add(_wait_class(call), call)
+        if dropped is not None and dropped is not call:
+            dropped.drop()
+        return dropped is not call
+
+    def dequeue(self, call: Call) -> None:
+        """Take the call off the waiting list."""
+        self.waiting.remove(_wait_class(call), call)
+
+    def wake(self, now_s: float) -> None:
+        """Send the waiting calls that there is room for, by worth."""
+        for calls in self.waiting.by_worth():
+            for call in calls:
+                # Those behind it in its class would be refused for the same
+                # reason.
+                if not call.grant(now_s):
+                    break
 
     def pick_target(
         self, call: Call, excluded: list[TargetEntry], now_s: float
@@ -112,11 +142,13 @@
         self.evidence.add(key, sample, busy_s, slow)
 
     def release(self, call: Call, now_s: float) -> None:
-        """Take the call out of flight."""
+        """Count the end of the call and give way to waiting ones."""
         assert call.outcome is not None
-        self.admission.release(call.account, worth_of(call.route), now_s)
+        self._take_out(call, now_s)
         self.counters.in_flight -= 1
         self.counters.outcomes[call.outcome.value] += 1
+        if self.waiting:
+            self.wake(now_s)
 
     def status(self, now_s: float) -> ServiceStatus:
         """Return the values for the metrics."""
@@ -124,12 +156,18 @@
         return ServiceStatus(
             name=self.name,
             in_flight=self.admission.in_flight,
+            waiting=len(self.waiting),
             capacity=pool.capacity,
             targets=len(pool.entries),
             cold=sum(entry.stats.is_cold for entry in pool.entries),
             ejected=len(pool.ejected(now_s)),
         )
 
+    def _take_out(self, call: Call, now_s: float) -> None:
+        if call.admitted:
+            call.admitted = False
+            self.admission.release(call.account, worth_of(call.route), now_s)
+
     def _is_slow(
         self,
         entry: TargetEntry,
@@ -144,6 +182,10 @@
         return warm and answered and busy_s > usual.slow_limit_s
 
 
+def _wait_class(call: Call) -> WaitClass:
+    return WaitClass(worth_of(call.route), call.route.name, call.account)
+
+
 def _classify(call: Call, attempt: FinishedAttempt, ratio: float) -> Sample:
     result = attempt.result
     if result.is_server_error:
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,75 @@
+"""Tests of the edge that carries out the decisions about calls."""
+
+from random import Random
+
+import pytest
+import trio
+
+from catkinhollow.clock import TrioClock
+from catkinhollow.dispatch import Dispatcher
+from catkinhollow.egress import Attempt
+from catkinhollow.exchange import NOT_RUN_HEADER, Request, Response
+from catkinhollow.generated.settings import TracingSettings
+from catkinhollow.metrics import Metrics
+from catkinhollow.retries import AttemptKind
+from catkinhollow.timer import Timer
+from catkinhollow.tracing import make_tracer
+from tests.builders import make_router, member
+
+WORK_S = 0.2
+
+
+class SlowClient:
+    """Answers each request after the same time."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def send(self, address, request, timeout_s):
+        self.sent.append(request)
+        await trio.sleep(WORK_S)
+        response = Response(status=200, headers=[], body=b"done")
+        return Attempt(kind=AttemptKind.ANSWERED, response=response)
+
+
+@pytest.fixture
+def dispatcher(nursery, autojump_clock):
+    timer = Timer(TrioClock())
+    nursery.start_soon(timer.run)
+    settings = TracingSettings()
+    return Dispatcher(
+        router=make_router([member(0, slots=1)]),
+        client=SlowClient(),
+        tracer=make_tracer(settings, "test", Random(1)),
+        timer=timer,
+        metrics=Metrics(),
+        is_ready=lambda: True,
+    )
+
+
+def order(**headers):
+    named = [(key.replace("_", "-").encode(), value) for key, value in headers.items()]
+    return Request(method="POST", path="/o", query=b"", headers=named, body=b"")
+
+
+async def test_call_waits_for_the_slot_and_is_refused_as_not_run_after_it(
+    dispatcher, nursery
+):
+    """Guards against refusals while a slot is free soon, and endless waits."""
+    for _ in range(4):
+        nursery.start_soon(dispatcher.dispatch, order(), trio.sleep_forever)
+    await trio.sleep(0.01)
+    response = await dispatcher.dispatch(order(), trio.sleep_forever)
+    assert response.header(NOT_RUN_HEADER) == b"1"
+    assert len(dispatcher._client.sent) == 3
+    nursery.cancel_scope.cancel()
+
+
+async def test_waiting_call_ends_when_its_caller_goes_away(dispatcher, nursery):
+    """Guards against an order that runs for a caller that has gone."""
+    nursery.start_soon(dispatcher.dispatch, order(), trio.sleep_forever)
+    await trio.sleep(0.01)
+    await dispatcher.dispatch(order(), lambda: trio.sleep(0.05))
+    await trio.sleep(1.0)
+    assert len(dispatcher._client.sent) == 1
+    nursery.cancel_scope.cancel()
