Bound the overflow that a new version takes from a full one

Cause: a call drawn for a version without free capacity went to any other version of the split, so a version of weight 1 % took whatever the old version's targets had no room for.

Ruled out: no overflow at all, because a new version's cold targets must be able to hand their share to the old ones.

Change: the version whose targets started first takes any overflow. Another one takes it only while its share of the last 100 or so sends of this daemon stays within its weight and 2 percentage points, and below a weight of 10 % (canary) not at all. Else the call waits, and ends as "not run" if the wait is in vain.

One exception stays: when no target of the old version is usable, the new version gets all calls.

--- a/catkinhollow/balancer.py
+++ b/catkinhollow/balancer.py
@@ -37,7 +37,9 @@
         now_s: float,
     ) -> TargetEntry | None:
         """Return a target with free capacity, or None."""
-        for group in self._in_drawn_order(pool.groups):
+        for number, group in enumerate(self._in_drawn_order(pool.groups)):
+            if number and not pool.takes_overflow(group):
+                continue
             for tier in group.tiers:
                 free = [
                     entry
--- a/catkinhollow/call.py
+++ b/catkinhollow/call.py
@@ -101,6 +101,9 @@
     def dequeue(self, call: "Call") -> None:
         """Take the call off the waiting list."""
 
+    def start(self, entry: TargetEntry) -> None:
+        """Count an attempt as in flight."""
+
     def spend_retry(self, call: "Call", cost: float) -> bool:
         """Take a retry from the service's budget if it is there."""
 
@@ -292,7 +295,7 @@
         self._tried.append(entry)
         self._sent = SendTo(entry=entry, timeout_s=timeout_s)
         self._sent_at_s = now_s
-        entry.stats.start()
+        self.host.start(entry)
 
     def _give_up(self, reason: str, now_s: float) -> GiveUp:
         outcome = self._end(now_s)
--- a/catkinhollow/pool.py
+++ b/catkinhollow/pool.py
@@ -16,6 +16,14 @@
 # In a service without strikes, five in a row are needed to call a target cold.
 MIN_STRIKE_RATE = 0.05
 
+# Each send moves the observed shares by this part, so that they follow about
+# the last 100 sends of this daemon.
+SHARE_STEP = 0.01
+# Two sends above its weight; less would hold back a version at its weight.
+OVERFLOW_MARGIN = 0.02
+# A version below this weight is still on trial and gets no overflow at all.
+CANARY_PERCENT = 10.0
+
 _STRIKES = (Sample.REFUSED, Sample.SLOW, Sample.FAILED, Sample.UNREACHABLE)
 
 
@@ -42,6 +50,7 @@
 class VersionGroup:
     """Hold the targets of a share of the traffic, the nearest tier first."""
 
+    version: str
     percent: float
     tiers: list[list[TargetEntry]]
 
@@ -61,6 +70,8 @@
     entries: list[TargetEntry] = field(factory=list, init=False)
     capacity: float = field(default=0.0, init=False)
     strike_rate: float = field(default=MIN_STRIKE_RATE, init=False)
+    _first_version: str = field(default="", init=False)
+    _shares: dict[str, float] = field(factory=dict, init=False)
     _refresh_at_s: float = field(default=-math.inf, init=False)
 
     def rebuild(self, usable: Iterable[TargetEntry], now_s: float) -> None:
@@ -75,6 +86,11 @@
             ]
         )
         self.entries = [entry for group in self.groups for entry in group.entries]
+        self._first_version = _first_version(self.entries)
+        self._shares = {
+            group.version: self._shares.get(group.version, self._weight(group))
+            for group in self.groups
+        }
         self._follow_announced_failures(now_s)
         self._keep_ejection_bound(now_s)
         self._refresh_at_s = -math.inf
@@ -90,6 +106,24 @@
                 entry.stats.refresh(now_s)
         self.capacity = float(sum(entry.stats.limit for entry in self.entries))
 
+    def takes_overflow(self, group: VersionGroup) -> bool:
+        """Return whether a version may get calls that were drawn for another.
+
+        The version that started first takes all; a later one may be bad.
+        """
+        if group.version == self._first_version:
+            return True
+        if group.percent < CANARY_PERCENT:
+            return False
+        share = self._shares[group.version] + SHARE_STEP
+        return share <= self._weight(group) + OVERFLOW_MARGIN
+
+    def count_send(self, version: str) -> None:
+        """Count a send in the observed shares of the versions."""
+        if len(self.groups) > 1:
+            for name, share in self._shares.items():
+                self._shares[name] += SHARE_STEP * ((name == version) - share)
+
     def observe(self, entry: TargetEntry, sample: Sample, now_s: float) -> None:
         """Learn from an attempt that its target has already learned from."""
         if sample is not Sample.IGNORED:
@@ -107,6 +141,9 @@
         """Return the targets that are out because of failures."""
         return [entry for entry in self.entries if _is_ejected(entry, now_s)]
 
+    def _weight(self, group: VersionGroup) -> float:
+        return group.percent / sum(other.percent for other in self.groups)
+
     def _ejection_bound(self, group: VersionGroup) -> int:
         # The bound holds for each version, because a service whose targets of
         # the main version are all out is as good as empty.
@@ -146,20 +183,23 @@
         if not weights:
             # Without a split, or with every version of the split quarantined,
             # any other version is better than no service.
-            return [self._group(100.0, entries)] if entries else []
+            return [self._group("", 100.0, entries)] if entries else []
         return [
-            self._group(weight.percent, by_version[weight.version])
+            self._group(weight.version, weight.percent, by_version[weight.version])
             for weight in weights
             if weight.version in by_version
         ]
 
-    def _group(self, percent: float, entries: Collection[TargetEntry]) -> VersionGroup:
+    def _group(
+        self, version: str, percent: float, entries: Collection[TargetEntry]
+    ) -> VersionGroup:
         if not self.settings.local_preference:
-            return VersionGroup(percent=percent, tiers=[list(entries)])
+            return VersionGroup(version=version, percent=percent, tiers=[list(entries)])
         tiers: list[list[TargetEntry]] = [[], [], []]
         for entry in entries:
             tiers[self._distance(entry)].append(entry)
-        return VersionGroup(percent=percent, tiers=[tier for tier in tiers if tier])
+        used = [tier for tier in tiers if tier]
+        return VersionGroup(version=version, percent=percent, tiers=used)
 
     def _distance(self, entry: TargetEntry) -> int:
         if entry.failure_domain == self.location.failure_domain:
@@ -167,5 +207,11 @@
         return 1 if entry.region == self.location.region else 2
 
 
+def _first_version(entries: Iterable[TargetEntry]) -> str:
+    records = [entry.record for entry in entries]
+    started = [(record.started_ms, record.version) for record in records]
+    return min(started)[1] if started else ""
+
+
 def _is_ejected(entry: TargetEntry, now_s: float) -> bool:
     return entry.stats.ejected_until_s > now_s
--- a/catkinhollow/service_calls.py
+++ b/catkinhollow/service_calls.py
@@ -113,6 +113,11 @@
         max_in_flight = call.policy.max_in_flight_per_target
         return self.picker.pick(self.pool, max_in_flight, excluded, now_s)
 
+    def start(self, entry: TargetEntry) -> None:
+        """Count an attempt as in flight."""
+        entry.stats.start()
+        self.pool.count_send(entry.record.version)
+
     def spend_retry(self, call: Call, cost: float) -> bool:
         """Take a retry from the service's budget if it is there."""
         allowed = self.budget.spend(cost)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -75,3 +75,20 @@
     router = make_router(members)
     assert router.status(1000.0).services[0].ejected == 2
     assert fill(router, 3)
+
+
+@pytest.mark.parametrize("percent", [5, 20])
+def test_new_version_does_not_take_what_the_old_one_has_no_room_for(percent):
+    """Guards against a bad version with more than its share of the traffic."""
+    members = [member(0, slots=1), member(1, version="v2", started_ms=1000)]
+    router = make_router(members, split(100 - percent, percent))
+    while send(router, 1000.0)[1].record.version != "v1":
+        pass
+    sent = []
+    for number in range(1000):
+        reached = send(router, 1000.0 + number * 0.01)
+        if reached:
+            reached[0].finished(OK, 1000.0 + number * 0.01)
+            sent.append(reached[1])
+    assert versions(sent).keys() == {"v2"}
+    assert 0.7 * percent < len(sent) / 10 < 1.3 * percent
