--- a/catkinhollow/testbed/bench.py
+++ b/catkinhollow/testbed/bench.py
@@ -13,6 +13,7 @@
 from catkinhollow.generated.bench import BenchResult, Experiment, Point
 from catkinhollow.testbed.convergence_bench import ConvergenceRunner
 from catkinhollow.testbed.deployment import BenchError
+from catkinhollow.testbed.domain_bench import DomainRunner
 from catkinhollow.testbed.experiments import NamedExperiment
 from catkinhollow.testbed.hop import HopRunner
 from catkinhollow.testbed.measures import Recorder, read_commit, read_machine
@@ -39,6 +40,8 @@
         return RestRunner(experiment, experiment.rest)
     if experiment.storm is not None:
         return StormRunner(experiment, experiment.storm)
+    if experiment.domain is not None:
+        return DomainRunner(experiment, experiment.domain)
     raise AssertionError("the experiment was not checked")
 
 
--- a/catkinhollow/testbed/callers.py
+++ b/catkinhollow/testbed/callers.py
@@ -65,6 +65,7 @@
     started_s: float
     taken_s: float
     version: str = ""
+    refusal: str = ""
 
 
 @define
@@ -124,14 +125,16 @@
         request_id = uuid4().hex
         started_s = trio.current_time()
         response = await self._send(entry, kind, request_id)
+        result = judge(response, request_id)
         record = CallRecord(
             request_id=request_id,
             kind=kind,
-            result=judge(response, request_id),
+            result=result,
             status=response.status if response else 0,
             started_s=started_s,
             taken_s=trio.current_time() - started_s,
             version=_version(response),
+            refusal=_reason(response) if result is CallResult.NOT_RUN else "",
         )
         self._log.records.append(record)
         return record
@@ -192,6 +195,10 @@
     return CallResult.OK
 
 
+def _reason(response: Response | None) -> str:
+    return response.content.decode(errors="replace").strip() if response else ""
+
+
 def _version(response: Response | None) -> str:
     if response is None:
         return ""
--- a/catkinhollow/testbed/experiments.py
+++ b/catkinhollow/testbed/experiments.py
@@ -12,7 +12,7 @@
 from catkinhollow.schema_check import find_schema_problems
 
 DIRECTORY = Path(__file__).resolve().parent.parent.parent / "experiments"
-PLANS = ("hop", "convergence", "rest", "storm")
+PLANS = ("hop", "convergence", "rest", "storm", "domain", "move")
 
 
 @frozen(kw_only=True)
--- a/catkinhollow/testbed/report.py
+++ b/catkinhollow/testbed/report.py
@@ -22,8 +22,16 @@
     "convergence": ("delay_p50_ms", "delay_p99_ms", "last_daemon_median_ms"),
     "rest": ("peer_median_bytes_per_s", "peer_max_bytes_per_s"),
     "storm": ("ready_p50_ms", "ready_max_ms"),
+    "domain": (
+        "served_before_percent",
+        "served_during_percent",
+        "served_after_percent",
+    ),
+    "move": ("reached_percent",),
 }
 # These say how a figure was measured and are no function of the size.
+# Only these kinds measure how a figure grows with the number of daemons.
+FITTED = {"convergence", "rest", "storm"}
 NOT_FITTED = {"load_average", "pairs", "failed", "restarted"}
 
 
@@ -99,7 +107,7 @@
         yield "Median over the repeats, with the extremes where they differ."
         yield ""
         yield from _value_table(own)
-        if result.settings.hop is None:
+        if kind_of(result) in FITTED:
             yield from _fit_table(own)
 
 
