Send to the version that started first until a split is there

Cause: without a split the targets of all versions formed one group, so that a version that was only started beside the old one got calls by its capacity.

Change: without a split only the version with the target that started first among the usable ones gets calls, ties by version name. When it has no usable target, the next one gets them.

--- a/catkinhollow/pool.py
+++ b/catkinhollow/pool.py
@@ -177,12 +177,17 @@
         by_version: dict[str, list[TargetEntry]] = {}
         for entry in entries:
             by_version.setdefault(entry.record.version, []).append(entry)
+        if not self.settings.split and entries:
+            # A version that is started beside the first one gets its first
+            # calls from a move.
+            first = _first_version(entries)
+            return [self._group(first, 100.0, by_version[first])]
         quarantined = self.settings.quarantined
         weights = [weight for weight in self.settings.split if weight.percent > 0]
         weights = [item for item in weights if item.version not in quarantined]
         if not weights:
-            # Without a split, or with every version of the split quarantined,
-            # any other version is better than no service.
+            # With every version of the split quarantined, any other version is
+            # better than no service.
             return [self._group("", 100.0, entries)] if entries else []
         return [
             self._group(weight.version, weight.percent, by_version[weight.version])
