Look routes up by prefix instead of scanning them

Change: a dict of prefixes for each method, asked for the path and then for its prefixes at segment boundaries, from the longest on. Prefixes longer than the longest configured one are skipped, so that a path of many segments costs no more. Same semantics; a test compares it with a scan.

--- a/catkinhollow/routing.py
+++ b/catkinhollow/routing.py
@@ -9,24 +9,26 @@
     """Match requests to routes, the longest path prefix first."""
 
     def __init__(self, fleet: Fleet) -> None:
-        by_method: dict[str, list[Route]] = defaultdict(list)
+        self._by_method: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in fleet.routes:
             for method in route.methods:
-                by_method[method].append(route)
-        self._by_method = {
-            method: sorted(routes, key=lambda route: -len(route.path_prefix))
-            for method, routes in by_method.items()
-        }
+                self._by_method[method].setdefault(route.path_prefix, route)
+        prefixes = [len(route.path_prefix) for route in fleet.routes]
+        self._longest = max(prefixes, default=0)
 
     def match(self, method: str, path: str) -> Route | None:
         """Return the route of a request, if there is one."""
-        for route in self._by_method.get(method, ()):
-            if _has_prefix(path, route.path_prefix):
-                return route
-        return None
-
-
-def _has_prefix(path: str, prefix: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return len(path) == len(prefix) or prefix.endswith("/") or path[len(prefix)] in "/?"
+        routes = self._by_method.get(method)
+        if not routes:
+            return None
+        found = routes.get(path)
+        # Skips the end of a path with many segments that no prefix reaches.
+        end = min(len(path), self._longest + 1)
+        while found is None:
+            end = max(path.rfind("/", 0, end), path.rfind("?", 0, end))
+            if end < 0:
+                return None
+            if path[end] == "/":
+                found = routes.get(path[: end + 1])
+            found = found or routes.get(path[:end])
+        return found
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,34 @@
+"""Tests of the lookup of routes."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinhollow.generated.fleet import Fleet, Method, Route
+from catkinhollow.routing import RouteTable
+
+paths = st.text("ab/?", max_size=8).map(lambda rest: f"/{rest}")
+methods = st.sets(st.sampled_from(Method), min_size=1).map(sorted)
+
+
+def matches(path, prefix):
+    rest = path.removeprefix(prefix)
+    if not path.startswith(prefix):
+        return False
+    return not rest or prefix.endswith("/") or rest[0] in "/?"
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(st.lists(st.tuples(paths, methods)), paths, st.sampled_from(Method))
+def test_longest_prefix_at_a_segment_boundary_wins(prefixes, path, method):
+    """Guards against calls that reach another service than a scan finds."""
+    routes = [
+        Route(name=f"r{number}", service="s", path_prefix=prefix, methods=allowed)
+        for number, (prefix, allowed) in enumerate(prefixes)
+    ]
+    fitting = [
+        route
+        for route in routes
+        if method in route.methods and matches(path, route.path_prefix)
+    ]
+    expected = max(fitting, key=lambda route: len(route.path_prefix), default=None)
+    assert RouteTable(Fleet(routes=routes)).match(method, path) is expected
