Scope idempotency keys by backer

Cause: two backers that used the same key were taken for one caller; the second one got a conflict, or the response to the other's request.

Change: the table's key is the backer's name and the key of the request. The target gets the key as it was sent.

Measured: with the new test, which sends one key of two backers, one request reached the target before and two after; the repeat of the first backer is still answered from the table.

--- a/catkinhollow/dispatch.py
+++ b/catkinhollow/dispatch.py
@@ -96,7 +96,9 @@
         try:
             if key is None or call.route.idempotent:
                 return await self._run(call, request, disconnected)
-            name = key.decode("latin-1")
+            backer = request.header(BACKER_HEADER) or b""
+            # No header value has a line break, so that no two pairs are alike.
+            name = (backer + b"\n" + key).decode("latin-1")
             return await self._run_once(call, request, name, disconnected)
         finally:
             # Reached early only when the caller's task is cancelled.
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -73,3 +73,13 @@
     await trio.sleep(1.0)
     assert len(dispatcher._client.sent) == 1
     nursery.cancel_scope.cancel()
+
+
+async def test_same_key_of_two_backers_names_two_requests(dispatcher, nursery):
+    """Guards against a backer that gets the response to another's order."""
+    for backer in (b"a", b"b", b"a"):
+        request = order(idempotency_key=b"1", x_backer=backer)
+        response = await dispatcher.dispatch(request, trio.sleep_forever)
+        assert response.status == 200
+    assert len(dispatcher._client.sent) == 2
+    nursery.cancel_scope.cancel()
