Measure moves to good and to bad target versions

The experiment move runs each sort of version in a deployment of real processes, and reads from the targets which calls reached the new version, before and after the first bad answer and the quarantine.

--- a/catkinhollow/testbed/bench.py
+++ b/catkinhollow/testbed/bench.py
@@ -17,6 +17,7 @@
 from catkinhollow.testbed.experiments import NamedExperiment
 from catkinhollow.testbed.hop import HopRunner
 from catkinhollow.testbed.measures import Recorder, read_commit, read_machine
+from catkinhollow.testbed.move_bench import MoveRunner
 from catkinhollow.testbed.rest_bench import RestRunner
 from catkinhollow.testbed.storm_bench import StormRunner
 
@@ -42,6 +43,8 @@
         return StormRunner(experiment, experiment.storm)
     if experiment.domain is not None:
         return DomainRunner(experiment, experiment.domain)
+    if experiment.move is not None:
+        return MoveRunner(experiment, experiment.move)
     raise AssertionError("the experiment was not checked")
 
 
--- a/catkinhollow/testbed/daemon_logs.py
+++ b/catkinhollow/testbed/daemon_logs.py
@@ -10,6 +10,7 @@
 
 ENFORCED = "configuration enforced"
 READY = "ready"
+QUARANTINED = "version quarantined"
 
 
 @frozen(kw_only=True)
@@ -27,7 +28,7 @@
 
 
 def read_events(path: Path) -> list[LogEvent]:
-    """Return the events of a log that name a revision, oldest first."""
+    """Return the events of a log that are measured, oldest first."""
     events = []
     for line in path.read_bytes().splitlines():
         try:
@@ -35,7 +36,7 @@
         except DecodeError:
             # Output of a process that failed is no event.
             continue
-        if event.event in (ENFORCED, READY):
+        if event.event in (ENFORCED, READY, QUARANTINED):
             events.append(event)
     return events
 
--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -10,7 +10,6 @@
 
 from catkinhollow.fleet_files import load_fleet
 from catkinhollow.generated.bench import (
-    DeploymentPlan,
     DomainPlan,
     DomainVariant,
     Experiment,
@@ -75,6 +74,7 @@
             backer=backer.name,
         )
         for service in fleet.services
+        if service.name in rates
         for route in routes[service.name]
         for backer in service.backers
     ]
@@ -108,7 +108,7 @@
     async def run(self, repeat: int, record: Recorder) -> None:
         """Record the points of one repeat."""
         for deployment_plan in self._plan.deployments:
-            fleet = _load(deployment_plan)
+            fleet = load_example(deployment_plan.example)
             rates = find_rates(self._plan, deployment_plan.targets)
             specs = _specs(deployment_plan.targets, self._plan.service_ms)
             for variant in self._plan.variants:
@@ -165,7 +165,7 @@
         report = audit(self._log, [item.request_id for item in everywhere])
         return {
             **self._served(moments),
-            **_reached(there, moments),
+            **reached_figures(there, moments),
             **_audited(report),
             **self._refusals(),
             "commands_failed": sum(code != 0 for code in self._codes),
@@ -246,7 +246,8 @@
         return {f"calls {reason}": count for reason, count in reasons.items()}
 
 
-def _reached(there: Iterable[Execution], moments: Moments) -> dict[str, float]:
+def reached_figures(there: Iterable[Execution], moments: Moments) -> dict[str, float]:
+    """Return how late calls reached the domain that left."""
     starts_ms = [
         item.start_ms
         for item in there
@@ -273,12 +274,13 @@
     }
 
 
-def _load(plan: DeploymentPlan) -> Fleet:
-    directory = ROOT / "examples" / plan.example
+def load_example(name: str) -> Fleet:
+    """Return the configuration of an example."""
+    directory = ROOT / "examples" / name
     files = [directory / "fleet.yaml", directory / "routes.yaml"]
     loaded = load_fleet([path for path in files if path.exists()])
     if loaded.is_error():
-        raise BenchError(f"the example {plan.example} is not valid")
+        raise BenchError(f"the example {name} is not valid")
     return loaded.ok
 
 
