--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -20,6 +20,7 @@
 )
 from catkinhollow.generated.settings import HttpSettings
 from catkinhollow.metrics import Metrics
+from catkinhollow.timer import Timer
 from catkinhollow.tracing import PassingTracer
 from tests.builders import fleet, make_router, member
 
@@ -93,11 +94,13 @@
         self.router = make_router(self.members, fleet(), random=Random(self.seed))
         client = HttpTargetClient(HttpSettings())
         client._backend = self
+        timer = Timer(_ShiftedClock())
+        self.nursery.start_soon(timer.run)
         self.dispatcher = Dispatcher(
             router=self.router,
             client=client,
             tracer=PassingTracer(Random(self.seed)),
-            clock=_ShiftedClock(),
+            timer=timer,
             metrics=Metrics(),
             is_ready=lambda: True,
         )
@@ -171,7 +174,7 @@
         )
         caller = Caller(request)
         self.callers.append(caller)
-        caller.response = await self.dispatcher.dispatch(request)
+        caller.response = await self.dispatcher.dispatch(request, trio.sleep_forever)
 
     def check(self):
         """Assert invariants 7, 8 and 9 for every order."""
