Count the outcomes of calls in one place

Cause: two counters stood side by side: OutcomeCounter in reporting, which only tests used, and EvidenceCounts behind the call router, which daemons use. The second one knows the region of a target and leaves out cold starts.

Change: remove OutcomeCounter. The test of the flow of counts uses a plain source.

--- a/catkinhollow/reporting.py
+++ b/catkinhollow/reporting.py
@@ -1,21 +1,12 @@
-"""Count outcomes per version and bring them to the controller."""
+"""Decide how outcome counts reach the controller."""
 
 from collections.abc import Iterable
 from typing import Protocol
 
 from attrs import frozen, mutable
 
-from catkinhollow.generated.fleet import Fleet
 from catkinhollow.generated.messages import EvidenceReport, VersionCounts
 
-# An answer is slow when it takes this many times the mean of the faster
-# version. Both versions are held to the same limit.
-SLOW_FACTOR = 1.5
-# Covers the difference in network latency between failure domains.
-SLOW_MARGIN_MS = 5.0
-MEAN_DECAY = 0.8
-# A mean of fewer recent requests is mostly chance and sets no limit.
-MIN_MEAN_REQUESTS = 5.0
 # A window that took this much longer than the sender's fastest is dropped:
 # the split, and with it the comparison, may have changed meanwhile.
 LATE_MS = 3000
@@ -29,7 +20,6 @@
     failures: int = 0
     slow: int = 0
     latency_ms: float = 0.0
-    succeeded_ms: float = 0.0
 
     def counts(self, key: _Key) -> VersionCounts:
         service, version, route = key
@@ -44,80 +34,6 @@
         )
 
 
-@mutable
-class _Mean:
-    requests: float = 0.0
-    latency_ms: float = 0.0
-
-    def add(self, tally: _Tally) -> None:
-        # Failures often take no time and would make the limit too strict.
-        succeeded = tally.requests - tally.failures
-        self.requests = self.requests * MEAN_DECAY + succeeded
-        self.latency_ms = self.latency_ms * MEAN_DECAY + tally.succeeded_ms
-
-
-class OutcomeCounter:
-    """Count the outcomes at one entry daemon during a window."""
-
-    def __init__(self) -> None:
-        self._compared: frozenset[str] = frozenset()
-        self._window: dict[_Key, _Tally] = {}
-        self._means: dict[_Key, _Mean] = {}
-        self._limits_ms: dict[tuple[str, str], float] = {}
-
-    def on_fleet(self, fleet: Fleet) -> None:
-        """Count only services that split their traffic over two versions."""
-        compared = frozenset(
-            service.name
-            for service in fleet.services
-            if sum(weight.percent > 0 for weight in service.split) > 1
-        )
-        for service in self._compared - compared:
-            self._forget(service)
-        self._compared = compared
-
-    def record(
-        self, service: str, version: str, route: str, *, failed: bool, latency_ms: float
-    ) -> None:
-        """Count one outcome."""
-        if service not in self._compared:
-            return
-        tally = self._window.setdefault((service, version, route), _Tally())
-        limit_ms = self._limits_ms.get((service, route))
-        tally.requests += 1
-        tally.failures += failed
-        tally.slow += limit_ms is not None and latency_ms > limit_ms
-        tally.latency_ms += latency_ms
-        if not failed:
-            tally.succeeded_ms += latency_ms
-
-    def take(self) -> list[VersionCounts]:
-        """End the window and return its counts."""
-        window, self._window = self._window, {}
-        for key, tally in window.items():
-            self._means.setdefault(key, _Mean()).add(tally)
-        self._set_limits()
-        return [tally.counts(key) for key, tally in window.items()]
-
-    def _set_limits(self) -> None:
-        fastest_ms: dict[tuple[str, str], float] = {}
-        for (service, _, route), mean in self._means.items():
-            if mean.requests >= MIN_MEAN_REQUESTS:
-                mean_ms = mean.latency_ms / mean.requests
-                key = (service, route)
-                fastest_ms[key] = min(mean_ms, fastest_ms.get(key, mean_ms))
-        self._limits_ms = {
-            key: max(SLOW_FACTOR * mean_ms, mean_ms + SLOW_MARGIN_MS)
-            for key, mean_ms in fastest_ms.items()
-        }
-
-    def _forget(self, service: str) -> None:
-        for key in [key for key in self._means if key[0] == service]:
-            del self._means[key]
-        for key in [key for key in self._window if key[0] == service]:
-            del self._window[key]
-
-
 class CountSource(Protocol):
     """Supply the counts of the own daemon's window."""
 
--- a/tests/test_reporting.py
+++ b/tests/test_reporting.py
@@ -3,22 +3,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinhollow.generated.fleet import Fleet, Service, VersionWeight
 from catkinhollow.generated.messages import EvidenceReport, VersionCounts
 from catkinhollow.reporting import (
     LATE_MS,
     EvidenceFlow,
-    OutcomeCounter,
     ReportSum,
     Sender,
 )
 
-SPLIT = [
-    VersionWeight(version="old", percent=99.0),
-    VersionWeight(version="new", percent=1.0),
-]
-FLEET = Fleet(services=[Service(name="orders", split=SPLIT), Service(name="stock")])
-
 
 def sender(name, incarnation=1, domain="a"):
     return Sender(address=name, incarnation=incarnation, failure_domain=domain)
@@ -64,11 +56,25 @@
     assert sum(entry.requests for entry in total.take()) == len(accepted)
 
 
+class WindowCounts:
+    """Count the requests of one daemon's window."""
+
+    def __init__(self):
+        self.requests = 0
+
+    def take(self):
+        taken, self.requests = self.requests, 0
+        if not taken:
+            return []
+        return [
+            VersionCounts(service="orders", version="new", route="all", requests=taken)
+        ]
+
+
 def make_flows(domains):
     flows = {}
     for name, domain in domains.items():
-        counter = OutcomeCounter()
-        counter.on_fleet(FLEET)
+        counter = WindowCounts()
         flows[name] = counter, EvidenceFlow(sender(name, domain=domain), counter)
     return flows
 
@@ -90,8 +96,7 @@
     flows, received = make_flows(domains), 0
     rounds = [*rounds, *[("a1", "a1", "a1")] * 3]
     for now_s, (caller, collector_a, controller) in enumerate(rounds):
-        flows[caller][0].record("orders", "new", "all", failed=False, latency_ms=5.0)
-        flows[caller][0].record("stock", "1", "all", failed=False, latency_ms=5.0)
+        flows[caller][0].requests += 1
         for name, (_, flow) in flows.items():
             collector = collector_a if domains[name] == "a" else "b1"
             ended = flow.end_window(
@@ -107,18 +112,3 @@
                 assert taken
         received += sum(entry.requests for entry in flows[controller][1].take())
     assert received == len(rounds)
-
-
-def test_both_versions_meet_the_same_limit():
-    """Guards against a slow version that sets its own limit."""
-    counter = OutcomeCounter()
-    counter.on_fleet(FLEET)
-    for version, latency_ms in (("old", 20.0), ("new", 60.0)):
-        for _ in range(10):
-            counter.record(
-                "orders", version, "all", failed=False, latency_ms=latency_ms
-            )
-    assert [entry.slow for entry in counter.take()] == [0, 0]
-    for version, latency_ms in (("old", 29.0), ("new", 31.0)):
-        counter.record("orders", version, "all", failed=False, latency_ms=latency_ms)
-    assert [entry.slow for entry in counter.take()] == [0, 1]
