--- a/catkinhollow/testbed/move_bench.py
+++ b/catkinhollow/testbed/move_bench.py
@@ -70,8 +70,8 @@
         new, old = (self._before_withdrawal(items) for items in (self.new, self.old))
         bad = [item for item in self.new if self._is_bad(item)]
         figures: dict[str, float] = {
-            "done": state is MoveState.DONE,
-            "withdrawn": state is MoveState.WITHDRAWN,
+            "done": int(state is MoveState.DONE),
+            "withdrawn": int(state is MoveState.WITHDRAWN),
             "took_s": (ended_ms - move.started_ms) / 1000,
             "before_deadline_s": (move.deadline_ms - ended_ms) / 1000,
             "service_calls": new + old,
--- a/tests/test_service_bench.py
+++ b/tests/test_service_bench.py
@@ -114,3 +114,9 @@
     figures = make_trace(new=slow, slow_ms=200).figures()
     assert figures["evidence_to_withdrawal_s"] == pytest.approx(1.7)
     assert "evidence_to_withdrawal_s" not in make_trace(new=slow).figures()
+
+
+def test_figures_are_numbers():
+    """Guards against truth values, which a result cannot be read with."""
+    figures = make_trace().figures()
+    assert not [name for name, value in figures.items() if isinstance(value, bool)]
