--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -9,9 +9,9 @@
 
 from catkinhollow.call import SendTo
 from catkinhollow.exchange import Outcome
-from tests.builders import ERROR, OK, begin, make_router, member
+from tests.builders import ERROR, OK, UNREACHABLE, begin, make_router, member
 
-BEGIN_S, END_S = 1000.0, 1014.0
+BEGIN_S, FAULT_S, END_S = 1000.0, 1002.0, 1014.0
 WARM_UP_S = 10.0
 SLOTS = 10
 SERVICE_TIME_S = 0.02
@@ -38,9 +38,13 @@
     in_flight: int = 0
     cold_calls: int = 0
     overruns: int = 0
+    dead: bool = False
 
     def arrive(self, now_s):
         """Return the result of a request and the time that it takes."""
+        if self.dead:
+            self.in_flight += 1
+            return UNREACHABLE, 0.001
         age = (now_s - self.cold_at_s) / self.warm_up_s
         warm = not 0.0 <= age < 1.0
         sustained = SLOTS if warm else int(1 + (SLOTS - 1) * age)
@@ -52,23 +56,33 @@
         return OK, SERVICE_TIME_S * max(1.0, self.in_flight / sustained)
 
 
-def simulate(entries, cold, announced, naive=False):
-    """Return the cold target and the part of the calls that was answered."""
-    random, order, outcomes = Random(1), count(), []
+def simulate(entries, cold, announced, naive=False, *, seed=1, fault=None):
+    """Return the cold target and the part of the calls that was answered.
+
+    A fault is called once, at FAULT_S, with what it may change.
+    """
+    random, order, outcomes = Random(seed), count(), []
     picker = NaivePicker(random) if naive else None
     started_ms = int(BEGIN_S * 1000) if announced else 0
     members = [member(0, started_ms=started_ms), *(member(i) for i in range(1, 5))]
     targets = [SimulatedTarget(**cold), *(SimulatedTarget() for _ in range(4))]
-    queue = []
-    for _ in range(entries):
+    queue, routers = [], {}
+    for entry in range(entries):
         router = make_router(members, None, 1 / entries, random, picker)
-        heappush(queue, (BEGIN_S, next(order), router, None))
+        routers[entry] = router
+        heappush(queue, (BEGIN_S, next(order), entry, None))
     while queue:
-        now_s, _, router, attempt = heappop(queue)
+        now_s, _, entry, attempt = heappop(queue)
+        if fault is not None and now_s >= FAULT_S:
+            fault(now_s, routers, members, targets, random)
+            fault = None
+        router = routers.get(entry)
+        if router is None and attempt is None:
+            continue
         if attempt is None:
             next_s = now_s + random.expovariate(CALLS_PER_S / entries)
             if next_s < END_S:
-                heappush(queue, (next_s, next(order), router, None))
+                heappush(queue, (next_s, next(order), entry, None))
             call = begin(router, now_s).default_value(None)
         else:
             call, target, result = attempt
@@ -79,7 +93,7 @@
             target = targets[int(step.entry.record.address[1])]
             result, time_s = target.arrive(now_s)
             attempt = (call, target, result)
-            heappush(queue, (now_s + time_s, next(order), router, attempt))
+            heappush(queue, (now_s + time_s, next(order), entry, attempt))
         else:
             outcomes.append(call.outcome if call else Outcome.NOT_RUN)
     return targets[0], outcomes.count(Outcome.ANSWERED) / len(outcomes)
