Tighten the bound of the cold start under faults

Twelve entry daemons and a twentieth (12 % where nobody announces the cold target) tell them apart; a replaced target is now warm before it dies.

--- a/tests/test_fault_cold_start.py
+++ b/tests/test_fault_cold_start.py
@@ -1,7 +1,5 @@
 """The fault matrix, cold start: each fault while a target warms up."""
 
-from functools import cache
-
 import pytest
 from attrs import evolve
 
@@ -11,8 +9,14 @@
 from tests.fault_table import cells
 from tests.test_cold_targets import BEGIN_S, simulate
 
-ENTRIES = 3
+ENTRIES = 12
+# Parts of the naive picker's overruns. Trials without the slow start or
+# without shares exceed them; nobody announces a target that turns cold.
+BOUND = 0.05
+UNANNOUNCED_BOUND = 0.12
 COLD = {"cold_at_s": BEGIN_S}
+# These faults meet a warm target, which has the most load to lose.
+WARM_BEFORE = ("target-dies", "target-cold")
 
 
 def set_shares(routers, now_s):
@@ -45,8 +49,8 @@
 
 
 def split(now_s, routers, members, targets, random):
-    """Leave one entry daemon on the side of the cold target."""
-    for entry in (1, 2):
+    """Leave half of the entry daemons on the side of the cold target."""
+    for entry in range(ENTRIES // 2):
         del routers[entry]
     set_shares(routers, now_s)
 
@@ -84,11 +88,10 @@
 }
 
 
-@cache
-def naive_overruns(seed, name):
-    """Return the overruns of a picker that takes each target as warm."""
-    naive, _ = simulate(ENTRIES, COLD, True, naive=True, seed=seed, fault=FAULTS[name])
-    return naive.overruns
+def run(seed, name, naive=False):
+    """Return the cold target and the part of the calls that was answered."""
+    cold, announced = (COLD, True) if name not in WARM_BEFORE else ({}, False)
+    return simulate(ENTRIES, cold, announced, naive, seed=seed, fault=FAULTS[name])
 
 
 @pytest.mark.parametrize(("step", "fault", "seed"), cells(["cold-start"], seeds=(0, 1)))
@@ -97,7 +100,8 @@
 
     Invariant 5.
     """
-    act = FAULTS[fault]
-    ours, answered = simulate(ENTRIES, COLD, True, seed=seed, fault=act)
-    assert ours.overruns < 0.25 * naive_overruns(seed, fault), "invariant 5"
+    ours, answered = run(seed, fault)
+    naive, _ = run(seed, fault, naive=True)
+    bound = UNANNOUNCED_BOUND if fault == "target-cold" else BOUND
+    assert ours.overruns < bound * naive.overruns, "invariant 5"
     assert answered > 0.999
