--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -10,9 +10,9 @@
 from catkinhollow.call import SendTo, Wait
 from catkinhollow.dispatch import WAKE_INTERVAL_S
 from catkinhollow.exchange import Outcome
-from tests.builders import ERROR, OK, begin, make_router, member
+from tests.builders import ERROR, OK, UNREACHABLE, begin, make_router, member
 
-BEGIN_S, END_S = 1000.0, 1014.0
+BEGIN_S, FAULT_S, END_S = 1000.0, 1002.0, 1014.0
 WARM_UP_S = 10.0
 SLOTS = 10
 SERVICE_TIME_S = 0.02
@@ -39,9 +39,13 @@
     in_flight: int = 0
     cold_calls: int = 0
     overruns: int = 0
+    dead: bool = False
 
     def arrive(self, now_s):
         """Return the result of a request and the time that it takes."""
+        if self.dead:
+            self.in_flight += 1
+            return UNREACHABLE, 0.001
         age = (now_s - self.cold_at_s) / self.warm_up_s
         warm = not 0.0 <= age < 1.0
         sustained = SLOTS if warm else int(1 + (SLOTS - 1) * age)
@@ -60,6 +64,7 @@
     targets: list
     random: Random
     gap_s: float
+    routers: dict = Factory(dict)
     queue: list = Factory(list)
     order: count = Factory(count)
     outcomes: list = Factory(list)
@@ -77,10 +82,13 @@
             while self.notified:
                 self.resume(now_s, *self.notified.pop())
 
-    def begin(self, now_s, router):
+    def begin(self, now_s, entry):
+        router = self.routers.get(entry)
+        if router is None:
+            return
         next_s = now_s + self.random.expovariate(1.0 / self.gap_s)
         if next_s < END_S:
-            self.schedule(next_s, self.begin, router)
+            self.schedule(next_s, self.begin, entry)
         call = begin(router, now_s).default_value(None)
         if call:
             self.step(now_s, router, call)
@@ -123,17 +131,23 @@
             self.waking.discard(router)
 
 
-def simulate(entries, cold, announced, naive=False):
-    """Return the cold target and the part of the calls that was answered."""
-    random = Random(1)
+def simulate(entries, cold, announced, naive=False, *, seed=1, fault=None):
+    """Return the cold target and the part of the calls that was answered.
+
+    A fault is called once, at FAULT_S, with what it may change.
+    """
+    random = Random(seed)
     picker = NaivePicker(random) if naive else None
     started_ms = int(BEGIN_S * 1000) if announced else 0
     members = [member(0, started_ms=started_ms), *(member(i) for i in range(1, 5))]
     targets = [SimulatedTarget(**cold), *(SimulatedTarget() for _ in range(4))]
     simulation = Simulation(targets, random, entries / CALLS_PER_S)
-    for _ in range(entries):
-        router = make_router(members, None, 1 / entries, random, picker)
-        simulation.schedule(BEGIN_S, simulation.begin, router)
+    routers = simulation.routers
+    for entry in range(entries):
+        routers[entry] = make_router(members, None, 1 / entries, random, picker)
+        simulation.schedule(BEGIN_S, simulation.begin, entry)
+    if fault is not None:
+        simulation.schedule(FAULT_S, fault, routers, members, targets, random)
     simulation.run()
     outcomes = simulation.outcomes
     return targets[0], outcomes.count(Outcome.ANSWERED) / len(outcomes)
