Count refusals in the domain experiment over the measured time

The reasons were counted over the whole run, so the refusals of cold targets before the measured time hid those of the change.

--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -167,7 +167,7 @@
             **self._served(moments),
             **reached_figures(there, moments),
             **_audited(report),
-            **self._refusals(),
+            **self._refusals(moments),
             "commands_failed": sum(code != 0 for code in self._codes),
             "calls_per_s": rate_per_s,
             "load_average": load,
@@ -215,15 +215,14 @@
                 await trio.sleep(self._plan.out_s - STORE_RETURN_S)
                 await self._deployment.set_store_faults(StoreFaults())
 
-    def _served(self, moments: Moments) -> dict[str, float]:
+    def _between(self, start_ms: float, end_ms: float) -> list[CallRecord]:
         # Callers stamp their records with the clock of trio.
         offset_ms = now_ms() - trio.current_time() * 1000
+        return self._log.between(
+            (start_ms - offset_ms) / 1000, (end_ms - offset_ms) / 1000
+        )
 
-        def between(start_ms: float, end_ms: float) -> list[CallRecord]:
-            return self._log.between(
-                (start_ms - offset_ms) / 1000, (end_ms - offset_ms) / 1000
-            )
-
+    def _served(self, moments: Moments) -> dict[str, float]:
         spans = {
             "before": (moments.began_ms, moments.out_ms),
             "during": (moments.out_ms, moments.in_ms),
@@ -232,15 +231,16 @@
         }
         figures = {}
         for name, span in spans.items():
-            records = between(*span)
+            records = self._between(*span)
             figures[f"served_{name}_percent"] = served_percent(records)
             figures[f"calls_{name}"] = len(records)
         return figures
 
-    def _refusals(self) -> dict[str, float]:
+    def _refusals(self, moments: Moments) -> dict[str, float]:
+        # Cold targets refuse calls before the measured time.
         reasons = Counter(
             f"not run: {record.refusal}" if record.refusal else str(record.result)
-            for record in self._log.records
+            for record in self._between(moments.began_ms, moments.ended_ms)
             if record.result is not CallResult.OK
         )
         return {f"calls {reason}": count for reason, count in reasons.items()}
