Open the traffic port only when the daemon can serve

Ruled out: queueing calls in an unready daemon, which would hold them for seconds while other entry daemons could answer at once.

Change: the traffic listener starts when the mesh is ready and a configuration is in force; health turns 200 after that. A daemon that never got ready ends at once on SIGTERM.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed-catkinhollow
 
-.PHONY: setup demo test check format generate
+.PHONY: setup demo test check format generate fuzz
 
 setup: $(STAMP)
 
@@ -19,6 +19,9 @@
 test: setup
 	$(BIN)/python tools/run_tests.py
 
+fuzz: setup
+	$(BIN)/python -m tools.fuzz --minutes 5 --seed $${SEED:-1}
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -78,6 +79,9 @@
         self._rejected: SnapshotRejected | None = None
         self._members_due = False
         self._shutdown = trio.Event()
+        self._may_serve = trio.Event()
+        self._traffic_closed = trio.Event()
+        self._listening = False
         self._build_edges(Random())
         self._build_control()
         self._connect_events()
@@ -101,7 +105,6 @@
             tracer=make_tracer(settings.tracing, settings.instance, random),
             timer=self._timer,
             metrics=self._metrics,
-            is_ready=lambda: self.ready,
         )
         self._watcher = StoreWatcher(
             self._store,
@@ -143,7 +146,8 @@
         connect(SnapshotEnforced, self._on_snapshot)
         connect(MembersChanged, self._on_members_changed)
         connect(FloorRaised, lambda event: self._holder.raise_floor(event.revision))
-        connect(MeshReady, lambda _: logger.info("ready", revision=self.revision))
+        connect(MeshReady, self._open_traffic_if_ready)
+        connect(SnapshotEnforced, self._open_traffic_if_ready)
         connect(VersionQuarantined, self._on_quarantine)
         connect(TargetAnnounced, self._on_members_changed)
         self._evidence.connect(self._events)
@@ -151,7 +155,7 @@
     @property
     def ready(self) -> bool:
         """Tell whether the daemon accepts calls."""
-        return self._mesh.ready and self._holder.snapshot is not None
+        return self._listening
 
     @property
     def revision(self) -> int:
@@ -226,13 +230,16 @@
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         settings = self._settings
         traffic = TrafficApplication(self._dispatcher, settings.http.max_body_bytes)
-        self._traffic_closed = trio.Event()
         nursery.start_soon(self._serve_traffic, traffic)
         await self._serve_admin(nursery, AdminApplication(self), settings.admin)
 
     async def _serve_traffic(self, app: App) -> None:
+        # A caller whose connection is refused can try another entry daemon at
+        # once, so the port stays closed until there is a configuration.
+        await self._may_serve.wait()
         settings = self._settings
-        await serve_app(
+        serve = partial(
+            serve_app,
             app,
             settings.traffic,
             settings.http,
@@ -240,6 +247,10 @@
             drain_s=settings.drain_s,
             linger_s=LINGER_S,
         )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve)
+            self._listening = True
+            logger.info("ready", revision=self.revision)
         self._traffic_closed.set()
 
     async def _serve_admin(
@@ -296,11 +307,16 @@
         self._events.emit(DrainStarted())
         self._mesh.leave()
         self._shutdown.set()
-        with trio.move_on_after(self._settings.drain_s):
-            await self._traffic_closed.wait()
+        if self._listening:
+            with trio.move_on_after(self._settings.drain_s):
+                await self._traffic_closed.wait()
         await trio.sleep(LEAVE_DELAY_S)
         logger.info("stopped")
 
+    def _open_traffic_if_ready(self, _: Any) -> None:
+        if self._mesh.ready and self._holder.snapshot is not None:
+            self._may_serve.set()
+
     def _on_snapshot(self, event: SnapshotEnforced) -> None:
         fleet = event.snapshot.fleet
         now_s = self._clock.monotonic()
--- a/catkinhollow/dispatch.py
+++ b/catkinhollow/dispatch.py
@@ -58,7 +58,6 @@
         tracer: Tracer,
         timer: Timer,
         metrics: Metrics,
-        is_ready: Callable[[], bool],
     ) -> None:
         self._router = router
         self._client = client
@@ -66,7 +65,6 @@
         self._timer = timer
         self._clock = timer.clock
         self._metrics = metrics
-        self._is_ready = is_ready
         self._keys = IdempotencyTable()
         self._wake_due = False
 
@@ -75,8 +73,6 @@
 
         `disconnected` returns when the caller has gone away.
         """
-        if not self._is_ready():
-            return not_run_response("this daemon has no configuration yet")
         started_s = self._clock.monotonic()
         begun = self._router.begin(_read_facts(request), started_s)
         if begun.is_error():
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -102,7 +102,6 @@
             tracer=PassingTracer(Random(self.seed)),
             timer=timer,
             metrics=Metrics(),
-            is_ready=lambda: True,
         )
 
     async def connect_tcp(self, host, port, timeout):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -43,7 +43,6 @@
         tracer=make_tracer(settings, "test", Random(1)),
         timer=timer,
         metrics=Metrics(),
-        is_ready=lambda: True,
     )
 
 
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -167,3 +167,22 @@
         assert await cluster.wait_ready(LIMIT_S)
         status = await cluster.status(cluster.nodes["orders-1"])
         assert status.enforced_revision >= revision
+
+
+async def test_daemon_without_configuration_accepts_no_connection(tmp_path):
+    """Guards against callers that a starting daemon refuses one by one."""
+    cluster = Cluster(tmp_path, region="windhoek")
+    try:
+        node = cluster.add(make_specs(1))[0]
+        with trio.fail_after(LIMIT_S):
+            while not await cluster.request("GET", node.admin, "/health"):
+                await trio.sleep(0.1)
+        assert await cluster.request("GET", node.admin, "/health") == 503
+        assert await cluster.request("GET", node.traffic, "/orders") == 0
+        child = cluster.daemon("orders-0")
+        child.send(signal.SIGTERM)
+        assert await child.wait(LIMIT_S)
+        assert child.process.returncode == 0
+    finally:
+        with trio.CancelScope(shield=True):
+            await cluster.stop()
