Drive a move again when the same daemon is preferred again

A daemon that is no longer preferred drops the drivers of its moves, but it kept the revisions that it had seen. Preferred again, it skipped each move that nobody had written meanwhile, so the move stood still for ever, even past its deadline, and could not be withdrawn or cancelled. TestRacingControllers finds this when its file runs alone; in the whole run its derandomized examples differ and missed it.

Forgetting the revisions too was ruled out: an older view of the store could then start an ended move again. Now the known revision is taken again when there is no driver for it; older ones are still refused.

pytest tests/test_controller_states.py: before, a failing example (move still 'cancelling' after 400 s of healing); after, 1 passed in 17.5 s. pytest tests/test_controller.py tests/test_fault_moves.py: 230 passed.

--- a/catkinhollow/move_runner.py
+++ b/catkinhollow/move_runner.py
@@ -118,7 +118,7 @@
         # A store may answer with an older view; an ended move must not start
         # again from it.
         for stored in objects:
-            if stored.revision <= self._revisions.get(stored.name, 0):
+            if self._is_followed(stored):
                 continue
             decoded = from_plain(stored.value, Move)
             if decoded.is_ok():
@@ -133,6 +133,13 @@
         self._start_terms()
         self._apply_quarantines()
 
+    def _is_followed(self, stored: StoredObject) -> bool:
+        # A daemon that forgot its drivers and is preferred again finds the
+        # move at the revision that it knows, and has to drive it.
+        known = self._revisions.get(stored.name, 0)
+        has_driver = stored.name in self._drivers
+        return stored.revision < known or (stored.revision == known and has_driver)
+
     def _sync_move(self, move: Move, revision: int) -> None:
         driver = self._drivers.get(move.service)
         if driver and driver.move.started_ms == move.started_ms:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -77,6 +77,18 @@
     assert world.percent == 100.0
 
 
+def test_daemon_that_is_preferred_again_drives_the_same_move():
+    """Guards against a move that stands still after an election and back."""
+    world = World(count=1)
+    world.start_move(60)
+    world.run_fairly(3)
+    world.preferred = set()
+    world.run_fairly(5)
+    world.preferred = {0}
+    world.run_fairly(80)
+    assert world.move.state == MoveState.DONE
+
+
 class DirectCalls:
     """Answer each call after a short time."""
 
