--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -30,7 +30,7 @@
 )
 from catkinhollow.evidence_service import EvidenceService
 from catkinhollow.fleet_updates import update_fleet
-from catkinhollow.generated.fleet import Snapshot
+from catkinhollow.generated.fleet import Lease, Snapshot
 from catkinhollow.generated.messages import MemberState, TargetRecord
 from catkinhollow.generated.settings import Address, Settings
 from catkinhollow.http_server import App, serve_app
@@ -55,9 +55,9 @@
 
 # Gathers the changes of a burst; the table of a large fleet takes a while.
 MEMBERS_DELAY_S = 0.05
-SEEDS_INTERVAL_S = 10.0
-# A new failure domain is known to commands soon after its first daemon.
-FIRST_SEEDS_S = 2.0
+# Soon enough that commands know a new failure domain; a list that is not
+# stale costs no call of the store.
+SEEDS_INTERVAL_S = 2.0
 SPLITS_INTERVAL_S = 1.0
 ADMIN_DRAIN_S = 0.5
 # Callers with an open connection learn from its next answer to close it.
@@ -191,10 +191,19 @@
             snapshot=self._holder.snapshot,
             newest_revision=self._holder.floor,
             members=table.with_enforced(),
+            moves=self._controller.moves,
             quarantines=self._mesh.quarantines,
+            lease=self._known_lease(),
             rejected=self._rejected,
         )
 
+    def _known_lease(self) -> Lease | None:
+        # Only the holder knows the epoch; the others know who is elected.
+        if self._controller.epoch:
+            return Lease(holder=self._holder_name(), epoch=self._controller.epoch)
+        elected = self._elections.controller()
+        return Lease(holder=elected, epoch=0) if elected else None
+
     def collect_metrics(self) -> Metrics:
         """Return the metrics with their gauges up to date."""
         self._metrics.enforced_revision.set({}, self.revision)
@@ -277,9 +286,7 @@
 
         settings = self._settings
         self._timer.subscribe(settings.probe.interval_s, start(self._supervisor.check))
-        self._timer.subscribe(
-            SEEDS_INTERVAL_S, start(self._publish_seeds), first_delay_s=FIRST_SEEDS_S
-        )
+        self._timer.subscribe(SEEDS_INTERVAL_S, start(self._publish_seeds))
         self._timer.subscribe(SPLITS_INTERVAL_S, start(self._fix_initial_versions))
         self._evidence.subscribe(self._timer)
 
--- a/catkinhollow/controller.py
+++ b/catkinhollow/controller.py
@@ -77,6 +77,11 @@
         """Return the epoch of the own term, 0 when there is none."""
         return self._keeper.epoch
 
+    @property
+    def moves(self) -> list[Move]:
+        """Return the moves that this daemon drives."""
+        return self._runner.moves
+
     @property
     def may_decide(self) -> bool:
         """Tell whether this daemon controls the fleet now."""
--- a/catkinhollow/move_runner.py
+++ b/catkinhollow/move_runner.py
@@ -58,6 +58,11 @@
         self._quarantines: dict[str, Quarantine] = {}
         self._idle_passes = IDLE_PASSES
 
+    @property
+    def moves(self) -> list[Move]:
+        """Return the moves that this daemon drives."""
+        return [driver.move for driver in self._drivers.values()]
+
     def observe(self, counts: Iterable[VersionCounts]) -> list[Quarantine]:
         """Give each driver its counts and return the versions found bad."""
         by_service: dict[str, list[VersionCounts]] = {}
--- a/catkinhollow/status_report.py
+++ b/catkinhollow/status_report.py
@@ -104,7 +104,8 @@
 def _describe_controller(status: DaemonStatus) -> str:
     if status.controller is None:
         return "none known"
-    return f"{status.controller.address}, epoch {status.controller.epoch}"
+    address, epoch = status.controller.address, status.controller.epoch
+    return f"{address}, epoch {epoch}" if epoch else f"{address}, by election"
 
 
 def _domain_table(status: DaemonStatus) -> Table:
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -54,6 +54,7 @@
         assert await cluster.wait_ready(LIMIT_S)
         await wait_until(cluster, lambda status: len(status.members) == count)
         await wait_until(cluster, lambda status: all(m.targets for m in status.members))
+        await wait_until(cluster, lambda status: status.controller is not None)
         yield cluster
     finally:
         with trio.CancelScope(shield=True):
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -109,3 +109,18 @@
     assert "NOT READY" in summary["daemon"]
     assert summary["configuration"].startswith("none enforced")
     assert summary["controller"] == "none known"
+
+
+def test_controller_without_a_known_epoch_is_the_elected_one():
+    """Guards against an epoch of 0 that looks like a lease."""
+    own = member(1, 0)
+    elected = Lease(holder="127.0.0.1:2", epoch=0)
+    status = build_status(
+        own=own,
+        ready=True,
+        snapshot=None,
+        newest_revision=0,
+        members=[own],
+        lease=elected,
+    )
+    assert dict(summarize(status))["controller"] == "127.0.0.1:2, by election"
