Count every live seed, and set the gauges of services

Cause: the seed publisher compared the published list with the first 16 members only, so in a larger failure domain it could rewrite a list whose addresses all lived. The gauge of targets was registered and never set.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -209,6 +209,8 @@
         self._metrics.enforced_revision.set({}, self.revision)
         self._metrics.ready.set({}, int(self.ready))
         self._metrics.set_peer_counters(self._link.counters)
+        router = self._router.status(self._clock.monotonic())
+        self._metrics.set_services(router.services)
         records = self._mesh.table.records.values()
         for state in MemberState:
             count = sum(record.state is state for record in records)
--- a/catkinhollow/metrics.py
+++ b/catkinhollow/metrics.py
@@ -1,8 +1,11 @@
 """Hold the metrics of a daemon."""
 
+from collections.abc import Iterable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from catkinhollow.peers import LinkCounters
+from catkinhollow.service_calls import ServiceStatus
 
 LATENCY_BUCKETS_S = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10]
 
@@ -37,8 +40,15 @@
         self.members = Gauge(
             "catkinhollow_members", "Members by state", registry=registry
         )
-        self.targets = Gauge(
-            "catkinhollow_targets", "Known targets by service", registry=registry
+        self._targets = Gauge(
+            "catkinhollow_targets",
+            "Targets that may get calls, by service and condition",
+            registry=registry,
+        )
+        self._calls_held = Gauge(
+            "catkinhollow_calls_held",
+            "Calls in flight and calls that wait for capacity, by service",
+            registry=registry,
         )
         self.ready = Gauge(
             "catkinhollow_ready",
@@ -68,6 +78,21 @@
         self._peer_bytes.set({"direction": "sent"}, counters.bytes_sent)
         self._peer_bytes.set({"direction": "received"}, counters.bytes_received)
 
+    def set_services(self, services: Iterable[ServiceStatus]) -> None:
+        """Take over the state of each service in the call router."""
+        for service in services:
+            counts = {
+                "all": service.targets,
+                "cold": service.cold,
+                "ejected": service.ejected,
+            }
+            for condition, count in counts.items():
+                labels = {"service": service.name, "condition": condition}
+                self._targets.set(labels, count)
+            for state in ("in_flight", "waiting"):
+                labels = {"service": service.name, "state": state}
+                self._calls_held.set(labels, getattr(service, state))
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in text form and their HTTP headers."""
         content, headers = render(self._registry, ["text/plain"])
--- a/catkinhollow/seeds.py
+++ b/catkinhollow/seeds.py
@@ -33,7 +33,7 @@
 
     async def publish(self, alive: Iterable[str]) -> None:
         """Write the list if it is stale."""
-        members = sorted(alive)[:MAX_SEEDS]
+        members = sorted(alive)
         if self._revision is None and not await self._load():
             return
         if not self.is_stale(members):
@@ -41,11 +41,11 @@
         result = await self._store.put(
             MEMBERS_KIND,
             self._failure_domain,
-            to_plain(SeedList(addresses=members)),
+            to_plain(SeedList(addresses=members[:MAX_SEEDS])),
             if_revision=self._revision or 0,
         )
         if result.is_ok():
-            self._published = members
+            self._published = members[:MAX_SEEDS]
             self._revision = result.ok.revision
             return
         self._revision = None
