--- a/tools/measure_tables.py
+++ b/tools/measure_tables.py
@@ -12,7 +12,7 @@
 from attrs import evolve  # noqa: E402
 
 from catkinhollow.call_router import CallRouter  # noqa: E402
-from catkinhollow.codec import encode_message  # noqa: E402
+from catkinhollow.codec import encode_envelope, encode_message  # noqa: E402
 from catkinhollow.generated.fleet import (  # noqa: E402
     Backer,
     Fleet,
@@ -20,7 +20,13 @@
     Service,
     Snapshot,
 )
-from catkinhollow.generated.messages import MemberRecord, TargetRecord  # noqa: E402
+from catkinhollow.generated.messages import (  # noqa: E402
+    Envelope,
+    EvidenceReport,
+    MemberRecord,
+    TargetRecord,
+    VersionCounts,
+)
 from catkinhollow.membership import MemberTable  # noqa: E402
 from catkinhollow.pool import Location  # noqa: E402
 
@@ -68,6 +74,26 @@
     return Fleet(services=services, routes=routes)
 
 
+def report_bytes(counts: int) -> int:
+    """Return the size of a window's report with so many counts."""
+    entry = VersionCounts(
+        service="service-1",
+        version="v1",
+        route="service-1-route-1",
+        requests=20,
+        failures=1,
+        slow=1,
+        latency_ms_sum=123.4,
+    )
+    report = EvidenceReport(window_ms=1_796_000_000_000, counts=[entry] * counts)
+    envelope = Envelope(
+        sender="10.0.0.1:9000",
+        incarnation=1_796_000_000_000,
+        evidence_report=report,
+    )
+    return len(encode_envelope(envelope))
+
+
 def main() -> None:
     """Print memory in MiB and times in ms."""
     tracemalloc.start()
@@ -94,6 +120,8 @@
     print(f"member table            {records_mib:.1f} MiB")
     print(f"directory and router    {all_mib - records_mib:.1f} MiB")
     print(f"snapshot                {len(snapshot) / 1000:.1f} KB")
+    for counts in (2, 3, 4, 10):
+        print(f"report of {counts:2} counts      {report_bytes(counts)} bytes")
     print(f"one member changed      {update_ms:.2f} ms")
     print(f"new configuration       {enforce_ms:.2f} ms")
 
