Remove the event of a starting drain, which nothing listens to

Cause: DrainStarted was emitted at shutdown and no part connected to it.

Change: remove the event and its emission; behaviour is the same.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -19,7 +19,6 @@
 from catkinhollow.elections import Elections
 from catkinhollow.errors import RejectionKind, SnapshotRejected
 from catkinhollow.events import (
-    DrainStarted,
     EventManager,
     FloorRaised,
     MembersChanged,
@@ -313,7 +312,6 @@
                 return
 
     async def _drain(self) -> None:
-        self._events.emit(DrainStarted())
         self._mesh.leave()
         self._shutdown.set()
         if self._listening:
--- a/catkinhollow/events.py
+++ b/catkinhollow/events.py
@@ -63,11 +63,6 @@
     report: EvidenceReport
 
 
-@frozen(kw_only=True)
-class DrainStarted:
-    """Announce that the daemon is shutting down."""
-
-
 class EventManager:
     """Connect listeners to event classes and call them in order."""
 
