--- a/catkinhollow/egress.py
+++ b/catkinhollow/egress.py
@@ -1,6 +1,7 @@
 """Send requests to targets over HTTP connections that are kept open."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Protocol
 
 import trio
@@ -68,6 +69,9 @@
         """Make one attempt; the timeout is in seconds."""
 
 
+Classify = Callable[[Request, Response], Attempt]
+
+
 @define
 class _Connections:
     """Hold the connections to one target."""
@@ -76,11 +80,30 @@
     count: int = 0
 
 
+def classify_answer(request: Request, answer: Response) -> Attempt:
+    """Return what a whole response says about the request."""
+    sent_id = request.header(REQUEST_ID_HEADER)
+    answered_id = answer.header(REQUEST_ID_HEADER)
+    if answered_id is not None and answered_id != sent_id:
+        reason = "answer to another request"
+        return Attempt(kind=AttemptKind.BROKEN, reason=reason)
+    if answer.header(NOT_RUN_HEADER) == b"1":
+        return Attempt(kind=AttemptKind.REFUSED, response=answer, reason="refused")
+    return Attempt(kind=AttemptKind.ANSWERED, response=answer)
+
+
 class HttpTargetClient:
     """Keep a plain list of connections per target, one exchange on each."""
 
-    def __init__(self, settings: HttpSettings) -> None:
+    def __init__(
+        self,
+        settings: HttpSettings,
+        classify: Classify = classify_answer,
+        idle_expiry_s: float = IDLE_EXPIRY_S,
+    ) -> None:
         self._settings = settings
+        self._classify = classify
+        self._idle_expiry_s = idle_expiry_s
         self._backend = TrioBackend()
         self._targets: dict[str, _Connections] = defaultdict(_Connections)
 
@@ -143,7 +166,9 @@
         except (ConnectError, ConnectTimeout):
             return None
         origin = Origin(b"http", host.encode(), int(port))
-        return AsyncHTTP11Connection(origin, stream, keepalive_expiry=IDLE_EXPIRY_S)
+        return AsyncHTTP11Connection(
+            origin, stream, keepalive_expiry=self._idle_expiry_s
+        )
 
     async def _exchange(
         self,
@@ -187,7 +212,7 @@
         answer = Response(
             status=response.status, headers=end_to_end(headers), body=bytes(body)
         )
-        return _classify(request, answer)
+        return self._classify(request, answer)
 
     async def _give_back(
         self, connections: _Connections, connection: AsyncHTTP11Connection, clean: bool
@@ -218,14 +243,3 @@
         headers = [*headers, (b"content-length", str(len(request.body)).encode())]
     url = URL(scheme=b"http", host=host.encode(), port=int(port), target=target)
     return HttpRequest(request.method, url, headers=headers, content=request.body)
-
-
-def _classify(request: Request, answer: Response) -> Attempt:
-    sent_id = request.header(REQUEST_ID_HEADER)
-    answered_id = answer.header(REQUEST_ID_HEADER)
-    if answered_id is not None and answered_id != sent_id:
-        reason = "answer to another request"
-        return Attempt(kind=AttemptKind.BROKEN, reason=reason)
-    if answer.header(NOT_RUN_HEADER) == b"1":
-        return Attempt(kind=AttemptKind.REFUSED, response=answer, reason="refused")
-    return Attempt(kind=AttemptKind.ANSWERED, response=answer)
--- a/catkinhollow/http_server.py
+++ b/catkinhollow/http_server.py
@@ -36,9 +36,15 @@
     shutdown: trio.Event,
     drain_s: float,
     linger_s: float = 0.0,
+    on_config: Callable[[Config], None] = lambda config: None,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until shutdown, then let requests finish for at most drain_s."""
+    """Serve until shutdown, then let requests finish for at most drain_s.
+
+    `on_config` gets the server's settings, whose limits may change later.
+    """
+    config = _config(address, http, drain_s)
+    on_config(config)
 
     # While lingering, the listener still answers, and each answer closes its
     # connection; later hypercorn closes idle connections without notice.
@@ -48,7 +54,7 @@
 
     await serve(
         cast(Framework, _ServedApp(app, shutdown)),
-        _config(address, http, drain_s),
+        config,
         shutdown_trigger=trigger,
         task_status=task_status,
         mode="asgi",
--- a/catkinhollow/logs.py
+++ b/catkinhollow/logs.py
@@ -1,7 +1,8 @@
 """Write one structured line for each event."""
 
 import logging as standard_logging
-from typing import Any
+import sys
+from typing import Any, TextIO
 
 from absl import flags
 from absl import logging as absl_logging
@@ -63,10 +64,12 @@
     return EventLogger(module)
 
 
-def configure_logging(level: str) -> None:
-    """Write lines of the given level and above to standard error."""
+def configure_logging(level: str, stream: TextIO = sys.stderr) -> None:
+    """Write lines of the given level and above to the stream."""
     # The command line is cleo's; unparsed absl flags would log a warning.
     flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
-    absl_logging.get_absl_handler().setFormatter(_JsonFormatter())
+    handler = absl_logging.get_absl_handler()
+    handler.setFormatter(_JsonFormatter())
+    handler.python_handler.stream = stream
     absl_logging.set_verbosity(LEVELS[level])
--- /dev/null
+++ b/catkinhollow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/catkinhollow/platform/header_names.py
@@ -0,0 +1,15 @@
+"""Name the platform's headers."""
+
+from catkinhollow.relay.header_names import HeaderNames
+
+PLATFORM_HEADERS = HeaderNames(
+    request_id=b"x-attempt-id",
+    deadline=b"x-deadline-ms",
+    not_run=b"x-not-executed",
+    signature=b"x-response-seal",
+    expected_lifetime=b"x-expect-instance",
+    lifetime=b"x-instance-id",
+    load=b"x-server-load",
+    cold=b"x-cold-ms",
+    caller_service=b"x-caller-service",
+)
--- /dev/null
+++ b/catkinhollow/platform/object_store.py
@@ -0,0 +1,184 @@
+"""Call the platform's object store."""
+
+import socket
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+from expression import Error, Ok, Result
+from httpcore import (
+    AsyncConnectionPool,
+    NetworkError,
+    ProtocolError,
+    Response,
+    TimeoutException,
+)
+
+from catkinhollow.codec import decode_json, encode_json
+from catkinhollow.errors import StoreError, StoreErrorKind
+from catkinhollow.generated.store import ObjectList, StoredObject
+from catkinhollow.platform.generated import EventPage, ObjectPage, PlatformObject
+from catkinhollow.platform.objects import STATUS_KINDS, STORE_KINDS, encode_status
+
+# Each followed kind holds one connection while it waits; writes take others.
+MAX_CONNECTIONS = 10
+# The store answers in milliseconds; a slow one takes some hundred.
+CALL_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+# Probes of an idle connection, so that one that went silent ends in 3 s
+# although a watch may wait for half a minute.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+GONE = 410
+
+_SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+]
+_ERROR_KINDS = {
+    404: StoreErrorKind.NOT_FOUND,
+    409: StoreErrorKind.CONFLICT,
+    429: StoreErrorKind.UNAVAILABLE,
+    503: StoreErrorKind.UNAVAILABLE,
+}
+
+T = TypeVar("T")
+
+
+class PlatformStore:
+    """Read, write and watch the platform's objects under our kinds."""
+
+    def __init__(self, address: str) -> None:
+        self._base_url = f"http://{address}/objects"
+        self._pool = AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject, StoreError]:
+        """Return one object."""
+        path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}"
+        read = await self._call("GET", path, None, PlatformObject)
+        return read.map(lambda item: _stored(kind, item))
+
+    async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
+        """Return all objects of a kind."""
+        objects: list[StoredObject] = []
+        after = ""
+        while True:
+            path = f"/{STORE_KINDS[kind]}{after}"
+            read = await self._call("GET", path, None, ObjectPage)
+            if read.is_error():
+                return Error(read.error)
+            page = read.ok
+            objects.extend(_stored(kind, item) for item in page.items)
+            if not page.has_more or not page.items:
+                break
+            after = f"?after={quote(page.items[-1].metadata.name, safe='')}"
+        return Ok(ObjectList(revision=page.at_rev, objects=objects, complete=True))
+
+    async def watch(
+        self, kind: str, *, after: int, wait_s: float
+    ) -> Result[ObjectList, StoreError]:
+        """Return objects changed after a revision, waiting for the first."""
+        path = f"/{STORE_KINDS[kind]}?watch={after}&wait_ms={int(wait_s * 1000)}"
+        read = await self._call("GET", path, None, EventPage, wait_s)
+        if read.is_error():
+            if read.error.kind is StoreErrorKind.REFUSED:
+                # The history after the revision is gone.
+                return await self.list_objects(kind)
+            return Error(read.error)
+        page = read.ok
+        objects = [
+            _stored(kind, event.object, page.at_rev if event.deleted else None)
+            for event in page.events
+        ]
+        return Ok(ObjectList(revision=page.at_rev, objects=objects))
+
+    async def put(
+        self, kind: str, name: str, value: Any, *, if_revision: int
+    ) -> Result[StoredObject, StoreError]:
+        """Write an object if its revision is still the given one, 0 if new."""
+        path = f"/{STORE_KINDS[kind]}"
+        metadata: dict[str, Any] = {"name": name}
+        if if_revision:
+            metadata["revision"] = if_revision
+        body: dict[str, Any] = {"metadata": metadata}
+        if kind in STATUS_KINDS:
+            body["status"] = encode_status(value)
+            path = f"{path}/{quote(name, safe='')}/status"
+        else:
+            body["spec"] = value
+            if if_revision:
+                path = f"{path}/{quote(name, safe='')}"
+        method = "PUT" if if_revision else "POST"
+        written = await self._call(method, path, body, PlatformObject)
+        return written.map(lambda item: _stored(kind, item))
+
+    async def delete(
+        self, kind: str, name: str, *, if_revision: int
+    ) -> Result[StoredObject, StoreError]:
+        """Delete an object if its revision still is the given one."""
+        path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}?revision={if_revision}"
+        deleted = await self._call("DELETE", path, None, PlatformObject)
+        return deleted.map(lambda item: _stored(kind, item))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        kind: type[T],
+        wait_s: float = 0.0,
+    ) -> Result[T, StoreError]:
+        timeout = {
+            "connect": CONNECT_TIMEOUT_S,
+            "pool": CALL_TIMEOUT_S,
+            "read": wait_s + CALL_TIMEOUT_S,
+            "write": CALL_TIMEOUT_S,
+        }
+        try:
+            response = await self._pool.request(
+                method,
+                self._base_url + path,
+                headers=[(b"content-type", b"application/json")] if body else None,
+                content=encode_json(body) if body else None,
+                extensions={"timeout": timeout},
+            )
+        except (NetworkError, ProtocolError, TimeoutException) as error:
+            reason = f"{type(error).__name__}: {error}"
+            return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
+        return _decode(response, kind)
+
+
+def _decode(response: Response, kind: type[T]) -> Result[T, StoreError]:
+    if response.status not in (200, 201):
+        error_kind = _ERROR_KINDS.get(response.status, StoreErrorKind.REFUSED)
+        if response.status >= 500:
+            error_kind = StoreErrorKind.UNAVAILABLE
+        return Error(StoreError(kind=error_kind, reason=f"status {response.status}"))
+    decoded = decode_json(response.content, kind)
+    if decoded.is_error():
+        reason = f"unreadable answer: {decoded.error.reason}"
+        return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
+    return Ok(decoded.ok)
+
+
+def _stored(
+    kind: str, item: PlatformObject, deleted_revision: int | None = None
+) -> StoredObject:
+    revision = item.metadata.revision
+    if deleted_revision is not None:
+        revision = max(revision, deleted_revision)
+    return StoredObject(
+        kind=kind,
+        name=item.metadata.name,
+        revision=revision,
+        value=item,
+        deleted=deleted_revision is not None,
+    )
--- /dev/null
+++ b/catkinhollow/platform/objects.py
@@ -0,0 +1,104 @@
+"""Translate the platform's stored objects into the project's types."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from catkinhollow.codec import from_plain, to_plain
+from catkinhollow.errors import DecodeError
+from catkinhollow.generated.relay import (
+    DaemonRecord,
+    MoveOrder,
+    MoveProgress,
+    OrderState,
+    RelayConfiguration,
+)
+from catkinhollow.generated.store import StoredObject
+from catkinhollow.platform.generated import (
+    PlatformObject,
+    RolloutSpec,
+    RolloutState,
+    RolloutStatus,
+)
+from catkinhollow.relay.kinds import (
+    CONFIGURATION,
+    CONFIGURATION_NAME,
+    DAEMONS,
+    EVACUATIONS,
+    ORDERS,
+)
+
+# The project's kinds and the store's names for them.
+STORE_KINDS = {
+    CONFIGURATION: "config",
+    ORDERS: "rollouts",
+    EVACUATIONS: "evacuations",
+    DAEMONS: "catkinhollow-daemons",
+}
+# Kinds of the operator; the system writes their status only.
+STATUS_KINDS = {ORDERS}
+
+_STATES = {
+    RolloutState.IN_PROGRESS: OrderState.RUNNING,
+    RolloutState.COMPLETED: OrderState.DONE,
+    RolloutState.REVERTED: OrderState.WITHDRAWN,
+}
+_STATE_WORDS = {state: word for word, state in _STATES.items()}
+
+
+def decode_object(stored: StoredObject) -> Result[Any, DecodeError]:
+    """Return the typed value of an object that exists."""
+    # The adapter of the store puts the whole platform object into the value.
+    item: PlatformObject = stored.value
+    match stored.kind:
+        case "configuration" if stored.name == CONFIGURATION_NAME:
+            return from_plain(item.spec, RelayConfiguration)
+        case "orders":
+            return _decode_order(item)
+        case "daemons":
+            return from_plain(item.spec, DaemonRecord)
+        case "evacuations":
+            return Ok(stored.name)
+        case _:
+            return Error(DecodeError(reason=f"no such object: {stored.name}"))
+
+
+def encode_status(progress: Any) -> Any:
+    """Return the platform's status for the progress of an order."""
+    decoded = from_plain(progress, MoveProgress)
+    if decoded.is_error():
+        raise ValueError(decoded.error.reason)
+    value = decoded.ok
+    return to_plain(
+        RolloutStatus(
+            state=_STATE_WORDS[value.state],
+            target_version=value.version,
+            percent=value.percent,
+            order=value.order,
+        )
+    )
+
+
+def _decode_order(item: PlatformObject) -> Result[Any, DecodeError]:
+    spec = from_plain(item.spec, RolloutSpec)
+    if spec.is_error():
+        return Error(spec.error)
+    progress: MoveProgress | None = None
+    if item.status:
+        status = from_plain(item.status, RolloutStatus)
+        if status.is_ok():
+            progress = MoveProgress(
+                version=status.ok.target_version,
+                state=_STATES[status.ok.state],
+                percent=status.ok.percent,
+                order=status.ok.order,
+            )
+    return Ok(
+        MoveOrder(
+            service=spec.ok.service,
+            version=spec.ok.target_version,
+            duration_s=spec.ok.duration_s,
+            order=item.metadata.created_rev,
+            progress=progress,
+        )
+    )
--- /dev/null
+++ b/catkinhollow/relay/application.py
@@ -0,0 +1,406 @@
+"""Assemble the parts of a relay daemon."""
+
+import signal
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Protocol, TypeVar
+
+import trio
+from expression import Result
+from hypercorn.config import Config
+
+from catkinhollow.addresses import parse_address
+from catkinhollow.clock import TrioClock
+from catkinhollow.codec import decode_message
+from catkinhollow.egress import HttpTargetClient
+from catkinhollow.errors import DecodeError
+from catkinhollow.events import EventManager
+from catkinhollow.generated.relay import (
+    DaemonRecord,
+    Document,
+    MoveOrder,
+    RelayConfiguration,
+    RelaySettings,
+)
+from catkinhollow.generated.settings import Address, HttpSettings
+from catkinhollow.http_server import App, serve_app
+from catkinhollow.logs import get_logger
+from catkinhollow.relay.applications import (
+    MetricsApplication,
+    ReadyApplication,
+    RequestApplication,
+)
+from catkinhollow.relay.configuration_check import find_fault
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.entry import Entry
+from catkinhollow.relay.gate import Gate
+from catkinhollow.relay.gate_service import GateService
+from catkinhollow.relay.header_names import HeaderNames
+from catkinhollow.relay.kinds import (
+    CONFIGURATION,
+    CONFIGURATION_NAME,
+    DAEMONS,
+    ORDERS,
+)
+from catkinhollow.relay.links import NngFrameLink
+from catkinhollow.relay.move_driver import STEP_INTERVAL_S, MoveDriver
+from catkinhollow.relay.network import DocumentChanged, PeerNetwork
+from catkinhollow.relay.peers import PeerDirectory
+from catkinhollow.relay.placement import Distances, LeastWaitPlacer
+from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.relay.request_log import RequestLog
+from catkinhollow.relay.store_follower import ObjectDecoder, StoreFollower
+from catkinhollow.relay.target_answers import make_classifier
+from catkinhollow.relay.versions import VersionPolicy
+from catkinhollow.store import StoreClient
+from catkinhollow.timer import Timer
+
+logger = get_logger(__name__)
+
+# Part of the fleet's retry budget that the daemons use, because each counts
+# only its own requests.
+RETRY_PART = 0.5
+# Idle connections to the target are not used after this time, well before
+# the target closes them.
+IDLE_EXPIRY_S = 3.0
+# Platform checks ask once a second and need two misses.
+LEAVE_S = 2.2
+# Kept for the end of the process before it would be killed.
+EXIT_MARGIN_S = 0.7
+SHUTDOWN_CHECK_S = 0.1
+CONTROL_DRAIN_S = 0.2
+RELOAD_INTERVAL_S = 2.0
+
+T = TypeVar("T")
+ConfigHook = Callable[[Config], None]
+
+
+class TargetNewsApp(Protocol):
+    """Build the application that takes news of the target."""
+
+    def __call__(self, gate: GateService, service: str, /) -> App:
+        """Return an ASGI application."""
+
+
+class SettingsReader(Protocol):
+    """Read the settings again."""
+
+    def __call__(self) -> Result[RelaySettings, DecodeError]:
+        """Return the settings as they are now."""
+
+
+class RelayDaemon:
+    """Run one daemon: entry of its instance and gate of its target."""
+
+    def __init__(
+        self,
+        *,
+        settings: RelaySettings,
+        store: StoreClient,
+        decode: ObjectDecoder,
+        names: HeaderNames,
+        news_app: TargetNewsApp,
+        reread: SettingsReader,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._names = names
+        self._news_app = news_app
+        self._reread = reread
+        self._random = random
+        self._clock = TrioClock()
+        self._timer = Timer(self._clock)
+        self._events = EventManager()
+        self._metrics = RelayMetrics()
+        self._log = RequestLog(self._clock)
+        self._documents = DocumentTable()
+        self._version = -1
+        self._listening = False
+        self._stopping = False
+        self._shutdown = trio.Event()
+        self._server_config: Config | None = None
+        self._directory = PeerDirectory(self._own_record())
+        self._build_calls()
+        self._build_control(decode)
+        self._events.connect(DocumentChanged, self._on_document)
+
+    def _own_record(self) -> DaemonRecord:
+        settings = self._settings
+        return DaemonRecord(
+            name=settings.instance,
+            address=settings.peer,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            service=settings.service,
+        )
+
+    def _build_calls(self) -> None:
+        settings = self._settings
+        client = HttpTargetClient(
+            HttpSettings(), make_classifier(self._names), IDLE_EXPIRY_S
+        )
+        self._client = client
+        self._gate = GateService(
+            gate=Gate(),
+            address=settings.target,
+            service=settings.service,
+            client=client,
+            names=self._names,
+            timer=self._timer,
+            log=self._log,
+            on_state=self._on_gate_state,
+        )
+        self._network = PeerNetwork(
+            incarnation=self._clock.unix_ms(),
+            directory=self._directory,
+            documents=self._documents,
+            gate=self._gate,
+            link=NngFrameLink(settings.peer, self._timer),
+            timer=self._timer,
+            events=self._events,
+            accept=self._accepts,
+        )
+        self._versions = VersionPolicy(self._random)
+        self._entry = Entry(
+            service=settings.service,
+            network=self._network,
+            placer=LeastWaitPlacer(self._directory.own, Distances(), self._random),
+            versions=self._versions,
+            names=self._names,
+            retry_percent=settings.retry_ratio * 100.0 * RETRY_PART,
+            retry_burst=2.0,
+            clock=self._clock,
+            random=self._random,
+            metrics=self._metrics,
+            log=self._log,
+        )
+
+    def _build_control(self, decode: ObjectDecoder) -> None:
+        self._follower = StoreFollower(
+            store=self._store,
+            decode=decode,
+            table=self._documents,
+            own=self._directory.own.record,
+            offer=self._network.offer_document,
+            random=self._random,
+            metrics=self._metrics,
+        )
+        self._moves = MoveDriver(self._store, self._directory, self._clock)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers on the instance may send requests."""
+        return self._listening and self._entry.configured and not self._stopping
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish the requests in flight."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._timer.run)
+            nursery.start_soon(self._gate.run)
+            nursery.start_soon(self._network.run)
+            await self._start_listeners(nursery)
+            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._watch_settings)
+            self._timer.subscribe(
+                STEP_INTERVAL_S, lambda: nursery.start_soon(self._step_moves)
+            )
+            logger.info("started", instance=self._settings.instance)
+            await self._wait_for_signal()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        logger.info("stopped")
+
+    async def _start_listeners(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        news = self._news_app(self._gate, settings.service)
+        ready = ReadyApplication(lambda: self.ready)
+        metrics = MetricsApplication(self._collect_metrics)
+        requests = RequestApplication(self._entry)
+        await self._serve(nursery, news, settings.announcements)
+        await self._serve(nursery, metrics, settings.metrics)
+        await self._serve(nursery, requests, settings.requests, self._take_config)
+        self._listening = True
+        await self._serve(nursery, ready, settings.ready)
+
+    async def _serve(
+        self,
+        nursery: trio.Nursery,
+        app: App,
+        address: str,
+        on_config: ConfigHook | None = None,
+    ) -> None:
+        traffic = on_config is not None
+        serve = partial(
+            serve_app,
+            app,
+            _address(address),
+            HttpSettings(),
+            shutdown=self._shutdown if traffic else trio.Event(),
+            drain_s=self._settings.grace_s if traffic else CONTROL_DRAIN_S,
+            linger_s=LEAVE_S if traffic else 0.0,
+            on_config=on_config or (lambda config: None),
+        )
+        await nursery.start(serve)
+
+    def _take_config(self, config: Config) -> None:
+        self._server_config = config
+
+    async def _wait_for_signal(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                logger.info("stopping", signal=signal.Signals(number).name)
+                return
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again on SIGHUP, and now and then without one."""
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            while True:
+                with trio.move_on_after(RELOAD_INTERVAL_S):
+                    await signals.__anext__()
+                    logger.info("reload asked for")
+                self._reload()
+
+    def _reload(self) -> None:
+        read = self._reread()
+        if read.is_error():
+            logger.warning("settings not reloaded", reason=read.error.reason)
+        elif read.ok != self._settings:
+            self._settings = read.ok
+            logger.info("settings reloaded")
+
+    async def _drain(self) -> None:
+        self._stopping = True
+        self._gate.stop()
+        self._shutdown.set()
+        started_s = self._clock.monotonic()
+        most_s = self._settings.grace_s - EXIT_MARGIN_S
+        while self._clock.monotonic() - started_s < most_s:
+            idle = not self._gate.busy and not self._entry.busy
+            if idle and self._clock.monotonic() - started_s > LEAVE_S:
+                return
+            await trio.sleep(SHUTDOWN_CHECK_S)
+        logger.warning("requests cut by the shutdown")
+
+    async def _step_moves(self) -> None:
+        self._network.refresh_own_report()
+        await self._moves.step()
+
+    def _on_gate_state(self) -> None:
+        self._network.broadcast_status()
+
+    def _accepts(self, document: Document) -> bool:
+        """Tell whether a document may replace the known one."""
+        if document.name != f"{CONFIGURATION}/{CONFIGURATION_NAME}":
+            return True
+        if document.deleted:
+            logger.error("configuration deletion ignored", revision=document.revision)
+            return False
+        decoded = decode_message(document.body, RelayConfiguration)
+        fault = (
+            decoded.error.reason
+            if decoded.is_error()
+            else find_fault(decoded.ok, self._version)
+        )
+        if fault:
+            logger.error(
+                "configuration refused", revision=document.revision, reason=fault
+            )
+        return not fault
+
+    def _on_document(self, event: DocumentChanged) -> None:
+        document = event.document
+        kind, _, name = document.name.partition("/")
+        match kind:
+            case "configuration":
+                self._enforce(document)
+            case "daemons":
+                self._take_daemons()
+            case "orders":
+                self._take_order(document, name)
+            case "evacuations":
+                self._take_evacuation(document, name)
+            case _:
+                logger.warning("document of an unknown kind", name=document.name)
+
+    def _enforce(self, document: Document) -> None:
+        configuration = _decoded(document, RelayConfiguration)
+        self._version = configuration.version
+        self._entry.configure(configuration)
+        self._gate.configure(configuration)
+        if self._server_config is not None:
+            limits = configuration.limits
+            self._server_config.keep_alive_timeout = limits.idle_timeout_ms / 1000.0
+            self._server_config.h11_max_incomplete_size = limits.max_header_bytes
+        logger.info(
+            "configuration enforced",
+            version=configuration.version,
+            revision=document.revision,
+            routes=len(configuration.routes),
+        )
+
+    def _take_daemons(self) -> None:
+        records = [
+            _decoded(document, DaemonRecord)
+            for document in self._documents.of_kind(DAEMONS)
+        ]
+        self._directory.replace_all(records)
+        self._network.follow_directory()
+
+    def _take_order(self, document: Document, service: str) -> None:
+        orders = [
+            _decoded(known, MoveOrder) for known in self._documents.of_kind(ORDERS)
+        ]
+        self._versions.set_orders(orders)
+        if document.deleted:
+            self._moves.drop_order(service)
+            return
+        order = _decoded(document, MoveOrder)
+        self._moves.take_order(order, document.revision)
+        progress = order.progress
+        logger.info(
+            "move order",
+            service=order.service,
+            version=order.version,
+            state=progress.state.value if progress else "new",
+            percent=progress.percent if progress else 0.0,
+            revision=document.revision,
+        )
+
+    def _take_evacuation(self, document: Document, failure_domain: str) -> None:
+        logger.info(
+            "failure domain",
+            name=failure_domain,
+            out=not document.deleted,
+            revision=document.revision,
+        )
+        if failure_domain == self._settings.failure_domain:
+            self._gate.set_evacuated(not document.deleted)
+
+    def _collect_metrics(self) -> RelayMetrics:
+        metrics = self._metrics
+        gate = self._gate.gate
+        metrics.version.set({}, max(0, self._version))
+        metrics.gate_calls.set({"state": "running"}, gate.running)
+        metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
+        linked = sum(peer.linked for peer in self._directory) - 1
+        known = len(self._directory.addresses)
+        metrics.peers.set({"linked": "yes"}, linked)
+        metrics.peers.set({"linked": "no"}, known - linked)
+        return metrics
+
+
+def _address(text: str) -> Address:
+    parsed = parse_address(text)
+    if parsed.is_error():
+        raise ValueError(parsed.error.reason)
+    return parsed.ok
+
+
+def _decoded(document: Document, kind: type[T]) -> T:
+    decoded = decode_message(document.body, kind)
+    if decoded.is_error():
+        # Documents are checked before they are taken.
+        raise ValueError(f"{document.name}: {decoded.error.reason}")
+    return decoded.ok
--- /dev/null
+++ b/catkinhollow/relay/entry.py
@@ -0,0 +1,309 @@
+"""Answer the requests of callers on this instance."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+from attrs import define
+
+from catkinhollow.egress import end_to_end
+from catkinhollow.exchange import Headers, Request, Response, plain_response
+from catkinhollow.generated.relay import (
+    Answer,
+    Call,
+    CallOutcome,
+    RelayConfiguration,
+    RelayRoute,
+    RequestLimits,
+)
+from catkinhollow.logs import get_logger
+from catkinhollow.relay.call_plan import CallPlan, Deliver, GiveUp, SendTo
+from catkinhollow.relay.header_names import HeaderNames
+from catkinhollow.relay.network import PeerNetwork
+from catkinhollow.relay.peers import Peer
+from catkinhollow.relay.placement import Placer
+from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.relay.request_log import RequestLog
+from catkinhollow.relay.retry_advice import retry_after_s
+from catkinhollow.relay.routes import RouteTable, SplitPicker
+from catkinhollow.relay.versions import VersionPolicy
+from catkinhollow.retries import RetryBudget
+from catkinhollow.timer import Clock
+
+logger = get_logger(__name__)
+
+RETRY_AFTER_HEADER = b"retry-after"
+# Answers that arrive this much before the caller gives up still reach it.
+RETURN_S = 0.01
+
+Disconnected = Callable[[], Awaitable[None]]
+
+
+@define(eq=False)
+class _Wait:
+    """Hold the answer that one attempt waits for."""
+
+    scope: trio.CancelScope
+    answer: Answer | None = None
+
+    def take(self, answer: Answer) -> None:
+        self.answer = answer
+        self.scope.cancel()
+
+
+class Entry:
+    """Route requests, choose gates for them, and pass answers on."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        network: PeerNetwork,
+        placer: Placer,
+        versions: VersionPolicy,
+        names: HeaderNames,
+        retry_percent: float,
+        retry_burst: float,
+        clock: Clock,
+        random: Random,
+        metrics: RelayMetrics,
+        log: RequestLog,
+    ) -> None:
+        self._service = service
+        self._network = network
+        self._placer = placer
+        self._versions = versions
+        self._names = names
+        self._retry_percent = retry_percent
+        self._retry_burst = retry_burst
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._log = log
+        self._routes: RouteTable | None = None
+        self._splits = SplitPicker(random)
+        self._budgets: dict[str, RetryBudget] = {}
+        self._limits = RequestLimits()
+        self._open = 0
+        self._own_headers = {
+            names.deadline,
+            names.caller_service,
+            names.expected_lifetime,
+            b"expect",
+        }
+
+    @property
+    def limits(self) -> RequestLimits:
+        """Return what callers may send."""
+        return self._limits
+
+    @property
+    def configured(self) -> bool:
+        """Tell whether a configuration is in force."""
+        return self._routes is not None
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether requests are open."""
+        return self._open > 0
+
+    def configure(self, configuration: RelayConfiguration) -> None:
+        """Put a configuration version in force for every later request."""
+        self._routes = RouteTable(configuration)
+        self._splits.keep_routes({route.name for route in configuration.routes})
+        self._limits = configuration.limits
+
+    async def serve(self, request: Request, disconnected: Disconnected) -> Response:
+        """Return the answer to a request, or any once the caller has gone."""
+        if self._routes is None:
+            return plain_response(503, "no configuration yet")
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = self._routes.match(host, request.path)
+        if route is None:
+            return plain_response(404, "no route")
+        self._open += 1
+        try:
+            return await self._serve_route(request, route, disconnected)
+        finally:
+            self._open -= 1
+
+    async def _serve_route(
+        self, request: Request, route: RelayRoute, disconnected: Disconnected
+    ) -> Response:
+        started_s = self._clock.monotonic()
+        service = self._splits.pick(route)
+        left_ms = _left_ms(request.header(self._names.deadline), route)
+        plan = CallPlan(
+            route=route,
+            service=service,
+            expires_s=started_s + left_ms / 1000.0 - RETURN_S,
+            choose=lambda tried: self._choose(service, tried),
+            budget=self._budget(service),
+        )
+        call = self._make_call(request, route, service)
+        response = await self._follow(plan, call, started_s, disconnected)
+        taken_s = self._clock.monotonic() - started_s
+        self._metrics.request_seconds.observe({"service": service}, taken_s)
+        return response
+
+    async def _follow(
+        self, plan: CallPlan, call: Call, started_s: float, disconnected: Disconnected
+    ) -> Response:
+        while True:
+            step = plan.next_step(self._clock.monotonic())
+            if isinstance(step, SendTo):
+                answer = await self._attempt(
+                    plan, step.peer, call, started_s, disconnected
+                )
+                if answer is None:
+                    self._count(plan.service, "gone")
+                    return plain_response(503, "the caller has gone")
+                final = plan.on_answer(answer)
+                if final is None:
+                    self._log_attempt(call, step.peer, answer)
+                    continue
+                step = final
+            if isinstance(step, Deliver):
+                self._count(plan.service, "answered")
+                self._log.answered(call.request_id, status=step.answer.status)
+                return self._deliver(step.answer)
+            return self._give_up(plan, step, call)
+
+    async def _attempt(
+        self,
+        plan: CallPlan,
+        peer: Peer,
+        call: Call,
+        started_s: float,
+        disconnected: Disconnected,
+    ) -> Answer | None:
+        """Return a gate's answer, None if the caller has gone away."""
+        now_s = self._clock.monotonic()
+        left_s = plan.expires_s - now_s
+        target_s = started_s + plan.route.target_latency_ms / 1000.0 - now_s
+        call_id = self._network.new_call_id()
+        timed = _with_times(call, call_id, left_s, target_s)
+        scope = trio.CancelScope(relative_deadline=max(0.0, left_s))
+        wait = _Wait(scope)
+        sent = self._network.call(peer, timed, wait.take)
+        if wait.answer is None:
+            with scope:
+                await disconnected()
+        if wait.answer is not None:
+            return wait.answer
+        self._network.cancel(sent)
+        if not scope.cancelled_caught:
+            return None
+        return Answer(
+            call_id=0,
+            outcome=CallOutcome.UNKNOWN,
+            body=b"",
+            reason="time is up",
+            reached_target=True,
+        )
+
+    def _choose(self, service: str, tried: set[str]) -> Peer | None:
+        network = self._network
+        network.refresh_own_report()
+        peers = network.directory.of_service(service)
+        return self._placer.choose(self._versions.candidates(service, peers), tried)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            burst = self._retry_burst
+            budget = RetryBudget(percent=self._retry_percent, tokens=burst, burst=burst)
+            self._budgets[service] = budget
+        budget.earn()
+        return budget
+
+    def _make_call(self, request: Request, route: RelayRoute, service: str) -> Call:
+        target = request.path.encode("latin-1")
+        if request.query:
+            target += b"?" + request.query
+        headers = [
+            [name, value]
+            for name, value in end_to_end(request.headers)
+            if name not in self._own_headers
+        ]
+        request_id = request.header(self._names.request_id) or b""
+        return Call(
+            call_id=0,
+            request_id=request_id.decode("latin-1"),
+            method=request.method,
+            target=target,
+            headers=headers,
+            body=request.body,
+            route=route.name,
+            service=service,
+            caller_service=self._service,
+            idempotent=route.kind is not route.kind.UNSAFE,
+            rank=route.priority,
+        )
+
+    def _deliver(self, answer: Answer) -> Response:
+        headers: Headers = end_to_end([(name, value) for name, value in answer.headers])
+        return Response(status=answer.status, headers=headers, body=answer.body)
+
+    def _give_up(self, plan: CallPlan, step: GiveUp, call: Call) -> Response:
+        now_s = self._clock.monotonic()
+        left_s = plan.expires_s - now_s
+        self._count(plan.service, step.outcome.value)
+        self._log.failed(
+            call.request_id,
+            route=call.route,
+            service=call.service,
+            outcome=step.outcome.value,
+            reason=step.reason,
+            gates=len(plan.tried),
+            reached=plan.reached,
+            left_ms=int(left_s * 1000),
+        )
+        if step.outcome is CallOutcome.UNKNOWN:
+            timed_out = left_s <= RETURN_S
+            return plain_response(504 if timed_out else 502, step.reason)
+        delay_s = retry_after_s(step.retry_after_s, left_s, self._random.random())
+        value = f"{delay_s:.3f}".encode()
+        return plain_response(503, step.reason, [(RETRY_AFTER_HEADER, value)])
+
+    def _log_attempt(self, call: Call, peer: Peer, answer: Answer) -> None:
+        self._count_attempt(call.service, answer.outcome.value)
+        self._log.attempt_failed(
+            call.request_id,
+            peer=peer.record.name,
+            outcome=answer.outcome.value,
+            reason=answer.reason,
+            status=answer.status,
+            report_age_ms=int((self._clock.monotonic() - peer.reported_s) * 1000),
+        )
+
+    def _count(self, service: str, outcome: str) -> None:
+        self._metrics.requests.inc({"service": service, "outcome": outcome})
+
+    def _count_attempt(self, service: str, outcome: str) -> None:
+        self._metrics.attempts.inc({"service": service, "outcome": outcome})
+
+
+def _left_ms(deadline: bytes | None, route: RelayRoute) -> float:
+    if deadline is not None and deadline.isdigit():
+        return min(float(deadline), route.timeout_ms)
+    return route.timeout_ms
+
+
+def _with_times(call: Call, call_id: int, left_s: float, target_s: float) -> Call:
+    # evolve() of attrs takes over twice as long.
+    return Call(
+        call_id=call_id,
+        request_id=call.request_id,
+        method=call.method,
+        target=call.target,
+        headers=call.headers,
+        body=call.body,
+        route=call.route,
+        service=call.service,
+        caller_service=call.caller_service,
+        idempotent=call.idempotent,
+        rank=call.rank,
+        budget_ms=max(0, int(left_s * 1000)),
+        target_ms=int(target_s * 1000),
+    )
--- /dev/null
+++ b/catkinhollow/relay/exchange_table.py
@@ -0,0 +1,68 @@
+"""Match the answers of gates to the calls that wait for them."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from catkinhollow.generated.relay import Answer, CallOutcome
+
+AnswerCallback = Callable[[Answer], None]
+
+
+@define(eq=False)
+class OpenCall:
+    """Hold a call that a peer has not answered."""
+
+    call_id: int
+    address: str
+    on_answer: AnswerCallback
+
+
+class ExchangeTable:
+    """Hold the open calls of this daemon to its peers."""
+
+    def __init__(self) -> None:
+        self._open: dict[int, OpenCall] = {}
+
+    @property
+    def addresses(self) -> set[str]:
+        """Return the peers that owe answers."""
+        return {call.address for call in self._open.values()}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def begin(self, call_id: int, address: str, on_answer: AnswerCallback) -> OpenCall:
+        """Open a call to a peer."""
+        call = OpenCall(call_id, address, on_answer)
+        self._open[call.call_id] = call
+        return call
+
+    def forget(self, call: OpenCall) -> bool:
+        """Drop a call; return False if it was answered."""
+        return self._open.pop(call.call_id, None) is not None
+
+    def answered(self, address: str, answer: Answer) -> bool:
+        """Hand an answer over; return False if no call waits for it."""
+        call = self._open.get(answer.call_id)
+        if call is None or call.address != address:
+            return False
+        del self._open[answer.call_id]
+        call.on_answer(answer)
+        return True
+
+    def link_lost(self, address: str) -> int:
+        """End the calls to a peer as unknown; return their number."""
+        lost = [call for call in self._open.values() if call.address == address]
+        for call in lost:
+            del self._open[call.call_id]
+            call.on_answer(
+                Answer(
+                    call_id=call.call_id,
+                    outcome=CallOutcome.UNKNOWN,
+                    body=b"",
+                    reason="link to the gate lost",
+                    reached_target=True,
+                )
+            )
+        return len(lost)
--- /dev/null
+++ b/catkinhollow/relay/gate.py
@@ -0,0 +1,427 @@
+"""Decide which calls run at the one target of a gate, and when.
+
+Load it answers: bursts and lasting overload of one target. Every call to a
+target passes its gate, so slots, cold rate and drain are kept exactly here,
+and a call that the gate refuses has not run. Waiting calls are ordered by
+rank; a call that cannot start in time is refused as soon as that is known.
+"""
+
+from enum import Enum, auto
+from math import inf
+
+from attrs import define, field, frozen
+
+from catkinhollow.generated.relay import Call, GateState, TargetReport
+
+# Time of a run that is assumed before the first one has ended.
+FIRST_SERVICE_S = 0.1
+# Weight of one run in the usual time; the figure follows in about 10 runs.
+SERVICE_WEIGHT = 0.1
+# Runs that fail at once would make an overloaded target look fast.
+MIN_SERVICE_S = 0.005
+# A call may start this much later than its answer is worth most, in usual
+# run times, because run times vary and a late answer still has some worth.
+LATE_START_FACTOR = 1.25
+# Share of its time to full worth that a call may wait; a refusal after a
+# longer wait leaves the caller too little time to come back.
+MAX_WAIT_SHARE = 0.6
+# Calls that start at once on a cold target, beyond its rate.
+COLD_BURST = 2.0
+# Added to the cold time that a target announces, as the announcement was
+# sent some time before it arrives.
+COLD_MARGIN_S = 0.3
+# Hint to callers when the target comes back at an unknown time.
+UNAVAILABLE_RETRY_S = 0.3
+# Most calls that wait; more would only be refused later.
+MAX_WAITING = 200
+
+
+class RunKind(Enum):
+    """Classify how a run at the target ended."""
+
+    ANSWERED = auto()
+    REFUSED = auto()
+    MISDIRECTED = auto()
+    NOT_CONNECTED = auto()
+    BROKEN = auto()
+    TIMEOUT = auto()
+    CANCELLED = auto()
+
+
+@frozen(kw_only=True)
+class Announcement:
+    """Hold what a target tells of itself."""
+
+    lifetime: str
+    version: str
+    slots: int
+    draining: bool
+    cold_s: float
+    sequence: int
+    born_ms: int
+
+
+@define(eq=False, kw_only=True)
+class GateJob:
+    """Hold one call at the gate."""
+
+    call: Call
+    arrived_s: float
+    target_s: float
+    """Time until which the answer has its full worth."""
+    expires_s: float
+    """Time at which the entry gives up."""
+    started_s: float = 0.0
+    lifetime: str = ""
+
+
+@frozen
+class Admitted:
+    """Run the call now."""
+
+    job: GateJob
+
+
+@frozen
+class Queued:
+    """Keep the call until a later decision."""
+
+
+@frozen
+class Refused:
+    """Refuse the call; it has not run."""
+
+    job: GateJob
+    reason: str
+    retry_after_s: float
+
+
+Decision = Admitted | Refused
+
+
+@define
+class _Target:
+    """Hold the current lifetime of the target."""
+
+    announced: Announcement
+    left: bool = False
+    lost: bool = False
+    """Whether another target has answered at the address."""
+    runs: int = 0
+    failures: int = 0
+
+
+@frozen(kw_only=True)
+class GateLimits:
+    """Hold what bounds the load on the target."""
+
+    cold_rate: float = 10.0
+    slots: int = 1
+
+
+@define
+class _Pace:
+    """Hold back starts beyond a rate."""
+
+    tokens: float = COLD_BURST
+    at_s: float = 0.0
+
+    def refill(self, rate: float, now_s: float) -> None:
+        grown = max(0.0, now_s - self.at_s) * rate
+        self.tokens = min(COLD_BURST, self.tokens + grown)
+        self.at_s = now_s
+
+    def wait_s(self, rate: float) -> float:
+        return max(0.0, 1.0 - self.tokens) / rate if rate > 0 else inf
+
+
+@define(eq=False)
+class Gate:
+    """Hold the calls of one target and decide which run."""
+
+    limits: GateLimits = field(factory=GateLimits)
+    _target: _Target | None = None
+    _down: bool = False
+    _unsure: bool = True
+    _evacuated: bool = False
+    _stopping: bool = False
+    _cold_until_s: float = 0.0
+    _pace: _Pace = field(factory=_Pace)
+    _waiting: list[GateJob] = field(factory=list)
+    _running: set[GateJob] = field(factory=set)
+    _service_s: float = FIRST_SERVICE_S
+    _route_s: dict[str, float] = field(factory=dict)
+
+    @property
+    def running(self) -> int:
+        """Return the calls at the target."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the calls that wait."""
+        return len(self._waiting)
+
+    @property
+    def lifetime(self) -> str:
+        """Return the target's present lifetime, "" if none is known."""
+        return self._target.announced.lifetime if self._target else ""
+
+    @property
+    def needs_probe(self) -> bool:
+        """Tell whether a health check would settle the target's state."""
+        return self._down or self._unsure
+
+    def state(self, now_s: float) -> GateState:
+        """Return what the gate lets through."""
+        if self._stopping:
+            return GateState.STOPPING
+        if self._evacuated:
+            return GateState.EVACUATED
+        if self._target is None or self._target.lost:
+            return GateState.UNKNOWN
+        if self._target.left or self._target.announced.draining:
+            return GateState.DRAINING
+        if self._down:
+            return GateState.DOWN
+        if self._is_paced(now_s):
+            return GateState.COLD
+        return GateState.SERVING
+
+    def report(self, now_s: float) -> TargetReport:
+        """Return what peers need in order to place calls."""
+        target = self._target
+        return TargetReport(
+            state=self.state(now_s),
+            lifetime=self.lifetime,
+            version=target.announced.version if target else "",
+            slots=self._effective_slots(now_s),
+            running=len(self._running),
+            waiting=len(self._waiting),
+            service_ms=self._service_s * 1000.0,
+            runs=target.runs if target else 0,
+            failures=target.failures if target else 0,
+        )
+
+    def offer(self, job: GateJob, now_s: float) -> Admitted | Queued | Refused:
+        """Admit, queue or refuse a call."""
+        state = self.state(now_s)
+        if state not in (GateState.SERVING, GateState.COLD):
+            return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
+        if not self._waiting and self._may_start(now_s):
+            return self._start(job, now_s)
+        if len(self._waiting) >= MAX_WAITING:
+            return Refused(job, "too many calls wait", self._drain_s(now_s))
+        position = self._position(job)
+        if now_s + self._wait_s(position, now_s) > self._latest_start_s(job):
+            return Refused(job, "cannot start in time", self._drain_s(now_s))
+        self._waiting.insert(position, job)
+        return Queued()
+
+    def decide(self, now_s: float) -> list[Decision]:
+        """Return what has become of waiting calls."""
+        decisions: list[Decision] = []
+        state = self.state(now_s)
+        if state not in (GateState.SERVING, GateState.COLD):
+            refused = [
+                Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
+                for job in self._waiting
+            ]
+            self._waiting.clear()
+            return list(refused)
+        while self._waiting and self._may_start(now_s):
+            job = self._waiting.pop(0)
+            if now_s > self._latest_start_s(job):
+                decisions.append(Refused(job, "waited too long", self._drain_s(now_s)))
+            else:
+                decisions.append(self._start(job, now_s))
+        decisions.extend(self._drop_late(now_s))
+        return decisions
+
+    def due_s(self, now_s: float) -> float:
+        """Return when `decide` may have something new, infinity if never."""
+        if not self._waiting:
+            return inf
+        due_s = min(self._latest_start_s(job) for job in self._waiting)
+        if self._is_paced(now_s) and len(self._running) < self._slots:
+            self._pace.refill(self.limits.cold_rate, now_s)
+            due_s = min(due_s, now_s + self._pace.wait_s(self.limits.cold_rate))
+        return due_s
+
+    def abandon(self, job: GateJob) -> bool:
+        """Drop a waiting call; return False if it does not wait."""
+        if job not in self._waiting:
+            return False
+        self._waiting.remove(job)
+        return True
+
+    def finish(self, job: GateJob, kind: RunKind, status: int, now_s: float) -> None:
+        """Free the slot of a run and learn from it."""
+        self._running.discard(job)
+        failed = kind in (RunKind.BROKEN, RunKind.TIMEOUT) or status >= 500
+        target = self._target
+        if target is not None and job.lifetime == target.announced.lifetime:
+            if kind in (RunKind.ANSWERED, RunKind.BROKEN, RunKind.TIMEOUT):
+                target.runs += 1
+                target.failures += failed
+            if kind is RunKind.MISDIRECTED:
+                target.lost = True
+        if kind is RunKind.NOT_CONNECTED:
+            self._down = True
+        if kind is RunKind.BROKEN:
+            self._unsure = True
+        if kind is RunKind.ANSWERED and not failed or kind is RunKind.TIMEOUT:
+            self._learn(job, now_s - job.started_s)
+
+    def announce(self, news: Announcement, now_s: float) -> bool:
+        """Take an announcement; return False if a newer one is known."""
+        known = self._target.announced if self._target else None
+        if known is not None and not _is_newer(news, known):
+            return False
+        restarted = known is None or _lifetime_key(news) != _lifetime_key(known)
+        if restarted or self._target is None:
+            self._target = _Target(announced=news)
+        else:
+            self._target.announced = news
+            self._target.lost = False
+        self._learn_cold(news.cold_s, now_s)
+        self._down = False
+        return True
+
+    def leave(self, lifetime: str, born_ms: int | None) -> None:
+        """Take the announcement that a lifetime ends."""
+        target = self._target
+        if target is None or target.announced.lifetime != lifetime:
+            return
+        if born_ms is not None and born_ms < target.announced.born_ms:
+            return
+        target.left = True
+
+    def probed(self, lifetime: str, cold_s: float, slots: int, now_s: float) -> None:
+        """Take a health check that the target has passed."""
+        target = self._target
+        if target is None and lifetime:
+            # A restarted daemon may serve before the next announcement, which
+            # is newer than this record in any case.
+            target = self._target = _Target(
+                announced=Announcement(
+                    lifetime=lifetime,
+                    version="",
+                    slots=slots,
+                    draining=False,
+                    cold_s=cold_s,
+                    sequence=-1,
+                    born_ms=-1,
+                )
+            )
+        if target is not None and target.announced.lifetime == lifetime:
+            self._learn_cold(cold_s, now_s)
+            self._down = False
+
+    def probe_failed(self) -> None:
+        """Take a health check without an answer."""
+        self._down = True
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Close or open the gate for the operator's order."""
+        if self._evacuated and not evacuated:
+            # The target may have turned cold meanwhile.
+            self._unsure = True
+        self._evacuated = evacuated
+
+    def stop(self) -> None:
+        """Refuse every further call."""
+        self._stopping = True
+
+    @property
+    def _slots(self) -> int:
+        announced = self._target.announced.slots if self._target else 0
+        return announced or self.limits.slots
+
+    def _is_paced(self, now_s: float) -> bool:
+        return self._unsure or now_s < self._cold_until_s
+
+    def _effective_slots(self, now_s: float) -> int:
+        if not self._is_paced(now_s):
+            return self._slots
+        borne = int(self.limits.cold_rate * self._service_s)
+        return max(1, min(self._slots, borne))
+
+    def _learn_cold(self, cold_s: float, now_s: float) -> None:
+        self._unsure = False
+        self._cold_until_s = now_s + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
+
+    def _learn(self, job: GateJob, taken_s: float) -> None:
+        taken_s = max(MIN_SERVICE_S, taken_s)
+        self._service_s += SERVICE_WEIGHT * (taken_s - self._service_s)
+        usual_s = self._route_s.get(job.call.route, taken_s)
+        self._route_s[job.call.route] = usual_s + SERVICE_WEIGHT * (taken_s - usual_s)
+
+    def _may_start(self, now_s: float) -> bool:
+        if len(self._running) >= self._slots:
+            return False
+        if not self._is_paced(now_s):
+            return True
+        self._pace.refill(self.limits.cold_rate, now_s)
+        return self._pace.tokens >= 1.0
+
+    def _start(self, job: GateJob, now_s: float) -> Admitted:
+        if self._is_paced(now_s):
+            self._pace.tokens -= 1.0
+        job.started_s = now_s
+        job.lifetime = self.lifetime
+        self._running.add(job)
+        return Admitted(job)
+
+    def _position(self, job: GateJob) -> int:
+        rank = job.call.rank
+        for index, other in enumerate(self._waiting):
+            if other.call.rank > rank:
+                return index
+        return len(self._waiting)
+
+    def _wait_s(self, position: int, now_s: float) -> float:
+        """Return how long a call at a position of the queue will wait."""
+        wait_s = (position + 1) * self._service_s / max(1, self._slots)
+        if self._is_paced(now_s) and self.limits.cold_rate > 0:
+            wait_s = max(wait_s, position / self.limits.cold_rate)
+        return wait_s
+
+    def _latest_start_s(self, job: GateJob) -> float:
+        usual_s = self._route_s.get(job.call.route, self._service_s)
+        worth_most_s = job.target_s - job.arrived_s
+        if usual_s < worth_most_s:
+            late_s = job.target_s - usual_s / LATE_START_FACTOR
+            return min(late_s, job.arrived_s + MAX_WAIT_SHARE * worth_most_s)
+        return min(
+            job.expires_s - usual_s,
+            job.arrived_s + MAX_WAIT_SHARE * (job.expires_s - job.arrived_s),
+        )
+
+    def _drain_s(self, now_s: float) -> float:
+        return self._wait_s(len(self._waiting), now_s)
+
+    def _drop_late(self, now_s: float) -> list[Refused]:
+        """Refuse the calls that others of higher rank have pushed back."""
+        kept: list[GateJob] = []
+        dropped: list[Refused] = []
+        for job in self._waiting:
+            start_s = now_s + self._wait_s(len(kept), now_s) / LATE_START_FACTOR
+            if start_s > self._latest_start_s(job):
+                retry_s = self._drain_s(now_s)
+                dropped.append(Refused(job, "cannot start in time", retry_s))
+            else:
+                kept.append(job)
+        self._waiting = kept
+        return dropped
+
+
+def _lifetime_key(news: Announcement) -> tuple[str, int]:
+    return news.lifetime, news.born_ms
+
+
+def _is_newer(news: Announcement, known: Announcement) -> bool:
+    """Tell whether an announcement was made after the known one."""
+    if _lifetime_key(news) == _lifetime_key(known):
+        return news.sequence > known.sequence
+    return news.born_ms > known.born_ms
--- /dev/null
+++ b/catkinhollow/relay/header_names.py
@@ -0,0 +1,20 @@
+"""Name the headers that carry the state of a call."""
+
+from attrs import frozen
+
+from catkinhollow.exchange import DEADLINE_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER
+
+
+@frozen(kw_only=True)
+class HeaderNames:
+    """Hold header names in lower case, as callers and targets use them."""
+
+    request_id: bytes = REQUEST_ID_HEADER
+    deadline: bytes = DEADLINE_HEADER
+    not_run: bytes = NOT_RUN_HEADER
+    signature: bytes = b"x-target-signature"
+    expected_lifetime: bytes = b"x-expected-lifetime"
+    lifetime: bytes = b"x-target-lifetime"
+    load: bytes = b"x-target-load"
+    cold: bytes = b"x-target-cold-ms"
+    caller_service: bytes = b"x-caller-service"
--- /dev/null
+++ b/catkinhollow/relay/network.py
@@ -0,0 +1,299 @@
+"""Exchange calls, statuses and documents with the other daemons."""
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+from attrs import define, frozen
+
+from catkinhollow.events import EventManager
+from catkinhollow.generated.relay import (
+    Answer,
+    Call,
+    CallOutcome,
+    Cancel,
+    Document,
+    DocumentIndex,
+    Documents,
+    Frame,
+    Status,
+)
+from catkinhollow.logs import get_logger
+from catkinhollow.peers import LinkDown, LinkUp
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.exchange_table import ExchangeTable, OpenCall
+from catkinhollow.relay.gate_service import GateService, Submission
+from catkinhollow.relay.links import FrameLink, LinkEvent
+from catkinhollow.relay.peer_watch import PeerWatch, SendStatus
+from catkinhollow.relay.peers import Peer, PeerDirectory
+from catkinhollow.timer import Timer
+
+logger = get_logger(__name__)
+
+WATCH_INTERVAL_S = 0.2
+
+SentCall: TypeAlias = OpenCall | Submission
+
+
+@frozen(kw_only=True)
+class DocumentChanged:
+    """Announce that a document is new, changed or deleted."""
+
+    document: Document
+
+
+@define
+class _Mismatch:
+    """Hold the digest by which a peer's documents differ."""
+
+    digest: int
+
+
+class PeerNetwork:
+    """Connect the gate, the entry and the documents with the peers."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: int,
+        directory: PeerDirectory,
+        documents: DocumentTable,
+        gate: GateService,
+        link: FrameLink,
+        timer: Timer,
+        events: EventManager,
+        accept: Callable[[Document], bool],
+    ) -> None:
+        self._accept = accept
+        self._address = directory.own.record.address
+        self._incarnation = incarnation
+        self._directory = directory
+        self._documents = documents
+        self._gate = gate
+        self._link = link
+        self._timer = timer
+        self._clock = timer.clock
+        self._events = events
+        self._watch = PeerWatch()
+        self._exchanges = ExchangeTable()
+        self._next_call_id = 1
+        self._sequence = 0
+        self._incoming: dict[tuple[str, int], Submission] = {}
+        self._incarnations: dict[str, int] = {}
+        self._mismatches: dict[str, _Mismatch] = {}
+
+    @property
+    def directory(self) -> PeerDirectory:
+        """Return the known daemons."""
+        return self._directory
+
+    def new_call_id(self) -> int:
+        """Return an id that no other call of this daemon has."""
+        self._next_call_id += 1
+        return self._next_call_id
+
+    def refresh_own_report(self) -> None:
+        """Bring this daemon's own entry up to date."""
+        now_s = self._clock.monotonic()
+        self._directory.own.take_report(self._gate.gate.report(now_s), now_s)
+
+    def call(
+        self, peer: Peer, call: Call, on_answer: Callable[[Answer], None]
+    ) -> SentCall:
+        """Send a call to a gate; its answer comes once, perhaps at once."""
+        if peer is self._directory.own:
+            return self._gate.submit(call, on_answer)
+        address = peer.record.address
+        opened = self._exchanges.begin(call.call_id, address, on_answer)
+        peer.sent_since_report += 1
+        if not self._send(address, call=call):
+            self._exchanges.forget(opened)
+            on_answer(
+                Answer(
+                    call_id=call.call_id,
+                    outcome=CallOutcome.NOT_RUN,
+                    body=b"",
+                    reason="no link to the gate",
+                )
+            )
+        return opened
+
+    def cancel(self, sent: SentCall) -> None:
+        """Tell the gate that nobody waits for a call any more."""
+        if isinstance(sent, Submission):
+            self._gate.cancel(sent)
+        elif self._exchanges.forget(sent):
+            self._send(sent.address, cancel=Cancel(call_id=sent.call_id))
+
+    def follow_directory(self) -> None:
+        """Link to every known daemon, and to no other."""
+        wanted = self._directory.addresses
+        for address in self._incarnations.keys() - wanted:
+            self._link.disconnect(address)
+            del self._incarnations[address]
+        for address in wanted:
+            self._incarnations.setdefault(address, 0)
+            self._link.connect(address)
+
+    def broadcast_status(self) -> None:
+        """Tell all linked peers that the target's state has changed."""
+        for peer in self._directory:
+            if peer.linked and peer is not self._directory.own:
+                self._send_status(peer.record.address, reply=True)
+
+    async def run(self) -> None:
+        """Serve the links until cancelled."""
+        self._timer.subscribe(WATCH_INTERVAL_S, self._check_links)
+        await self._link.run(self._take_event)
+
+    def _take_event(self, event: LinkEvent) -> None:
+        match event:
+            case LinkUp(address=address):
+                self._link_up(address)
+            case LinkDown(address=address):
+                self._link_down(address)
+            case frame:
+                self._take_frame(frame)
+
+    def _link_up(self, address: str) -> None:
+        self._watch.link_up(address, self._clock.monotonic())
+        peer = self._directory.at(address)
+        if peer is not None:
+            peer.linked = True
+            logger.info("link up", peer=peer.record.name, address=address)
+        self._send_status(address, reply=False)
+
+    def _link_down(self, address: str) -> None:
+        self._watch.link_down(address)
+        lost = self._exchanges.link_lost(address)
+        peer = self._directory.at(address)
+        if peer is not None:
+            peer.linked = False
+            peer.report = None
+            logger.info(
+                "link down", peer=peer.record.name, address=address, calls_lost=lost
+            )
+
+    def _check_links(self) -> None:
+        now_s = self._clock.monotonic()
+        for command in self._watch.check(self._exchanges.addresses, now_s):
+            if isinstance(command, SendStatus):
+                self._send_status(command.address, reply=False)
+            else:
+                logger.warning("link silent", address=command.address)
+                self._link.reset(command.address)
+
+    def _take_frame(self, frame: Frame) -> None:
+        sender = frame.sender
+        now_s = self._clock.monotonic()
+        self._watch.heard(sender, now_s)
+        self._note_incarnation(sender, frame.incarnation)
+        if frame.call is not None:
+            self._take_call(sender, frame.call)
+        elif frame.answer is not None:
+            self._take_answer(sender, frame.answer, now_s)
+        elif frame.cancel is not None:
+            submission = self._incoming.pop((sender, frame.cancel.call_id), None)
+            if submission is not None:
+                self._gate.cancel(submission)
+        elif frame.status is not None:
+            self._take_status(sender, frame.status, now_s)
+        elif frame.document_index is not None:
+            newer = self._documents.newer_than(frame.document_index.versions)
+            if newer:
+                self._send(sender, documents=Documents(documents=newer))
+        elif frame.documents is not None:
+            for document in frame.documents.documents:
+                self.offer_document(document, source=sender)
+
+    def offer_document(self, document: Document, source: str) -> None:
+        """Take a document if it is newer than the known one."""
+        if not self._documents.is_newer(document) or not self._accept(document):
+            return
+        if self._documents.offer(document):
+            logger.debug(
+                "document",
+                name=document.name,
+                revision=document.revision,
+                deleted=document.deleted,
+                source=source,
+            )
+            self._events.emit(DocumentChanged(document=document))
+
+    def _note_incarnation(self, sender: str, incarnation: int) -> None:
+        known = self._incarnations.get(sender)
+        if known is None:
+            # A peer that this daemon has not found in the store yet.
+            self._link.connect(sender)
+        elif known and known != incarnation:
+            self._exchanges.link_lost(sender)
+        self._incarnations[sender] = incarnation
+
+    def _take_call(self, sender: str, call: Call) -> None:
+        key = (sender, call.call_id)
+
+        def answer(value: Answer) -> None:
+            self._incoming.pop(key, None)
+            self._send(sender, answer=value)
+
+        submission = self._gate.submit(call, answer)
+        if not submission.answered:
+            self._incoming[key] = submission
+
+    def _take_answer(self, sender: str, answer: Answer, now_s: float) -> None:
+        peer = self._directory.at(sender)
+        if peer is not None and answer.report is not None:
+            peer.take_report(answer.report, now_s)
+        self._exchanges.answered(sender, answer)
+
+    def _take_status(self, sender: str, status: Status, now_s: float) -> None:
+        peer = self._directory.at(sender)
+        if peer is not None and status.report is not None:
+            peer.take_report(status.report, now_s)
+        if not status.reply:
+            self._send_status(sender, reply=True)
+        self._compare_documents(sender, status.digest)
+
+    def _compare_documents(self, sender: str, digest: int) -> None:
+        if digest == self._documents.digest:
+            self._mismatches.pop(sender, None)
+            return
+        known = self._mismatches.get(sender)
+        # The store brings a change to all within milliseconds; only a
+        # difference that lasts is worth a transfer.
+        if known is not None and known.digest == digest:
+            versions = self._documents.versions
+            self._send(sender, document_index=DocumentIndex(versions=versions))
+        self._mismatches[sender] = _Mismatch(digest)
+
+    def _send_status(self, address: str, *, reply: bool) -> None:
+        self._sequence += 1
+        status = Status(
+            sequence=self._sequence,
+            reply=reply,
+            digest=self._documents.digest,
+            report=self._gate.gate.report(self._clock.monotonic()),
+        )
+        self._send(address, status=status)
+
+    def _send(
+        self,
+        address: str,
+        *,
+        call: Call | None = None,
+        answer: Answer | None = None,
+        cancel: Cancel | None = None,
+        status: Status | None = None,
+        document_index: DocumentIndex | None = None,
+        documents: Documents | None = None,
+    ) -> bool:
+        frame = Frame(
+            sender=self._address,
+            incarnation=self._incarnation,
+            call=call,
+            answer=answer,
+            cancel=cancel,
+            status=status,
+            document_index=document_index,
+            documents=documents,
+        )
+        return self._link.send(address, frame)
--- /dev/null
+++ b/catkinhollow/relay/relay_metrics.py
@@ -0,0 +1,54 @@
+"""Hold the metrics of a relay daemon."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from catkinhollow.metrics import LATENCY_BUCKETS_S
+
+
+class RelayMetrics:
+    """Register and render the metrics of one daemon."""
+
+    def __init__(self) -> None:
+        registry = Registry()
+        self._registry = registry
+        self.requests = Counter(
+            "catkinhollow_relay_requests_total",
+            "Requests of callers on the instance by service and outcome",
+            registry=registry,
+        )
+        self.request_seconds = Histogram(
+            "catkinhollow_relay_request_seconds",
+            "Time from a request to its answer in seconds, by service",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "catkinhollow_relay_attempts_total",
+            "Calls sent to gates by service and outcome",
+            registry=registry,
+        )
+        self.gate_calls = Gauge(
+            "catkinhollow_relay_gate_calls",
+            "Calls at the gate of this instance by state",
+            registry=registry,
+        )
+        self.version = Gauge(
+            "catkinhollow_relay_configuration_version",
+            "Version of the configuration in force",
+            registry=registry,
+        )
+        self.peers = Gauge(
+            "catkinhollow_relay_peers",
+            "Other daemons by whether a link to them is open",
+            registry=registry,
+        )
+        self.store_failures = Counter(
+            "catkinhollow_relay_store_failures_total",
+            "Calls of the store without a usable answer, by kind of object",
+            registry=registry,
+        )
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics in text form and their HTTP headers."""
+        content, headers = render(self._registry, ["text/plain"])
+        return content, dict(headers)
--- /dev/null
+++ b/catkinhollow/relay/request_log.py
@@ -0,0 +1,95 @@
+"""Log decisions that touch a request, with a bound on their number."""
+
+from typing import Any
+
+from attrs import define
+
+from catkinhollow.egress import Attempt
+from catkinhollow.generated.relay import Call
+from catkinhollow.logs import get_logger
+from catkinhollow.relay.gate import Gate
+from catkinhollow.timer import Clock
+
+logger = get_logger(__name__)
+
+# Lines a second of one daemon. A line takes about 0.1 ms of processor time,
+# so that the log of an overload stays below 2 % of a core.
+LINES_PER_S = 20.0
+BURST_LINES = 60.0
+# One answered request in so many is logged; failures go before successes.
+ANSWERED_SAMPLE = 200
+
+
+@define
+class LineBudget:
+    """Allow a number of lines a second and count those beyond."""
+
+    at_s: float
+    tokens: float = BURST_LINES
+    dropped: int = 0
+
+    def take(self, now_s: float) -> bool:
+        """Take one line if it is within the budget."""
+        grown = max(0.0, now_s - self.at_s) * LINES_PER_S
+        self.tokens = min(BURST_LINES, self.tokens + grown)
+        self.at_s = now_s
+        if self.tokens < 1.0:
+            self.dropped += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class RequestLog:
+    """Write a line for each request that fails, and for some that do not."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._budget = LineBudget(at_s=clock.monotonic())
+        self._answered = 0
+
+    def refused_at_gate(self, call: Call, reason: str, gate: Gate) -> None:
+        """Log that the gate refuses a call."""
+        self._write(
+            "gate refused",
+            request_id=call.request_id,
+            route=call.route,
+            reason=reason,
+            running=gate.running,
+            waiting=gate.waiting,
+            lifetime=gate.lifetime,
+            budget_ms=call.budget_ms,
+        )
+
+    def run_failed(self, call: Call, attempt: Attempt, lifetime: str) -> None:
+        """Log that a run at the target has no answer."""
+        self._write(
+            "run failed",
+            request_id=call.request_id,
+            route=call.route,
+            kind=attempt.kind.name.lower(),
+            reason=attempt.reason,
+            lifetime=lifetime,
+        )
+
+    def attempt_failed(self, request_id: str, **fields: Any) -> None:
+        """Log that a gate did not answer a call, or refused it."""
+        self._write("attempt failed", request_id=request_id, **fields)
+
+    def failed(self, request_id: str, **fields: Any) -> None:
+        """Log that a caller gets no answer of a target."""
+        self._write("request failed", request_id=request_id, **fields)
+
+    def answered(self, request_id: str, **fields: Any) -> None:
+        """Log a sample of the requests that a target has answered."""
+        self._answered += 1
+        if self._answered % ANSWERED_SAMPLE == 0:
+            self._write("request answered", request_id=request_id, **fields)
+
+    def _write(self, event: str, **fields: Any) -> None:
+        if not self._budget.take(self._clock.monotonic()):
+            return
+        dropped, self._budget.dropped = self._budget.dropped, 0
+        if dropped:
+            fields["lines_dropped"] = dropped
+        logger.info(event, **fields)
--- /dev/null
+++ b/catkinhollow/relay/store_follower.py
@@ -0,0 +1,147 @@
+"""Follow the objects of the store and keep this daemon's own entry there."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+import trio
+from expression import Result
+
+from catkinhollow.backoff import Backoff
+from catkinhollow.codec import encode_message, to_plain
+from catkinhollow.errors import DecodeError, StoreErrorKind
+from catkinhollow.generated.relay import DaemonRecord, Document
+from catkinhollow.generated.store import ObjectList, StoredObject
+from catkinhollow.logs import get_logger
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.kinds import DAEMONS, KINDS
+from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.store import StoreClient
+
+logger = get_logger(__name__)
+
+# A watch that waits longer costs fewer calls; a silent connection shows by
+# TCP keep-alive, not by the end of the wait.
+WATCH_S = 25.0
+# Entries must be back 2 s after the store's return, so no delay is longer.
+RETRY_BASE_S = 0.2
+RETRY_MAX_S = 1.2
+
+Offer = Callable[[Document, str], None]
+
+
+class ObjectDecoder(Protocol):
+    """Turn the value of a stored object into one of this package's types."""
+
+    def __call__(self, stored: StoredObject) -> Result[Any, DecodeError]:
+        """Return the typed value of an object that exists."""
+
+
+class StoreFollower:
+    """Offer each change of the followed kinds."""
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        decode: ObjectDecoder,
+        table: DocumentTable,
+        own: DaemonRecord,
+        offer: Offer,
+        random: Random,
+        metrics: RelayMetrics,
+    ) -> None:
+        self._store = store
+        self._decode = decode
+        self._table = table
+        self._own = own
+        self._offer = offer
+        self._random = random
+        self._metrics = metrics
+        self._reachable: dict[str, bool] = {}
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the store answered the last call of each kind."""
+        return all(self._reachable.get(kind, False) for kind in KINDS)
+
+    async def run(self) -> None:
+        """Follow all kinds until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for kind in KINDS:
+                nursery.start_soon(self._follow, kind)
+
+    async def _follow(self, kind: str) -> None:
+        backoff = Backoff(base_s=RETRY_BASE_S, max_s=RETRY_MAX_S, random=self._random)
+        revision: int | None = None
+        while True:
+            if revision is None:
+                result = await self._store.list_objects(kind)
+            else:
+                result = await self._store.watch(kind, after=revision, wait_s=WATCH_S)
+            if result.is_error():
+                self._note_failure(kind, result.error.reason)
+                await trio.sleep(backoff.next_delay())
+                continue
+            backoff.reset()
+            self._note_answer(kind)
+            revision = self._take(kind, result.ok)
+            if kind == DAEMONS:
+                await self._keep_own_entry()
+
+    def _take(self, kind: str, listing: ObjectList) -> int:
+        for stored in listing.objects:
+            self._take_object(stored)
+        if listing.complete:
+            names = {f"{kind}/{stored.name}" for stored in listing.objects}
+            gone = self._table.missing_from(kind, names, listing.revision)
+            for document in gone:
+                self._offer(document, "store")
+        return listing.revision
+
+    def _take_object(self, stored: StoredObject) -> None:
+        name = f"{stored.kind}/{stored.name}"
+        body = b""
+        if not stored.deleted:
+            decoded = self._decode(stored)
+            if decoded.is_error():
+                logger.error(
+                    "object refused",
+                    name=name,
+                    revision=stored.revision,
+                    reason=decoded.error.reason,
+                )
+                return
+            body = encode_message(decoded.ok)
+        document = Document(
+            name=name, revision=stored.revision, deleted=stored.deleted, body=body
+        )
+        self._offer(document, "store")
+
+    async def _keep_own_entry(self) -> None:
+        """Write this daemon's entry if the store has none or another one."""
+        known = self._table.get(f"{DAEMONS}/{self._own.name}")
+        wanted = encode_message(self._own)
+        if known is not None and known.body == wanted:
+            return
+        revision = known.revision if known else 0
+        result = await self._store.put(
+            DAEMONS, self._own.name, to_plain(self._own), if_revision=revision
+        )
+        if result.is_ok():
+            logger.info("own entry written", revision=result.ok.revision)
+        elif result.error.kind is not StoreErrorKind.CONFLICT:
+            # The next listing or change of the kind tries again.
+            logger.warning("own entry not written", reason=result.error.reason)
+            self._note_failure(DAEMONS, result.error.reason)
+
+    def _note_failure(self, kind: str, reason: str) -> None:
+        self._metrics.store_failures.inc({"kind": kind})
+        if self._reachable.get(kind, True):
+            logger.warning("store lost", kind=kind, reason=reason)
+        self._reachable[kind] = False
+
+    def _note_answer(self, kind: str) -> None:
+        if not self._reachable.get(kind, False):
+            logger.info("store answers", kind=kind)
+        self._reachable[kind] = True
--- /dev/null
+++ b/catkinhollow/relay/versions.py
@@ -0,0 +1,75 @@
+"""Decide which target versions of a service may get a call."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from catkinhollow.generated.relay import MoveOrder, OrderState, TargetReport
+from catkinhollow.relay.peers import Peer
+
+# Failed runs of a version after which this daemon stops sending to it without
+# waiting for the order's state, and the share of its runs that they must be.
+STOP_FAILURES = 12
+STOP_SHARE = 0.15
+
+
+def is_suspect(reports: Iterable[TargetReport]) -> bool:
+    """Tell whether a new version fails so often that it must get no more."""
+    runs = failures = 0
+    for report in reports:
+        runs += report.runs
+        failures += report.failures
+    return failures >= STOP_FAILURES and failures >= STOP_SHARE * runs
+
+
+class VersionPolicy:
+    """Deal the calls of a service to the old and the new version of a move."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._orders: dict[str, MoveOrder] = {}
+        self._credits: dict[str, float] = {}
+
+    @property
+    def orders(self) -> dict[str, MoveOrder]:
+        """Return the orders by service."""
+        return self._orders
+
+    def set_orders(self, orders: Iterable[MoveOrder]) -> None:
+        """Take all orders."""
+        self._orders = {order.service: order for order in orders}
+
+    def candidates(self, service: str, peers: Sequence[Peer]) -> list[Peer]:
+        """Return the peers that the next call of the service may go to."""
+        order = self._orders.get(service)
+        if order is None:
+            return list(peers)
+        new = [peer for peer in peers if _version(peer) == order.version]
+        old = [peer for peer in peers if _version(peer) not in ("", order.version)]
+        progress = order.progress
+        if progress is None or progress.version != order.version:
+            return old
+        if progress.state is OrderState.WITHDRAWN:
+            return old
+        if progress.state is OrderState.DONE:
+            return new or old
+        if is_suspect(peer.report for peer in new if peer.report):
+            return old
+        return new if new and self._takes_new(service, progress.percent) else old
+
+    def _takes_new(self, service: str, percent: float) -> bool:
+        if percent >= 100.0:
+            return True
+        if percent <= 0.0:
+            return False
+        credit = self._credits.get(service)
+        if credit is None:
+            # Daemons that start together must not take it in step.
+            credit = self._random.random()
+        credit += percent / 100.0
+        takes = credit >= 1.0
+        self._credits[service] = credit - 1.0 if takes else credit
+        return takes
+
+
+def _version(peer: Peer) -> str:
+    return peer.report.version if peer.report else ""
--- a/catkinhollow/retries.py
+++ b/catkinhollow/retries.py
@@ -99,10 +99,11 @@
 
     percent: float
     tokens: float = BUDGET_BURST
+    burst: float = BUDGET_BURST
 
     def earn(self) -> None:
         """Add the part of a retry that one new call allows."""
-        self.tokens = min(BUDGET_BURST, self.tokens + self.percent / 100)
+        self.tokens = min(self.burst, self.tokens + self.percent / 100)
 
     def spend(self, cost: float) -> bool:
         """Take the cost of a retry if it is there."""
--- a/tools/check_generated.py
+++ b/tools/check_generated.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from generate import OUTPUT_DIR, SCHEMA_DIR, generate  # noqa: E402
+from generate import OUTPUT_DIR, PLATFORM_DIR, SCHEMA_DIR, generate  # noqa: E402
 from generate_reference import REFERENCE, build_reference  # noqa: E402
 
 
@@ -14,10 +14,14 @@
     """Return 1 and name the files that differ from their schema."""
     stale = []
     with TemporaryDirectory(dir=OUTPUT_DIR.parent) as directory:
-        for schema in sorted(SCHEMA_DIR.glob("*.yaml")):
-            output = Path(directory) / f"{schema.stem}.py"
+        pairs = [
+            (schema, OUTPUT_DIR / f"{schema.stem}.py")
+            for schema in sorted(SCHEMA_DIR.glob("*.yaml"))
+        ]
+        pairs.append((PLATFORM_DIR / "schema.yaml", PLATFORM_DIR / "generated.py"))
+        for schema, committed in pairs:
+            output = Path(directory) / committed.name
             generate(schema, output)
-            committed = OUTPUT_DIR / output.name
             if not committed.exists() or committed.read_text() != output.read_text():
                 stale.append(committed.name)
     if not REFERENCE.exists() or REFERENCE.read_text() != build_reference():
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -11,6 +11,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMA_DIR = ROOT / "catkinhollow" / "schema"
 OUTPUT_DIR = ROOT / "catkinhollow" / "generated"
+PLATFORM_DIR = ROOT / "catkinhollow" / "platform"
 TEMPLATE_DIR = ROOT / "tools" / "templates"
 
 
@@ -60,6 +61,7 @@
     """Generate every module and the reference."""
     for schema in sorted(SCHEMA_DIR.glob("*.yaml")):
         generate(schema, OUTPUT_DIR / f"{schema.stem}.py")
+    generate(PLATFORM_DIR / "schema.yaml", PLATFORM_DIR / "generated.py")
     REFERENCE.write_text(build_reference())
 
 
