Test the decisions of the relay and the platform's adapter

Change: tests of the gate, placement, call plan, moves, documents, links and the adapter, in virtual time and in memory.

--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -50,9 +50,9 @@
 class PlatformStore:
     """Read, write and watch the platform's objects under our kinds."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, pool: AsyncConnectionPool | None = None) -> None:
         self._base_url = f"http://{address}/objects"
-        self._pool = AsyncConnectionPool(
+        self._pool = pool or AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
         )
 
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -7,7 +7,7 @@
 """
 
 from enum import Enum, auto
-from math import inf
+from math import exp, inf
 
 from attrs import define, field, frozen
 
@@ -32,6 +32,13 @@
 COLD_MARGIN_S = 0.3
 # Hint to callers when the target comes back at an unknown time.
 UNAVAILABLE_RETRY_S = 0.3
+# Time over which arrivals are counted, to foresee those of higher rank.
+ARRIVAL_MEMORY_S = 2.0
+# Part of the target's time that calls of higher rank are assumed to take at
+# most; beyond it every other call would be refused at once.
+MAX_HIGHER_SHARE = 0.9
+# Factor on that part, because arrivals come in clumps.
+HIGHER_FACTOR = 1.5
 # Most calls that wait; more would only be refused later.
 MAX_WAITING = 200
 
@@ -111,6 +118,24 @@
     failures: int = 0
 
 
+@define
+class _Arrivals:
+    """Estimate the rate of arrivals of one rank."""
+
+    count: float = 0.0
+    at_s: float = 0.0
+
+    def add(self, now_s: float) -> None:
+        self.count = self._decayed(now_s) + 1.0
+        self.at_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        return self._decayed(now_s) / ARRIVAL_MEMORY_S
+
+    def _decayed(self, now_s: float) -> float:
+        return self.count * exp((self.at_s - now_s) / ARRIVAL_MEMORY_S)
+
+
 @frozen(kw_only=True)
 class GateLimits:
     """Hold what bounds the load on the target."""
@@ -151,6 +176,7 @@
     _running: set[GateJob] = field(factory=set)
     _service_s: float = FIRST_SERVICE_S
     _route_s: dict[str, float] = field(factory=dict)
+    _arrivals: dict[int, _Arrivals] = field(factory=dict)
 
     @property
     def running(self) -> int:
@@ -208,12 +234,15 @@
         state = self.state(now_s)
         if state not in (GateState.SERVING, GateState.COLD):
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
+        rank = job.call.rank
+        self._arrivals.setdefault(rank, _Arrivals()).add(now_s)
         if not self._waiting and self._may_start(now_s):
             return self._start(job, now_s)
         if len(self._waiting) >= MAX_WAITING:
             return Refused(job, "too many calls wait", self._drain_s(now_s))
         position = self._position(job)
-        if now_s + self._wait_s(position, now_s) > self._latest_start_s(job):
+        wait_s = self._wait_s(position, now_s) / (1.0 - self._higher_share(rank, now_s))
+        if now_s + wait_s > self._latest_start_s(job):
             return Refused(job, "cannot start in time", self._drain_s(now_s))
         self._waiting.insert(position, job)
         return Queued()
@@ -387,6 +416,16 @@
             wait_s = max(wait_s, position / self.limits.cold_rate)
         return wait_s
 
+    def _higher_share(self, rank: int, now_s: float) -> float:
+        """Return the part of the target's time that goes to higher ranks."""
+        per_s = sum(
+            arrivals.per_s(now_s)
+            for other, arrivals in self._arrivals.items()
+            if other < rank
+        )
+        share = per_s * self._service_s / max(1, self._slots)
+        return min(MAX_HIGHER_SHARE, HIGHER_FACTOR * share)
+
     def _latest_start_s(self, job: GateJob) -> float:
         usual_s = self._route_s.get(job.call.route, self._service_s)
         worth_most_s = job.target_s - job.arrived_s
--- a/catkinhollow/relay/move_plan.py
+++ b/catkinhollow/relay/move_plan.py
@@ -30,7 +30,7 @@
     ends_at: float
     """Part of the order's time at which the next share follows in any case."""
     min_runs: int
-    """Runs of the new version at this share after which the next may follow."""
+    """Runs of the new version at this share that the next one needs."""
 
 
 # The first share lasts until errors that begin some seconds after a start
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -20,8 +20,12 @@
 # Cost of a busy slot as a share of a run: a target with free slots still
 # answers more slowly when it is nearly full.
 BUSY_SHARE = 0.5
-# Random part of an estimate, as a share of a run.
-JITTER_SHARE = 0.15
+# Random part of an estimate, as a share of a run; about half of the cost of a
+# full target, so that entries with equal reports choose different targets.
+JITTER_SHARE = 0.3
+# Weight of a call sent after the report: other entries, which saw the same
+# report, have probably sent there too.
+UNREPORTED_WEIGHT = 2.0
 # Factor on the load of a cold target, which crashes when it is overrun.
 COLD_FACTOR = 2.0
 
@@ -75,10 +79,11 @@
     def _cost_ms(self, peer: Peer, report: TargetReport) -> float:
         service_ms = report.service_ms or ASSUMED_SERVICE_MS
         slots = max(1, report.slots)
-        load: float = report.running + report.waiting + peer.sent_since_report
+        load: float = report.running + report.waiting
+        load += UNREPORTED_WEIGHT * peer.sent_since_report
         if report.state is GateState.COLD:
             load = load * COLD_FACTOR + 1
-        waiting = max(0, load + 1 - slots)
+        waiting = max(0.0, load + 1 - slots)
         cost_ms = service_ms * (waiting / slots + BUSY_SHARE * load / slots)
         jitter_ms = JITTER_SHARE * service_ms * self._random.random()
         return cost_ms + jitter_ms + self._distance_ms(peer)
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,109 @@
+"""Tests of the status reports of targets, and of the deploy folder."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+import yaml
+
+from catkinhollow.platform.announcements import AnnouncementApplication
+from catkinhollow.relay.gate import Gate
+from catkinhollow.relay.relay_settings import parse_relay_settings
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+REPORT = {
+    "service": "stock",
+    "address": "10.1.0.8:8301",
+    "failure_domain": "a",
+    "version": "v1",
+    "slots": 9,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "seq": 4,
+    "born": 1000,
+}
+
+
+class Listener:
+    """Feed a gate at time zero."""
+
+    def __init__(self):
+        self.gate = Gate()
+
+    def announce(self, news):
+        return self.gate.announce(news, 0.0)
+
+    def leave(self, lifetime, born_ms):
+        self.gate.leave(lifetime, born_ms)
+
+
+async def ask(app, method, path, body=b""):
+    statuses = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        statuses.append(message.get("status"))
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": [],
+    }
+    await app(scope, receive, send)
+    return statuses[0]
+
+
+async def test_report_opens_the_gate_and_farewell_closes_it():
+    """Guards against an acknowledged leaving that changes nothing."""
+    listener = Listener()
+    app = AnnouncementApplication(listener, "stock")
+    assert await ask(app, "PUT", "/instances/i-1", json.dumps(REPORT).encode()) == 200
+    assert listener.gate.state(0.0) == "serving"
+    assert await ask(app, "DELETE", "/instances/i-1") == 200
+    assert listener.gate.state(0.0) == "draining"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": "other"},
+        {"state": "odd"},
+        {"seq": "x"},
+        {"born": None},
+        {"slots": 0},
+    ],
+)
+async def test_report_of_another_writer_names_no_target(change):
+    """Guards against forged or broken reports."""
+    listener = Listener()
+    app = AnnouncementApplication(listener, "stock")
+    body = json.dumps({**REPORT, **change}).encode()
+    assert await ask(app, "PUT", "/instances/i-1", body) == 400
+    assert listener.gate.state(0.0) == "unknown"
+
+
+async def test_unreadable_report_is_refused():
+    """Guards against a daemon that ends on bytes that are no report."""
+    app = AnnouncementApplication(Listener(), "stock")
+    assert await ask(app, "PUT", "/instances/i-1", b"\xff\x00") == 400
+
+
+def test_template_gives_complete_settings():
+    """Guards against a template that lacks a required setting."""
+    text = (ROOT / "deploy" / "daemon.yaml").read_text()
+    numbers = re.sub(r"\{\{[a-z_.0-9]+(?=\}\})", lambda m: "{{7", text)
+    addresses = re.sub(r"\{\{[a-z_.]+\|json\}\}", '"10.1.0.8:8300"', numbers)
+    value = yaml.safe_load(addresses.replace("{{7}}", "7"))
+    value |= {"peer": "10.1.0.8:7", "metrics": "10.1.0.8:9464"}
+    settings = parse_relay_settings(value)
+    assert settings.is_ok(), settings.error
+
+
+def test_unknown_setting_is_refused():
+    """Guards against a misspelt setting that has no effect."""
+    assert "unknown setting" in parse_relay_settings({"peers": 1}).error.reason
--- /dev/null
+++ b/tests/platform/test_object_store.py
@@ -0,0 +1,105 @@
+"""Tests of the client of the platform's store against a scripted stand-in."""
+
+import json
+
+from asgi_pool import AsgiPool
+from expression import Result
+
+from catkinhollow.errors import StoreErrorKind
+from catkinhollow.generated.relay import OrderState
+from catkinhollow.platform.object_store import PlatformStore
+from catkinhollow.platform.objects import decode_object
+
+ORDER = {
+    "metadata": {"name": "stock", "revision": 12, "created_rev": 9},
+    "spec": {"service": "stock", "target_version": "v2", "duration_s": 15},
+    "status": {"state": "in_progress", "target_version": "v2", "percent": 15.0},
+}
+
+
+class ScriptedApp:
+    """Answer each call with the next scripted status and body."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.calls = []
+
+    async def __call__(self, scope, receive, send):
+        message = await receive()
+        query = scope["query_string"].decode()
+        path = scope["raw_path"].decode() + (f"?{query}" if query else "")
+        body = json.loads(message["body"]) if message["body"] else None
+        self.calls.append((scope["method"], path, body))
+        status, answer = self.answers.pop(0)
+        content = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        await send({"type": "http.response.start", "status": status, "headers": []})
+        await send({"type": "http.response.body", "body": content})
+
+
+def make_store(nursery, *answers):
+    app = ScriptedApp(list(answers))
+    return app, PlatformStore("127.0.0.1:1", AsgiPool(app, nursery))
+
+
+async def test_listing_follows_its_pages(nursery):
+    """Guards against daemons that know only a part of the fleet."""
+    first = {"items": [ORDER], "has_more": True, "at_rev": 20}
+    second = {**ORDER, "metadata": {"name": "orders", "revision": 15}}
+    last = {"items": [second], "has_more": False, "at_rev": 21}
+    app, store = make_store(nursery, (200, first), (200, last))
+    listing = (await store.list_objects("orders")).ok
+    assert [item.name for item in listing.objects] == ["stock", "orders"]
+    assert listing.complete and listing.revision == 21
+    assert app.calls[1][1] == "/objects/rollouts?after=stock"
+
+
+async def test_order_and_its_progress_are_translated(nursery):
+    """Guards against an order that is driven under another's progress."""
+    _, store = make_store(nursery, (200, ORDER))
+    stored = (await store.get("orders", "stock")).ok
+    order = decode_object(stored).ok
+    assert (order.service, order.version, order.order) == ("stock", "v2", 9)
+    assert order.progress.state is OrderState.RUNNING
+    assert order.progress.percent == 15.0
+
+
+async def test_lost_history_is_replaced_by_a_listing(nursery):
+    """Guards against a watch that misses what happened in a gap."""
+    page = {"items": [], "has_more": False, "at_rev": 30}
+    app, store = make_store(nursery, (410, {"error": "gone"}), (200, page))
+    listing = (await store.watch("evacuations", after=5, wait_s=20.0)).ok
+    assert listing.complete and listing.revision == 30
+    assert app.calls[0][1] == "/objects/evacuations?watch=5&wait_ms=20000"
+
+
+async def test_deletion_is_ordered_after_the_object(nursery):
+    """Guards against a deleted object that a later copy brings back."""
+    event = {"object": ORDER, "deleted": True}
+    _, store = make_store(nursery, (200, {"events": [event], "at_rev": 40}))
+    listing = (await store.watch("orders", after=5, wait_s=1.0)).ok
+    assert listing.objects[0].deleted and listing.objects[0].revision == 40
+
+
+async def test_progress_is_written_to_the_status_only(nursery):
+    """Guards against writes to what belongs to the operator."""
+    app, store = make_store(nursery, (200, ORDER))
+    progress = {"version": "v2", "state": "withdrawn", "percent": 0.0, "order": 9}
+    written = await store.put("orders", "stock", progress, if_revision=12)
+    assert written.is_ok()
+    method, path, body = app.calls[0]
+    assert (method, path) == ("PUT", "/objects/rollouts/stock/status")
+    assert body["metadata"] == {"name": "stock", "revision": 12}
+    assert body["status"]["state"] == "reverted"
+    assert "spec" not in body
+
+
+async def test_conflict_and_unreadable_answers_are_values(nursery):
+    """Guards against a daemon that ends because the store misbehaves."""
+    _, store = make_store(nursery, (409, ORDER), (200, b"{broken"), (503, {}))
+    kinds = [(await store.get("orders", "stock")) for _ in range(3)]
+    assert all(isinstance(result, Result) and result.is_error() for result in kinds)
+    assert [result.error.kind for result in kinds] == [
+        StoreErrorKind.CONFLICT,
+        StoreErrorKind.UNAVAILABLE,
+        StoreErrorKind.UNAVAILABLE,
+    ]
--- /dev/null
+++ b/tests/relay/test_call_plan.py
@@ -0,0 +1,96 @@
+"""Tests of the steps of a call at its entry."""
+
+import pytest
+from relay_builders import make_answer, make_peer, make_route
+
+from catkinhollow.generated.relay import CallOutcome
+from catkinhollow.relay.call_plan import CallPlan, Deliver, GiveUp, SendTo
+from catkinhollow.retries import RetryBudget
+
+
+def make_plan(kind="safe", *, peers=3, tokens=10.0, **changes):
+    offered = [make_peer(f"p{number}") for number in range(peers)]
+
+    def choose(tried):
+        return next((p for p in offered if p.record.address not in tried), None)
+
+    return CallPlan(
+        route=make_route(kind=kind, **changes),
+        service="stock",
+        expires_s=1.0,
+        choose=choose,
+        budget=RetryBudget(percent=10.0, tokens=tokens),
+    )
+
+
+def test_answer_is_delivered():
+    """Guards against a repeated run of a request that has an answer."""
+    plan = make_plan()
+    assert isinstance(plan.next_step(0.0), SendTo)
+    assert plan.on_answer(make_answer()) == Deliver(make_answer())
+
+
+def test_unsafe_call_of_unknown_outcome_is_never_sent_again():
+    """Guards against an order that runs twice."""
+    plan = make_plan("unsafe")
+    plan.next_step(0.0)
+    plan.on_answer(make_answer(CallOutcome.UNKNOWN))
+    step = plan.next_step(0.1)
+    assert isinstance(step, GiveUp)
+    assert step.outcome is CallOutcome.UNKNOWN
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "download"])
+def test_refused_call_goes_to_another_gate_without_budget(kind):
+    """Guards against refusals while another target has room."""
+    plan = make_plan(kind, tokens=0.0)
+    first = plan.next_step(0.0)
+    plan.on_answer(make_answer(CallOutcome.NOT_RUN, retry_after_ms=200))
+    second = plan.next_step(0.0)
+    assert isinstance(second, SendTo)
+    assert second.peer is not first.peer
+
+
+def test_repeat_at_a_target_needs_the_budget():
+    """Guards against repeats that overrun a service in trouble."""
+    plan = make_plan(tokens=0.0)
+    plan.next_step(0.0)
+    plan.on_answer(make_answer(CallOutcome.UNKNOWN))
+    assert isinstance(plan.next_step(0.1), GiveUp)
+
+
+def test_attempts_at_targets_are_bounded_by_the_route():
+    """Guards against more runs than the operator allows."""
+    plan = make_plan(max_attempts=2, peers=5)
+    for _ in range(2):
+        assert isinstance(plan.next_step(0.0), SendTo)
+        plan.on_answer(make_answer(CallOutcome.UNKNOWN))
+    assert isinstance(plan.next_step(0.0), GiveUp)
+
+
+def test_server_error_is_delivered_when_no_repeat_is_possible():
+    """Guards against a failure of the target turned into one of ours."""
+    plan = make_plan(peers=1)
+    plan.next_step(0.0)
+    failure = make_answer(status=500)
+    assert plan.on_answer(failure) is None
+    assert plan.next_step(0.1) == Deliver(failure)
+
+
+def test_unsafe_server_error_is_final():
+    """Guards against a second run after a failed one."""
+    plan = make_plan("unsafe")
+    plan.next_step(0.0)
+    failure = make_answer(status=500)
+    assert plan.on_answer(failure) == Deliver(failure)
+
+
+def test_refusal_everywhere_is_not_run():
+    """Guards against a 502 where the caller may safely come back."""
+    plan = make_plan("unsafe", peers=2)
+    for _ in range(2):
+        plan.next_step(0.0)
+        plan.on_answer(make_answer(CallOutcome.NOT_RUN, retry_after_ms=150))
+    step = plan.next_step(0.0)
+    assert step.outcome is CallOutcome.NOT_RUN
+    assert step.retry_after_s == pytest.approx(0.15)
--- /dev/null
+++ b/tests/relay/test_gate.py
@@ -0,0 +1,196 @@
+"""Tests of the decisions of a gate, in virtual time."""
+
+from collections import Counter
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from relay_builders import make_gate, make_job, make_news
+
+from catkinhollow.generated.relay import GateState
+from catkinhollow.relay.gate import Admitted, Queued, Refused, RunKind
+
+
+def test_unknown_target_gets_nothing():
+    """Guards against calls before the target has announced itself."""
+    gate = make_gate()
+    gate.finish(start(gate), RunKind.MISDIRECTED, 421, 0.0)
+    assert gate.state(0.0) is GateState.UNKNOWN
+    assert isinstance(gate.offer(make_job(), 0.0), Refused)
+
+
+def test_slots_bound_the_running_calls():
+    """Guards against more calls at the target than it has slots."""
+    gate = make_gate(slots=2)
+    kinds = [type(gate.offer(make_job(call_id=number), 0.0)) for number in range(3)]
+    assert kinds == [Admitted, Admitted, Queued]
+    assert gate.running == 2
+
+
+def test_calls_of_higher_rank_start_first():
+    """Guards against urgent calls that wait behind others."""
+    gate = make_gate(slots=1)
+    first = start(gate)
+    gate.offer(make_job(call_id=2, rank=2), 0.0)
+    gate.offer(make_job(call_id=3, rank=0), 0.0)
+    gate.finish(first, RunKind.ANSWERED, 200, 0.1)
+    started = [d.job.call.call_id for d in gate.decide(0.1) if isinstance(d, Admitted)]
+    assert started == [3]
+
+
+def test_call_that_cannot_start_in_time_is_refused_at_once():
+    """Guards against calls that wait until their caller gives up."""
+    gate = make_gate(slots=1)
+    start(gate)
+    decisions = [
+        gate.offer(make_job(call_id=number, target_s=0.3), 0.0)
+        for number in range(2, 12)
+    ]
+    refused = [d for d in decisions if isinstance(d, Refused)]
+    assert refused
+    assert all(d.retry_after_s > 0 for d in refused)
+    # Usual run 0.1 s: at most 0.6 x 0.3 s of waiting fit.
+    assert gate.waiting <= 2
+
+
+def test_waiting_call_is_refused_when_others_push_it_back():
+    """Guards against late refusals of calls that lost their place."""
+    gate = make_gate(slots=1)
+    start(gate)
+    low = make_job(call_id=2, rank=2, target_s=0.3)
+    assert isinstance(gate.offer(low, 0.0), Queued)
+    refused = []
+    for number in range(3, 6):
+        gate.offer(make_job(call_id=number, rank=0, target_s=1.0), 0.0)
+        refused.extend(d.job for d in gate.decide(0.0) if isinstance(d, Refused))
+    assert low in refused
+
+
+def test_cold_target_gets_no_more_than_its_rate():
+    """Guards against a cold target that falls over under full load."""
+    gate = make_gate(slots=9, cold_rate=10.0, cold_s=3.0)
+    starts = []
+    for step in range(100):
+        now_s = step * 0.02
+        decision = gate.offer(make_job(now_s, call_id=step), now_s)
+        decisions = [decision, *gate.decide(now_s)]
+        for admitted in (d for d in decisions if isinstance(d, Admitted)):
+            starts.append(now_s)
+            gate.finish(admitted.job, RunKind.ANSWERED, 200, now_s)
+    for begin_s in starts:
+        within = sum(begin_s <= at_s < begin_s + 1.0 for at_s in starts)
+        assert within <= 10 * 1.5
+
+
+def test_leaving_target_gets_nothing_more():
+    """Guards against work for a target that has announced its end."""
+    gate = make_gate(slots=1)
+    running = start(gate)
+    waiting = make_job(call_id=2)
+    gate.offer(waiting, 0.0)
+    gate.announce(make_news(sequence=2, draining=True), 0.1)
+    assert [d.job for d in gate.decide(0.1) if isinstance(d, Refused)] == [waiting]
+    gate.finish(running, RunKind.ANSWERED, 200, 0.2)
+    assert isinstance(gate.offer(make_job(call_id=3), 0.2), Refused)
+
+
+def test_deleted_target_stays_gone_after_a_late_report():
+    """Guards against a delayed status report that revives a leaving target."""
+    gate = make_gate()
+    gate.leave("t1", 1000)
+    gate.announce(make_news(sequence=9), 0.1)
+    assert gate.state(0.1) is GateState.DRAINING
+
+
+def test_report_of_an_earlier_lifetime_is_outdated():
+    """Guards against a delayed report of a target that has crashed."""
+    gate = make_gate(lifetime="new", born_ms=2000)
+    assert not gate.announce(make_news("old", sequence=99, born_ms=1000), 1.0)
+    assert gate.lifetime == "new"
+
+
+def test_same_name_with_a_later_start_is_a_new_lifetime():
+    """Guards against the order numbers of an earlier start of a target."""
+    gate = make_gate(sequence=50)
+    assert gate.announce(make_news(sequence=1, born_ms=5000, cold_s=2.0), 1.0)
+    assert gate.state(1.0) is GateState.COLD
+
+
+def test_unreachable_target_is_down_until_it_is_heard():
+    """Guards against calls to a target whose port is closed."""
+    gate = make_gate()
+    gate.finish(start(gate), RunKind.NOT_CONNECTED, 0, 0.0)
+    assert gate.state(0.0) is GateState.DOWN
+    assert gate.needs_probe
+    gate.probed("t1", 0.0, 2, 0.5)
+    assert gate.state(0.5) is GateState.SERVING
+
+
+def test_target_is_paced_after_an_evacuation_until_its_state_is_known():
+    """Guards against full load on targets that turned cold meanwhile."""
+    gate = make_gate()
+    gate.set_evacuated(True)
+    assert isinstance(gate.offer(make_job(), 0.0), Refused)
+    gate.set_evacuated(False)
+    assert gate.state(1.0) is GateState.COLD
+    gate.announce(make_news(sequence=2), 1.1)
+    assert gate.state(1.1) is GateState.SERVING
+
+
+def test_lasting_overload_serves_calls_in_time_and_by_rank():
+    """Guards against an overload in which every answer comes late.
+
+    A target of 9 slots and 0.1 s a run bears 90 calls/s; it gets 180, a third
+    of them urgent. Callers get full worth for answers within 0.5 s.
+    """
+    served, refused_late = overload(Random(1), rate=180.0, seconds=20.0)
+    capacity = 90.0 * 20.0
+    in_time = sum(served.values())
+    assert in_time >= 0.85 * capacity
+    assert served["urgent"] >= 0.95 * 60.0 * 20.0
+    assert served["usual"] > 0
+    assert refused_late <= 0.02 * 180.0 * 20.0
+
+
+def start(gate):
+    job = make_job(call_id=1)
+    assert isinstance(gate.offer(job, 0.0), Admitted)
+    return job
+
+
+def overload(random, rate, seconds):
+    """Play arrivals and runs; return calls in time and late refusals."""
+    gate = make_gate(slots=9)
+    events, order = [], count()
+    served, refused_late = Counter(), 0
+
+    def carry_out(decisions, now_s):
+        nonlocal refused_late
+        for decision in decisions:
+            job = decision.job
+            if isinstance(decision, Admitted):
+                heappush(events, (now_s + 0.1, next(order), "end", job))
+            elif now_s - job.arrived_s > 0.125 * 0.5:
+                refused_late += 1
+
+    at_s = 0.0
+    while at_s < seconds:
+        heappush(events, (at_s, next(order), "arrival", None))
+        at_s += random.expovariate(rate)
+    while events:
+        now_s, _, kind, job = heappop(events)
+        if kind == "arrival":
+            urgent = random.random() < 1 / 3
+            job = make_job(
+                now_s,
+                rank=0 if urgent else 2,
+                route="urgent" if urgent else "usual",
+            )
+            decision = gate.offer(job, now_s)
+            if not isinstance(decision, Queued):
+                carry_out([decision], now_s)
+        else:
+            gate.finish(job, RunKind.ANSWERED, 200, now_s)
+            served[job.call.route] += now_s <= job.target_s
+        carry_out(gate.decide(now_s), now_s)
+    return served, refused_late
--- /dev/null
+++ b/tests/relay/test_placement.py
@@ -0,0 +1,59 @@
+"""Tests of the choice of gates."""
+
+from collections import Counter
+from random import Random
+
+from relay_builders import make_peer, make_report
+
+from catkinhollow.generated.relay import GateState
+from catkinhollow.relay.placement import Distances, LeastWaitPlacer
+
+
+def make_placer(own, seed=1):
+    return LeastWaitPlacer(own, Distances(), Random(seed))
+
+
+def test_free_target_of_the_same_failure_domain_is_preferred():
+    """Guards against bytes between failure domains without need."""
+    own = make_peer("own", service="other")
+    near, far = make_peer("near"), make_peer("far", failure_domain="b")
+    placer = make_placer(own)
+    chosen = Counter(placer.choose([near, far], set()).record.name for _ in range(100))
+    assert chosen["near"] >= 90
+
+
+def test_busy_target_gives_way_to_a_free_one_elsewhere():
+    """Guards against a queue at one target while others are free."""
+    own = make_peer("own", service="other")
+    busy = make_peer("near", report=make_report(running=9, waiting=6))
+    free = make_peer("far", failure_domain="b")
+    assert make_placer(own).choose([busy, free], set()) is free
+
+
+def test_closed_gates_are_not_chosen():
+    """Guards against calls to targets that take none."""
+    own = make_peer("own", service="other")
+    states = [state for state in GateState if state not in ("serving", "cold")]
+    peers = [make_peer(str(s), report=make_report(s)) for s in states]
+    assert make_placer(own).choose(peers, set()) is None
+
+
+def test_burst_of_all_entries_does_not_meet_at_one_target():
+    """Guards against every entry sending a burst to the one free target.
+
+    Ten entries place eight calls each at the same moment; all see the same
+    reports, in which one target is free and four are half full.
+    """
+    arrivals = Counter()
+    for seed in range(10):
+        own = make_peer("own", service="other", failure_domain="x")
+        peers = [make_peer("free", failure_domain="a")]
+        report = make_report(running=4)
+        peers += [make_peer(f"half{n}", report=report) for n in range(4)]
+        placer = make_placer(own, seed)
+        for _ in range(8):
+            peer = placer.choose(peers, set())
+            peer.sent_since_report += 1
+            arrivals[peer.record.name] += 1
+    assert arrivals["free"] <= 0.5 * sum(arrivals.values())
+    assert len(arrivals) == 5
--- /dev/null
+++ b/tests/relay/test_relay_moves.py
@@ -0,0 +1,151 @@
+"""Tests of moves whose deadline is seconds away, in virtual time."""
+
+from random import Random
+
+import pytest
+from attrs import evolve
+from relay_builders import make_peer, make_report
+
+from catkinhollow.generated.relay import MoveOrder, MoveProgress, OrderState
+from catkinhollow.relay.move_plan import MovePlan
+from catkinhollow.relay.versions import VersionPolicy
+
+STEP_S = 0.25
+
+
+def make_order(duration_s=15.0, **progress):
+    order = MoveOrder(service="stock", version="v2", duration_s=duration_s, order=7)
+    if not progress:
+        return order
+    values = {"version": "v2", "state": OrderState.RUNNING, "order": 7, **progress}
+    return evolve(order, progress=MoveProgress(**values))
+
+
+class Traffic:
+    """Play the runs of both versions while a plan drives an order.
+
+    Three targets of each version; `bad_from_s` is when runs of the new
+    version start to fail with the chance `bad_share`, and `slow` multiplies
+    the time of its runs.
+    """
+
+    def __init__(self, *, per_s=100.0, bad_from_s=99.0, bad_share=0.0, slow=1.0):
+        self.random = Random(3)
+        self.per_s = per_s
+        self.bad_from_s = bad_from_s
+        self.bad_share = bad_share
+        self.slow = slow
+        self.runs = {"v1": 0, "v2": 0}
+        self.failures = {"v1": 0, "v2": 0}
+        self.after_fiftieth = 0
+
+    def play(self, percent, now_s):
+        for _ in range(int(self.per_s * STEP_S)):
+            version = "v2" if self.random.random() * 100 < percent else "v1"
+            self.runs[version] += 1
+            if version == "v2" and now_s >= self.bad_from_s:
+                self.failures["v2"] += self.random.random() < self.bad_share
+
+    def reports(self):
+        slow = {"v1": 1.0, "v2": self.slow}
+        return [
+            make_report(
+                version=version,
+                runs=self.runs[version] // 3,
+                failures=self.failures[version] // 3,
+                service_ms=100.0 * slow[version],
+            )
+            for version in ("v1", "v2")
+            for _ in range(3)
+        ]
+
+
+def drive(traffic, duration_s=15.0):
+    """Return the final state and when it was reached."""
+    plan = MovePlan(make_order(duration_s), 0.0)
+    now_s = 0.0
+    while now_s < duration_s + 5.0:
+        due = plan.next_progress(traffic.reports(), now_s)
+        if due is not None:
+            plan.order = evolve(plan.order, progress=due[0])
+        progress = plan.order.progress
+        if progress.state is not OrderState.RUNNING:
+            return progress.state, now_s
+        traffic.play(progress.percent, now_s)
+        now_s += STEP_S
+    return plan.order.progress.state, now_s
+
+
+@pytest.mark.parametrize("per_s", [8.0, 25.0, 100.0])
+def test_good_version_is_done_in_time(per_s):
+    """Guards against a good version that waits for traffic it never gets."""
+    state, at_s = drive(Traffic(per_s=per_s))
+    assert state is OrderState.DONE
+    assert at_s < 15.0
+
+
+@pytest.mark.parametrize("bad_from_s", [0.0, 3.4, 5.0])
+@pytest.mark.parametrize("bad_share", [0.4, 0.6])
+def test_failing_version_is_withdrawn_with_little_exposure(bad_from_s, bad_share):
+    """Guards against a bad version that gets a tenth of the requests."""
+    traffic = Traffic(bad_from_s=bad_from_s, bad_share=bad_share)
+    state, _ = drive(traffic)
+    assert state is OrderState.WITHDRAWN
+    assert traffic.runs["v2"] <= 0.1 * 15.0 * 100.0 + 50
+    assert traffic.failures["v2"] < 50
+
+
+def test_slow_version_is_withdrawn():
+    """Guards against a version that answers, but several times slower."""
+    state, _ = drive(Traffic(slow=8.0))
+    assert state is OrderState.WITHDRAWN
+
+
+def test_progress_of_an_earlier_order_starts_anew():
+    """Guards against a second order that ends with the state of the first."""
+    order = evolve(make_order(percent=100.0), order=8)
+    progress, _ = MovePlan(order, 0.0).next_progress([], 0.0)
+    assert (progress.state, progress.percent) == (OrderState.RUNNING, 0.0)
+
+
+def make_fleet():
+    old = [make_peer(f"old{n}", report=make_report(version="v1")) for n in range(3)]
+    new = [make_peer(f"new{n}", report=make_report(version="v2")) for n in range(3)]
+    return old, new
+
+
+def test_new_version_gets_its_share():
+    """Guards against a share that no daemon keeps to."""
+    old, new = make_fleet()
+    policy = VersionPolicy(Random(1))
+    policy.set_orders([make_order(percent=15.0)])
+    taken = sum(policy.candidates("stock", old + new)[0] in new for _ in range(1000))
+    assert 140 <= taken <= 160
+
+
+@pytest.mark.parametrize(
+    ("order", "expected"),
+    [
+        (make_order(), "old"),
+        (make_order(state=OrderState.WITHDRAWN), "old"),
+        (make_order(state=OrderState.DONE, percent=100.0), "new"),
+        (make_order(percent=100.0), "new"),
+    ],
+)
+def test_state_of_the_order_decides_the_version(order, expected):
+    """Guards against calls to a version before or after its order."""
+    old, new = make_fleet()
+    policy = VersionPolicy(Random(1))
+    policy.set_orders([order])
+    chosen = policy.candidates("stock", old + new)
+    assert chosen == (new if expected == "new" else old)
+
+
+def test_failing_version_gets_nothing_before_the_order_is_withdrawn():
+    """Guards against a bad version that goes on while the store is away."""
+    old, _ = make_fleet()
+    report = make_report(version="v2", runs=20, failures=10)
+    new = [make_peer(f"new{n}", report=report) for n in range(3)]
+    policy = VersionPolicy(Random(1))
+    policy.set_orders([make_order(percent=40.0)])
+    assert policy.candidates("stock", old + new) == old
--- /dev/null
+++ b/tests/relay/test_relay_parts.py
@@ -0,0 +1,116 @@
+"""Tests of routes, splits, documents, link watch, and retry advice."""
+
+from collections import Counter
+from random import Random
+
+from relay_builders import make_configuration, make_route
+
+from catkinhollow.generated.relay import Document, WeightedService
+from catkinhollow.relay.configuration_check import find_fault
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.peer_watch import PeerWatch, ResetLink, SendStatus
+from catkinhollow.relay.retry_advice import retry_after_s
+from catkinhollow.relay.routes import RouteTable, SplitPicker
+
+
+def make_document(revision, name="configuration/main", **changes):
+    return Document(name=name, revision=revision, body=b"x", **changes)
+
+
+def test_longest_prefix_of_the_host_wins():
+    """Guards against requests that run on the wrong service."""
+    routes = [
+        make_route("short", path_prefix="/a/"),
+        make_route("long", path_prefix="/a/b/"),
+        make_route("other", host="else.example", path_prefix="/"),
+    ]
+    table = RouteTable(make_configuration(routes=routes))
+    assert table.match("shop.example:80", "/a/b/c").name == "long"
+    assert table.match("SHOP.example", "/a/bc").name == "short"
+    assert table.match("shop.example", "/ab") is None
+    assert table.match("none.example", "/a/") is None
+
+
+def test_split_keeps_its_weights_over_a_short_time():
+    """Guards against shares that are off when few requests came."""
+    parts = [
+        WeightedService(service="x", weight=90),
+        WeightedService(service="y", weight=10),
+    ]
+    route = make_route(split=parts)
+    total = Counter()
+    for seed in range(11):
+        picker = SplitPicker(Random(seed))
+        total.update(picker.pick(route) for _ in range(20))
+    assert abs(total["y"] / 220 - 0.1) < 0.03
+
+
+def test_documents_never_go_back():
+    """Guards against an older version that arrives by another way."""
+    table = DocumentTable()
+    assert table.offer(make_document(5))
+    assert not table.offer(make_document(4))
+    assert not table.offer(make_document(5))
+    assert table.get("configuration/main").revision == 5
+
+
+def test_deletion_found_by_a_listing_spares_newer_documents():
+    """Guards against a stale listing that removes what came after it."""
+    table = DocumentTable()
+    table.offer(make_document(5, "daemons/a"))
+    table.offer(make_document(9, "daemons/b"))
+    gone = table.missing_from("daemons", set(), 7)
+    assert [document.name for document in gone] == ["daemons/a"]
+
+
+def test_equal_tables_have_equal_digests_whatever_the_order():
+    """Guards against endless transfers between equal daemons."""
+    one, two = DocumentTable(), DocumentTable()
+    documents = [make_document(3, "daemons/a"), make_document(4, "daemons/b")]
+    for document in documents:
+        one.offer(document)
+    two.offer(make_document(1, "daemons/a"))
+    for document in reversed(documents):
+        two.offer(document)
+    assert one.digest == two.digest
+    two.offer(make_document(6, "daemons/c"))
+    assert [d.name for d in two.newer_than(one.versions)] == ["daemons/c"]
+
+
+def test_silent_link_is_reset():
+    """Guards against a connection that stays open and carries nothing."""
+    watch = PeerWatch()
+    watch.link_up("p", 0.0)
+    commands = []
+    for step in range(20):
+        commands += [(step * 0.2, c) for c in watch.check({"p"}, step * 0.2)]
+    resets = [at_s for at_s, command in commands if command == ResetLink("p")]
+    assert resets and resets[0] <= 2.5
+
+
+def test_answering_peer_is_not_reset():
+    """Guards against resets of a link that is only idle."""
+    watch = PeerWatch()
+    watch.link_up("p", 0.0)
+    for step in range(50):
+        now_s = step * 0.2
+        for command in watch.check(set(), now_s):
+            assert command == SendStatus("p")
+            watch.heard("p", now_s + 0.05)
+
+
+def test_invalid_configuration_is_named():
+    """Guards against a version that is applied in part."""
+    assert find_fault(make_configuration(), -1) == ""
+    assert "older" in find_fault(make_configuration(3), 4)
+    unknown = make_configuration(routes=[make_route(service="none")])
+    assert "unknown service" in find_fault(unknown, -1)
+    bare = make_configuration(routes=[make_route(path_prefix="/a")])
+    assert "slash" in find_fault(bare, -1)
+
+
+def test_retry_advice_fits_the_time_left_and_is_spread():
+    """Guards against callers told to return too late or all at once."""
+    assert retry_after_s(5.0, 0.9, 0.0) <= 0.3
+    early, late = retry_after_s(0.1, 3.0, 0.0), retry_after_s(0.1, 3.0, 1.0)
+    assert early < late
