--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -1,7 +1,7 @@
 """Assemble the parts of a relay daemon."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from random import Random
 from typing import Protocol, TypeVar
@@ -189,6 +189,21 @@
         )
         self._moves = MoveDriver(self._store, self._directory, self._clock)
 
+    @property
+    def gate(self) -> GateService:
+        """Return the gate of the target on the instance."""
+        return self._gate
+
+    @property
+    def network(self) -> PeerNetwork:
+        """Return the links to the other daemons."""
+        return self._network
+
+    @property
+    def directory(self) -> PeerDirectory:
+        """Return the known daemons."""
+        return self._directory
+
     @property
     def ready(self) -> bool:
         """Tell whether callers on the instance may send requests."""
@@ -196,6 +211,10 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish the requests in flight."""
+        await self.serve_until(self._wait_for_signal)
+
+    async def serve_until(self, wait_for_end: Callable[[], Awaitable[None]]) -> None:
+        """Serve until the function returns, then finish the requests."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
             nursery.start_soon(self._gate.run)
@@ -207,7 +226,7 @@
                 STEP_INTERVAL_S, lambda: nursery.start_soon(self._step_moves)
             )
             logger.info("started", instance=self._settings.instance)
-            await self._wait_for_signal()
+            await wait_for_end()
             await self._drain()
             nursery.cancel_scope.cancel()
         logger.info("stopped")
--- a/catkinhollow/relay/move_plan.py
+++ b/catkinhollow/relay/move_plan.py
@@ -27,6 +27,8 @@
     percent: float
     min_s: float
     """Time at this share."""
+    min_part: float
+    """The same as a part of the order's time, for orders of a few seconds."""
     ends_at: float
     """Part of the order's time at which the next share follows in any case."""
     min_runs: int
@@ -36,10 +38,10 @@
 # The first share lasts until errors that begin some seconds after a start
 # can show; the last one until every daemon has applied it.
 STAGES = (
-    MoveStage(percent=4.0, min_s=4.0, ends_at=0.45, min_runs=20),
-    MoveStage(percent=15.0, min_s=1.5, ends_at=0.55, min_runs=25),
-    MoveStage(percent=40.0, min_s=1.5, ends_at=0.65, min_runs=40),
-    MoveStage(percent=100.0, min_s=2.0, ends_at=0.8, min_runs=0),
+    MoveStage(percent=4.0, min_s=4.0, min_part=0.26, ends_at=0.45, min_runs=20),
+    MoveStage(percent=15.0, min_s=1.5, min_part=0.1, ends_at=0.55, min_runs=25),
+    MoveStage(percent=40.0, min_s=1.5, min_part=0.1, ends_at=0.65, min_runs=40),
+    MoveStage(percent=100.0, min_s=2.0, min_part=0.14, ends_at=0.8, min_runs=0),
 )
 # Failed runs that are needed, and by how much their share must exceed that
 # of the old version.
@@ -167,7 +169,7 @@
                 OrderState.RUNNING, STAGES[0].percent
             ), "targets ready"
         at_stage_s = now_s - self._entered_s
-        if at_stage_s < stage.min_s:
+        if at_stage_s < min(stage.min_s, stage.min_part * self.order.duration_s):
             return None
         if stage is STAGES[-1]:
             part = (now_s - self.first_seen_s) / self.order.duration_s
--- a/catkinhollow/testbed/processes.py
+++ b/catkinhollow/testbed/processes.py
@@ -19,13 +19,17 @@
 # those could take a port before its process listens or while it restarts.
 FIRST_PORT = 12000
 END_PORT = 32000
+# Runs at the same time keep their ports apart with this variable, FIRST-END.
+PORTS_VARIABLE = "CATKINHOLLOW_TEST_PORTS"
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
 
 def _count_ports() -> Iterator[int]:
-    first = randrange(FIRST_PORT, END_PORT)
-    return cycle([*range(first, END_PORT), *range(FIRST_PORT, first)])
+    text = os.environ.get(PORTS_VARIABLE, f"{FIRST_PORT}-{END_PORT}")
+    begin, end = (int(part) for part in text.split("-"))
+    first = randrange(begin, end)
+    return cycle([*range(first, end), *range(begin, first)])
 
 
 # No port is given out twice, as its process may not listen yet.
--- /dev/null
+++ b/tests/relay/test_relay_daemon.py
@@ -0,0 +1,174 @@
+"""Tests of whole relay daemons that call each other on loopback."""
+
+import pytest
+import trio
+from relay_builders import make_news, make_route
+from relay_fleet import RelayFleet
+
+from catkinhollow.codec import to_plain
+from catkinhollow.generated.relay import MoveOrder, OrderState
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+async def fleet(nursery):
+    return RelayFleet(nursery)
+
+
+async def start_pair(fleet, *, kind="safe"):
+    fleet.configure(routes=[make_route(kind=kind)])
+    await fleet.start("one", service="shop")
+    await fleet.start("two", service="stock")
+    await fleet.linked()
+
+
+async def test_call_runs_at_the_target_behind_another_gate(fleet):
+    """Guards against a call that does not reach the gate of its service."""
+    await start_pair(fleet)
+    response = await fleet.call("one", "c1", path="/a/b?x=1")
+    assert response.status == 200
+    assert response.content == b"two /a/b\n"
+    target = fleet.members["two"].target
+    assert target.runs == {"c1": 1}
+    assert target.headers[0][b"x-caller-service"] == b"shop"
+    assert target.headers[0][b"x-expected-lifetime"] == b"two"
+    names = {name.lower() for name, _ in response.headers}
+    assert b"x-target-signature" in names
+
+
+async def test_large_bodies_pass_whole(fleet):
+    """Guards against bodies that are cut between the daemons."""
+    await start_pair(fleet, kind="unsafe")
+    body = bytes(range(256)) * 2000
+    response = await fleet.call("one", "c1", method="POST", content=body)
+    assert response.status == 200
+
+
+async def test_route_changes_with_the_configuration(fleet):
+    """Guards against a daemon that keeps an older version."""
+    await start_pair(fleet)
+    assert (await fleet.call("one", "c1", path="/new/x")).status == 404
+    fleet.configure(2, routes=[make_route(path_prefix="/new/")])
+    await trio.sleep(0.2)
+    assert (await fleet.call("one", "c2", path="/new/x")).status == 200
+    assert (await fleet.call("one", "c3", path="/a/b")).status == 404
+
+
+async def test_older_version_in_a_newer_write_is_refused(fleet):
+    """Guards against a route table that goes back."""
+    await start_pair(fleet)
+    fleet.configure(5, routes=[make_route(path_prefix="/new/")])
+    fleet.configure(4, routes=[make_route()])
+    await trio.sleep(0.2)
+    assert (await fleet.call("one", "c1", path="/new/x")).status == 200
+
+
+async def test_leaving_target_refuses_with_a_time_to_come_back(fleet):
+    """Guards against requests for a target that has announced its end."""
+    await start_pair(fleet)
+    fleet.members["two"].daemon.gate.leave("two", None)
+    response = await fleet.call("one", "c1")
+    assert response.status == 503
+    headers = {name.lower(): value for name, value in response.headers}
+    assert float(headers[b"retry-after"]) > 0
+    assert fleet.members["two"].target.runs == {}
+
+
+async def test_failure_domain_that_is_out_gets_nothing(fleet):
+    """Guards against work for a failure domain out of service."""
+    fleet.configure()
+    await fleet.start("one", service="shop")
+    await fleet.start("near", failure_domain="a")
+    await fleet.start("far", failure_domain="b")
+    await fleet.linked()
+    fleet.store.write("evacuations", "a", {})
+    await trio.sleep(0.3)
+    for number in range(10):
+        assert (await fleet.call("one", f"c{number}")).status == 200
+    assert fleet.members["near"].target.runs == {}
+    fleet.store.remove("evacuations", "a")
+    fleet.members["near"].daemon.gate.announce(make_news("near", sequence=2))
+    await fleet.linked()
+    assert (await fleet.call("one", "back")).status == 200
+
+
+async def test_caller_that_leaves_cancels_a_safe_run(fleet):
+    """Guards against targets that work for callers who have gone."""
+    await start_pair(fleet)
+    fleet.members["two"].target.work_s = 30.0
+    with trio.move_on_after(0.3):
+        await fleet.call("one", "c1")
+    gate = fleet.members["two"].daemon.gate
+    await fleet.until(lambda: not gate.busy, 1.0)
+
+
+async def test_request_ends_at_the_time_of_its_route(fleet):
+    """Guards against callers held past the operator's time."""
+    fleet.configure(routes=[make_route(timeout_ms=300.0)])
+    await fleet.start("one", service="shop")
+    await fleet.start("two", service="stock")
+    await fleet.linked()
+    fleet.members["two"].target.work_s = 30.0
+    with trio.fail_after(1.0):
+        assert (await fleet.call("one", "c1")).status == 504
+
+
+async def test_shutdown_finishes_the_runs_at_the_gate(fleet):
+    """Guards against answers cut by a restart of the gate's daemon."""
+    await start_pair(fleet, kind="unsafe")
+    fleet.members["two"].target.work_s = 0.5
+    answers = []
+
+    async def order():
+        answers.append((await fleet.call("one", "c1", method="POST")).status)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(order)
+        await fleet.until(lambda: fleet.members["two"].target.runs)
+        fleet.members["two"].stop.set()
+    assert answers == [200]
+    assert (await fleet.call("one", "c2", method="POST")).status == 503
+    await fleet.members["two"].stopped.wait()
+
+
+async def test_daemon_without_store_learns_from_its_peers(fleet):
+    """Guards against a restarted daemon that waits for the store."""
+    await start_pair(fleet)
+    fleet.store.down = True
+    await fleet.start("three", service="shop", announce=False)
+    three = fleet.members["three"].daemon
+    record = three.directory.own.record
+    # The peers know its address from before its restart.
+    for name in ("one", "two"):
+        directory = fleet.members[name].daemon.directory
+        known = [peer.record for peer in directory if peer is not directory.own]
+        directory.replace_all([*known, record])
+        fleet.members[name].daemon.network.follow_directory()
+    await fleet.until(lambda: three.ready, 8.0)
+    two = fleet.members["two"].settings.peer
+    await fleet.until(lambda: three.directory.at(two).accepts_calls)
+    assert (await fleet.call("three", "c1")).status == 200
+
+
+async def test_order_moves_the_service_and_is_done(fleet):
+    """Guards against orders that nobody drives."""
+    await start_pair(fleet)
+    await fleet.start("next", service="stock", announce=False)
+    gate = fleet.members["next"].daemon.gate
+    gate.announce(make_news("next", version="v2"))
+    await fleet.linked()
+    order = MoveOrder(service="stock", version="v2", duration_s=4.0, order=50)
+    fleet.store.write("orders", "stock", to_plain(order))
+    with trio.fail_after(8.0):
+        while True:
+            for number in range(10):
+                await fleet.call("one", f"c{number}")
+            value = fleet.store.objects["orders", "stock"].value
+            progress = value["progress"] or {}
+            if progress.get("state") == OrderState.DONE.value:
+                break
+            await trio.sleep(0.05)
+    before = len(fleet.members["two"].target.headers)
+    await fleet.call("one", "last")
+    assert len(fleet.members["two"].target.headers) == before
--- /dev/null
+++ b/tests/relay_fleet.py
@@ -0,0 +1,223 @@
+"""Run relay daemons and targets on loopback, with a store in memory."""
+
+from random import Random
+
+import trio
+from attrs import evolve
+from expression import Ok
+from httpcore import AsyncConnectionPool
+from memory_store import MemoryStore
+from relay_builders import make_configuration, make_news
+
+from catkinhollow.codec import from_plain, to_plain
+from catkinhollow.exchange import Response, plain_response
+from catkinhollow.generated.relay import (
+    DaemonRecord,
+    MoveOrder,
+    MoveProgress,
+    RelayConfiguration,
+    RelaySettings,
+)
+from catkinhollow.generated.settings import Address, HttpSettings
+from catkinhollow.generated.store import ObjectList, StoredObject
+from catkinhollow.http_server import read_request, send_response, serve_app
+from catkinhollow.relay.application import RelayDaemon
+from catkinhollow.relay.header_names import HeaderNames
+from catkinhollow.testbed.processes import free_ports
+
+NAMES = HeaderNames()
+KINDS = {
+    "configuration": RelayConfiguration,
+    "orders": MoveOrder,
+    "daemons": DaemonRecord,
+}
+
+
+class WatchedStore(MemoryStore):
+    """Let watches wait for changes, and write the progress of orders."""
+
+    def __init__(self):
+        super().__init__()
+        self.changed = trio.Event()
+        self.history = []
+
+    def write(self, kind, name, value):
+        stored = super().write(kind, name, value)
+        self._note(stored)
+        return stored
+
+    def remove(self, kind, name):
+        self.revision += 1
+        stored = self.objects.pop((kind, name))
+        self._note(evolve(stored, revision=self.revision, deleted=True))
+
+    def _note(self, stored):
+        self.history.append(stored)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def list_objects(self, kind):
+        listing = await super().list_objects(kind)
+        return listing.map(lambda found: evolve(found, complete=True))
+
+    async def watch(self, kind, *, after, wait_s):
+        while True:
+            if self.down:
+                return await super().list_objects(kind)
+            found = [
+                stored
+                for stored in self.history
+                if stored.kind == kind and stored.revision > after
+            ]
+            if found:
+                return Ok(ObjectList(revision=self.revision, objects=found))
+            await self.changed.wait()
+
+    async def put(self, kind, name, value, *, if_revision):
+        if kind == "orders":
+            order = self.objects[kind, name].value
+            progress = from_plain(value, MoveProgress).ok
+            value = to_plain(evolve(from_plain(order, MoveOrder).ok, progress=progress))
+        return await super().put(kind, name, value, if_revision=if_revision)
+
+
+def decode(stored: StoredObject):
+    if stored.kind == "evacuations":
+        return Ok(stored.name)
+    return from_plain(stored.value, KINDS[stored.kind])
+
+
+class Target:
+    """Answer requests after a while and count them by id."""
+
+    def __init__(self, name, work_s=0.02):
+        self.name = name
+        self.work_s = work_s
+        self.runs = {}
+        self.headers = []
+        self.answer = None
+
+    async def __call__(self, scope, receive, send):
+        request = (await read_request(scope, receive, 1_000_000)).ok
+        request_id = request.header(NAMES.request_id)
+        if request_id is not None:
+            key = request_id.decode()
+            self.runs[key] = self.runs.get(key, 0) + 1
+            self.headers.append(dict(request.headers))
+        await trio.sleep(self.work_s)
+        response = self.answer or plain_response(200, f"{self.name} {request.path}")
+        headers = [
+            *response.headers,
+            (NAMES.signature, b"signed"),
+            (NAMES.lifetime, self.name.encode()),
+        ]
+        if request_id is not None:
+            headers.append((NAMES.request_id, request_id))
+        await send_response(
+            send, Response(status=response.status, headers=headers, body=response.body)
+        )
+
+
+class Member:
+    """Hold one daemon with its target."""
+
+    def __init__(self, settings, daemon, target):
+        self.settings = settings
+        self.daemon = daemon
+        self.target = target
+        self.stop = trio.Event()
+        self.stopped = trio.Event()
+
+
+class RelayFleet:
+    """Start members beside each other and call them."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.store = WatchedStore()
+        self.members = {}
+        self.pool = AsyncConnectionPool()
+
+    async def start(self, name, *, service="stock", failure_domain="a", announce=True):
+        ports = free_ports(6)
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        settings = RelaySettings(
+            instance=name,
+            failure_domain=failure_domain,
+            region="r",
+            service=service,
+            target=addresses[0],
+            requests=addresses[1],
+            ready=addresses[2],
+            announcements=addresses[3],
+            peer=addresses[4],
+            metrics=addresses[5],
+            store="127.0.0.1:1",
+        )
+        target = Target(name)
+        daemon = RelayDaemon(
+            settings=settings,
+            store=self.store,
+            decode=decode,
+            names=NAMES,
+            news_app=lambda gate, service: Target("news"),
+            reread=lambda: Ok(settings),
+            random=Random(name),
+        )
+        member = Member(settings, daemon, target)
+        self.members[name] = member
+        await self.nursery.start(_serve_target, target, ports[0])
+        self.nursery.start_soon(self._run, member)
+        if announce:
+            daemon.gate.announce(make_news(name, slots=9))
+        return member
+
+    async def _run(self, member):
+        await member.daemon.serve_until(member.stop.wait)
+        member.stopped.set()
+
+    def configure(self, version=1, **changes):
+        value = to_plain(make_configuration(version, **changes))
+        self.store.write("configuration", "main", value)
+
+    async def until(self, condition, limit_s=5.0):
+        """Wait for what other tasks bring about."""
+        with trio.fail_after(limit_s):
+            while not condition():
+                await trio.sleep(0.01)
+
+    async def linked(self):
+        """Wait until every daemon can place calls at every other."""
+        await self.until(
+            lambda: all(
+                member.daemon.ready
+                and len(member.daemon.directory.addresses) == len(self.members) - 1
+                and all(
+                    peer.accepts_calls
+                    for peer in member.daemon.directory
+                    if peer is not member.daemon.directory.own
+                )
+                for member in self.members.values()
+            )
+        )
+
+    async def call(self, name, request_id, *, path="/a/b", method="GET", content=None):
+        address = self.members[name].settings.requests
+        headers = [(b"host", b"shop.example"), (NAMES.request_id, request_id.encode())]
+        return await self.pool.request(
+            method, f"http://{address}{path}", headers=headers, content=content
+        )
+
+    async def stop(self):
+        self.nursery.cancel_scope.cancel()
+
+
+async def _serve_target(target, port, task_status):
+    await serve_app(
+        target,
+        Address(host="127.0.0.1", port=port),
+        HttpSettings(),
+        shutdown=trio.Event(),
+        drain_s=0.1,
+        task_status=task_status,
+    )
