Refuse successes without the request's id, and connections with extra bytes

Ruled out: single-use connections after such an answer; they cost a handshake a call and the extra answer may come first.

Change: a success must carry the request's own id, and a connection that has received more than its response is closed.

--- a/catkinhollow/egress.py
+++ b/catkinhollow/egress.py
@@ -219,7 +219,7 @@
     ) -> None:
         # A connection whose exchange did not end cleanly may still carry the
         # answer to the old request, so it is never used again.
-        keep = clean and connection.is_idle()
+        keep = clean and connection.is_idle() and not _has_extra_data(connection)
         if keep and len(connections.idle) < self._settings.max_idle_connections:
             connections.idle.append(connection)
             return
@@ -228,6 +228,13 @@
             await connection.aclose()
 
 
+def _has_extra_data(connection: AsyncHTTP11Connection) -> bool:
+    # Bytes after a whole response would be read as the next one. httpcore
+    # offers no public way to see those that it has already received.
+    received, _ = connection._h11_state.trailing_data
+    return bool(received)
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers without those that concern one connection."""
     return [header for header in headers if header[0] not in HOP_BY_HOP]
--- a/catkinhollow/relay/target_answers.py
+++ b/catkinhollow/relay/target_answers.py
@@ -31,6 +31,8 @@
         if answer.status in PROMISES:
             return broken(f"status {answer.status} without a mark that it has not run")
         if answer.status in SUCCESSES:
+            if answered_id is None:
+                return broken("success without the request's id")
             if answer.header(names.signature) is None:
                 return broken("success without the target's signature")
             if answer.header(b"content-encoding") is not None:
--- /dev/null
+++ b/tests/relay/test_target_answers.py
@@ -0,0 +1,40 @@
+"""Tests of what a target's response says about the request sent to it."""
+
+import pytest
+
+from catkinhollow.exchange import Request, Response
+from catkinhollow.relay.header_names import HeaderNames
+from catkinhollow.relay.target_answers import make_classifier
+from catkinhollow.retries import AttemptKind
+
+NAMES = HeaderNames()
+ID = (NAMES.request_id, b"c1")
+SIGNED = (NAMES.signature, b"signed")
+NOT_RUN = (NAMES.not_run, b"1")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "kind"),
+    [
+        (200, [ID, SIGNED], AttemptKind.ANSWERED),
+        (500, [ID, SIGNED], AttemptKind.ANSWERED),
+        (404, [ID, SIGNED], AttemptKind.ANSWERED),
+        (503, [ID, NOT_RUN], AttemptKind.REFUSED),
+        (421, [], AttemptKind.REFUSED),
+        # An extra answer, late, of a request before this one.
+        (200, [SIGNED], AttemptKind.BROKEN),
+        (200, [(NAMES.request_id, b"c0"), SIGNED], AttemptKind.BROKEN),
+        (500, [(NAMES.request_id, b"c0")], AttemptKind.BROKEN),
+        # Something else answers at the address.
+        (200, [ID], AttemptKind.BROKEN),
+        (200, [ID, SIGNED, (b"content-encoding", b"gzip")], AttemptKind.BROKEN),
+        # A refusal that does not say that the request has not run.
+        (503, [ID], AttemptKind.BROKEN),
+        (429, [ID, SIGNED], AttemptKind.BROKEN),
+    ],
+)
+def test_response_is_judged_by_its_marks(status, headers, kind):
+    """Guards against another request's answer, and false refusals."""
+    request = Request(method="GET", path="/a", query=b"", headers=[ID], body=b"")
+    answer = Response(status=status, headers=headers, body=b"")
+    assert make_classifier(NAMES)(request, answer).kind is kind
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -106,3 +106,14 @@
     assert attempt.kind is AttemptKind.NOT_CONNECTED
     assert attempt.reason == "no free connection"
     nursery.cancel_scope.cancel()
+
+
+async def test_bytes_after_a_response_end_its_connection(start_target):
+    """Guards against an extra answer that is read as the next one."""
+    extra = ANSWER % b"id-1" + ANSWER % b"id-0"
+    target, address = await start_target([extra, ANSWER % b"id-2"])
+    client = HttpTargetClient(HttpSettings())
+    for request_id in (b"id-1", b"id-2"):
+        attempt = await client.send(address, make_request(request_id), 5.0)
+        assert attempt.kind is AttemptKind.ANSWERED
+    assert target.connections == 2
