Run the pipelined requests of a connection side by side

Ruled out: hypercorn with another protocol class; its stream, parser and connection each hold one request.

Change: the entry's listener uses h11, the parser inside hypercorn and httpcore, with a parser state per request. Readiness, metrics and status reports stay with hypercorn.

--- a/catkinhollow/http_server.py
+++ b/catkinhollow/http_server.py
@@ -36,15 +36,9 @@
     shutdown: trio.Event,
     drain_s: float,
     linger_s: float = 0.0,
-    on_config: Callable[[Config], None] = lambda config: None,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until shutdown, then let requests finish for at most drain_s.
-
-    `on_config` gets the server's settings, whose limits may change later.
-    """
-    config = _config(address, http, drain_s)
-    on_config(config)
+    """Serve until shutdown, then let requests finish for at most drain_s."""
 
     # While lingering, the listener still answers, and each answer closes its
     # connection; later hypercorn closes idle connections without notice.
@@ -54,7 +48,7 @@
 
     await serve(
         cast(Framework, _ServedApp(app, shutdown)),
-        config,
+        _config(address, http, drain_s),
         shutdown_trigger=trigger,
         task_status=task_status,
         mode="asgi",
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -8,7 +8,6 @@
 
 import trio
 from expression import Result
-from hypercorn.config import Config
 
 from catkinhollow.addresses import parse_address
 from catkinhollow.clock import TrioClock
@@ -29,7 +28,6 @@
 from catkinhollow.relay.applications import (
     MetricsApplication,
     ReadyApplication,
-    RequestApplication,
 )
 from catkinhollow.relay.configuration_check import find_fault
 from catkinhollow.relay.documents import DocumentTable
@@ -50,6 +48,7 @@
 from catkinhollow.relay.placement import Distances, LeastWaitPlacer
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
+from catkinhollow.relay.request_server import RequestServer
 from catkinhollow.relay.store_follower import ObjectDecoder, StoreFollower
 from catkinhollow.relay.target_answers import make_classifier
 from catkinhollow.relay.versions import VersionPolicy
@@ -73,7 +72,6 @@
 RELOAD_INTERVAL_S = 2.0
 
 T = TypeVar("T")
-ConfigHook = Callable[[Config], None]
 
 
 class TargetNewsApp(Protocol):
@@ -119,8 +117,6 @@
         self._version = -1
         self._listening = False
         self._stopping = False
-        self._shutdown = trio.Event()
-        self._server_config: Config | None = None
         self._directory = PeerDirectory(self._own_record())
         self._build_calls()
         self._build_control(decode)
@@ -177,6 +173,8 @@
             log=self._log,
         )
 
+        self._server = RequestServer(self._entry.serve, lambda: self._entry.limits)
+
     def _build_control(self, decode: ObjectDecoder) -> None:
         self._follower = StoreFollower(
             store=self._store,
@@ -236,36 +234,23 @@
         news = self._news_app(self._gate, settings.service)
         ready = ReadyApplication(lambda: self.ready)
         metrics = MetricsApplication(self._collect_metrics)
-        requests = RequestApplication(self._entry)
         await self._serve(nursery, news, settings.announcements)
         await self._serve(nursery, metrics, settings.metrics)
-        await self._serve(nursery, requests, settings.requests, self._take_config)
+        await nursery.start(self._server.serve, _address(settings.requests))
         self._listening = True
         await self._serve(nursery, ready, settings.ready)
 
-    async def _serve(
-        self,
-        nursery: trio.Nursery,
-        app: App,
-        address: str,
-        on_config: ConfigHook | None = None,
-    ) -> None:
-        traffic = on_config is not None
+    async def _serve(self, nursery: trio.Nursery, app: App, address: str) -> None:
         serve = partial(
             serve_app,
             app,
             _address(address),
             HttpSettings(),
-            shutdown=self._shutdown if traffic else trio.Event(),
-            drain_s=self._settings.grace_s if traffic else CONTROL_DRAIN_S,
-            linger_s=LEAVE_S if traffic else 0.0,
-            on_config=on_config or (lambda config: None),
+            shutdown=trio.Event(),
+            drain_s=CONTROL_DRAIN_S,
         )
         await nursery.start(serve)
 
-    def _take_config(self, config: Config) -> None:
-        self._server_config = config
-
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
@@ -292,7 +277,7 @@
     async def _drain(self) -> None:
         self._stopping = True
         self._gate.stop()
-        self._shutdown.set()
+        self._server.begin_closing()
         started_s = self._clock.monotonic()
         most_s = self._settings.grace_s - EXIT_MARGIN_S
         while self._clock.monotonic() - started_s < most_s:
@@ -348,10 +333,6 @@
         self._version = configuration.version
         self._entry.configure(configuration)
         self._gate.configure(configuration)
-        if self._server_config is not None:
-            limits = configuration.limits
-            self._server_config.keep_alive_timeout = limits.idle_timeout_ms / 1000.0
-            self._server_config.h11_max_incomplete_size = limits.max_header_bytes
         logger.info(
             "configuration enforced",
             version=configuration.version,
--- a/catkinhollow/relay/applications.py
+++ b/catkinhollow/relay/applications.py
@@ -1,7 +1,6 @@
-"""Serve requests, readiness and metrics as ASGI applications."""
+"""Serve readiness and metrics as ASGI applications."""
 
 from collections.abc import Callable
-from functools import partial
 
 from catkinhollow.exchange import Response, plain_response
 from catkinhollow.http_server import (
@@ -10,30 +9,12 @@
     Send,
     read_request,
     send_response,
-    wait_disconnect,
 )
-from catkinhollow.relay.entry import Entry
 from catkinhollow.relay.relay_metrics import RelayMetrics
 
 MAX_PROBE_BODY_BYTES = 4096
 
 
-class RequestApplication:
-    """Serve the callers on the instance."""
-
-    def __init__(self, entry: Entry) -> None:
-        self._entry = entry
-
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one request."""
-        read = await read_request(scope, receive, self._entry.limits.max_body_bytes)
-        if read.is_error():
-            await send_response(send, read.error)
-            return
-        response = await self._entry.serve(read.ok, partial(wait_disconnect, receive))
-        await send_response(send, response)
-
-
 class ReadyApplication:
     """Tell whether callers on the instance may send requests."""
 
