Weigh the bytes of an answer against a shorter wait, and call new targets

Change: the distance counts the usual size of a route's answers; the random part shrinks with the use of the target; a target that an entry has not called for 10 s gets its next call if it has room.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -162,7 +162,9 @@
         self._entry = Entry(
             service=settings.service,
             network=self._network,
-            placer=LeastWaitPlacer(self._directory.own, Distances(), self._random),
+            placer=LeastWaitPlacer(
+                self._directory.own, Distances(), self._clock, self._random
+            ),
             versions=self._versions,
             names=self._names,
             retry_percent=settings.retry_ratio * 100.0 * RETRY_PART,
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -35,6 +35,8 @@
 RETRY_AFTER_HEADER = b"retry-after"
 # Answers that arrive this much before the caller gives up still reach it.
 RETURN_S = 0.01
+# Weight of one answer in the usual size of a route's answers.
+SIZE_WEIGHT = 0.1
 
 Disconnected = Callable[[], Awaitable[None]]
 
@@ -83,6 +85,7 @@
         self._routes: RouteTable | None = None
         self._splits = SplitPicker(random)
         self._budgets: dict[str, RetryBudget] = {}
+        self._answer_kb: dict[str, float] = {}
         self._limits = RequestLimits()
         self._open = 0
         self._own_headers = {
@@ -110,7 +113,10 @@
     def configure(self, configuration: RelayConfiguration) -> None:
         """Put a configuration version in force for every later request."""
         self._routes = RouteTable(configuration)
-        self._splits.keep_routes({route.name for route in configuration.routes})
+        names = {route.name for route in configuration.routes}
+        self._splits.keep_routes(names)
+        for name in self._answer_kb.keys() - names:
+            del self._answer_kb[name]
         self._limits = configuration.limits
 
     async def serve(self, request: Request, disconnected: Disconnected) -> Response:
@@ -137,7 +143,7 @@
             route=route,
             service=service,
             expires_s=started_s + left_ms / 1000.0 - RETURN_S,
-            choose=lambda tried: self._choose(service, tried),
+            choose=lambda tried: self._choose(route, service, tried),
             budget=self._budget(service),
         )
         call = self._make_call(request, route, service)
@@ -166,6 +172,7 @@
             if isinstance(step, Deliver):
                 self._count(plan.service, "answered")
                 self._log.answered(call.request_id, status=step.answer.status)
+                self._learn_size(plan.route, step.answer)
                 return self._deliver(step.answer)
             return self._give_up(plan, step, call)
 
@@ -202,11 +209,13 @@
             reached_target=True,
         )
 
-    def _choose(self, service: str, tried: set[str]) -> Peer | None:
+    def _choose(self, route: RelayRoute, service: str, tried: set[str]) -> Peer | None:
         network = self._network
         network.refresh_own_report()
         peers = network.directory.of_service(service)
-        return self._placer.choose(self._versions.candidates(service, peers), tried)
+        candidates = self._versions.candidates(service, peers)
+        answer_kb = self._answer_kb.get(route.name, 0.0)
+        return self._placer.choose(candidates, tried, answer_kb)
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -241,6 +250,11 @@
             rank=route.priority,
         )
 
+    def _learn_size(self, route: RelayRoute, answer: Answer) -> None:
+        size_kb = len(answer.body) / 1024.0
+        usual_kb = self._answer_kb.get(route.name, size_kb)
+        self._answer_kb[route.name] = usual_kb + SIZE_WEIGHT * (size_kb - usual_kb)
+
     def _deliver(self, answer: Answer) -> Response:
         headers: Headers = end_to_end([(name, value) for name, value in answer.headers])
         return Response(status=answer.status, headers=headers, body=answer.body)
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -18,7 +18,8 @@
     linked: bool = False
     sent_since_report: int = 0
     """Calls sent after the report, which it can't count."""
-    outstanding: int = 0
+    called_s: float = -inf
+    """When this daemon last chose the target for a call."""
 
     def take_report(self, report: TargetReport, now_s: float) -> None:
         """Take what the peer's gate tells of its target."""
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -14,15 +14,20 @@
 
 from catkinhollow.generated.relay import GateState, TargetReport
 from catkinhollow.relay.peers import Peer
+from catkinhollow.timer import Clock
 
 # Time of a run that is assumed for a target that has not told one.
 ASSUMED_SERVICE_MS = 100.0
 # Cost of a busy slot as a share of a run: a target with free slots still
 # answers more slowly when it is nearly full.
 BUSY_SHARE = 0.5
-# Random part of an estimate, as a share of a run; about half of the cost of a
-# full target, so that entries with equal reports choose different targets.
+# Random part of an estimate, as a share of a run of a full target; entries
+# with equal reports must choose different targets when these are busy, while
+# a free target of the same failure domain is always good.
 JITTER_SHARE = 0.3
+# A target that this entry has not called for so long gets its next call, so
+# that new targets are used from all failure domains.
+EXPLORE_S = 10.0
 # Weight of a call sent after the report: other entries, which saw the same
 # report, have probably sent there too.
 UNREPORTED_WEIGHT = 2.0
@@ -34,11 +39,13 @@
 class Distances:
     """Hold the cost of a call's way, as milliseconds of waiting.
 
-    The cost of leaving the failure domain contains the price of its bytes.
+    The cost of leaving the failure domain contains the price of its bytes: a
+    download of 90 KB should rather wait for half of a run than travel.
     """
 
-    same_domain_ms: float = 1.0
-    other_domain_ms: float = 15.0
+    same_domain_ms: float = 0.5
+    other_domain_ms: float = 6.0
+    other_domain_ms_per_kb: float = 0.5
     other_region_ms: float = 60.0
 
 
@@ -46,7 +53,7 @@
     """Choose a peer for a call."""
 
     def choose(
-        self, candidates: Sequence[Peer], excluded: Collection[str]
+        self, candidates: Sequence[Peer], excluded: Collection[str], answer_kb: float
     ) -> Peer | None:
         """Return the peer that should run the call, None if none can."""
 
@@ -54,46 +61,63 @@
 class LeastWaitPlacer:
     """Choose the gate with the shortest estimated wait."""
 
-    def __init__(self, own: Peer, distances: Distances, random: Random) -> None:
+    def __init__(
+        self, own: Peer, distances: Distances, clock: Clock, random: Random
+    ) -> None:
         self._own = own
         self._distances = distances
+        self._clock = clock
         self._random = random
 
     def choose(
-        self, candidates: Sequence[Peer], excluded: Collection[str]
+        self, candidates: Sequence[Peer], excluded: Collection[str], answer_kb: float
     ) -> Peer | None:
         """Return the peer that should run the call, None if none can."""
         best: Peer | None = None
         best_ms = 0.0
+        now_s = self._clock.monotonic()
         for peer in candidates:
             report = peer.report
             if report is None or not peer.accepts_calls:
                 continue
             if peer.record.address in excluded:
                 continue
-            cost_ms = self._cost_ms(peer, report)
+            if self._is_due(peer, report, now_s):
+                best = peer
+                break
+            cost_ms = self._cost_ms(peer, report, answer_kb)
             if best is None or cost_ms < best_ms:
                 best, best_ms = peer, cost_ms
+        if best is not None:
+            best.called_s = now_s
         return best
 
-    def _cost_ms(self, peer: Peer, report: TargetReport) -> float:
+    def _is_due(self, peer: Peer, report: TargetReport, now_s: float) -> bool:
+        """Tell whether a target with room has not been called for long."""
+        free = report.running + peer.sent_since_report < report.slots
+        return free and not report.waiting and now_s - peer.called_s > EXPLORE_S
+
+    def _cost_ms(self, peer: Peer, report: TargetReport, answer_kb: float) -> float:
         service_ms = report.service_ms or ASSUMED_SERVICE_MS
         slots = max(1, report.slots)
         load: float = report.running + report.waiting
         load += UNREPORTED_WEIGHT * peer.sent_since_report
         if report.state is GateState.COLD:
             load = load * COLD_FACTOR + 1
+        use = load / slots
         waiting = max(0.0, load + 1 - slots)
-        cost_ms = service_ms * (waiting / slots + BUSY_SHARE * load / slots)
-        jitter_ms = JITTER_SHARE * service_ms * self._random.random()
-        return cost_ms + jitter_ms + self._distance_ms(peer)
+        cost_ms = service_ms * (waiting / slots + BUSY_SHARE * use)
+        jitter_ms = JITTER_SHARE * service_ms * min(1.0, use) * self._random.random()
+        return cost_ms + jitter_ms + self._distance_ms(peer, answer_kb)
 
-    def _distance_ms(self, peer: Peer) -> float:
+    def _distance_ms(self, peer: Peer, answer_kb: float) -> float:
         own, other = self._own.record, peer.record
+        distances = self._distances
         if peer is self._own:
             return 0.0
         if own.failure_domain == other.failure_domain:
-            return self._distances.same_domain_ms
+            return distances.same_domain_ms
+        bytes_ms = distances.other_domain_ms_per_kb * answer_kb
         if own.region == other.region:
-            return self._distances.other_domain_ms
-        return self._distances.other_region_ms
+            return distances.other_domain_ms + bytes_ms
+        return distances.other_region_ms + bytes_ms
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -9,8 +9,28 @@
 from catkinhollow.relay.placement import Distances, LeastWaitPlacer
 
 
-def make_placer(own, seed=1):
-    return LeastWaitPlacer(own, Distances(), Random(seed))
+class Clock:
+    """Tell a time that tests set."""
+
+    def __init__(self, now_s=0.0):
+        self.now_s = now_s
+
+    def monotonic(self):
+        return self.now_s
+
+    def unix_ms(self):
+        return 0
+
+
+def make_placer(own, seed=1, clock=None):
+    return LeastWaitPlacer(own, Distances(), clock or Clock(), Random(seed))
+
+
+def choose(placer, peers, answer_kb=1.0):
+    for peer in peers:
+        if peer.called_s < 0.0:
+            peer.called_s = 0.0
+    return placer.choose(peers, set(), answer_kb)
 
 
 def test_free_target_of_the_same_failure_domain_is_preferred():
@@ -18,7 +38,7 @@
     own = make_peer("own", service="other")
     near, far = make_peer("near"), make_peer("far", failure_domain="b")
     placer = make_placer(own)
-    chosen = Counter(placer.choose([near, far], set()).record.name for _ in range(100))
+    chosen = Counter(choose(placer, [near, far]).record.name for _ in range(100))
     assert chosen["near"] >= 90
 
 
@@ -27,7 +47,7 @@
     own = make_peer("own", service="other")
     busy = make_peer("near", report=make_report(running=9, waiting=6))
     free = make_peer("far", failure_domain="b")
-    assert make_placer(own).choose([busy, free], set()) is free
+    assert choose(make_placer(own), [busy, free]) is free
 
 
 def test_closed_gates_are_not_chosen():
@@ -35,7 +55,7 @@
     own = make_peer("own", service="other")
     states = [state for state in GateState if state not in ("serving", "cold")]
     peers = [make_peer(str(s), report=make_report(s)) for s in states]
-    assert make_placer(own).choose(peers, set()) is None
+    assert choose(make_placer(own), peers) is None
 
 
 def test_burst_of_all_entries_does_not_meet_at_one_target():
@@ -52,8 +72,28 @@
         peers += [make_peer(f"half{n}", report=report) for n in range(4)]
         placer = make_placer(own, seed)
         for _ in range(8):
-            peer = placer.choose(peers, set())
+            peer = choose(placer, peers)
             peer.sent_since_report += 1
             arrivals[peer.record.name] += 1
     assert arrivals["free"] <= 0.5 * sum(arrivals.values())
     assert len(arrivals) == 5
+
+
+def test_large_answers_stay_in_their_failure_domain_longer():
+    """Guards against downloads that travel to save a short wait."""
+    own = make_peer("own", service="other")
+    near = make_peer("near", report=make_report(running=6))
+    far = make_peer("far", failure_domain="b")
+    placer = make_placer(own)
+    assert choose(placer, [near, far], answer_kb=1.0) is far
+    assert choose(placer, [near, far], answer_kb=200.0) is near
+
+
+def test_target_that_was_never_called_gets_a_call():
+    """Guards against new targets that only their own entry uses."""
+    own = make_peer("own", service="other")
+    near, new = make_peer("near"), make_peer("new", failure_domain="b")
+    placer = make_placer(own)
+    near.called_s = 0.0
+    assert placer.choose([near, new], set(), 1.0) is new
+    assert placer.choose([near, new], set(), 1.0) is near
