Keep the pace of targets whose answers are lost, and let lookups wait

Lookups of running requests were refused like new work.

Ruled out: that broken runs show a restart; a target that has ended refuses the next connection, which already closes the gate.

Change: a broken run only asks for a health check; calls of the highest rank wait as long as an answer can still come.

Result: test_lost_answers_do_not_slow_the_target_down started 3 of 100 calls before, 100 after.

--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -25,6 +25,10 @@
 # Share of its time to full worth that a call may wait; a refusal after a
 # longer wait leaves the caller too little time to come back.
 MAX_WAIT_SHARE = 0.6
+# Operators give this rank to lookups that a running request waits for. They
+# wait as long as an answer can still come, because refusing one wastes the
+# run that asked for it.
+HIGHEST_RANK = 0
 # Calls that start at once on a cold target, beyond its rate.
 COLD_BURST = 2.0
 # Added to the cold time that a target announces, as the announcement was
@@ -168,6 +172,9 @@
     _target: _Target | None = None
     _down: bool = False
     _unsure: bool = True
+    """Whether the target may be cold without having said so."""
+    _doubted: bool = False
+    """Whether a run ended in a way that a health check would explain."""
     _evacuated: bool = False
     _stopping: bool = False
     _cold_until_s: float = 0.0
@@ -196,7 +203,7 @@
     @property
     def needs_probe(self) -> bool:
         """Tell whether a health check would settle the target's state."""
-        return self._down or self._unsure
+        return self._down or self._unsure or self._doubted
 
     def state(self, now_s: float) -> GateState:
         """Return what the gate lets through."""
@@ -298,7 +305,9 @@
         if kind is RunKind.NOT_CONNECTED:
             self._down = True
         if kind is RunKind.BROKEN:
-            self._unsure = True
+            # No reason to pace the target: one that has really ended refuses
+            # the next connection, and a lost answer is no sign of a restart.
+            self._doubted = True
         if kind is RunKind.ANSWERED and not failed or kind is RunKind.TIMEOUT:
             self._learn(job, now_s - job.started_s)
 
@@ -377,7 +386,7 @@
         return max(1, min(self._slots, borne))
 
     def _learn_cold(self, cold_s: float, now_s: float) -> None:
-        self._unsure = False
+        self._unsure = self._doubted = False
         self._cold_until_s = now_s + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
 
     def _learn(self, job: GateJob, taken_s: float) -> None:
@@ -428,6 +437,8 @@
 
     def _latest_start_s(self, job: GateJob) -> float:
         usual_s = self._route_s.get(job.call.route, self._service_s)
+        if job.call.rank <= HIGHEST_RANK:
+            return job.expires_s - usual_s
         worth_most_s = job.target_s - job.arrived_s
         if usual_s < worth_most_s:
             late_s = job.target_s - usual_s / LATE_START_FACTOR
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -53,6 +53,19 @@
     assert gate.waiting <= 2
 
 
+def test_lookup_of_a_running_request_waits_as_long_as_it_can():
+    """Guards against refused lookups that waste the run that needs them."""
+    gate = make_gate(slots=1)
+    start(gate)
+    lookups = [
+        gate.offer(make_job(call_id=n, rank=0, target_s=0.1, budget_s=0.8), 0.0)
+        for n in range(2, 7)
+    ]
+    assert lookups == [Queued()] * 5
+    usual = gate.offer(make_job(call_id=9, rank=2, target_s=0.1, budget_s=0.8), 0.0)
+    assert isinstance(usual, Refused)
+
+
 def test_waiting_call_is_refused_when_others_push_it_back():
     """Guards against late refusals of calls that lost their place."""
     gate = make_gate(slots=1)
@@ -126,6 +139,21 @@
     assert gate.state(0.5) is GateState.SERVING
 
 
+def test_lost_answers_do_not_slow_the_target_down():
+    """Guards against pacing a warm target whose answers are reset."""
+    gate = make_gate(slots=9, cold_rate=10.0)
+    started = 0
+    for step in range(100):
+        now_s = step * 0.02
+        decision = gate.offer(make_job(now_s, call_id=step), now_s)
+        if isinstance(decision, Admitted):
+            started += 1
+            kind = RunKind.BROKEN if step % 3 == 0 else RunKind.ANSWERED
+            gate.finish(decision.job, kind, 200, now_s)
+    assert started == 100
+    assert gate.needs_probe
+
+
 def test_target_is_paced_after_an_evacuation_until_its_state_is_known():
     """Guards against full load on targets that turned cold meanwhile."""
     gate = make_gate()
