Use links that came up before their peer was known; delete old entries

Cause: a daemon that was connected by a peer it did not know yet kept that peer as unlinked after its entry arrived, because the link's event had passed. Found by reading; test_peer_is_used_though_its_link_came_before_its_entry fails without the change. Entries of instances that are gone stayed in the store for ever.

Change: the network remembers which links are up; one daemon by rendezvous hash deletes an entry whose daemon has been unlinked for 30 s.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -32,6 +32,7 @@
 from catkinhollow.relay.configuration_check import find_fault
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.entry import Entry
+from catkinhollow.relay.entry_cleanup import find_gone
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.header_names import HeaderNames
@@ -70,6 +71,7 @@
 SHUTDOWN_CHECK_S = 0.1
 CONTROL_DRAIN_S = 0.2
 RELOAD_INTERVAL_S = 2.0
+CLEANUP_INTERVAL_S = 5.0
 
 T = TypeVar("T")
 
@@ -225,6 +227,9 @@
             self._timer.subscribe(
                 STEP_INTERVAL_S, lambda: nursery.start_soon(self._step_moves)
             )
+            self._timer.subscribe(
+                CLEANUP_INTERVAL_S, lambda: nursery.start_soon(self._clean_up)
+            )
             logger.info("started", instance=self._settings.instance)
             await wait_for_end()
             await self._drain()
@@ -293,6 +298,22 @@
         self._network.refresh_own_report()
         await self._moves.step()
 
+    async def _clean_up(self) -> None:
+        """Delete the entries of daemons that have been gone for long."""
+        if not self._follower.reachable:
+            return
+        own = self._directory.own
+        for peer in find_gone(self._directory, own, self._clock.monotonic()):
+            name = peer.record.name
+            document = self._documents.get(f"{DAEMONS}/{name}")
+            if document is None:
+                continue
+            result = await self._store.delete(
+                DAEMONS, name, if_revision=document.revision
+            )
+            reason = "" if result.is_ok() else result.error.reason
+            logger.info("entry of a daemon that is gone", name=name, error=reason)
+
     def _on_gate_state(self) -> None:
         self._network.broadcast_status()
 
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -80,6 +80,7 @@
         self._incoming: dict[tuple[str, int], Submission] = {}
         self._incarnations: dict[str, int] = {}
         self._mismatches: dict[str, _Mismatch] = {}
+        self._up: set[str] = set()
 
     @property
     def directory(self) -> PeerDirectory:
@@ -133,6 +134,11 @@
         for address in wanted:
             self._incarnations.setdefault(address, 0)
             self._link.connect(address)
+        for peer in self._directory:
+            # A link may have come up before its peer was known.
+            if peer.record.address in self._up and not peer.linked:
+                peer.linked = True
+                self._send_status(peer.record.address, reply=False)
 
     def broadcast_status(self) -> None:
         """Tell all linked peers that the target's state has changed."""
@@ -155,6 +161,7 @@
                 self._take_frame(frame)
 
     def _link_up(self, address: str) -> None:
+        self._up.add(address)
         self._watch.link_up(address, self._clock.monotonic())
         peer = self._directory.at(address)
         if peer is not None:
@@ -163,12 +170,14 @@
         self._send_status(address, reply=False)
 
     def _link_down(self, address: str) -> None:
+        self._up.discard(address)
         self._watch.link_down(address)
         lost = self._exchanges.link_lost(address)
         peer = self._directory.at(address)
         if peer is not None:
             peer.linked = False
             peer.report = None
+            peer.lost_s = self._clock.monotonic()
             logger.info(
                 "link down", peer=peer.record.name, address=address, calls_lost=lost
             )
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -18,6 +18,8 @@
     linked: bool = False
     sent_since_report: int = 0
     """Calls sent after the report, which it can't count."""
+    lost_s: float = inf
+    """When the last link to it ended, infinity before its first one."""
     called_s: float = -inf
     """When this daemon last chose the target for a call."""
 
