Use a target until shortly before its daemon ends

A gate refused from SIGTERM on, so its target was lost for 3.5 s (3.00 to 6.55 s for sidecar-flacq-3), and up to three of four targets of a service at a time; 131 requests found none at 11 to 12 s.

Ruled out: ending sooner; callers on the instance need two missed readiness checks to leave.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -66,6 +66,8 @@
 IDLE_EXPIRY_S = 3.0
 # Platform checks ask once a second and need two misses.
 LEAVE_S = 2.2
+# The gate still takes calls for this part of that time.
+GATE_OPEN_S = 1.9
 # Kept for the end of the process before it would be killed.
 EXIT_MARGIN_S = 0.7
 SHUTDOWN_CHECK_S = 0.1
@@ -283,9 +285,12 @@
 
     async def _drain(self) -> None:
         self._stopping = True
-        self._gate.stop()
         self._server.begin_closing()
         started_s = self._clock.monotonic()
+        # Callers on the instance need this time to leave anyway, and the
+        # target behind the gate may be well.
+        await trio.sleep(GATE_OPEN_S)
+        self._gate.stop()
         most_s = self._settings.grace_s - EXIT_MARGIN_S
         was_idle = False
         while self._clock.monotonic() - started_s < most_s:
