--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -6,12 +6,12 @@
 rank; a call that cannot start in time is refused as soon as that is known.
 """
 
-from enum import Enum, auto
 from math import exp, inf
 
 from attrs import define, field, frozen
 
 from catkinhollow.generated.relay import Call, GateState, TargetReport
+from catkinhollow.retries import AttemptKind
 
 # Time of a run that is assumed before the first one has ended.
 FIRST_SERVICE_S = 0.1
@@ -43,22 +43,12 @@
 MAX_HIGHER_SHARE = 0.9
 # Factor on that part, because arrivals come in clumps.
 HIGHER_FACTOR = 1.5
+# Status of a target that is not the expected one.
+MISDIRECTED = 421
 # Most calls that wait; more would only be refused later.
 MAX_WAITING = 200
 
 
-class RunKind(Enum):
-    """Classify how a run at the target ended."""
-
-    ANSWERED = auto()
-    REFUSED = auto()
-    MISDIRECTED = auto()
-    NOT_CONNECTED = auto()
-    BROKEN = auto()
-    TIMEOUT = auto()
-    CANCELLED = auto()
-
-
 @frozen(kw_only=True)
 class Announcement:
     """Hold what a target tells of itself."""
@@ -291,24 +281,26 @@
         self._waiting.remove(job)
         return True
 
-    def finish(self, job: GateJob, kind: RunKind, status: int, now_s: float) -> None:
+    def finish(
+        self, job: GateJob, kind: AttemptKind, status: int, now_s: float
+    ) -> None:
         """Free the slot of a run and learn from it."""
         self._running.discard(job)
-        failed = kind in (RunKind.BROKEN, RunKind.TIMEOUT) or status >= 500
+        failed = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT) or status >= 500
         target = self._target
         if target is not None and job.lifetime == target.announced.lifetime:
-            if kind in (RunKind.ANSWERED, RunKind.BROKEN, RunKind.TIMEOUT):
+            if kind in _RAN:
                 target.runs += 1
                 target.failures += failed
-            if kind is RunKind.MISDIRECTED:
+            if status == MISDIRECTED:
                 target.lost = True
-        if kind is RunKind.NOT_CONNECTED:
+        if kind is AttemptKind.NOT_CONNECTED:
             self._down = True
-        if kind is RunKind.BROKEN:
+        if kind is AttemptKind.BROKEN:
             # No reason to pace the target: one that has really ended refuses
             # the next connection, and a lost answer is no sign of a restart.
             self._doubted = True
-        if kind is RunKind.ANSWERED and not failed or kind is RunKind.TIMEOUT:
+        if kind is AttemptKind.ANSWERED and not failed or kind is AttemptKind.TIMEOUT:
             self._learn(job, now_s - job.started_s)
 
     def announce(self, news: Announcement, now_s: float) -> bool:
@@ -466,6 +458,9 @@
         return dropped
 
 
+_RAN = (AttemptKind.ANSWERED, AttemptKind.BROKEN, AttemptKind.TIMEOUT)
+
+
 def _lifetime_key(news: Announcement) -> tuple[str, int]:
     return news.lifetime, news.born_ms
 
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -11,6 +11,7 @@
 from catkinhollow.generated.relay import Answer, Call, CallOutcome, RelayConfiguration
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.gate import (
+    MISDIRECTED,
     Admitted,
     Announcement,
     Decision,
@@ -18,7 +19,6 @@
     GateJob,
     GateLimits,
     Refused,
-    RunKind,
 )
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.request_log import RequestLog
@@ -34,15 +34,6 @@
 # The run goes on a little longer than the entry waits, so that an answer at
 # the last moment still ends the exchange cleanly.
 RUN_SLACK_S = 0.1
-MISDIRECTED = 421
-
-_RUN_KINDS = {
-    AttemptKind.ANSWERED: RunKind.ANSWERED,
-    AttemptKind.NOT_CONNECTED: RunKind.NOT_CONNECTED,
-    AttemptKind.BROKEN: RunKind.BROKEN,
-    AttemptKind.TIMEOUT: RunKind.TIMEOUT,
-    AttemptKind.CANCELLED: RunKind.CANCELLED,
-}
 
 
 @define(eq=False, kw_only=True)
@@ -243,8 +234,7 @@
     def _finish(self, submission: Submission, attempt: Attempt) -> None:
         job = submission.job
         now_s = self._clock.monotonic()
-        kind = _run_kind(attempt)
-        self._gate.finish(job, kind, attempt.status, now_s)
+        self._gate.finish(job, attempt.kind, attempt.status, now_s)
         self._submissions.pop(job, None)
         if attempt.kind is not AttemptKind.ANSWERED:
             self._log.run_failed(job.call, attempt, job.lifetime)
@@ -329,13 +319,6 @@
         self.advance()
 
 
-def _run_kind(attempt: Attempt) -> RunKind:
-    if attempt.kind is AttemptKind.REFUSED:
-        misdirected = attempt.status == MISDIRECTED
-        return RunKind.MISDIRECTED if misdirected else RunKind.REFUSED
-    return _RUN_KINDS[attempt.kind]
-
-
 def _number(text: bytes | None) -> float:
     """Return the number in a header of the target, 0 if it has none."""
     try:
--- a/catkinhollow/relay/target_answers.py
+++ b/catkinhollow/relay/target_answers.py
@@ -4,11 +4,11 @@
 
 from catkinhollow.egress import Attempt
 from catkinhollow.exchange import Request, Response
+from catkinhollow.relay.gate import MISDIRECTED
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.retries import AttemptKind
 
 SUCCESSES = range(200, 300)
-MISDIRECTED = 421
 # Callers read these as a promise that the request has not run, which only
 # the target's own mark can give.
 PROMISES = (408, 421, 429, 503)
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -8,13 +8,14 @@
 from relay_builders import make_gate, make_job, make_news
 
 from catkinhollow.generated.relay import GateState
-from catkinhollow.relay.gate import Admitted, Queued, Refused, RunKind
+from catkinhollow.relay.gate import Admitted, Queued, Refused
+from catkinhollow.retries import AttemptKind
 
 
 def test_unknown_target_gets_nothing():
     """Guards against calls before the target has announced itself."""
     gate = make_gate()
-    gate.finish(start(gate), RunKind.MISDIRECTED, 421, 0.0)
+    gate.finish(start(gate), AttemptKind.REFUSED, 421, 0.0)
     assert gate.state(0.0) is GateState.UNKNOWN
     assert isinstance(gate.offer(make_job(), 0.0), Refused)
 
@@ -33,7 +34,7 @@
     first = start(gate)
     gate.offer(make_job(call_id=2, rank=2), 0.0)
     gate.offer(make_job(call_id=3, rank=0), 0.0)
-    gate.finish(first, RunKind.ANSWERED, 200, 0.1)
+    gate.finish(first, AttemptKind.ANSWERED, 200, 0.1)
     started = [d.job.call.call_id for d in gate.decide(0.1) if isinstance(d, Admitted)]
     assert started == [3]
 
@@ -89,7 +90,7 @@
         decisions = [decision, *gate.decide(now_s)]
         for admitted in (d for d in decisions if isinstance(d, Admitted)):
             starts.append(now_s)
-            gate.finish(admitted.job, RunKind.ANSWERED, 200, now_s)
+            gate.finish(admitted.job, AttemptKind.ANSWERED, 200, now_s)
     for begin_s in starts:
         within = sum(begin_s <= at_s < begin_s + 1.0 for at_s in starts)
         assert within <= 10 * 1.5
@@ -103,7 +104,7 @@
     gate.offer(waiting, 0.0)
     gate.announce(make_news(sequence=2, draining=True), 0.1)
     assert [d.job for d in gate.decide(0.1) if isinstance(d, Refused)] == [waiting]
-    gate.finish(running, RunKind.ANSWERED, 200, 0.2)
+    gate.finish(running, AttemptKind.ANSWERED, 200, 0.2)
     assert isinstance(gate.offer(make_job(call_id=3), 0.2), Refused)
 
 
@@ -132,7 +133,7 @@
 def test_unreachable_target_is_down_until_it_is_heard():
     """Guards against calls to a target whose port is closed."""
     gate = make_gate()
-    gate.finish(start(gate), RunKind.NOT_CONNECTED, 0, 0.0)
+    gate.finish(start(gate), AttemptKind.NOT_CONNECTED, 0, 0.0)
     assert gate.state(0.0) is GateState.DOWN
     assert gate.needs_probe
     gate.probed("t1", 0.0, 2, 0.5)
@@ -148,7 +149,7 @@
         decision = gate.offer(make_job(now_s, call_id=step), now_s)
         if isinstance(decision, Admitted):
             started += 1
-            kind = RunKind.BROKEN if step % 3 == 0 else RunKind.ANSWERED
+            kind = AttemptKind.BROKEN if step % 3 == 0 else AttemptKind.ANSWERED
             gate.finish(decision.job, kind, 200, now_s)
     assert started == 100
     assert gate.needs_probe
@@ -218,7 +219,7 @@
             if not isinstance(decision, Queued):
                 carry_out([decision], now_s)
         else:
-            gate.finish(job, RunKind.ANSWERED, 200, now_s)
+            gate.finish(job, AttemptKind.ANSWERED, 200, now_s)
             served[job.call.route] += now_s <= job.target_s
         carry_out(gate.decide(now_s), now_s)
     return served, refused_late
