Wait at shutdown for answers that are not sent yet; spare silent peers

And while a peer is cut off, calls went to it until its link counted as silent after 1.5 s.

Ruled out: a shorter time until the link is reset; a busy daemon would lose the calls that it is about to answer.

Change: the listener counts requests until their answers are sent, and the shutdown waits for it. A peer that owes a status for 0.4 s gets no new calls until its next sign of life.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -69,7 +69,7 @@
 # The gate still takes calls for this part of that time.
 GATE_OPEN_S = 1.9
 # Kept for the end of the process before it would be killed.
-EXIT_MARGIN_S = 0.7
+EXIT_MARGIN_S = 1.0
 SHUTDOWN_CHECK_S = 0.1
 CONTROL_DRAIN_S = 0.2
 RELOAD_INTERVAL_S = 2.0
@@ -294,7 +294,7 @@
         most_s = self._settings.grace_s - EXIT_MARGIN_S
         was_idle = False
         while self._clock.monotonic() - started_s < most_s:
-            idle = not self._gate.busy and not self._entry.busy
+            idle = not self._gate.busy and not self._server.busy
             # One more check lets the last answers leave the links.
             if idle and was_idle and self._clock.monotonic() - started_s > LEAVE_S:
                 return
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -93,7 +93,6 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._answer_kb: dict[str, float] = {}
         self._limits = RequestLimits()
-        self._open = 0
         self._own_headers = {
             names.deadline,
             names.caller_service,
@@ -111,11 +110,6 @@
         """Tell whether a configuration is in force."""
         return self._routes is not None
 
-    @property
-    def busy(self) -> bool:
-        """Tell whether requests are open."""
-        return self._open > 0
-
     def configure(self, configuration: RelayConfiguration) -> None:
         """Put a configuration version in force for every later request."""
         self._routes = RouteTable(configuration)
@@ -133,11 +127,7 @@
         route = self._routes.match(host, request.path)
         if route is None:
             return plain_response(404, "no route")
-        self._open += 1
-        try:
-            return await self._serve_route(request, route, disconnected)
-        finally:
-            self._open -= 1
+        return await self._serve_route(request, route, disconnected)
 
     async def _serve_route(
         self, request: Request, route: RelayRoute, disconnected: Disconnected
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -190,12 +190,15 @@
             else:
                 logger.warning("link silent", address=command.address)
                 self._link.reset(command.address)
+        for peer in self._directory:
+            address = peer.record.address
+            if peer.linked and peer is not self._directory.own:
+                peer.quiet = self._watch.is_quiet(address, now_s)
 
     def _take_frame(self, frame: Frame) -> None:
         sender = frame.sender
         now_s = self._clock.monotonic()
-        self._watch.heard(sender, now_s)
-        self._note_incarnation(sender, frame.incarnation)
+        self._note_sign_of_life(sender, frame.incarnation, now_s)
         if frame.call is not None:
             self._take_call(sender, frame.call)
         elif frame.answer is not None:
@@ -228,7 +231,11 @@
             )
             self._events.emit(DocumentChanged(document=document))
 
-    def _note_incarnation(self, sender: str, incarnation: int) -> None:
+    def _note_sign_of_life(self, sender: str, incarnation: int, now_s: float) -> None:
+        self._watch.heard(sender, now_s)
+        peer = self._directory.at(sender)
+        if peer is not None:
+            peer.quiet = False
         known = self._incarnations.get(sender)
         if known is None:
             # A peer that this daemon has not found in the store yet.
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -12,11 +12,14 @@
 # Time between two statuses to a peer without open calls.
 IDLE_INTERVAL_S = 1.0
 # Time between two statuses to a peer that owes answers.
-BUSY_INTERVAL_S = 0.4
+BUSY_INTERVAL_S = 0.25
 # Statuses a second that one daemon sends at most; the interval grows with
 # the number of peers beyond that.
 MAX_STATUSES_PER_S = 40.0
 # Time without a sign of life, while a status is unanswered, after which a
+# peer gets no new calls; it gets them again with its next sign of life.
+QUIET_S = 0.4
+# Time without a sign of life, while a status is unanswered, after which a
 # link counts as silent. A daemon on a slow instance answers within 1 s.
 SILENCE_S = 1.5
 
@@ -68,6 +71,11 @@
             watched.heard_s = now_s
             watched.unanswered_since_s = inf
 
+    def is_quiet(self, address: str, now_s: float) -> bool:
+        """Tell whether a peer owes an answer for too long to call it."""
+        watched = self._peers.get(address)
+        return watched is None or now_s - watched.unanswered_since_s > QUIET_S
+
     def check(self, busy: set[str], now_s: float) -> list[WatchCommand]:
         """Return what is due; `busy` are the peers that owe answers."""
         commands: list[WatchCommand] = []
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -16,6 +16,8 @@
     report: TargetReport | None = None
     reported_s: float = -inf
     linked: bool = False
+    quiet: bool = False
+    """Whether it owes an answer for so long that it may be cut off."""
     sent_since_report: int = 0
     """Calls sent after the report, which it can't count."""
     lost_s: float = inf
@@ -34,6 +36,7 @@
         """Tell whether the gate is known to let calls through."""
         return (
             self.linked
+            and not self.quiet
             and self.report is not None
             and self.report.state in (GateState.SERVING, GateState.COLD)
         )
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -78,6 +78,12 @@
         self._handler = handler
         self._limits = limits
         self._closing = False
+        self._open_requests = 0
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request has been read and its answer is not sent."""
+        return self._open_requests > 0
 
     @property
     def handler(self) -> RequestHandler:
@@ -106,6 +112,14 @@
         task_status.started()
         await trio.serve_listeners(self.serve_stream, listeners)
 
+    def request_begun(self) -> None:
+        """Count a request that has been read."""
+        self._open_requests += 1
+
+    def request_ended(self) -> None:
+        """Count a request whose answer is sent, or whose caller has gone."""
+        self._open_requests -= 1
+
     def begin_closing(self) -> None:
         """End each connection with its next answer."""
         self._closing = True
@@ -247,7 +261,7 @@
 
     def _begin(self, exchange: _Exchange, nursery: trio.Nursery) -> None:
         self._ending = exchange.last
-        self._open.append(exchange)
+        self._append(exchange)
         nursery.start_soon(self._answer, exchange)
         rest, closed = exchange.parser.trailing_data
         self._parser = self._new_parser()
@@ -260,7 +274,11 @@
         exchange = _Exchange(self._parser, _NO_REQUEST, last=True)
         exchange.answer = _encode(exchange, unreadable.response)
         self._ending = True
+        self._append(exchange)
+
+    def _append(self, exchange: _Exchange) -> None:
         self._open.append(exchange)
+        self._server.request_begun()
 
     def _caller_gone(self) -> None:
         self._gone.set()
@@ -295,6 +313,7 @@
                     logger.debug("answer not sent", reason=str(error))
                     self._caller_gone()
                 self._open.popleft()
+                self._server.request_ended()
                 self._notify()
 
     def _notify(self) -> None:
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -88,6 +88,21 @@
     assert resets and resets[0] <= 2.5
 
 
+def test_peer_that_owes_an_answer_gets_no_new_calls():
+    """Guards against calls into a cut until its link counts as silent."""
+    watch = PeerWatch()
+    watch.link_up("p", 0.0)
+    quiet_s = None
+    for step in range(14):
+        now_s = step * 0.1
+        watch.check({"p"}, now_s)
+        if quiet_s is None and watch.is_quiet("p", now_s):
+            quiet_s = now_s
+    assert quiet_s is not None and quiet_s <= 0.9
+    watch.heard("p", 1.4)
+    assert not watch.is_quiet("p", 1.4)
+
+
 def test_answering_peer_is_not_reset():
     """Guards against resets of a link that is only idle."""
     watch = PeerWatch()
--- a/tests/relay/test_request_server.py
+++ b/tests/relay/test_request_server.py
@@ -155,6 +155,23 @@
     assert answer.endswith(b"/1.0\n")
 
 
+async def test_server_is_busy_until_the_answer_is_sent(autojump_clock, connect):
+    """Guards against a shutdown between an answer and its last byte."""
+    handler, server, open_connection = connect
+    client = open_connection()
+    await client.send_all(head("/0.5"))
+    await trio.sleep(0.1)
+    assert server.busy
+    await read_until(client, b"/0.5\n")
+    await trio.sleep(0.1)
+    assert not server.busy
+    await client.send_all(head("/60.0"))
+    await trio.sleep(0.1)
+    await client.aclose()
+    await trio.sleep(0.1)
+    assert not server.busy
+
+
 async def test_request_behind_a_closing_one_is_not_started(autojump_clock, connect):
     """Guards against a run of a request that its caller sends again."""
     handler, _, open_connection = connect
