Keep repeats along a chain of calls within the retry budget

Claims refused 55 % of what reached them; each entry repeated up to 10 %, and repeated runs of readings, whose calls count as repeats at claims too, made the rest.

Ruled out: a budget shared over the store; it would cost calls and lag.

Change: the daemons use 0.4 of the ratio, and repeating a run costs twice as much as repeating a refused call.

Result: the sum stays below the ratio in test_repeated_runs_of_two_services_stay_within_the_budget_of_the_second.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -58,9 +58,11 @@
 
 logger = get_logger(__name__)
 
-# Part of the fleet's retry budget that the daemons use, because each counts
-# only its own requests.
-RETRY_PART = 0.5
+# Part of the fleet's retry budget that the daemons use. The rest is for the
+# calls of repeated runs, which other entries make.
+RETRY_PART = 0.4
+# Repeats that one daemon may make at once for a service.
+RETRY_BURST = 3.0
 # Idle connections to the target are not used after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
@@ -172,7 +174,7 @@
             versions=self._versions,
             names=self._names,
             retry_percent=settings.retry_ratio * 100.0 * RETRY_PART,
-            retry_burst=2.0,
+            retry_burst=RETRY_BURST,
             clock=self._clock,
             random=self._random,
             metrics=self._metrics,
--- a/catkinhollow/relay/call_plan.py
+++ b/catkinhollow/relay/call_plan.py
@@ -14,6 +14,10 @@
 # Time below which another gate can't answer any more.
 MIN_LEFT_S = 0.02
 SERVER_ERROR = 500
+# Cost of a repeat to the retry budget. A run that is repeated makes its own
+# calls again, which count as repeats at the services that it calls.
+REFUSED_COST = 1.0
+RUN_COST = 2.0
 IDEMPOTENT_KINDS = ("safe", "download")
 
 
@@ -73,7 +77,7 @@
     retry_after_s: float = 0.0
     _fallback: Answer | None = None
     _gates: int = 0
-    _needs_budget: bool = False
+    _cost: float = 0.0
 
     @property
     def idempotent(self) -> bool:
@@ -92,10 +96,10 @@
         peer = self.choose(self.tried)
         if peer is None:
             return self._end()
-        if self._needs_budget and not self.budget.spend(1.0):
+        if self._cost and not self.budget.spend(self._cost):
             self.reason = f"{self.reason}; retry budget spent"
             return self._end()
-        self._needs_budget = False
+        self._cost = 0.0
         self._gates += 1
         self.tried.add(peer.record.address)
         return SendTo(peer)
@@ -104,7 +108,8 @@
         """Take what a gate said; return the answer if it is final."""
         if answer.reached_target:
             self.reached += 1
-            self._needs_budget = True
+            refused = answer.outcome is CallOutcome.NOT_RUN
+            self._cost = REFUSED_COST if refused else RUN_COST
         self.reason = answer.reason
         match answer.outcome:
             case CallOutcome.ANSWERED if not self._may_improve(answer):
--- a/tests/relay/test_call_plan.py
+++ b/tests/relay/test_call_plan.py
@@ -4,7 +4,15 @@
 from relay_builders import make_answer, make_peer, make_route
 
 from catkinhollow.generated.relay import CallOutcome
-from catkinhollow.relay.call_plan import CallPlan, Deliver, GiveUp, SendTo
+from catkinhollow.relay.application import RETRY_PART
+from catkinhollow.relay.call_plan import (
+    REFUSED_COST,
+    RUN_COST,
+    CallPlan,
+    Deliver,
+    GiveUp,
+    SendTo,
+)
 from catkinhollow.retries import RetryBudget
 
 
@@ -67,6 +75,30 @@
     assert isinstance(plan.next_step(0.1), GiveUp)
 
 
+def test_repeated_runs_of_two_services_stay_within_the_budget_of_the_second():
+    """Guards against repeats that multiply along a chain of calls.
+
+    Every run of the first service makes 1.4 calls to the second. Half of the
+    runs fail at the first, and half of the second's targets refuse.
+    """
+    ratio, calls_per_run, requests = 0.2, 1.4, 10_000
+    first = RetryBudget(percent=ratio * RETRY_PART * 100, tokens=0.0, burst=3.0)
+    second = RetryBudget(percent=ratio * RETRY_PART * 100, tokens=0.0, burst=3.0)
+    repeated_runs = repeats = calls = 0
+    for number in range(requests):
+        first.earn()
+        runs = 1
+        if number % 2 and first.spend(RUN_COST):
+            repeated_runs += 1
+            runs = 2
+        for _ in range(round(calls_per_run * runs)):
+            second.earn()
+            calls += 1
+            if calls % 2 and second.spend(REFUSED_COST):
+                repeats += 1
+    assert repeats + repeated_runs * calls_per_run <= ratio * calls
+
+
 def test_attempts_at_targets_are_bounded_by_the_route():
     """Guards against more runs than the operator allows."""
     plan = make_plan(max_attempts=2, peers=5)
