Revert "Rank the calls of running requests above new work"

Callers on the instance share the address of the target, so the address tells nothing.

Change: revert; the order within a rank follows instead.

--- a/catkinhollow/exchange.py
+++ b/catkinhollow/exchange.py
@@ -33,7 +33,6 @@
     query: bytes
     headers: Headers
     body: bytes
-    caller_host: str = ""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -75,7 +74,6 @@
         query=request.query,
         headers=headers,
         body=request.body,
-        caller_host=request.caller_host,
     )
 
 
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -167,7 +167,6 @@
         self._versions = VersionPolicy(self._random)
         self._entry = Entry(
             service=settings.service,
-            target_host=_address(settings.target).host,
             network=self._network,
             placer=LeastWaitPlacer(
                 self._directory.own, Distances(), self._clock, self._random
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -24,7 +24,6 @@
     SendTo,
     is_idempotent,
 )
-from catkinhollow.relay.gate import HIGHEST_RANK
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.peers import Peer
@@ -67,7 +66,6 @@
         self,
         *,
         service: str,
-        target_host: str,
         network: PeerNetwork,
         placer: Placer,
         versions: VersionPolicy,
@@ -80,7 +78,6 @@
         log: RequestLog,
     ) -> None:
         self._service = service
-        self._target_host = target_host
         self._network = network
         self._placer = placer
         self._versions = versions
@@ -170,9 +167,7 @@
                 step = final
             if isinstance(step, Deliver):
                 self._count(plan.service, "answered")
-                self._log.answered(
-                    call.request_id, status=step.answer.status, rank=call.rank
-                )
+                self._log.answered(call.request_id, status=step.answer.status)
                 self._learn_size(plan.route, step.answer)
                 return self._deliver(step.answer)
             return self._give_up(plan, step, call)
@@ -248,19 +243,9 @@
             service=service,
             caller_service=self._service,
             idempotent=is_idempotent(route),
-            rank=self._rank(request, route),
+            rank=route.priority,
         )
 
-    def _rank(self, request: Request, route: RelayRoute) -> int:
-        """Return the call's rank among those that wait at a gate.
-
-        The target on the instance calls while it runs a request, which holds
-        a slot until the answer is there.
-        """
-        if request.caller_host == self._target_host:
-            return HIGHEST_RANK
-        return HIGHEST_RANK + 1 + max(0, route.priority)
-
     def _learn_size(self, route: RelayRoute, answer: Answer) -> None:
         size_kb = len(answer.body) / 1024.0
         usual_kb = self._answer_kb.get(route.name, size_kb)
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -25,8 +25,9 @@
 # Share of its time to full worth that a call may wait; a refusal after a
 # longer wait leaves the caller too little time to come back.
 MAX_WAIT_SHARE = 0.6
-# Rank of the calls of a running request. They wait as long as an answer can
-# still come, because refusing one wastes the run that asked for it.
+# Operators give this rank to lookups that a running request waits for. They
+# wait as long as an answer can still come, because refusing one wastes the
+# run that asked for it.
 HIGHEST_RANK = 0
 # Calls that start at once on a cold target, beyond its rate.
 COLD_BURST = 2.0
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -143,7 +143,6 @@
     ) -> None:
         self._server = server
         self._stream = stream
-        self._caller_host = _remote_host(stream)
         self._parser = self._new_parser()
         self._open: deque[_Exchange] = deque()
         self._changed = trio.Event()
@@ -217,7 +216,6 @@
             query=query,
             headers=list(head.headers),
             body=b"".join(chunks),
-            caller_host=self._caller_host,
         )
         last = self._parser.their_state is h11.MUST_CLOSE
         return _Exchange(self._parser, request, last)
@@ -326,16 +324,6 @@
 _NO_REQUEST = Request(method="GET", path="", query=b"", headers=[], body=b"")
 
 
-def _remote_host(stream: trio.abc.HalfCloseableStream) -> str:
-    if not isinstance(stream, trio.SocketStream):
-        return ""
-    try:
-        return str(stream.socket.getpeername()[0])
-    except OSError as error:
-        logger.debug("connection without a caller", reason=str(error))
-        return ""
-
-
 def _encode(exchange: _Exchange, response: Response) -> bytes:
     """Return the bytes of an answer."""
     length = str(len(response.body)).encode()
