Tell failures of a new version at once, and take smaller steps

The driver learns the counts of gates that it does not call from statuses, up to 1 s late, and looked every 0.25 s.

Change: a gate of a version that is being introduced tells its peers of failures at once, the driver looks every 0.1 s, and the third share is 30 %.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from functools import partial
+from math import inf
 from random import Random
 from typing import Protocol, TypeVar
 
@@ -19,6 +20,7 @@
     DaemonRecord,
     Document,
     MoveOrder,
+    OrderState,
     RelayConfiguration,
     RelaySettings,
 )
@@ -76,6 +78,8 @@
 CONTROL_DRAIN_S = 0.2
 RELOAD_INTERVAL_S = 2.0
 CLEANUP_INTERVAL_S = 5.0
+# Time between two statuses that tell of failures of a new version.
+FAILURE_INTERVAL_S = 0.15
 
 T = TypeVar("T")
 
@@ -121,6 +125,7 @@
         self._log = RequestLog(self._clock)
         self._documents = DocumentTable()
         self._version = -1
+        self._failure_told_s = -inf
         self._listening = False
         self._stopping = False
         self._directory = PeerDirectory(self._own_record())
@@ -153,6 +158,7 @@
             timer=self._timer,
             log=self._log,
             on_state=self._on_gate_state,
+            on_failure=self._on_run_failure,
         )
         self._network = PeerNetwork(
             incarnation=self._clock.unix_ms(),
@@ -327,6 +333,19 @@
     def _on_gate_state(self) -> None:
         self._network.broadcast_status()
 
+    def _on_run_failure(self) -> None:
+        """Tell at once that a version which is being introduced fails."""
+        order = self._versions.orders.get(self._settings.service)
+        if order is None or order.progress is None:
+            return
+        now_s = self._clock.monotonic()
+        report = self._gate.gate.report(now_s)
+        running = order.progress.state is OrderState.RUNNING
+        concerned = running and report.version == order.version
+        if concerned and now_s - self._failure_told_s >= FAILURE_INTERVAL_S:
+            self._failure_told_s = now_s
+            self._network.broadcast_status()
+
     def _accepts(self, document: Document) -> bool:
         """Tell whether a document may replace the known one."""
         if document.name != f"{CONFIGURATION}/{CONFIGURATION_NAME}":
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -34,6 +34,7 @@
 # The run goes on a little longer than the entry waits, so that an answer at
 # the last moment still ends the exchange cleanly.
 RUN_SLACK_S = 0.1
+SERVER_ERROR = 500
 
 
 @define(eq=False, kw_only=True)
@@ -60,6 +61,7 @@
         timer: Timer,
         log: RequestLog,
         on_state: Callable[[], None],
+        on_failure: Callable[[], None],
     ) -> None:
         self._gate = gate
         self._address = address
@@ -70,6 +72,7 @@
         self._clock = timer.clock
         self._log = log
         self._on_state = on_state
+        self._on_failure = on_failure
         self._submissions: dict[GateJob, Submission] = {}
         self._nursery: trio.Nursery | None = None
         self._wake: Subscription | None = None
@@ -239,6 +242,8 @@
         if attempt.kind is not AttemptKind.ANSWERED:
             self._log.run_failed(job.call, attempt, job.lifetime)
         self._answer(submission, self._to_answer(job.call, attempt, now_s))
+        if attempt.kind is AttemptKind.BROKEN or attempt.status >= SERVER_ERROR:
+            self._on_failure()
         self.advance()
 
     def _answer(self, submission: Submission, answer: Answer) -> None:
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -15,7 +15,7 @@
 
 logger = get_logger(__name__)
 
-STEP_INTERVAL_S = 0.25
+STEP_INTERVAL_S = 0.1
 # Daemons that may write a step; the second one waits for the first this long.
 DRIVERS = 3
 TAKEOVER_S = 1.0
--- a/catkinhollow/relay/move_plan.py
+++ b/catkinhollow/relay/move_plan.py
@@ -40,7 +40,7 @@
 STAGES = (
     MoveStage(percent=4.0, min_s=4.0, min_part=0.26, ends_at=0.45, min_runs=20),
     MoveStage(percent=15.0, min_s=1.5, min_part=0.1, ends_at=0.55, min_runs=25),
-    MoveStage(percent=40.0, min_s=1.5, min_part=0.1, ends_at=0.65, min_runs=40),
+    MoveStage(percent=30.0, min_s=1.5, min_part=0.1, ends_at=0.65, min_runs=40),
     MoveStage(percent=100.0, min_s=2.0, min_part=0.14, ends_at=0.8, min_runs=0),
 )
 # Failed runs that are needed, and by how much their share must exceed that
