Keep more calls within their failure domain

Bodies can't be compressed (2172 bytes become 2183 with zlib).

Change: leaving the failure domain counts like 20 ms of waiting and 1 ms a KB, before 6 ms and 0.5 ms.

--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -40,12 +40,12 @@
     """Hold the cost of a call's way, as milliseconds of waiting.
 
     The cost of leaving the failure domain contains the price of its bytes: a
-    download of 90 KB should rather wait for half of a run than travel.
+    download of 90 KB should rather wait for a whole run than travel.
     """
 
     same_domain_ms: float = 0.5
-    other_domain_ms: float = 6.0
-    other_domain_ms_per_kb: float = 0.5
+    other_domain_ms: float = 20.0
+    other_domain_ms_per_kb: float = 1.0
     other_region_ms: float = 60.0
 
 
