Split the gate and the application; refuse documents that can't be read

Found while moving: a document of a peer was checked only if it was the configuration, so one of another release would have ended the daemon.

Result: test_document_that_cannot_be_read_is_refused; tests of the relay pass.

--- a/catkinhollow/platform/announcements.py
+++ b/catkinhollow/platform/announcements.py
@@ -18,7 +18,7 @@
     TargetNews,
     TargetStateWord,
 )
-from catkinhollow.relay.gate import Announcement
+from catkinhollow.relay.gate_jobs import Announcement
 
 logger = get_logger(__name__)
 
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -5,23 +5,19 @@
 from functools import partial
 from math import inf
 from random import Random
-from typing import Protocol, TypeVar
+from typing import Protocol
 
 import trio
 from expression import Result
 
 from catkinhollow.addresses import parse_address
 from catkinhollow.clock import TrioClock
-from catkinhollow.codec import decode_message
 from catkinhollow.egress import HttpTargetClient
 from catkinhollow.errors import DecodeError
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
     DaemonRecord,
-    Document,
-    MoveOrder,
     OrderState,
-    RelayConfiguration,
     RelaySettings,
 )
 from catkinhollow.generated.settings import Address, HttpSettings
@@ -31,19 +27,14 @@
     MetricsApplication,
     ReadyApplication,
 )
-from catkinhollow.relay.configuration_check import find_fault
+from catkinhollow.relay.document_handler import DocumentCheck, DocumentHandler
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.entry import Entry
 from catkinhollow.relay.entry_cleanup import find_gone
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.header_names import HeaderNames
-from catkinhollow.relay.kinds import (
-    CONFIGURATION,
-    CONFIGURATION_NAME,
-    DAEMONS,
-    ORDERS,
-)
+from catkinhollow.relay.kinds import DAEMONS
 from catkinhollow.relay.links import NngFrameLink
 from catkinhollow.relay.move_driver import STEP_INTERVAL_S, MoveDriver
 from catkinhollow.relay.network import DocumentChanged, PeerNetwork
@@ -81,8 +72,6 @@
 # Time between two statuses that tell of failures of a new version.
 FAILURE_INTERVAL_S = 0.15
 
-T = TypeVar("T")
-
 
 class TargetNewsApp(Protocol):
     """Build the application that takes news of the target."""
@@ -124,14 +113,24 @@
         self._metrics = RelayMetrics()
         self._log = RequestLog(self._clock)
         self._documents = DocumentTable()
-        self._version = -1
+        self._check = DocumentCheck()
         self._failure_told_s = -inf
         self._listening = False
         self._stopping = False
         self._directory = PeerDirectory(self._own_record())
         self._build_calls()
         self._build_control(decode)
-        self._events.connect(DocumentChanged, self._on_document)
+        handler = DocumentHandler(
+            failure_domain=settings.failure_domain,
+            check=self._check,
+            table=self._documents,
+            entry=self._entry,
+            gate=self._gate,
+            network=self._network,
+            versions=self._versions,
+            moves=self._moves,
+        )
+        self._events.connect(DocumentChanged, handler.take)
 
     def _own_record(self) -> DaemonRecord:
         settings = self._settings
@@ -168,7 +167,7 @@
             link=NngFrameLink(settings.peer, self._timer),
             timer=self._timer,
             events=self._events,
-            accept=self._accepts,
+            accept=self._check.accepts,
         )
         self._versions = VersionPolicy(self._random)
         self._entry = Entry(
@@ -346,94 +345,10 @@
             self._failure_told_s = now_s
             self._network.broadcast_status()
 
-    def _accepts(self, document: Document) -> bool:
-        """Tell whether a document may replace the known one."""
-        if document.name != f"{CONFIGURATION}/{CONFIGURATION_NAME}":
-            return True
-        if document.deleted:
-            logger.error("configuration deletion ignored", revision=document.revision)
-            return False
-        decoded = decode_message(document.body, RelayConfiguration)
-        fault = (
-            decoded.error.reason
-            if decoded.is_error()
-            else find_fault(decoded.ok, self._version)
-        )
-        if fault:
-            logger.error(
-                "configuration refused", revision=document.revision, reason=fault
-            )
-        return not fault
-
-    def _on_document(self, event: DocumentChanged) -> None:
-        document = event.document
-        kind, _, name = document.name.partition("/")
-        match kind:
-            case "configuration":
-                self._enforce(document)
-            case "daemons":
-                self._take_daemons()
-            case "orders":
-                self._take_order(document, name)
-            case "evacuations":
-                self._take_evacuation(document, name)
-            case _:
-                logger.warning("document of an unknown kind", name=document.name)
-
-    def _enforce(self, document: Document) -> None:
-        configuration = _decoded(document, RelayConfiguration)
-        self._version = configuration.version
-        self._entry.configure(configuration)
-        self._gate.configure(configuration)
-        logger.info(
-            "configuration enforced",
-            version=configuration.version,
-            revision=document.revision,
-            routes=len(configuration.routes),
-        )
-
-    def _take_daemons(self) -> None:
-        records = [
-            _decoded(document, DaemonRecord)
-            for document in self._documents.of_kind(DAEMONS)
-        ]
-        self._directory.replace_all(records)
-        self._network.follow_directory()
-
-    def _take_order(self, document: Document, service: str) -> None:
-        orders = [
-            _decoded(known, MoveOrder) for known in self._documents.of_kind(ORDERS)
-        ]
-        self._versions.set_orders(orders)
-        if document.deleted:
-            self._moves.drop_order(service)
-            return
-        order = _decoded(document, MoveOrder)
-        self._moves.take_order(order, document.revision)
-        progress = order.progress
-        logger.info(
-            "move order",
-            service=order.service,
-            version=order.version,
-            state=progress.state.value if progress else "new",
-            percent=progress.percent if progress else 0.0,
-            revision=document.revision,
-        )
-
-    def _take_evacuation(self, document: Document, failure_domain: str) -> None:
-        logger.info(
-            "failure domain",
-            name=failure_domain,
-            out=not document.deleted,
-            revision=document.revision,
-        )
-        if failure_domain == self._settings.failure_domain:
-            self._gate.set_evacuated(not document.deleted)
-
     def _collect_metrics(self) -> RelayMetrics:
         metrics = self._metrics
         gate = self._gate.gate
-        metrics.version.set({}, max(0, self._version))
+        metrics.version.set({}, max(0, self._check.version))
         metrics.gate_calls.set({"state": "running"}, gate.running)
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
         linked = sum(peer.linked for peer in self._directory) - 1
@@ -448,11 +363,3 @@
     if parsed.is_error():
         raise ValueError(parsed.error.reason)
     return parsed.ok
-
-
-def _decoded(document: Document, kind: type[T]) -> T:
-    decoded = decode_message(document.body, kind)
-    if decoded.is_error():
-        # Documents are checked before they are taken.
-        raise ValueError(f"{document.name}: {decoded.error.reason}")
-    return decoded.ok
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -8,11 +8,20 @@
 call that cannot start in time is refused as soon as that is known.
 """
 
-from math import exp, inf
+from math import inf
 
 from attrs import define, field, frozen
 
-from catkinhollow.generated.relay import Call, GateState, TargetReport
+from catkinhollow.generated.relay import GateState, TargetReport
+from catkinhollow.relay.gate_jobs import (
+    Admitted,
+    Announcement,
+    Decision,
+    GateJob,
+    Queued,
+    Refused,
+)
+from catkinhollow.relay.gate_rates import Arrivals, Pace
 from catkinhollow.retries import AttemptKind
 
 # Time of a run that is assumed before the first one has ended.
@@ -27,15 +36,11 @@
 # Share of its time to full worth that a call may wait; a refusal after a
 # longer wait leaves the caller too little time to come back.
 MAX_WAIT_SHARE = 0.6
-# Calls that start at once on a cold target, beyond its rate.
-COLD_BURST = 2.0
 # Added to the cold time that a target announces, as the announcement was
 # sent some time before it arrives.
 COLD_MARGIN_S = 0.3
 # Hint to callers when the target comes back at an unknown time.
 UNAVAILABLE_RETRY_S = 0.3
-# Time over which arrivals are counted, to foresee those that are more urgent.
-ARRIVAL_MEMORY_S = 2.0
 # Part of the target's time that more urgent calls are assumed to take at
 # most; beyond it every other call would be refused at once.
 MAX_HIGHER_SHARE = 0.9
@@ -50,57 +55,6 @@
 MAX_WAITING = 200
 
 
-@frozen(kw_only=True)
-class Announcement:
-    """Hold what a target tells of itself."""
-
-    lifetime: str
-    version: str
-    slots: int
-    draining: bool
-    cold_s: float
-    sequence: int
-    born_ms: int
-
-
-@define(eq=False, kw_only=True)
-class GateJob:
-    """Hold one call at the gate."""
-
-    call: Call
-    arrived_s: float
-    target_s: float
-    """Time until which the answer has its full worth."""
-    expires_s: float
-    """Time at which the entry gives up."""
-    started_s: float = 0.0
-    lifetime: str = ""
-
-
-@frozen
-class Admitted:
-    """Run the call now."""
-
-    job: GateJob
-
-
-@frozen
-class Queued:
-    """Keep the call until a later decision."""
-
-
-@frozen
-class Refused:
-    """Refuse the call; it has not run."""
-
-    job: GateJob
-    reason: str
-    retry_after_s: float
-
-
-Decision = Admitted | Refused
-
-
 @define
 class _Target:
     """Hold the current lifetime of the target."""
@@ -113,24 +67,6 @@
     failures: int = 0
 
 
-@define
-class _Arrivals:
-    """Estimate the rate of arrivals of one rank."""
-
-    count: float = 0.0
-    at_s: float = 0.0
-
-    def add(self, now_s: float) -> None:
-        self.count = self._decayed(now_s) + 1.0
-        self.at_s = now_s
-
-    def per_s(self, now_s: float) -> float:
-        return self._decayed(now_s) / ARRIVAL_MEMORY_S
-
-    def _decayed(self, now_s: float) -> float:
-        return self.count * exp((self.at_s - now_s) / ARRIVAL_MEMORY_S)
-
-
 @frozen(kw_only=True)
 class GateLimits:
     """Hold what bounds the load on the target."""
@@ -139,22 +75,6 @@
     slots: int = 1
 
 
-@define
-class _Pace:
-    """Hold back starts beyond a rate."""
-
-    tokens: float = COLD_BURST
-    at_s: float = 0.0
-
-    def refill(self, rate: float, now_s: float) -> None:
-        grown = max(0.0, now_s - self.at_s) * rate
-        self.tokens = min(COLD_BURST, self.tokens + grown)
-        self.at_s = now_s
-
-    def wait_s(self, rate: float) -> float:
-        return max(0.0, 1.0 - self.tokens) / rate if rate > 0 else inf
-
-
 @define(eq=False)
 class Gate:
     """Hold the calls of one target and decide which run."""
@@ -169,12 +89,12 @@
     _evacuated: bool = False
     _stopping: bool = False
     _cold_until_s: float = 0.0
-    _pace: _Pace = field(factory=_Pace)
+    _pace: Pace = field(factory=Pace)
     _waiting: list[GateJob] = field(factory=list)
     _running: set[GateJob] = field(factory=set)
     _service_s: float = FIRST_SERVICE_S
     _route_s: dict[str, float] = field(factory=dict)
-    _arrivals: dict[tuple[int, int], _Arrivals] = field(factory=dict)
+    _arrivals: dict[tuple[int, int], Arrivals] = field(factory=dict)
 
     @property
     def running(self) -> int:
@@ -233,7 +153,7 @@
         if state not in (GateState.SERVING, GateState.COLD):
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
         urgency = (job.call.rank, job.call.latency_ms)
-        self._arrivals.setdefault(urgency, _Arrivals()).add(now_s)
+        self._arrivals.setdefault(urgency, Arrivals()).add(now_s)
         if not self._waiting and self._may_start(now_s):
             return self._start(job, now_s)
         if len(self._waiting) >= MAX_WAITING:
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -10,14 +10,12 @@
 from catkinhollow.exchange import Headers, Request
 from catkinhollow.generated.relay import Answer, Call, CallOutcome, RelayConfiguration
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.gate import (
-    MISDIRECTED,
+from catkinhollow.relay.gate import MISDIRECTED, Gate, GateLimits
+from catkinhollow.relay.gate_jobs import (
     Admitted,
     Announcement,
     Decision,
-    Gate,
     GateJob,
-    GateLimits,
     Refused,
 )
 from catkinhollow.relay.header_names import HeaderNames
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -8,7 +8,8 @@
 from relay_builders import make_gate, make_job, make_news
 
 from catkinhollow.generated.relay import GateState
-from catkinhollow.relay.gate import PREFETCHED, Admitted, Queued, Refused
+from catkinhollow.relay.gate import PREFETCHED
+from catkinhollow.relay.gate_jobs import Admitted, Queued, Refused
 from catkinhollow.retries import AttemptKind
 
 
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -5,8 +5,10 @@
 
 from relay_builders import make_configuration, make_route
 
+from catkinhollow.codec import encode_message
 from catkinhollow.generated.relay import Document, WeightedService
 from catkinhollow.relay.configuration_check import find_fault
+from catkinhollow.relay.document_handler import DocumentCheck
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.peer_watch import PeerWatch, ResetLink, SendStatus
 from catkinhollow.relay.retry_advice import retry_after_s
@@ -124,6 +126,19 @@
     assert "slash" in find_fault(bare, -1)
 
 
+def test_document_that_cannot_be_read_is_refused():
+    """Guards against a peer of another release that ends this daemon."""
+    check = DocumentCheck()
+    for kind in ("configuration", "daemons", "orders", "evacuations", "novel"):
+        broken = Document(name=f"{kind}/x", revision=5, body=b"\xc1 nothing")
+        assert not check.accepts(broken), kind
+    body = encode_message(make_configuration(3))
+    configuration = Document(name="configuration/main", revision=6, body=body)
+    assert check.accepts(configuration)
+    check.enforced(4)
+    assert not check.accepts(configuration)
+
+
 def test_retry_advice_fits_the_time_left_and_is_spread():
     """Guards against callers told to return too late or all at once."""
     assert retry_after_s(5.0, 0.9, 0.0) <= 0.3
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -11,7 +11,8 @@
     RelayService,
     TargetReport,
 )
-from catkinhollow.relay.gate import Announcement, Gate, GateJob, GateLimits
+from catkinhollow.relay.gate import Gate, GateLimits
+from catkinhollow.relay.gate_jobs import Announcement, GateJob
 from catkinhollow.relay.peers import Peer
 
 
