Refuse callers that stay before the time of a shutdown ends

Callers stay when under half of their failure domain's daemons are ready, so the daemon was never idle.

Ruled out: a longer time; the platform kills after 6 s.

Change: from 3 s after SIGTERM new requests are refused with 503; nothing is open when the daemon ends.

Result: test_callers_that_stay_are_refused_before_the_end fails without the change, passes with it.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -61,6 +61,9 @@
 IDLE_EXPIRY_S = 3.0
 # Platform checks ask once a second and need two misses.
 LEAVE_S = 2.2
+# Callers that stay although the instance is not ready are refused from here
+# on, so that no request is open at the end; most take under 2 s.
+TAKE_REQUESTS_S = 3.0
 # The gate still takes calls for this part of that time.
 GATE_OPEN_S = 1.9
 # Kept for the end of the process before it would be killed.
@@ -303,6 +306,8 @@
         while self._clock.monotonic() - started_s < most_s:
             idle = not self._gate.busy and not self._server.busy
             # One more check lets the last answers leave the links.
+            if self._clock.monotonic() - started_s > TAKE_REQUESTS_S:
+                self._entry.stop()
             if idle and was_idle and self._clock.monotonic() - started_s > LEAVE_S:
                 return
             was_idle = idle
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -93,6 +93,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._answer_kb: dict[str, float] = {}
         self._limits = RequestLimits()
+        self._stopping = False
         self._own_headers = {
             names.deadline,
             names.caller_service,
@@ -119,8 +120,14 @@
             del self._answer_kb[name]
         self._limits = configuration.limits
 
+    def stop(self) -> None:
+        """Refuse every further request, because the daemon ends."""
+        self._stopping = True
+
     async def serve(self, request: Request, disconnected: Disconnected) -> Response:
         """Return the answer to a request, or any once the caller has gone."""
+        if self._stopping:
+            return plain_response(503, "the daemon ends")
         if self._routes is None:
             return plain_response(503, "no configuration yet")
         host = (request.header(b"host") or b"").decode("latin-1")
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from httpcore import ConnectError, NetworkError, RemoteProtocolError
 from relay_builders import make_news, make_route
 from relay_fleet import RelayFleet
 
@@ -189,3 +190,34 @@
     one.network.follow_directory()
     await fleet.until(lambda: one.directory.at(record.address).accepts_calls)
     assert (await fleet.call("one", "c1")).status == 200
+
+
+async def test_callers_that_stay_are_refused_before_the_end(fleet):
+    """Guards against requests cut at the end of a shutdown's time."""
+    await start_pair(fleet)
+    fleet.members["two"].target.work_s = 0.3
+    one = fleet.members["one"]
+    statuses, cut = [], []
+
+    async def keep_calling(caller):
+        while not one.stopped.is_set():
+            request_id = f"{caller}-{len(statuses)}"
+            try:
+                answer = await fleet.call("one", request_id)
+            except ConnectError:
+                return
+            except (NetworkError, RemoteProtocolError):
+                # Its request crossed the close, which is no fault if nobody
+                # has run it.
+                cut.append(request_id)
+                return
+            statuses.append(answer.status)
+            await trio.sleep(0.01)
+
+    async with trio.open_nursery() as nursery:
+        for caller in range(6):
+            nursery.start_soon(keep_calling, caller)
+            await trio.sleep(0.05)
+        one.stop.set()
+    assert set(statuses) == {200, 503}
+    assert not set(cut) & set(fleet.members["two"].target.runs)
