--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -54,8 +54,6 @@
 # Part of the fleet's retry budget that the daemons use. The rest is for the
 # calls of repeated runs, which other entries make.
 RETRY_PART = 0.4
-# Repeats that one daemon may make at once for a service.
-RETRY_BURST = 3.0
 # Idle connections to the target are not used after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
@@ -182,7 +180,7 @@
             versions=self._versions,
             names=self._names,
             retry_percent=settings.retry_ratio * 100.0 * RETRY_PART,
-            retry_burst=RETRY_BURST,
+            retry_slack=settings.retry_slack * RETRY_PART,
             clock=self._clock,
             random=self._random,
             metrics=self._metrics,
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -18,6 +18,7 @@
 )
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.call_plan import (
+    RUN_COST,
     CallPlan,
     Deliver,
     GiveUp,
@@ -71,7 +72,7 @@
         versions: VersionPolicy,
         names: HeaderNames,
         retry_percent: float,
-        retry_burst: float,
+        retry_slack: float,
         clock: Clock,
         random: Random,
         metrics: RelayMetrics,
@@ -83,7 +84,7 @@
         self._versions = versions
         self._names = names
         self._retry_percent = retry_percent
-        self._retry_burst = retry_burst
+        self._retry_slack = retry_slack
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -221,11 +222,15 @@
         return self._placer.choose(candidates, tried, answer_kb)
 
     def _budget(self, service: str) -> RetryBudget:
+        # The slack is for all daemons together; one repeated run is the least
+        # that a budget must be able to pay.
+        daemons = 1 + len(self._network.directory.addresses)
+        burst = max(RUN_COST, self._retry_slack / daemons)
         budget = self._budgets.get(service)
         if budget is None:
-            burst = self._retry_burst
-            budget = RetryBudget(percent=self._retry_percent, tokens=burst, burst=burst)
+            budget = RetryBudget(percent=self._retry_percent, tokens=burst)
             self._budgets[service] = budget
+        budget.burst = burst
         budget.earn()
         return budget
 
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -28,6 +28,14 @@
 where it comes from. No two listeners share an address, and
 `lease.renew_interval_s` < `lease.stop_deciding_s` < `lease.takeover_s`.
 """
+RELAY_INTRODUCTION = """\
+## Settings of a relay daemon
+
+On the users' platform: the platform fills the values into `deploy/daemon.yaml`
+and puts the result where the variable `CATKINHOLLOW_SETTINGS` says. The file is
+read again on SIGHUP and every 2 s; a changed `grace_s` holds at once, other
+values from the next start.
+"""
 FLEET_INTRODUCTION = """\
 ## Fleet files
 
@@ -45,6 +53,8 @@
         INTRODUCTION,
         SETTINGS_INTRODUCTION,
         *_describe_all("settings.yaml", "Settings"),
+        RELAY_INTRODUCTION,
+        *_describe_all("relay.yaml", "RelaySettings"),
         FLEET_INTRODUCTION,
         *_describe_all("fleet.yaml", "Fleet"),
     ]
