--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -224,8 +224,7 @@
     def _budget(self, service: str) -> RetryBudget:
         # The slack is for all daemons together; one repeated run is the least
         # that a budget must be able to pay.
-        daemons = 1 + len(self._network.directory.addresses)
-        burst = max(RUN_COST, self._retry_slack / daemons)
+        burst = max(RUN_COST, self._retry_slack / len(self._network.directory))
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(percent=self._retry_percent, tokens=burst)
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -62,6 +62,9 @@
         """Return the addresses of the other daemons."""
         return set(self._by_address) - {self._own.record.address}
 
+    def __len__(self) -> int:
+        return len(self._by_address)
+
     def __iter__(self) -> Iterator[Peer]:
         return iter(self._by_address.values())
 
