Open the gate of a restarted daemon by an announcement only

Ruled out: keeping the acknowledgement in the store; it costs a call for each leaving target and fails while the store is away.

Change: a health check settles the state of a target that has announced itself and opens no gate. A restarted daemon waits for the next announcement, one interval at most.

--- a/catkinhollow/platform/header_names.py
+++ b/catkinhollow/platform/header_names.py
@@ -9,7 +9,6 @@
     signature=b"x-response-seal",
     expected_lifetime=b"x-expect-instance",
     lifetime=b"x-instance-id",
-    load=b"x-server-load",
     cold=b"x-cold-ms",
     caller_service=b"x-caller-service",
 )
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -114,7 +114,8 @@
     @property
     def needs_probe(self) -> bool:
         """Tell whether a health check would settle the target's state."""
-        return self._down or self._unsure or self._doubted
+        in_doubt = self._down or self._unsure or self._doubted
+        return self._target is not None and in_doubt
 
     def state(self, now_s: float) -> GateState:
         """Return what the gate lets through."""
@@ -250,23 +251,13 @@
             return
         target.left = True
 
-    def probed(self, lifetime: str, cold_s: float, slots: int, now_s: float) -> None:
-        """Take a health check that the target has passed."""
+    def probed(self, lifetime: str, cold_s: float, now_s: float) -> None:
+        """Take a health check that the target has passed.
+
+        It opens no gate by itself: a target whose leaving the predecessor of
+        this daemon has acknowledged still passes.
+        """
         target = self._target
-        if target is None and lifetime:
-            # A restarted daemon may serve before the next announcement, which
-            # is newer than this record in any case.
-            target = self._target = _Target(
-                announced=Announcement(
-                    lifetime=lifetime,
-                    version="",
-                    slots=slots,
-                    draining=False,
-                    cold_s=cold_s,
-                    sequence=-1,
-                    born_ms=-1,
-                )
-            )
         if target is not None and target.announced.lifetime == lifetime:
             self._learn_cold(cold_s, now_s)
             self._down = False
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -315,10 +315,8 @@
         elif response.status == 200:
             lifetime = (response.header(self._names.lifetime) or b"").decode("latin-1")
             cold_ms = _number(response.header(self._names.cold))
-            load = (response.header(self._names.load) or b"").split(b",")
-            slots = int(_number(load[2])) if len(load) > 2 else 0
             now_s = self._clock.monotonic()
-            self._gate.probed(lifetime, cold_ms / 1000.0, slots, now_s)
+            self._gate.probed(lifetime, cold_ms / 1000.0, now_s)
         self.advance()
 
 
--- a/catkinhollow/relay/header_names.py
+++ b/catkinhollow/relay/header_names.py
@@ -15,6 +15,5 @@
     signature: bytes = b"x-target-signature"
     expected_lifetime: bytes = b"x-expected-lifetime"
     lifetime: bytes = b"x-target-lifetime"
-    load: bytes = b"x-target-load"
     cold: bytes = b"x-target-cold-ms"
     caller_service: bytes = b"x-caller-service"
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -8,7 +8,7 @@
 from relay_builders import make_gate, make_job, make_news
 
 from catkinhollow.generated.relay import GateState
-from catkinhollow.relay.gate import PREFETCHED
+from catkinhollow.relay.gate import PREFETCHED, Gate, GateLimits
 from catkinhollow.relay.gate_jobs import Admitted, Queued, Refused
 from catkinhollow.retries import AttemptKind
 
@@ -163,13 +163,27 @@
     assert gate.state(1.0) is GateState.COLD
 
 
+def test_health_check_does_not_open_the_gate_of_a_restarted_daemon():
+    """Guards against work for a target whose leaving was acknowledged.
+
+    The predecessor of a restarted daemon may have acknowledged it, and a
+    leaving target can still pass a health check.
+    """
+    gate = Gate(limits=GateLimits(cold_rate=10.0, slots=9))
+    gate.probed("t1", 0.0, 0.1)
+    assert gate.state(0.1) is GateState.UNKNOWN
+    assert isinstance(gate.offer(make_job(0.1), 0.1), Refused)
+    gate.announce(make_news("t1"), 0.5)
+    assert gate.state(0.5) is GateState.SERVING
+
+
 def test_unreachable_target_is_down_until_it_is_heard():
     """Guards against calls to a target whose port is closed."""
     gate = make_gate()
     gate.finish(start(gate), AttemptKind.NOT_CONNECTED, 0, 0.0)
     assert gate.state(0.0) is GateState.DOWN
     assert gate.needs_probe
-    gate.probed("t1", 0.0, 2, 0.5)
+    gate.probed("t1", 0.0, 0.5)
     assert gate.state(0.5) is GateState.SERVING
 
 
