--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -12,7 +12,7 @@
 
 import pynng
 import trio
-from attrs import define, field, fields, frozen
+from attrs import define, field, fields
 from msgspec import msgpack
 
 from catkinhollow.codec import decode_message
@@ -43,7 +43,7 @@
 
 LinkEvent: TypeAlias = LinkUp | LinkDown | Frame
 
-_FRAME_BODIES = [name.name for name in fields(Frame)]
+_FRAME_FIELDS = [item.name for item in fields(Frame)]
 
 
 class FrameLink(Protocol):
@@ -65,13 +65,6 @@
         """Call the receiver for each event until cancelled."""
 
 
-@frozen
-class _Waiting:
-    """Hold one encoded frame that nng does not take yet."""
-
-    data: bytes
-
-
 @define(eq=False)
 class _Push:
     """Hold the sending end of the link to one peer."""
@@ -80,7 +73,8 @@
     socket: Any = None
     up: bool = False
     dialled_s: float = 0.0
-    backlog: deque[_Waiting] = field(factory=deque)
+    backlog: deque[bytes] = field(factory=deque)
+    """Encoded frames that nng does not take yet."""
     backlog_bytes: int = 0
 
 
@@ -88,7 +82,7 @@
     """Encode a frame without its empty bodies."""
     filled = {
         name: value
-        for name in _FRAME_BODIES
+        for name in _FRAME_FIELDS
         if (value := getattr(frame, name)) is not None
     }
     return msgpack.encode(filled)
@@ -198,7 +192,7 @@
             logger.warning("peer reads too slowly", peer=push.address)
             self.reset(push.address)
             return
-        push.backlog.append(_Waiting(data))
+        push.backlog.append(data)
         push.backlog_bytes += len(data)
         if not self._flushing:
             self._flushing = True
@@ -207,8 +201,8 @@
     def _flush(self) -> None:
         self._flushing = False
         for push in self._pushes.values():
-            while push.backlog and self._try_send(push, push.backlog[0].data):
-                push.backlog_bytes -= len(push.backlog.popleft().data)
+            while push.backlog and self._try_send(push, push.backlog[0]):
+                push.backlog_bytes -= len(push.backlog.popleft())
         if any(push.backlog for push in self._pushes.values()):
             self._flushing = True
             self._timer.call_after(_FLUSH_INTERVAL_S, self._flush)
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from attrs import define, frozen
+from attrs import frozen
 
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
@@ -41,13 +41,6 @@
     document: Document
 
 
-@define
-class _Mismatch:
-    """Hold the digest by which a peer's documents differ."""
-
-    digest: int
-
-
 class PeerNetwork:
     """Connect the gate, the entry and the documents with the peers."""
 
@@ -79,7 +72,8 @@
         self._sequence = 0
         self._incoming: dict[tuple[str, int], Submission] = {}
         self._incarnations: dict[str, int] = {}
-        self._mismatches: dict[str, _Mismatch] = {}
+        # Digest of each peer whose documents differed at its last status.
+        self._differing: dict[str, int] = {}
         self._up: set[str] = set()
 
     @property
@@ -271,15 +265,14 @@
 
     def _compare_documents(self, sender: str, digest: int) -> None:
         if digest == self._documents.digest:
-            self._mismatches.pop(sender, None)
+            self._differing.pop(sender, None)
             return
-        known = self._mismatches.get(sender)
         # The store brings a change to all within milliseconds; only a
         # difference that lasts is worth a transfer.
-        if known is not None and known.digest == digest:
+        if self._differing.get(sender) == digest:
             versions = self._documents.versions
             self._send(sender, document_index=DocumentIndex(versions=versions))
-        self._mismatches[sender] = _Mismatch(digest)
+        self._differing[sender] = digest
 
     def _send_status(self, address: str, *, reply: bool) -> None:
         self._sequence += 1
