Remember a target that left before its daemon knew it

Change: the farewell of an unknown lifetime is kept, and a report of that start does not open the gate.

Result: test_late_report_does_not_revive_a_target_that_left_a_fresh_daemon fails without the change.

--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -51,6 +51,8 @@
 PREFETCHED = 1
 # Status of a target that is not the expected one.
 MISDIRECTED = 421
+# Stands for the start of a lifetime that did not tell it.
+ANY_START_MS = 2**63
 # Most calls that wait; more would only be refused later.
 MAX_WAITING = 200
 
@@ -95,6 +97,8 @@
     _service_s: float = FIRST_SERVICE_S
     _route_s: dict[str, float] = field(factory=dict)
     _arrivals: dict[tuple[int, int], Arrivals] = field(factory=dict)
+    _departed: dict[str, int] = field(factory=dict)
+    """Start of each lifetime that has left before it was known."""
 
     @property
     def running(self) -> int:
@@ -234,7 +238,8 @@
             return False
         restarted = known is None or _lifetime_key(news) != _lifetime_key(known)
         if restarted or self._target is None:
-            self._target = _Target(announced=news)
+            left = news.born_ms <= self._departed.pop(news.lifetime, -1)
+            self._target = _Target(announced=news, left=left)
         else:
             self._target.announced = news
             self._target.lost = False
@@ -245,11 +250,15 @@
     def leave(self, lifetime: str, born_ms: int | None) -> None:
         """Take the announcement that a lifetime ends."""
         target = self._target
-        if target is None or target.announced.lifetime != lifetime:
-            return
-        if born_ms is not None and born_ms < target.announced.born_ms:
-            return
-        target.left = True
+        known = target is not None and target.announced.lifetime == lifetime
+        if target is not None and known:
+            if born_ms is not None and born_ms < target.announced.born_ms:
+                return
+            target.left = True
+        else:
+            # A restarted daemon may hear of the end first; a report that was
+            # delayed must not open the gate afterwards.
+            self._departed[lifetime] = ANY_START_MS if born_ms is None else born_ms
 
     def probed(self, lifetime: str, cold_s: float, now_s: float) -> None:
         """Take a health check that the target has passed.
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -149,6 +149,19 @@
     assert gate.state(0.1) is GateState.DRAINING
 
 
+def test_late_report_does_not_revive_a_target_that_left_a_fresh_daemon():
+    """Guards against a leaving that a restarted daemon acknowledges first.
+
+    It knows no target yet, and an earlier report arrives after the farewell.
+    """
+    gate = Gate(limits=GateLimits(cold_rate=10.0, slots=9))
+    gate.leave("t1", 1000)
+    gate.announce(make_news("t1", sequence=9, born_ms=1000), 2.0)
+    assert gate.state(2.0) is GateState.DRAINING
+    gate.announce(make_news("t1", sequence=1, born_ms=5000), 3.0)
+    assert gate.state(3.0) is GateState.SERVING
+
+
 def test_report_of_an_earlier_lifetime_is_outdated():
     """Guards against a delayed report of a target that has crashed."""
     gate = make_gate(lifetime="new", born_ms=2000)
