Sum versions, errors and running times in one place each

Cause: a read of the whole change. The limit of server errors stood in three modules of the relay beside retries.py; versions.py summed runs again that move_plan.py sums; the average time of the running calls was worked out in two places; and each daemon started a task ten times a second though no move was ordered.

Change: one constant, VersionSums.of, one method; a step starts only while there are orders; an attribute that nobody read is gone.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -148,7 +148,6 @@
         client = HttpTargetClient(
             HttpSettings(), make_classifier(self._names), IDLE_EXPIRY_S
         )
-        self._client = client
         self._gate = GateService(
             gate=Gate(),
             address=settings.target,
@@ -234,9 +233,7 @@
             await self._start_listeners(nursery)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._watch_settings)
-            self._timer.subscribe(
-                STEP_INTERVAL_S, lambda: nursery.start_soon(self._step_moves)
-            )
+            self._timer.subscribe(STEP_INTERVAL_S, lambda: self._start_step(nursery))
             self._timer.subscribe(
                 CLEANUP_INTERVAL_S, lambda: nursery.start_soon(self._clean_up)
             )
@@ -312,6 +309,11 @@
             await trio.sleep(SHUTDOWN_CHECK_S)
         logger.warning("requests cut by the shutdown")
 
+    def _start_step(self, nursery: trio.Nursery) -> None:
+        # Most of the time there is no move, and no task to start.
+        if self._moves.has_orders:
+            nursery.start_soon(self._step_moves)
+
     async def _step_moves(self) -> None:
         self._network.refresh_own_report()
         await self._moves.step()
--- a/catkinhollow/relay/call_plan.py
+++ b/catkinhollow/relay/call_plan.py
@@ -6,14 +6,13 @@
 
 from catkinhollow.generated.relay import Answer, CallOutcome, RelayRoute
 from catkinhollow.relay.peers import Peer
-from catkinhollow.retries import RetryBudget
+from catkinhollow.retries import SERVER_ERROR, RetryBudget
 
 # Gates that are asked for one call. A refusal costs no target any work, but
 # each one delays the answer to a caller that could come back elsewhere.
 MAX_GATES = 3
 # Time below which another gate can't answer any more.
 MIN_LEFT_S = 0.02
-SERVER_ERROR = 500
 # Cost of a repeat to the retry budget. A run that is repeated makes its own
 # calls again, which count as repeats at the services that it calls.
 REFUSED_COST = 1.0
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -22,7 +22,7 @@
     Refused,
 )
 from catkinhollow.relay.gate_rates import Arrivals, Pace
-from catkinhollow.retries import AttemptKind
+from catkinhollow.retries import SERVER_ERROR, AttemptKind
 
 # Time of a run that is assumed before the first one has ended.
 FIRST_SERVICE_S = 0.1
@@ -214,7 +214,8 @@
     ) -> None:
         """Free the slot of a run and learn from it."""
         self._running.discard(job)
-        failed = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT) or status >= 500
+        broken = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT)
+        failed = broken or status >= SERVER_ERROR
         target = self._target
         if target is not None and job.lifetime == target.announced.lifetime:
             if kind in _RAN:
@@ -336,15 +337,16 @@
     def _usual_s(self, job: GateJob) -> float:
         return self._route_s.get(job.call.route, self._service_s)
 
-    @property
-    def _running_s(self) -> float:
-        return sum(self._usual_s(job) for job in self._running)
+    def _usual_running_s(self) -> float:
+        """Return the usual time of the calls at the target, on average."""
+        total_s = sum(self._usual_s(job) for job in self._running)
+        return total_s / max(1, len(self._running))
 
     def _wait_s(self, position: int, now_s: float) -> float:
         """Return how long a call at a position of the queue will wait."""
         work_s = sum(self._usual_s(job) for job in self._waiting[:position])
         # A slot becomes free after this part of a run, on average.
-        work_s += self._running_s / max(1, len(self._running))
+        work_s += self._usual_running_s()
         return self._paced_wait_s(work_s, position, now_s)
 
     def _paced_wait_s(self, work_s: float, position: int, now_s: float) -> float:
@@ -381,7 +383,7 @@
         """Refuse the calls that others of higher rank have pushed back."""
         kept: list[GateJob] = []
         dropped: list[Refused] = []
-        ahead_s = self._running_s / max(1, len(self._running))
+        ahead_s = self._usual_running_s()
         for job in self._waiting:
             wait_s = self._paced_wait_s(ahead_s, len(kept), now_s)
             if now_s + wait_s / LATE_START_FACTOR > self._latest_start_s(job):
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -20,7 +20,7 @@
 )
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.request_log import RequestLog
-from catkinhollow.retries import AttemptKind
+from catkinhollow.retries import SERVER_ERROR, AttemptKind
 from catkinhollow.timer import Subscription, Timer
 
 logger = get_logger(__name__)
@@ -32,7 +32,6 @@
 # The run goes on a little longer than the entry waits, so that an answer at
 # the last moment still ends the exchange cleanly.
 RUN_SLACK_S = 0.1
-SERVER_ERROR = 500
 
 
 @define(eq=False, kw_only=True)
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -47,6 +47,11 @@
         self._clock = clock
         self._driven: dict[str, _Driven] = {}
 
+    @property
+    def has_orders(self) -> bool:
+        """Tell whether there is an order to follow."""
+        return bool(self._driven)
+
     def take_order(self, order: MoveOrder, revision: int) -> None:
         """Take a new or changed order."""
         known = self._driven.get(order.service)
--- a/catkinhollow/relay/move_plan.py
+++ b/catkinhollow/relay/move_plan.py
@@ -68,6 +68,14 @@
     running: int = 0
     _weighted_ms: float = 0.0
 
+    @classmethod
+    def of(cls, reports: Iterable[TargetReport]) -> "VersionSums":
+        """Return the sums of some targets."""
+        sums = cls()
+        for report in reports:
+            sums.add(report)
+        return sums
+
     def add(self, report: TargetReport) -> None:
         """Add one target."""
         self.targets += 1
@@ -85,6 +93,11 @@
         runs = max(0, self.runs - before.runs)
         return runs, min(runs, max(0, self.failures - before.failures))
 
+    @property
+    def failure_share(self) -> float:
+        """Return the share of runs that failed."""
+        return self.failures / self.runs if self.runs else 0.0
+
     @property
     def service_ms(self) -> float:
         """Return the usual time of a run."""
--- a/catkinhollow/relay/versions.py
+++ b/catkinhollow/relay/versions.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from catkinhollow.generated.relay import MoveOrder, OrderState, TargetReport
+from catkinhollow.relay.move_plan import VersionSums
 from catkinhollow.relay.peers import Peer
 
 # Failed runs of a version after which this daemon stops sending to it without
@@ -16,25 +17,14 @@
 
 def is_suspect(new: Iterable[TargetReport], old: Iterable[TargetReport]) -> bool:
     """Tell whether a new version fails so often that it must get no more."""
-    runs, failures = _sum_runs(new)
-    old_runs, old_failures = _sum_runs(old)
-    share = failures / max(1, runs)
-    old_share = old_failures / max(1, old_runs)
+    new_sums, old_sums = VersionSums.of(new), VersionSums.of(old)
     return (
-        failures >= STOP_FAILURES
-        and share >= STOP_SHARE
-        and share >= STOP_FACTOR * old_share
+        new_sums.failures >= STOP_FAILURES
+        and new_sums.failure_share >= STOP_SHARE
+        and new_sums.failure_share >= STOP_FACTOR * old_sums.failure_share
     )
 
 
-def _sum_runs(reports: Iterable[TargetReport]) -> tuple[int, int]:
-    runs = failures = 0
-    for report in reports:
-        runs += report.runs
-        failures += report.failures
-    return runs, failures
-
-
 class VersionPolicy:
     """Deal the calls of a service to the old and the new version of a move."""
 
