--- a/catkinhollow/control/move_requests.py
+++ b/catkinhollow/control/move_requests.py
@@ -11,7 +11,7 @@
 from catkinhollow.configuration.editing import EditRefused
 from catkinhollow.configuration.fleet_updates import UpdateError, read_fleet
 from catkinhollow.configuration.store import MOVES_KIND, StoreClient
-from catkinhollow.control.moves import ENDED
+from catkinhollow.control.moves import TERMINAL_STATES
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import Fleet, Move, MoveState
 from catkinhollow.generated.store import StoredObject
@@ -62,7 +62,7 @@
     if stored.is_error():
         return Error(stored.error)
     before = stored.ok
-    if before and before.move.state not in ENDED:
+    if before and before.move.state not in TERMINAL_STATES:
         return Error(_busy(before.move))
     move = Move(
         service=request.service,
@@ -144,7 +144,7 @@
         move = stored.ok.move
         if move != last:
             on_change(move)
-        if move.state in ENDED:
+        if move.state in TERMINAL_STATES:
             return Ok(move)
         last = move
         # Moves of other services also end the watch, so the next one starts
--- a/catkinhollow/control/move_runner.py
+++ b/catkinhollow/control/move_runner.py
@@ -12,7 +12,7 @@
 )
 from catkinhollow.control.lease import LeaseKeeper
 from catkinhollow.control.moves import (
-    ENDED,
+    TERMINAL_STATES,
     Capacity,
     MoveDriver,
     WriteMove,
@@ -111,7 +111,7 @@
         self._sync(listed.ok.objects)
         for service, driver in list(self._drivers.items()):
             await self._drive(driver)
-            if driver.move.state in ENDED:
+            if driver.move.state in TERMINAL_STATES:
                 del self._drivers[service]
 
     def _is_pass_due(self) -> bool:
@@ -154,7 +154,7 @@
         driver = self._drivers.get(move.service)
         if driver and driver.move.started_ms == move.started_ms:
             self._take_record(driver, move, revision)
-        elif move.state not in ENDED:
+        elif move.state not in TERMINAL_STATES:
             self._drivers[move.service] = MoveDriver(move, revision)
         else:
             self._drivers.pop(move.service, None)
--- a/catkinhollow/control/moves.py
+++ b/catkinhollow/control/moves.py
@@ -50,7 +50,7 @@
 # Cold targets fail under full load; this part of their slots counts.
 COLD_SLOT_VALUE = 0.2
 
-ENDED = (MoveState.DONE, MoveState.WITHDRAWN, MoveState.CANCELLED)
+TERMINAL_STATES = (MoveState.DONE, MoveState.WITHDRAWN, MoveState.CANCELLED)
 _LEAVING = {
     MoveState.WITHDRAWING: MoveState.WITHDRAWN,
     MoveState.CANCELLING: MoveState.CANCELLED,
@@ -157,7 +157,7 @@
     def next_command(self, now_ms: int, capacity: Capacity) -> MoveCommand | None:
         """Return the next write, if one is due."""
         move = self._move
-        if move.state in ENDED:
+        if move.state in TERMINAL_STATES:
             return None
         if move.epoch != self._epoch:
             return self._write(evolve(move, epoch=self._epoch))
@@ -197,7 +197,7 @@
 
     def on_move_sent(self, move: Move) -> None:
         """Remember a final state until it is known whether it was written."""
-        if move.state in ENDED:
+        if move.state in TERMINAL_STATES:
             self._ending = move
 
     def on_record(self, move: Move, revision: int) -> Move | None:
--- a/catkinhollow/testbed/demo.py
+++ b/catkinhollow/testbed/demo.py
@@ -14,7 +14,7 @@
 from catkinhollow.codec import from_plain, to_plain
 from catkinhollow.configuration.http_store import HttpStoreClient
 from catkinhollow.configuration.store import FLEET_KIND, FLEET_NAME, MOVES_KIND
-from catkinhollow.control.moves import ENDED
+from catkinhollow.control.moves import TERMINAL_STATES
 from catkinhollow.generated.fleet import Fleet, Move, MoveState
 from catkinhollow.generated.settings import Address, StoreSettings
 from catkinhollow.testbed.audit import AuditReport, audit
@@ -257,7 +257,7 @@
     async def _wait_for_move(self, service: str, limit_s: float) -> str:
         state = MoveState.RUNNING
         with trio.move_on_after(limit_s + MOVE_GRACE_S):
-            while state not in ENDED:
+            while state not in TERMINAL_STATES:
                 await trio.sleep(0.2)
                 stored = await self._store.get(MOVES_KIND, service)
                 if stored.is_ok():
--- a/catkinhollow/testbed/move_bench.py
+++ b/catkinhollow/testbed/move_bench.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from catkinhollow.codec import from_plain
-from catkinhollow.control.moves import ENDED
+from catkinhollow.control.moves import TERMINAL_STATES
 from catkinhollow.generated.bench import Experiment, FaultPlan, Mode, MovePlan, Point
 from catkinhollow.generated.fleet import Fleet, Move, MoveState
 from catkinhollow.generated.testbed import Execution, FaultMode, TargetFaults
@@ -190,7 +190,7 @@
     async def _wait_for_end(self) -> Move:
         move = None
         with trio.move_on_after(self._plan.deadline_s + GRACE_S):
-            while move is None or move.state not in ENDED:
+            while move is None or move.state not in TERMINAL_STATES:
                 await trio.sleep(POLL_S)
                 stored = await self._store.get("moves", SERVICE)
                 if stored.is_ok():
--- a/tests/control/test_controller_states.py
+++ b/tests/control/test_controller_states.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from catkinhollow.control.moves import ENDED
+from catkinhollow.control.moves import TERMINAL_STATES
 from tests.controller_world import JOBS, World, window
 from tests.move_oracle import MoveOracle
 
@@ -36,7 +36,7 @@
 
     @rule(duration_s=DURATIONS)
     def start_next_move(self, duration_s):
-        if self.world.move.state in ENDED:
+        if self.world.move.state in TERMINAL_STATES:
             # An end whose write got no answer must be read before the
             # operator replaces the move, or it cannot be reported.
             self.heal(30)
--- a/tests/move_oracle.py
+++ b/tests/move_oracle.py
@@ -1,7 +1,7 @@
 """The oracle of a move: what may follow each write in the store."""
 
 from catkinhollow.codec import from_plain
-from catkinhollow.control.moves import ENDED
+from catkinhollow.control.moves import TERMINAL_STATES
 from catkinhollow.generated.fleet import Lease, Move, MoveState
 from tests.controller_world import split_percent
 
@@ -33,7 +33,7 @@
             return
         if move.started_ms != last.started_ms:
             return
-        assert last.state not in ENDED, "a move changed after its end"
+        assert last.state not in TERMINAL_STATES, "a move changed after its end"
         assert move.epoch >= last.epoch, "an earlier term changed the move"
         if last.state != MoveState.RUNNING:
             assert move.percent <= last.percent
@@ -45,7 +45,7 @@
         assert lease.epoch > last.epoch if is_taken else lease.epoch >= last.epoch
 
     def check_split(self, percent):
-        if self.last_move.state in ENDED:
+        if self.last_move.state in TERMINAL_STATES:
             assert percent == final_percent(self.last_move)
 
     def check_ends(self):
@@ -57,7 +57,7 @@
     def check_settled(self):
         """Check that the move has ended and that the split says so."""
         self.check_new_writes()
-        assert self.world.move.state in ENDED
+        assert self.world.move.state in TERMINAL_STATES
         assert self.world.percent == final_percent(self.world.move)
         (number,) = self.world.preferred
         assert self.world.daemons[number].controller.may_decide
--- a/tests/test_fault_moves.py
+++ b/tests/test_fault_moves.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 
 from catkinhollow.codec import from_plain, to_plain
-from catkinhollow.control.moves import ENDED, STEPS, Capacity
+from catkinhollow.control.moves import STEPS, TERMINAL_STATES, Capacity
 from catkinhollow.generated.fleet import Fleet, MoveState
 from catkinhollow.generated.messages import VersionCounts
 from tests.controller_world import JOBS, World, window
@@ -138,7 +138,7 @@
     def _stale_view(self):
         self.call = ("list", "moves")
         if self.step == "move-end":
-            self.run_until(lambda: self.world.move.state in ENDED)
+            self.run_until(lambda: self.world.move.state in TERMINAL_STATES)
         self.meet("old view")
 
     def _crossed(self):
@@ -191,7 +191,7 @@
         for daemon in world.daemons:
             if daemon.paused:
                 world.resume(daemon)
-        self.run_until(lambda: world.move.state in ENDED)
+        self.run_until(lambda: world.move.state in TERMINAL_STATES)
         self.run(FAULT_S)
         self.oracle.check_settled()
 
