--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -50,7 +50,7 @@
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.elections import Elections
 from catkinhollow.mesh.mesh_service import MeshService
-from catkinhollow.mesh.peers import NngPeerLink, address_text
+from catkinhollow.mesh.peers import NngPeerLink, format_address
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -96,7 +96,7 @@
         self._router = CallRouter(location, random)
         self._client = HttpTargetClient(settings.http)
         self._store = HttpStoreClient(settings.store)
-        self._link = NngPeerLink(address_text(settings.peer))
+        self._link = NngPeerLink(format_address(settings.peer))
         self._mesh = MeshService(
             settings, self._timer, self._events, self.offer_snapshot, self._link
         )
--- a/catkinhollow/mesh/mesh_service.py
+++ b/catkinhollow/mesh/mesh_service.py
@@ -22,7 +22,7 @@
     Send,
     SnapshotArrived,
 )
-from catkinhollow.mesh.peers import PeerEvent, PeerLink, address_text
+from catkinhollow.mesh.peers import PeerEvent, PeerLink, format_address
 from catkinhollow.timer import Subscription, Timer
 
 logger = get_logger(__name__)
@@ -33,12 +33,12 @@
 def own_record(settings: Settings, incarnation: int) -> MemberRecord:
     """Return the record that a starting daemon publishes."""
     return MemberRecord(
-        address=address_text(settings.peer),
+        address=format_address(settings.peer),
         incarnation=incarnation,
         failure_domain=settings.failure_domain,
         region=settings.region,
-        traffic_address=address_text(settings.traffic),
-        admin_address=address_text(settings.admin),
+        traffic_address=format_address(settings.traffic),
+        admin_address=format_address(settings.admin),
     )
 
 
@@ -63,7 +63,7 @@
         own = own_record(settings, self._clock.unix_ms())
         self._mesh = Mesh(
             own,
-            [address_text(seed) for seed in settings.seeds],
+            [format_address(seed) for seed in settings.seeds],
             settings.peers,
             Random(f"{own.address} {own.incarnation}"),
             self._clock.monotonic(),
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -74,7 +74,7 @@
         """Call the receiver for each event until cancelled."""
 
 
-def address_text(address: Address) -> str:
+def format_address(address: Address) -> str:
     """Return an address of the settings as host:port."""
     host = f"[{address.host}]" if ":" in address.host else address.host
     return f"{host}:{address.port}"
