--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -25,7 +25,7 @@
 from catkinhollow.control.controller import Controller
 from catkinhollow.control.evidence_service import EvidenceService
 from catkinhollow.control.initial_split import (
-    FixInitialVersions,
+    SetInitialSplits,
     choose_initial_versions,
 )
 from catkinhollow.control.quarantine_policy import QuarantinePolicy
@@ -306,7 +306,7 @@
         versions = choose_initial_versions(snapshot.fleet, records)
         if versions:
             logger.info("initial versions", versions=versions)
-            await update_fleet(self._store, FixInitialVersions(versions))
+            await update_fleet(self._store, SetInitialSplits(versions))
 
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/catkinhollow/control/initial_split.py
+++ b/catkinhollow/control/initial_split.py
@@ -33,7 +33,7 @@
 
 
 @frozen
-class FixInitialVersions:
+class SetInitialSplits:
     """Give services without a split all traffic to their first version.
 
     Without this a version that is only started for a later move would get
--- a/tests/control/test_initial_split.py
+++ b/tests/control/test_initial_split.py
@@ -1,7 +1,7 @@
 """Tests of the split of services that have never been moved."""
 
 from catkinhollow.control.initial_split import (
-    FixInitialVersions,
+    SetInitialSplits,
     choose_initial_versions,
 )
 from catkinhollow.generated.fleet import Fleet, Service, VersionWeight
@@ -42,6 +42,6 @@
 
 def test_split_that_a_move_wrote_meanwhile_is_kept():
     """Guards against a late write that takes a move back."""
-    edit = FixInitialVersions({"orders": "v1", "stock": "v1"})
+    edit = SetInitialSplits({"orders": "v1", "stock": "v1"})
     fleet = edit.edit(FLEET).ok
     assert [service.split[0].version for service in fleet.services] == ["v1", "v2"]
