--- a/catkinhollow/mesh/elections.py
+++ b/catkinhollow/mesh/elections.py
@@ -1,7 +1,7 @@
 """Choose members for fleet-wide tasks by rendezvous hashing."""
 
 from catkinhollow.mesh.membership import MemberTable
-from catkinhollow.mesh.rings import rendezvous
+from catkinhollow.mesh.rings import choose_by_rendezvous_hash
 
 
 class Elections:
@@ -52,9 +52,11 @@
 
     def _domain_watchers(self) -> list[str]:
         domain = self._table.own.failure_domain
-        return rendezvous(self.domain_members(), f"watch/{domain}", self._watchers)
+        return choose_by_rendezvous_hash(
+            self.domain_members(), f"watch/{domain}", self._watchers
+        )
 
 
 def _first(members: list[str], key: str) -> str:
     # A daemon that is leaving counts as absent, in its own table too.
-    return next(iter(rendezvous(members, key, 1)), "")
+    return next(iter(choose_by_rendezvous_hash(members, key, 1)), "")
--- a/catkinhollow/mesh/rings.py
+++ b/catkinhollow/mesh/rings.py
@@ -72,7 +72,9 @@
         return list(found)
 
 
-def rendezvous(members: Iterable[str], key: str, count: int) -> list[str]:
+def choose_by_rendezvous_hash(
+    members: Iterable[str], key: str, count: int
+) -> list[str]:
     """Return the members with the highest hashes for the key."""
     seed = xxh3_64_intdigest(key.encode())
     return nlargest(
--- a/catkinhollow/relay/entry_cleanup.py
+++ b/catkinhollow/relay/entry_cleanup.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from catkinhollow.mesh.rings import rendezvous
+from catkinhollow.mesh.rings import choose_by_rendezvous_hash
 from catkinhollow.relay.peers import Peer
 
 # An instance that restarts is back within seconds; one that is cut off writes
@@ -25,5 +25,6 @@
         for peer in known
         if not peer.linked
         and now_s - peer.lost_s > GONE_S
-        and rendezvous(linked, f"cleanup/{peer.record.name}", 1) == [own.record.address]
+        and choose_by_rendezvous_hash(linked, f"cleanup/{peer.record.name}", 1)
+        == [own.record.address]
     ]
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -7,7 +7,7 @@
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.relay import MoveOrder, MoveProgress
 from catkinhollow.logs import get_logger
-from catkinhollow.mesh.rings import rendezvous
+from catkinhollow.mesh.rings import choose_by_rendezvous_hash
 from catkinhollow.relay.kinds import ORDERS
 from catkinhollow.relay.move_plan import MovePlan
 from catkinhollow.relay.peers import PeerDirectory
@@ -98,7 +98,7 @@
 
     def _rank(self, service: str) -> int | None:
         members = [peer.record.address for peer in self._directory if peer.linked]
-        drivers = rendezvous(members, f"move/{service}", DRIVERS)
+        drivers = choose_by_rendezvous_hash(members, f"move/{service}", DRIVERS)
         own = self._directory.own.record.address
         return drivers.index(own) if own in drivers else None
 
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -6,7 +6,7 @@
 
 from catkinhollow.generated.messages import MemberRecord, MemberState
 from catkinhollow.mesh.membership import MemberTable, join_records, record_hash
-from catkinhollow.mesh.rings import Rings, rendezvous
+from catkinhollow.mesh.rings import Rings, choose_by_rendezvous_hash
 
 NAMES = [f"m{number}" for number in range(6)]
 RECORDS = st.builds(
@@ -82,5 +82,5 @@
         assert rings.successors(name) == rebuilt.successors(name)
         for successor in rings.successors(name):
             assert name in rings.predecessors(successor)
-        kept = rendezvous(members - {name}, "key", 2)
-        assert set(rendezvous(members, "key", 2)) - {name} <= set(kept)
+        kept = choose_by_rendezvous_hash(members - {name}, "key", 2)
+        assert set(choose_by_rendezvous_hash(members, "key", 2)) - {name} <= set(kept)
