--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -192,7 +192,7 @@
             ready=self.ready,
             snapshot=self._holder.snapshot,
             newest_revision=self._holder.floor,
-            members=table.with_enforced(),
+            members=table.records_with_enforced_revision(),
             moves=self._controller.moves,
             quarantines=self._mesh.quarantines,
             lease=self._known_lease(),
--- a/catkinhollow/mesh/membership.py
+++ b/catkinhollow/mesh/membership.py
@@ -114,7 +114,7 @@
         """Return the newest revision known to be enforced at an address."""
         return self._enforced.get(address, 0)
 
-    def with_enforced(self) -> list[MemberRecord]:
+    def records_with_enforced_revision(self) -> list[MemberRecord]:
         """Return all records with the newest enforced revision known."""
         return [
             evolve(record, enforced_revision=self.enforced_at(record.address))
