--- a/catkinhollow/control/moves.py
+++ b/catkinhollow/control/moves.py
@@ -64,7 +64,7 @@
     ready_slots: int
     cold_slots: int = 0
 
-    def bearable_percent(self, demand_slots: float, use: float) -> float:
+    def supported_percent(self, demand_slots: float, use: float) -> float:
         """Return the share of the service's load that the targets bear."""
         slots = use * (self.ready_slots + COLD_SLOT_VALUE * self.cold_slots)
         if slots <= 0:
@@ -233,10 +233,10 @@
     def _wanted_step(self, now_ms: int, capacity: Capacity) -> int:
         current = self._move.step
         demand = self._evidence.demand_slots
-        highest = _highest_step(capacity.bearable_percent(demand, HIGHEST_USE))
+        highest = _highest_step(capacity.supported_percent(demand, HIGHEST_USE))
         if current > highest:
             return highest
-        planned = _highest_step(capacity.bearable_percent(demand, PLANNED_USE))
+        planned = _highest_step(capacity.supported_percent(demand, PLANNED_USE))
         if current >= planned or now_ms < self._ready_ms():
             return current
         return current + 1
@@ -278,9 +278,9 @@
     return None
 
 
-def _highest_step(bearable_percent: float) -> int:
+def _highest_step(supported_percent: float) -> int:
     return max(
-        number for number, step in enumerate(STEPS) if step.percent <= bearable_percent
+        number for number, step in enumerate(STEPS) if step.percent <= supported_percent
     )
 
 
--- a/tests/test_fault_moves.py
+++ b/tests/test_fault_moves.py
@@ -176,7 +176,7 @@
         cold = Capacity(ready_slots=0, cold_slots=10)
         self.change_capacity(cold)
         if self.world.move.state == MoveState.RUNNING:
-            highest = cold.bearable_percent(9.0, 1.0)
+            highest = cold.supported_percent(9.0, 1.0)
             assert self.world.percent <= highest, "invariant 5"
 
     def change_capacity(self, capacity):
