--- a/catkinhollow/mesh/links.py
+++ b/catkinhollow/mesh/links.py
@@ -43,12 +43,12 @@
     messages_received: int = 0
     bytes_received: int = 0
 
-    def sent(self, size_bytes: int) -> None:
+    def count_sent(self, size_bytes: int) -> None:
         """Count a message that nng accepted."""
         self.messages_sent += 1
         self.bytes_sent += size_bytes
 
-    def received(self, size_bytes: int) -> None:
+    def count_received(self, size_bytes: int) -> None:
         """Count a message that arrived."""
         self.messages_received += 1
         self.bytes_received += size_bytes
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -130,7 +130,7 @@
             self._socket.send_msg(_nng.Message(data, pipe), block=False)
         except _nng.NNGException:
             return False
-        self._counters.sent(len(data))
+        self._counters.count_sent(len(data))
         return True
 
     async def run(self, receiver: Callable[[PeerEvent], None]) -> None:
@@ -196,7 +196,7 @@
 
     def _take(self, message: _Message) -> None:
         data = message.bytes
-        self._counters.received(len(data))
+        self._counters.count_received(len(data))
         decoded = decode_message(data, Envelope)
         if decoded.is_error():
             logger.warning("peer message dropped", reason=decoded.error.reason)
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -156,7 +156,7 @@
                 self._take(data)
 
     def _take(self, data: bytes) -> None:
-        self._counters.received(len(data))
+        self._counters.count_received(len(data))
         decoded = decode_message(data, Frame)
         if decoded.is_error():
             logger.warning("frame dropped", reason=decoded.error.reason)
@@ -171,7 +171,7 @@
         except _nng.NNGException as error:
             logger.warning("send failed", peer=push.address, reason=str(error))
             return False
-        self._counters.sent(len(data))
+        self._counters.count_sent(len(data))
         return True
 
     def _queue(self, push: _Push, data: bytes) -> None:
--- a/tests/testbed/test_bench.py
+++ b/tests/testbed/test_bench.py
@@ -195,6 +195,6 @@
     result = result_of((10, 1.0))
     assert decode_json(encode_json(result), BenchResult).ok == result
     counters = LinkCounters()
-    counters.sent(3)
-    counters.received(5)
+    counters.count_sent(3)
+    counters.count_received(5)
     assert (counters.bytes_sent, counters.messages_received) == (3, 1)
