--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -8,26 +8,26 @@
 from catkinhollow.generated.fleet import Fleet, MoveState, Service, Snapshot
 from catkinhollow.generated.settings import LeaseSettings
 from catkinhollow.timer import Timer
-from tests.controller_world import OLD_ONLY, Call, World, window
+from tests.controller_simulation import OLD_ONLY, Call, ControllerSimulation, window
 
 
 def run_until_paused(world, call):
-    world.fate_call, world.fate = call, "pause"
+    world.outcome_call, world.outcome = call, "pause"
     while not world.daemons[0].paused:
-        world.run_fairly(1)
+        world.run_all(1)
 
 
 def test_holder_paused_before_it_reads_the_split_writes_nothing():
     """Guards against a split read after the term and then raised again."""
-    world = World()
+    world = ControllerSimulation()
     world.start_move(60)
-    world.run_fairly(3)
+    world.run_all(3)
     assert world.percent == 1.0
     run_until_paused(world, ("get", "config"))
     assert world.move.percent == 5.0
     world.cancel_move()
     world.preferred = {1}
-    world.run_fairly(15)
+    world.run_all(15)
     assert world.move.state == MoveState.CANCELLED
     world.resume(world.daemons[0])
     assert world.percent == 0.0
@@ -35,9 +35,9 @@
 
 def test_quarantine_does_not_wait_for_the_store():
     """Guards against a bad version that stays in use in an outage."""
-    world = World(count=1)
+    world = ControllerSimulation(count=1)
     world.start_move(300)
-    world.run_fairly(3)
+    world.run_all(3)
     run_until_paused(world, ("list", "moves"))
     daemon = world.daemons[0]
     for _ in range(8):
@@ -47,45 +47,45 @@
     assert not daemon.controller.may_decide
     assert [item.version for item in world.quarantines] == ["new"]
     world.resume(daemon)
-    world.run_fairly(15)
+    world.run_all(15)
     assert world.move.state == MoveState.WITHDRAWN
     assert world.move.reason == world.quarantines[0].reason
 
 
 def test_other_writers_split_is_replaced():
     """Guards against a fleet file that undoes the split of a running move."""
-    world = World(count=1)
+    world = ControllerSimulation(count=1)
     world.start_move(300)
-    world.run_fairly(3)
+    world.run_all(3)
     fleet = Fleet(services=[Service(name="orders", split=OLD_ONLY)])
     revision = world.store.write("config", "fleet", to_plain(fleet)).revision
     snapshot = Snapshot(revision=revision, fleet=fleet)
     world.daemons[0].controller.on_snapshot(snapshot)
-    world.run_fairly(2)
+    world.run_all(2)
     assert world.percent == 1.0
 
 
 def test_older_view_does_not_start_an_ended_move_again():
     """Guards against a split that follows an outdated answer of the store."""
-    world = World(count=1)
+    world = ControllerSimulation(count=1)
     world.start_move(60)
     while world.move.state != MoveState.DONE:
-        world.run_fairly(1)
-    world.fate_call, world.fate = ("list", "moves"), "old view"
-    world.run_fairly(4)
-    assert world.fate_call is None
+        world.run_all(1)
+    world.outcome_call, world.outcome = ("list", "moves"), "old view"
+    world.run_all(4)
+    assert world.outcome_call is None
     assert world.percent == 100.0
 
 
 def test_daemon_that_is_preferred_again_drives_the_same_move():
     """Guards against a move that stands still after an election and back."""
-    world = World(count=1)
+    world = ControllerSimulation(count=1)
     world.start_move(60)
-    world.run_fairly(3)
+    world.run_all(3)
     world.preferred = set()
-    world.run_fairly(5)
+    world.run_all(5)
     world.preferred = {0}
-    world.run_fairly(80)
+    world.run_all(80)
     assert world.move.state == MoveState.DONE
 
 
@@ -112,7 +112,7 @@
 async def test_run_ends_a_move_and_logs_it_once(autojump_clock, nursery, caplog):
     """Guards against tasks that do not wake, and repeated or missing ends."""
     caplog.set_level("INFO", "absl")
-    world = World(count=0)
+    world = ControllerSimulation(count=0)
     timer = Timer(TrioClock())
     source = world.make_daemon(0)
     controller = Controller(
--- a/tests/control/test_controller_states.py
+++ b/tests/control/test_controller_states.py
@@ -5,12 +5,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from catkinhollow.control.moves import TERMINAL_STATES
-from tests.controller_world import JOBS, World, window
+from tests.controller_simulation import JOBS, ControllerSimulation, window
 from tests.move_oracle import MoveOracle
 
 NUMBERS = st.integers(0, 2)
 DURATIONS = st.sampled_from([20, 60, 300])
-FATES = st.sampled_from(
+OUTCOMES = st.sampled_from(
     ["ok", "lost answer", "refused", "late", "pause", "slow answer", "old view"]
 )
 PAUSES = st.sampled_from(["pause", "slow answer"])
@@ -30,7 +30,7 @@
 
     @initialize(duration_s=DURATIONS)
     def begin(self, duration_s):
-        self.world = World()
+        self.world = ControllerSimulation()
         self.oracle = MoveOracle(self.world)
         self.world.start_move(duration_s)
 
@@ -48,25 +48,25 @@
         self.world.tick(seconds)
 
     @rule(seconds=st.sampled_from([1, 3, 15, 40]))
-    def run_fairly(self, seconds):
-        self.world.run_fairly(seconds)
+    def run_all(self, seconds):
+        self.world.run_all(seconds)
 
-    @rule(call=CALLS, fate=FATES, seconds=st.sampled_from([5, 15]))
-    def run_until_fate(self, call, fate, seconds):
-        """Run until a call of one sort, which meets the given fate."""
-        self.world.fate_call, self.world.fate = call, fate
-        self.world.run_fairly(seconds)
+    @rule(call=CALLS, outcome=OUTCOMES, seconds=st.sampled_from([5, 15]))
+    def run_until_outcome(self, call, outcome, seconds):
+        """Run until a call of one sort, which meets the given outcome."""
+        self.world.outcome_call, self.world.outcome = call, outcome
+        self.world.run_all(seconds)
 
     @rule(
         call=CALLS,
-        fate=PAUSES,
+        outcome=PAUSES,
         preferred=st.sets(NUMBERS, min_size=1),
         meanwhile=st.sampled_from(["", "cancel", "bad"]),
         seconds=st.sampled_from([3, 9, 15]),
     )
-    def pause_holder(self, call, fate, preferred, meanwhile, seconds):
+    def pause_holder(self, call, outcome, preferred, meanwhile, seconds):
         """Pause a daemon at a call while the others and the operator act."""
-        self.run_until_fate(call, fate, 15)
+        self.run_until_outcome(call, outcome, 15)
         paused = [item for item in self.world.daemons if item.paused]
         if meanwhile == "cancel":
             self.world.cancel_move()
@@ -74,7 +74,7 @@
             for number in range(3):
                 self.find_bad_version(number)
         self.world.preferred = preferred
-        self.world.run_fairly(seconds)
+        self.world.run_all(seconds)
         for daemon in paused:
             self.world.resume(daemon)
 
@@ -82,19 +82,19 @@
     def prefer(self, preferred):
         self.world.preferred = preferred
 
-    @rule(number=NUMBERS, job=st.sampled_from(JOBS), fate=FATES)
-    def step(self, number, job, fate):
+    @rule(number=NUMBERS, job=st.sampled_from(JOBS), outcome=OUTCOMES)
+    def step(self, number, job, outcome):
         """Start one job, or end its waiting call, without the others."""
         daemon = self.world.daemons[number]
         if job in daemon.jobs:
-            self.world.answer(daemon, job, fate)
+            self.world.answer(daemon, job, outcome)
         else:
             daemon.start(job)
 
     @rule()
     def deliver_late_call(self):
-        if self.world.late:
-            self.world.carry_out(self.world.late.pop(0))
+        if self.world.delayed_calls:
+            self.world.carry_out(self.world.delayed_calls.pop(0))
 
     @rule(number=NUMBERS)
     def crash(self, number):
@@ -118,15 +118,15 @@
 
     def heal(self, seconds):
         """Run with the store up, every daemon alive and one preferred."""
-        self.world.fate_call = None
+        self.world.outcome_call = None
         self.world.preferred = {min(self.world.preferred)}
         for daemon in self.world.daemons:
             self.world.resume(daemon)
-        self.world.run_fairly(seconds)
+        self.world.run_all(seconds)
 
     def teardown(self):
         self.heal(400)
-        while self.world.late:
+        while self.world.delayed_calls:
             self.deliver_late_call()
         self.oracle.check_settled()
 
--- a/tests/controller_world.py
+++ b/tests/controller_simulation.py
@@ -97,7 +97,7 @@
 class Daemon:
     """Hold one controller, its running jobs and their waiting calls."""
 
-    world: "World"
+    world: "ControllerSimulation"
     controller: Controller = None
     counts: list = Factory(list)
     paused: bool = False
@@ -131,7 +131,7 @@
             pass
 
 
-class World:
+class ControllerSimulation:
     """Hold a store and several daemons, of which one is preferred."""
 
     def __init__(self, count=3):
@@ -141,10 +141,10 @@
         self.quarantines = []
         self.preferred = {0}
         self.names = 0
-        self.late = []
-        self.fate = "ok"
+        self.delayed_calls = []
+        self.outcome = "ok"
         self.capacity = Capacity(ready_slots=100)
-        self.fate_call = None
+        self.outcome_call = None
         self.last_list = self.old_list = UNAVAILABLE
         fleet = Fleet(services=[Service(name="orders", split=OLD_ONLY)])
         self.store.write("config", "fleet", to_plain(fleet))
@@ -221,7 +221,7 @@
             if not daemon.paused:
                 daemon.controller.tick()
 
-    def run_fairly(self, seconds, failing=0.0):
+    def run_all(self, seconds, failing=0.0):
         """Let every daemon that is not paused run, subject to the plan."""
         for _ in range(seconds):
             for number in self.preferred:
@@ -236,27 +236,27 @@
             daemon.start(job)
         while job in daemon.jobs and not daemon.paused:
             call = daemon.jobs[job][1]
-            if self.fate_call == (call.method, call.kind):
-                self.fate_call = None
-                self.answer(daemon, job, self.fate)
+            if self.outcome_call == (call.method, call.kind):
+                self.outcome_call = None
+                self.answer(daemon, job, self.outcome)
             else:
                 self.answer(daemon, job, "ok")
 
-    def answer(self, daemon, job, fate):
+    def answer(self, daemon, job, outcome):
         """Carry out a waiting call, or make it fail in the given way."""
         call = daemon.jobs[job][1]
-        if fate in ("pause", "slow answer"):
+        if outcome in ("pause", "slow answer"):
             daemon.paused = True
-            call.result = self.carry_out(call) if fate == "slow answer" else None
+            call.result = self.carry_out(call) if outcome == "slow answer" else None
             return
         result = UNAVAILABLE
-        if fate == "ok":
+        if outcome == "ok":
             result = call.result or self.carry_out(call)
-        if fate == "lost answer":
+        if outcome == "lost answer":
             self.carry_out(call)
-        if fate == "late":
-            self.late.append(call)
-        if fate == "old view" and call.method == "list":
+        if outcome == "late":
+            self.delayed_calls.append(call)
+        if outcome == "old view" and call.method == "list":
             result = self.old_list
         daemon.answer(job, result)
 
--- a/tests/move_oracle.py
+++ b/tests/move_oracle.py
@@ -3,7 +3,7 @@
 from catkinhollow.codec import from_plain
 from catkinhollow.control.moves import TERMINAL_STATES
 from catkinhollow.generated.fleet import Lease, Move, MoveState
-from tests.controller_world import split_percent
+from tests.controller_simulation import split_percent
 
 
 class MoveOracle:
--- a/tests/test_fault_moves.py
+++ b/tests/test_fault_moves.py
@@ -7,7 +7,7 @@
 from catkinhollow.control.moves import STEPS, TERMINAL_STATES, Capacity
 from catkinhollow.generated.fleet import Fleet, MoveState
 from catkinhollow.generated.messages import VersionCounts
-from tests.controller_world import JOBS, World, window
+from tests.controller_simulation import JOBS, ControllerSimulation, window
 from tests.fault_table import MOVES, cells
 from tests.move_oracle import MoveOracle
 
@@ -25,7 +25,7 @@
     def __init__(self, step, fault, seed):
         self.step, self.fault = step, fault
         self.call = CALLS[seed]
-        self.world = World()
+        self.world = ControllerSimulation()
         self.oracle = MoveOracle(self.world)
         self.daemon = self.world.daemons[0]
 
@@ -33,7 +33,7 @@
         for _ in range(seconds):
             if self.fault == "target-cold":
                 self.daemon.counts.append(_demand())
-            self.world.run_fairly(1)
+            self.world.run_all(1)
             self.oracle.check_new_writes()
 
     def run_until(self, condition):
@@ -60,11 +60,11 @@
             daemon.counts += window(0.5)
             daemon.controller.tick()
 
-    def meet(self, fate):
-        """Run until the call waits and meets the fate."""
+    def meet(self, outcome):
+        """Run until the call waits and meets the outcome."""
         world = self.world
-        world.fate_call, world.fate = self.call, fate
-        self.run_until(lambda: world.fate_call is None)
+        world.outcome_call, world.outcome = self.call, outcome
+        self.run_until(lambda: world.outcome_call is None)
 
     def inject(self):
         getattr(self, "_" + self.fault.replace("-", "_"))()
@@ -132,8 +132,8 @@
         """Cut the connection to the store; the call arrives much later."""
         self.meet("late")
         self.run(FAULT_S)
-        while self.world.late:
-            self.world.carry_out(self.world.late.pop(0))
+        while self.world.delayed_calls:
+            self.world.carry_out(self.world.delayed_calls.pop(0))
 
     def _stale_view(self):
         self.call = ("list", "moves")
@@ -186,7 +186,7 @@
 
     def settle(self):
         world = self.world
-        world.fate_call = None
+        world.outcome_call = None
         world.preferred = {min(world.preferred)}
         for daemon in world.daemons:
             if daemon.paused:
