Rename attributes of the simulated mesh of the tests

sides, cut and view become partition_of, cut_links and pinned_revision; picks and stored_fleet_with become pick_targets and write_changed_fleet.

--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -76,20 +76,20 @@
         super().__init__(seed)
         self.store = HistoryStore()
         self.store.write("config", "fleet", to_plain(make_fleet(1500)))
-        self.stored_fleet_with(lambda fleet: _with_split(fleet))
+        self.write_changed_fleet(lambda fleet: _with_split(fleet))
         self.holders = defaultdict(SnapshotHolder)
         self.routers = {}
         self.policies = defaultdict(QuarantinePolicy)
         self.served = Counter()
-        self.cut = set()
-        self.view = None
+        self.cut_links = set()
+        self.pinned_revision = None
         self.store_delay_s = 0.0
         self._polled_s = 0.0
         for address in ADDRESSES[:5]:
             self.start(address, ADDRESSES)
         self.pass_time(12.0)
 
-    def stored_fleet_with(self, change):
+    def write_changed_fleet(self, change):
         """Write a changed configuration, as another writer does."""
         stored = self.store.objects["config", "fleet"]
         fleet = change(from_plain(stored.value, Fleet).ok)
@@ -124,7 +124,9 @@
         return evolve(made, address=address, incarnation=incarnation)
 
     def reachable(self, one, other):
-        return frozenset((one, other)) not in self.cut and super().reachable(one, other)
+        return frozenset((one, other)) not in self.cut_links and super().reachable(
+            one, other
+        )
 
     def enforce(self, node, revision, size=100):
         holder = self.holders[node]
@@ -176,7 +178,7 @@
             self.served[node.address] = holder.revision
         self._bring_up_to_date(node)
 
-    def picks(self, node, count=12):
+    def pick_targets(self, node, count=12):
         """Return the entries that a daemon picks for some orders."""
         entries = []
         for _ in range(count):
@@ -206,7 +208,7 @@
         if self.store.down or self.now_s - self._polled_s < POLL_S:
             return
         self._polled_s = self.now_s
-        revision = self.view or self.store.revision
+        revision = self.pinned_revision or self.store.revision
         for address in ADDRESSES[:2]:
             node = self.nodes.get(address)
             if node is not None:
--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -71,7 +71,7 @@
 
     @rule(sides=st.lists(st.integers(0, 1), min_size=5, max_size=5))
     def partition(self, sides):
-        self.network.sides = dict(zip(ADDRESSES, sides, strict=True))
+        self.network.partition_of = dict(zip(ADDRESSES, sides, strict=True))
 
     @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
     def lose(self, loss):
@@ -87,7 +87,7 @@
     @rule()
     def settle(self):
         network = self.network
-        network.sides, network.loss = {}, 0.0
+        network.partition_of, network.loss = {}, 0.0
         for node in list(network.nodes.values()):
             if node.stopped:
                 network.resume(node)
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -50,7 +50,7 @@
         self.random = Random(seed)
         self.now_s = 0.0
         self.loss = 0.0
-        self.sides = {}
+        self.partition_of = {}
         self.nodes = {}
         self.newest = 0
         self.snapshots = Counter()
@@ -95,7 +95,7 @@
         self._tick(node, node.due_s)
 
     def reachable(self, one, other):
-        return self.sides.get(one, 0) == self.sides.get(other, 0)
+        return self.partition_of.get(one, 0) == self.partition_of.get(other, 0)
 
     def enforce(self, node, revision, size=100):
         if revision <= node.enforced or revision < node.floor:
--- a/tests/test_fault_configuration.py
+++ b/tests/test_fault_configuration.py
@@ -80,7 +80,7 @@
         """Make an update; after an unknown outcome the operator repeats it."""
         store = self.network.store
         if self.fault == "crossed":
-            store.before_put = [lambda: self.network.stored_fleet_with(_slower)]
+            store.before_put = [lambda: self.network.write_changed_fleet(_slower)]
         store.lose_answer = self.fault == "lost-answer"
         writes = store.writes
         result = update()
@@ -110,11 +110,11 @@
 
     def _cut_link(self):
         other = ADDRESSES[self.random.randrange(1, 4)]
-        self.network.cut = {frozenset((self.actor, other))}
+        self.network.cut_links = {frozenset((self.actor, other))}
 
     def _split(self):
         sides = {address: index % 2 for index, address in enumerate(ADDRESSES)}
-        self.network.sides = sides
+        self.network.partition_of = sides
 
     def _outage(self):
         self.network.store.down = True
@@ -126,7 +126,7 @@
 
     def _crossed(self):
         if self.step not in CONFIGURATION:
-            self.network.stored_fleet_with(_slower)
+            self.network.write_changed_fleet(_slower)
 
     def _race(self):
         """Let a second operator undo or change what the first one wrote."""
@@ -141,7 +141,7 @@
                 network.edit(TakeDomainOut("fd1"))
                 network.edit(ReturnDomain("fd1"))
             case "withdraw":
-                network.stored_fleet_with(_slower)
+                network.write_changed_fleet(_slower)
 
     def _target_dies(self):
         self.announce([])
@@ -164,7 +164,7 @@
         network = self.network
         network.store_delay_s = 3.0 if self.fault == "slow-store" else 0.0
         if self.fault == "stale-view":
-            network.view = network.newest_valid - (self.step != "spread")
+            network.pinned_revision = network.newest_valid - (self.step != "spread")
 
     def _wrong_answer(self):
         """Answer requests that the daemon did not make, with old contents."""
@@ -184,7 +184,11 @@
 
     def heal(self):
         network = self.network
-        network.cut, network.sides, network.view = set(), {}, None
+        network.cut_links, network.partition_of, network.pinned_revision = (
+            set(),
+            {},
+            None,
+        )
         network.store.down, network.store_delay_s = False, 0.0
         if self.fault == "pause" and self.step != "shutdown":
             network.resume(self.node)
@@ -197,7 +201,7 @@
                 continue
             assert node.mesh.ready, "not ready"
             assert node.enforced == network.newest_valid, "invariant 12"
-            picked = network.picks(node)
+            picked = network.pick_targets(node)
             assert picked
             domains = {entry.failure_domain for entry in picked}
             if self.step == "domain-out":
