--- a/catkinhollow/control/initial_split.py
+++ b/catkinhollow/control/initial_split.py
@@ -1,4 +1,4 @@
-"""Fix the version of services that have never been moved."""
+"""Set the split of services that have never been moved."""
 
 from collections.abc import Iterable, Mapping
 
@@ -9,47 +9,47 @@
 from catkinhollow.generated.fleet import Fleet, Service, VersionWeight
 from catkinhollow.generated.messages import MemberRecord, MemberState, TargetRecord
 
-_PRESENT = (MemberState.ALIVE, MemberState.SUSPECT)
+_PRESENT_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
 def choose_initial_versions(
     fleet: Fleet, members: Iterable[MemberRecord]
 ) -> dict[str, str]:
-    """Return the first started version of each service without a split."""
-    open_services = {service.name for service in fleet.services if not service.split}
-    first: dict[str, TargetRecord] = {}
+    """Return the earliest started version of each service without a split."""
+    unsplit_services = {service.name for service in fleet.services if not service.split}
+    earliest: dict[str, TargetRecord] = {}
     for member in members:
-        if member.state not in _PRESENT:
+        if member.state not in _PRESENT_STATES:
             continue
         for target in member.targets:
-            if target.service in open_services:
-                known = first.get(target.service, target)
-                first[target.service] = min(known, target, key=_start)
-    return {service: target.version for service, target in first.items()}
+            if target.service in unsplit_services:
+                known = earliest.get(target.service, target)
+                earliest[target.service] = min(known, target, key=_start_key)
+    return {service: target.version for service, target in earliest.items()}
 
 
-def _start(target: TargetRecord) -> tuple[int, str]:
+def _start_key(target: TargetRecord) -> tuple[int, str]:
     return target.started_ms, target.version
 
 
 @frozen
 class SetInitialSplits:
-    """Give services without a split all traffic to their first version.
+    """Route all traffic of services without a split to their first version.
 
-    Without this a version that is only started for a later move would get
-    traffic once the targets of the first version have been replaced.
+    Without a split, a version that was started for a later move would get
+    traffic as soon as the targets of the first version have been replaced.
     """
 
     versions: Mapping[str, str]
     may_create: bool = False
 
     def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
-        """Return the configuration with the missing splits."""
+        """Return the configuration with the missing splits added."""
         services = [self._with_split(service) for service in stored.services]
         return Ok(evolve(stored, services=services))
 
     def may_follow(self, before: Fleet, now: Fleet) -> bool:
-        """Allow every other change, as a split that is there is kept."""
+        """Return True, as the edit keeps existing splits."""
         return True
 
     def _with_split(self, service: Service) -> Service:
--- a/catkinhollow/control/quarantine_policy.py
+++ b/catkinhollow/control/quarantine_policy.py
@@ -1,4 +1,4 @@
-"""Decide which quarantines apply to the split in force."""
+"""Decide which quarantines apply to the current split."""
 
 from collections.abc import Iterable
 
@@ -12,14 +12,14 @@
 
 @frozen(kw_only=True)
 class QuarantineChanges:
-    """Hold what changes for the router."""
+    """Describe the versions that the router has to block or unblock."""
 
     added: frozenset[VersionKey]
     lifted: frozenset[VersionKey]
 
 
 class QuarantinePolicy:
-    """Apply a quarantine until a later move starts to the same version."""
+    """Apply each quarantine until a later move to the same version starts."""
 
     def __init__(self) -> None:
         self._applied: frozenset[VersionKey] = frozenset()
@@ -27,20 +27,22 @@
     def update(
         self, fleet: Fleet, quarantines: Iterable[Quarantine]
     ) -> QuarantineChanges:
-        """Return what has changed since the last update."""
-        moved_ms = {
+        """Return the changes since the last update."""
+        move_started_ms_of = {
             (service.name, weight.version): weight.move_started_ms
             for service in fleet.services
             for weight in service.split
         }
-        wanted = frozenset(
+        effective = frozenset(
             key
             for quarantine in quarantines
             if quarantine.move_started_ms
-            >= moved_ms.get(key := (quarantine.service, quarantine.version), 0)
+            >= move_started_ms_of.get(
+                key := (quarantine.service, quarantine.version), 0
+            )
         )
         changes = QuarantineChanges(
-            added=wanted - self._applied, lifted=self._applied - wanted
+            added=effective - self._applied, lifted=self._applied - effective
         )
-        self._applied = wanted
+        self._applied = effective
         return changes
--- a/tests/control/test_initial_split.py
+++ b/tests/control/test_initial_split.py
@@ -1,4 +1,4 @@
-"""Tests of the split of services that have never been moved."""
+"""Tests of the initial split of services that have never been moved."""
 
 from catkinhollow.control.initial_split import (
     SetInitialSplits,
@@ -30,7 +30,7 @@
 
 
 def test_first_started_version_gets_all_traffic():
-    """Guards against traffic to a version that waits for its move."""
+    """Guards against traffic to a version whose move has not started."""
     members = [
         make_member(1, "v2", 200),
         make_member(2, "v1", 100),
@@ -40,8 +40,8 @@
     assert choose_initial_versions(FLEET, members) == {"orders": "v1"}
 
 
-def test_split_that_a_move_wrote_meanwhile_is_kept():
-    """Guards against a late write that takes a move back."""
+def test_split_written_by_a_move_in_the_meantime_is_kept():
+    """Guards against a late write that reverts a move."""
     edit = SetInitialSplits({"orders": "v1", "stock": "v1"})
     fleet = edit.edit(FLEET).ok
     assert [service.split[0].version for service in fleet.services] == ["v1", "v2"]
--- a/tests/control/test_quarantine_policy.py
+++ b/tests/control/test_quarantine_policy.py
@@ -20,7 +20,7 @@
 
 
 def test_quarantine_applies_before_the_store_knows_of_it():
-    """Guards against a bad version that stays in traffic without the store."""
+    """Guards against a bad version that keeps traffic without the store."""
     policy = QuarantinePolicy()
     changes = policy.update(make_fleet(100), [make_quarantine(100)])
     assert changes.added == {("orders", "v2")}
@@ -36,6 +36,9 @@
 
 
 def test_restarted_daemon_ignores_the_quarantine_of_an_earlier_move():
-    """Guards against a joiner that learns old quarantines with the table."""
+    """Guards against a joining daemon that applies outdated quarantines.
+
+    A joining daemon receives them together with the member table.
+    """
     changes = QuarantinePolicy().update(make_fleet(200), [make_quarantine(100)])
     assert not changes.added
