Reword the controller, its lease and the moves

LeaseKeeper becomes LeaseManager, parts become fractions, use becomes utilization, and comments name the schedule and its terminal states. Checked with ruff, mypy, the tests of tests/control and check_wording.

--- a/catkinhollow/control/controller.py
+++ b/catkinhollow/control/controller.py
@@ -1,4 +1,4 @@
-"""Run the controller lease and the moves on a daemon."""
+"""Run the controller of a daemon, which holds the lease and drives moves."""
 
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -7,7 +7,7 @@
 
 from catkinhollow.codec import from_plain, to_plain
 from catkinhollow.configuration.store import CONTROLLER_LEASE, LEASES_KIND, StoreClient
-from catkinhollow.control.lease import LeaseKeeper, ReadLease, WriteLease
+from catkinhollow.control.lease import LeaseManager, ReadLease, WriteLease
 from catkinhollow.control.move_runner import CapacitySource, MoveRunner
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.fleet import Lease, Move, Snapshot
@@ -23,14 +23,14 @@
 
 
 class EvidenceSource(Protocol):
-    """Supply the fleet's outcome counts."""
+    """Supply the outcome counts of the fleet."""
 
     def take(self) -> list[VersionCounts]:
-        """Return the counts that arrived since the last call."""
+        """Return the counts received since the last call."""
 
 
 def log_end(move: Move) -> None:
-    """Log the end of a move on one line."""
+    """Log the end of a move."""
     logger.info(
         "move ended",
         service=move.service,
@@ -42,7 +42,7 @@
 
 
 class Controller:
-    """Hold the lease when preferred, and drive moves while holding it."""
+    """Acquire the lease while preferred, and drive moves while holding it."""
 
     def __init__(
         self,
@@ -62,11 +62,11 @@
         self._is_preferred = is_preferred
         self._evidence = evidence
         self._quarantine = quarantine
-        self._keeper = LeaseKeeper(holder, settings)
+        self._lease_manager = LeaseManager(holder, settings)
         self._runner = MoveRunner(
             store=store,
             clock=clock,
-            keeper=self._keeper,
+            lease_manager=self._lease_manager,
             capacity=capacity,
             report_end=report_end,
         )
@@ -74,8 +74,8 @@
 
     @property
     def epoch(self) -> int:
-        """Return the epoch of the own term, 0 when there is none."""
-        return self._keeper.epoch
+        """Return the epoch of this daemon's term, 0 when there is none."""
+        return self._lease_manager.epoch
 
     @property
     def moves(self) -> list[Move]:
@@ -84,21 +84,25 @@
 
     @property
     def may_decide(self) -> bool:
-        """Tell whether this daemon controls the fleet now."""
-        return self._keeper.may_decide(self._clock.monotonic())
+        """Return whether this daemon is the active controller."""
+        return self._lease_manager.may_decide(self._clock.monotonic())
 
     async def run(self, timer: Timer) -> None:
-        """Control the fleet until cancelled."""
+        """Maintain the lease and drive the moves until cancelled."""
         subscription = timer.subscribe(TICK_S, self.tick)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._repeat, self.keep_lease)
-                nursery.start_soon(self._repeat, self.drive_moves)
+                nursery.start_soon(self._run_on_tick, self.keep_lease)
+                nursery.start_soon(self._run_on_tick, self.drive_moves)
         finally:
             subscription.cancel()
 
     def tick(self) -> None:
-        """Judge a window of evidence without the store, and wake the tasks."""
+        """Evaluate a window of evidence and wake the tasks.
+
+        The evaluation does not use the store, so a bad version is also
+        quarantined during an outage of the store.
+        """
         if not self._is_preferred() and not self.epoch:
             self._runner.forget_moves()
         for quarantine in self._runner.observe(self._evidence.take()):
@@ -108,17 +112,17 @@
         self._ticked = trio.Event()
 
     def on_quarantine(self, quarantine: Quarantine) -> None:
-        """Withdraw a version that any daemon has quarantined."""
+        """Withdraw a version that some daemon has quarantined."""
         self._runner.on_quarantine(quarantine)
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
-        """Notice splits of running moves that another writer changed."""
+        """Restore the splits of running moves that another writer changed."""
         self._runner.on_snapshot(snapshot)
 
     async def keep_lease(self) -> None:
-        """Make the lease calls that are due."""
+        """Make the store calls for the lease that are due."""
         while True:
-            command = self._keeper.next_command(
+            command = self._lease_manager.next_command(
                 self._clock.monotonic(), preferred=self._is_preferred()
             )
             if command is None:
@@ -129,10 +133,10 @@
                 await self._write_lease(command)
 
     async def drive_moves(self) -> None:
-        """Read the moves and make the writes that are due."""
+        """Read the moves and make the store writes that are due."""
         await self._runner.run_pass()
 
-    async def _repeat(self, job: Callable[[], Awaitable[None]]) -> None:
+    async def _run_on_tick(self, job: Callable[[], Awaitable[None]]) -> None:
         while True:
             await self._ticked.wait()
             await job()
@@ -141,19 +145,19 @@
         result = await self._store.get(LEASES_KIND, CONTROLLER_LEASE)
         now_s = self._clock.monotonic()
         if result.is_ok():
-            self._take_lease(now_s, result.ok)
+            self._on_stored_lease(now_s, result.ok)
         elif result.error.kind == StoreErrorKind.NOT_FOUND:
-            self._keeper.on_read(now_s, None, 0)
+            self._lease_manager.on_read(now_s, None, 0)
         else:
-            self._keeper.on_unavailable(now_s)
+            self._lease_manager.on_unavailable(now_s)
 
-    def _take_lease(self, now_s: float, stored: StoredObject) -> None:
+    def _on_stored_lease(self, now_s: float, stored: StoredObject) -> None:
         decoded = from_plain(stored.value, Lease)
         if decoded.is_ok():
-            self._keeper.on_read(now_s, decoded.ok, stored.revision)
+            self._lease_manager.on_read(now_s, decoded.ok, stored.revision)
             return
         logger.error("stored lease refused", reason=decoded.error.reason)
-        self._keeper.on_unavailable(now_s)
+        self._lease_manager.on_unavailable(now_s)
 
     async def _write_lease(self, command: WriteLease) -> None:
         result = await self._store.put(
@@ -164,8 +168,8 @@
         )
         now_s = self._clock.monotonic()
         if result.is_ok():
-            self._keeper.on_written(now_s, command, result.ok.revision)
+            self._lease_manager.on_written(now_s, command, result.ok.revision)
         elif result.error.kind == StoreErrorKind.CONFLICT:
-            self._keeper.on_conflict(now_s)
+            self._lease_manager.on_conflict(now_s)
         else:
-            self._keeper.on_unavailable(now_s)
+            self._lease_manager.on_unavailable(now_s)
--- a/catkinhollow/control/move_runner.py
+++ b/catkinhollow/control/move_runner.py
@@ -1,4 +1,4 @@
-"""Make the store calls that the drivers of moves ask for."""
+"""Make the store calls that the drivers of moves request."""
 
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -10,7 +10,7 @@
     MOVES_KIND,
     StoreClient,
 )
-from catkinhollow.control.lease import LeaseKeeper
+from catkinhollow.control.lease import LeaseManager
 from catkinhollow.control.moves import (
     TERMINAL_STATES,
     Capacity,
@@ -28,34 +28,35 @@
 
 logger = get_logger(__name__)
 
-# Without a move, new ones are looked for this often, in passes.
+# While there is no move, only one of this number of passes reads the store.
 IDLE_PASSES = 3
-# Other writers of config/fleet are rare, so a conflict clears at once.
+# Other writers of config/fleet are rare, so an immediate retry is likely to
+# succeed.
 SPLIT_ATTEMPTS = 3
 
 
 class CapacitySource(Protocol):
-    """Supply the capacity of target versions."""
+    """Supply the capacity of the targets of a version."""
 
     def capacity(self, service: str, version: str) -> Capacity:
-        """Return the slots of the version's targets."""
+        """Return the slots of the targets of a version."""
 
 
 class MoveRunner:
-    """Hold the drivers of all moves and carry out their commands."""
+    """Run the drivers of all moves and execute their commands."""
 
     def __init__(
         self,
         *,
         store: StoreClient,
         clock: Clock,
-        keeper: LeaseKeeper,
+        lease_manager: LeaseManager,
         capacity: CapacitySource,
         report_end: Callable[[Move], None],
     ) -> None:
         self._store = store
         self._clock = clock
-        self._keeper = keeper
+        self._lease_manager = lease_manager
         self._capacity = capacity
         self._report_end = report_end
         self._drivers: dict[str, MoveDriver] = {}
@@ -69,40 +70,40 @@
         return [driver.move for driver in self._drivers.values()]
 
     def observe(self, counts: Iterable[VersionCounts]) -> list[Quarantine]:
-        """Give each driver its counts and return the versions found bad."""
+        """Pass the counts to the drivers and return new quarantines."""
         by_service: dict[str, list[VersionCounts]] = {}
         for entry in counts:
             by_service.setdefault(entry.service, []).append(entry)
-        found = [
+        quarantines = [
             driver.observe(by_service.get(service, []))
             for service, driver in self._drivers.items()
         ]
-        return [quarantine for quarantine in found if quarantine]
+        return [quarantine for quarantine in quarantines if quarantine]
 
     def on_quarantine(self, quarantine: Quarantine) -> None:
-        """Withdraw a version that any daemon has quarantined."""
+        """Withdraw a version that some daemon has quarantined."""
         known = self._quarantines.get(quarantine.service)
         if known is None or known.move_started_ms < quarantine.move_started_ms:
             self._quarantines[quarantine.service] = quarantine
         self._apply_quarantines()
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
-        """Notice splits of running moves that another writer changed."""
+        """Restore the splits of running moves that another writer changed."""
         for service in snapshot.fleet.services:
             driver = self._drivers.get(service.name)
             if driver:
                 driver.on_split_seen(service.split, snapshot.revision)
 
     def forget_moves(self) -> None:
-        """Drop the drivers, but for those with an end still to report."""
+        """Drop all drivers except those with an unreported end."""
         self._drivers = {
             service: driver
             for service, driver in self._drivers.items()
-            if driver.has_unknown_end
+            if driver.has_unconfirmed_end
         }
 
     async def run_pass(self) -> None:
-        """Read the moves and make the writes that are due."""
+        """Read the moves and make the store writes that are due."""
         if not self._is_pass_due():
             return
         listed = await self._store.list_objects(MOVES_KIND)
@@ -110,14 +111,14 @@
             return
         self._sync(listed.ok.objects)
         for service, driver in list(self._drivers.items()):
-            await self._drive(driver)
+            await self._run_driver(driver)
             if driver.move.state in TERMINAL_STATES:
                 del self._drivers[service]
 
     def _is_pass_due(self) -> bool:
-        if not self._keeper.may_decide(self._clock.monotonic()):
+        if not self._lease_manager.may_decide(self._clock.monotonic()):
             self._idle_passes = IDLE_PASSES
-            return any(driver.has_unknown_end for driver in self._drivers.values())
+            return any(driver.has_unconfirmed_end for driver in self._drivers.values())
         self._idle_passes += 1
         if not self._drivers and self._idle_passes < IDLE_PASSES:
             return False
@@ -125,10 +126,10 @@
         return True
 
     def _sync(self, objects: Iterable[StoredObject]) -> None:
-        # A store may answer with an older view; an ended move must not start
-        # again from it.
+        # A store may answer with an older state, from which an ended move
+        # must not start again.
         for stored in objects:
-            if self._is_followed(stored):
+            if self._is_known(stored):
                 continue
             decoded = from_plain(stored.value, Move)
             if decoded.is_ok():
@@ -143,9 +144,9 @@
         self._start_terms()
         self._apply_quarantines()
 
-    def _is_followed(self, stored: StoredObject) -> bool:
-        # A daemon that forgot its drivers and is preferred again finds the
-        # move at the revision that it knows, and has to drive it.
+    def _is_known(self, stored: StoredObject) -> bool:
+        # A daemon that dropped its drivers and is preferred again has to drive
+        # the move although it already knows the stored revision.
         known = self._revisions.get(stored.name, 0)
         has_driver = stored.name in self._drivers
         return stored.revision < known or (stored.revision == known and has_driver)
@@ -153,7 +154,7 @@
     def _sync_move(self, move: Move, revision: int) -> None:
         driver = self._drivers.get(move.service)
         if driver and driver.move.started_ms == move.started_ms:
-            self._take_record(driver, move, revision)
+            self._apply_record(driver, move, revision)
         elif move.state not in TERMINAL_STATES:
             self._drivers[move.service] = MoveDriver(move, revision)
         else:
@@ -161,26 +162,26 @@
 
     def _start_terms(self) -> None:
         for driver in self._drivers.values():
-            if self._keeper.epoch and driver.epoch != self._keeper.epoch:
-                driver.start_term(self._keeper.epoch)
+            if self._lease_manager.epoch and driver.epoch != self._lease_manager.epoch:
+                driver.start_term(self._lease_manager.epoch)
 
     def _apply_quarantines(self) -> None:
         for driver in self._drivers.values():
             move = driver.move
-            found = self._quarantines.get(move.service)
-            if found and found.move_started_ms == move.started_ms:
-                driver.withdraw(found.reason)
+            quarantine = self._quarantines.get(move.service)
+            if quarantine and quarantine.move_started_ms == move.started_ms:
+                driver.withdraw(quarantine.reason)
 
     def _may_act(self, driver: MoveDriver) -> bool:
-        is_current = driver.epoch == self._keeper.epoch
-        return is_current and self._keeper.may_decide(self._clock.monotonic())
+        is_current = driver.epoch == self._lease_manager.epoch
+        return is_current and self._lease_manager.may_decide(self._clock.monotonic())
 
     def _next_command(self, driver: MoveDriver) -> WriteMove | WriteSplit | None:
         move = driver.move
         capacity = self._capacity.capacity(move.service, move.version)
         return driver.next_command(self._clock.unix_ms(), capacity)
 
-    async def _drive(self, driver: MoveDriver) -> None:
+    async def _run_driver(self, driver: MoveDriver) -> None:
         written = True
         while written and self._may_act(driver):
             command = self._next_command(driver)
@@ -200,7 +201,7 @@
         if result.is_error():
             return False
         self._revisions[service] = result.ok.revision
-        self._take_record(driver, command.move, result.ok.revision)
+        self._apply_record(driver, command.move, result.ok.revision)
         return True
 
     async def _write_split(self, driver: MoveDriver, command: WriteSplit) -> bool:
@@ -208,9 +209,9 @@
             stored = await self._store.get(FLEET_KIND, FLEET_NAME)
             if stored.is_error():
                 return False
-            # Checked between the read and the write: a later holder changes
-            # the revision after this daemon's term, so that a write delayed
-            # after this check fails.
+            # This check has to come between the read and the write: a later
+            # holder changes the revision after this daemon's term, so that a
+            # write which is delayed after the check fails.
             if not self._may_act(driver) or self._next_command(driver) != command:
                 return False
             fleet = _with_split(stored.ok.value, command)
@@ -227,7 +228,7 @@
                 return False
         return False
 
-    def _take_record(self, driver: MoveDriver, move: Move, revision: int) -> None:
+    def _apply_record(self, driver: MoveDriver, move: Move, revision: int) -> None:
         ended = driver.on_record(move, revision)
         if ended:
             self._report_end(ended)
--- a/catkinhollow/control/moves.py
+++ b/catkinhollow/control/moves.py
@@ -1,4 +1,4 @@
-"""Decide the steps of one move of a service to a target version."""
+"""Decide the steps of the move of a service to a target version."""
 
 from collections.abc import Iterable
 from copy import deepcopy
@@ -10,23 +10,28 @@
 from catkinhollow.generated.fleet import Move, MoveState, VersionWeight
 from catkinhollow.generated.messages import Quarantine, VersionCounts
 
-# Policy. Steps follow a plan worked back from the deadline. A step waits for
-# enough evidence up to HOLD_PART longer than planned, then the move goes on:
-# lack of traffic does not stop a good version. A move is withdrawn when its
-# version is bad, or when the deadline passes before the share is 100 %, which
-# only happens when the new targets cannot bear the load or the store was away.
+# The steps are scheduled backwards from the deadline. Without enough evidence
+# the next step is delayed by HOLD_FRACTION of the schedule, then the move
+# continues, so that a lack of traffic does not stop a good version. A move is
+# withdrawn when its version is bad, or when the deadline passes before the
+# share is 100 %. The latter only happens when the new targets cannot serve
+# the load or the store was unavailable.
 
 
 @frozen
 class Step:
-    """Hold one step: its share, and when it starts as a part of the plan."""
+    """Describe a step by its traffic share and its start.
+
+    The start is a fraction of the time between the start of the move and
+    the planned finish.
+    """
 
     percent: float
-    starts_at: float
+    start_fraction: float
 
 
 # The share stays at 1 % until there is enough evidence, so that a version
-# that is bad at once gets less than 2 % of the traffic.
+# that is bad from the start gets less than 2 % of the traffic.
 STEPS = (
     Step(0.0, 0.0),
     Step(1.0, 0.0),
@@ -36,22 +41,24 @@
     Step(100.0, 0.8),
 )
 LAST_STEP = len(STEPS) - 1
-HOLD_PART = 0.15
-# Part of the time to the deadline kept for takeovers and slow writes.
-RESERVE_PART = 0.1
-# A step that starts late, after a takeover or a wait for targets, still runs
-# so long if the time left allows it: evidence arrives within 3 s.
-MIN_BAKE_MS = 10_000
-
-# Highest use of the new targets' slots that a step may plan for, and the use
-# above which a share already given is lowered again.
-PLANNED_USE = 0.7
-HIGHEST_USE = 0.95
-# Cold targets fail under full load; this part of their slots counts.
-COLD_SLOT_VALUE = 0.2
+HOLD_FRACTION = 0.15
+# Fraction of the time to the deadline that is reserved for takeovers by
+# another controller and for slow writes.
+RESERVE_FRACTION = 0.1
+# Minimum duration of a step that starts late, after a takeover or a wait for
+# targets, if the time left allows it. Evidence arrives within 3 s.
+MIN_STEP_MS = 10_000
+
+# Highest expected utilization of the new targets' slots at which a step may
+# start, and the utilization above which the current share is lowered again.
+PLANNED_UTILIZATION = 0.7
+MAX_UTILIZATION = 0.95
+# Fraction of a cold target's slots that counts as capacity, because cold
+# targets fail under full load.
+COLD_SLOT_WEIGHT = 0.2
 
 TERMINAL_STATES = (MoveState.DONE, MoveState.WITHDRAWN, MoveState.CANCELLED)
-_LEAVING = {
+_TERMINAL_STATE_AFTER = {
     MoveState.WITHDRAWING: MoveState.WITHDRAWN,
     MoveState.CANCELLING: MoveState.CANCELLED,
 }
@@ -59,14 +66,17 @@
 
 @frozen(kw_only=True)
 class Capacity:
-    """Hold the slots of a version's targets that accept work."""
+    """Represent the slots of a version's targets that accept requests."""
 
     ready_slots: int
     cold_slots: int = 0
 
-    def supported_percent(self, demand_slots: float, use: float) -> float:
-        """Return the share of the service's load that the targets bear."""
-        slots = use * (self.ready_slots + COLD_SLOT_VALUE * self.cold_slots)
+    def supported_percent(self, demand_slots: float, utilization: float) -> float:
+        """Return the percentage of the service's load that fits the targets.
+
+        The demand is the service's number of requests in flight.
+        """
+        slots = utilization * (self.ready_slots + COLD_SLOT_WEIGHT * self.cold_slots)
         if slots <= 0:
             return 0.0
         return 100.0 if demand_slots <= slots else 100.0 * slots / demand_slots
@@ -74,7 +84,7 @@
 
 @frozen
 class WriteMove:
-    """Ask the edge to write the move if its revision is the given one."""
+    """Request a write of the move if the stored revision is if_revision."""
 
     move: Move
     if_revision: int
@@ -82,7 +92,7 @@
 
 @frozen
 class WriteSplit:
-    """Ask the edge to write the split of one service in config/fleet."""
+    """Request a write of the split of one service in config/fleet."""
 
     service: str
     split: tuple[VersionWeight, ...]
@@ -92,13 +102,15 @@
 
 
 class MoveDriver:
-    """Follow one move and state what to write next.
-
-    The move is written before the split. The move is fenced by revision and
-    epoch, so a former holder fails there before it reaches the split, and
-    after a crash between the two writes the next holder derives the split
-    from the move. An end is recorded in three writes: the intention, the
-    split, and the final state, so a final state means a split in force.
+    """Track one move and decide what to write next.
+
+    The move is written before the split. The move is fenced by its revision
+    and epoch, so the write of a former lease holder fails before it can
+    change the split. After a crash between the two writes the next holder
+    derives the split from the move. The end of a move takes three writes: the
+    intention (the last step or a state such as WITHDRAWING), the split and
+    the terminal state. A terminal state therefore means that the final split
+    is in force.
     """
 
     def __init__(self, move: Move, revision: int) -> None:
@@ -107,35 +119,36 @@
         self._epoch = 0
         self._evidence = VersionEvidence(move.version, move.old_version)
         self._bad_reason = ""
-        # A new holder, and each change of the move, writes the split even if
-        # it is the same. The new revision makes delayed writes fail, of an
-        # earlier holder as well as own ones that got no answer.
+        # The split is written after every takeover and every change of the
+        # move, even if it is unchanged: the new revision makes delayed writes
+        # fail, both those of an earlier holder and those of this daemon that
+        # got no answer.
         self._split_confirmed = False
         self._split_revision = 0
-        self._entered_ms: int | None = None
-        self._ending: Move | None = None
+        self._step_started_ms: int | None = None
+        self._unconfirmed_end: Move | None = None
 
     @property
     def move(self) -> Move:
-        """Return the move as the store is known to hold it."""
+        """Return the last known state of the stored move."""
         return self._move
 
     @property
     def epoch(self) -> int:
-        """Return the epoch in which the driver decides, 0 before the first."""
+        """Return the lease epoch of the driver, 0 before the first term."""
         return self._epoch
 
     @property
-    def has_unknown_end(self) -> bool:
-        """Tell whether a final state was written without an answer."""
-        return self._ending is not None
+    def has_unconfirmed_end(self) -> bool:
+        """Return whether the result of a terminal write is unknown."""
+        return self._unconfirmed_end is not None
 
     def start_term(self, epoch: int) -> None:
-        """Decide in a new epoch, keeping the evidence."""
+        """Continue in a new epoch with the evidence collected so far."""
         self._epoch = epoch
 
     def observe(self, counts: Iterable[VersionCounts]) -> Quarantine | None:
-        """Take one window and return a quarantine if the version is bad."""
+        """Add one window and return a quarantine if the version is bad."""
         if self._bad_reason or self._move.state != MoveState.RUNNING:
             return None
         self._evidence.observe(counts)
@@ -151,7 +164,7 @@
         )
 
     def withdraw(self, reason: str) -> None:
-        """Withdraw the version for a reason found elsewhere."""
+        """Withdraw the version for the given reason."""
         self._bad_reason = self._bad_reason or reason
 
     def next_command(self, now_ms: int, capacity: Capacity) -> MoveCommand | None:
@@ -166,42 +179,42 @@
             state = MoveState.WITHDRAWING
             return self._write(evolve(move, state=state, percent=0.0, reason=reason))
         if not self._split_confirmed:
-            return WriteSplit(move.service, tuple(wanted_split(move)))
+            return WriteSplit(move.service, tuple(desired_split(move)))
         end = self._end_state()
         if end:
             percent = move.percent if end == MoveState.DONE else 0.0
             return self._write(
                 evolve(move, state=end, percent=percent, ended_ms=now_ms)
             )
-        step = self._wanted_step(now_ms, capacity)
+        step = self._due_step(now_ms, capacity)
         if step == move.step:
             return None
         return self._write(evolve(move, step=step, percent=STEPS[step].percent))
 
     def on_split_written(self, now_ms: int, revision: int) -> None:
-        """Take the store's confirmation that the split is in force."""
+        """Handle the confirmed write of the split."""
         self._split_confirmed = True
         self._split_revision = revision
-        if self._entered_ms is None:
-            self._entered_ms = now_ms
+        if self._step_started_ms is None:
+            self._step_started_ms = now_ms
 
     def on_split_seen(self, split: list[VersionWeight], revision: int) -> None:
-        """Write the split again if a later configuration has another one."""
-        if revision > self._split_revision and split != wanted_split(self._move):
+        """Rewrite the split if a later configuration differs from it."""
+        if revision > self._split_revision and split != desired_split(self._move):
             self._split_confirmed = False
 
     def on_service_missing(self) -> None:
-        """Withdraw a version whose service has left the configuration."""
+        """Withdraw the version, as its service is no longer configured."""
         self._split_confirmed = True
         self.withdraw("the service is not in the configuration")
 
     def on_move_sent(self, move: Move) -> None:
-        """Remember a final state until it is known whether it was written."""
+        """Remember a terminal state until the result of its write is known."""
         if move.state in TERMINAL_STATES:
-            self._ending = move
+            self._unconfirmed_end = move
 
     def on_record(self, move: Move, revision: int) -> Move | None:
-        """Take the stored move; return it if the own write ended it."""
+        """Update the move; return it if a write of this driver ended it."""
         if revision <= self._revision:
             return None
         changed = (move.step, move.state) != (self._move.step, self._move.state)
@@ -209,11 +222,11 @@
         self._revision = revision
         if changed:
             self._split_confirmed = False
-            self._entered_ms = None
+            self._step_started_ms = None
             self._evidence.start_step()
-        ending, self._ending = self._ending, None
-        ended_here = ending is not None and _is_same_end(move, ending)
-        return move if ended_here else None
+        unconfirmed, self._unconfirmed_end = self._unconfirmed_end, None
+        was_written_here = unconfirmed is not None and _is_same_end(move, unconfirmed)
+        return move if was_written_here else None
 
     def _write(self, move: Move) -> WriteMove:
         return WriteMove(move, self._revision)
@@ -228,38 +241,38 @@
     def _end_state(self) -> MoveState | None:
         if self._move.state == MoveState.RUNNING and self._move.percent >= 100.0:
             return MoveState.DONE
-        return _LEAVING.get(self._move.state)
+        return _TERMINAL_STATE_AFTER.get(self._move.state)
 
-    def _wanted_step(self, now_ms: int, capacity: Capacity) -> int:
+    def _due_step(self, now_ms: int, capacity: Capacity) -> int:
         current = self._move.step
         demand = self._evidence.demand_slots
-        highest = _highest_step(capacity.supported_percent(demand, HIGHEST_USE))
+        highest = _highest_step(capacity.supported_percent(demand, MAX_UTILIZATION))
         if current > highest:
             return highest
-        planned = _highest_step(capacity.supported_percent(demand, PLANNED_USE))
-        if current >= planned or now_ms < self._ready_ms():
+        planned = _highest_step(capacity.supported_percent(demand, PLANNED_UTILIZATION))
+        if current >= planned or now_ms < self._next_step_ms():
             return current
         return current + 1
 
-    def _ready_ms(self) -> float:
-        """Return when the next step may start."""
+    def _next_step_ms(self) -> float:
+        """Return the Unix time at which the next step may start."""
         step = self._move.step
         if step == 0:
             return 0.0
         start_ms = self._move.started_ms
-        reserve_ms = RESERVE_PART * (self._move.deadline_ms - start_ms)
+        reserve_ms = RESERVE_FRACTION * (self._move.deadline_ms - start_ms)
         finish_ms = self._move.deadline_ms - reserve_ms
-        starts_at = STEPS[step + 1].starts_at
+        start_fraction = STEPS[step + 1].start_fraction
         if self._evidence.verdict.kind != VerdictKind.GOOD:
-            starts_at += HOLD_PART
-        planned_ms = start_ms + starts_at * (finish_ms - start_ms)
-        entered_ms = self._entered_ms or start_ms
-        left_ms = max(0.0, finish_ms - entered_ms) / (LAST_STEP - step)
-        return max(planned_ms, entered_ms + min(MIN_BAKE_MS, left_ms))
+            start_fraction += HOLD_FRACTION
+        planned_ms = start_ms + start_fraction * (finish_ms - start_ms)
+        step_started_ms = self._step_started_ms or start_ms
+        left_ms = max(0.0, finish_ms - step_started_ms) / (LAST_STEP - step)
+        return max(planned_ms, step_started_ms + min(MIN_STEP_MS, left_ms))
 
 
-def wanted_split(move: Move) -> list[VersionWeight]:
-    """Return the split that a move at its present share asks for."""
+def desired_split(move: Move) -> list[VersionWeight]:
+    """Return the split for the current share of a move."""
     percent = move.percent if move.state == MoveState.RUNNING else 0.0
     old = VersionWeight(version=move.old_version, percent=100.0 - percent)
     new = VersionWeight(
@@ -269,7 +282,10 @@
 
 
 def replace_split(fleet: Any, service: str, split: Any) -> Any | None:
-    """Return the plain fleet with one split replaced, None if unknown."""
+    """Return a copy of the plain fleet with the split of a service replaced.
+
+    Return None if the fleet does not have the service.
+    """
     changed = deepcopy(fleet)
     for entry in changed.get("services", []):
         if entry.get("name") == service:
--- a/tests/control/test_controller_states.py
+++ b/tests/control/test_controller_states.py
@@ -1,4 +1,4 @@
-"""Stateful test of racing controllers over a store that fails."""
+"""Stateful test of competing controllers on a store with failures."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -26,36 +26,39 @@
 
 
 class RacingControllers(RuleBasedStateMachine):
-    """Interleave three daemons, an operator and a store call by call."""
+    """Interleave three daemons, an operator and the store at each store call.
+
+    Guards against moves that two holders write, and ends that are lost.
+    """
 
     @initialize(duration_s=DURATIONS)
     def begin(self, duration_s):
-        self.world = ControllerSimulation()
-        self.oracle = MoveOracle(self.world)
-        self.world.start_move(duration_s)
+        self.simulation = ControllerSimulation()
+        self.oracle = MoveOracle(self.simulation)
+        self.simulation.start_move(duration_s)
 
     @rule(duration_s=DURATIONS)
     def start_next_move(self, duration_s):
-        if self.world.move.state in TERMINAL_STATES:
-            # An end whose write got no answer must be read before the
-            # operator replaces the move, or it cannot be reported.
+        if self.simulation.move.state in TERMINAL_STATES:
+            # A daemon whose terminal write got no answer has to read the move
+            # before the operator replaces it, or the end cannot be reported.
             self.heal(30)
             self.oracle.check_ends()
-            self.world.start_move(duration_s)
+            self.simulation.start_move(duration_s)
 
     @rule(seconds=st.sampled_from([1, 2, 6, 11]))
     def pass_time(self, seconds):
-        self.world.tick(seconds)
+        self.simulation.tick(seconds)
 
     @rule(seconds=st.sampled_from([1, 3, 15, 40]))
     def run_all(self, seconds):
-        self.world.run_all(seconds)
+        self.simulation.run_all(seconds)
 
     @rule(call=CALLS, outcome=OUTCOMES, seconds=st.sampled_from([5, 15]))
     def run_until_outcome(self, call, outcome, seconds):
-        """Run until a call of one sort, which meets the given outcome."""
-        self.world.outcome_call, self.world.outcome = call, outcome
-        self.world.run_all(seconds)
+        """Run until a call of the given kind gets the given outcome."""
+        self.simulation.outcome_call, self.simulation.outcome = call, outcome
+        self.simulation.run_all(seconds)
 
     @rule(
         call=CALLS,
@@ -67,66 +70,66 @@
     def pause_holder(self, call, outcome, preferred, meanwhile, seconds):
         """Pause a daemon at a call while the others and the operator act."""
         self.run_until_outcome(call, outcome, 15)
-        paused = [item for item in self.world.daemons if item.paused]
+        paused = [item for item in self.simulation.daemons if item.paused]
         if meanwhile == "cancel":
-            self.world.cancel_move()
+            self.simulation.cancel_move()
         if meanwhile == "bad":
             for number in range(3):
                 self.find_bad_version(number)
-        self.world.preferred = preferred
-        self.world.run_all(seconds)
+        self.simulation.preferred = preferred
+        self.simulation.run_all(seconds)
         for daemon in paused:
-            self.world.resume(daemon)
+            self.simulation.resume(daemon)
 
     @rule(preferred=st.sets(NUMBERS, min_size=1))
     def prefer(self, preferred):
-        self.world.preferred = preferred
+        self.simulation.preferred = preferred
 
     @rule(number=NUMBERS, job=st.sampled_from(JOBS), outcome=OUTCOMES)
     def step(self, number, job, outcome):
-        """Start one job, or end its waiting call, without the others."""
-        daemon = self.world.daemons[number]
+        """Start one job or answer its pending call, without running others."""
+        daemon = self.simulation.daemons[number]
         if job in daemon.jobs:
-            self.world.answer(daemon, job, outcome)
+            self.simulation.answer(daemon, job, outcome)
         else:
             daemon.start(job)
 
     @rule()
     def deliver_late_call(self):
-        if self.world.delayed_calls:
-            self.world.carry_out(self.world.delayed_calls.pop(0))
+        if self.simulation.delayed_calls:
+            self.simulation.carry_out(self.simulation.delayed_calls.pop(0))
 
     @rule(number=NUMBERS)
     def crash(self, number):
         self.oracle.crashed = True
-        self.world.restart(number)
+        self.simulation.restart(number)
 
     @rule(number=NUMBERS)
     def find_bad_version(self, number):
-        daemon = self.world.daemons[number]
+        daemon = self.simulation.daemons[number]
         for _ in range(8):
             daemon.counts += window(0.5)
             daemon.controller.tick()
 
     @rule()
     def cancel(self):
-        self.world.cancel_move()
+        self.simulation.cancel_move()
 
     @invariant()
     def check_new_writes(self):
         self.oracle.check_new_writes()
 
     def heal(self, seconds):
-        """Run with the store up, every daemon alive and one preferred."""
-        self.world.outcome_call = None
-        self.world.preferred = {min(self.world.preferred)}
-        for daemon in self.world.daemons:
-            self.world.resume(daemon)
-        self.world.run_all(seconds)
+        """Run without faults, with all daemons alive and one preferred."""
+        self.simulation.outcome_call = None
+        self.simulation.preferred = {min(self.simulation.preferred)}
+        for daemon in self.simulation.daemons:
+            self.simulation.resume(daemon)
+        self.simulation.run_all(seconds)
 
     def teardown(self):
         self.heal(400)
-        while self.world.delayed_calls:
+        while self.simulation.delayed_calls:
             self.deliver_late_call()
         self.oracle.check_settled()
 
--- a/tests/control/test_move_trials.py
+++ b/tests/control/test_move_trials.py
@@ -1,4 +1,4 @@
-"""Seeded trials of whole moves of good and bad versions, without a store."""
+"""Seeded trials of complete moves of good and bad versions without a store."""
 
 from collections import deque
 from math import sqrt
@@ -15,37 +15,37 @@
 DURATION_S = 900
 REQUESTS_PER_S = 150
 ROUTES = {"browse": 0.7, "order": 0.25, "pack": 0.05}
-# Windows between the requests and the controller's judgement, and between a
-# quarantine and its effect at the entry daemons.
-REPORT_DELAY = 2
-FLOOD_DELAY = 1
+# Windows between the requests and the controller's evaluation, and between a
+# quarantine and its effect at the ingress daemons.
+REPORT_DELAY_WINDOWS = 2
+FLOOD_DELAY_WINDOWS = 1
 CAPACITY = Capacity(ready_slots=1000)
 
 
 @frozen(kw_only=True)
 class Fault:
-    failing: float = 0.0
+    failure_rate: float = 0.0
     slow: float = 0.0
-    from_s: int = 0
-    from_percent: float = 0.0
+    start_s: int = 0
+    min_percent: float = 0.0
     routes: tuple = tuple(ROUTES)
 
     def is_active(self, now_s, percent, route):
-        loaded = percent >= self.from_percent
-        return now_s >= self.from_s and loaded and route in self.routes
+        has_load = percent >= self.min_percent
+        return now_s >= self.start_s and has_load and route in self.routes
 
 
 FAULTS = {
-    "fails at once": Fault(failing=0.3),
-    "fails always": Fault(failing=1.0),
-    "fails a little": Fault(failing=0.1),
+    "fails at once": Fault(failure_rate=0.3),
+    "fails always": Fault(failure_rate=1.0),
+    "fails a little": Fault(failure_rate=0.1),
     "slow at once": Fault(slow=0.6),
-    "fails later": Fault(failing=0.4, from_s=400),
-    "slow later": Fault(slow=0.7, from_s=400),
-    "fails under load": Fault(failing=0.3, from_percent=20.0),
-    "slow under load": Fault(slow=0.6, from_percent=20.0),
-    "fails on one route": Fault(failing=0.6, routes=("order",)),
-    "fails on a rare route": Fault(failing=0.6, routes=("pack",)),
+    "fails later": Fault(failure_rate=0.4, start_s=400),
+    "slow later": Fault(slow=0.7, start_s=400),
+    "fails under load": Fault(failure_rate=0.3, min_percent=20.0),
+    "slow under load": Fault(slow=0.6, min_percent=20.0),
+    "fails on one route": Fault(failure_rate=0.6, routes=("order",)),
+    "fails on a rare route": Fault(failure_rate=0.6, routes=("pack",)),
     "slow on one route": Fault(slow=0.8, routes=("order",)),
 }
 
@@ -62,10 +62,10 @@
     seed: int
     fault: Fault
     rng: Random = field(init=False)
-    sent: int = 0
-    reached: int = 0
-    reached_bad: int = 0
-    noise_until: int = 0
+    total_requests: int = 0
+    new_requests: int = 0
+    bad_requests: int = 0
+    noise_end_s: int = 0
     last_percent: float = 0.0
     noise: tuple = (0.0, 0.0)
 
@@ -73,20 +73,20 @@
         self.rng = Random(self.seed)
 
     def rates(self, now_s, percent, route, version):
-        failing, slow = 0.01 + self.noise[0], 0.1 + self.noise[1]
+        failure_rate, slow = 0.01 + self.noise[0], 0.1 + self.noise[1]
         bad = version == "new" and self.fault.is_active(now_s, percent, route)
         if bad:
-            failing += self.fault.failing
+            failure_rate += self.fault.failure_rate
             slow += self.fault.slow
-        return min(1.0, failing), min(1.0, slow), bad
+        return min(1.0, failure_rate), min(1.0, slow), bad
 
     def start_noise(self, now_s):
-        """Hit both versions alike for some seconds, now and then."""
-        if now_s >= self.noise_until:
+        """Start or end a fault that affects both versions for some seconds."""
+        if now_s >= self.noise_end_s:
             self.noise = (0.0, 0.0)
             if self.rng.random() < 0.02:
                 self.noise = (self.rng.random(), self.rng.random())
-                self.noise_until = now_s + self.rng.randrange(1, 20)
+                self.noise_end_s = now_s + self.rng.randrange(1, 20)
 
     def window(self, now_s, percent):
         self.start_noise(now_s)
@@ -94,18 +94,18 @@
         for route, share in ROUTES.items():
             total = binomial(self.rng, REQUESTS_PER_S, share)
             new = binomial(self.rng, total, percent / 100)
-            self.sent += total
-            self.reached += new
+            self.total_requests += total
+            self.new_requests += new
             for version, requests in (("new", new), ("old", total - new)):
-                failing, slow, bad = self.rates(now_s, percent, route, version)
-                self.reached_bad += requests if bad else 0
+                failure_rate, slow, bad = self.rates(now_s, percent, route, version)
+                self.bad_requests += requests if bad else 0
                 counts.append(
                     VersionCounts(
                         service="orders",
                         version=version,
                         route=route,
                         requests=requests,
-                        failures=binomial(self.rng, requests, failing),
+                        failures=binomial(self.rng, requests, failure_rate),
                         slow=binomial(self.rng, requests, slow),
                         latency_ms_sum=20.0 * requests,
                     )
@@ -113,7 +113,7 @@
         return counts
 
 
-def start(deadline_s=DURATION_S):
+def make_move(deadline_s=DURATION_S):
     return Move(
         service="orders",
         version="new",
@@ -125,7 +125,7 @@
 
 
 def write_all(driver, now_ms, revision, capacity=CAPACITY):
-    """Carry out the driver's commands and return the next free revision."""
+    """Execute the driver's commands and return the last written revision."""
     while (command := driver.next_command(now_ms, capacity)) is not None:
         revision += 1
         if isinstance(command, WriteMove):
@@ -136,8 +136,8 @@
 
 
 def run(trial):
-    """Run one move and return it with the second of its end."""
-    driver, revision = MoveDriver(start(), 1), 1
+    """Run one move and return it with the time of its end in seconds."""
+    driver, revision = MoveDriver(make_move(), 1), 1
     driver.start_term(1)
     reports, blocked_from = deque(), None
     for now_s in range(DURATION_S + 2):
@@ -148,8 +148,8 @@
         percent = driver.move.percent or trial.last_percent
         trial.last_percent = percent
         reports.append(trial.window(now_s, percent))
-        if len(reports) > REPORT_DELAY and driver.observe(reports.popleft()):
-            blocked_from = now_s + 1 + FLOOD_DELAY
+        if len(reports) > REPORT_DELAY_WINDOWS and driver.observe(reports.popleft()):
+            blocked_from = now_s + 1 + FLOOD_DELAY_WINDOWS
     return driver.move, DURATION_S
 
 
@@ -163,10 +163,10 @@
 
 @pytest.mark.parametrize("name", FAULTS)
 def test_every_bad_version_is_withdrawn(name):
-    """Guards against a sort of fault that the evidence does not show."""
+    """Guards against a kind of fault that the evidence does not reveal."""
     fault = FAULTS[name]
     for seed in range(TRIALS):
         trial = Trial(seed, fault)
         move, _ = run(trial)
         assert move.state == MoveState.WITHDRAWN, seed
-        assert trial.reached_bad < 0.02 * trial.sent, seed
+        assert trial.bad_requests < 0.02 * trial.total_requests, seed
