Reword the reporting of evidence

ReportSum becomes ReportAggregator, EvidenceFlow EvidenceForwarder and ComparedCounts SplitTrafficCounts. Checked with ruff, mypy, the tests of tests/control and check_wording.

--- a/catkinhollow/control/evidence_service.py
+++ b/catkinhollow/control/evidence_service.py
@@ -1,8 +1,8 @@
-"""Bring the outcomes of calls to the controller."""
+"""Report the outcomes of calls to the controller."""
 
 from catkinhollow.calls.call_router import CallRouter
 from catkinhollow.control.moves import Capacity
-from catkinhollow.control.reporting import EvidenceFlow, Sender
+from catkinhollow.control.reporting import EvidenceForwarder, Sender
 from catkinhollow.events import EventManager, EvidenceReported, SnapshotEnforced
 from catkinhollow.generated.fleet import Fleet
 from catkinhollow.generated.messages import MemberRecord, TargetState, VersionCounts
@@ -13,27 +13,27 @@
 WINDOW_S = 1.0
 
 
-class ComparedCounts:
-    """Take the router's counts of services that split their traffic."""
+class SplitTrafficCounts:
+    """Supply the router's counts for services with split traffic."""
 
     def __init__(self, router: CallRouter) -> None:
         self._router = router
-        self._compared: frozenset[str] = frozenset()
+        self._split_services: frozenset[str] = frozenset()
 
     def enforce(self, fleet: Fleet) -> None:
-        """Compare the services that split their traffic over two versions."""
-        self._compared = frozenset(
+        """Select the services whose traffic is split over two versions."""
+        self._split_services = frozenset(
             service.name for service in fleet.services if len(service.split) > 1
         )
 
     def take(self) -> list[VersionCounts]:
         """End the window and return its counts."""
         counts = self._router.take_counts()
-        return [entry for entry in counts if entry.service in self._compared]
+        return [entry for entry in counts if entry.service in self._split_services]
 
 
 class EvidenceService:
-    """Send this daemon's counts once a second and take those of others."""
+    """Send this daemon's counts once a second and receive those of peers."""
 
     def __init__(
         self,
@@ -46,11 +46,11 @@
         self._elections = elections
         self._clock = clock
         own = mesh.table.own
-        self._counts = ComparedCounts(router)
-        self._flow = EvidenceFlow(_sender(own), self._counts)
+        self._counts = SplitTrafficCounts(router)
+        self._forwarder = EvidenceForwarder(_sender_of(own), self._counts)
 
     def connect(self, events: EventManager) -> None:
-        """Take the reports of peers and the splits in force."""
+        """Subscribe to the reports of peers and to new configurations."""
         events.connect(
             SnapshotEnforced, lambda event: self._counts.enforce(event.snapshot.fleet)
         )
@@ -61,11 +61,11 @@
         timer.subscribe(WINDOW_S, self._end_window)
 
     def take(self) -> list[VersionCounts]:
-        """Return the counts that arrived since the last call."""
-        return self._flow.take()
+        """Return the counts received since the last call."""
+        return self._forwarder.take()
 
     def capacity(self, service: str, version: str) -> Capacity:
-        """Return the slots of the version's targets."""
+        """Return the slots of the targets of a version."""
         ready = cold = 0
         for member in self._mesh.table.present():
             for target in member.targets:
@@ -76,8 +76,8 @@
         return Capacity(ready_slots=ready, cold_slots=cold)
 
     def _end_window(self) -> None:
-        self._flow.keep_senders(self._mesh.table.records)
-        reports = self._flow.end_window(
+        self._forwarder.retain_senders(self._mesh.table.records)
+        reports = self._forwarder.end_window(
             self._clock.unix_ms(),
             collector=self._elections.collector(),
             controller=self._elections.controller(),
@@ -89,15 +89,15 @@
         record = self._mesh.table.records.get(event.sender)
         if record is None:
             return
-        self._flow.on_report(
-            _sender(record),
+        self._forwarder.on_report(
+            _sender_of(record),
             event.report,
             self._clock.unix_ms(),
             is_controller=self._elections.is_controller(),
         )
 
 
-def _sender(record: MemberRecord) -> Sender:
+def _sender_of(record: MemberRecord) -> Sender:
     return Sender(
         address=record.address,
         incarnation=record.incarnation,
--- a/catkinhollow/control/reporting.py
+++ b/catkinhollow/control/reporting.py
@@ -1,4 +1,4 @@
-"""Decide how outcome counts reach the controller."""
+"""Aggregate outcome counts and decide where to send them."""
 
 from collections.abc import Iterable
 from typing import Protocol
@@ -7,15 +7,16 @@
 
 from catkinhollow.generated.messages import EvidenceReport, VersionCounts
 
-# A window that took this much longer than the sender's fastest is dropped:
-# the split, and with it the comparison, may have changed meanwhile.
-LATE_MS = 3000
+# A report whose delivery took this much longer than the sender's fastest one
+# is dropped, because the split, and with it the comparison, may have changed
+# in the meantime.
+MAX_EXTRA_DELAY_MS = 3000
 
 _Key = tuple[str, str, str]
 
 
 @mutable
-class _Tally:
+class _Totals:
     requests: int = 0
     failures: int = 0
     slow: int = 0
@@ -35,7 +36,7 @@
 
 
 class CountSource(Protocol):
-    """Supply the counts of the own daemon's window."""
+    """Supply the counts of this daemon."""
 
     def take(self) -> list[VersionCounts]:
         """End the window and return its counts."""
@@ -43,7 +44,7 @@
 
 @frozen(kw_only=True)
 class Sender:
-    """Name the process and place that a report comes from."""
+    """Identify the process and failure domain that a report comes from."""
 
     address: str
     incarnation: int
@@ -54,74 +55,83 @@
 class _LastWindow:
     incarnation: int
     window_ms: int
-    fastest_ms: int
+    min_delay_ms: int
 
 
-class ReportSum:
-    """Sum reports, each window of each sender at most once."""
+class ReportAggregator:
+    """Sum reports, counting each window of each sender at most once."""
 
     def __init__(self) -> None:
-        self._last: dict[str, _LastWindow] = {}
-        self._sums: dict[_Key, _Tally] = {}
+        self._last_windows: dict[str, _LastWindow] = {}
+        self._totals: dict[_Key, _Totals] = {}
 
     def accept(self, sender: Sender, report: EvidenceReport, now_ms: int) -> bool:
-        """Add a report unless it is repeated, out of order or late."""
-        if not self._is_next(sender, report.window_ms, now_ms):
+        """Add a report and return whether it was accepted.
+
+        Repeated, reordered and late reports are dropped.
+        """
+        if not self._is_acceptable(sender, report.window_ms, now_ms):
             return False
         self.add(report.counts)
         return True
 
     def add(self, counts: Iterable[VersionCounts]) -> None:
-        """Add counts of the own daemon."""
+        """Add counts of this daemon to the sums."""
         for entry in counts:
             key = (entry.service, entry.version, entry.route)
-            tally = self._sums.setdefault(key, _Tally())
-            tally.requests += entry.requests
-            tally.failures += entry.failures
-            tally.slow += entry.slow
-            tally.latency_ms += entry.latency_ms_sum
+            totals = self._totals.setdefault(key, _Totals())
+            totals.requests += entry.requests
+            totals.failures += entry.failures
+            totals.slow += entry.slow
+            totals.latency_ms += entry.latency_ms_sum
 
     def take(self) -> list[VersionCounts]:
-        """Return the sums and start again."""
-        sums, self._sums = self._sums, {}
-        return [tally.counts(key) for key, tally in sums.items()]
+        """Return the sums and reset them."""
+        totals_by_key, self._totals = self._totals, {}
+        return [totals.counts(key) for key, totals in totals_by_key.items()]
 
-    def keep_senders(self, addresses: Iterable[str]) -> None:
-        """Forget senders that are no longer members."""
+    def retain_senders(self, addresses: Iterable[str]) -> None:
+        """Drop the state of senders that are no longer members."""
         known = set(addresses)
-        self._last = {key: last for key, last in self._last.items() if key in known}
+        self._last_windows = {
+            key: last for key, last in self._last_windows.items() if key in known
+        }
 
-    def _is_next(self, sender: Sender, window_ms: int, now_ms: int) -> bool:
-        # Clocks of two daemons are not compared: the difference between them
-        # is part of the fastest delivery, which each later one is held to.
+    def _is_acceptable(self, sender: Sender, window_ms: int, now_ms: int) -> bool:
+        # The clocks of two daemons need not agree: their difference is part of
+        # the fastest delay, and later delays are compared with that one.
         delay_ms = now_ms - window_ms
-        last = self._last.get(sender.address)
+        last = self._last_windows.get(sender.address)
         if last is None or sender.incarnation > last.incarnation:
             last = _LastWindow(sender.incarnation, window_ms, delay_ms)
-            self._last[sender.address] = last
+            self._last_windows[sender.address] = last
             return True
         if sender.incarnation < last.incarnation or window_ms <= last.window_ms:
             return False
         last.window_ms = window_ms
-        last.fastest_ms = min(last.fastest_ms, delay_ms)
-        return delay_ms - last.fastest_ms <= LATE_MS
+        last.min_delay_ms = min(last.min_delay_ms, delay_ms)
+        return delay_ms - last.min_delay_ms <= MAX_EXTRA_DELAY_MS
 
 
 @frozen
 class SendReport:
-    """Ask the edge to send a report to a peer address."""
+    """Request the sending of a report to a peer address."""
 
     to: str
     report: EvidenceReport
 
 
-class EvidenceFlow:
-    """Decide where the counts of each window go."""
+class EvidenceForwarder:
+    """Decide which peer gets the counts of each window.
+
+    A daemon reports to the collector of its failure domain, and the
+    collectors report to the controller.
+    """
 
     def __init__(self, sender: Sender, counter: CountSource) -> None:
         self._sender = sender
         self._counter = counter
-        self._sum = ReportSum()
+        self._aggregator = ReportAggregator()
 
     def on_report(
         self,
@@ -131,32 +141,32 @@
         *,
         is_controller: bool,
     ) -> bool:
-        """Take a peer's report; refuse a sum that is not for this daemon."""
-        # A collector only takes its own failure domain's windows. A sum sent
-        # by mistake is dropped, so that it cannot go round between daemons
-        # that disagree on who the controller is.
+        """Add the report of a peer and return whether it was accepted."""
+        # A collector only accepts reports from its own failure domain. A sum
+        # that arrives here by mistake is dropped, so that it cannot circulate
+        # between daemons that disagree about which one is the controller.
         if not is_controller and sender.failure_domain != self._sender.failure_domain:
             return False
-        return self._sum.accept(sender, report, now_ms)
+        return self._aggregator.accept(sender, report, now_ms)
 
     def end_window(
         self, now_ms: int, *, collector: str, controller: str
     ) -> list[SendReport]:
-        """Return the reports of the window; the controller sends none."""
-        self._sum.add(self._counter.take())
+        """Return the reports to send; the controller sends none."""
+        self._aggregator.add(self._counter.take())
         if self._sender.address == controller:
             return []
         receiver = controller if self._sender.address == collector else collector
-        counts = self._sum.take()
+        counts = self._aggregator.take()
         if not counts or not receiver:
             return []
         report = EvidenceReport(window_ms=now_ms, counts=counts)
         return [SendReport(receiver, report)]
 
     def take(self) -> list[VersionCounts]:
-        """Return what has arrived for the controller since the last call."""
-        return self._sum.take()
+        """Return the counts received since the last call."""
+        return self._aggregator.take()
 
-    def keep_senders(self, addresses: Iterable[str]) -> None:
-        """Forget senders that are no longer members."""
-        self._sum.keep_senders(addresses)
+    def retain_senders(self, addresses: Iterable[str]) -> None:
+        """Drop the state of senders that are no longer members."""
+        self._aggregator.retain_senders(addresses)
--- a/tests/control/test_evidence_service.py
+++ b/tests/control/test_evidence_service.py
@@ -1,6 +1,6 @@
-"""Tests of which counts go to the controller."""
+"""Tests of which counts a daemon reports to the controller."""
 
-from catkinhollow.control.evidence_service import ComparedCounts
+from catkinhollow.control.evidence_service import SplitTrafficCounts
 from catkinhollow.generated.fleet import Fleet, Service, VersionWeight
 from catkinhollow.generated.messages import VersionCounts
 
@@ -24,8 +24,8 @@
 
 
 def test_only_services_in_a_move_are_reported():
-    """Guards against reports that cost bytes outside of moves."""
-    counts = ComparedCounts(Router())
+    """Guards against reports that use bandwidth while there is no move."""
+    counts = SplitTrafficCounts(Router())
     assert counts.take() == []
     counts.enforce(make_fleet(5.0))
     assert [(entry.service, entry.version) for entry in counts.take()] == [
--- a/tests/control/test_reporting.py
+++ b/tests/control/test_reporting.py
@@ -1,22 +1,22 @@
-"""Tests of the way of outcome counts to the controller."""
+"""Tests of the reporting of outcome counts to the controller."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from catkinhollow.control.reporting import (
-    LATE_MS,
-    EvidenceFlow,
-    ReportSum,
+    MAX_EXTRA_DELAY_MS,
+    EvidenceForwarder,
+    ReportAggregator,
     Sender,
 )
 from catkinhollow.generated.messages import EvidenceReport, VersionCounts
 
 
-def sender(name, incarnation=1, domain="a"):
+def make_sender(name, incarnation=1, domain="a"):
     return Sender(address=name, incarnation=incarnation, failure_domain=domain)
 
 
-def one_request(window_ms):
+def make_report(window_ms):
     counts = VersionCounts(service="orders", version="new", route="all", requests=1)
     return EvidenceReport(window_ms=window_ms, counts=[counts])
 
@@ -34,14 +34,17 @@
     )
 )
 def test_each_window_counts_at_most_once(deliveries):
-    """Guards against repeated, reordered, late and former senders' reports."""
-    total, accepted, fastest = ReportSum(), set(), {}
+    """Guards against counting repeated, reordered, late and obsolete reports.
+
+    A report is obsolete if it comes from an earlier process of the sender.
+    """
+    total, accepted, fastest = ReportAggregator(), set(), {}
     newest = {}
     for name, incarnation, window_s, delay_s in deliveries:
         skew_ms = 60_000 if name == "x" else -60_000
-        is_taken = total.accept(
-            sender(name, incarnation),
-            one_request(window_s * 1000 + 100_000),
+        is_accepted = total.accept(
+            make_sender(name, incarnation),
+            make_report(window_s * 1000 + 100_000),
             (window_s + delay_s) * 1000 + 100_000 + skew_ms,
         )
         key = (incarnation, window_s)
@@ -50,33 +53,38 @@
             newest[name] = key
             process = (name, incarnation)
             fastest[process] = min(delay_s, fastest.get(process, delay_s))
-            is_late = (delay_s - fastest[process]) * 1000 > LATE_MS
-        assert is_taken == (is_newer and not is_late)
-        accepted |= {(name, *key)} if is_taken else set()
+            is_late = (delay_s - fastest[process]) * 1000 > MAX_EXTRA_DELAY_MS
+        assert is_accepted == (is_newer and not is_late)
+        accepted |= {(name, *key)} if is_accepted else set()
     assert sum(entry.requests for entry in total.take()) == len(accepted)
 
 
 class WindowCounts:
-    """Count the requests of one daemon's window."""
+    """Supply the request count of one daemon's window."""
 
     def __init__(self):
         self.requests = 0
 
     def take(self):
-        taken, self.requests = self.requests, 0
-        if not taken:
+        requests, self.requests = self.requests, 0
+        if not requests:
             return []
         return [
-            VersionCounts(service="orders", version="new", route="all", requests=taken)
+            VersionCounts(
+                service="orders", version="new", route="all", requests=requests
+            )
         ]
 
 
-def make_flows(domains):
-    flows = {}
+def make_forwarders(domains):
+    forwarders = {}
     for name, domain in domains.items():
         counter = WindowCounts()
-        flows[name] = counter, EvidenceFlow(sender(name, domain=domain), counter)
-    return flows
+        forwarders[name] = (
+            counter,
+            EvidenceForwarder(make_sender(name, domain=domain), counter),
+        )
+    return forwarders
 
 
 @settings(derandomize=True, deadline=None, max_examples=50)
@@ -91,24 +99,24 @@
     )
 )
 def test_roles_may_change_without_loss_or_double_counting(rounds):
-    """Guards against counts that a change of collector repeats or loses."""
+    """Guards against counts lost or repeated when the collector changes."""
     domains = {"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
-    flows, received = make_flows(domains), 0
+    forwarders, received = make_forwarders(domains), 0
     rounds = [*rounds, *[("a1", "a1", "a1")] * 3]
     for now_s, (caller, collector_a, controller) in enumerate(rounds):
-        flows[caller][0].requests += 1
-        for name, (_, flow) in flows.items():
+        forwarders[caller][0].requests += 1
+        for name, (_, forwarder) in forwarders.items():
             collector = collector_a if domains[name] == "a" else "b1"
-            ended = flow.end_window(
+            ended = forwarder.end_window(
                 now_s * 1000, collector=collector, controller=controller
             )
             for sent in ended:
-                taken = flows[sent.to][1].on_report(
-                    sender(name, domain=domains[name]),
+                is_accepted = forwarders[sent.to][1].on_report(
+                    make_sender(name, domain=domains[name]),
                     sent.report,
                     now_s * 1000,
                     is_controller=sent.to == controller,
                 )
-                assert taken
-        received += sum(entry.requests for entry in flows[controller][1].take())
+                assert is_accepted
+        received += sum(entry.requests for entry in forwarders[controller][1].take())
     assert received == len(rounds)
