--- a/catkinhollow/control/move_requests.py
+++ b/catkinhollow/control/move_requests.py
@@ -1,4 +1,4 @@
-"""Start, follow and cancel moves through the store."""
+"""Start, watch and cancel moves through the store."""
 
 from collections.abc import Callable
 from typing import Any
@@ -16,19 +16,23 @@
 from catkinhollow.generated.fleet import Fleet, Move, MoveState
 from catkinhollow.generated.store import StoredObject
 
-# A version cannot be judged in less time.
-SHORTEST_MOVE_MS = 15_000
-WATCH_S = 30.0
-# A wait outlasts outages of the store up to this long.
-OUTAGE_S = 120.0
-RETRY_S = 1.0
-# The controller may write between the read and the write of a cancellation.
+# A version cannot be evaluated in less time.
+MIN_MOVE_MS = 15_000
+WATCH_TIMEOUT_S = 30.0
+# Longest outage of the store after which waiting for a move continues.
+MAX_OUTAGE_S = 120.0
+RETRY_DELAY_S = 1.0
+# The controller may write between the read and the write of a cancellation,
+# which then has to be repeated.
 CANCEL_ATTEMPTS = 5
 
 
 @frozen(kw_only=True)
 class MoveRequest:
-    """Hold what an operator asks for; without old_version the split tells."""
+    """Describe the move that an operator requests.
+
+    An empty old_version stands for the version that the split names.
+    """
 
     service: str
     version: str
@@ -39,7 +43,7 @@
 
 @frozen
 class StoredMove:
-    """Hold a move and its revision."""
+    """Represent a move as the store has it, with its revision."""
 
     move: Move
     revision: int
@@ -48,10 +52,13 @@
 async def start_move(
     store: StoreClient, request: MoveRequest, now_ms: int
 ) -> Result[Move, UpdateError]:
-    """Create the move unless one is running."""
-    if request.deadline_ms - now_ms < SHORTEST_MOVE_MS:
-        shortest_s = SHORTEST_MOVE_MS // 1000
-        return _refused(f"the deadline is less than {shortest_s} s from now")
+    """Create the move unless one is running for the service.
+
+    The time is Unix time in milliseconds.
+    """
+    if request.deadline_ms - now_ms < MIN_MOVE_MS:
+        min_s = MIN_MOVE_MS // 1000
+        return _refused(f"the deadline is less than {min_s} s from now")
     fleet = await read_fleet(store)
     if fleet.is_error():
         return Error(fleet.error)
@@ -61,24 +68,24 @@
     stored = await _read(store, request.service)
     if stored.is_error():
         return Error(stored.error)
-    before = stored.ok
-    if before and before.move.state not in TERMINAL_STATES:
-        return Error(_busy(before.move))
+    previous = stored.ok
+    if previous and previous.move.state not in TERMINAL_STATES:
+        return Error(_conflicting_move(previous.move))
     move = Move(
         service=request.service,
         version=request.version,
         old_version=old_version.ok,
         deadline_ms=request.deadline_ms,
-        # Moves of a service are told apart by their start, whatever the
-        # clocks of the operators' machines say.
-        started_ms=max(now_ms, before.move.started_ms + 1 if before else 0),
+        # The start time identifies a move among those of a service, so it has
+        # to increase whatever the clocks of the operators' machines show.
+        started_ms=max(now_ms, previous.move.started_ms + 1 if previous else 0),
         operator=request.operator,
     )
-    return await _create(store, move, before.revision if before else 0)
+    return await _create(store, move, previous.revision if previous else 0)
 
 
 async def cancel_move(store: StoreClient, service: str) -> Result[Move, UpdateError]:
-    """Ask the controller to return the traffic to the old version."""
+    """Request that the controller returns the traffic to the old version."""
     for _ in range(CANCEL_ATTEMPTS):
         stored = await read_move(store, service)
         if stored.is_error():
@@ -102,7 +109,7 @@
 async def read_move(
     store: StoreClient, service: str
 ) -> Result[StoredMove, UpdateError]:
-    """Return the last move of a service."""
+    """Return the latest move of a service."""
     stored = await _read(store, service)
     if stored.is_error():
         return Error(stored.error)
@@ -112,7 +119,7 @@
 
 
 async def list_moves(store: StoreClient) -> Result[list[Move], UpdateError]:
-    """Return the last move of each service."""
+    """Return the latest move of each service."""
     listed = await store.list_objects(MOVES_KIND)
     if listed.is_error():
         return Error(listed.error)
@@ -128,31 +135,33 @@
 async def wait_for_end(
     store: StoreClient, service: str, on_change: Callable[[Move], None]
 ) -> Result[Move, UpdateError]:
-    """Return the move of a service when it has ended."""
-    reached_s = trio.current_time()
+    """Wait for the end of the latest move of a service and return the move."""
+    last_read_s = trio.current_time()
     last: Move | None = None
     seen_revision = 0
     while True:
         stored = await read_move(store, service)
         if stored.is_error():
             is_outage = _is_unavailable(stored.error)
-            if not is_outage or trio.current_time() - reached_s > OUTAGE_S:
+            if not is_outage or trio.current_time() - last_read_s > MAX_OUTAGE_S:
                 return Error(stored.error)
-            await trio.sleep(RETRY_S)
+            await trio.sleep(RETRY_DELAY_S)
             continue
-        reached_s = trio.current_time()
+        last_read_s = trio.current_time()
         move = stored.ok.move
         if move != last:
             on_change(move)
         if move.state in TERMINAL_STATES:
             return Ok(move)
         last = move
-        # Moves of other services also end the watch, so the next one starts
-        # after everything that this one has told.
+        # Changes to moves of other services also end the watch, so the next
+        # watch starts after the newest revision that this one has returned.
         seen_revision = max(seen_revision, stored.ok.revision)
-        changed = await store.watch(MOVES_KIND, after=seen_revision, wait_s=WATCH_S)
+        changed = await store.watch(
+            MOVES_KIND, after=seen_revision, wait_s=WATCH_TIMEOUT_S
+        )
         if changed.is_error():
-            await trio.sleep(RETRY_S)
+            await trio.sleep(RETRY_DELAY_S)
         else:
             seen_revision = changed.ok.revision
 
@@ -167,10 +176,10 @@
         return Ok(move)
     if written.error.kind != StoreErrorKind.CONFLICT:
         return Error(written.error)
-    winner = await _read(store, move.service)
-    if winner.is_error() or not winner.ok:
+    stored = await _read(store, move.service)
+    if stored.is_error() or not stored.ok:
         return Error(written.error)
-    return Error(_busy(winner.ok.move))
+    return Error(_conflicting_move(stored.ok.move))
 
 
 async def _read(
@@ -196,10 +205,10 @@
     split = {service.name: service.split for service in fleet.services}
     if request.service not in split:
         return _refused(f"no service '{request.service}' is configured")
-    weighted = [part.version for part in split[request.service] if part.percent > 0]
-    if len(weighted) > 1:
-        return _refused(f"the traffic is split over {' and '.join(weighted)}")
-    old_version = weighted[0] if weighted else request.old_version
+    versions = [part.version for part in split[request.service] if part.percent > 0]
+    if len(versions) > 1:
+        return _refused(f"the traffic is split over {' and '.join(versions)}")
+    old_version = versions[0] if versions else request.old_version
     if not old_version:
         return _refused("the service has no split yet: name its version with --from")
     if request.old_version and request.old_version != old_version:
@@ -209,7 +218,7 @@
     return Ok(old_version)
 
 
-def _busy(move: Move) -> StoreError:
+def _conflicting_move(move: Move) -> StoreError:
     return StoreError(
         kind=StoreErrorKind.CONFLICT,
         reason=f"a move of {move.service} to {move.version} by {move.operator}"
