--- a/catkinhollow/codec.py
+++ b/catkinhollow/codec.py
@@ -17,7 +17,7 @@
     return msgpack.encode(message)
 
 
-def encode_filled(message: Any) -> bytes:
+def encode_without_none(message: Any) -> bytes:
     """Encode a message that has one of many bodies without the empty ones."""
     filled = {
         name: value
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -6,7 +6,7 @@
 import pynng
 import trio
 
-from catkinhollow.codec import decode_message, encode_filled
+from catkinhollow.codec import decode_message, encode_without_none
 from catkinhollow.generated.messages import Envelope
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
@@ -126,7 +126,7 @@
         # The newest pipe: an older one may lead to a former process.
         pipe = next(reversed(pipes.values()))
         try:
-            data = encode_filled(envelope)
+            data = encode_without_none(envelope)
             self._socket.send_msg(_nng.Message(data, pipe), block=False)
         except _nng.NNGException:
             return False
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -14,7 +14,7 @@
 import trio
 from attrs import define, field
 
-from catkinhollow.codec import decode_message, encode_filled
+from catkinhollow.codec import decode_message, encode_without_none
 from catkinhollow.generated.relay import Frame
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.links import LinkCounters, LinkDown, LinkUp, limit_nng_threads
@@ -122,7 +122,7 @@
         push = self._pushes.get(address)
         if push is None or not push.up:
             return False
-        data = encode_filled(frame)
+        data = encode_without_none(frame)
         if push.backlog or not self._try_send(push, data):
             self._queue(push, data)
         return push.up
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from catkinhollow.codec import encode_filled
+from catkinhollow.codec import encode_without_none
 from catkinhollow.events import FloorRaised
 from catkinhollow.generated.messages import MemberRecord
 from catkinhollow.generated.settings import PeerSettings
@@ -195,7 +195,7 @@
         if body is not None and body.ready:
             knows = max(node.enforced, node.heard[address])
         if self._count_bytes:
-            size = len(encode_filled(envelope))
+            size = len(encode_without_none(envelope))
             gossip = envelope.gossip
             self.announcements += gossip is not None and gossip.revision > 0
             self.bytes[node.address] += size
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,6 +1,6 @@
 """Tests of the encoding of messages."""
 
-from catkinhollow.codec import decode_message, encode_filled
+from catkinhollow.codec import decode_message, encode_without_none
 from catkinhollow.generated.messages import Envelope, Ping
 
 
@@ -8,7 +8,7 @@
     """Guards against bodies lost or empty bodies sent on the wire."""
     ping = Ping(sequence=3, revision=7, digest=11)
     envelope = Envelope(sender="127.0.0.1:1", incarnation=5, ping=ping)
-    data = encode_filled(envelope)
+    data = encode_without_none(envelope)
     assert decode_message(data, Envelope).ok == envelope
     assert b"gossip" not in data
 
--- a/tools/measure_tables.py
+++ b/tools/measure_tables.py
@@ -13,7 +13,7 @@
 
 from catkinhollow.calls.call_router import CallRouter  # noqa: E402
 from catkinhollow.calls.pool import Location  # noqa: E402
-from catkinhollow.codec import encode_filled, encode_message  # noqa: E402
+from catkinhollow.codec import encode_message, encode_without_none  # noqa: E402
 from catkinhollow.generated.fleet import (  # noqa: E402
     Backer,
     Fleet,
@@ -91,7 +91,7 @@
         incarnation=1_796_000_000_000,
         evidence_report=report,
     )
-    return len(encode_filled(envelope))
+    return len(encode_without_none(envelope))
 
 
 def main() -> None:
