Rename FleetEdit.may_follow to can_reapply

The method says whether an edit may be applied again on top of another writer's change; the old name did not say what follows what. Checked with ruff and mypy; no behaviour changes.

--- a/catkinhollow/configuration/editing.py
+++ b/catkinhollow/configuration/editing.py
@@ -26,7 +26,7 @@
     def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
         """Return the wanted configuration."""
 
-    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+    def can_reapply(self, before: Fleet, now: Fleet) -> bool:
         """Tell whether the edit may be made again after another change."""
 
 
@@ -50,7 +50,7 @@
         )
         return Ok(wanted)
 
-    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+    def can_reapply(self, before: Fleet, now: Fleet) -> bool:
         """Allow changes of splits and failure domains only."""
         return without_operations(before) == without_operations(now)
 
@@ -75,7 +75,7 @@
             return Error(EditRefused(reason=f"{reason}; --force takes it out anyway"))
         return Ok(evolve(stored, failure_domains_out=[*out, self.name]))
 
-    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+    def can_reapply(self, before: Fleet, now: Fleet) -> bool:
         """Allow every other change, as this one is independent of it."""
         return True
 
@@ -92,7 +92,7 @@
         out = [name for name in stored.failure_domains_out if name != self.name]
         return Ok(evolve(stored, failure_domains_out=out))
 
-    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+    def can_reapply(self, before: Fleet, now: Fleet) -> bool:
         """Allow every other change, as this one is independent of it."""
         return True
 
--- a/catkinhollow/configuration/fleet_updates.py
+++ b/catkinhollow/configuration/fleet_updates.py
@@ -74,7 +74,7 @@
         base = base or before
         if before.revision and before.fleet == after.fleet:
             return planned
-        if not edit.may_follow(base.fleet, before.fleet):
+        if not edit.can_reapply(base.fleet, before.fleet):
             return Error(_conflict(base, before))
         written = await store.put(
             FLEET_KIND,
--- a/catkinhollow/control/initial_split.py
+++ b/catkinhollow/control/initial_split.py
@@ -48,7 +48,7 @@
         services = [self._with_split(service) for service in stored.services]
         return Ok(evolve(stored, services=services))
 
-    def may_follow(self, before: Fleet, now: Fleet) -> bool:
+    def can_reapply(self, before: Fleet, now: Fleet) -> bool:
         """Allow every other change, as a split that is there is kept."""
         return True
 
