--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -41,7 +41,7 @@
     MembersChanged,
     MeshReady,
     SnapshotEnforced,
-    TargetAnnounced,
+    TargetChanged,
     VersionQuarantined,
 )
 from catkinhollow.generated.fleet import Lease, Snapshot
@@ -151,7 +151,7 @@
         connect(MeshReady, self._open_traffic_if_ready)
         connect(SnapshotEnforced, self._open_traffic_if_ready)
         connect(VersionQuarantined, self._on_quarantine)
-        connect(TargetAnnounced, self._on_members_changed)
+        connect(TargetChanged, self._on_members_changed)
         self._evidence.connect(self._events)
 
     @property
--- a/catkinhollow/daemon/supervisor.py
+++ b/catkinhollow/daemon/supervisor.py
@@ -12,7 +12,7 @@
 )
 
 from catkinhollow.daemon.target_health import TargetHealth
-from catkinhollow.events import EventManager, TargetAnnounced
+from catkinhollow.events import EventManager, TargetChanged
 from catkinhollow.generated.messages import TargetRecord
 from catkinhollow.generated.settings import ProbeSettings
 from catkinhollow.logs import get_logger
@@ -76,7 +76,7 @@
                 address=record.address,
                 state=record.state.value,
             )
-            self._events.emit(TargetAnnounced(record=record))
+            self._events.emit(TargetChanged(record=record))
 
     async def _apply_order(self, record: TargetRecord) -> None:
         # A restarted target has forgotten an earlier order.
--- a/catkinhollow/events.py
+++ b/catkinhollow/events.py
@@ -32,7 +32,7 @@
 
 
 @frozen(kw_only=True)
-class TargetAnnounced:
+class TargetChanged:
     """Announce that the target beside the daemon is new or has changed."""
 
     record: TargetRecord
--- a/catkinhollow/mesh/mesh_service.py
+++ b/catkinhollow/mesh/mesh_service.py
@@ -7,7 +7,7 @@
 
 from catkinhollow.codec import decode_message, encode_message
 from catkinhollow.errors import SnapshotRejected
-from catkinhollow.events import EventManager, SnapshotEnforced, TargetAnnounced
+from catkinhollow.events import EventManager, SnapshotEnforced, TargetChanged
 from catkinhollow.generated.fleet import Snapshot
 from catkinhollow.generated.messages import EvidenceReport, MemberRecord, Quarantine
 from catkinhollow.generated.settings import Settings
@@ -69,7 +69,7 @@
             self._clock.monotonic(),
         )
         events.connect(SnapshotEnforced, self._publish_snapshot)
-        events.connect(TargetAnnounced, self._publish_target)
+        events.connect(TargetChanged, self._publish_target)
 
     @property
     def table(self) -> MemberTable:
@@ -174,7 +174,7 @@
         self._carry_out(self._mesh.update_own(now_s, enforced_revision=revision))
         self._carry_out(self._mesh.revision_available(revision, data, now_s))
 
-    def _publish_target(self, event: TargetAnnounced) -> None:
+    def _publish_target(self, event: TargetChanged) -> None:
         commands = self._mesh.update_own(self._now_s(), targets=[event.record])
         self._carry_out(commands)
 
--- a/tests/mesh/test_mesh_service.py
+++ b/tests/mesh/test_mesh_service.py
@@ -10,7 +10,7 @@
     EventManager,
     EvidenceReported,
     SnapshotEnforced,
-    TargetAnnounced,
+    TargetChanged,
     VersionQuarantined,
 )
 from catkinhollow.generated.fleet import Fleet, Snapshot
@@ -88,7 +88,7 @@
     record = TargetRecord(
         service="s", version="v", address="h:1", slots=1, started_ms=0
     )
-    second.events.emit(TargetAnnounced(record=record))
+    second.events.emit(TargetChanged(record=record))
     quarantine = Quarantine(service="s", version="v", move_started_ms=1, reason="bad")
     second.mesh.quarantine(quarantine)
     report = EvidenceReport(window_ms=1000)
