--- a/catkinhollow/daemon/tracing.py
+++ b/catkinhollow/daemon/tracing.py
@@ -90,7 +90,7 @@
         """Record nothing."""
 
 
-class PassingTracer:
+class PropagatingTracer:
     """Pass trace contexts on, and make one where there is none."""
 
     def __init__(self, random: Random) -> None:
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -19,7 +19,7 @@
 )
 from catkinhollow.clock import TrioClock
 from catkinhollow.daemon.metrics import Metrics
-from catkinhollow.daemon.tracing import PassingTracer
+from catkinhollow.daemon.tracing import PropagatingTracer
 from catkinhollow.generated.settings import HttpSettings
 from catkinhollow.timer import Timer
 from tests.builders import fleet, make_router, member
@@ -99,7 +99,7 @@
         self.dispatcher = Dispatcher(
             router=self.router,
             client=client,
-            tracer=PassingTracer(Random(self.seed)),
+            tracer=PropagatingTracer(Random(self.seed)),
             timer=timer,
             metrics=Metrics(),
         )
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -22,7 +22,7 @@
 from catkinhollow.calls.retries import AttemptKind  # noqa: E402
 from catkinhollow.clock import TrioClock  # noqa: E402
 from catkinhollow.daemon.metrics import Metrics  # noqa: E402
-from catkinhollow.daemon.tracing import PassingTracer  # noqa: E402
+from catkinhollow.daemon.tracing import PropagatingTracer  # noqa: E402
 from catkinhollow.generated.fleet import Backer, Fleet, Route, Service  # noqa: E402
 from catkinhollow.generated.messages import MemberRecord, TargetRecord  # noqa: E402
 from catkinhollow.generated.settings import HttpSettings  # noqa: E402
@@ -100,7 +100,7 @@
     dispatcher = Dispatcher(
         router=make_router(),
         client=InstantClient(),
-        tracer=PassingTracer(Random(1)),
+        tracer=PropagatingTracer(Random(1)),
         clock=TrioClock(),
         metrics=Metrics(),
         is_ready=lambda: True,
