--- a/catkinhollow/configuration/fleet_files.py
+++ b/catkinhollow/configuration/fleet_files.py
@@ -15,7 +15,7 @@
     read_document,
 )
 from catkinhollow.configuration.schema_check import find_schema_problems
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.errors import Problem
 from catkinhollow.generated.fleet import Fleet
 
@@ -116,7 +116,7 @@
     decoded = from_plain(joined.value, Fleet)
     if decoded.is_error():
         return Error([Problem(path="", reason=decoded.error.reason)])
-    problems = find_problems(decoded.ok)
+    problems = find_fleet_problems(decoded.ok)
     if problems:
         return Error([joined.locate(problem) for problem in problems])
     return Ok(decoded.ok)
--- a/catkinhollow/configuration/fleet_updates.py
+++ b/catkinhollow/configuration/fleet_updates.py
@@ -11,7 +11,7 @@
     MEMBERS_KIND,
     StoreClient,
 )
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import Fleet, SeedList
 
@@ -108,7 +108,7 @@
     decoded = from_plain(to_plain(fleet), Fleet)
     if decoded.is_error():
         return Error(EditRefused(reason=decoded.error.reason))
-    problems = find_problems(fleet)
+    problems = find_fleet_problems(fleet)
     if problems:
         return Error(EditRefused(reason=str(problems[0])))
     return Ok(fleet)
--- a/catkinhollow/configuration/snapshot.py
+++ b/catkinhollow/configuration/snapshot.py
@@ -2,7 +2,7 @@
 
 from expression import Error, Ok, Result
 
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.errors import RejectionKind, SnapshotRejected
 from catkinhollow.generated.fleet import Snapshot
 
@@ -39,7 +39,7 @@
             return _stale(snapshot, f"older than the floor {self._floor}")
         if snapshot.revision <= self.revision:
             return _stale(snapshot, f"not newer than {self.revision}")
-        problems = find_problems(snapshot.fleet)
+        problems = find_fleet_problems(snapshot.fleet)
         if problems:
             return _reject(snapshot, RejectionKind.INVALID, str(problems[0]))
         self._snapshot = snapshot
--- a/catkinhollow/configuration/validation.py
+++ b/catkinhollow/configuration/validation.py
@@ -27,7 +27,7 @@
 }
 
 
-def find_problems(fleet: Fleet) -> list[Problem]:
+def find_fleet_problems(fleet: Fleet) -> list[Problem]:
     """Return every fault that the schema cannot express."""
     return [
         *_duplicates("services", [service.name for service in fleet.services]),
--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -13,7 +13,7 @@
 from catkinhollow.configuration.editing import ApplyFiles
 from catkinhollow.configuration.fleet_updates import update_fleet
 from catkinhollow.configuration.snapshot import SnapshotHolder
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.control.quarantine_policy import QuarantinePolicy
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import (
@@ -98,7 +98,7 @@
     @property
     def newest_valid(self):
         history = self.store.history
-        return max(item for item in history if not find_problems(history[item]))
+        return max(item for item in history if not find_fleet_problems(history[item]))
 
     def edit(self, edit):
         return trio.run(update_fleet, self.store, edit)
@@ -149,7 +149,7 @@
         if not node.alive or node.stopped:
             return
         self.enforce(node, revision)
-        if not find_problems(self.store.history[revision]):
+        if not find_fleet_problems(self.store.history[revision]):
             self._run(node, node.mesh.store_answered(revision, self.now_s))
 
     def pass_time(self, seconds):
--- a/tests/test_fault_configuration.py
+++ b/tests/test_fault_configuration.py
@@ -7,7 +7,7 @@
 
 from catkinhollow.codec import to_plain
 from catkinhollow.configuration.editing import ReturnDomain, TakeDomainOut
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.generated.messages import (
     Envelope,
     JoinReply,
@@ -215,7 +215,7 @@
 
 def _slower(fleet):
     changed = make_fleet(2500)
-    if find_problems(fleet):
+    if find_fleet_problems(fleet):
         return changed
     return evolve(fleet, defaults=changed.defaults)
 
