--- a/catkinhollow/commands/exceptions.py
+++ b/catkinhollow/commands/exceptions.py
@@ -21,7 +21,7 @@
         from catkinhollow.codec import encode_json
         from catkinhollow.configuration.fleet_updates import read_fleet
         from catkinhollow.daemon.status import list_exceptions
-        from catkinhollow.status_report import exception_table
+        from catkinhollow.status_report import build_exception_table
 
         as_json = self.wants_json()
         result = self.use_store(read_fleet)
@@ -31,6 +31,6 @@
         if as_json:
             self.print_line(encode_json(exceptions).decode())
         else:
-            table = exception_table(exceptions)
+            table = build_exception_table(exceptions)
             self.print_table(table.headers, table.rows)
         return ExitCode.OK
--- a/catkinhollow/status_report.py
+++ b/catkinhollow/status_report.py
@@ -53,12 +53,12 @@
         _move_table(status),
         _split_table(status.splits),
         _quarantine_table(status),
-        exception_table(status.exceptions),
+        build_exception_table(status.exceptions),
     ]
     return [table for table in tables if table.rows]
 
 
-def exception_table(exceptions: Iterable[ExceptionStatus]) -> Table:
+def build_exception_table(exceptions: Iterable[ExceptionStatus]) -> Table:
     """Return the exceptions with their reasons."""
     return Table(
         title="exceptions",
