--- a/catkinhollow/configuration/documents.py
+++ b/catkinhollow/configuration/documents.py
@@ -1,4 +1,4 @@
-"""Read YAML files with the line of each value."""
+"""Read YAML files and record the line of each value."""
 
 from collections.abc import Callable, Iterator, Mapping
 from math import isfinite
@@ -20,11 +20,11 @@
 
 from catkinhollow.errors import Problem
 
-# Aliases can expand a small file without bound; a fleet of 36 services has
-# fewer than 10,000 values.
+# Nested aliases can expand a small file without bound. The configuration of a
+# fleet with 36 services has fewer than 10,000 values.
 MAX_VALUES = 100_000
 
-# The schemas nest values at most 6 deep; the limit keeps recursion short.
+# Limits the recursion of the builder. The schemas nest values at most 6 deep.
 MAX_DEPTH = 50
 
 STRING_TAG = "tag:yaml.org,2002:str"
@@ -37,14 +37,14 @@
 
 @frozen(kw_only=True)
 class Document:
-    """Hold the value of a file and the line of each path in it."""
+    """Represent the value of a file and the line of each path in it."""
 
     file: str
     value: Any
     lines: Mapping[ValuePath, int]
 
     def line_of(self, path: ValuePath) -> int:
-        """Return the line of a path, or of what encloses it."""
+        """Return the line of a path, or of its closest known parent."""
         while path and path not in self.lines:
             path = path[:-1]
         return self.lines.get(path, 1)
@@ -60,7 +60,7 @@
 
 
 def format_path(path: ValuePath) -> str:
-    """Return a path as text, such as services[0].name."""
+    """Format a path as text, such as services[0].name."""
     text = ""
     for part in path:
         text += f"[{part}]" if isinstance(part, int) else f".{part}"
@@ -68,7 +68,7 @@
 
 
 def parse_path(text: str) -> ValuePath:
-    """Return the parts of a path that format_path wrote."""
+    """Parse the text of a path as written by format_path."""
     parts: list[str | int] = []
     for name in text.split(".") if text else ():
         key, *indexes = name.split("[")
@@ -78,7 +78,7 @@
 
 
 def read_document(path: Path) -> Result[Document, list[Problem]]:
-    """Read a YAML file of plain values without tags or duplicate keys."""
+    """Read a YAML file without explicit tags, merge keys or duplicate keys."""
     file = str(path)
     try:
         root = compose(path.read_bytes(), SafeLoader)
@@ -90,7 +90,7 @@
         return Error([_syntax_problem(file, error)])
     if root is None:
         return Error([Problem(path="", reason="the file is empty", file=file, line=1)])
-    builder = _Builder(file)
+    builder = _DocumentBuilder(file)
     value = builder.build(root, ())
     if builder.problems:
         return Error(builder.problems)
@@ -108,34 +108,37 @@
 
 
 @define
-class _Builder:
-    """Turn composed nodes into plain values and collect their problems."""
+class _DocumentBuilder:
+    """Convert YAML nodes to plain values and collect the problems found."""
 
     file: str
     lines: dict[ValuePath, int] = field(factory=dict)
     problems: list[Problem] = field(factory=list)
-    _open: set[int] = field(factory=set)
+    # IDs of the collections being built, to detect recursive aliases.
+    _enclosing: set[int] = field(factory=set)
     _loader: SafeLoader = field(factory=lambda: SafeLoader(""))
 
     def build(self, node: Node, path: ValuePath) -> Any:
         """Return the plain value of a node."""
         self.lines.setdefault(path, node.start_mark.line + 1)
         if len(self.lines) > MAX_VALUES:
-            return self._refuse(node, (), f"more than {MAX_VALUES} values")
+            return self._add_problem(node, (), f"more than {MAX_VALUES} values")
         if len(path) > MAX_DEPTH:
-            return self._refuse(node, (), f"nested more than {MAX_DEPTH} deep")
+            return self._add_problem(node, (), f"nested more than {MAX_DEPTH} deep")
         if isinstance(node, ScalarNode):
-            return self._scalar(node, path)
+            return self._build_scalar(node, path)
         if node.tag not in COLLECTION_TAGS:
-            return self._refuse(node, path, f"the tag {node.tag} is not supported")
-        if id(node) in self._open:
-            return self._refuse(node, path, "an alias refers to what encloses it")
-        self._open.add(id(node))
-        value = self._collection(node, path)
-        self._open.remove(id(node))
+            return self._add_problem(node, path, f"the tag {node.tag} is not supported")
+        if id(node) in self._enclosing:
+            return self._add_problem(
+                node, path, "an alias refers to a value that encloses it"
+            )
+        self._enclosing.add(id(node))
+        value = self._build_collection(node, path)
+        self._enclosing.remove(id(node))
         return value
 
-    def _collection(self, node: Node, path: ValuePath) -> Any:
+    def _build_collection(self, node: Node, path: ValuePath) -> Any:
         if isinstance(node, SequenceNode):
             return [
                 self.build(item, (*path, index))
@@ -143,40 +146,45 @@
             ]
         assert isinstance(node, MappingNode)
         return {
-            key: self.build(item, (*path, key)) for key, item in self._pairs(node, path)
+            key: self.build(item, (*path, key))
+            for key, item in self._iterate_items(node, path)
         }
 
-    def _pairs(self, node: MappingNode, path: ValuePath) -> Iterator[tuple[str, Node]]:
+    def _iterate_items(
+        self, node: MappingNode, path: ValuePath
+    ) -> Iterator[tuple[str, Node]]:
         first_lines: dict[str, int] = {}
         for key_node, item in node.value:
             line = key_node.start_mark.line + 1
             if key_node.tag == MERGE_TAG:
-                self._refuse(key_node, path, "merge keys (<<) are not supported")
+                self._add_problem(key_node, path, "merge keys (<<) are not supported")
             elif key_node.tag != STRING_TAG:
-                self._refuse(key_node, path, "a key must be text; write it in quotes")
+                self._add_problem(
+                    key_node, path, "a key must be text; write it in quotes"
+                )
             elif key_node.value in first_lines:
-                first = first_lines[key_node.value]
-                reason = f"the key is already set on line {first}"
-                self._refuse(key_node, (*path, key_node.value), reason)
+                first_line = first_lines[key_node.value]
+                reason = f"the key is already set on line {first_line}"
+                self._add_problem(key_node, (*path, key_node.value), reason)
             else:
                 first_lines[key_node.value] = line
                 self.lines[*path, key_node.value] = line
                 yield key_node.value, item
 
-    def _scalar(self, node: ScalarNode, path: ValuePath) -> Any:
-        if node.tag != _implicit_tag(self._loader, node):
-            return self._refuse(node, path, f"the tag {node.tag} is not supported")
+    def _build_scalar(self, node: ScalarNode, path: ValuePath) -> Any:
+        if node.tag != _resolve_implicit_tag(self._loader, node):
+            return self._add_problem(node, path, f"the tag {node.tag} is not supported")
         if node.tag == TIMESTAMP_TAG:
             return node.value
         try:
             value = self._loader.construct_object(node)
         except (ValueError, YAMLError):
-            return self._refuse(node, path, f"'{node.value}' is not a valid value")
+            return self._add_problem(node, path, f"'{node.value}' is not a valid value")
         if isinstance(value, float) and not isfinite(value):
-            return self._refuse(node, path, f"{node.value} is not a finite number")
+            return self._add_problem(node, path, f"{node.value} is not a finite number")
         return value
 
-    def _refuse(self, node: Node, path: ValuePath, reason: str) -> None:
+    def _add_problem(self, node: Node, path: ValuePath, reason: str) -> None:
         line = node.start_mark.line + 1
         problem = Problem(
             path=format_path(path), reason=reason, file=self.file, line=line
@@ -185,8 +193,8 @@
             self.problems.append(problem)
 
 
-def _implicit_tag(loader: SafeLoader, node: ScalarNode) -> str:
+def _resolve_implicit_tag(loader: SafeLoader, node: ScalarNode) -> str:
     plain = node.style is None
-    # The stubs of PyYAML declare no types for resolve.
+    # The type stubs of PyYAML leave resolve untyped.
     resolve: Callable[..., str] = loader.resolve
     return resolve(ScalarNode, node.value, (plain, not plain))
--- a/tests/configuration/test_documents.py
+++ b/tests/configuration/test_documents.py
@@ -1,4 +1,4 @@
-"""Tests of reading YAML with lines."""
+"""Tests of reading YAML files with line numbers."""
 
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -32,7 +32,7 @@
 @settings(derandomize=True, deadline=None)
 @given(st.dictionaries(KEYS, VALUES, min_size=1, max_size=4))
 def test_values_and_key_lines_are_those_of_the_file(value):
-    """Guards against values that differ from YAML's or lines that are off."""
+    """Guards against values that differ from YAML's, and wrong lines."""
     text = yaml.safe_dump(value, default_flow_style=False, allow_unicode=True)
     document = read(text).ok
     assert document.value == value
@@ -46,7 +46,7 @@
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(SYNTAX | st.binary(max_size=20))
 def test_any_file_is_a_value_or_problems(text):
-    """Guards against a file whose content raises instead of being refused."""
+    """Guards against a file that raises an exception instead of problems."""
     result = read(text)
     assert result.is_ok() or result.error
 
@@ -55,7 +55,7 @@
     ("text", "line", "reason"),
     [
         ("a: 1\nb:\n  c: 1\n  c: 2\n", 4, "already set on line 3"),
-        ("a: &x\n  b: *x\n", 1, "refers to what encloses it"),
+        ("a: &x\n  b: *x\n", 1, "refers to a value that encloses it"),
         ("a: 1\nb: !!python/name:os.system\n", 2, "is not supported"),
         ("a: 1\nb: !!timestamp x\n", 2, "is not supported"),
         ("a: 1\n2: b\n", 2, "a key must be text"),
@@ -74,12 +74,12 @@
     ],
 )
 def test_refused_content_has_line_and_reason(text, line, reason):
-    """Guards against content that YAML takes but daemons cannot use."""
+    """Guards against content that is valid YAML but unusable for daemons."""
     problems = read(text).error
     assert any(reason in problem.reason for problem in problems)
     assert line in (0, problems[0].line)
 
 
 def test_dates_stay_text():
-    """Guards against a version such as 2026-12-04 that turns into a date."""
+    """Guards against a version such as 2026-12-04 that is read as a date."""
     assert read("a: 2026-12-04\n").ok.value == {"a": "2026-12-04"}
