--- a/catkinhollow/configuration/editing.py
+++ b/catkinhollow/configuration/editing.py
@@ -1,4 +1,4 @@
-"""Decide how commands change the fleet configuration."""
+"""Define the edits that commands make to the fleet configuration."""
 
 from collections.abc import Iterable, Iterator
 from typing import Any, Protocol
@@ -11,36 +11,39 @@
 
 @frozen(kw_only=True)
 class EditRefused:
-    """Report an edit that would leave a wrong configuration."""
+    """Report an edit that cannot be applied."""
 
     reason: str
 
 
 class FleetEdit(Protocol):
-    """Derive the wanted configuration from the stored one."""
+    """Derive a new configuration from the stored one."""
 
     @property
     def may_create(self) -> bool:
-        """Tell whether the edit may write the first configuration."""
+        """Return whether the edit may write the first configuration."""
 
     def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
-        """Return the wanted configuration."""
+        """Return the edited configuration."""
 
     def can_reapply(self, before: Fleet, now: Fleet) -> bool:
-        """Tell whether the edit may be made again after another change."""
+        """Return whether the edit may be repeated after a concurrent change.
+
+        The other writer changed the stored configuration from before to now.
+        """
 
 
 @frozen
 class ApplyFiles:
-    """Replace what files define; keep splits and failure domains out."""
+    """Replace what files define; keep splits and failure_domains_out."""
 
     files: Fleet
     may_create: bool = True
 
     def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
-        """Return the files' configuration with the stored operations."""
+        """Return the files' configuration with the stored runtime state."""
         splits = {service.name: service.split for service in stored.services}
-        wanted = evolve(
+        edited = evolve(
             self.files,
             services=[
                 evolve(service, split=splits.get(service.name, []))
@@ -48,11 +51,11 @@
             ],
             failure_domains_out=stored.failure_domains_out,
         )
-        return Ok(wanted)
+        return Ok(edited)
 
     def can_reapply(self, before: Fleet, now: Fleet) -> bool:
-        """Allow changes of splits and failure domains only."""
-        return without_operations(before) == without_operations(now)
+        """Accept concurrent changes of splits and failure_domains_out only."""
+        return _without_runtime_state(before) == _without_runtime_state(now)
 
 
 @frozen
@@ -65,18 +68,18 @@
     may_create: bool = False
 
     def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
-        """Return the configuration without the failure domain."""
+        """Return the configuration with the failure domain out of service."""
         out = stored.failure_domains_out
         if self.name in out:
             return Ok(stored)
-        left = self.known_domains - {*out, self.name}
-        if self.known_domains and not left and not self.force:
+        remaining = self.known_domains - {*out, self.name}
+        if self.known_domains and not remaining and not self.force:
             reason = f"no failure domain would be left in service without {self.name}"
             return Error(EditRefused(reason=f"{reason}; --force takes it out anyway"))
         return Ok(evolve(stored, failure_domains_out=[*out, self.name]))
 
     def can_reapply(self, before: Fleet, now: Fleet) -> bool:
-        """Allow every other change, as this one is independent of it."""
+        """Accept every concurrent change; this edit is independent of it."""
         return True
 
 
@@ -93,11 +96,11 @@
         return Ok(evolve(stored, failure_domains_out=out))
 
     def can_reapply(self, before: Fleet, now: Fleet) -> bool:
-        """Allow every other change, as this one is independent of it."""
+        """Accept every concurrent change; this edit is independent of it."""
         return True
 
 
-def without_operations(fleet: Fleet) -> Fleet:
+def _without_runtime_state(fleet: Fleet) -> Fleet:
     """Return the configuration without what moves and operators set."""
     return evolve(
         fleet,
@@ -107,7 +110,7 @@
 
 
 def list_changes(before: Fleet, after: Fleet) -> list[str]:
-    """Return one line for each thing that differs."""
+    """Return one line of text for each difference."""
     return [
         *_default_changes(before.defaults, after.defaults),
         *_entry_changes("service", before.services, after.services),
--- a/catkinhollow/configuration/fleet_updates.py
+++ b/catkinhollow/configuration/fleet_updates.py
@@ -15,14 +15,14 @@
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import Fleet, SeedList
 
-# Each lost race means that another operator's write took effect, so more than
-# a few in a row are a fault.
+# Every conflict means that a write of another operator took effect, so this
+# many conflicts in a row indicate a fault.
 MAX_ATTEMPTS = 10
 
 
 @frozen(kw_only=True)
 class StoredFleet:
-    """Hold the stored configuration; revision 0 when there is none."""
+    """Represent the stored configuration; its revision is 0 if absent."""
 
     revision: int
     fleet: Fleet
@@ -30,7 +30,10 @@
 
 @frozen(kw_only=True)
 class FleetUpdate:
-    """Hold the outcome of a change; the revisions differ if it was written."""
+    """Represent the configuration before and after an update.
+
+    The two revisions differ only if the update was written.
+    """
 
     before: StoredFleet
     after: StoredFleet
@@ -40,7 +43,7 @@
 
 
 async def read_fleet(store: StoreClient) -> Result[StoredFleet, UpdateError]:
-    """Return the stored configuration, an empty one if there is none."""
+    """Return the stored configuration, or an empty one if there is none."""
     result = await store.get(FLEET_KIND, FLEET_NAME)
     if result.is_error():
         if result.error.kind is StoreErrorKind.NOT_FOUND:
@@ -56,7 +59,7 @@
 async def plan_update(
     store: StoreClient, edit: FleetEdit
 ) -> Result[FleetUpdate, UpdateError]:
-    """Return what an edit would change, and write nothing."""
+    """Return the result of an edit without writing it."""
     stored = await read_fleet(store)
     return stored.bind(lambda before: _plan(before, edit))
 
@@ -64,7 +67,7 @@
 async def update_fleet(
     store: StoreClient, edit: FleetEdit
 ) -> Result[FleetUpdate, UpdateError]:
-    """Make an edit, again after a lost race if the edit allows that."""
+    """Write an edit; repeat it after a conflict if the edit allows that."""
     base: StoredFleet | None = None
     for _ in range(MAX_ATTEMPTS):
         planned = await plan_update(store, edit)
@@ -88,23 +91,23 @@
             return Ok(FleetUpdate(before=before, after=after))
         if written.error.kind is not StoreErrorKind.CONFLICT:
             return Error(written.error)
-    reason = f"lost {MAX_ATTEMPTS} races against other changes"
+    reason = f"lost {MAX_ATTEMPTS} conflicts with other changes in a row"
     return Error(StoreError(kind=StoreErrorKind.CONFLICT, reason=reason))
 
 
 def _plan(before: StoredFleet, edit: FleetEdit) -> Result[FleetUpdate, UpdateError]:
     if not before.revision and not edit.may_create:
         return Error(EditRefused(reason="no configuration has been applied yet"))
-    checked = edit.edit(before.fleet).bind(_check)
-    if checked.is_error():
-        return Error(checked.error)
-    after = StoredFleet(revision=before.revision, fleet=checked.ok)
+    validated = edit.edit(before.fleet).bind(_validate)
+    if validated.is_error():
+        return Error(validated.error)
+    after = StoredFleet(revision=before.revision, fleet=validated.ok)
     return Ok(FleetUpdate(before=before, after=after))
 
 
-def _check(fleet: Fleet) -> Result[Fleet, EditRefused]:
-    # Daemons refuse a version that they cannot decode as a whole, so nothing
-    # is written that does not pass the same checks.
+def _validate(fleet: Fleet) -> Result[Fleet, EditRefused]:
+    # A daemon refuses the whole version if it cannot decode or validate it, so
+    # a write has to pass the same checks first.
     decoded = from_plain(to_plain(fleet), Fleet)
     if decoded.is_error():
         return Error(EditRefused(reason=decoded.error.reason))
@@ -117,8 +120,8 @@
 def _conflict(base: StoredFleet, now: StoredFleet) -> StoreError:
     return StoreError(
         kind=StoreErrorKind.CONFLICT,
-        reason=f"the configuration was changed from revision {base.revision}"
-        f" to {now.revision} by someone else meanwhile",
+        reason="the configuration was changed by another writer from revision"
+        f" {base.revision} to {now.revision} in the meantime",
         revision=now.revision,
     )
 
@@ -126,7 +129,7 @@
 async def list_known_domains(
     store: StoreClient,
 ) -> Result[frozenset[str], UpdateError]:
-    """Return the failure domains that have members."""
+    """Return the failure domains that have published members."""
     result = await store.list_objects(MEMBERS_KIND)
     if result.is_error():
         return Error(result.error)
--- a/tests/configuration/test_fleet_updates.py
+++ b/tests/configuration/test_fleet_updates.py
@@ -1,4 +1,4 @@
-"""Fuzz of conditional updates against a simple oracle."""
+"""Model-based tests of conditional updates of the fleet configuration."""
 
 import trio
 from attrs import evolve
@@ -21,7 +21,7 @@
 
 
 class FleetUpdates(RuleBasedStateMachine):
-    """Apply, move and take domains out while others write in between."""
+    """Apply files and take domains out while another writer interferes."""
 
     def __init__(self):
         super().__init__()
@@ -41,7 +41,7 @@
             assert self.store.revision == before
             return
         same = self._same_configuration(timeout_ms, names)
-        changed = [] if same else self._interleave(other)
+        changed = [] if same else self._schedule_concurrent_write(other)
         writes = self.store.writes
         result = trio.run(update_fleet, self.store, ApplyFiles(files))
         if "defaults" in changed and not self._same_configuration(timeout_ms, names):
@@ -56,10 +56,14 @@
 
     @rule(name=DOMAINS, other=OTHER_CHANGES, force=st.booleans())
     def take_out(self, name, other, force):
-        changed = self._interleave(other) if self._takes_out(name, force) else []
+        changed = (
+            self._schedule_concurrent_write(other)
+            if self._will_take_out(name, force)
+            else []
+        )
         edit = TakeDomainOut(name, ALL_DOMAINS, force)
         result = trio.run(update_fleet, self.store, edit)
-        assert result.is_ok() == (name in self.out or self._takes_out(name, force))
+        assert result.is_ok() == (name in self.out or self._will_take_out(name, force))
         if result.is_ok() and name not in self.out:
             self.out.append(name)
         assert len(changed) <= 1
@@ -71,7 +75,7 @@
         self.out = [item for item in self.out if item != name]
 
     @invariant()
-    def stored_configuration_is_the_oracle(self):
+    def stored_configuration_matches_the_model(self):
         if not self.exists:
             assert self.store.objects == {}
             return
@@ -83,22 +87,22 @@
             for service in fleet.services
         } == self.splits
 
-    def _takes_out(self, name, force):
-        left = ALL_DOMAINS - {*self.out, name}
-        return self.exists and name not in self.out and bool(left or force)
+    def _will_take_out(self, name, force):
+        remaining = ALL_DOMAINS - {*self.out, name}
+        return self.exists and name not in self.out and bool(remaining or force)
 
     def _same_configuration(self, timeout_ms, names):
         wanted = (timeout_ms, names)
         return self.exists and wanted == (self.timeout_ms, set(self.splits))
 
-    def _interleave(self, other):
-        """Make another writer change the object just before the next put."""
+    def _schedule_concurrent_write(self, other):
+        """Let another writer change the object just before the next put."""
         if not self.exists or other == "none":
             return []
-        self.store.before_put = [lambda: self._change(other)]
+        self.store.before_put = [lambda: self._write_concurrently(other)]
         return [other]
 
-    def _change(self, other):
+    def _write_concurrently(self, other):
         fleet = self._stored()
         if other == "split":
             split = [VersionWeight(version="v2", percent=100.0)]
@@ -124,7 +128,7 @@
 
 
 def test_unusable_name_is_not_written():
-    """Guards against a version that every daemon refuses to decode."""
+    """Guards against writing a version that no daemon can decode."""
     store = MemoryStore()
     store.write("config", "fleet", to_plain(Fleet()))
     result = trio.run(update_fleet, store, TakeDomainOut("No Name"))
