Clarify the wording of the HTTP store client

Rename settle_lost_write to resolve_lost_write and its arguments, and reword comments, doc strings and error messages.

--- a/catkinhollow/configuration/http_store.py
+++ b/catkinhollow/configuration/http_store.py
@@ -1,4 +1,4 @@
-"""Call the object store over HTTP and JSON."""
+"""Access the object store with JSON over HTTP."""
 
 from typing import Any, TypeVar
 from urllib.parse import quote
@@ -17,7 +17,7 @@
 from catkinhollow.codec import decode_json, encode_json
 from catkinhollow.configuration.lost_write import (
     WriteIntent,
-    settle_lost_write,
+    resolve_lost_write,
     unknown_outcome,
 )
 from catkinhollow.errors import StoreError, StoreErrorKind
@@ -31,15 +31,16 @@
 
 WRITER_HEADER = "X-Writer-Id"
 
-# A watch holds one connection for its whole wait; the others serve reads and
+# A watch occupies one connection while it waits; the others are for reads and
 # writes.
 MAX_CONNECTIONS = 8
 
-# Shorter than the keep-alive time of usual servers, so that the client does
-# not send on a connection that the server is about to close.
+# Shorter than the keep-alive timeout of common servers, so that the client
+# does not send on a connection that the server is about to close.
 KEEPALIVE_S = 20.0
 
-# Each attempt after the first follows a read that shows the write undone.
+# A further attempt is made only after a read has shown that the previous one
+# did not take effect.
 MAX_WRITE_ATTEMPTS = 3
 
 SENDING_EVENT = "http11.send_request_headers.started"
@@ -55,24 +56,27 @@
 
 
 @frozen(kw_only=True)
-class _Answer:
-    """Hold the status and the body of a response."""
+class _HttpResponse:
+    """Represent the status and body of an HTTP response."""
 
     status: int
     body: bytes
 
 
 @frozen(kw_only=True)
-class _Lost:
-    """Report a call without a usable response."""
+class _CallFailed:
+    """Report a call without a usable response.
+
+    request_sent tells whether the store may have received the request.
+    """
 
     reason: str
-    sent: bool
+    request_sent: bool
 
 
 @frozen(kw_only=True)
 class _Write:
-    """Hold one conditional write as it is sent."""
+    """Represent one conditional write request."""
 
     method: str
     kind: str
@@ -82,18 +86,18 @@
 
 
 @define
-class _SendMarker:
+class _SendTracker:
     """Record whether httpcore has started to send the request."""
 
-    sent: bool = False
+    request_sent: bool = False
 
     async def trace(self, event: str, info: dict[str, Any]) -> None:
         if event == SENDING_EVENT:
-            self.sent = True
+            self.request_sent = True
 
 
 class HttpStoreClient:
-    """Call the store through a pool of connections."""
+    """Access the store through a pool of HTTP connections."""
 
     def __init__(
         self, settings: StoreSettings, pool: AsyncConnectionPool | None = None
@@ -115,19 +119,19 @@
 
     async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
         """Return all objects of a kind."""
-        return await self._read(f"/objects/{_quoted(kind)}", ObjectList)
+        return await self._read(f"/objects/{_quote_segment(kind)}", ObjectList)
 
     async def watch(
         self, kind: str, *, after: int, wait_s: float
     ) -> Result[ObjectList, StoreError]:
-        """Return objects changed after a revision, waiting for the first."""
-        path = f"/watch?kind={_quoted(kind)}&after={after}&wait_s={wait_s:g}"
+        """Return the objects changed after a revision; wait for the first."""
+        path = f"/watch?kind={_quote_segment(kind)}&after={after}&wait_s={wait_s:g}"
         return await self._read(path, ObjectList, wait_s=wait_s)
 
     async def put(
         self, kind: str, name: str, value: Any, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
-        """Write an object if its revision is still the given one, 0 if new."""
+        """Write an object if it still has the given revision, 0 if new."""
         intent = WriteIntent(if_revision=if_revision, writer_id=uuid4().hex)
         body = encode_json(ObjectWrite(value=value, writer_id=intent.writer_id))
         write = _Write(method="PUT", kind=kind, name=name, intent=intent, body=body)
@@ -136,7 +140,7 @@
     async def delete(
         self, kind: str, name: str, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
-        """Delete an object if its revision still is the given one."""
+        """Delete an object if it still has the given revision."""
         intent = WriteIntent(if_revision=if_revision, writer_id=uuid4().hex)
         write = _Write(method="DELETE", kind=kind, name=name, intent=intent)
         return await self._write(write)
@@ -144,33 +148,39 @@
     async def _read(
         self, path: str, result_class: type[T], *, wait_s: float = 0.0
     ) -> Result[T, StoreError]:
-        answer = await self._call("GET", path, timeout_s=self._timeout_s + wait_s)
-        if isinstance(answer, _Lost):
-            return Error(_unavailable(answer.reason))
-        if answer.status >= 300:
-            return Error(_store_error(answer))
-        return decode_json(answer.body, result_class).map_error(
+        response = await self._call("GET", path, timeout_s=self._timeout_s + wait_s)
+        if isinstance(response, _CallFailed):
+            return Error(_unavailable(response.reason))
+        if response.status >= 300:
+            return Error(_store_error(response))
+        return decode_json(response.body, result_class).map_error(
             lambda error: _unavailable(f"malformed response: {error.reason}")
         )
 
     async def _write(self, write: _Write) -> Result[StoredObject, StoreError]:
         uncertain = False
         for _ in range(MAX_WRITE_ATTEMPTS):
-            sent = await self._send_write(write)
-            if isinstance(sent, _Lost) and not sent.sent and not uncertain:
-                return Error(_unavailable(sent.reason))
-            if isinstance(sent, Result) and (sent.is_ok() or not uncertain):
-                return sent
+            result = await self._send_write(write)
+            if (
+                isinstance(result, _CallFailed)
+                and not result.request_sent
+                and not uncertain
+            ):
+                return Error(_unavailable(result.reason))
+            if isinstance(result, Result) and (result.is_ok() or not uncertain):
+                return result
             uncertain = True
-            settled = await self._settle(write, at_least=_told_revision(sent))
-            if settled is not None:
-                return settled
+            resolved = await self._read_outcome(
+                write, newest_known=_reported_revision(result)
+            )
+            if resolved is not None:
+                return resolved
         return Error(unknown_outcome("no response to any attempt"))
 
     async def _send_write(
         self, write: _Write
-    ) -> Result[StoredObject, StoreError] | _Lost:
-        answer = await self._call(
+    ) -> Result[StoredObject, StoreError] | _CallFailed:
+        response = await self._call(
             write.method,
             _object_path(write.kind, write.name),
             timeout_s=self._timeout_s,
@@ -180,29 +190,31 @@
             },
             body=write.body,
         )
-        if isinstance(answer, _Lost):
-            return answer
-        if answer.status < 300:
-            decoded = decode_json(answer.body, StoredObject)
+        if isinstance(response, _CallFailed):
+            return response
+        if response.status < 300:
+            decoded = decode_json(response.body, StoredObject)
             if decoded.is_ok():
                 return Ok(decoded.ok)
-            return _Lost(reason=f"malformed response: {decoded.error}", sent=True)
-        if answer.status >= 500 and answer.status not in ERROR_KINDS:
-            return _Lost(reason=f"status {answer.status}", sent=True)
-        return Error(_store_error(answer))
+            return _CallFailed(
+                reason=f"malformed response: {decoded.error}", request_sent=True
+            )
+        if response.status >= 500 and response.status not in ERROR_KINDS:
+            return _CallFailed(reason=f"status {response.status}", request_sent=True)
+        return Error(_store_error(response))
 
-    async def _settle(
-        self, write: _Write, *, at_least: int
+    async def _read_outcome(
+        self, write: _Write, *, newest_known: int
     ) -> Result[StoredObject, StoreError] | None:
-        answer = await self._call(
+        response = await self._call(
             "GET", _object_path(write.kind, write.name), timeout_s=self._timeout_s
         )
-        if isinstance(answer, _Lost):
-            return Error(unknown_outcome(answer.reason))
-        seen = _decode_seen(write, answer)
-        if seen.is_error():
-            return Error(seen.error)
-        return settle_lost_write(write.intent, seen.ok, at_least=at_least)
+        if isinstance(response, _CallFailed):
+            return Error(unknown_outcome(response.reason))
+        current = _decode_current(write, response)
+        if current.is_error():
+            return Error(current.error)
+        return resolve_lost_write(write.intent, current.ok, newest_known=newest_known)
 
     async def _call(
         self,
@@ -212,8 +224,8 @@
         timeout_s: float,
         headers: dict[bytes | str, bytes | str] | None = None,
         body: bytes | None = None,
-    ) -> _Answer | _Lost:
-        marker = _SendMarker()
+    ) -> _HttpResponse | _CallFailed:
+        tracker = _SendTracker()
         try:
             with trio.move_on_after(timeout_s):
                 response = await self._pool.request(
@@ -221,51 +233,56 @@
                     self._base_url + path,
                     headers=headers,
                     content=body,
-                    extensions={"trace": marker.trace},
+                    extensions={"trace": tracker.trace},
                 )
-                return _Answer(status=response.status, body=response.content)
+                return _HttpResponse(status=response.status, body=response.content)
         except (NetworkError, ProtocolError, TimeoutException) as error:
             reason = str(error) or type(error).__name__
-            return _Lost(reason=reason, sent=marker.sent)
-        return _Lost(reason=f"no response in {timeout_s:g} s", sent=marker.sent)
+            return _CallFailed(reason=reason, request_sent=tracker.request_sent)
+        return _CallFailed(
+            reason=f"no response within {timeout_s:g} s",
+            request_sent=tracker.request_sent,
+        )
 
 
-def _quoted(segment: str) -> str:
+def _quote_segment(segment: str) -> str:
     return quote(segment, safe="")
 
 
 def _object_path(kind: str, name: str) -> str:
-    return f"/objects/{_quoted(kind)}/{_quoted(name)}"
+    return f"/objects/{_quote_segment(kind)}/{_quote_segment(name)}"
 
 
 def _unavailable(reason: str) -> StoreError:
     return StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason)
 
 
-def _error_body(answer: _Answer) -> ErrorBody:
-    fallback = ErrorBody(error=f"status {answer.status}")
-    return decode_json(answer.body, ErrorBody).default_value(fallback)
+def _error_body(response: _HttpResponse) -> ErrorBody:
+    fallback = ErrorBody(error=f"status {response.status}")
+    return decode_json(response.body, ErrorBody).default_value(fallback)
 
 
-def _store_error(answer: _Answer) -> StoreError:
+def _store_error(response: _HttpResponse) -> StoreError:
     default = (
-        StoreErrorKind.UNAVAILABLE if answer.status >= 500 else StoreErrorKind.REFUSED
+        StoreErrorKind.UNAVAILABLE if response.status >= 500 else StoreErrorKind.REFUSED
     )
-    body = _error_body(answer)
+    body = _error_body(response)
     return StoreError(
-        kind=ERROR_KINDS.get(answer.status, default),
+        kind=ERROR_KINDS.get(response.status, default),
         reason=body.error,
         revision=body.revision,
     )
 
 
-def _told_revision(sent: Result[StoredObject, StoreError] | _Lost) -> int:
-    return 0 if isinstance(sent, _Lost) else sent.error.revision
+def _reported_revision(result: Result[StoredObject, StoreError] | _CallFailed) -> int:
+    return 0 if isinstance(result, _CallFailed) else result.error.revision
 
 
-def _decode_seen(write: _Write, answer: _Answer) -> Result[StoredObject, StoreError]:
-    if answer.status == 404:
-        body = _error_body(answer)
+def _decode_current(
+    write: _Write, response: _HttpResponse
+) -> Result[StoredObject, StoreError]:
+    if response.status == 404:
+        body = _error_body(response)
         return Ok(
             StoredObject(
                 kind=write.kind,
@@ -276,8 +293,8 @@
                 deleted=True,
             )
         )
-    if answer.status >= 300:
-        return Error(unknown_outcome(_error_body(answer).error))
-    return decode_json(answer.body, StoredObject).map_error(
+    if response.status >= 300:
+        return Error(unknown_outcome(_error_body(response).error))
+    return decode_json(response.body, StoredObject).map_error(
         lambda error: unknown_outcome(f"malformed response: {error.reason}")
     )
--- a/catkinhollow/configuration/lost_write.py
+++ b/catkinhollow/configuration/lost_write.py
@@ -1,4 +1,4 @@
-"""Decide what became of a store write whose response was lost."""
+"""Determine the outcome of a store write whose response was lost."""
 
 from attrs import frozen
 from expression import Error, Ok, Result
@@ -11,34 +11,37 @@
 
 @frozen(kw_only=True)
 class WriteIntent:
-    """Hold what identifies one conditional write."""
+    """Identify one conditional write."""
 
     if_revision: int
     writer_id: str
 
 
-def settle_lost_write(
-    intent: WriteIntent, seen: StoredObject, *, at_least: int = 0
+def resolve_lost_write(
+    intent: WriteIntent, current: StoredObject, *, newest_known: int = 0
 ) -> Result[StoredObject, StoreError] | None:
-    """Return the outcome of the write, or None when it did not happen."""
-    # The object is as read after the loss; at_least is the newest revision
-    # that the store has told, which exposes a read from an older view.
-    if seen.writer_id == intent.writer_id:
-        return Ok(seen)
-    if seen.revision < max(at_least, intent.if_revision):
-        return Error(unknown_outcome("the read was older than the write"))
-    expects_none = intent.if_revision == 0
-    if seen.revision == intent.if_revision and seen.deleted == expects_none:
+    """Return the outcome of the write, or None if it did not take effect.
+
+    current is the object as read after the response was lost. newest_known
+    is the newest revision that the store has reported; a read that returns a
+    lower revision is stale and leaves the outcome unknown.
+    """
+    if current.writer_id == intent.writer_id:
+        return Ok(current)
+    if current.revision < max(newest_known, intent.if_revision):
+        return Error(unknown_outcome("the read after the write was stale"))
+    is_creation = intent.if_revision == 0
+    if current.revision == intent.if_revision and current.deleted == is_creation:
         return None
-    if expects_none and seen.deleted:
-        # Another writer may have deleted what this write created; creating
-        # it again would revive it.
+    if is_creation and current.deleted:
+        # Another writer may have deleted the object that this write created;
+        # a retry would create the deleted object again.
         return Error(unknown_outcome("the object was deleted"))
     return Error(
         StoreError(
             kind=StoreErrorKind.CONFLICT,
-            reason="another write came after",
-            revision=seen.revision,
+            reason="another write changed the object after the expected revision",
+            revision=current.revision,
         )
     )
 
--- a/catkinhollow/configuration/store.py
+++ b/catkinhollow/configuration/store.py
@@ -1,4 +1,4 @@
-"""Call the platform's object store."""
+"""Define the interface of the platform's object store."""
 
 from typing import Any, Protocol
 
@@ -16,7 +16,7 @@
 
 
 class StoreClient(Protocol):
-    """Read, write and watch objects; every outcome is a value."""
+    """Read, write and watch objects; errors are returned, not raised."""
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreError]:
         """Return one object."""
@@ -27,14 +27,14 @@
     async def put(
         self, kind: str, name: str, value: Any, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
-        """Write an object if its revision is still the given one, 0 if new."""
+        """Write an object if it still has the given revision, 0 if new."""
 
     async def delete(
         self, kind: str, name: str, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
-        """Delete an object if its revision still is the given one."""
+        """Delete an object if it still has the given revision."""
 
     async def watch(
         self, kind: str, *, after: int, wait_s: float
     ) -> Result[ObjectList, StoreError]:
-        """Return objects changed after a revision, waiting for the first."""
+        """Return the objects changed after a revision; wait for the first."""
--- a/tests/configuration/test_http_store.py
+++ b/tests/configuration/test_http_store.py
@@ -1,4 +1,4 @@
-"""Tests of the store client against the stand-in, in memory."""
+"""Tests of the store client against the stand-in store, in memory."""
 
 from functools import partial
 
@@ -13,7 +13,7 @@
 from catkinhollow.configuration.lost_write import (
     UNKNOWN_REASON,
     WriteIntent,
-    settle_lost_write,
+    resolve_lost_write,
 )
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.settings import Address, StoreSettings
@@ -36,15 +36,15 @@
         self.writers.append(writer_id)
         return super()._store(kind, name, value, writer_id, deleted=deleted)
 
-    def write_as_rival(self):
+    def write_as_other(self):
         present = self._present("config", "fleet")
         revision = present.revision if present else 0
-        write = ObjectWrite(value="rival", writer_id="rival")
+        write = ObjectWrite(value="other", writer_id="other")
         self.put("config", "fleet", write, if_revision=revision)
 
 
 def run_scenario(scenario):
-    """Run a scenario with a store and a client of it, in virtual time."""
+    """Run a scenario with a store and its client in virtual time."""
 
     async def main():
         state = RecordingState()
@@ -64,14 +64,18 @@
     lose_mode=st.sampled_from(ResponseLoss),
     stale_reads=st.booleans(),
 )
-# Faults that end after 1 s let a retry overtake its delayed first attempt.
+# Faults that end after 1 s let a retry reach the store before the delayed
+# first attempt.
 STEP = st.tuples(FAULTS, st.sampled_from([1.0, 3.0]), st.booleans(), st.booleans())
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
 @given(st.lists(STEP, max_size=6))
 def test_write_takes_effect_at_most_once_and_is_reported_truly(steps):
-    """Guards against lost responses taken for lost writes, and repeats."""
+    """Guards against repeated writes and wrong outcomes.
+
+    A lost response must not be mistaken for a write that had no effect.
+    """
 
     async def scenario(state, client):
         for step in steps:
@@ -80,25 +84,25 @@
     run_scenario(scenario)
 
 
-async def write_under_faults(state, client, faults, end_s, deletes, has_rival):
+async def write_under_faults(state, client, faults, end_s, deletes, has_other_writer):
     present = state.get("config", "fleet")
     revision = present.revision if present and not present.deleted else 0
     state.set_faults(faults)
     state.writers.clear()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.sleep, 20)
-        if has_rival:
-            nursery.start_soon(call_later, 1.0, state.write_as_rival)
+        if has_other_writer:
+            nursery.start_soon(call_later, 1.0, state.write_as_other)
         nursery.start_soon(call_later, end_s, partial(state.set_faults, StoreFaults()))
         if deletes:
             result = await client.delete("config", "fleet", if_revision=revision)
         else:
             result = await client.put("config", "fleet", 1, if_revision=revision)
-    own = [writer for writer in state.writers if writer != "rival"]
+    own = [writer for writer in state.writers if writer != "other"]
     assert len(own) <= 1
     if result.is_ok():
         assert own == [result.ok.writer_id]
-    elif not has_rival and UNKNOWN_REASON not in result.error.reason:
+    elif not has_other_writer and UNKNOWN_REASON not in result.error.reason:
         assert own == []
 
 
@@ -107,32 +111,34 @@
     callback()
 
 
-def test_read_of_an_older_view_does_not_settle_a_lost_write():
-    """Guards against a conflict or a retry decided on a stale read."""
+def test_stale_read_does_not_resolve_a_lost_write():
+    """Guards against a conflict or a retry decided from a stale read."""
     intent = WriteIntent(if_revision=5, writer_id="own")
-    seen = StoredObject(kind="k", name="n", revision=5, value=1, writer_id="old")
-    assert settle_lost_write(intent, seen) is None
-    stale = settle_lost_write(intent, seen, at_least=6)
+    current = StoredObject(kind="k", name="n", revision=5, value=1, writer_id="old")
+    assert resolve_lost_write(intent, current) is None
+    stale = resolve_lost_write(intent, current, newest_known=6)
     assert stale.error.kind is StoreErrorKind.UNAVAILABLE
     newer = StoredObject(kind="k", name="n", revision=7, value=1, writer_id="other")
-    assert settle_lost_write(intent, newer).error.kind is StoreErrorKind.CONFLICT
+    assert resolve_lost_write(intent, newer).error.kind is StoreErrorKind.CONFLICT
 
 
 def test_watch_wakes_on_changes_and_outages():
-    """Guards against a watch that sleeps through a change or an outage."""
+    """Guards against a watch that misses a change or an outage."""
 
     async def scenario(state, client):
         created = (await client.put("moves", "m", 1, if_revision=0)).ok
         async with trio.open_nursery() as nursery:
             delete = partial(client.delete, "moves", "m", if_revision=created.revision)
-            nursery.start_soon(await_later, 5.0, delete)
+            nursery.start_soon(call_async_later, 5.0, delete)
             seen = (await client.watch("moves", after=1, wait_s=30)).ok
         assert [(item.name, item.deleted) for item in seen.objects] == [("m", True)]
         assert trio.current_time() < 6.0
         empty = (await client.watch("moves", after=2, wait_s=30)).ok
         assert (empty.objects, empty.revision) == ([], 2)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(await_later, 5.0, partial(switch, state, "refuse"))
+            nursery.start_soon(
+                call_async_later, 5.0, partial(set_outage, state, "refuse")
+            )
             lost = await client.watch("moves", after=2, wait_s=30)
         assert lost.error.kind is StoreErrorKind.UNAVAILABLE
         assert trio.current_time() < 41.0
@@ -141,12 +147,12 @@
     run_scenario(scenario)
 
 
-async def await_later(delay_s, function):
+async def call_async_later(delay_s, function):
     await trio.sleep(delay_s)
     await function()
 
 
-async def switch(state, outage):
+async def set_outage(state, outage):
     url = "http://127.0.0.1:1/faults"
     wrong = await state.pool.request("POST", url, content=b'{"outrage": "refuse"}')
     assert wrong.status == 400
