--- a/catkinhollow/configuration/fleet_files.py
+++ b/catkinhollow/configuration/fleet_files.py
@@ -1,4 +1,4 @@
-"""Read the fleet configuration from the operators' files."""
+"""Read the fleet configuration from the files that operators write."""
 
 from collections.abc import Iterable, Iterator, Sequence
 from pathlib import Path
@@ -24,22 +24,22 @@
 
 @frozen(kw_only=True)
 class _Origin:
-    """Hold where an entry of a joined list comes from."""
+    """Represent the file and index that a merged list entry came from."""
 
     document: Document
     index: int
 
 
 @define
-class _JoinedFiles:
-    """Hold the sections of all files and where each entry comes from."""
+class _MergedFiles:
+    """Merge the sections of all files and track the origin of each entry."""
 
     value: dict[str, Any] = field(factory=dict)
     origins: dict[str, list[_Origin]] = field(factory=dict)
     defaults: Document | None = None
 
     def add(self, document: Document) -> None:
-        """Append the lists of a file and take its defaults."""
+        """Append the lists of a file and copy its defaults, if any."""
         for section in LIST_SECTIONS:
             entries = document.value.get(section, [])
             self.value.setdefault(section, []).extend(entries)
@@ -51,7 +51,7 @@
             self.defaults = document
 
     def locate(self, problem: Problem) -> Problem:
-        """Return a problem of the joined files at its file and line."""
+        """Map a problem of the merged configuration to its file and line."""
         match parse_path(problem.path):
             case (str(section), int(index), *rest) if section in self.origins:
                 origin = self.origins[section][index]
@@ -63,7 +63,7 @@
 
 
 def load_fleet(paths: Sequence[Path]) -> Result[Fleet, list[Problem]]:
-    """Return the configuration of all files, or everything wrong with it."""
+    """Return the merged configuration of the files, or all problems found."""
     documents: list[Document] = []
     problems: list[Problem] = []
     for path in paths:
@@ -75,10 +75,10 @@
             problems.extend(_document_problems(result.ok))
     if problems:
         return Error(problems)
-    problems = list(_repeated_defaults(documents))
+    problems = list(_duplicate_defaults(documents))
     if problems:
         return Error(problems)
-    return _build(documents)
+    return _merge(documents)
 
 
 def _document_problems(document: Document) -> Iterator[Problem]:
@@ -98,7 +98,7 @@
             )
 
 
-def _repeated_defaults(documents: Iterable[Document]) -> Iterator[Problem]:
+def _duplicate_defaults(documents: Iterable[Document]) -> Iterator[Problem]:
     first: Document | None = None
     for document in documents:
         if "defaults" not in document.value:
@@ -109,14 +109,14 @@
         first = first or document
 
 
-def _build(documents: Iterable[Document]) -> Result[Fleet, list[Problem]]:
-    joined = _JoinedFiles()
+def _merge(documents: Iterable[Document]) -> Result[Fleet, list[Problem]]:
+    merged = _MergedFiles()
     for document in documents:
-        joined.add(document)
-    decoded = from_plain(joined.value, Fleet)
+        merged.add(document)
+    decoded = from_plain(merged.value, Fleet)
     if decoded.is_error():
         return Error([Problem(path="", reason=decoded.error.reason)])
     problems = find_fleet_problems(decoded.ok)
     if problems:
-        return Error([joined.locate(problem) for problem in problems])
+        return Error([merged.locate(problem) for problem in problems])
     return Ok(decoded.ok)
--- a/catkinhollow/configuration/schema_check.py
+++ b/catkinhollow/configuration/schema_check.py
@@ -1,4 +1,4 @@
-"""Check documents against a definition of a schema file."""
+"""Validate documents against a definition of a schema file."""
 
 from collections.abc import Callable, Iterator
 from difflib import get_close_matches
@@ -14,7 +14,7 @@
 from catkinhollow.configuration.documents import Document, ValuePath
 from catkinhollow.errors import Problem
 
-TYPE_WORDS = {
+TYPE_DESCRIPTIONS = {
     "object": "a mapping",
     "array": "a list",
     "string": "text",
@@ -24,20 +24,20 @@
     "null": "null",
 }
 
-# The decoder of the daemons takes no 2.0 for an integer, which JSON Schema
-# does.
+# JSON Schema accepts 2.0 as an integer, but the decoder of the daemons does
+# not.
 TYPE_CHECKER = Draft202012Validator.TYPE_CHECKER.redefine(
     "integer",
     lambda _, value: isinstance(value, int) and not isinstance(value, bool),
 )
-# The stubs of jsonschema declare no types for extend.
+# The type stubs of jsonschema leave extend untyped.
 _extend: Callable[..., type[Draft202012Validator]] = extend
 STRICT_VALIDATOR = _extend(Draft202012Validator, type_checker=TYPE_CHECKER)
 
 
 @cache
 def load_schema(schema_file: str) -> Any:
-    """Return the content of a schema file of the package."""
+    """Return the parsed content of a schema file of the package."""
     text = files("catkinhollow.schema").joinpath(schema_file).read_text()
     return safe_load(text)
 
@@ -45,7 +45,7 @@
 def find_schema_problems(
     document: Document, schema_file: str, definition: str
 ) -> list[Problem]:
-    """Return what a document has against a definition, in line order."""
+    """Return the schema violations of a document in line order."""
     schema = load_schema(schema_file)
     registry: Registry[Any] = Registry().with_resource(
         schema_file, Resource.from_contents(schema)
@@ -53,32 +53,35 @@
     validator = STRICT_VALIDATOR(
         {"$ref": f"{schema_file}#/$defs/{definition}"}, registry=registry
     )
-    pattern_words = schema.get("x-pattern-words", {})
+    pattern_descriptions = schema.get("x-pattern-words", {})
     problems = [
         document.problem(path, reason)
         for error in validator.iter_errors(document.value)
-        for path, reason in _explain(error, pattern_words)
+        for path, reason in _describe_error(error, pattern_descriptions)
     ]
     return sorted(problems, key=lambda problem: problem.line)
 
 
-def _explain(
-    error: ValidationError, pattern_words: dict[str, str]
+def _describe_error(
+    error: ValidationError, pattern_descriptions: dict[str, str]
 ) -> Iterator[tuple[ValuePath, str]]:
     path = tuple(error.absolute_path)
     if error.validator == "additionalProperties":
-        yield from _unknown_keys(error, path)
+        yield from _describe_unknown_keys(error, path)
     elif error.validator == "required":
-        # One error is raised for each missing key, named only in its text.
+        # jsonschema reports each missing key as an error of its own and names
+        # the key only in the message.
         yield path, f"{error.message.split(' is a required')[0]} is missing"
     elif error.validator == "pattern":
-        words = pattern_words.get(str(error.validator_value), error.message)
-        yield path, f"{error.instance!r} must be {words}"
+        description = pattern_descriptions.get(
+            str(error.validator_value), error.message
+        )
+        yield path, f"{error.instance!r} must be {description}"
     else:
-        yield path, _limit_words(error)
+        yield path, _describe_limit(error)
 
 
-def _unknown_keys(
+def _describe_unknown_keys(
     error: ValidationError, path: ValuePath
 ) -> Iterator[tuple[ValuePath, str]]:
     schema: Any = error.schema
@@ -87,19 +90,21 @@
     for key in instance:
         if key in allowed:
             continue
-        near = get_close_matches(key, allowed, n=1)
-        hint = f"; did you mean '{near[0]}'?" if near else ""
+        matches = get_close_matches(key, allowed, n=1)
+        hint = f"; did you mean '{matches[0]}'?" if matches else ""
         yield (*path, key), f"the key '{key}' is not known{hint}"
 
 
-def _limit_words(error: ValidationError) -> str:
+def _describe_limit(error: ValidationError) -> str:
     limit: Any = error.validator_value
     value: Any = error.instance
     match error.validator:
         case "type":
-            return f"must be {TYPE_WORDS[limit]}, but is {_value_words(value)}"
+            return (
+                f"must be {TYPE_DESCRIPTIONS[limit]}, but is {_describe_value(value)}"
+            )
         case "enum":
-            return f"{_value_words(value)} is not one of {', '.join(limit)}"
+            return f"{_describe_value(value)} is not one of {', '.join(limit)}"
         case "minimum":
             return f"{value} is less than {limit}"
         case "exclusiveMinimum":
@@ -116,7 +121,7 @@
             return error.message
 
 
-def _value_words(value: Any) -> str:
+def _describe_value(value: Any) -> str:
     match value:
         case None:
             return "empty"
--- a/catkinhollow/configuration/settings.py
+++ b/catkinhollow/configuration/settings.py
@@ -25,7 +25,7 @@
 
 @frozen(kw_only=True)
 class SettingsFile:
-    """Hold checked settings and the document that they come from."""
+    """Represent validated settings and the document they come from."""
 
     settings: Settings
     document: Document
@@ -33,7 +33,7 @@
 
 @frozen(kw_only=True)
 class EffectiveValue:
-    """Hold one value in force and where it comes from."""
+    """Represent one effective setting; origin is file:line or "default"."""
 
     path: str
     text: str
@@ -41,17 +41,17 @@
 
 
 def load_settings(path: Path) -> Result[Settings, list[Problem]]:
-    """Return the settings of a file, or everything wrong with it."""
+    """Return the settings of a file, or all problems found in it."""
     return read_settings_file(path).map(lambda loaded: loaded.settings)
 
 
 def read_settings_file(path: Path) -> Result[SettingsFile, list[Problem]]:
-    """Return the settings of a file together with its lines."""
-    return read_document(path).bind(_check_document)
+    """Return the settings of a file together with its document."""
+    return read_document(path).bind(_validate_document)
 
 
 def find_settings_problems(settings: Settings) -> Iterator[Problem]:
-    """Yield every fault that the schema cannot express."""
+    """Yield the problems that the schema cannot express."""
     yield from _address_problems(settings)
     lease = settings.lease
     if lease.renew_interval_s >= lease.stop_deciding_s:
@@ -75,7 +75,7 @@
         )
 
 
-def _check_document(document: Document) -> Result[SettingsFile, list[Problem]]:
+def _validate_document(document: Document) -> Result[SettingsFile, list[Problem]]:
     problems = find_schema_problems(document, "settings.yaml", "Settings")
     if problems:
         return Error(problems)
@@ -97,11 +97,11 @@
         "admin": settings.admin,
         "peer": settings.peer,
     }
-    for (first, one), (second, other) in combinations(listeners.items(), 2):
-        if _overlap(one, other):
+    for (name, first), (other_name, second) in combinations(listeners.items(), 2):
+        if _conflicts_with(first, second):
             yield Problem(
-                path=second,
-                reason=f"{other.host}:{other.port} is also the address of '{first}'",
+                path=other_name,
+                reason=f"{second.host}:{second.port} is also the address of '{name}'",
             )
     for name, listener in listeners.items():
         if listener == settings.store.address:
@@ -110,30 +110,30 @@
             )
 
 
-def _overlap(one: Address, other: Address) -> bool:
-    same_host = one.host == other.host
-    wildcard = bool(WILDCARD_HOSTS & {one.host, other.host})
-    return one.port == other.port and (same_host or wildcard)
+def _conflicts_with(first: Address, second: Address) -> bool:
+    same_host = first.host == second.host
+    wildcard = bool(WILDCARD_HOSTS & {first.host, second.host})
+    return first.port == second.port and (same_host or wildcard)
 
 
 def list_values(loaded: SettingsFile) -> Iterator[EffectiveValue]:
-    """Yield every value in force and where it comes from."""
-    for path, value in _leaves((), to_plain(loaded.settings)):
-        given = path in loaded.document.lines
-        place = f"{loaded.document.file}:{loaded.document.line_of(path)}"
+    """Yield every effective value, set or default, with its origin."""
+    for path, value in _iterate_leaves((), to_plain(loaded.settings)):
+        is_set = path in loaded.document.lines
+        location = f"{loaded.document.file}:{loaded.document.line_of(path)}"
         yield EffectiveValue(
             path=format_path(path),
             text=encode_json(value).decode(),
-            origin=place if given else "default",
+            origin=location if is_set else "default",
         )
 
 
-def _leaves(path: ValuePath, value: Any) -> Iterator[tuple[ValuePath, Any]]:
+def _iterate_leaves(path: ValuePath, value: Any) -> Iterator[tuple[ValuePath, Any]]:
     if isinstance(value, dict) and value:
         for key, item in value.items():
-            yield from _leaves((*path, key), item)
+            yield from _iterate_leaves((*path, key), item)
     elif isinstance(value, list) and value:
         for index, item in enumerate(value):
-            yield from _leaves((*path, index), item)
+            yield from _iterate_leaves((*path, index), item)
     else:
         yield path, value
--- a/catkinhollow/configuration/validation.py
+++ b/catkinhollow/configuration/validation.py
@@ -1,4 +1,4 @@
-"""Check the references and limits of a whole fleet configuration."""
+"""Validate the references and limits of a whole fleet configuration."""
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
@@ -19,7 +19,8 @@
 FULL_SHARE_PERCENT = 100.0
 SHARE_TOLERANCE_PERCENT = 0.001
 
-# An exception has the bounds of the default that it replaces.
+# Type and bounds of each setting. The value of an exception must meet those of
+# the default that it replaces.
 SETTING_TYPES = {
     item.name: get_args(item.type)
     for item in (*fields(Defaults), *fields(RetryPolicy))
@@ -28,32 +29,32 @@
 
 
 def find_fleet_problems(fleet: Fleet) -> list[Problem]:
-    """Return every fault that the schema cannot express."""
+    """Return the problems that the schema cannot express."""
     return [
-        *_duplicates("services", [service.name for service in fleet.services]),
-        *_duplicates("routes", [route.name for route in fleet.routes]),
-        *_duplicates("exceptions", [item.name for item in fleet.exceptions]),
-        *_unknown_services(fleet),
-        *_ambiguous_routes(fleet),
-        *_exception_problems(fleet),
-        *_share_problems(fleet.services),
-        *_duplicates("failure_domains_out", fleet.failure_domains_out),
+        *_find_duplicates("services", [service.name for service in fleet.services]),
+        *_find_duplicates("routes", [route.name for route in fleet.routes]),
+        *_find_duplicates("exceptions", [item.name for item in fleet.exceptions]),
+        *_find_unknown_services(fleet),
+        *_find_ambiguous_routes(fleet),
+        *_find_exception_problems(fleet),
+        *_find_share_problems(fleet.services),
+        *_find_duplicates("failure_domains_out", fleet.failure_domains_out),
     ]
 
 
-def _duplicates(section: str, names: Sequence[str]) -> Iterator[Problem]:
-    uses = Counter(names)
+def _find_duplicates(section: str, names: Sequence[str]) -> Iterator[Problem]:
+    counts = Counter(names)
     seen: set[str] = set()
     for index, name in enumerate(names):
         if name in seen:
             yield Problem(
                 path=f"{section}[{index}]",
-                reason=f"'{name}' is listed {uses[name]} times",
+                reason=f"'{name}' is listed {counts[name]} times",
             )
         seen.add(name)
 
 
-def _unknown_services(fleet: Fleet) -> Iterator[Problem]:
+def _find_unknown_services(fleet: Fleet) -> Iterator[Problem]:
     services = {service.name for service in fleet.services}
     for index, route in enumerate(fleet.routes):
         if route.service not in services:
@@ -63,19 +64,19 @@
             )
 
 
-def _ambiguous_routes(fleet: Fleet) -> Iterator[Problem]:
-    owners: dict[tuple[str, str], str] = {}
+def _find_ambiguous_routes(fleet: Fleet) -> Iterator[Problem]:
+    route_names: dict[tuple[str, str], str] = {}
     for index, route in enumerate(fleet.routes):
         for method in route.methods:
-            owner = owners.setdefault((method, route.path_prefix), route.name)
-            if owner != route.name:
+            first = route_names.setdefault((method, route.path_prefix), route.name)
+            if first != route.name:
                 yield Problem(
                     path=f"routes[{index}].path_prefix",
-                    reason=f"{method} {route.path_prefix} belongs to route '{owner}'",
+                    reason=f"{method} {route.path_prefix} belongs to route '{first}'",
                 )
 
 
-def _exception_problems(fleet: Fleet) -> Iterator[Problem]:
+def _find_exception_problems(fleet: Fleet) -> Iterator[Problem]:
     services = {service.name for service in fleet.services}
     routes = {route.name for route in fleet.routes}
     seen: dict[tuple[str, str, str], str] = {}
@@ -92,37 +93,39 @@
                 path=f"{path}.route", reason=f"there is no route '{item.route}'"
             )
         scope = (item.service, item.route, item.setting.value)
-        other = seen.setdefault(scope, item.name)
-        if other != item.name:
+        first = seen.setdefault(scope, item.name)
+        if first != item.name:
             yield Problem(
-                path=path, reason=f"exception '{other}' already sets {item.setting}"
+                path=path, reason=f"exception '{first}' already sets {item.setting}"
             )
-        yield from _value_problems(f"{path}.value", item)
+        yield from _find_value_problems(f"{path}.value", item)
 
 
-def _value_problems(path: str, item: FleetException) -> Iterator[Problem]:
+def _find_value_problems(path: str, item: FleetException) -> Iterator[Problem]:
     base_type, bounds = SETTING_TYPES[item.setting]
     assert isinstance(bounds, Meta)
     if base_type is int and item.value % 1:
-        yield Problem(path=path, reason=f"{item.setting} is a whole number")
+        yield Problem(path=path, reason=f"{item.setting} must be a whole number")
     elif bounds.ge is not None and not item.value >= bounds.ge:
         yield Problem(path=path, reason=f"{item.value:g} is less than {bounds.ge:g}")
     elif bounds.le is not None and not item.value <= bounds.le:
         yield Problem(path=path, reason=f"{item.value:g} is greater than {bounds.le:g}")
 
 
-def _share_problems(services: Iterable[Service]) -> Iterator[Problem]:
+def _find_share_problems(services: Iterable[Service]) -> Iterator[Problem]:
     for index, service in enumerate(services):
         path = f"services[{index}]"
-        yield from _duplicates(f"{path}.backers", [b.name for b in service.backers])
-        yield from _duplicates(f"{path}.split", [w.version for w in service.split])
-        promised = sum(backer.share_percent for backer in service.backers)
-        if promised > FULL_SHARE_PERCENT + SHARE_TOLERANCE_PERCENT:
+        yield from _find_duplicates(
+            f"{path}.backers", [b.name for b in service.backers]
+        )
+        yield from _find_duplicates(f"{path}.split", [w.version for w in service.split])
+        shares = sum(backer.share_percent for backer in service.backers)
+        if shares > FULL_SHARE_PERCENT + SHARE_TOLERANCE_PERCENT:
             yield Problem(
-                path=f"{path}.backers", reason=f"shares add up to {promised:g} %"
+                path=f"{path}.backers", reason=f"shares add up to {shares:g} %"
             )
-        split = sum(weight.percent for weight in service.split)
-        if service.split and abs(split - FULL_SHARE_PERCENT) > SHARE_TOLERANCE_PERCENT:
+        total = sum(weight.percent for weight in service.split)
+        if service.split and abs(total - FULL_SHARE_PERCENT) > SHARE_TOLERANCE_PERCENT:
             yield Problem(
-                path=f"{path}.split", reason=f"percentages add up to {split:g}, not 100"
+                path=f"{path}.split", reason=f"percentages add up to {total:g}, not 100"
             )
--- a/tests/configuration/test_fleet_files.py
+++ b/tests/configuration/test_fleet_files.py
@@ -1,4 +1,4 @@
-"""Tests of the operators' files."""
+"""Tests of reading the files that operators write."""
 
 from pathlib import Path
 
@@ -10,7 +10,7 @@
 
 
 def test_examples_are_valid_and_survive_the_store():
-    """Guards against examples that fail, or entries the store mangles."""
+    """Guards against invalid examples and values lost in the store."""
     consortium = load_fleet(sorted(ROOT.glob("examples/consortium/[fr]*.yaml"))).ok
     board = load_fleet([ROOT / "examples" / "board" / "fleet.yaml"]).ok
     for fleet in (consortium, board):
@@ -18,13 +18,13 @@
         assert all(len(service.backers) == 3 for service in fleet.services)
         assert all(item.reason for item in fleet.exceptions)
         assert from_plain(to_plain(fleet), Fleet).ok == fleet
-    worths = {route.name: route.worth for route in consortium.routes}
-    assert worths["internal-stock"] == 0
+    priorities = {route.name: route.worth for route in consortium.routes}
+    assert priorities["internal-stock"] == 0
     assert not next(r for r in board.routes if r.name == "file-claim").idempotent
 
 
 def test_problem_is_located_in_the_file_of_its_entry(tmp_path):
-    """Guards against a line of one file reported for another."""
+    """Guards against a problem reported at a line of the wrong file."""
     first, second = tmp_path / "a.yaml", tmp_path / "b.yaml"
     first.write_text("services:\n  - name: orders\n  - name: stock\n")
     second.write_text("# more\nservices:\n  - name: claims\n  - name: orders\n")
@@ -34,7 +34,7 @@
 
 
 def test_defaults_belong_to_one_file(tmp_path):
-    """Guards against defaults of one file that replace those of another."""
+    """Guards against one file silently replacing the defaults of another."""
     first, second = tmp_path / "a.yaml", tmp_path / "b.yaml"
     first.write_text("defaults: {timeout_ms: 100}\n")
     second.write_text("services: []\ndefaults: {timeout_ms: 200}\n")
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -1,4 +1,4 @@
-"""Tests of the settings of a daemon."""
+"""Tests of reading, validating and passing on the settings of a daemon."""
 
 import os
 import subprocess
@@ -24,7 +24,7 @@
 BASE = (ROOT / "examples" / "board" / "daemon.yaml").read_text()
 
 
-def problems_of(tmp_path, text):
+def find_problems_in(tmp_path, text):
     path = tmp_path / "daemon.yaml"
     path.write_text(text)
     return [(item.line, item.path) for item in load_settings(path).error]
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.parent.name)
 def test_settings_survive_the_environment(path):
-    """Guards against a daemon that runs with other settings than checked."""
+    """Guards against a daemon that runs with unvalidated settings."""
     loaded = load_settings(path).ok
     environment = settings_to_environment(loaded, {"PATH": "x"})
     assert settings_from_environment(environment).ok == loaded
@@ -59,15 +59,15 @@
     ],
 )
 def test_contradictions_are_refused(tmp_path, old, new, line, path):
-    """Guards against settings that are valid alone and wrong together."""
+    """Guards against settings that are valid alone but contradictory."""
     assert old in BASE
-    assert problems_of(tmp_path, BASE.replace(old, new, 1)) == [(line, path)]
+    assert find_problems_in(tmp_path, BASE.replace(old, new, 1)) == [(line, path)]
 
 
 def test_problems_are_in_line_order(tmp_path):
-    """Guards against a report that jumps about in the file."""
+    """Guards against problems that are reported out of line order."""
     text = BASE.replace("port: 28081", "port: 0") + "unknown: 1\n"
-    assert problems_of(tmp_path, text) == [(6, "admin.port"), (17, "unknown")]
+    assert find_problems_in(tmp_path, text) == [(6, "admin.port"), (17, "unknown")]
 
 
 @pytest.mark.parametrize(
@@ -84,7 +84,7 @@
     ],
 )
 def test_address_text(text, expected):
-    """Guards against an address that is read wrong or not written back."""
+    """Guards against an address that is parsed or formatted wrongly."""
     result = parse_address(text)
     if expected is None:
         assert result.is_error()
@@ -94,7 +94,7 @@
 
 
 def test_origin_of_each_value():
-    """Guards against a default shown as set, or the reverse."""
+    """Guards against a default reported as set in the file, or vice versa."""
     path = ROOT / "examples" / "board" / "daemon.yaml"
     values = {item.path: item for item in list_values(read_settings_file(path).ok)}
     assert values["probe.timeout_ms"].origin == f"{path}:16"
@@ -102,8 +102,8 @@
     assert values["probe.interval_s"].origin == "default"
 
 
-def test_daemon_process_imports_nothing_heavy():
-    """Guards against libraries that break the daemon's memory limit."""
+def test_daemon_process_imports_no_large_library():
+    """Guards against libraries that exceed the daemon's memory limit."""
     code = (
         "import sys, catkinhollow.daemon.settings_environment;"
         "sys.exit(bool({'yaml', 'jsonschema', 'cleo'} & set(sys.modules)))"
@@ -111,8 +111,8 @@
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT).returncode == 0
 
 
-def test_daemon_command_hands_over_checked_settings(monkeypatch, tmp_path):
-    """Guards against a daemon that starts with settings not checked."""
+def test_daemon_command_passes_on_validated_settings(monkeypatch, tmp_path):
+    """Guards against a daemon that starts with unvalidated settings."""
     started = []
     monkeypatch.setattr(os, "execve", lambda *call: started.append(call))
     bad = tmp_path / "bad.yaml"
