--- a/catkinhollow/configuration/__init__.py
+++ b/catkinhollow/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Read, check, store and hold the configuration."""
+"""Read, validate, store and watch the configuration."""
--- a/catkinhollow/configuration/backoff.py
+++ b/catkinhollow/configuration/backoff.py
@@ -1,21 +1,26 @@
-"""Decide how long to wait before a call is tried again."""
+"""Compute delays between retries."""
 
 from random import Random
 
-# 2 ** 32 times any base exceeds every limit; larger exponents overflow floats.
+# 2 ** 32 times any base delay exceeds every maximum delay, and much larger
+# exponents overflow a float.
 MAX_DOUBLINGS = 32
 
 
 def jittered_delay(
     attempt: int, *, base_s: float, max_s: float, random: Random
 ) -> float:
-    """Return a delay between 0 and the doubled base, for attempt 0 upward."""
+    """Return a random delay in seconds with exponential backoff.
+
+    The upper bound is base_s for attempt 0 and doubles with each attempt, up
+    to max_s.
+    """
     ceiling_s = min(max_s, base_s * 2 ** min(attempt, MAX_DOUBLINGS))
     return random.uniform(0.0, ceiling_s)
 
 
 class Backoff:
-    """Count failed attempts in a row and return the delay after each."""
+    """Count consecutive failures and compute the delay after each."""
 
     def __init__(self, *, base_s: float, max_s: float, random: Random) -> None:
         self._base_s = base_s
@@ -24,7 +29,7 @@
         self._attempt = 0
 
     def next_delay(self) -> float:
-        """Return the delay after one more failure, in seconds."""
+        """Count one more failure and return the delay in seconds."""
         delay_s = jittered_delay(
             self._attempt, base_s=self._base_s, max_s=self._max_s, random=self._random
         )
@@ -32,5 +37,5 @@
         return delay_s
 
     def reset(self) -> None:
-        """Start from the base again after a success."""
+        """Return to the base delay after a success."""
         self._attempt = 0
--- a/catkinhollow/configuration/bootstrap.py
+++ b/catkinhollow/configuration/bootstrap.py
@@ -1,4 +1,4 @@
-"""Read the store at start when no peer makes the daemon ready."""
+"""Read the configuration from the store at startup if no peer provides it."""
 
 from random import Random
 
@@ -10,15 +10,15 @@
 from catkinhollow.configuration.watcher import StoreWatcher
 from catkinhollow.mesh.mesh_service import MeshService
 
-# Peers usually answer within this time, so that a mass restart spares the
-# store.
+# Peers usually answer within this time. Waiting for them keeps load off the
+# store when many daemons restart at once.
 PEER_GRACE_S = 1.0
 RETRY_BASE_S = 1.0
 RETRY_MAX_S = 10.0
 
 
 class Bootstrap:
-    """Ask the store for seeds and for the configuration until ready."""
+    """Read seeds and the configuration from the store until ready."""
 
     def __init__(
         self,
@@ -33,7 +33,7 @@
         self._backoff = Backoff(base_s=RETRY_BASE_S, max_s=RETRY_MAX_S, random=random)
 
     async def run(self) -> None:
-        """Return when the daemon is ready."""
+        """Poll the store with backoff; return when the daemon is ready."""
         await trio.sleep(PEER_GRACE_S)
         while not self._mesh.ready:
             self._mesh.add_seeds(await read_seeds(self._store))
--- a/catkinhollow/configuration/seeds.py
+++ b/catkinhollow/configuration/seeds.py
@@ -1,4 +1,4 @@
-"""Keep addresses in the store that joiners ask first."""
+"""Publish and read the seed lists, which joining daemons contact first."""
 
 from collections.abc import Iterable
 
@@ -10,14 +10,16 @@
 
 logger = get_logger(__name__)
 
-# A joiner needs one live address; 16 outlive the restarts of many minutes.
+# A joining daemon needs one address that answers. With 16 the list stays
+# usable through many minutes of restarts.
 MAX_SEEDS = 16
-# Rewriting the list on every restart would cost writes for no gain.
+# The list is rewritten only if fewer of its addresses are alive, so that a
+# single restart causes no store write.
 MIN_LIVE_SEEDS = 8
 
 
 class SeedPublisher:
-    """Write the seed list of one failure domain when it has gone stale."""
+    """Keep the seed list of one failure domain up to date in the store."""
 
     def __init__(self, store: StoreClient, failure_domain: str) -> None:
         self._store = store
@@ -26,7 +28,7 @@
         self._revision: int | None = None
 
     def is_stale(self, alive: Iterable[str]) -> bool:
-        """Tell whether too few of the published addresses are alive."""
+        """Return whether too few of the published addresses are alive."""
         members = set(alive)
         live = sum(address in members for address in self._published)
         return live < min(MIN_LIVE_SEEDS, len(members))
@@ -65,7 +67,7 @@
 
 
 async def read_seeds(store: StoreClient) -> list[str]:
-    """Return the addresses of every seed list, none if the store is away."""
+    """Return the addresses of all seed lists, none if the store fails."""
     result = await store.list_objects(MEMBERS_KIND)
     if result.is_error():
         return []
--- a/catkinhollow/configuration/snapshot.py
+++ b/catkinhollow/configuration/snapshot.py
@@ -8,7 +8,7 @@
 
 
 class SnapshotHolder:
-    """Hold the newest accepted snapshot and refuse older or invalid ones."""
+    """Keep the newest accepted snapshot; refuse older or invalid ones."""
 
     def __init__(self) -> None:
         self._snapshot: Snapshot | None = None
@@ -16,12 +16,12 @@
 
     @property
     def snapshot(self) -> Snapshot | None:
-        """Return the snapshot in force, if there is one."""
+        """Return the enforced snapshot, if there is one."""
         return self._snapshot
 
     @property
     def revision(self) -> int:
-        """Return the revision in force, 0 when there is none."""
+        """Return the enforced revision, or 0 if there is none."""
         return self._snapshot.revision if self._snapshot else 0
 
     @property
@@ -30,15 +30,19 @@
         return self._floor
 
     def raise_floor(self, revision: int) -> None:
-        """Refuse every snapshot older than the revision from now on."""
+        """Refuse snapshots older than the revision from now on."""
         self._floor = max(self._floor, revision)
 
     def offer(self, snapshot: Snapshot) -> Result[Snapshot, SnapshotRejected]:
-        """Take the snapshot whole, or refuse it whole."""
+        """Accept the whole snapshot or refuse all of it."""
         if snapshot.revision < self._floor:
-            return _stale(snapshot, f"older than the floor {self._floor}")
+            return _reject_stale(
+                snapshot, f"older than the lowest accepted revision {self._floor}"
+            )
         if snapshot.revision <= self.revision:
-            return _stale(snapshot, f"not newer than {self.revision}")
+            return _reject_stale(
+                snapshot, f"not newer than the enforced revision {self.revision}"
+            )
         problems = find_fleet_problems(snapshot.fleet)
         if problems:
             return _reject(snapshot, RejectionKind.INVALID, str(problems[0]))
@@ -47,7 +51,9 @@
         return Ok(snapshot)
 
 
-def _stale(snapshot: Snapshot, reason: str) -> Result[Snapshot, SnapshotRejected]:
+def _reject_stale(
+    snapshot: Snapshot, reason: str
+) -> Result[Snapshot, SnapshotRejected]:
     return _reject(snapshot, RejectionKind.STALE, reason)
 
 
--- a/catkinhollow/configuration/watcher.py
+++ b/catkinhollow/configuration/watcher.py
@@ -26,7 +26,11 @@
 
 
 class StoreWatcher:
-    """Offer each new version of the fleet configuration while elected."""
+    """Watch the fleet configuration and offer new versions while elected.
+
+    on_answer receives the revision of each version from the store that is not
+    invalid, or 0 if the store holds no configuration.
+    """
 
     def __init__(
         self,
@@ -41,8 +45,8 @@
         self._offer = offer
         self._on_answer = on_answer
         self._elected = False
-        self._changed = trio.Event()
-        self._scope: trio.CancelScope | None = None
+        self._election_changed = trio.Event()
+        self._watch_scope: trio.CancelScope | None = None
         self._backoff = Backoff(
             base_s=settings.retry_base_ms / 1000,
             max_s=settings.retry_max_ms / 1000,
@@ -51,7 +55,7 @@
 
     @property
     def elected(self) -> bool:
-        """Tell whether this daemon watches the store."""
+        """Return whether this daemon is elected to watch the store."""
         return self._elected
 
     def set_elected(self, elected: bool) -> None:
@@ -59,24 +63,24 @@
         if elected == self._elected:
             return
         self._elected = elected
-        self._changed.set()
-        if not elected and self._scope is not None:
-            self._scope.cancel()
+        self._election_changed.set()
+        if not elected and self._watch_scope is not None:
+            self._watch_scope.cancel()
 
     async def run(self) -> None:
         """Watch while elected, until cancelled."""
         while True:
             if not self._elected:
                 await self._wait_for_election()
-            with trio.CancelScope() as self._scope:
+            with trio.CancelScope() as self._watch_scope:
                 await self._watch()
-            self._scope = None
+            self._watch_scope = None
 
     async def read_once(self) -> bool:
-        """Read the newest version and tell whether the store answered."""
+        """Read the newest version; return whether the store answered."""
         result = await self._store.get(FLEET_KIND, FLEET_NAME)
         if result.is_ok():
-            self._take(result.ok)
+            self._offer_stored(result.ok)
             return True
         if result.error.kind is StoreErrorKind.NOT_FOUND:
             self._on_answer(0)
@@ -85,9 +89,9 @@
         return False
 
     async def _wait_for_election(self) -> None:
-        self._changed = trio.Event()
+        self._election_changed = trio.Event()
         if not self._elected:
-            await self._changed.wait()
+            await self._election_changed.wait()
 
     async def _watch(self) -> None:
         after = 0
@@ -96,18 +100,18 @@
                 FLEET_KIND, after=after, wait_s=self._settings.watch_s
             )
             if result.is_error():
-                await self._back_off(result.error)
+                await self._wait_after_error(result.error)
                 continue
             self._backoff.reset()
-            after = self._take_all(result.ok)
+            after = self._offer_all(result.ok)
 
-    def _take_all(self, listing: ObjectList) -> int:
+    def _offer_all(self, listing: ObjectList) -> int:
         for stored in listing.objects:
             if stored.name == FLEET_NAME and not stored.deleted:
-                self._take(stored)
+                self._offer_stored(stored)
         return listing.revision
 
-    def _take(self, stored: StoredObject) -> None:
+    def _offer_stored(self, stored: StoredObject) -> None:
         decoded = from_plain(stored.value, Fleet)
         if decoded.is_error():
             logger.error(
@@ -117,11 +121,11 @@
             )
             return
         offered = self._offer(Snapshot(revision=stored.revision, fleet=decoded.ok))
-        # An invalid version in the store must not keep joiners from serving
-        # the last valid one.
+        # An invalid version is not reported as an answer, so that joining
+        # daemons can serve the last valid version instead of waiting for it.
         if offered.is_ok() or offered.error.kind is RejectionKind.STALE:
             self._on_answer(stored.revision)
 
-    async def _back_off(self, error: StoreError) -> None:
+    async def _wait_after_error(self, error: StoreError) -> None:
         logger.warning("store watch failed", reason=error.reason)
         await trio.sleep(self._backoff.next_delay())
--- a/tests/configuration/test_backoff.py
+++ b/tests/configuration/test_backoff.py
@@ -1,4 +1,4 @@
-"""Tests of the delays between tries."""
+"""Tests of the delays between retries."""
 
 from random import Random
 
@@ -6,7 +6,7 @@
 
 
 def test_delays_spread_up_to_a_doubling_limit():
-    """Guards against tries in step, and against delays that overflow."""
+    """Guards against synchronized retries and delays that overflow."""
     backoff = Backoff(base_s=0.2, max_s=10.0, random=Random(1))
     delays = [backoff.next_delay() for _ in range(2000)]
     assert all(0 <= delay <= 10.0 for delay in delays)
--- a/tests/configuration/test_seeds.py
+++ b/tests/configuration/test_seeds.py
@@ -22,14 +22,14 @@
 
 
 async def test_only_member_of_a_domain_is_published():
-    """Guards against a failure domain that commands do not know."""
+    """Guards against a failure domain that commands do not find."""
     store = MemoryStore()
     await SeedPublisher(store, "a").publish(["10.0.0.1:9000"])
     assert await read_seeds(store) == ["10.0.0.1:9000"]
 
 
 async def test_publisher_follows_a_list_that_another_daemon_wrote():
-    """Guards against a new publisher that never gets past a conflict."""
+    """Guards against a publisher that conflicts on every write."""
     store = MemoryStore()
     first, second = SeedPublisher(store, "a"), SeedPublisher(store, "a")
     await first.publish(make_addresses(0, 8))
@@ -40,7 +40,7 @@
 
 
 async def test_outage_writes_nothing_and_reads_nothing():
-    """Guards against an outage that ends the publisher."""
+    """Guards against a store outage that raises in the publisher."""
     store = MemoryStore()
     store.down = True
     await SeedPublisher(store, "a").publish(make_addresses(0, 8))
--- a/tests/configuration/test_snapshot.py
+++ b/tests/configuration/test_snapshot.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of the enforced configuration version."""
+"""Tests of which configuration version is enforced."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -19,7 +19,10 @@
     )
 )
 def test_revision_never_goes_back(steps):
-    """Guards against crossed, stale and invalid snapshots in any order."""
+    """Guards against going back to an older version.
+
+    Snapshots may arrive out of order, be stale or be invalid.
+    """
     holder = SnapshotHolder()
     expected = floor = 0
     for action, revision, valid in steps:
@@ -37,7 +40,7 @@
 
 
 def test_invalid_snapshot_changes_nothing():
-    """Guards against a version that is applied in part."""
+    """Guards against a version that is only partly applied."""
     holder = SnapshotHolder()
     holder.offer(Snapshot(revision=1, fleet=VALID))
     result = holder.offer(Snapshot(revision=2, fleet=INVALID))
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -19,7 +19,7 @@
 
 
 class ScriptedStore:
-    """Answer each watch with the next scripted result, then hang."""
+    """Answer each watch with the next scripted result, then block."""
 
     def __init__(self, results):
         self.results = list(results)
@@ -47,8 +47,8 @@
     return holder, answers, watcher
 
 
-async def test_newest_view_wins_over_a_stale_one(autojump_clock, nursery):
-    """Guards against a store that comes back with an old view."""
+async def test_stale_listing_does_not_replace_a_newer_one(autojump_clock, nursery):
+    """Guards against a store whose listing goes back to an older revision."""
     store = ScriptedStore(
         [make_listing(7, VALID), make_listing(5, VALID), make_listing(9, VALID)]
     )
@@ -59,7 +59,7 @@
 
 
 async def test_invalid_version_is_not_a_floor(autojump_clock, nursery):
-    """Guards against joiners that wait for a version nobody can enforce."""
+    """Guards against joining daemons that wait for an invalid version."""
     store = ScriptedStore([make_listing(7, VALID), make_listing(8, INVALID)])
     holder, answers, _ = await run_watcher(store, nursery)
     assert holder.revision == 7
@@ -67,7 +67,7 @@
 
 
 async def test_outage_is_survived(autojump_clock, nursery):
-    """Guards against a watch that ends with the first failure."""
+    """Guards against a watch that stops after the first failure."""
     outage = Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason="down"))
     store = ScriptedStore([outage] * 4 + [make_listing(3, VALID)])
     holder, _, _ = await run_watcher(store, nursery)
@@ -75,7 +75,7 @@
 
 
 async def test_loser_of_an_election_stops_watching(autojump_clock, nursery):
-    """Guards against watches that pile up at the store."""
+    """Guards against former watchers that keep loading the store."""
     store = ScriptedStore([])
     _, _, watcher = await run_watcher(store, nursery)
     watcher.set_elected(False)
