--- a/catkinhollow/platform/announcements.py
+++ b/catkinhollow/platform/announcements.py
@@ -32,7 +32,7 @@
     def announce(self, news: Announcement) -> bool:
         """Take what the target tells of itself; False if it is outdated."""
 
-    def leave(self, lifetime: str, born_ms: int | None) -> None:
+    def leave(self, lifetime: str, started_ms: int | None) -> None:
         """Take the announcement that the target ends."""
 
 
@@ -80,7 +80,7 @@
                 draining=news.state is TargetStateWord.DRAINING,
                 cold_s=news.cold_remaining_ms / 1000.0,
                 sequence=news.seq,
-                born_ms=news.born,
+                started_ms=news.born,
             )
         )
         if not taken:
@@ -89,7 +89,7 @@
 
     def _take_farewell(self, lifetime: str, body: bytes) -> Response:
         decoded = decode_json(body or b"{}", TargetFarewell)
-        born_ms = decoded.ok.born if decoded.is_ok() else None
+        started_ms = decoded.ok.born if decoded.is_ok() else None
         logger.info("target leaves", lifetime=lifetime)
-        self._listener.leave(lifetime, born_ms)
+        self._listener.leave(lifetime, started_ms)
         return json_response(200, {})
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -253,7 +253,7 @@
         if restarted or self._target is None:
             if known is None or news.version != known.version:
                 self._learned = 0
-            left = news.born_ms <= self._departed.pop(news.lifetime, -1)
+            left = news.started_ms <= self._departed.pop(news.lifetime, -1)
             self._target = _Target(announced=news, left=left)
         else:
             self._target.announced = news
@@ -262,18 +262,20 @@
         self._open()
         return True
 
-    def leave(self, lifetime: str, born_ms: int | None) -> None:
+    def leave(self, lifetime: str, started_ms: int | None) -> None:
         """Take the announcement that a lifetime ends."""
         target = self._target
         known = target is not None and target.announced.lifetime == lifetime
         if target is not None and known:
-            if born_ms is not None and born_ms < target.announced.born_ms:
+            if started_ms is not None and started_ms < target.announced.started_ms:
                 return
             target.left = True
         else:
             # A restarted daemon may hear of the end first; a report that was
             # delayed must not open the gate afterwards.
-            self._departed[lifetime] = ANY_START_MS if born_ms is None else born_ms
+            self._departed[lifetime] = (
+                ANY_START_MS if started_ms is None else started_ms
+            )
 
     def probed(self, lifetime: str, cold_s: float, now_s: float) -> None:
         """Take a health check that the target has passed.
@@ -435,11 +437,11 @@
 
 
 def _lifetime_key(news: Announcement) -> tuple[str, int]:
-    return news.lifetime, news.born_ms
+    return news.lifetime, news.started_ms
 
 
 def _is_newer(news: Announcement, known: Announcement) -> bool:
     """Tell whether an announcement was made after the known one."""
     if _lifetime_key(news) == _lifetime_key(known):
         return news.sequence > known.sequence
-    return news.born_ms > known.born_ms
+    return news.started_ms > known.started_ms
--- a/catkinhollow/relay/gate_jobs.py
+++ b/catkinhollow/relay/gate_jobs.py
@@ -18,7 +18,7 @@
     draining: bool
     cold_s: float
     sequence: int
-    born_ms: int
+    started_ms: int
 
 
 @define(eq=False, kw_only=True)
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -104,7 +104,7 @@
     gate = make_gate()
     run_for(gate, 0.005, runs=8)
     assert gate.report(10.0).service_ms < 6.0
-    gate.announce(make_news(lifetime="l2", version="v2", born_ms=9000), 10.0)
+    gate.announce(make_news(lifetime="l2", version="v2", started_ms=9000), 10.0)
     run_for(gate, 0.02, runs=8)
     assert 19.0 < gate.report(20.0).service_ms < 21.0
 
@@ -165,23 +165,23 @@
     """
     gate = Gate(cold_rate=10.0)
     gate.leave("t1", 1000)
-    gate.announce(make_news("t1", sequence=9, born_ms=1000), 2.0)
+    gate.announce(make_news("t1", sequence=9, started_ms=1000), 2.0)
     assert gate.state(2.0) is GateState.DRAINING
-    gate.announce(make_news("t1", sequence=1, born_ms=5000), 3.0)
+    gate.announce(make_news("t1", sequence=1, started_ms=5000), 3.0)
     assert gate.state(3.0) is GateState.SERVING
 
 
 def test_report_of_an_earlier_lifetime_is_outdated():
     """Guards against a delayed report of a target that has crashed."""
-    gate = make_gate(lifetime="new", born_ms=2000)
-    assert not gate.announce(make_news("old", sequence=99, born_ms=1000), 1.0)
+    gate = make_gate(lifetime="new", started_ms=2000)
+    assert not gate.announce(make_news("old", sequence=99, started_ms=1000), 1.0)
     assert gate.lifetime == "new"
 
 
 def test_same_name_with_a_later_start_is_a_new_lifetime():
     """Guards against the order numbers of an earlier start of a target."""
     gate = make_gate(sequence=50)
-    assert gate.announce(make_news(sequence=1, born_ms=5000, cold_s=2.0), 1.0)
+    assert gate.announce(make_news(sequence=1, started_ms=5000, cold_s=2.0), 1.0)
     assert gate.state(1.0) is GateState.COLD
 
 
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -43,7 +43,7 @@
     )
 
 
-def make_news(lifetime="t1", *, sequence=1, born_ms=1000, cold_s=0.0, **changes):
+def make_news(lifetime="t1", *, sequence=1, started_ms=1000, cold_s=0.0, **changes):
     values = {
         "lifetime": lifetime,
         "version": "v1",
@@ -51,7 +51,7 @@
         "draining": False,
         "cold_s": cold_s,
         "sequence": sequence,
-        "born_ms": born_ms,
+        "started_ms": started_ms,
         **changes,
     }
     return Announcement(**values)
