Call the end of a target's announcements a departure in method names

Renames leave() of the gate, its service and the listener protocol to depart(), after the term in the register.

--- a/catkinhollow/platform/announcements.py
+++ b/catkinhollow/platform/announcements.py
@@ -32,7 +32,7 @@
     def announce(self, news: Announcement) -> bool:
         """Take what the target tells of itself; False if it is outdated."""
 
-    def leave(self, lifetime: str, started_ms: int | None) -> None:
+    def depart(self, lifetime: str, started_ms: int | None) -> None:
         """Take the announcement that the target ends."""
 
 
@@ -91,5 +91,5 @@
         decoded = decode_json(body or b"{}", TargetFarewell)
         started_ms = decoded.ok.born if decoded.is_ok() else None
         logger.info("target leaves", lifetime=lifetime)
-        self._listener.leave(lifetime, started_ms)
+        self._listener.depart(lifetime, started_ms)
         return json_response(200, {})
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -262,7 +262,7 @@
         self._open()
         return True
 
-    def leave(self, lifetime: str, started_ms: int | None) -> None:
+    def depart(self, lifetime: str, started_ms: int | None) -> None:
         """Take the announcement that a lifetime ends."""
         target = self._target
         known = target is not None and target.announced.lifetime == lifetime
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -145,9 +145,9 @@
         self.advance()
         return taken
 
-    def leave(self, lifetime: str, started_ms: int | None) -> None:
+    def depart(self, lifetime: str, started_ms: int | None) -> None:
         """Take the announcement that the target ends."""
-        self._gate.leave(lifetime, started_ms)
+        self._gate.depart(lifetime, started_ms)
         self.advance()
 
     def set_evacuated(self, evacuated: bool) -> None:
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -34,8 +34,8 @@
     def announce(self, news):
         return self.gate.announce(news, 0.0)
 
-    def leave(self, lifetime, started_ms):
-        self.gate.leave(lifetime, started_ms)
+    def depart(self, lifetime, started_ms):
+        self.gate.depart(lifetime, started_ms)
 
 
 async def ask(app, method, path, body=b""):
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -153,7 +153,7 @@
 def test_deleted_target_stays_gone_after_a_late_report():
     """Guards against a delayed status report that revives a leaving target."""
     gate = make_gate()
-    gate.leave("t1", 1000)
+    gate.depart("t1", 1000)
     gate.announce(make_news(sequence=9), 0.1)
     assert gate.state(0.1) is GateState.DRAINING
 
@@ -164,7 +164,7 @@
     It knows no target yet, and an earlier report arrives after the farewell.
     """
     gate = Gate(cold_rate=10.0)
-    gate.leave("t1", 1000)
+    gate.depart("t1", 1000)
     gate.announce(make_news("t1", sequence=9, started_ms=1000), 2.0)
     assert gate.state(2.0) is GateState.DRAINING
     gate.announce(make_news("t1", sequence=1, started_ms=5000), 3.0)
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -81,7 +81,7 @@
 async def test_leaving_target_refuses_with_a_time_to_come_back(fleet):
     """Guards against requests for a target that has announced its end."""
     await start_pair(fleet)
-    fleet.members["two"].daemon.gate.leave("two", None)
+    fleet.members["two"].daemon.gate.depart("two", None)
     response = await fleet.call("one", "c1")
     assert response.status == 503
     headers = {name.lower(): value for name, value in response.headers}
