Name the arguments of RelayDaemon after what they are

news_app becomes announcement_app, reread reload_settings and names header_names, also in the gate service and the entry that get them.

--- a/catkinhollow/platform/sidecar.py
+++ b/catkinhollow/platform/sidecar.py
@@ -43,9 +43,9 @@
         settings=settings,
         store=store,
         decode=decode_object,
-        names=PLATFORM_HEADERS,
-        news_app=lambda gate, service: AnnouncementApplication(gate, service),
-        reread=lambda: read_relay_settings(path),
+        header_names=PLATFORM_HEADERS,
+        announcement_app=lambda gate, service: AnnouncementApplication(gate, service),
+        reload_settings=lambda: read_relay_settings(path),
         random=Random(),
     )
     try:
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -74,7 +74,7 @@
 FAILURE_INTERVAL_S = 0.15
 
 
-class TargetNewsApp(Protocol):
+class AnnouncementAppFactory(Protocol):
     """Build the application that takes news of the target."""
 
     def __call__(self, gate: GateService, service: str, /) -> App:
@@ -97,16 +97,16 @@
         settings: RelaySettings,
         store: StoreClient,
         decode: ObjectDecoder,
-        names: HeaderNames,
-        news_app: TargetNewsApp,
-        reread: SettingsReader,
+        header_names: HeaderNames,
+        announcement_app: AnnouncementAppFactory,
+        reload_settings: SettingsReader,
         random: Random,
     ) -> None:
         self._settings = settings
         self._store = store
-        self._names = names
-        self._news_app = news_app
-        self._reread = reread
+        self._header_names = header_names
+        self._announcement_app = announcement_app
+        self._reload_settings = reload_settings
         self._random = random
         self._clock = TrioClock()
         self._timer = Timer(self._clock)
@@ -146,14 +146,14 @@
     def _build_calls(self) -> None:
         settings = self._settings
         client = HttpTargetClient(
-            HttpSettings(), make_classifier(self._names), IDLE_EXPIRY_S
+            HttpSettings(), make_classifier(self._header_names), IDLE_EXPIRY_S
         )
         self._gate = GateService(
             gate=Gate(),
             address=settings.target,
             service=settings.service,
             client=client,
-            names=self._names,
+            header_names=self._header_names,
             timer=self._timer,
             log=self._log,
             on_state=self._on_gate_state,
@@ -177,7 +177,7 @@
                 self._directory.own, Distances(), self._clock, self._random
             ),
             versions=self._versions,
-            names=self._names,
+            header_names=self._header_names,
             retry_percent=settings.retry_ratio * 100.0 * RETRY_PART,
             retry_slack=settings.retry_slack * RETRY_PART,
             clock=self._clock,
@@ -245,7 +245,7 @@
 
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         settings = self._settings
-        news = self._news_app(self._gate, settings.service)
+        news = self._announcement_app(self._gate, settings.service)
         ready = ReadyApplication(lambda: self.ready)
         metrics = MetricsApplication(self._collect_metrics)
         await self._serve(nursery, news, settings.announcements)
@@ -281,7 +281,7 @@
                 self._reload()
 
     def _reload(self) -> None:
-        read = self._reread()
+        read = self._reload_settings()
         if read.is_error():
             logger.warning("settings not reloaded", reason=read.error.reason)
         elif read.ok != self._settings:
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -70,7 +70,7 @@
         network: PeerNetwork,
         placer: Placer,
         versions: VersionPolicy,
-        names: HeaderNames,
+        header_names: HeaderNames,
         retry_percent: float,
         retry_slack: float,
         clock: Clock,
@@ -82,7 +82,7 @@
         self._network = network
         self._placer = placer
         self._versions = versions
-        self._names = names
+        self._header_names = header_names
         self._retry_percent = retry_percent
         self._retry_slack = retry_slack
         self._clock = clock
@@ -96,9 +96,9 @@
         self._limits = RequestLimits()
         self._stopping = False
         self._own_headers = {
-            names.deadline,
-            names.caller_service,
-            names.expected_lifetime,
+            header_names.deadline,
+            header_names.caller_service,
+            header_names.expected_lifetime,
             b"expect",
         }
 
@@ -142,7 +142,7 @@
     ) -> Response:
         started_s = self._clock.monotonic()
         service = self._splits.pick(route)
-        left_ms = _left_ms(request.header(self._names.deadline), route)
+        left_ms = _left_ms(request.header(self._header_names.deadline), route)
         plan = CallPlan(
             route=route,
             service=service,
@@ -243,7 +243,7 @@
             for name, value in end_to_end(request.headers)
             if name not in self._own_headers
         ]
-        request_id = request.header(self._names.request_id) or b""
+        request_id = request.header(self._header_names.request_id) or b""
         return Call(
             call_id=0,
             request_id=request_id.decode("latin-1"),
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -54,7 +54,7 @@
         address: str,
         service: str,
         client: TargetClient,
-        names: HeaderNames,
+        header_names: HeaderNames,
         timer: Timer,
         log: RequestLog,
         on_state: Callable[[], None],
@@ -64,7 +64,7 @@
         self._address = address
         self._service = service
         self._client = client
-        self._names = names
+        self._header_names = header_names
         self._timer = timer
         self._clock = timer.clock
         self._log = log
@@ -273,12 +273,12 @@
         call = job.call
         left_ms = max(1, int((job.expires_s - self._clock.monotonic()) * 1000))
         path, _, query = call.target.partition(b"?")
-        names = self._names
+        header_names = self._header_names
         headers: Headers = [(name, value) for name, value in call.headers]
-        headers.append((names.deadline, str(left_ms).encode()))
-        headers.append((names.caller_service, call.caller_service.encode()))
+        headers.append((header_names.deadline, str(left_ms).encode()))
+        headers.append((header_names.caller_service, call.caller_service.encode()))
         if job.lifetime:
-            headers.append((names.expected_lifetime, job.lifetime.encode()))
+            headers.append((header_names.expected_lifetime, job.lifetime.encode()))
         return Request(
             method=call.method,
             path=path.decode("latin-1"),
@@ -309,8 +309,10 @@
             if attempt.kind is AttemptKind.NOT_CONNECTED:
                 self._gate.probe_failed()
         elif response.status == 200:
-            lifetime = (response.header(self._names.lifetime) or b"").decode("latin-1")
-            cold_ms = _number(response.header(self._names.cold))
+            lifetime = (response.header(self._header_names.lifetime) or b"").decode(
+                "latin-1"
+            )
+            cold_ms = _number(response.header(self._header_names.cold))
             now_s = self._clock.monotonic()
             self._gate.probed(lifetime, cold_ms / 1000.0, now_s)
         self.advance()
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -159,9 +159,9 @@
             settings=settings,
             store=self.store,
             decode=decode,
-            names=NAMES,
-            news_app=lambda gate, service: Target("news"),
-            reread=lambda: Ok(settings),
+            header_names=NAMES,
+            announcement_app=lambda gate, service: Target("news"),
+            reload_settings=lambda: Ok(settings),
             random=Random(name),
         )
         member = Member(settings, daemon, target)
