--- a/catkinhollow/platform/header_names.py
+++ b/catkinhollow/platform/header_names.py
@@ -9,6 +9,6 @@
     signature=b"x-response-seal",
     expected_lifetime=b"x-expect-instance",
     lifetime=b"x-instance-id",
-    cold=b"x-cold-ms",
+    cold_remaining=b"x-cold-ms",
     caller_service=b"x-caller-service",
 )
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -312,7 +312,7 @@
             lifetime = (response.header(self._header_names.lifetime) or b"").decode(
                 "latin-1"
             )
-            cold_ms = _number(response.header(self._header_names.cold))
+            cold_ms = _number(response.header(self._header_names.cold_remaining))
             now_s = self._clock.monotonic()
             self._gate.probed(lifetime, cold_ms / 1000.0, now_s)
         self.advance()
--- a/catkinhollow/relay/header_names.py
+++ b/catkinhollow/relay/header_names.py
@@ -19,5 +19,5 @@
     signature: bytes = b"x-target-signature"
     expected_lifetime: bytes = b"x-expected-lifetime"
     lifetime: bytes = b"x-target-lifetime"
-    cold: bytes = b"x-target-cold-ms"
+    cold_remaining: bytes = b"x-target-cold-ms"
     caller_service: bytes = b"x-caller-service"
