--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -13,7 +13,7 @@
 from catkinhollow.configuration.editing import ApplyFiles
 from catkinhollow.configuration.fleet_updates import update_fleet
 from catkinhollow.configuration.snapshot import SnapshotHolder
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.control.quarantine_policy import QuarantinePolicy
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import (
@@ -25,7 +25,7 @@
     VersionWeight,
 )
 from tests import builders
-from tests.builders import make_router, send
+from tests.builders import make_router, send_call
 from tests.memory_store import MemoryStore
 from tests.mesh_network import Network, snapshot_bytes
 
@@ -45,7 +45,7 @@
 
 def make_fleet(timeout_ms):
     defaults = Defaults(timeout_ms=timeout_ms, local_preference=False)
-    return builders.fleet(Service(name="orders"), defaults=defaults)
+    return builders.make_fleet(Service(name="orders"), defaults=defaults)
 
 
 class HistoryStore(MemoryStore):
@@ -98,7 +98,7 @@
     @property
     def newest_valid(self):
         history = self.store.history
-        return max(item for item in history if not find_problems(history[item]))
+        return max(item for item in history if not find_fleet_problems(history[item]))
 
     def edit(self, edit):
         return trio.run(update_fleet, self.store, edit)
@@ -118,7 +118,7 @@
     def make_record(self, address, incarnation):
         index = ADDRESSES.index(address)
         version = f"v{1 + (index >= 3)}"
-        made = builders.member(
+        made = builders.make_member(
             index, DOMAINS[index % 3], f"r{index % 3 == 0:d}", version=version
         )
         return evolve(made, address=address, incarnation=incarnation)
@@ -151,7 +151,7 @@
         if not node.alive or node.stopped:
             return
         self.enforce(node, revision)
-        if not find_problems(self.store.history[revision]):
+        if not find_fleet_problems(self.store.history[revision]):
             self._run(node, node.mesh.store_answered(revision, self.now_s))
 
     def pass_time(self, seconds):
@@ -182,7 +182,7 @@
         """Return the entries that a daemon picks for some orders."""
         entries = []
         for _ in range(count):
-            sent = send(self.routers[node], self.router_s, "POST")
+            sent = send_call(self.routers[node], self.router_s, "POST")
             if sent is not None:
                 entries.append(sent[1])
                 sent[0].finished(builders.OK, self.router_s + 0.01)
