Reword the gate, its jobs and rates, and the call plan

Comments and names use the terms of admission control: soft deadline, run time, rate limit, departure.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -53,7 +53,7 @@
 
 # Part of the fleet's retry budget that the daemons use. The rest is for the
 # calls of repeated runs, which other entries make.
-RETRY_PART = 0.4
+RETRY_BUDGET_SHARE = 0.4
 # Idle connections to the target are not used after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
@@ -156,8 +156,8 @@
             header_names=self._header_names,
             timer=self._timer,
             log=self._log,
-            on_state=self._on_gate_state,
-            on_failure=self._on_run_failure,
+            on_state_change=self._on_gate_state_change,
+            on_run_failure=self._on_run_failure,
         )
         self._network = PeerNetwork(
             incarnation=self._clock.unix_ms(),
@@ -178,8 +178,8 @@
             ),
             versions=self._versions,
             header_names=self._header_names,
-            retry_percent=settings.retry_ratio * 100.0 * RETRY_PART,
-            retry_slack=settings.retry_slack * RETRY_PART,
+            retry_percent=settings.retry_ratio * 100.0 * RETRY_BUDGET_SHARE,
+            retry_slack=settings.retry_slack * RETRY_BUDGET_SHARE,
             clock=self._clock,
             random=self._random,
             metrics=self._metrics,
@@ -334,7 +334,7 @@
             reason = "" if result.is_ok() else result.error.reason
             logger.info("entry of a daemon that is gone", name=name, error=reason)
 
-    def _on_gate_state(self) -> None:
+    def _on_gate_state_change(self) -> None:
         self._network.broadcast_status()
 
     def _on_run_failure(self) -> None:
--- a/catkinhollow/relay/call_plan.py
+++ b/catkinhollow/relay/call_plan.py
@@ -1,4 +1,4 @@
-"""Decide the steps of one call at its entry."""
+"""Decide the steps of one call at its ingress daemon."""
 
 from collections.abc import Callable
 
@@ -8,39 +8,39 @@
 from catkinhollow.generated.relay import Answer, CallOutcome, RelayRoute
 from catkinhollow.relay.peers import Peer
 
-# Gates that are asked for one call. A refusal costs no target any work, but
-# each one delays the answer to a caller that could come back elsewhere.
+# Limit of the gates that one call is sent to. A refusal costs no target any
+# work, but delays the answer to a caller that could retry elsewhere.
 MAX_GATES = 3
-# Hint to callers when no gate takes calls. A restarted daemon's gate opens
-# with the next announcement of its target, about once a second.
+# Retry hint to callers when no gate accepts calls. The gate of a restarted
+# daemon opens at the next announcement of its target, about once a second.
 NO_GATE_RETRY_S = 1.0
-# Time below which another gate can't answer any more.
-MIN_LEFT_S = 0.02
-# Cost of a repeat to the retry budget. A run that is repeated makes its own
-# calls again, which count as repeats at the services that it calls.
-REFUSED_COST = 1.0
-RUN_COST = 2.0
+# With less time left, another gate cannot answer before the deadline.
+MIN_TIME_LEFT_S = 0.02
+# Cost of a retry in tokens of the retry budget. A repeated run repeats its own
+# calls too, which add retries at the services that it calls.
+REFUSED_RETRY_COST = 1.0
+RUN_RETRY_COST = 2.0
 IDEMPOTENT_KINDS = ("safe", "download")
 
 
 def is_idempotent(route: RelayRoute) -> bool:
-    """Tell whether a request on the route may run more than once.
+    """Return whether a request on the route may run more than once.
 
-    A kind that this version does not know is taken for one that may not.
+    An unknown kind of route is treated as not idempotent.
     """
     return route.kind in IDEMPOTENT_KINDS
 
 
 @frozen
 class SendTo:
-    """Send the call to a peer."""
+    """Request that the call is sent to a peer."""
 
     peer: Peer
 
 
 @frozen(kw_only=True)
 class GiveUp:
-    """Answer the caller without an answer of a target."""
+    """Request an error response, because no target has answered."""
 
     outcome: CallOutcome
     reason: str
@@ -49,37 +49,37 @@
 
 @frozen
 class Deliver:
-    """Pass a target's answer on."""
+    """Request that a target's answer is returned to the caller."""
 
     answer: Answer
 
 
 Step = SendTo | GiveUp | Deliver
 
-Choose = Callable[[set[str]], Peer | None]
+ChoosePeer = Callable[[set[str]], Peer | None]
 
 
 @define(eq=False, kw_only=True)
 class CallPlan:
-    """Follow one call from gate to gate until it has an answer.
+    """Choose the gates of one call until it has an answer.
 
-    A call that is not idempotent goes on to another gate only while no target
-    may have run it.
+    A call that is not idempotent is sent to another gate only while it is
+    certain that no target has run it.
     """
 
     route: RelayRoute
     service: str
-    expires_s: float
-    choose: Choose
+    deadline_s: float
+    choose_peer: ChoosePeer
     budget: RetryBudget
-    tried: set[str] = field(factory=set)
-    reached: int = 0
-    unknown: bool = False
+    tried_addresses: set[str] = field(factory=set)
+    target_attempts: int = 0
+    outcome_unknown: bool = False
     reason: str = "no target accepts calls"
     retry_after_s: float = 0.0
-    _fallback: Answer | None = None
-    _gates: int = 0
-    _cost: float = 0.0
+    _fallback_answer: Answer | None = None
+    _gates_tried: int = 0
+    _retry_cost: float = 0.0
 
     @property
     def idempotent(self) -> bool:
@@ -87,59 +87,59 @@
         return is_idempotent(self.route)
 
     def next_step(self, now_s: float) -> Step:
-        """Return what to do next."""
-        left_s = self.expires_s - now_s
-        if left_s <= MIN_LEFT_S or self._gates >= MAX_GATES:
-            return self._end()
-        if self.reached >= self.route.max_attempts:
-            return self._end()
-        if self.unknown and not self.idempotent:
-            return self._end()
-        peer = self.choose(self.tried)
+        """Return the next step."""
+        left_s = self.deadline_s - now_s
+        if left_s <= MIN_TIME_LEFT_S or self._gates_tried >= MAX_GATES:
+            return self._finish()
+        if self.target_attempts >= self.route.max_attempts:
+            return self._finish()
+        if self.outcome_unknown and not self.idempotent:
+            return self._finish()
+        peer = self.choose_peer(self.tried_addresses)
         if peer is None:
-            if not self._gates:
+            if not self._gates_tried:
                 self.retry_after_s = NO_GATE_RETRY_S
-            return self._end()
-        if self._cost and not self.budget.spend(self._cost):
+            return self._finish()
+        if self._retry_cost and not self.budget.spend(self._retry_cost):
             self.reason = f"{self.reason}; retry budget spent"
-            return self._end()
-        self._cost = 0.0
-        self._gates += 1
-        self.tried.add(peer.record.address)
+            return self._finish()
+        self._retry_cost = 0.0
+        self._gates_tried += 1
+        self.tried_addresses.add(peer.record.address)
         return SendTo(peer)
 
     def on_answer(self, answer: Answer) -> Deliver | None:
-        """Take what a gate said; return the answer if it is final."""
+        """Handle the answer of a gate; return it if it is final."""
         if answer.reached_target:
-            self.reached += 1
+            self.target_attempts += 1
             refused = answer.outcome is CallOutcome.NOT_RUN
-            self._cost = REFUSED_COST if refused else RUN_COST
+            self._retry_cost = REFUSED_RETRY_COST if refused else RUN_RETRY_COST
         self.reason = answer.reason
         match answer.outcome:
-            case CallOutcome.ANSWERED if not self._may_improve(answer):
+            case CallOutcome.ANSWERED if not self._should_retry(answer):
                 return Deliver(answer)
             case CallOutcome.ANSWERED:
-                self._fallback = answer
-                self.unknown = True
+                self._fallback_answer = answer
+                self.outcome_unknown = True
             case CallOutcome.UNKNOWN:
-                self.unknown = True
+                self.outcome_unknown = True
             case CallOutcome.NOT_RUN:
                 hint_s = answer.retry_after_ms / 1000.0
                 known_s = self.retry_after_s
                 self.retry_after_s = min(known_s, hint_s) if known_s else hint_s
         return None
 
-    def _may_improve(self, answer: Answer) -> bool:
+    def _should_retry(self, answer: Answer) -> bool:
         return (
             answer.status >= SERVER_ERROR
             and self.idempotent
-            and self.reached < self.route.max_attempts
+            and self.target_attempts < self.route.max_attempts
         )
 
-    def _end(self) -> GiveUp | Deliver:
-        if self._fallback is not None:
-            return Deliver(self._fallback)
-        outcome = CallOutcome.UNKNOWN if self.unknown else CallOutcome.NOT_RUN
+    def _finish(self) -> GiveUp | Deliver:
+        if self._fallback_answer is not None:
+            return Deliver(self._fallback_answer)
+        outcome = CallOutcome.UNKNOWN if self.outcome_unknown else CallOutcome.NOT_RUN
         return GiveUp(
             outcome=outcome, reason=self.reason, retry_after_s=self.retry_after_s
         )
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -19,7 +19,7 @@
 )
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.call_plan import (
-    RUN_COST,
+    RUN_RETRY_COST,
     CallPlan,
     Deliver,
     GiveUp,
@@ -146,8 +146,8 @@
         plan = CallPlan(
             route=route,
             service=service,
-            expires_s=started_s + left_ms / 1000.0 - RETURN_S,
-            choose=lambda tried: self._choose(route, service, tried),
+            deadline_s=started_s + left_ms / 1000.0 - RETURN_S,
+            choose_peer=lambda tried: self._choose(route, service, tried),
             budget=self._budget(service),
         )
         call = self._make_call(request, route, service)
@@ -191,7 +191,7 @@
     ) -> Answer | None:
         """Return a gate's answer, None if the caller has gone away."""
         now_s = self._clock.monotonic()
-        left_s = plan.expires_s - now_s
+        left_s = plan.deadline_s - now_s
         target_s = started_s + plan.route.target_latency_ms / 1000.0 - now_s
         call_id = self._network.new_call_id()
         timed = _with_times(call, call_id, left_s, target_s)
@@ -225,7 +225,7 @@
     def _budget(self, service: str) -> RetryBudget:
         # The slack is for all daemons together; one repeated run is the least
         # that a budget must be able to pay.
-        burst = max(RUN_COST, self._retry_slack / len(self._network.directory))
+        burst = max(RUN_RETRY_COST, self._retry_slack / len(self._network.directory))
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(percent=self._retry_percent, tokens=burst)
@@ -271,7 +271,7 @@
 
     def _give_up(self, plan: CallPlan, step: GiveUp, call: Call) -> Response:
         now_s = self._clock.monotonic()
-        left_s = plan.expires_s - now_s
+        left_s = plan.deadline_s - now_s
         self._count(plan.service, step.outcome.value)
         self._log.failed(
             call.request_id,
@@ -279,8 +279,8 @@
             service=call.service,
             outcome=step.outcome.value,
             reason=step.reason,
-            gates=len(plan.tried),
-            reached=plan.reached,
+            gates=len(plan.tried_addresses),
+            reached=plan.target_attempts,
             left_ms=int(left_s * 1000),
         )
         if step.outcome is CallOutcome.UNKNOWN:
--- a/catkinhollow/relay/gate_jobs.py
+++ b/catkinhollow/relay/gate_jobs.py
@@ -1,55 +1,60 @@
-"""Define the calls at a gate, what decides them, and what becomes of them."""
+"""Define the calls at a gate, announcements, and admission decisions."""
 
 from attrs import define, frozen
 
 from catkinhollow.generated.relay import Call, GateState
 
-# States in which a gate lets calls through.
+# States in which a gate admits calls.
 OPEN_STATES = (GateState.SERVING, GateState.COLD)
 
 
 @frozen(kw_only=True)
 class Announcement:
-    """Hold what a target tells of itself."""
+    """Represent what a target announces about itself."""
 
     lifetime: str
+    """Identifies one start of the target."""
     version: str
     slots: int
     draining: bool
     cold_s: float
+    """Time for which the target is still cold."""
     sequence: int
+    """Increases with each announcement of the same lifetime."""
     started_ms: int
+    """Unix time of the target's start in milliseconds."""
 
 
 @define(eq=False, kw_only=True)
 class GateJob:
-    """Hold one call at the gate."""
+    """Represent one call at the gate."""
 
     call: Call
     arrived_s: float
-    target_s: float
-    """Time until which the answer has its full worth."""
-    expires_s: float
-    """Time at which the entry gives up."""
+    soft_deadline_s: float
+    """Time after which the answer is of less use to the caller."""
+    deadline_s: float
+    """Time at which the ingress daemon gives up."""
     started_s: float = 0.0
     lifetime: str = ""
+    """Lifetime of the target at which the run started."""
 
 
 @frozen
 class Admitted:
-    """Run the call now."""
+    """Request that the call runs now."""
 
     job: GateJob
 
 
 @frozen
 class Queued:
-    """Keep the call until a later decision."""
+    """Report that the call waits for a later decision."""
 
 
 @frozen
 class Refused:
-    """Refuse the call; it has not run."""
+    """Request that the call is refused; it has not run."""
 
     job: GateJob
     reason: str
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -1,4 +1,4 @@
-"""Run the calls that the gate admits at the target of the instance."""
+"""Run admitted calls at the target of the instance and probe its health."""
 
 from collections.abc import Callable
 from math import inf
@@ -11,7 +11,7 @@
 from catkinhollow.calls.retries import SERVER_ERROR, AttemptKind
 from catkinhollow.generated.relay import Answer, Call, CallOutcome, RelayConfiguration
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.gate import MISDIRECTED, Gate
+from catkinhollow.relay.gate import MISDIRECTED_STATUS, Gate
 from catkinhollow.relay.gate_jobs import (
     Admitted,
     Announcement,
@@ -25,27 +25,27 @@
 
 logger = get_logger(__name__)
 
-# Time between two health checks while the target's state is in doubt; each
-# one takes a slot of the target.
+# Interval of health checks while the target's state is uncertain; each check
+# occupies a slot of the target.
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 1.0
-# The run goes on a little longer than the entry waits, so that an answer at
-# the last moment still ends the exchange cleanly.
-RUN_SLACK_S = 0.1
+# A run may last this much longer than the ingress daemon waits, so that a
+# late answer still completes the HTTP exchange with the target.
+RUN_TIMEOUT_MARGIN_S = 0.1
 
 
 @define(eq=False, kw_only=True)
 class Submission:
-    """Hold one call that the gate has taken."""
+    """Represent a call that was submitted to the gate."""
 
     job: GateJob
     on_answer: Callable[[Answer], None]
-    scope: trio.CancelScope = field(factory=trio.CancelScope)
+    cancel_scope: trio.CancelScope = field(factory=trio.CancelScope)
     answered: bool = False
 
 
 class GateService:
-    """Feed calls and news to the gate and carry out its decisions."""
+    """Pass calls and announcements to the gate and execute its decisions."""
 
     def __init__(
         self,
@@ -57,8 +57,8 @@
         header_names: HeaderNames,
         timer: Timer,
         log: RequestLog,
-        on_state: Callable[[], None],
-        on_failure: Callable[[], None],
+        on_state_change: Callable[[], None],
+        on_run_failure: Callable[[], None],
     ) -> None:
         self._gate = gate
         self._address = address
@@ -68,50 +68,54 @@
         self._timer = timer
         self._clock = timer.clock
         self._log = log
-        self._on_state = on_state
-        self._on_failure = on_failure
+        self._on_state_change = on_state_change
+        self._on_run_failure = on_run_failure
         self._submissions: dict[GateJob, Submission] = {}
         self._nursery: trio.Nursery | None = None
-        self._wake: Subscription | None = None
-        self._wake_due_s = inf
+        self._wakeup: Subscription | None = None
+        self._wakeup_due_s = inf
         self._probed_s = -inf
         self._health_path = "/health"
         self._state = gate.state(self._clock.monotonic())
 
     @property
     def gate(self) -> Gate:
-        """Return the decisions behind this service."""
+        """Return the gate that decides about the calls."""
         return self._gate
 
     @property
     def busy(self) -> bool:
-        """Tell whether calls run or wait."""
+        """Return whether calls are running or waiting."""
         return bool(self._submissions)
 
     async def run(self) -> None:
         """Run admitted calls until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            self._timer.subscribe(PROBE_INTERVAL_S, self._check_target)
-            self._check_target()
+            self._timer.subscribe(PROBE_INTERVAL_S, self._probe_if_due)
+            self._probe_if_due()
             await trio.sleep_forever()
 
     def configure(self, configuration: RelayConfiguration) -> None:
-        """Take the limits of the target's service."""
+        """Apply the settings of the target's service."""
         for service in configuration.services:
             if service.name == self._service:
-                self._gate.cold_rate = service.cold_requests_per_s
+                self._gate.cold_calls_per_s = service.cold_requests_per_s
                 self._health_path = service.health_path
         self.advance()
 
     def submit(self, call: Call, on_answer: Callable[[Answer], None]) -> Submission:
-        """Take a call; its answer comes once, perhaps before the return."""
+        """Submit a call.
+
+        The callback gets one answer, possibly before this method returns, and
+        none after `cancel`.
+        """
         now_s = self._clock.monotonic()
         job = GateJob(
             call=call,
             arrived_s=now_s,
-            target_s=now_s + call.target_ms / 1000.0,
-            expires_s=now_s + call.budget_ms / 1000.0,
+            soft_deadline_s=now_s + call.target_ms / 1000.0,
+            deadline_s=now_s + call.budget_ms / 1000.0,
         )
         submission = Submission(job=job, on_answer=on_answer)
         if call.service != self._service:
@@ -121,51 +125,51 @@
         self._submissions[job] = submission
         decision = self._gate.offer(job, now_s)
         if isinstance(decision, Admitted | Refused):
-            self._carry_out(decision)
+            self._execute(decision)
         self.advance()
         return submission
 
     def cancel(self, submission: Submission) -> None:
-        """Stop a call that nobody waits for.
+        """Cancel a call whose answer is no longer needed.
 
-        A run that is not idempotent goes on: cutting it would leave its
-        outcome unknown at the target too.
+        A run that is not idempotent continues, because aborting it would
+        leave its outcome unknown at the target as well.
         """
         job = submission.job
         submission.answered = True
-        if self._gate.abandon(job):
+        if self._gate.remove_waiting(job):
             del self._submissions[job]
         elif job.call.idempotent:
-            submission.scope.cancel()
+            submission.cancel_scope.cancel()
         self.advance()
 
-    def announce(self, news: Announcement) -> bool:
-        """Take what the target tells of itself; False if it is outdated."""
-        taken = self._gate.announce(news, self._clock.monotonic())
+    def announce(self, announcement: Announcement) -> bool:
+        """Handle an announcement; return False if it is outdated."""
+        accepted = self._gate.announce(announcement, self._clock.monotonic())
         self.advance()
-        return taken
+        return accepted
 
     def depart(self, lifetime: str, started_ms: int | None) -> None:
-        """Take the announcement that the target ends."""
+        """Handle the departure of the target."""
         self._gate.depart(lifetime, started_ms)
         self.advance()
 
     def set_evacuated(self, evacuated: bool) -> None:
-        """Close or open the gate for the operator's order."""
+        """Close or open the gate for an evacuation."""
         self._gate.set_evacuated(evacuated)
         self.advance()
 
     def stop(self) -> None:
-        """Refuse further calls, because the daemon shuts down."""
+        """Refuse all further calls because the daemon shuts down."""
         self._gate.stop()
         self.advance()
 
     def advance(self) -> None:
-        """Carry out what has become due."""
+        """Execute due decisions and report a change of the gate's state."""
         now_s = self._clock.monotonic()
         for decision in self._gate.decide(now_s):
-            self._carry_out(decision)
-        self._schedule(now_s)
+            self._execute(decision)
+        self._schedule_wakeup(now_s)
         state = self._gate.state(now_s)
         if state is not self._state:
             logger.info(
@@ -175,24 +179,26 @@
                 lifetime=self._gate.lifetime,
             )
             self._state = state
-            self._on_state()
+            self._on_state_change()
 
-    def _schedule(self, now_s: float) -> None:
-        due_s = self._gate.due_s(now_s)
+    def _schedule_wakeup(self, now_s: float) -> None:
+        due_s = self._gate.next_decision_s(now_s)
         if due_s == inf:
             return
-        if self._wake is not None and not self._wake.cancelled:
-            if self._wake_due_s <= due_s:
+        if self._wakeup is not None and not self._wakeup.cancelled:
+            if self._wakeup_due_s <= due_s:
                 return
-            self._wake.cancel()
-        self._wake_due_s = due_s
-        self._wake = self._timer.call_after(max(0.001, due_s - now_s), self._on_wake)
+            self._wakeup.cancel()
+        self._wakeup_due_s = due_s
+        self._wakeup = self._timer.call_after(
+            max(0.001, due_s - now_s), self._on_wakeup
+        )
 
-    def _on_wake(self) -> None:
-        self._wake = None
+    def _on_wakeup(self) -> None:
+        self._wakeup = None
         self.advance()
 
-    def _carry_out(self, decision: Decision) -> None:
+    def _execute(self, decision: Decision) -> None:
         submission = self._submissions[decision.job]
         if isinstance(decision, Refused):
             del self._submissions[decision.job]
@@ -221,9 +227,11 @@
         job = submission.job
         attempt = Attempt(kind=AttemptKind.CANCELLED, reason="cancelled")
         try:
-            with submission.scope:
-                timeout_s = job.expires_s - self._clock.monotonic() + RUN_SLACK_S
-                request = self._target_request(job)
+            with submission.cancel_scope:
+                timeout_s = (
+                    job.deadline_s - self._clock.monotonic() + RUN_TIMEOUT_MARGIN_S
+                )
+                request = self._build_target_request(job)
                 attempt = await self._client.send(self._address, request, timeout_s)
         finally:
             self._finish(submission, attempt)
@@ -235,9 +243,9 @@
         self._submissions.pop(job, None)
         if attempt.kind is not AttemptKind.ANSWERED:
             self._log.run_failed(job.call, attempt, job.lifetime)
-        self._answer(submission, self._to_answer(job.call, attempt, now_s))
+        self._answer(submission, self._build_answer(job.call, attempt, now_s))
         if attempt.kind is AttemptKind.BROKEN or attempt.status >= SERVER_ERROR:
-            self._on_failure()
+            self._on_run_failure()
         self.advance()
 
     def _answer(self, submission: Submission, answer: Answer) -> None:
@@ -245,7 +253,7 @@
             submission.answered = True
             submission.on_answer(answer)
 
-    def _to_answer(self, call: Call, attempt: Attempt, now_s: float) -> Answer:
+    def _build_answer(self, call: Call, attempt: Attempt, now_s: float) -> Answer:
         report = self._gate.report(now_s)
         if attempt.kind is AttemptKind.ANSWERED and attempt.response is not None:
             response = attempt.response
@@ -265,13 +273,13 @@
             body=b"",
             reason=attempt.reason or attempt.kind.name.lower(),
             reached_target=attempt.kind is not AttemptKind.NOT_CONNECTED
-            and attempt.status != MISDIRECTED,
+            and attempt.status != MISDIRECTED_STATUS,
             report=report,
         )
 
-    def _target_request(self, job: GateJob) -> Request:
+    def _build_target_request(self, job: GateJob) -> Request:
         call = job.call
-        left_ms = max(1, int((job.expires_s - self._clock.monotonic()) * 1000))
+        left_ms = max(1, int((job.deadline_s - self._clock.monotonic()) * 1000))
         path, _, query = call.target.partition(b"?")
         header_names = self._header_names
         headers: Headers = [(name, value) for name, value in call.headers]
@@ -287,7 +295,7 @@
             body=call.body,
         )
 
-    def _check_target(self) -> None:
+    def _probe_if_due(self) -> None:
         now_s = self._clock.monotonic()
         due = now_s - self._probed_s >= PROBE_INTERVAL_S
         if self._nursery is not None and self._gate.needs_probe and due:
@@ -312,14 +320,14 @@
             lifetime = (response.header(self._header_names.lifetime) or b"").decode(
                 "latin-1"
             )
-            cold_ms = _number(response.header(self._header_names.cold_remaining))
+            cold_ms = _parse_number(response.header(self._header_names.cold_remaining))
             now_s = self._clock.monotonic()
-            self._gate.probed(lifetime, cold_ms / 1000.0, now_s)
+            self._gate.probe_passed(lifetime, cold_ms / 1000.0, now_s)
         self.advance()
 
 
-def _number(text: bytes | None) -> float:
-    """Return the number in a header of the target, 0 if it has none."""
+def _parse_number(text: bytes | None) -> float:
+    """Return the number in a header, 0 if it is missing or invalid."""
     try:
         return max(0.0, float(text or b"0"))
     except ValueError:
--- a/tests/relay/test_call_plan.py
+++ b/tests/relay/test_call_plan.py
@@ -5,11 +5,11 @@
 
 from catkinhollow.calls.retries import RetryBudget
 from catkinhollow.generated.relay import CallOutcome
-from catkinhollow.relay.application import RETRY_PART
+from catkinhollow.relay.application import RETRY_BUDGET_SHARE
 from catkinhollow.relay.call_plan import (
     NO_GATE_RETRY_S,
-    REFUSED_COST,
-    RUN_COST,
+    REFUSED_RETRY_COST,
+    RUN_RETRY_COST,
     CallPlan,
     Deliver,
     GiveUp,
@@ -20,14 +20,14 @@
 def make_plan(kind="safe", *, peers=3, tokens=10.0, **changes):
     offered = [make_peer(f"p{number}") for number in range(peers)]
 
-    def choose(tried):
+    def choose_peer(tried):
         return next((p for p in offered if p.record.address not in tried), None)
 
     return CallPlan(
         route=make_route(kind=kind, **changes),
         service="stock",
-        expires_s=1.0,
-        choose=choose,
+        deadline_s=1.0,
+        choose_peer=choose_peer,
         budget=RetryBudget(percent=10.0, tokens=tokens),
     )
 
@@ -83,19 +83,21 @@
     runs fail at the first, and half of the second's targets refuse.
     """
     ratio, calls_per_run, requests = 0.2, 1.4, 10_000
-    first = RetryBudget(percent=ratio * RETRY_PART * 100, tokens=0.0, burst=3.0)
-    second = RetryBudget(percent=ratio * RETRY_PART * 100, tokens=0.0, burst=3.0)
+    first = RetryBudget(percent=ratio * RETRY_BUDGET_SHARE * 100, tokens=0.0, burst=3.0)
+    second = RetryBudget(
+        percent=ratio * RETRY_BUDGET_SHARE * 100, tokens=0.0, burst=3.0
+    )
     repeated_runs = repeats = calls = 0
     for number in range(requests):
         first.earn()
         runs = 1
-        if number % 2 and first.spend(RUN_COST):
+        if number % 2 and first.spend(RUN_RETRY_COST):
             repeated_runs += 1
             runs = 2
         for _ in range(round(calls_per_run * runs)):
             second.earn()
             calls += 1
-            if calls % 2 and second.spend(REFUSED_COST):
+            if calls % 2 and second.spend(REFUSED_RETRY_COST):
                 repeats += 1
     assert repeats + repeated_runs * calls_per_run <= ratio * calls
 
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -5,11 +5,11 @@
 from itertools import count
 from random import Random
 
-from relay_builders import make_gate, make_job, make_news
+from relay_builders import make_announcement, make_gate, make_job
 
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.generated.relay import GateState
-from catkinhollow.relay.gate import MAX_BROKEN_IN_ROW, PREFETCHED, Gate
+from catkinhollow.relay.gate import MAX_CONSECUTIVE_BROKEN, PREFETCHED_CALLS, Gate
 from catkinhollow.relay.gate_jobs import Admitted, Queued, Refused
 
 
@@ -48,7 +48,7 @@
     gate = make_gate(slots=1)
     fill(gate)
     decisions = [
-        gate.offer(make_job(call_id=number, target_s=0.3), 0.0)
+        gate.offer(make_job(call_id=number, soft_deadline_s=0.3), 0.0)
         for number in range(2, 12)
     ]
     refused = [d for d in decisions if isinstance(d, Refused)]
@@ -62,8 +62,8 @@
     """Guards against lookups that miss their time behind new long work."""
     gate = make_gate(slots=9)
     first = fill(gate)[0]
-    gate.offer(make_job(call_id=2, target_s=0.6, latency_ms=600), 0.0)
-    gate.offer(make_job(0.01, call_id=3, target_s=0.15, latency_ms=150), 0.01)
+    gate.offer(make_job(call_id=2, soft_deadline_s=0.6, latency_ms=600), 0.0)
+    gate.offer(make_job(0.01, call_id=3, soft_deadline_s=0.15, latency_ms=150), 0.01)
     gate.finish(first, AttemptKind.ANSWERED, 200, 0.05)
     started = [d.job.call.call_id for d in gate.decide(0.05) if isinstance(d, Admitted)]
     assert started == [3]
@@ -73,8 +73,8 @@
     """Guards against long work that a load of short lookups starves."""
     gate = make_gate(slots=9)
     first = fill(gate)[0]
-    gate.offer(make_job(call_id=2, target_s=0.6, latency_ms=600), 0.0)
-    gate.offer(make_job(0.3, call_id=3, target_s=0.15, latency_ms=150), 0.3)
+    gate.offer(make_job(call_id=2, soft_deadline_s=0.6, latency_ms=600), 0.0)
+    gate.offer(make_job(0.3, call_id=3, soft_deadline_s=0.15, latency_ms=150), 0.3)
     gate.finish(first, AttemptKind.ANSWERED, 200, 0.31)
     started = [d.job.call.call_id for d in gate.decide(0.31) if isinstance(d, Admitted)]
     assert started == [2]
@@ -104,7 +104,7 @@
     gate = make_gate()
     run_for(gate, 0.005, runs=8)
     assert gate.report(10.0).service_ms < 6.0
-    gate.announce(make_news(lifetime="l2", version="v2", started_ms=9000), 10.0)
+    gate.announce(make_announcement(lifetime="l2", version="v2", started_ms=9000), 10.0)
     run_for(gate, 0.02, runs=8)
     assert 19.0 < gate.report(20.0).service_ms < 21.0
 
@@ -113,18 +113,18 @@
     """Guards against late refusals of calls that lost their place."""
     gate = make_gate(slots=1)
     fill(gate)
-    low = make_job(call_id=2, rank=2, target_s=0.3)
+    low = make_job(call_id=2, rank=2, soft_deadline_s=0.3)
     assert isinstance(gate.offer(low, 0.0), Queued)
     refused = []
     for number in range(3, 6):
-        gate.offer(make_job(call_id=number, rank=0, target_s=1.0), 0.0)
+        gate.offer(make_job(call_id=number, rank=0, soft_deadline_s=1.0), 0.0)
         refused.extend(d.job for d in gate.decide(0.0) if isinstance(d, Refused))
     assert low in refused
 
 
 def test_cold_target_gets_no_more_than_its_rate():
     """Guards against a cold target that falls over under full load."""
-    gate = make_gate(slots=9, cold_rate=10.0, cold_s=3.0)
+    gate = make_gate(slots=9, cold_calls_per_s=10.0, cold_s=3.0)
     starts = []
     for step in range(100):
         now_s = step * 0.02
@@ -144,7 +144,7 @@
     running = fill(gate)[0]
     waiting = make_job(call_id=2)
     gate.offer(waiting, 0.0)
-    gate.announce(make_news(sequence=2, draining=True), 0.1)
+    gate.announce(make_announcement(sequence=2, draining=True), 0.1)
     assert [d.job for d in gate.decide(0.1) if isinstance(d, Refused)] == [waiting]
     gate.finish(running, AttemptKind.ANSWERED, 200, 0.2)
     assert isinstance(gate.offer(make_job(call_id=3), 0.2), Refused)
@@ -154,7 +154,7 @@
     """Guards against a delayed status report that revives a leaving target."""
     gate = make_gate()
     gate.depart("t1", 1000)
-    gate.announce(make_news(sequence=9), 0.1)
+    gate.announce(make_announcement(sequence=9), 0.1)
     assert gate.state(0.1) is GateState.DRAINING
 
 
@@ -163,25 +163,29 @@
 
     It knows no target yet, and an earlier report arrives after the farewell.
     """
-    gate = Gate(cold_rate=10.0)
+    gate = Gate(cold_calls_per_s=10.0)
     gate.depart("t1", 1000)
-    gate.announce(make_news("t1", sequence=9, started_ms=1000), 2.0)
+    gate.announce(make_announcement("t1", sequence=9, started_ms=1000), 2.0)
     assert gate.state(2.0) is GateState.DRAINING
-    gate.announce(make_news("t1", sequence=1, started_ms=5000), 3.0)
+    gate.announce(make_announcement("t1", sequence=1, started_ms=5000), 3.0)
     assert gate.state(3.0) is GateState.SERVING
 
 
 def test_report_of_an_earlier_lifetime_is_outdated():
     """Guards against a delayed report of a target that has crashed."""
     gate = make_gate(lifetime="new", started_ms=2000)
-    assert not gate.announce(make_news("old", sequence=99, started_ms=1000), 1.0)
+    assert not gate.announce(
+        make_announcement("old", sequence=99, started_ms=1000), 1.0
+    )
     assert gate.lifetime == "new"
 
 
 def test_same_name_with_a_later_start_is_a_new_lifetime():
     """Guards against the order numbers of an earlier start of a target."""
     gate = make_gate(sequence=50)
-    assert gate.announce(make_news(sequence=1, started_ms=5000, cold_s=2.0), 1.0)
+    assert gate.announce(
+        make_announcement(sequence=1, started_ms=5000, cold_s=2.0), 1.0
+    )
     assert gate.state(1.0) is GateState.COLD
 
 
@@ -191,11 +195,11 @@
     The predecessor of a restarted daemon may have acknowledged it, and a
     leaving target can still pass a health check.
     """
-    gate = Gate(cold_rate=10.0)
-    gate.probed("t1", 0.0, 0.1)
+    gate = Gate(cold_calls_per_s=10.0)
+    gate.probe_passed("t1", 0.0, 0.1)
     assert gate.state(0.1) is GateState.UNKNOWN
     assert isinstance(gate.offer(make_job(0.1), 0.1), Refused)
-    gate.announce(make_news("t1"), 0.5)
+    gate.announce(make_announcement("t1"), 0.5)
     assert gate.state(0.5) is GateState.SERVING
 
 
@@ -205,7 +209,7 @@
     gate.finish(start(gate), AttemptKind.NOT_CONNECTED, 0, 0.0)
     assert gate.state(0.0) is GateState.DOWN
     assert gate.needs_probe
-    gate.probed("t1", 0.0, 0.5)
+    gate.probe_passed("t1", 0.0, 0.5)
     assert gate.state(0.5) is GateState.SERVING
 
 
@@ -216,19 +220,19 @@
     gate stayed open until the next announcement.
     """
     gate = make_gate()
-    for _ in range(MAX_BROKEN_IN_ROW):
+    for _ in range(MAX_CONSECUTIVE_BROKEN):
         assert gate.state(0.1) is GateState.SERVING
         gate.finish(start(gate), AttemptKind.BROKEN, 0, 0.1)
     assert gate.state(0.1) is GateState.DOWN
     assert gate.needs_probe
-    gate.probed("t1", 0.0, 0.6)
+    gate.probe_passed("t1", 0.0, 0.6)
     assert gate.state(0.6) is GateState.SERVING
 
 
 def test_answers_between_broken_runs_keep_the_gate_open():
     """Guards against a target taken out because it loses some answers."""
     gate = make_gate()
-    for number in range(3 * MAX_BROKEN_IN_ROW):
+    for number in range(3 * MAX_CONSECUTIVE_BROKEN):
         kind = AttemptKind.BROKEN if number % 5 else AttemptKind.ANSWERED
         gate.finish(start(gate), kind, 200, 0.1)
     assert gate.state(0.1) is GateState.SERVING
@@ -236,7 +240,7 @@
 
 def test_lost_answers_do_not_slow_the_target_down():
     """Guards against pacing a warm target whose answers are reset."""
-    gate = make_gate(slots=9, cold_rate=10.0)
+    gate = make_gate(slots=9, cold_calls_per_s=10.0)
     started = 0
     for step in range(100):
         now_s = step * 0.02
@@ -256,7 +260,7 @@
     assert isinstance(gate.offer(make_job(), 0.0), Refused)
     gate.set_evacuated(False)
     assert gate.state(1.0) is GateState.COLD
-    gate.announce(make_news(sequence=2), 1.1)
+    gate.announce(make_announcement(sequence=2), 1.1)
     assert gate.state(1.1) is GateState.SERVING
 
 
@@ -290,7 +294,7 @@
 
 def fill(gate):
     """Start all calls that the gate lets through at once."""
-    return [start(gate) for _ in range(gate.report(0.0).slots + PREFETCHED)]
+    return [start(gate) for _ in range(gate.report(0.0).slots + PREFETCHED_CALLS)]
 
 
 def arrival_times(random, rate, seconds):
@@ -308,13 +312,13 @@
             work_s,
             make_job(
                 at_s,
-                target_s=target_s,
-                budget_s=target_s * 2,
+                soft_deadline_s=soft_deadline_s,
+                deadline_s=soft_deadline_s * 2,
                 route=route,
-                latency_ms=int(target_s * 1000),
+                latency_ms=int(soft_deadline_s * 1000),
             ),
         )
-        for route, (rate, work_s, target_s) in works.items()
+        for route, (rate, work_s, soft_deadline_s) in works.items()
         for at_s in arrival_times(random, rate, seconds)
     ]
     served, _, busy_s = play(arrivals, slots=18)
@@ -352,7 +356,7 @@
         decisions = []
         if job in running:
             gate.finish(job, AttemptKind.ANSWERED, 200, now_s)
-            served[job.call.route] += now_s <= job.target_s
+            served[job.call.route] += now_s <= job.soft_deadline_s
             busy_s += works[job]
         else:
             decisions.append(gate.offer(job, now_s))
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 from httpcore import ConnectError, NetworkError, RemoteProtocolError
-from relay_builders import make_news, make_route
+from relay_builders import make_announcement, make_route
 from relay_fleet import RelayFleet
 
 from catkinhollow.codec import to_plain
@@ -102,7 +102,7 @@
         assert (await fleet.call("one", f"c{number}")).status == 200
     assert fleet.members["near"].target.runs == {}
     fleet.store.remove("evacuations", "a")
-    fleet.members["near"].daemon.gate.announce(make_news("near", sequence=2))
+    fleet.members["near"].daemon.gate.announce(make_announcement("near", sequence=2))
     await fleet.linked()
     assert (await fleet.call("one", "back")).status == 200
 
@@ -180,7 +180,7 @@
     for name in ("two", "next"):
         fleet.members[name].target.work_s = 0.005
     gate = fleet.members["next"].daemon.gate
-    gate.announce(make_news("next", version="v2"))
+    gate.announce(make_announcement("next", version="v2"))
     await fleet.linked()
     order = MoveOrder(service="stock", version="v2", duration_s=10.0, order=50)
     fleet.store.write("orders", "stock", to_plain(order))
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -34,16 +34,18 @@
     return Call(**values)
 
 
-def make_job(now_s=0.0, *, target_s=0.5, budget_s=1.0, **changes):
+def make_job(now_s=0.0, *, soft_deadline_s=0.5, deadline_s=1.0, **changes):
     return GateJob(
         call=make_call(**changes),
         arrived_s=now_s,
-        target_s=now_s + target_s,
-        expires_s=now_s + budget_s,
+        soft_deadline_s=now_s + soft_deadline_s,
+        deadline_s=now_s + deadline_s,
     )
 
 
-def make_news(lifetime="t1", *, sequence=1, started_ms=1000, cold_s=0.0, **changes):
+def make_announcement(
+    lifetime="t1", *, sequence=1, started_ms=1000, cold_s=0.0, **changes
+):
     values = {
         "lifetime": lifetime,
         "version": "v1",
@@ -57,9 +59,9 @@
     return Announcement(**values)
 
 
-def make_gate(now_s=0.0, *, slots=2, cold_rate=10.0, **changes):
-    gate = Gate(cold_rate=cold_rate)
-    gate.announce(make_news(slots=slots, **changes), now_s)
+def make_gate(now_s=0.0, *, slots=2, cold_calls_per_s=10.0, **changes):
+    gate = Gate(cold_calls_per_s=cold_calls_per_s)
+    gate.announce(make_announcement(slots=slots, **changes), now_s)
     return gate
 
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -7,7 +7,7 @@
 from expression import Ok
 from httpcore import AsyncConnectionPool
 from memory_store import MemoryStore
-from relay_builders import make_configuration, make_news
+from relay_builders import make_announcement, make_configuration
 
 from catkinhollow.calls.exchange import Response, plain_response
 from catkinhollow.calls.http_server import read_request, send_response
@@ -169,7 +169,7 @@
         await self.nursery.start(serve_on_loopback, target, ports[0])
         self.nursery.start_soon(self._run, member)
         if announce:
-            daemon.gate.announce(make_news(name, slots=9))
+            daemon.gate.announce(make_announcement(name, slots=9))
         return member
 
     async def _run(self, member):
