--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -23,7 +23,7 @@
     """Calls sent after the report, which it can't count."""
     lost_s: float = inf
     """When the last link to it ended, infinity before its first one."""
-    called_s: float = -inf
+    last_called_s: float = -inf
     """When this daemon last chose the target for a call."""
 
     def take_report(self, report: TargetReport, now_s: float) -> None:
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -1,10 +1,11 @@
 """Choose the gate that a call is sent to.
 
-Load it answers: bursts from many entries at once. Each report is a moment
-old and all entries see the same one, so an entry adds what it has sent since
-the report and varies its estimates; otherwise every entry would send a burst
-to the one target that looked free. In a large fleet an entry seldom hears of
-a target, so the load in an old report counts less, and chance more.
+Many ingress daemons place calls at the same time and see the same reports,
+which are slightly out of date. Each daemon therefore adds the calls that it
+has sent since a report and randomizes its estimates; otherwise all of them
+would send a burst to the one target that looked free. In a large fleet
+reports are rare, so the load in an old report has less weight and the random
+part more.
 """
 
 from collections.abc import Collection, Sequence
@@ -18,41 +19,43 @@
 from catkinhollow.relay.peers import Peer
 from catkinhollow.timer import Clock
 
-# Time of a run that is assumed for a target that has not told one.
-ASSUMED_SERVICE_MS = 100.0
-# Cost of a busy slot as a share of a run: a target with free slots still
+# Run time assumed for a target that has not reported one.
+DEFAULT_SERVICE_MS = 100.0
+# Cost of full utilization as a share of a run: a target with free slots still
 # answers more slowly when it is nearly full.
 BUSY_SHARE = 0.5
-# Random part of an estimate, as a share of a run of a full target; entries
-# with equal reports must choose different targets when these are busy, while
-# a target of the same failure domain that was free just now is always good.
+# Maximum random part of an estimate, as a share of a run. Daemons with equal
+# reports must choose different targets when these are busy, while a target
+# in the same failure domain that has just reported free slots is always a
+# good choice.
 JITTER_SHARE = 0.3
-# Time in which the load that a report tells loses most of its meaning, some
-# runs long.
+# Time constant with which the load in a report loses weight, several run
+# times long.
 REPORT_MEMORY_S = 1.0
-# A new target that this entry has not called for so long gets its next call,
-# so that new targets are used from all failure domains.
+# A new target that this daemon has not called for this long may get its next
+# call, so that new targets are used from all failure domains.
 EXPLORE_S = 10.0
-# Runs after which a target is no longer new. Without this bound 90 entries
-# sent most of their calls to targets of other failure domains in turn.
+# Runs after which a target is no longer new. Without this limit 90 ingress
+# daemons sent most of their calls to targets in other failure domains.
 EXPLORE_RUNS = 10
-# Part of an entry's calls that go to new targets, while there are any: this
-# number over that of the targets. Otherwise all entries of a large fleet send
-# all calls to new targets until the next reports.
+# While there are new targets, they get this number divided by the number of
+# targets as their share of a daemon's calls. Otherwise all daemons of a large
+# fleet would send all calls to new targets until the next reports.
 EXPLORE_CALLS = 4.0
-# Weight of a call sent after the report: other entries, which saw the same
-# report, have probably sent there too.
+# Weight of a call sent after the report: other ingress daemons, which have
+# the same report, have probably sent calls there too.
 UNREPORTED_WEIGHT = 2.0
-# Factor on the load of a cold target, which crashes when it is overrun.
+# Factor on the load of a cold target, which crashes when it is overloaded.
 COLD_FACTOR = 2.0
 
 
 @frozen(kw_only=True)
 class Distances:
-    """Hold the cost of a call's way, as milliseconds of waiting.
+    """Configure the cost of a call's distance as milliseconds of waiting.
 
-    The cost of leaving the failure domain contains the price of its bytes: a
-    download of 90 KB should rather wait for a whole run than travel.
+    The cost of another failure domain includes the price of the transferred
+    bytes: a download of 90 KB should rather wait for a whole run than be
+    served from there.
     """
 
     same_domain_ms: float = 0.5
@@ -86,56 +89,66 @@
     ) -> Peer | None:
         """Return the peer that should run the call, None if none can."""
         now_s = self._clock.monotonic()
-        usable = [
+        available = [
             (peer, peer.report)
             for peer in candidates
             if peer.report is not None
             and peer.accepts_calls
             and peer.record.address not in excluded
         ]
-        usual_use = _usual_use(usable)
-        best = self._choose_new(usable, now_s)
+        mean_utilization = _mean_utilization(available)
+        best = self._choose_new(available, now_s)
         best_ms = 0.0
-        for peer, report in usable if best is None else ():
+        for peer, report in available if best is None else ():
             freshness = exp((peer.reported_s - now_s) / REPORT_MEMORY_S)
-            cost_ms = self._cost_ms(peer, report, freshness, usual_use)
+            cost_ms = self._cost_ms(peer, report, freshness, mean_utilization)
             cost_ms += self._distance_ms(peer, answer_kb)
             if best is None or cost_ms < best_ms:
                 best, best_ms = peer, cost_ms
         if best is not None:
-            best.called_s = now_s
+            best.last_called_s = now_s
         return best
 
     def _choose_new(
-        self, usable: Sequence[tuple[Peer, TargetReport]], now_s: float
+        self, available: Sequence[tuple[Peer, TargetReport]], now_s: float
     ) -> Peer | None:
         """Return a new target that should get this call, if any."""
-        due = [peer for peer, report in usable if self._is_due(peer, report, now_s)]
-        if not due or self._random.random() * len(usable) >= EXPLORE_CALLS:
+        unexplored = [
+            peer
+            for peer, report in available
+            if self._needs_exploration(peer, report, now_s)
+        ]
+        if not unexplored or self._random.random() * len(available) >= EXPLORE_CALLS:
             return None
-        return self._random.choice(due)
+        return self._random.choice(unexplored)
 
-    def _is_due(self, peer: Peer, report: TargetReport, now_s: float) -> bool:
-        """Tell whether a new target with room has not been called for long."""
+    def _needs_exploration(
+        self, peer: Peer, report: TargetReport, now_s: float
+    ) -> bool:
+        """Return whether a target is new, free and not recently called."""
         free = report.running + peer.sent_since_report < report.slots
-        new = report.runs < EXPLORE_RUNS and now_s - peer.called_s > EXPLORE_S
+        new = report.runs < EXPLORE_RUNS and now_s - peer.last_called_s > EXPLORE_S
         return new and free and not report.waiting
 
     def _cost_ms(
-        self, peer: Peer, report: TargetReport, freshness: float, usual_use: float
+        self,
+        peer: Peer,
+        report: TargetReport,
+        freshness: float,
+        mean_utilization: float,
     ) -> float:
-        service_ms = report.service_ms or ASSUMED_SERVICE_MS
+        service_ms = report.service_ms or DEFAULT_SERVICE_MS
         slots = max(1, report.slots)
         load: float = freshness * (report.running + report.waiting)
-        load += (1.0 - freshness) * usual_use * slots
+        load += (1.0 - freshness) * mean_utilization * slots
         load += UNREPORTED_WEIGHT * peer.sent_since_report
         if report.state is GateState.COLD:
             load = load * COLD_FACTOR + 1
-        use = load / slots
+        utilization = load / slots
         waiting = max(0.0, load + 1 - slots)
-        cost_ms = service_ms * (waiting / slots + BUSY_SHARE * use)
-        doubt = max(min(1.0, use), 1.0 - freshness)
-        return cost_ms + JITTER_SHARE * service_ms * doubt * self._random.random()
+        cost_ms = service_ms * (waiting / slots + BUSY_SHARE * utilization)
+        uncertainty = max(min(1.0, utilization), 1.0 - freshness)
+        return cost_ms + JITTER_SHARE * service_ms * uncertainty * self._random.random()
 
     def _distance_ms(self, peer: Peer, answer_kb: float) -> float:
         own, other = self._own.record, peer.record
@@ -150,7 +163,7 @@
         return distances.other_region_ms + bytes_ms
 
 
-def _usual_use(usable: Sequence[tuple[Peer, TargetReport]]) -> float:
-    """Return the part of the slots that is in use, on average."""
-    load = sum(report.running + report.waiting for _, report in usable)
-    return load / max(1, sum(report.slots for _, report in usable))
+def _mean_utilization(available: Sequence[tuple[Peer, TargetReport]]) -> float:
+    """Return the load of all targets as a share of their slots."""
+    load = sum(report.running + report.waiting for _, report in available)
+    return load / max(1, sum(report.slots for _, report in available))
--- a/catkinhollow/relay/routes.py
+++ b/catkinhollow/relay/routes.py
@@ -34,17 +34,21 @@
 
 @define
 class _SplitState:
-    """Hold how far each part of a split is ahead or behind."""
+    """Represent the weighted round-robin state of a split.
+
+    The credit of a part grows by its weight with each request; the part with
+    the highest credit gets the request and pays the sum of all weights.
+    """
 
     parts: tuple[WeightedService, ...]
     credits: list[float] = field(factory=list)
 
 
 class SplitPicker:
-    """Deal the requests of a route to its services by weight.
+    """Distribute the requests of a route over its services by weight.
 
-    The choice ignores load: a part that is short of room refuses its
-    requests, because moving them would change the operator's shares.
+    The choice ignores load: an overloaded part refuses its requests, because
+    sending them elsewhere would change the shares that the operator has set.
     """
 
     def __init__(self, random: Random) -> None:
@@ -58,7 +62,7 @@
         parts = tuple(route.split)
         state = self._states.get(route.name)
         if state is None or state.parts != parts:
-            state = self._start(parts)
+            state = self._create_state(parts)
             self._states[route.name] = state
         total = sum(part.weight for part in parts)
         for index, part in enumerate(parts):
@@ -68,12 +72,13 @@
         return parts[best].service
 
     def keep_routes(self, names: set[str]) -> None:
-        """Forget the routes that are gone."""
+        """Discard the state of all other routes."""
         for name in self._states.keys() - names:
             del self._states[name]
 
-    def _start(self, parts: tuple[WeightedService, ...]) -> _SplitState:
-        # Daemons that start together must not deal in step, or the shares of a
-        # short time would be off in the same direction everywhere.
+    def _create_state(self, parts: tuple[WeightedService, ...]) -> _SplitState:
+        # Random credits, so that daemons that start together do not choose
+        # the same sequence. Their shares over a short time would then deviate
+        # in the same direction.
         credits = [self._random.uniform(0.0, part.weight) for part in parts]
         return _SplitState(parts=parts, credits=credits)
--- a/catkinhollow/relay/versions.py
+++ b/catkinhollow/relay/versions.py
@@ -7,26 +7,27 @@
 from catkinhollow.relay.move_plan import VersionSums
 from catkinhollow.relay.peers import Peer
 
-# Failed runs of a version after which this daemon stops sending to it without
-# waiting for the order's state, the share of its runs that they must be, and
-# how many times the old version's share, as an outage behind both hits both.
-STOP_FAILURES = 12
-STOP_SHARE = 0.25
-STOP_FACTOR = 3.0
+# This daemon stops sending calls to a new version, without waiting for the
+# order's state, after this many failed runs. They must also be at least this
+# share of its runs, and this many times the share of the old version, because
+# an outage behind both versions makes both fail.
+MIN_FAILURES = 12
+MIN_FAILURE_SHARE = 0.25
+MIN_FAILURE_RATIO = 3.0
 
 
-def is_suspect(new: Iterable[TargetReport], old: Iterable[TargetReport]) -> bool:
-    """Tell whether a new version fails so often that it must get no more."""
+def is_failing(new: Iterable[TargetReport], old: Iterable[TargetReport]) -> bool:
+    """Return whether a new version fails too often to get more calls."""
     new_sums, old_sums = VersionSums.of(new), VersionSums.of(old)
     return (
-        new_sums.failures >= STOP_FAILURES
-        and new_sums.failure_share >= STOP_SHARE
-        and new_sums.failure_share >= STOP_FACTOR * old_sums.failure_share
+        new_sums.failures >= MIN_FAILURES
+        and new_sums.failure_share >= MIN_FAILURE_SHARE
+        and new_sums.failure_share >= MIN_FAILURE_RATIO * old_sums.failure_share
     )
 
 
 class VersionPolicy:
-    """Deal the calls of a service to the old and the new version of a move."""
+    """Choose between the old and the new version of a service that moves."""
 
     def __init__(self, random: Random) -> None:
         self._random = random
@@ -39,7 +40,7 @@
         return self._orders
 
     def set_orders(self, orders: Iterable[MoveOrder]) -> None:
-        """Take all orders."""
+        """Replace all orders."""
         self._orders = {order.service: order for order in orders}
 
     def candidates(self, service: str, peers: Sequence[Peer]) -> list[Peer]:
@@ -56,23 +57,24 @@
             return old
         if progress.state is OrderState.DONE:
             return new or old
-        if is_suspect(_reports(new), _reports(old)):
+        if is_failing(_reports(new), _reports(old)):
             return old
-        return new if new and self._takes_new(service, progress.percent) else old
+        return new if new and self._picks_new(service, progress.percent) else old
 
-    def _takes_new(self, service: str, percent: float) -> bool:
+    def _picks_new(self, service: str, percent: float) -> bool:
         if percent >= 100.0:
             return True
         if percent <= 0.0:
             return False
         credit = self._credits.get(service)
         if credit is None:
-            # Daemons that start together must not take it in step.
+            # A random start, so that daemons that start together do not
+            # choose the new version at the same calls.
             credit = self._random.random()
         credit += percent / 100.0
-        takes = credit >= 1.0
-        self._credits[service] = credit - 1.0 if takes else credit
-        return takes
+        picked = credit >= 1.0
+        self._credits[service] = credit - 1.0 if picked else credit
+        return picked
 
 
 def _reports(peers: Sequence[Peer]) -> list[TargetReport]:
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -28,8 +28,8 @@
 
 def choose(placer, peers, answer_kb=1.0):
     for peer in peers:
-        if peer.called_s < 0.0:
-            peer.called_s = 0.0
+        if peer.last_called_s < 0.0:
+            peer.last_called_s = 0.0
     return placer.choose(peers, set(), answer_kb)
 
 
@@ -142,6 +142,6 @@
     own = make_peer("own", service="other")
     near, new = make_peer("near"), make_peer("new", failure_domain="b")
     placer = make_placer(own)
-    near.called_s = 0.0
+    near.last_called_s = 0.0
     assert placer.choose([near, new], set(), 1.0) is new
     assert placer.choose([near, new], set(), 1.0) is near
