--- a/catkinhollow/relay/document_handler.py
+++ b/catkinhollow/relay/document_handler.py
@@ -143,10 +143,10 @@
         documents = self._table.of_kind(ORDERS)
         self._versions.set_orders(_decoded(known, MoveOrder) for known in documents)
         if document.deleted:
-            self._moves.drop_order(service)
+            self._moves.remove_order(service)
             return
         order = _decoded(document, MoveOrder)
-        self._moves.take_order(order, document.revision)
+        self._moves.update_order(order, document.revision)
         progress = order.progress
         logger.info(
             "move order",
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -1,4 +1,4 @@
-"""Drive the moves that operators have ordered."""
+"""Write the steps of the moves that operators have ordered."""
 
 from attrs import define
 
@@ -16,14 +16,14 @@
 logger = get_logger(__name__)
 
 STEP_INTERVAL_S = 0.1
-# Daemons that may write a step; the second one waits for the first this long.
-DRIVERS = 3
+# Daemons that may write a step, and the delay of each after the previous one.
+WRITER_COUNT = 3
 TAKEOVER_S = 1.0
 
 
 @define(eq=False)
-class _Driven:
-    """Hold one order with its revision and the step that is due."""
+class _TrackedOrder:
+    """Represent an order with its revision and the step that is due."""
 
     plan: MovePlan
     revision: int
@@ -33,10 +33,12 @@
 
 
 class MoveDriver:
-    """Write the progress of orders; each write is conditional on the last.
+    """Write the progress of orders.
 
-    Every daemon follows every order, so a successor knows its age. The first
-    daemons by rendezvous hash write, one after the other if a step stays due.
+    Each write is conditional on the revision of the previous one. Every daemon
+    tracks every order, so that a daemon that takes over knows its age. The
+    first daemons by rendezvous hash may write a step; each waits longer than
+    the one before it.
     """
 
     def __init__(
@@ -45,16 +47,16 @@
         self._store = store
         self._directory = directory
         self._clock = clock
-        self._driven: dict[str, _Driven] = {}
+        self._orders: dict[str, _TrackedOrder] = {}
 
     @property
     def has_orders(self) -> bool:
-        """Tell whether there is an order to follow."""
-        return bool(self._driven)
+        """Return whether there are orders."""
+        return bool(self._orders)
 
-    def take_order(self, order: MoveOrder, revision: int) -> None:
-        """Take a new or changed order."""
-        known = self._driven.get(order.service)
+    def update_order(self, order: MoveOrder, revision: int) -> None:
+        """Track a new or changed order."""
+        known = self._orders.get(order.service)
         same = known is not None and (
             known.plan.order.version,
             known.plan.order.order,
@@ -65,53 +67,53 @@
             known.due = None
             return
         plan = MovePlan(order, self._clock.monotonic())
-        self._driven[order.service] = _Driven(plan, revision)
+        self._orders[order.service] = _TrackedOrder(plan, revision)
 
-    def drop_order(self, service: str) -> None:
-        """Forget an order that is gone."""
-        self._driven.pop(service, None)
+    def remove_order(self, service: str) -> None:
+        """Stop tracking a deleted order."""
+        self._orders.pop(service, None)
 
     async def step(self) -> None:
-        """Write each step that is due and falls to this daemon."""
+        """Write each due step for which this daemon is responsible."""
         now_s = self._clock.monotonic()
-        for service, driven in list(self._driven.items()):
-            due = self._find_due(service, driven, now_s)
-            if due is not None and not driven.writing:
-                await self._write(service, driven, *due)
+        for service, tracked in list(self._orders.items()):
+            due = self._find_due_step(service, tracked, now_s)
+            if due is not None and not tracked.writing:
+                await self._write(service, tracked, *due)
 
-    def _find_due(
-        self, service: str, driven: _Driven, now_s: float
+    def _find_due_step(
+        self, service: str, tracked: _TrackedOrder, now_s: float
     ) -> tuple[MoveProgress, str] | None:
         peers = self._directory.of_service(service)
         reports = [peer.report for peer in peers if peer.report]
-        due = driven.plan.next_progress(reports, now_s)
+        due = tracked.plan.next_progress(reports, now_s)
         if due is None:
-            driven.due = None
+            tracked.due = None
             return None
-        if driven.due != due[0]:
-            driven.due = due[0]
-            driven.due_since_s = now_s
-        rank = self._rank(service)
-        if rank is None or now_s - driven.due_since_s < rank * TAKEOVER_S:
+        if tracked.due != due[0]:
+            tracked.due = due[0]
+            tracked.due_since_s = now_s
+        rank = self._own_rank(service)
+        if rank is None or now_s - tracked.due_since_s < rank * TAKEOVER_S:
             return None
         return due
 
-    def _rank(self, service: str) -> int | None:
-        members = [peer.record.address for peer in self._directory if peer.linked]
-        drivers = rendezvous(members, f"move/{service}", DRIVERS)
+    def _own_rank(self, service: str) -> int | None:
+        addresses = [peer.record.address for peer in self._directory if peer.linked]
+        writers = rendezvous(addresses, f"move/{service}", WRITER_COUNT)
         own = self._directory.own.record.address
-        return drivers.index(own) if own in drivers else None
+        return writers.index(own) if own in writers else None
 
     async def _write(
-        self, service: str, driven: _Driven, progress: MoveProgress, reason: str
+        self, service: str, tracked: _TrackedOrder, progress: MoveProgress, reason: str
     ) -> None:
-        driven.writing = True
+        tracked.writing = True
         try:
             result = await self._store.put(
-                ORDERS, service, to_plain(progress), if_revision=driven.revision
+                ORDERS, service, to_plain(progress), if_revision=tracked.revision
             )
         finally:
-            driven.writing = False
+            tracked.writing = False
         fields = {
             "service": service,
             "version": progress.version,
@@ -121,12 +123,12 @@
         }
         if result.is_ok():
             logger.info("move step", revision=result.ok.revision, **fields)
-            driven.revision = result.ok.revision
+            tracked.revision = result.ok.revision
         elif result.error.kind is StoreErrorKind.CONFLICT:
-            logger.info("move step made by another daemon", **fields)
-            driven.due_since_s = self._clock.monotonic()
+            logger.info("move step written by another daemon", **fields)
+            tracked.due_since_s = self._clock.monotonic()
         else:
             logger.warning(
                 "move step not written", store_error=result.error.reason, **fields
             )
-            driven.due_since_s = self._clock.monotonic()
+            tracked.due_since_s = self._clock.monotonic()
