Call the entry of requests the ingress, and reword the links to peers

The class Entry and its module become Ingress and ingress, the cleanup of daemon records gets its own word, and the peer watch, the exchange table and the network use the usual terms.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -30,17 +30,17 @@
 )
 from catkinhollow.relay.document_handler import DocumentCheck, DocumentHandler
 from catkinhollow.relay.documents import DocumentTable
-from catkinhollow.relay.entry import Entry
-from catkinhollow.relay.entry_cleanup import find_gone
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.header_names import HeaderNames
+from catkinhollow.relay.ingress import Ingress
 from catkinhollow.relay.kinds import DAEMONS
 from catkinhollow.relay.links import NngFrameLink
 from catkinhollow.relay.move_driver import STEP_INTERVAL_S, MoveDriver
 from catkinhollow.relay.network import DocumentChanged, PeerNetwork
 from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.relay.placement import Distances, LeastWaitPlacer
+from catkinhollow.relay.record_cleanup import find_stale_peers
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestServer
@@ -125,7 +125,7 @@
             failure_domain=settings.failure_domain,
             check=self._check,
             table=self._documents,
-            entry=self._entry,
+            ingress=self._ingress,
             gate=self._gate,
             network=self._network,
             versions=self._versions,
@@ -167,10 +167,10 @@
             link=NngFrameLink(settings.peer, self._timer),
             timer=self._timer,
             events=self._events,
-            accept=self._check.accepts,
+            accepts=self._check.accepts,
         )
         self._versions = VersionPolicy(self._random)
-        self._entry = Entry(
+        self._ingress = Ingress(
             service=settings.service,
             network=self._network,
             placer=LeastWaitPlacer(
@@ -186,7 +186,7 @@
             log=self._log,
         )
 
-        self._server = RequestServer(self._entry.serve, lambda: self._entry.limits)
+        self._server = RequestServer(self._ingress.serve, lambda: self._ingress.limits)
 
     def _build_control(self, decode: ObjectDecoder) -> None:
         self._follower = StoreFollower(
@@ -218,7 +218,7 @@
     @property
     def ready(self) -> bool:
         """Tell whether callers on the instance may send requests."""
-        return self._listening and self._entry.configured and not self._stopping
+        return self._listening and self._ingress.configured and not self._stopping
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish the requests in flight."""
@@ -235,7 +235,8 @@
             nursery.start_soon(self._watch_settings)
             self._timer.subscribe(STEP_INTERVAL_S, lambda: self._start_step(nursery))
             self._timer.subscribe(
-                CLEANUP_INTERVAL_S, lambda: nursery.start_soon(self._clean_up)
+                CLEANUP_INTERVAL_S,
+                lambda: nursery.start_soon(self._delete_stale_records),
             )
             logger.info("started", instance=self._settings.instance)
             await wait_for_end()
@@ -302,7 +303,7 @@
             idle = not self._gate.busy and not self._server.busy
             # One more check lets the last answers leave the links.
             if self._clock.monotonic() - started_s > TAKE_REQUESTS_S:
-                self._entry.stop()
+                self._ingress.stop()
             if idle and was_idle and self._clock.monotonic() - started_s > LEAVE_S:
                 return
             was_idle = idle
@@ -318,12 +319,12 @@
         self._network.refresh_own_report()
         await self._moves.step()
 
-    async def _clean_up(self) -> None:
+    async def _delete_stale_records(self) -> None:
         """Delete the entries of daemons that have been gone for long."""
         if not self._follower.reachable:
             return
         own = self._directory.own
-        for peer in find_gone(self._directory, own, self._clock.monotonic()):
+        for peer in find_stale_peers(self._directory, own, self._clock.monotonic()):
             name = peer.record.name
             document = self._documents.get(f"{DAEMONS}/{name}")
             if document is None:
--- a/catkinhollow/relay/document_handler.py
+++ b/catkinhollow/relay/document_handler.py
@@ -12,8 +12,8 @@
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.configuration_check import find_fault
 from catkinhollow.relay.documents import DocumentTable
-from catkinhollow.relay.entry import Entry
 from catkinhollow.relay.gate_service import GateService
+from catkinhollow.relay.ingress import Ingress
 from catkinhollow.relay.kinds import (
     CONFIGURATION,
     DAEMONS,
@@ -88,7 +88,7 @@
         failure_domain: str,
         check: DocumentCheck,
         table: DocumentTable,
-        entry: Entry,
+        ingress: Ingress,
         gate: GateService,
         network: PeerNetwork,
         versions: VersionPolicy,
@@ -97,7 +97,7 @@
         self._failure_domain = failure_domain
         self._check = check
         self._table = table
-        self._entry = entry
+        self._ingress = ingress
         self._gate = gate
         self._network = network
         self._versions = versions
@@ -120,7 +120,7 @@
     def _enforce(self, document: Document) -> None:
         configuration = _decoded(document, RelayConfiguration)
         self._check.enforced(configuration.version)
-        self._entry.configure(configuration)
+        self._ingress.configure(configuration)
         self._gate.configure(configuration)
         logger.info(
             "configuration enforced",
@@ -137,7 +137,7 @@
         else:
             self._daemons[name] = _decoded(document, DaemonRecord)
         self._network.directory.replace_all(self._daemons.values())
-        self._network.follow_directory()
+        self._network.update_links()
 
     def _take_order(self, document: Document, service: str) -> None:
         documents = self._table.of_kind(ORDERS)
--- a/catkinhollow/relay/documents.py
+++ b/catkinhollow/relay/documents.py
@@ -35,7 +35,7 @@
     _seen_s: float = -inf
     _asked_s: float = -inf
 
-    def is_due(self, own: int, other: int, now_s: float, *, near: bool) -> bool:
+    def is_due(self, own: int, other: int, now_s: float, *, same_domain: bool) -> bool:
         """Tell whether to ask the peer whose digest has come."""
         if own != self._own:
             self._own = own
@@ -46,7 +46,7 @@
             self._since_s = inf
         self._seen_s = now_s
         self._since_s = min(self._since_s, now_s)
-        least_s = LASTING_S if near else FAR_LASTING_S
+        least_s = LASTING_S if same_domain else FAR_LASTING_S
         lasting = own == EMPTY_DIGEST or now_s - self._since_s >= least_s
         if not lasting or now_s - self._asked_s < ASK_INTERVAL_S:
             return False
--- a/catkinhollow/relay/exchange_table.py
+++ b/catkinhollow/relay/exchange_table.py
@@ -11,7 +11,7 @@
 
 @define(eq=False)
 class OpenCall:
-    """Hold a call that a peer has not answered."""
+    """Represent a call that a peer has not answered yet."""
 
     call_id: int
     address: str
@@ -19,31 +19,31 @@
 
 
 class ExchangeTable:
-    """Hold the open calls of this daemon to its peers."""
+    """Track the open calls of this daemon to its peers."""
 
     def __init__(self) -> None:
         self._open: dict[int, OpenCall] = {}
 
     @property
     def addresses(self) -> set[str]:
-        """Return the peers that owe answers."""
+        """Return the addresses of peers with open calls."""
         return {call.address for call in self._open.values()}
 
     def __len__(self) -> int:
         return len(self._open)
 
-    def begin(self, call_id: int, address: str, on_answer: AnswerCallback) -> OpenCall:
-        """Open a call to a peer."""
+    def open(self, call_id: int, address: str, on_answer: AnswerCallback) -> OpenCall:
+        """Add an open call to a peer."""
         call = OpenCall(call_id, address, on_answer)
         self._open[call.call_id] = call
         return call
 
-    def forget(self, call: OpenCall) -> bool:
-        """Drop a call; return False if it was answered."""
+    def remove(self, call: OpenCall) -> bool:
+        """Remove a call; return False if it has been answered."""
         return self._open.pop(call.call_id, None) is not None
 
-    def answered(self, address: str, answer: Answer) -> bool:
-        """Hand an answer over; return False if no call waits for it."""
+    def complete(self, address: str, answer: Answer) -> bool:
+        """Deliver an answer; return False if no call waits for it."""
         call = self._open.get(answer.call_id)
         if call is None or call.address != address:
             return False
@@ -51,8 +51,8 @@
         call.on_answer(answer)
         return True
 
-    def link_lost(self, address: str) -> int:
-        """End the calls to a peer as unknown; return their number."""
+    def fail_calls(self, address: str) -> int:
+        """End calls to a peer with unknown outcome; return their number."""
         lost = [call for call in self._open.values() if call.address == address]
         for call in lost:
             del self._open[call.call_id]
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/ingress.py
@@ -1,4 +1,4 @@
-"""Answer the requests of callers on this instance."""
+"""Route the requests of callers on this instance to gates."""
 
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -40,28 +40,28 @@
 logger = get_logger(__name__)
 
 RETRY_AFTER_HEADER = b"retry-after"
-# Answers that arrive this much before the caller gives up still reach it.
-RETURN_S = 0.01
-# Weight of one answer in the usual size of a route's answers.
-SIZE_WEIGHT = 0.1
+# Time that an answer needs to reach the caller; no gate may answer later.
+RETURN_MARGIN_S = 0.01
+# Weight of one answer in the moving average of a route's answer sizes.
+ANSWER_SIZE_WEIGHT = 0.1
 
-Disconnected = Callable[[], Awaitable[None]]
+WaitForDisconnect = Callable[[], Awaitable[None]]
 
 
 @define(eq=False)
-class _Wait:
-    """Hold the answer that one attempt waits for."""
+class _PendingAnswer:
+    """Represent the answer that one attempt waits for."""
 
     scope: trio.CancelScope
     answer: Answer | None = None
 
-    def take(self, answer: Answer) -> None:
+    def set_answer(self, answer: Answer) -> None:
         self.answer = answer
         self.scope.cancel()
 
 
-class Entry:
-    """Route requests, choose gates for them, and pass answers on."""
+class Ingress:
+    """Route requests, choose gates for them, and return the answers."""
 
     def __init__(
         self,
@@ -92,10 +92,10 @@
         self._routes: RouteTable | None = None
         self._splits = SplitPicker(random)
         self._budgets: dict[str, RetryBudget] = {}
-        self._answer_kb: dict[str, float] = {}
+        self._mean_answer_kb: dict[str, float] = {}
         self._limits = RequestLimits()
         self._stopping = False
-        self._own_headers = {
+        self._internal_headers = {
             header_names.deadline,
             header_names.caller_service,
             header_names.expected_lifetime,
@@ -104,29 +104,34 @@
 
     @property
     def limits(self) -> RequestLimits:
-        """Return what callers may send."""
+        """Return the limits of requests and connections."""
         return self._limits
 
     @property
     def configured(self) -> bool:
-        """Tell whether a configuration is in force."""
+        """Return whether a configuration is in force."""
         return self._routes is not None
 
     def configure(self, configuration: RelayConfiguration) -> None:
-        """Put a configuration version in force for every later request."""
+        """Apply a configuration version to all later requests."""
         self._routes = RouteTable(configuration)
         names = {route.name for route in configuration.routes}
         self._splits.keep_routes(names)
-        for name in self._answer_kb.keys() - names:
-            del self._answer_kb[name]
+        for name in self._mean_answer_kb.keys() - names:
+            del self._mean_answer_kb[name]
         self._limits = configuration.limits
 
     def stop(self) -> None:
-        """Refuse every further request, because the daemon ends."""
+        """Refuse all further requests because the daemon shuts down."""
         self._stopping = True
 
-    async def serve(self, request: Request, disconnected: Disconnected) -> Response:
-        """Return the answer to a request, or any once the caller has gone."""
+    async def serve(
+        self, request: Request, wait_for_disconnect: WaitForDisconnect
+    ) -> Response:
+        """Return the answer to a request.
+
+        The response is irrelevant once the caller has disconnected.
+        """
         if self._stopping:
             return plain_response(503, "the daemon ends")
         if self._routes is None:
@@ -135,38 +140,45 @@
         route = self._routes.match(host, request.path)
         if route is None:
             return plain_response(404, "no route")
-        return await self._serve_route(request, route, disconnected)
+        return await self._serve_route(request, route, wait_for_disconnect)
 
     async def _serve_route(
-        self, request: Request, route: RelayRoute, disconnected: Disconnected
+        self,
+        request: Request,
+        route: RelayRoute,
+        wait_for_disconnect: WaitForDisconnect,
     ) -> Response:
         started_s = self._clock.monotonic()
         service = self._splits.pick(route)
-        left_ms = _left_ms(request.header(self._header_names.deadline), route)
+        left_ms = _time_left_ms(request.header(self._header_names.deadline), route)
         plan = CallPlan(
             route=route,
             service=service,
-            deadline_s=started_s + left_ms / 1000.0 - RETURN_S,
+            deadline_s=started_s + left_ms / 1000.0 - RETURN_MARGIN_S,
             choose_peer=lambda tried: self._choose(route, service, tried),
             budget=self._budget(service),
         )
         call = self._make_call(request, route, service)
-        response = await self._follow(plan, call, started_s, disconnected)
+        response = await self._run_plan(plan, call, started_s, wait_for_disconnect)
         taken_s = self._clock.monotonic() - started_s
         self._metrics.request_seconds.observe({"service": service}, taken_s)
         return response
 
-    async def _follow(
-        self, plan: CallPlan, call: Call, started_s: float, disconnected: Disconnected
+    async def _run_plan(
+        self,
+        plan: CallPlan,
+        call: Call,
+        started_s: float,
+        wait_for_disconnect: WaitForDisconnect,
     ) -> Response:
         while True:
             step = plan.next_step(self._clock.monotonic())
             if isinstance(step, SendTo):
                 answer = await self._attempt(
-                    plan, step.peer, call, started_s, disconnected
+                    plan, step.peer, call, started_s, wait_for_disconnect
                 )
                 if answer is None:
-                    self._count(plan.service, "gone")
+                    self._count_request(plan.service, "gone")
                     return plain_response(503, "the caller has gone")
                 self._count_attempt(call.service, answer.outcome.value)
                 final = plan.on_answer(answer)
@@ -175,10 +187,10 @@
                     continue
                 step = final
             if isinstance(step, Deliver):
-                self._count(plan.service, "answered")
+                self._count_request(plan.service, "answered")
                 self._log.answered(call.request_id, status=step.answer.status)
-                self._learn_size(plan.route, step.answer)
-                return self._deliver(step.answer)
+                self._update_answer_size(plan.route, step.answer)
+                return self._build_response(step.answer)
             return self._give_up(plan, step, call)
 
     async def _attempt(
@@ -187,22 +199,22 @@
         peer: Peer,
         call: Call,
         started_s: float,
-        disconnected: Disconnected,
+        wait_for_disconnect: WaitForDisconnect,
     ) -> Answer | None:
-        """Return a gate's answer, None if the caller has gone away."""
+        """Return a gate's answer, None if the caller has disconnected."""
         now_s = self._clock.monotonic()
         left_s = plan.deadline_s - now_s
-        target_s = started_s + plan.route.target_latency_ms / 1000.0 - now_s
-        call_id = self._network.new_call_id()
-        timed = _with_times(call, call_id, left_s, target_s)
+        soft_left_s = started_s + plan.route.target_latency_ms / 1000.0 - now_s
+        call_id = self._network.next_call_id()
+        timed_call = _with_call_times(call, call_id, left_s, soft_left_s)
         scope = trio.CancelScope(relative_deadline=max(0.0, left_s))
-        wait = _Wait(scope)
-        sent = self._network.call(peer, timed, wait.take)
-        if wait.answer is None:
+        pending = _PendingAnswer(scope)
+        sent = self._network.call(peer, timed_call, pending.set_answer)
+        if pending.answer is None:
             with scope:
-                await disconnected()
-        if wait.answer is not None:
-            return wait.answer
+                await wait_for_disconnect()
+        if pending.answer is not None:
+            return pending.answer
         self._network.cancel(sent)
         if not scope.cancelled_caught:
             return None
@@ -217,14 +229,14 @@
     def _choose(self, route: RelayRoute, service: str, tried: set[str]) -> Peer | None:
         network = self._network
         network.refresh_own_report()
-        peers = network.directory.of_service(service)
+        peers = network.directory.for_service(service)
         candidates = self._versions.candidates(service, peers)
-        answer_kb = self._answer_kb.get(route.name, 0.0)
+        answer_kb = self._mean_answer_kb.get(route.name, 0.0)
         return self._placer.choose(candidates, tried, answer_kb)
 
     def _budget(self, service: str) -> RetryBudget:
-        # The slack is for all daemons together; one repeated run is the least
-        # that a budget must be able to pay.
+        # The slack is shared by all daemons, but each budget must allow at
+        # least one repeated run.
         burst = max(RUN_RETRY_COST, self._retry_slack / len(self._network.directory))
         budget = self._budgets.get(service)
         if budget is None:
@@ -241,7 +253,7 @@
         headers = [
             [name, value]
             for name, value in end_to_end(request.headers)
-            if name not in self._own_headers
+            if name not in self._internal_headers
         ]
         request_id = request.header(self._header_names.request_id) or b""
         return Call(
@@ -259,20 +271,22 @@
             latency_ms=int(route.target_latency_ms),
         )
 
-    def _learn_size(self, route: RelayRoute, answer: Answer) -> None:
+    def _update_answer_size(self, route: RelayRoute, answer: Answer) -> None:
         size_kb = len(answer.body) / 1024.0
-        usual_kb = self._answer_kb.get(route.name, size_kb)
-        self._answer_kb[route.name] = usual_kb + SIZE_WEIGHT * (size_kb - usual_kb)
+        mean_kb = self._mean_answer_kb.get(route.name, size_kb)
+        self._mean_answer_kb[route.name] = mean_kb + ANSWER_SIZE_WEIGHT * (
+            size_kb - mean_kb
+        )
 
-    def _deliver(self, answer: Answer) -> Response:
-        # The gate's client has taken out what concerns one connection.
+    def _build_response(self, answer: Answer) -> Response:
+        # The gate's HTTP client has removed the hop-by-hop headers.
         headers: Headers = [(name, value) for name, value in answer.headers]
         return Response(status=answer.status, headers=headers, body=answer.body)
 
     def _give_up(self, plan: CallPlan, step: GiveUp, call: Call) -> Response:
         now_s = self._clock.monotonic()
         left_s = plan.deadline_s - now_s
-        self._count(plan.service, step.outcome.value)
+        self._count_request(plan.service, step.outcome.value)
         self._log.failed(
             call.request_id,
             route=call.route,
@@ -284,7 +298,7 @@
             left_ms=int(left_s * 1000),
         )
         if step.outcome is CallOutcome.UNKNOWN:
-            timed_out = left_s <= RETURN_S
+            timed_out = left_s <= RETURN_MARGIN_S
             return plain_response(504 if timed_out else 502, step.reason)
         delay_s = retry_after_s(step.retry_after_s, left_s, self._random.random())
         value = f"{delay_s:.3f}".encode()
@@ -300,21 +314,23 @@
             report_age_ms=int((self._clock.monotonic() - peer.reported_s) * 1000),
         )
 
-    def _count(self, service: str, outcome: str) -> None:
+    def _count_request(self, service: str, outcome: str) -> None:
         self._metrics.requests.inc({"service": service, "outcome": outcome})
 
     def _count_attempt(self, service: str, outcome: str) -> None:
         self._metrics.attempts.inc({"service": service, "outcome": outcome})
 
 
-def _left_ms(deadline: bytes | None, route: RelayRoute) -> float:
+def _time_left_ms(deadline: bytes | None, route: RelayRoute) -> float:
     if deadline is not None and deadline.isdigit():
         return min(float(deadline), route.timeout_ms)
     return route.timeout_ms
 
 
-def _with_times(call: Call, call_id: int, left_s: float, target_s: float) -> Call:
-    # evolve() of attrs takes over twice as long.
+def _with_call_times(
+    call: Call, call_id: int, left_s: float, soft_left_s: float
+) -> Call:
+    # attrs.evolve() takes more than twice as long.
     return Call(
         call_id=call_id,
         request_id=call.request_id,
@@ -329,5 +345,5 @@
         rank=call.rank,
         latency_ms=call.latency_ms,
         budget_ms=max(0, int(left_s * 1000)),
-        target_ms=int(target_s * 1000),
+        target_ms=int(soft_left_s * 1000),
     )
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -84,7 +84,7 @@
     def _find_due_step(
         self, service: str, tracked: _TrackedOrder, now_s: float
     ) -> tuple[MoveProgress, str] | None:
-        peers = self._directory.of_service(service)
+        peers = self._directory.for_service(service)
         reports = [peer.report for peer in peers if peer.report]
         due = tracked.plan.next_progress(reports, now_s)
         if due is None:
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -29,20 +29,20 @@
 
 logger = get_logger(__name__)
 
-WATCH_INTERVAL_S = 0.2
+LINK_WATCH_INTERVAL_S = 0.2
 
 SentCall: TypeAlias = OpenCall | Submission
 
 
 @frozen(kw_only=True)
 class DocumentChanged:
-    """Announce that a document is new, changed or deleted."""
+    """Signal that a document is new, changed or deleted."""
 
     document: Document
 
 
 class PeerNetwork:
-    """Connect the gate, the entry and the documents with the peers."""
+    """Connect the gate, the ingress and the documents with the peers."""
 
     def __init__(
         self,
@@ -54,9 +54,9 @@
         link: FrameLink,
         timer: Timer,
         events: EventManager,
-        accept: Callable[[Document], bool],
+        accepts: Callable[[Document], bool],
     ) -> None:
-        self._accept = accept
+        self._accepts = accepts
         self._address = directory.own.record.address
         self._incarnation = incarnation
         self._directory = directory
@@ -68,38 +68,42 @@
         self._events = events
         self._watch = PeerWatch()
         self._exchanges = ExchangeTable()
-        self._next_call_id = 1
-        self._incoming: dict[tuple[str, int], Submission] = {}
+        self._last_call_id = 1
+        self._incoming_calls: dict[tuple[str, int], Submission] = {}
         self._incarnations: dict[str, int] = {}
-        self._comparison = DigestComparison()
-        self._up: set[str] = set()
+        self._digest_comparison = DigestComparison()
+        self._linked_addresses: set[str] = set()
 
     @property
     def directory(self) -> PeerDirectory:
         """Return the known daemons."""
         return self._directory
 
-    def new_call_id(self) -> int:
-        """Return an id that no other call of this daemon has."""
-        self._next_call_id += 1
-        return self._next_call_id
+    def next_call_id(self) -> int:
+        """Return an id that is unique among the calls of this daemon."""
+        self._last_call_id += 1
+        return self._last_call_id
 
     def refresh_own_report(self) -> None:
-        """Bring this daemon's own entry up to date."""
+        """Update the report of this daemon's own target."""
         now_s = self._clock.monotonic()
-        self._directory.own.take_report(self._gate.gate.report(now_s), now_s)
+        self._directory.own.update_report(self._gate.gate.report(now_s), now_s)
 
     def call(
         self, peer: Peer, call: Call, on_answer: Callable[[Answer], None]
     ) -> SentCall:
-        """Send a call to a gate; its answer comes once, perhaps at once."""
+        """Send a call to a gate.
+
+        The callback gets one answer, possibly before this method returns, and
+        none after `cancel`.
+        """
         if peer is self._directory.own:
             return self._gate.submit(call, on_answer)
         address = peer.record.address
-        opened = self._exchanges.begin(call.call_id, address, on_answer)
+        opened = self._exchanges.open(call.call_id, address, on_answer)
         peer.sent_since_report += 1
         if not self._send(address, call=call):
-            self._exchanges.forget(opened)
+            self._exchanges.remove(opened)
             on_answer(
                 Answer(
                     call_id=call.call_id,
@@ -111,14 +115,14 @@
         return opened
 
     def cancel(self, sent: SentCall) -> None:
-        """Tell the gate that nobody waits for a call any more."""
+        """Cancel a call whose answer is no longer needed."""
         if isinstance(sent, Submission):
             self._gate.cancel(sent)
-        elif self._exchanges.forget(sent):
+        elif self._exchanges.remove(sent):
             self._send(sent.address, cancel=Cancel(call_id=sent.call_id))
 
-    def follow_directory(self) -> None:
-        """Link to every known daemon, and to no other."""
+    def update_links(self) -> None:
+        """Connect to all known daemons and disconnect from all others."""
         wanted = self._directory.addresses
         for address in self._incarnations.keys() - wanted:
             self._link.disconnect(address)
@@ -127,80 +131,80 @@
             self._incarnations.setdefault(address, 0)
             self._link.connect(address)
         for peer in self._directory:
-            # A link may have come up before its peer was known.
-            if peer.record.address in self._up and not peer.linked:
+            # The link may have come up before the peer's record arrived.
+            if peer.record.address in self._linked_addresses and not peer.linked:
                 peer.linked = True
                 self._send_status(peer.record.address, reply=False)
 
     def broadcast_status(self) -> None:
-        """Tell all linked peers that the target's state has changed."""
+        """Send the current status to all linked peers."""
         for peer in self._directory:
             if peer.linked and peer is not self._directory.own:
                 self._send_status(peer.record.address, reply=True)
 
     async def run(self) -> None:
         """Serve the links until cancelled."""
-        self._timer.subscribe(WATCH_INTERVAL_S, self._check_links)
-        await self._link.run(self._take_event)
+        self._timer.subscribe(LINK_WATCH_INTERVAL_S, self._watch_links)
+        await self._link.run(self._handle_event)
 
-    def _take_event(self, event: LinkEvent) -> None:
+    def _handle_event(self, event: LinkEvent) -> None:
         match event:
             case LinkUp(address=address):
-                self._link_up(address)
+                self._on_link_up(address)
             case LinkDown(address=address):
-                self._link_down(address)
+                self._on_link_down(address)
             case frame:
-                self._take_frame(frame)
+                self._handle_frame(frame)
 
-    def _link_up(self, address: str) -> None:
-        self._up.add(address)
+    def _on_link_up(self, address: str) -> None:
+        self._linked_addresses.add(address)
         self._watch.link_up(address, self._clock.monotonic())
-        peer = self._directory.at(address)
+        peer = self._directory.by_address(address)
         if peer is not None:
             peer.linked = True
             logger.info("link up", peer=peer.record.name, address=address)
         self._send_status(address, reply=False)
 
-    def _link_down(self, address: str) -> None:
-        self._up.discard(address)
+    def _on_link_down(self, address: str) -> None:
+        self._linked_addresses.discard(address)
         self._watch.link_down(address)
-        lost = self._exchanges.link_lost(address)
-        peer = self._directory.at(address)
+        lost = self._exchanges.fail_calls(address)
+        peer = self._directory.by_address(address)
         if peer is not None:
             peer.linked = False
             peer.report = None
-            peer.lost_s = self._clock.monotonic()
+            peer.disconnected_s = self._clock.monotonic()
             logger.info(
                 "link down", peer=peer.record.name, address=address, calls_lost=lost
             )
 
-    def _check_links(self) -> None:
+    def _watch_links(self) -> None:
         now_s = self._clock.monotonic()
         for command in self._watch.check(self._exchanges.addresses, now_s):
             if isinstance(command, SendStatus):
                 self._send_status(command.address, reply=False)
             else:
-                logger.warning("link silent", address=command.address)
+                logger.warning("dead link reset", address=command.address)
                 self._link.reset(command.address)
         for peer in self._directory:
             address = peer.record.address
             if peer.linked and peer is not self._directory.own:
-                peer.quiet = self._watch.is_quiet(address, now_s)
+                peer.unresponsive = self._watch.is_unresponsive(address, now_s)
 
-    def _take_frame(self, frame: Frame) -> None:
+    def _handle_frame(self, frame: Frame) -> None:
         sender = frame.sender
         now_s = self._clock.monotonic()
-        self._note_sign_of_life(sender, frame.incarnation, now_s)
+        self._record_contact(sender, frame.incarnation, now_s)
         if frame.call is not None:
-            self._take_call(sender, frame.call)
+            self._handle_call(sender, frame.call)
         elif frame.answer is not None:
-            self._take_answer(sender, frame.answer, now_s)
+            self._handle_answer(sender, frame.answer, now_s)
         elif frame.cancel is not None:
-            submission = self._incoming.pop((sender, frame.cancel.call_id), None)
+            submission = self._incoming_calls.pop((sender, frame.cancel.call_id), None)
             if submission is not None:
                 self._gate.cancel(submission)
         elif frame.status is not None:
-            self._take_status(sender, frame.status, now_s)
+            self._handle_status(sender, frame.status, now_s)
         elif frame.document_index is not None:
             newer = self._documents.newer_than(frame.document_index.versions)
             if newer:
@@ -210,12 +214,12 @@
                 self.offer_document(document, source=sender)
 
     def offer_document(self, document: Document, source: str) -> None:
-        """Take a document if it is newer than the known one."""
-        if not self._documents.is_newer(document) or not self._accept(document):
+        """Store a document and signal the change if it is newer and valid."""
+        if not self._documents.is_newer(document) or not self._accepts(document):
             return
         if self._documents.offer(document):
             logger.debug(
-                "document",
+                "document changed",
                 name=document.name,
                 revision=document.revision,
                 deleted=document.deleted,
@@ -223,51 +227,53 @@
             )
             self._events.emit(DocumentChanged(document=document))
 
-    def _note_sign_of_life(self, sender: str, incarnation: int, now_s: float) -> None:
-        self._watch.heard(sender, now_s)
-        peer = self._directory.at(sender)
+    def _record_contact(self, sender: str, incarnation: int, now_s: float) -> None:
+        self._watch.record_contact(sender, now_s)
+        peer = self._directory.by_address(sender)
         if peer is not None:
-            peer.quiet = False
+            peer.unresponsive = False
         known = self._incarnations.get(sender)
         if known is None:
-            # A peer that this daemon has not found in the store yet.
+            # This daemon has not received the peer's record yet.
             self._link.connect(sender)
         elif known and known != incarnation:
-            self._exchanges.link_lost(sender)
+            self._exchanges.fail_calls(sender)
         self._incarnations[sender] = incarnation
 
-    def _take_call(self, sender: str, call: Call) -> None:
+    def _handle_call(self, sender: str, call: Call) -> None:
         key = (sender, call.call_id)
 
         def answer(value: Answer) -> None:
-            self._incoming.pop(key, None)
+            self._incoming_calls.pop(key, None)
             self._send(sender, answer=value)
 
         submission = self._gate.submit(call, answer)
         if not submission.answered:
-            self._incoming[key] = submission
+            self._incoming_calls[key] = submission
 
-    def _take_answer(self, sender: str, answer: Answer, now_s: float) -> None:
-        peer = self._directory.at(sender)
+    def _handle_answer(self, sender: str, answer: Answer, now_s: float) -> None:
+        peer = self._directory.by_address(sender)
         if peer is not None and answer.report is not None:
-            peer.take_report(answer.report, now_s)
-        self._exchanges.answered(sender, answer)
+            peer.update_report(answer.report, now_s)
+        self._exchanges.complete(sender, answer)
 
-    def _take_status(self, sender: str, status: Status, now_s: float) -> None:
-        peer = self._directory.at(sender)
+    def _handle_status(self, sender: str, status: Status, now_s: float) -> None:
+        peer = self._directory.by_address(sender)
         if peer is not None and status.report is not None:
-            peer.take_report(status.report, now_s)
+            peer.update_report(status.report, now_s)
         if not status.reply:
             self._send_status(sender, reply=True)
         self._compare_documents(sender, status.digest)
 
     def _compare_documents(self, sender: str, digest: int) -> None:
         now_s = self._clock.monotonic()
-        peer = self._directory.at(sender)
-        near = peer is not None and (
+        peer = self._directory.by_address(sender)
+        same_domain = peer is not None and (
             peer.record.failure_domain == self._directory.own.record.failure_domain
         )
-        if self._comparison.is_due(self._documents.digest, digest, now_s, near=near):
+        if self._digest_comparison.is_due(
+            self._documents.digest, digest, now_s, same_domain=same_domain
+        ):
             versions = self._documents.versions
             self._send(sender, document_index=DocumentIndex(versions=versions))
 
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -1,4 +1,4 @@
-"""Keep what this daemon knows of the other daemons and their targets."""
+"""Keep the state of the other daemons and their targets."""
 
 from collections.abc import Iterable, Iterator
 from math import inf
@@ -11,40 +11,40 @@
 
 @define(eq=False, kw_only=True)
 class Peer:
-    """Hold one daemon as this one sees it."""
+    """Represent a daemon as seen by this one."""
 
     record: DaemonRecord
     report: TargetReport | None = None
     reported_s: float = -inf
     linked: bool = False
-    quiet: bool = False
-    """Whether it owes an answer for so long that it may be cut off."""
+    unresponsive: bool = False
+    """Whether it has not answered for so long that it may be partitioned."""
     sent_since_report: int = 0
-    """Calls sent after the report, which it can't count."""
-    lost_s: float = inf
-    """When the last link to it ended, infinity before its first one."""
+    """Calls sent after the report, which does not include them."""
+    disconnected_s: float = inf
+    """When the last link to it went down, infinity before that."""
     last_called_s: float = -inf
-    """When this daemon last chose the target for a call."""
+    """When this daemon last chose its target for a call."""
 
-    def take_report(self, report: TargetReport, now_s: float) -> None:
-        """Take what the peer's gate tells of its target."""
+    def update_report(self, report: TargetReport, now_s: float) -> None:
+        """Replace the report of the peer's gate about its target."""
         self.report = report
         self.reported_s = now_s
         self.sent_since_report = 0
 
     @property
     def accepts_calls(self) -> bool:
-        """Tell whether the gate is known to let calls through."""
+        """Return whether the gate is reachable and known to admit calls."""
         return (
             self.linked
-            and not self.quiet
+            and not self.unresponsive
             and self.report is not None
             and self.report.state in OPEN_STATES
         )
 
 
 class PeerDirectory:
-    """Find daemons by name, by address and by the service of their target."""
+    """Look up daemons by address and by the service of their target."""
 
     def __init__(self, own: DaemonRecord) -> None:
         self._own = Peer(record=own, linked=True)
@@ -55,7 +55,7 @@
 
     @property
     def own(self) -> Peer:
-        """Return this daemon's own entry."""
+        """Return the peer object of this daemon."""
         return self._own
 
     @property
@@ -69,16 +69,16 @@
     def __iter__(self) -> Iterator[Peer]:
         return iter(self._by_address.values())
 
-    def at(self, address: str) -> Peer | None:
-        """Return the daemon at a peer address."""
+    def by_address(self, address: str) -> Peer | None:
+        """Return the daemon with a peer address, None if it is unknown."""
         return self._by_address.get(address)
 
-    def of_service(self, service: str) -> list[Peer]:
-        """Return the daemons beside targets of a service."""
+    def for_service(self, service: str) -> list[Peer]:
+        """Return the daemons that have a target of a service."""
         return self._by_service.get(service, [])
 
     def replace_all(self, records: Iterable[DaemonRecord]) -> None:
-        """Take the whole list of daemons; this one is always on it."""
+        """Replace the list of daemons; this daemon always remains on it."""
         own = self._own.record
         found = {r.name: r for r in records if r.address != own.address}
         for name, record in found.items():
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -38,7 +38,7 @@
     """Answer requests."""
 
     async def __call__(
-        self, request: Request, disconnected: Callable[[], Awaitable[None]]
+        self, request: Request, wait_for_disconnect: Callable[[], Awaitable[None]]
     ) -> Response:
         """Return the whole answer, or any once the caller has gone away."""
 
--- a/tests/relay/test_entry_cleanup.py
+++ b/tests/relay/test_record_cleanup.py
@@ -2,31 +2,35 @@
 
 from relay_builders import make_peer
 
-from catkinhollow.relay.entry_cleanup import GONE_S, find_gone
+from catkinhollow.relay.record_cleanup import STALE_RECORD_S, find_stale_peers
 
 
 def make_fleet(lost=1):
     peers = [make_peer(f"p{number}") for number in range(6)]
     for peer in peers[:lost]:
         peer.linked = False
-        peer.lost_s = 0.0
+        peer.disconnected_s = 0.0
     return peers
 
 
 def test_one_daemon_is_responsible_for_an_entry():
     """Guards against entries that nobody deletes, or all at once."""
     peers = make_fleet()
-    found = [find_gone(peers, own, GONE_S + 1) for own in peers[1:]]
+    found = [find_stale_peers(peers, own, STALE_RECORD_S + 1) for own in peers[1:]]
     assert sorted(map(len, found)) == [0, 0, 0, 0, 1]
 
 
 def test_entry_of_a_restarting_daemon_stays():
     """Guards against a daemon that must be found anew after each restart."""
     peers = make_fleet()
-    assert not any(find_gone(peers, own, GONE_S - 1) for own in peers[1:])
+    assert not any(
+        find_stale_peers(peers, own, STALE_RECORD_S - 1) for own in peers[1:]
+    )
 
 
 def test_daemon_that_lost_most_peers_deletes_nothing():
     """Guards against a daemon behind a cut that empties the list."""
     peers = make_fleet(lost=4)
-    assert not any(find_gone(peers, own, GONE_S + 1) for own in peers[4:])
+    assert not any(
+        find_stale_peers(peers, own, STALE_RECORD_S + 1) for own in peers[4:]
+    )
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -162,10 +162,10 @@
         directory = fleet.members[name].daemon.directory
         known = [peer.record for peer in directory if peer is not directory.own]
         directory.replace_all([*known, record])
-        fleet.members[name].daemon.network.follow_directory()
+        fleet.members[name].daemon.network.update_links()
     await fleet.until(lambda: three.ready, 8.0)
     two = fleet.members["two"].settings.peer
-    await fleet.until(lambda: three.directory.at(two).accepts_calls)
+    await fleet.until(lambda: three.directory.by_address(two).accepts_calls)
     assert (await fleet.call("three", "c1")).status == 200
 
 
@@ -205,9 +205,9 @@
     record = two.directory.own.record
     one.directory.replace_all([])
     one.directory.replace_all([record])
-    assert not one.directory.at(record.address).linked
-    one.network.follow_directory()
-    await fleet.until(lambda: one.directory.at(record.address).accepts_calls)
+    assert not one.directory.by_address(record.address).linked
+    one.network.update_links()
+    await fleet.until(lambda: one.directory.by_address(record.address).accepts_calls)
     assert (await fleet.call("one", "c1")).status == 200
 
 
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -90,7 +90,7 @@
     asked = [
         step / 100
         for step in range(100)
-        if comparison.is_due(own=1, other=2, now_s=step / 100, near=True)
+        if comparison.is_due(own=1, other=2, now_s=step / 100, same_domain=True)
     ]
     assert asked[0] == pytest.approx(0.5, abs=0.02)
     assert len(asked) <= 3
@@ -99,10 +99,10 @@
 def test_peer_nearby_is_asked_before_one_elsewhere():
     """Guards against configurations that cross between failure domains."""
     comparison = DigestComparison()
-    assert not comparison.is_due(own=1, other=2, now_s=0.0, near=False)
-    assert not comparison.is_due(own=1, other=2, now_s=0.7, near=False)
-    assert comparison.is_due(own=1, other=2, now_s=0.7, near=True)
-    assert comparison.is_due(own=1, other=2, now_s=1.1, near=False)
+    assert not comparison.is_due(own=1, other=2, now_s=0.0, same_domain=False)
+    assert not comparison.is_due(own=1, other=2, now_s=0.7, same_domain=False)
+    assert comparison.is_due(own=1, other=2, now_s=0.7, same_domain=True)
+    assert comparison.is_due(own=1, other=2, now_s=1.1, same_domain=False)
 
 
 def test_change_that_the_store_brings_is_not_asked_for():
@@ -111,13 +111,13 @@
     for change in range(1, 20):
         late_s = 0.33 * change
         assert not comparison.is_due(
-            own=change, other=change + 1, now_s=late_s, near=True
+            own=change, other=change + 1, now_s=late_s, same_domain=True
         )
         assert not comparison.is_due(
-            own=change, other=change + 1, now_s=late_s + 0.05, near=True
+            own=change, other=change + 1, now_s=late_s + 0.05, same_domain=True
         )
         assert not comparison.is_due(
-            own=change + 1, other=change + 1, now_s=late_s + 0.1, near=True
+            own=change + 1, other=change + 1, now_s=late_s + 0.1, same_domain=True
         )
 
 
@@ -125,7 +125,7 @@
     """Guards against an isolated daemon that waits for the last change."""
     comparison = DigestComparison()
     due = [
-        comparison.is_due(own=1, other=2 + step // 3, now_s=step / 9, near=True)
+        comparison.is_due(own=1, other=2 + step // 3, now_s=step / 9, same_domain=True)
         for step in range(20)
     ]
     assert any(due[:8])
@@ -133,7 +133,7 @@
 
 def test_daemon_without_documents_asks_at_once():
     """Guards against a slow start while the store is away."""
-    assert DigestComparison().is_due(own=0, other=7, now_s=5.0, near=False)
+    assert DigestComparison().is_due(own=0, other=7, now_s=5.0, same_domain=False)
 
 
 def test_silent_link_is_reset():
@@ -155,11 +155,11 @@
     for step in range(14):
         now_s = step * 0.1
         watch.check({"p"}, now_s)
-        if quiet_s is None and watch.is_quiet("p", now_s):
+        if quiet_s is None and watch.is_unresponsive("p", now_s):
             quiet_s = now_s
     assert quiet_s is not None and quiet_s <= 0.9
-    watch.heard("p", 1.4)
-    assert not watch.is_quiet("p", 1.4)
+    watch.record_contact("p", 1.4)
+    assert not watch.is_unresponsive("p", 1.4)
 
 
 def test_answering_peer_is_not_reset():
@@ -170,7 +170,7 @@
         now_s = step * 0.2
         for command in watch.check(set(), now_s):
             assert command == SendStatus("p")
-            watch.heard("p", now_s + 0.05)
+            watch.record_contact("p", now_s + 0.05)
 
 
 def test_invalid_configuration_is_named():
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -86,7 +86,7 @@
         service=service,
     )
     peer = Peer(record=record, linked=True)
-    peer.take_report(report or make_report(), 0.0)
+    peer.update_report(report or make_report(), 0.0)
     return peer
 
 
