--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -28,7 +28,7 @@
     MetricsApplication,
     ReadyApplication,
 )
-from catkinhollow.relay.document_handler import DocumentCheck, DocumentHandler
+from catkinhollow.relay.document_handler import DocumentHandler, DocumentValidator
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
@@ -114,7 +114,7 @@
         self._metrics = RelayMetrics()
         self._log = RequestLog(self._clock)
         self._documents = DocumentTable()
-        self._check = DocumentCheck()
+        self._validator = DocumentValidator()
         self._failure_told_s = -inf
         self._listening = False
         self._stopping = False
@@ -123,7 +123,7 @@
         self._build_control(decode)
         handler = DocumentHandler(
             failure_domain=settings.failure_domain,
-            check=self._check,
+            validator=self._validator,
             table=self._documents,
             ingress=self._ingress,
             gate=self._gate,
@@ -131,7 +131,7 @@
             versions=self._versions,
             moves=self._moves,
         )
-        self._events.connect(DocumentChanged, handler.take)
+        self._events.connect(DocumentChanged, handler.apply)
 
     def _own_record(self) -> DaemonRecord:
         settings = self._settings
@@ -167,7 +167,7 @@
             link=NngFrameLink(settings.peer, self._timer),
             timer=self._timer,
             events=self._events,
-            accepts=self._check.accepts,
+            accepts=self._validator.accepts,
         )
         self._versions = VersionPolicy(self._random)
         self._ingress = Ingress(
@@ -193,8 +193,8 @@
             store=self._store,
             decode=decode,
             table=self._documents,
-            own=self._directory.own.record,
-            offer=self._network.offer_document,
+            own_record=self._directory.own.record,
+            on_document=self._network.offer_document,
             random=self._random,
             metrics=self._metrics,
         )
@@ -354,7 +354,7 @@
     def _collect_metrics(self) -> RelayMetrics:
         metrics = self._metrics
         gate = self._gate.gate
-        metrics.version.set({}, max(0, self._check.version))
+        metrics.version.set({}, max(0, self._validator.version))
         metrics.gate_calls.set({"state": "running"}, gate.running)
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
         linked = sum(peer.linked for peer in self._directory) - 1
--- a/catkinhollow/relay/document_handler.py
+++ b/catkinhollow/relay/document_handler.py
@@ -1,4 +1,4 @@
-"""Check documents and put those that are taken in force."""
+"""Validate documents and apply those that are accepted."""
 
 from typing import Any, TypeVar
 
@@ -10,7 +10,7 @@
     RelayConfiguration,
 )
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.configuration_check import find_fault
+from catkinhollow.relay.configuration_check import find_error
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.ingress import Ingress
@@ -28,8 +28,9 @@
 
 T = TypeVar("T")
 
-# What the body of each kind decodes to; an evacuation is named by its name.
-BODIES: dict[str, Any] = {
+# Type of the body of each kind. The body of an evacuation has no further
+# content; the document's name is the failure domain.
+BODY_TYPES: dict[str, Any] = {
     CONFIGURATION: RelayConfiguration,
     DAEMONS: DaemonRecord,
     ORDERS: MoveOrder,
@@ -37,56 +38,58 @@
 }
 
 
-class DocumentCheck:
-    """Refuse documents that must not replace what is known."""
+class DocumentValidator:
+    """Refuse documents that must not replace the known ones."""
 
     def __init__(self) -> None:
         self._version = -1
 
     @property
     def version(self) -> int:
-        """Return the version of the configuration in force, -1 if none is."""
+        """Return the configuration version in force, -1 if there is none."""
         return self._version
 
     def accepts(self, document: Document) -> bool:
-        """Tell whether a document may replace the known one."""
-        fault = self._find_fault(document)
-        if fault:
+        """Return whether a document may replace the known one."""
+        error = self._find_error(document)
+        if error:
             logger.error(
                 "document refused",
                 name=document.name,
                 revision=document.revision,
-                reason=fault,
+                reason=error,
             )
-        return not fault
+        return not error
 
-    def enforced(self, version: int) -> None:
-        """Note the version in force."""
+    def set_version(self, version: int) -> None:
+        """Set the configuration version in force."""
         self._version = version
 
-    def _find_fault(self, document: Document) -> str:
+    def _find_error(self, document: Document) -> str:
         kind = document.name.partition("/")[0]
-        if kind not in BODIES:
+        if kind not in BODY_TYPES:
             return "unknown kind"
         if document.deleted:
-            return "a configuration is not deleted" if kind == CONFIGURATION else ""
-        # Peers of another release may send what this one can't read.
-        decoded = decode_message(document.body, BODIES[kind])
+            return (
+                "a configuration must not be deleted" if kind == CONFIGURATION else ""
+            )
+        # Peers of another release may send bodies that this one cannot decode.
+        decoded = decode_message(document.body, BODY_TYPES[kind])
         if decoded.is_error():
             return str(decoded.error.reason)
         if kind == CONFIGURATION:
-            return find_fault(decoded.ok, self._version)
+            return find_error(decoded.ok, self._version)
         return ""
 
 
 class DocumentHandler:
-    """Put changed documents in force."""
+    """Apply changed documents to the parts of the daemon."""
 
     def __init__(
         self,
         *,
         failure_domain: str,
-        check: DocumentCheck,
+        validator: DocumentValidator,
         table: DocumentTable,
         ingress: Ingress,
         gate: GateService,
@@ -95,31 +98,31 @@
         moves: MoveDriver,
     ) -> None:
         self._failure_domain = failure_domain
-        self._check = check
+        self._validator = validator
         self._table = table
         self._ingress = ingress
         self._gate = gate
         self._network = network
         self._versions = versions
         self._moves = moves
-        self._daemons: dict[str, DaemonRecord] = {}
+        self._records: dict[str, DaemonRecord] = {}
 
-    def take(self, event: DocumentChanged) -> None:
-        """Put a document in force that the check has accepted."""
+    def apply(self, event: DocumentChanged) -> None:
+        """Apply a document that the validator has accepted."""
         document = event.document
         kind, _, name = document.name.partition("/")
         if kind == CONFIGURATION:
-            self._enforce(document)
+            self._apply_configuration(document)
         elif kind == DAEMONS:
-            self._take_daemon(document, name)
+            self._apply_daemon_record(document, name)
         elif kind == ORDERS:
-            self._take_order(document, name)
+            self._apply_order(document, name)
         else:
-            self._take_evacuation(document, name)
+            self._apply_evacuation(document, name)
 
-    def _enforce(self, document: Document) -> None:
-        configuration = _decoded(document, RelayConfiguration)
-        self._check.enforced(configuration.version)
+    def _apply_configuration(self, document: Document) -> None:
+        configuration = _decode(document, RelayConfiguration)
+        self._validator.set_version(configuration.version)
         self._ingress.configure(configuration)
         self._gate.configure(configuration)
         logger.info(
@@ -129,23 +132,23 @@
             routes=len(configuration.routes),
         )
 
-    def _take_daemon(self, document: Document, name: str) -> None:
-        # Each entry is decoded once; decoding all at each change would make
-        # the start of a fleet quadratic.
+    def _apply_daemon_record(self, document: Document, name: str) -> None:
+        # Only the changed record is decoded; decoding all of them at each
+        # change would make the start of a fleet quadratic.
         if document.deleted:
-            self._daemons.pop(name, None)
+            self._records.pop(name, None)
         else:
-            self._daemons[name] = _decoded(document, DaemonRecord)
-        self._network.directory.replace_all(self._daemons.values())
+            self._records[name] = _decode(document, DaemonRecord)
+        self._network.directory.replace_all(self._records.values())
         self._network.update_links()
 
-    def _take_order(self, document: Document, service: str) -> None:
+    def _apply_order(self, document: Document, service: str) -> None:
         documents = self._table.of_kind(ORDERS)
-        self._versions.set_orders(_decoded(known, MoveOrder) for known in documents)
+        self._versions.set_orders(_decode(known, MoveOrder) for known in documents)
         if document.deleted:
             self._moves.remove_order(service)
             return
-        order = _decoded(document, MoveOrder)
+        order = _decode(document, MoveOrder)
         self._moves.update_order(order, document.revision)
         progress = order.progress
         logger.info(
@@ -157,9 +160,9 @@
             revision=document.revision,
         )
 
-    def _take_evacuation(self, document: Document, failure_domain: str) -> None:
+    def _apply_evacuation(self, document: Document, failure_domain: str) -> None:
         logger.info(
-            "failure domain",
+            "failure domain changed",
             name=failure_domain,
             out=not document.deleted,
             revision=document.revision,
@@ -168,9 +171,9 @@
             self._gate.set_evacuated(not document.deleted)
 
 
-def _decoded(document: Document, kind: type[T]) -> T:
+def _decode(document: Document, kind: type[T]) -> T:
     decoded = decode_message(document.body, kind)
     if decoded.is_error():
-        # The check has read it before.
+        # The validator has decoded it before.
         raise ValueError(f"{document.name}: {decoded.error.reason}")
     return decoded.ok
--- a/catkinhollow/relay/documents.py
+++ b/catkinhollow/relay/documents.py
@@ -1,7 +1,8 @@
-"""Hold the stored objects that every daemon needs, newest revision first.
+"""Keep the newest revision of the stored objects that every daemon needs.
 
-Each object is ordered by its own store revision, which grows with every
-change. A daemon therefore never goes back, whichever way a document came.
+The store revision of an object increases with every change. A daemon therefore
+never returns to an older revision, whether a document comes from the store or
+from a peer.
 """
 
 from collections.abc import Iterable
@@ -12,45 +13,49 @@
 
 from catkinhollow.generated.relay import Document, DocumentVersion
 
-# The store brings a change to all daemons within milliseconds; only a
-# difference that lasts longer is worth a transfer between them.
-LASTING_S = 0.5
-# The same where the peer is in another failure domain, as bytes between
-# failure domains are dear and a peer nearby mostly has the document too.
-FAR_LASTING_S = 1.0
-# Differences further apart are not one that lasts. Peers send 12 statuses/s
-# or, in a small fleet, one a second each.
-CONTINUED_S = 2.0
-# Time between two requests, so that a change does not come from every peer.
-ASK_INTERVAL_S = 0.25
+# The store delivers a change to all daemons within milliseconds; documents are
+# only requested from a peer if a difference lasts longer than this.
+LASTING_DIFFERENCE_S = 0.5
+# The same limit for peers in another failure domain: traffic between failure
+# domains is expensive, and a nearby peer usually has the document as well.
+OTHER_DOMAIN_LASTING_S = 1.0
+# Differences observed further apart do not count as lasting. Peers send 12
+# statuses/s or, in a small fleet, one status per second each.
+MAX_OBSERVATION_GAP_S = 2.0
+# Minimum time between requests, so that not every peer sends the same change.
+MIN_REQUEST_INTERVAL_S = 0.25
 EMPTY_DIGEST = 0
 
 
 @define
 class DigestComparison:
-    """Decide when to ask a peer for newer documents."""
+    """Decide when to request newer documents from a peer."""
 
-    _own: int = EMPTY_DIGEST
-    _since_s: float = inf
-    _seen_s: float = -inf
-    _asked_s: float = -inf
+    _own_digest: int = EMPTY_DIGEST
+    _differs_since_s: float = inf
+    _difference_seen_s: float = -inf
+    _requested_s: float = -inf
 
     def is_due(self, own: int, other: int, now_s: float, *, same_domain: bool) -> bool:
-        """Tell whether to ask the peer whose digest has come."""
-        if own != self._own:
-            self._own = own
-            self._since_s = inf
+        """Return whether to request documents from the digest's sender."""
+        if own != self._own_digest:
+            self._own_digest = own
+            self._differs_since_s = inf
         if own == other:
             return False
-        if now_s - self._seen_s > CONTINUED_S:
-            self._since_s = inf
-        self._seen_s = now_s
-        self._since_s = min(self._since_s, now_s)
-        least_s = LASTING_S if same_domain else FAR_LASTING_S
-        lasting = own == EMPTY_DIGEST or now_s - self._since_s >= least_s
-        if not lasting or now_s - self._asked_s < ASK_INTERVAL_S:
+        if now_s - self._difference_seen_s > MAX_OBSERVATION_GAP_S:
+            self._differs_since_s = inf
+        self._difference_seen_s = now_s
+        self._differs_since_s = min(self._differs_since_s, now_s)
+        min_difference_s = (
+            LASTING_DIFFERENCE_S if same_domain else OTHER_DOMAIN_LASTING_S
+        )
+        lasting = (
+            own == EMPTY_DIGEST or now_s - self._differs_since_s >= min_difference_s
+        )
+        if not lasting or now_s - self._requested_s < MIN_REQUEST_INTERVAL_S:
             return False
-        self._asked_s = now_s
+        self._requested_s = now_s
         return True
 
 
@@ -75,7 +80,7 @@
         ]
 
     def get(self, name: str) -> Document | None:
-        """Return a document that exists."""
+        """Return a document, None if it is unknown or deleted."""
         document = self._documents.get(name)
         return None if document is None or document.deleted else document
 
@@ -89,12 +94,12 @@
         ]
 
     def is_newer(self, document: Document) -> bool:
-        """Tell whether a document is newer than the known one."""
+        """Return whether a document is newer than the known one."""
         known = self._documents.get(document.name)
         return known is None or known.revision < document.revision
 
     def offer(self, document: Document) -> bool:
-        """Take a document if it is newer than the known one."""
+        """Store a document if it is newer; return whether it was stored."""
         if not self.is_newer(document):
             return False
         known = self._documents.get(document.name)
@@ -104,8 +109,13 @@
         self._digest ^= _hash(document)
         return True
 
-    def missing_from(self, kind: str, names: set[str], revision: int) -> list[Document]:
-        """Return deletions of what a whole listing at a revision lacks."""
+    def find_deletions(
+        self, kind: str, names: set[str], revision: int
+    ) -> list[Document]:
+        """Return deletions of documents missing from a complete listing.
+
+        Documents newer than the listing's revision are kept.
+        """
         return [
             Document(name=document.name, revision=revision, deleted=True, body=b"")
             for document in self.of_kind(kind)
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -1,4 +1,4 @@
-"""Follow the objects of the store and keep this daemon's own entry there."""
+"""Follow the objects of the store and maintain this daemon's record there."""
 
 from collections.abc import Callable
 from random import Random
@@ -20,28 +20,29 @@
 
 logger = get_logger(__name__)
 
-# A watch that waits longer costs fewer calls; a silent connection shows by
-# TCP keep-alive, not by the end of the wait.
-WATCH_S = 25.0
-# Pause after changed entries of daemons, which come in bursts: without it the
-# start of 90 daemons cost each of them a call for every other one.
-ENTRIES_PAUSE_S = 0.3
-# Entries must be back 2 s after the store's return, so no delay is longer.
+# A longer wait needs fewer calls; a dead connection is detected by TCP
+# keep-alive, not by the end of the wait.
+WATCH_TIMEOUT_S = 25.0
+# Pause after changes of daemon records, which come in bursts: without it the
+# start of 90 daemons cost each of them one call per other daemon.
+RECORDS_PAUSE_S = 0.3
+# Records must be written again within 2 s after the store's return, which
+# limits the delay between retries.
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.2
 
-Offer = Callable[[Document, str], None]
+OnDocument = Callable[[Document, str], None]
 
 
 class ObjectDecoder(Protocol):
-    """Turn the value of a stored object into one of this package's types."""
+    """Decode the value of a stored object to one of this package's types."""
 
     def __call__(self, stored: StoredObject) -> Result[Any, DecodeError]:
-        """Return the typed value of an object that exists."""
+        """Return the typed value of an object that is not deleted."""
 
 
 class StoreFollower:
-    """Offer each change of the followed kinds."""
+    """Pass each change of the followed kinds to a callback."""
 
     def __init__(
         self,
@@ -49,23 +50,23 @@
         store: StoreClient,
         decode: ObjectDecoder,
         table: DocumentTable,
-        own: DaemonRecord,
-        offer: Offer,
+        own_record: DaemonRecord,
+        on_document: OnDocument,
         random: Random,
         metrics: RelayMetrics,
     ) -> None:
         self._store = store
         self._decode = decode
         self._table = table
-        self._own = own
-        self._offer = offer
+        self._own_record = own_record
+        self._on_document = on_document
         self._random = random
         self._metrics = metrics
         self._reachable: dict[str, bool] = {}
 
     @property
     def reachable(self) -> bool:
-        """Tell whether the store answered the last call of each kind."""
+        """Return whether the store answered the last call of each kind."""
         return all(self._reachable.get(kind, False) for kind in KINDS)
 
     async def run(self) -> None:
@@ -81,30 +82,32 @@
             if revision is None:
                 result = await self._store.list_objects(kind)
             else:
-                result = await self._store.watch(kind, after=revision, wait_s=WATCH_S)
+                result = await self._store.watch(
+                    kind, after=revision, wait_s=WATCH_TIMEOUT_S
+                )
             if result.is_error():
-                self._note_failure(kind, result.error.reason)
+                self._record_failure(kind, result.error.reason)
                 await trio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
-            self._note_answer(kind)
-            revision = self._take(kind, result.ok)
+            self._record_success(kind)
+            revision = self._apply_listing(kind, result.ok)
             if kind == DAEMONS:
-                await self._keep_own_entry()
+                await self._ensure_own_record()
                 if result.ok.objects:
-                    await trio.sleep(ENTRIES_PAUSE_S)
+                    await trio.sleep(RECORDS_PAUSE_S)
 
-    def _take(self, kind: str, listing: ObjectList) -> int:
+    def _apply_listing(self, kind: str, listing: ObjectList) -> int:
         for stored in listing.objects:
-            self._take_object(stored)
+            self._apply_object(stored)
         if listing.complete:
             names = {f"{kind}/{stored.name}" for stored in listing.objects}
-            gone = self._table.missing_from(kind, names, listing.revision)
+            gone = self._table.find_deletions(kind, names, listing.revision)
             for document in gone:
-                self._offer(document, "store")
+                self._on_document(document, "store")
         return listing.revision
 
-    def _take_object(self, stored: StoredObject) -> None:
+    def _apply_object(self, stored: StoredObject) -> None:
         name = f"{stored.kind}/{stored.name}"
         body = b""
         if not stored.deleted:
@@ -121,32 +124,35 @@
         document = Document(
             name=name, revision=stored.revision, deleted=stored.deleted, body=body
         )
-        self._offer(document, "store")
+        self._on_document(document, "store")
 
-    async def _keep_own_entry(self) -> None:
-        """Write this daemon's entry if the store has none or another one."""
-        known = self._table.get(f"{DAEMONS}/{self._own.name}")
-        wanted = encode_message(self._own)
-        if known is not None and known.body == wanted:
+    async def _ensure_own_record(self) -> None:
+        """Write this daemon's record if it is missing or different."""
+        known = self._table.get(f"{DAEMONS}/{self._own_record.name}")
+        expected = encode_message(self._own_record)
+        if known is not None and known.body == expected:
             return
         revision = known.revision if known else 0
         result = await self._store.put(
-            DAEMONS, self._own.name, to_plain(self._own), if_revision=revision
+            DAEMONS,
+            self._own_record.name,
+            to_plain(self._own_record),
+            if_revision=revision,
         )
         if result.is_ok():
-            logger.info("own entry written", revision=result.ok.revision)
+            logger.info("daemon record written", revision=result.ok.revision)
         elif result.error.kind is not StoreErrorKind.CONFLICT:
-            # The next listing or change of the kind tries again.
-            logger.warning("own entry not written", reason=result.error.reason)
-            self._note_failure(DAEMONS, result.error.reason)
+            # The next listing or change of this kind triggers a retry.
+            logger.warning("daemon record not written", reason=result.error.reason)
+            self._record_failure(DAEMONS, result.error.reason)
 
-    def _note_failure(self, kind: str, reason: str) -> None:
+    def _record_failure(self, kind: str, reason: str) -> None:
         self._metrics.store_failures.inc({"kind": kind})
         if self._reachable.get(kind, True):
             logger.warning("store lost", kind=kind, reason=reason)
         self._reachable[kind] = False
 
-    def _note_answer(self, kind: str) -> None:
+    def _record_success(self, kind: str) -> None:
         if not self._reachable.get(kind, False):
             logger.info("store answers", kind=kind)
         self._reachable[kind] = True
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -8,8 +8,8 @@
 
 from catkinhollow.codec import encode_message
 from catkinhollow.generated.relay import Document, WeightedService
-from catkinhollow.relay.configuration_check import find_fault
-from catkinhollow.relay.document_handler import DocumentCheck
+from catkinhollow.relay.configuration_check import find_error
+from catkinhollow.relay.document_handler import DocumentValidator
 from catkinhollow.relay.documents import DigestComparison, DocumentTable
 from catkinhollow.relay.peer_watch import PeerWatch, ResetLink, SendStatus
 from catkinhollow.relay.retry_advice import retry_after_s
@@ -62,7 +62,7 @@
     table = DocumentTable()
     table.offer(make_document(5, "daemons/a"))
     table.offer(make_document(9, "daemons/b"))
-    gone = table.missing_from("daemons", set(), 7)
+    gone = table.find_deletions("daemons", set(), 7)
     assert [document.name for document in gone] == ["daemons/a"]
 
 
@@ -175,24 +175,24 @@
 
 def test_invalid_configuration_is_named():
     """Guards against a version that is applied in part."""
-    assert find_fault(make_configuration(), -1) == ""
-    assert "older" in find_fault(make_configuration(3), 4)
+    assert find_error(make_configuration(), -1) == ""
+    assert "older" in find_error(make_configuration(3), 4)
     unknown = make_configuration(routes=[make_route(service="none")])
-    assert "unknown service" in find_fault(unknown, -1)
+    assert "unknown service" in find_error(unknown, -1)
     bare = make_configuration(routes=[make_route(path_prefix="/a")])
-    assert "slash" in find_fault(bare, -1)
+    assert "slash" in find_error(bare, -1)
 
 
 def test_document_that_cannot_be_read_is_refused():
     """Guards against a peer of another release that ends this daemon."""
-    check = DocumentCheck()
+    check = DocumentValidator()
     for kind in ("configuration", "daemons", "orders", "evacuations", "novel"):
         broken = Document(name=f"{kind}/x", revision=5, body=b"\xc1 nothing")
         assert not check.accepts(broken), kind
     body = encode_message(make_configuration(3))
     configuration = Document(name="configuration/main", revision=6, body=body)
     assert check.accepts(configuration)
-    check.enforced(4)
+    check.set_version(4)
     assert not check.accepts(configuration)
 
 
