--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -1,4 +1,4 @@
-"""Assemble the parts of a relay daemon."""
+"""Assemble and run the parts of a relay daemon."""
 
 import signal
 from collections.abc import Awaitable, Callable
@@ -51,45 +51,49 @@
 
 logger = get_logger(__name__)
 
-# Part of the fleet's retry budget that the daemons use. The rest is for the
-# calls of repeated runs, which other entries make.
+# Share of the fleet's retry budget that is used for retries by the daemons.
+# The rest is left for the calls of repeated runs, which are made through
+# other ingress daemons.
 RETRY_BUDGET_SHARE = 0.4
-# Idle connections to the target are not used after this time, well before
+# Idle connections to the target are not reused after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
-# Platform checks ask once a second and need two misses.
-LEAVE_S = 2.2
-# Callers that stay although the instance is not ready are refused from here
-# on, so that no request is open at the end; most take under 2 s.
-TAKE_REQUESTS_S = 3.0
-# The gate still takes calls for this part of that time.
-GATE_OPEN_S = 1.9
-# Kept for the end of the process before it would be killed.
+# Minimum time of a shutdown. The platform checks readiness once per second and
+# needs two failed checks.
+MIN_DRAIN_S = 2.2
+# Callers that still send requests after this time, although the instance is
+# not ready, are refused, so that no request is open at the end of the
+# shutdown; most requests take less than 2 s.
+ACCEPT_REQUESTS_S = 3.0
+# Time of a shutdown during which the gate still accepts calls.
+GATE_DRAIN_DELAY_S = 1.9
+# Part of the grace period that is reserved for the exit of the process, which
+# is killed at the end of the period.
 EXIT_MARGIN_S = 1.0
-SHUTDOWN_CHECK_S = 0.1
+DRAIN_POLL_S = 0.1
 CONTROL_DRAIN_S = 0.2
 RELOAD_INTERVAL_S = 2.0
 CLEANUP_INTERVAL_S = 5.0
-# Time between two statuses that tell of failures of a new version.
-FAILURE_INTERVAL_S = 0.15
+# Minimum interval of statuses that report failures of a new version.
+FAILURE_REPORT_INTERVAL_S = 0.15
 
 
 class AnnouncementAppFactory(Protocol):
-    """Build the application that takes news of the target."""
+    """Build the application that receives the target's announcements."""
 
     def __call__(self, gate: GateService, service: str, /) -> App:
         """Return an ASGI application."""
 
 
 class SettingsReader(Protocol):
-    """Read the settings again."""
+    """Reload the settings."""
 
     def __call__(self) -> Result[RelaySettings, DecodeError]:
-        """Return the settings as they are now."""
+        """Return the current settings."""
 
 
 class RelayDaemon:
-    """Run one daemon: entry of its instance and gate of its target."""
+    """Run one daemon: ingress of its instance and gate of its target."""
 
     def __init__(
         self,
@@ -115,11 +119,11 @@
         self._log = RequestLog(self._clock)
         self._documents = DocumentTable()
         self._validator = DocumentValidator()
-        self._failure_told_s = -inf
+        self._failure_reported_s = -inf
         self._listening = False
         self._stopping = False
         self._directory = PeerDirectory(self._own_record())
-        self._build_calls()
+        self._build_call_path()
         self._build_control(decode)
         handler = DocumentHandler(
             failure_domain=settings.failure_domain,
@@ -143,7 +147,7 @@
             service=settings.service,
         )
 
-    def _build_calls(self) -> None:
+    def _build_call_path(self) -> None:
         settings = self._settings
         client = HttpTargetClient(
             HttpSettings(), make_classifier(self._header_names), IDLE_EXPIRY_S
@@ -217,15 +221,17 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether callers on the instance may send requests."""
+        """Return whether callers on the instance may send requests."""
         return self._listening and self._ingress.configured and not self._stopping
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then finish the requests in flight."""
+        """Serve until SIGTERM or SIGINT, then finish open requests."""
         await self.serve_until(self._wait_for_signal)
 
-    async def serve_until(self, wait_for_end: Callable[[], Awaitable[None]]) -> None:
-        """Serve until the function returns, then finish the requests."""
+    async def serve_until(
+        self, wait_for_shutdown: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Serve until the function returns, then finish open requests."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
             nursery.start_soon(self._gate.run)
@@ -233,25 +239,29 @@
             await self._start_listeners(nursery)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._watch_settings)
-            self._timer.subscribe(STEP_INTERVAL_S, lambda: self._start_step(nursery))
+            self._timer.subscribe(
+                STEP_INTERVAL_S, lambda: self._start_move_step(nursery)
+            )
             self._timer.subscribe(
                 CLEANUP_INTERVAL_S,
                 lambda: nursery.start_soon(self._delete_stale_records),
             )
             logger.info("started", instance=self._settings.instance)
-            await wait_for_end()
+            await wait_for_shutdown()
             await self._drain()
             nursery.cancel_scope.cancel()
         logger.info("stopped")
 
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         settings = self._settings
-        news = self._announcement_app(self._gate, settings.service)
+        announcements = self._announcement_app(self._gate, settings.service)
         ready = ReadyApplication(lambda: self.ready)
         metrics = MetricsApplication(self._collect_metrics)
-        await self._serve(nursery, news, settings.announcements)
+        await self._serve(nursery, announcements, settings.announcements)
         await self._serve(nursery, metrics, settings.metrics)
-        await nursery.start(self._server.serve, _address(settings.requests))
+        await nursery.start(
+            self._server.serve, _parse_listen_address(settings.requests)
+        )
         self._listening = True
         await self._serve(nursery, ready, settings.ready)
 
@@ -259,7 +269,7 @@
         serve = partial(
             serve_app,
             app,
-            _address(address),
+            _parse_listen_address(address),
             HttpSettings(),
             shutdown=trio.Event(),
             drain_s=CONTROL_DRAIN_S,
@@ -273,12 +283,12 @@
                 return
 
     async def _watch_settings(self) -> None:
-        """Read the settings again on SIGHUP, and now and then without one."""
+        """Reload the settings on SIGHUP and at regular intervals."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             while True:
                 with trio.move_on_after(RELOAD_INTERVAL_S):
                     await signals.__anext__()
-                    logger.info("reload asked for")
+                    logger.info("reload requested")
                 self._reload()
 
     def _reload(self) -> None:
@@ -293,25 +303,26 @@
         self._stopping = True
         self._server.begin_closing()
         started_s = self._clock.monotonic()
-        # Callers on the instance need this time to leave anyway, and the
-        # target behind the gate may be well.
-        await trio.sleep(GATE_OPEN_S)
+        # Callers on the instance need this time to stop in any case, and the
+        # target behind the gate may be healthy.
+        await trio.sleep(GATE_DRAIN_DELAY_S)
         self._gate.stop()
-        most_s = self._settings.grace_s - EXIT_MARGIN_S
+        max_drain_s = self._settings.grace_s - EXIT_MARGIN_S
         was_idle = False
-        while self._clock.monotonic() - started_s < most_s:
+        while self._clock.monotonic() - started_s < max_drain_s:
             idle = not self._gate.busy and not self._server.busy
-            # One more check lets the last answers leave the links.
-            if self._clock.monotonic() - started_s > TAKE_REQUESTS_S:
+            if self._clock.monotonic() - started_s > ACCEPT_REQUESTS_S:
                 self._ingress.stop()
-            if idle and was_idle and self._clock.monotonic() - started_s > LEAVE_S:
+            # Only return after a second idle check, so that the links can send
+            # the last answers.
+            if idle and was_idle and self._clock.monotonic() - started_s > MIN_DRAIN_S:
                 return
             was_idle = idle
-            await trio.sleep(SHUTDOWN_CHECK_S)
-        logger.warning("requests cut by the shutdown")
+            await trio.sleep(DRAIN_POLL_S)
+        logger.warning("shutdown aborted open requests")
 
-    def _start_step(self, nursery: trio.Nursery) -> None:
-        # Most of the time there is no move, and no task to start.
+    def _start_move_step(self, nursery: trio.Nursery) -> None:
+        # Avoid a task per interval while there is no move.
         if self._moves.has_orders:
             nursery.start_soon(self._step_moves)
 
@@ -320,7 +331,7 @@
         await self._moves.step()
 
     async def _delete_stale_records(self) -> None:
-        """Delete the entries of daemons that have been gone for long."""
+        """Delete the records of daemons that have long been disconnected."""
         if not self._follower.reachable:
             return
         own = self._directory.own
@@ -333,22 +344,22 @@
                 DAEMONS, name, if_revision=document.revision
             )
             reason = "" if result.is_ok() else result.error.reason
-            logger.info("entry of a daemon that is gone", name=name, error=reason)
+            logger.info("deletion of a stale daemon record", name=name, error=reason)
 
     def _on_gate_state_change(self) -> None:
         self._network.broadcast_status()
 
     def _on_run_failure(self) -> None:
-        """Tell at once that a version which is being introduced fails."""
+        """Report failures of the new version of a running move immediately."""
         order = self._versions.orders.get(self._settings.service)
         if order is None or order.progress is None:
             return
         now_s = self._clock.monotonic()
         report = self._gate.gate.report(now_s)
         running = order.progress.state is OrderState.RUNNING
-        concerned = running and report.version == order.version
-        if concerned and now_s - self._failure_told_s >= FAILURE_INTERVAL_S:
-            self._failure_told_s = now_s
+        is_moving = running and report.version == order.version
+        if is_moving and now_s - self._failure_reported_s >= FAILURE_REPORT_INTERVAL_S:
+            self._failure_reported_s = now_s
             self._network.broadcast_status()
 
     def _collect_metrics(self) -> RelayMetrics:
@@ -364,7 +375,7 @@
         return metrics
 
 
-def _address(text: str) -> Address:
+def _parse_listen_address(text: str) -> Address:
     parsed = parse_address(text)
     if parsed.is_error():
         raise ValueError(parsed.error.reason)
--- a/catkinhollow/relay/applications.py
+++ b/catkinhollow/relay/applications.py
@@ -16,7 +16,7 @@
 
 
 class ReadyApplication:
-    """Tell whether callers on the instance may send requests."""
+    """Report whether callers on the instance may send requests."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
@@ -30,13 +30,13 @@
 
 
 class MetricsApplication:
-    """Serve the metrics as text."""
+    """Serve the metrics in text form."""
 
     def __init__(self, collect: Callable[[], RelayMetrics]) -> None:
         self._collect = collect
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one reading of the metrics."""
+        """Serve one scrape of the metrics."""
         await read_request(scope, receive, MAX_PROBE_BODY_BYTES)
         await send_response(send, self._collect().render())
 
--- a/catkinhollow/relay/header_names.py
+++ b/catkinhollow/relay/header_names.py
@@ -1,4 +1,4 @@
-"""Name the headers that carry the state of a call."""
+"""Name the HTTP headers that carry the state of a call."""
 
 from attrs import frozen
 
@@ -11,7 +11,7 @@
 
 @frozen(kw_only=True)
 class HeaderNames:
-    """Hold header names in lower case, as callers and targets use them."""
+    """Configure the lower-case header names of callers and targets."""
 
     request_id: bytes = REQUEST_ID_HEADER
     deadline: bytes = DEADLINE_HEADER
--- a/catkinhollow/relay/kinds.py
+++ b/catkinhollow/relay/kinds.py
@@ -1,4 +1,4 @@
-"""Name the kinds of documents, as this package stores and passes them on."""
+"""Name the kinds of documents that daemons store and exchange."""
 
 CONFIGURATION = "configuration"
 CONFIGURATION_NAME = "main"
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -1,9 +1,9 @@
-"""Carry frames between daemons over nng.
+"""Transport frames between daemons over nng.
 
-Each daemon has one pull socket for all that is sent to it, and a push socket
-for each peer it sends to. A push socket keeps order and blocks instead of
-dropping, unlike the polyamorous pair of `catkinhollow.mesh.peers`, whose queue
-of two messages a peer drops frames in a burst of calls.
+Each daemon has one pull socket for all incoming frames and one push socket per
+peer. A push socket keeps the order of frames and blocks instead of dropping
+them. The polyamorous pair socket of `catkinhollow.mesh.peers` has a queue of
+two messages per peer and drops frames in a burst of calls.
 """
 
 from collections import deque
@@ -25,58 +25,58 @@
 # pynng carries no type annotations.
 _nng: Any = pynng
 
-# Frames that wait in nng for a slow peer; the rest waits here.
+# Frames that nng queues for a slow peer; further frames wait in the backlog.
 _SEND_QUEUE_FRAMES = 32
 _RECEIVE_QUEUE_FRAMES = 256
 _MAX_FRAME_BYTES = 72 * 1024 * 1024
 _RECONNECT_MIN_MS = 100
 _RECONNECT_MAX_MS = 400
-# A connect to an instance without power hangs for minutes in the kernel; a
-# new one succeeds as soon as the instance is back.
-_REDIAL_S = 1.0
+# A connect to an instance without power blocks in the kernel for minutes,
+# while a new connect succeeds as soon as the instance is back.
+_DIAL_TIMEOUT_S = 1.0
 _FLUSH_INTERVAL_S = 0.01
-# Bytes that wait for one slow peer before its link is reset.
+# Backlog of one slow peer above which its link is reset.
 _MAX_BACKLOG_BYTES = 32 * 1024 * 1024
-# Frames taken before other tasks run again.
-_RECEIVE_BATCH = 64
+# Frames received before other tasks run again.
+_RECEIVE_BATCH_FRAMES = 64
 
 LinkEvent: TypeAlias = LinkUp | LinkDown | Frame
 
 
 class FrameLink(Protocol):
-    """Keep connections to peers; never block on a slow or dead one."""
+    """Maintain connections to peers; never block on a slow or dead one."""
 
     def connect(self, address: str) -> None:
-        """Keep a connection to a peer until disconnected."""
+        """Maintain a connection to a peer until `disconnect` is called."""
 
     def disconnect(self, address: str) -> None:
         """Close the connection to a peer."""
 
     def reset(self, address: str) -> None:
-        """Replace the connection to a peer; what waits for it is dropped."""
+        """Replace the connection to a peer and drop its queued frames."""
 
     def send(self, address: str, frame: Frame) -> bool:
-        """Send a frame, or return False if no byte of it will be sent."""
+        """Send a frame; return False if no byte of it will be sent."""
 
     async def run(self, receiver: Callable[[LinkEvent], None]) -> None:
         """Call the receiver for each event until cancelled."""
 
 
 @define(eq=False)
-class _Push:
-    """Hold the sending end of the link to one peer."""
+class _PushLink:
+    """Represent the sending end of the link to one peer."""
 
     address: str
     socket: Any = None
     up: bool = False
     dialled_s: float = 0.0
     backlog: deque[bytes] = field(factory=deque)
-    """Encoded frames that nng does not take yet."""
+    """Encoded frames that nng has not accepted yet."""
     backlog_bytes: int = 0
 
 
 class NngFrameLink:
-    """Push frames to each peer and pull those of all peers."""
+    """Push frames to each peer and pull the frames of all peers."""
 
     def __init__(self, own_address: str, timer: Timer) -> None:
         limit_nng_threads()
@@ -87,7 +87,7 @@
         self._pull = _nng.Pull0(
             recv_buffer_size=_RECEIVE_QUEUE_FRAMES, recv_max_size=_MAX_FRAME_BYTES
         )
-        self._pushes: dict[str, _Push] = {}
+        self._pushes: dict[str, _PushLink] = {}
         self._receiver: Callable[[LinkEvent], None] | None = None
         self._token: trio.lowlevel.TrioToken | None = None
         self._flushing = False
@@ -98,9 +98,9 @@
         return self._counters
 
     def connect(self, address: str) -> None:
-        """Keep a connection to a peer until disconnected."""
+        """Maintain a connection to a peer until `disconnect` is called."""
         if address not in self._pushes:
-            push = _Push(address)
+            push = _PushLink(address)
             self._pushes[address] = push
             self._dial(push)
 
@@ -111,20 +111,20 @@
             self._close(push)
 
     def reset(self, address: str) -> None:
-        """Replace the connection to a peer; what waits for it is dropped."""
+        """Replace the connection to a peer and drop its queued frames."""
         push = self._pushes.get(address)
         if push is not None:
             self._close(push)
             self._dial(push)
 
     def send(self, address: str, frame: Frame) -> bool:
-        """Send a frame, or return False if no byte of it will be sent."""
+        """Send a frame; return False if no byte of it will be sent."""
         push = self._pushes.get(address)
         if push is None or not push.up:
             return False
         data = encode_filled(frame)
         if push.backlog or not self._try_send(push, data):
-            self._queue(push, data)
+            self._enqueue(push, data)
         return push.up
 
     async def run(self, receiver: Callable[[LinkEvent], None]) -> None:
@@ -132,11 +132,11 @@
         self._receiver = receiver
         self._token = trio.lowlevel.current_trio_token()
         self._pull.listen(f"tcp://{self._own_address}")
-        redial = self._timer.subscribe(_REDIAL_S / 2, self._redial_stuck)
+        redial = self._timer.subscribe(_DIAL_TIMEOUT_S / 2, self._redial_pending)
         try:
             for push in self._pushes.values():
                 self._dial(push)
-            await self._receive()
+            await self._receive_all()
         finally:
             redial.cancel()
             self._receiver = None
@@ -144,18 +144,18 @@
                 self._close(push)
             self._pull.close()
 
-    async def _receive(self) -> None:
+    async def _receive_all(self) -> None:
         readable = self._pull.recv_fd
         while True:
             await trio.lowlevel.wait_readable(readable)
-            for _ in range(_RECEIVE_BATCH):
+            for _ in range(_RECEIVE_BATCH_FRAMES):
                 try:
                     data = self._pull.recv(block=False)
                 except _nng.TryAgain:
                     break
-                self._take(data)
+                self._decode_frame(data)
 
-    def _take(self, data: bytes) -> None:
+    def _decode_frame(self, data: bytes) -> None:
         self._counters.received(len(data))
         decoded = decode_message(data, Frame)
         if decoded.is_error():
@@ -163,7 +163,7 @@
             return
         self._emit(decoded.ok)
 
-    def _try_send(self, push: _Push, data: bytes) -> bool:
+    def _try_send(self, push: _PushLink, data: bytes) -> bool:
         try:
             push.socket.send(data, block=False)
         except _nng.TryAgain:
@@ -174,9 +174,9 @@
         self._counters.sent(len(data))
         return True
 
-    def _queue(self, push: _Push, data: bytes) -> None:
+    def _enqueue(self, push: _PushLink, data: bytes) -> None:
         if push.backlog_bytes + len(data) > _MAX_BACKLOG_BYTES:
-            logger.warning("peer reads too slowly", peer=push.address)
+            logger.warning("link reset, peer reads too slowly", peer=push.address)
             self.reset(push.address)
             return
         push.backlog.append(data)
@@ -194,7 +194,7 @@
             self._flushing = True
             self._timer.call_after(_FLUSH_INTERVAL_S, self._flush)
 
-    def _dial(self, push: _Push) -> None:
+    def _dial(self, push: _PushLink) -> None:
         if self._token is None or push.socket is not None:
             return
         socket = _nng.Push0(
@@ -204,46 +204,46 @@
         )
         push.socket = socket
         push.dialled_s = self._clock.monotonic()
-        self._report_pipes(push, socket, self._token)
+        self._register_pipe_callbacks(push, socket, self._token)
         try:
             socket.dial(f"tcp://{push.address}", block=False)
         except _nng.NNGException as error:
             logger.warning("dial failed", peer=push.address, reason=str(error))
 
-    def _report_pipes(
-        self, push: _Push, socket: Any, token: trio.lowlevel.TrioToken
+    def _register_pipe_callbacks(
+        self, push: _PushLink, socket: Any, token: trio.lowlevel.TrioToken
     ) -> None:
-        # nng calls back on its own threads; all state stays on the loop.
-        def hand_over(callback: Callable[..., None]) -> None:
+        # nng calls back on its own threads; state is only changed on the loop.
+        def call_on_loop(callback: Callable[..., None]) -> None:
             try:
                 token.run_sync_soon(callback, push, socket)
             except trio.RunFinishedError:
-                logger.debug("pipe event after the end of the loop")
+                logger.debug("pipe event after loop shutdown")
 
-        socket.add_post_pipe_connect_cb(lambda _: hand_over(self._connected))
-        socket.add_post_pipe_remove_cb(lambda _: hand_over(self._broken))
+        socket.add_post_pipe_connect_cb(lambda _: call_on_loop(self._on_connected))
+        socket.add_post_pipe_remove_cb(lambda _: call_on_loop(self._on_disconnected))
 
-    def _connected(self, push: _Push, socket: Any) -> None:
+    def _on_connected(self, push: _PushLink, socket: Any) -> None:
         if push.socket is socket and not push.up:
             push.up = True
             self._emit(LinkUp(address=push.address))
 
-    def _broken(self, push: _Push, socket: Any) -> None:
+    def _on_disconnected(self, push: _PushLink, socket: Any) -> None:
         if push.socket is not socket:
             return
-        # A new socket, so that frames left in the old one are never sent late.
+        # Replace the socket, so that frames queued in it are not sent late.
         self._close(push)
         if self._pushes.get(push.address) is push:
             self._dial(push)
 
-    def _redial_stuck(self) -> None:
+    def _redial_pending(self) -> None:
         now_s = self._clock.monotonic()
         for push in self._pushes.values():
-            if not push.up and now_s - push.dialled_s > _REDIAL_S:
+            if not push.up and now_s - push.dialled_s > _DIAL_TIMEOUT_S:
                 self._close(push)
                 self._dial(push)
 
-    def _close(self, push: _Push) -> None:
+    def _close(self, push: _PushLink) -> None:
         socket, push.socket = push.socket, None
         was_up, push.up = push.up, False
         push.backlog.clear()
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -1,4 +1,4 @@
-"""Hold the metrics of a relay daemon."""
+"""Define the metrics of a relay daemon."""
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
--- a/catkinhollow/relay/request_log.py
+++ b/catkinhollow/relay/request_log.py
@@ -1,4 +1,4 @@
-"""Log decisions that touch a request, with a bound on their number."""
+"""Log decisions about requests at a limited rate."""
 
 from typing import Any
 
@@ -11,25 +11,26 @@
 
 logger = get_logger(__name__)
 
-# Lines a second of one daemon. A line takes about 0.1 ms of processor time,
-# so that the log of an overload stays below 2 % of a core.
+# Lines per second of one daemon. A line takes about 0.1 ms of processor time,
+# so that logging takes less than 2 % of a core under overload.
 LINES_PER_S = 20.0
 BURST_LINES = 60.0
-# One answered request in so many is logged; failures go before successes.
+# One of this many answered requests is logged, so that most lines remain for
+# failures.
 ANSWERED_SAMPLE = 200
 
 
 class RequestLog:
-    """Write a line for each request that fails, and for some that do not."""
+    """Log every failed request and a sample of the answered ones."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._budget = TokenBucket(BURST_LINES, clock.monotonic())
-        self._dropped = 0
-        self._answered = 0
+        self._line_bucket = TokenBucket(BURST_LINES, clock.monotonic())
+        self._dropped_lines = 0
+        self._answered_requests = 0
 
     def refused_at_gate(self, call: Call, reason: str, gate: Gate) -> None:
-        """Log that the gate refuses a call."""
+        """Log that the gate refused a call."""
         self._write(
             "gate refused",
             request_id=call.request_id,
@@ -42,7 +43,7 @@
         )
 
     def run_failed(self, call: Call, attempt: Attempt, lifetime: str) -> None:
-        """Log that a run at the target has no answer."""
+        """Log that a run at the target ended without an answer."""
         self._write(
             "run failed",
             request_id=call.request_id,
@@ -57,21 +58,21 @@
         self._write("attempt failed", request_id=request_id, **fields)
 
     def failed(self, request_id: str, **fields: Any) -> None:
-        """Log that a caller gets no answer of a target."""
+        """Log that a caller gets no answer from a target."""
         self._write("request failed", request_id=request_id, **fields)
 
     def answered(self, request_id: str, **fields: Any) -> None:
-        """Log a sample of the requests that a target has answered."""
-        self._answered += 1
-        if self._answered % ANSWERED_SAMPLE == 0:
+        """Log a sample of the requests that a target answered."""
+        self._answered_requests += 1
+        if self._answered_requests % ANSWERED_SAMPLE == 0:
             self._write("request answered", request_id=request_id, **fields)
 
     def _write(self, event: str, **fields: Any) -> None:
-        self._budget.refill(LINES_PER_S, self._clock.monotonic())
-        if not self._budget.has_token:
-            self._dropped += 1
+        self._line_bucket.refill(LINES_PER_S, self._clock.monotonic())
+        if not self._line_bucket.has_token:
+            self._dropped_lines += 1
             return
-        self._budget.take()
-        if self._dropped:
-            fields["lines_dropped"], self._dropped = self._dropped, 0
+        self._line_bucket.take()
+        if self._dropped_lines:
+            fields["lines_dropped"], self._dropped_lines = self._dropped_lines, 0
         logger.info(event, **fields)
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -1,9 +1,9 @@
-"""Serve HTTP/1.1 and run the pipelined requests of a connection side by side.
+"""Serve HTTP/1.1 and run the pipelined requests of a connection concurrently.
 
-hypercorn starts a pipelined request only after the answer to the one before
-it, so that the second of two waits for both runs. h11, the parser inside
-hypercorn and httpcore, is used directly instead; answers keep the order of
-their requests.
+hypercorn starts a pipelined request only after the response to the previous
+one, so that the second of two requests waits for both runs. This server uses
+h11, the parser of hypercorn and httpcore, directly; responses keep the order
+of their requests.
 """
 
 from collections import deque
@@ -22,16 +22,17 @@
 logger = get_logger(__name__)
 
 READ_BYTES = 65536
-# Connections that wait to be accepted; a mass restart of callers overruns
-# smaller queues.
+# Connections that wait to be accepted; a simultaneous restart of many callers
+# overflows smaller queues.
 BACKLOG = 1024
-# Requests of one connection that run at a time; the rest is not read yet.
+# Concurrent requests of one connection; further requests are not read yet.
 MAX_PIPELINED = 16
-# A request that may change something starts after all before it have ended,
-# because callers count requests behind a closing answer as not read.
+# Requests with other methods may change something. They start after all
+# earlier requests have ended, because callers assume that requests behind a
+# response that closes the connection have not been read.
 PIPELINED_METHODS = ("GET", "HEAD", "OPTIONS")
 
-NetworkErrors = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+NETWORK_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
 class RequestHandler(Protocol):
@@ -40,29 +41,32 @@
     async def __call__(
         self, request: Request, wait_for_disconnect: Callable[[], Awaitable[None]]
     ) -> Response:
-        """Return the whole answer, or any once the caller has gone away."""
+        """Return the whole response.
+
+        It is not used once the caller has disconnected.
+        """
 
 
 @define(eq=False)
 class _Exchange:
-    """Hold one request with the parser state that frames its answer."""
+    """Represent a request with the parser state that frames its answer."""
 
     parser: h11.Connection
     request: Request
-    last: bool
+    closes_connection: bool
     answer: bytes | None = None
 
 
 @frozen
-class _Unreadable:
-    """Hold the answer to bytes that are no proper request."""
+class _InvalidRequest:
+    """Represent an invalid request by the response to it."""
 
     response: Response
 
 
 @define(eq=False)
-class _Incoming:
-    """Collect one request while it arrives."""
+class _PartialRequest:
+    """Collect a request while it arrives."""
 
     head: h11.Request | None = None
     chunks: list[bytes] = field(factory=list)
@@ -82,22 +86,22 @@
 
     @property
     def busy(self) -> bool:
-        """Tell whether a request has been read and its answer is not sent."""
+        """Return whether a request has been read but not yet answered."""
         return self._open_requests > 0
 
     @property
     def handler(self) -> RequestHandler:
-        """Return what answers requests."""
+        """Return the handler of requests."""
         return self._handler
 
     @property
     def limits(self) -> RequestLimits:
-        """Return what callers may send now."""
+        """Return the current limits of requests and connections."""
         return self._limits()
 
     @property
     def closing(self) -> bool:
-        """Tell whether connections end with their next answer."""
+        """Return whether connections close after their next answer."""
         return self._closing
 
     async def serve(
@@ -112,16 +116,16 @@
         task_status.started()
         await trio.serve_listeners(self.serve_stream, listeners)
 
-    def request_begun(self) -> None:
+    def request_started(self) -> None:
         """Count a request that has been read."""
         self._open_requests += 1
 
     def request_ended(self) -> None:
-        """Count a request whose answer is sent, or whose caller has gone."""
+        """Count an answered request, or one whose caller disconnected."""
         self._open_requests -= 1
 
     def begin_closing(self) -> None:
-        """End each connection with its next answer."""
+        """Close each connection after its next answer."""
         self._closing = True
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
@@ -129,7 +133,7 @@
         connection = _Connection(self, stream)
         try:
             await connection.run()
-        except NetworkErrors as error:
+        except NETWORK_ERRORS as error:
             logger.debug("connection lost", reason=str(error))
         finally:
             await trio.aclose_forcefully(stream)
@@ -144,65 +148,66 @@
         self._server = server
         self._stream = stream
         self._parser = self._new_parser()
-        self._open: deque[_Exchange] = deque()
-        self._changed = trio.Event()
-        self._gone = trio.Event()
-        self._sending = trio.Lock()
-        # Set when an answer says that it is the last one.
-        self._ending = False
+        self._exchanges: deque[_Exchange] = deque()
+        self._state_changed = trio.Event()
+        self._disconnected = trio.Event()
+        self._send_lock = trio.Lock()
+        # Set when no more requests are read, because an answer closes the
+        # connection or the caller has disconnected.
+        self._closing = False
 
     async def run(self) -> None:
         """Read requests and answer them until the connection ends."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_all, nursery)
-            while not (self._ending and not self._open):
-                await self._changed.wait()
+            nursery.start_soon(self._read_requests, nursery)
+            while not (self._closing and not self._exchanges):
+                await self._state_changed.wait()
             nursery.cancel_scope.cancel()
-        if not self._gone.is_set():
+        if not self._disconnected.is_set():
             await self._stream.send_eof()
 
     def _new_parser(self) -> h11.Connection:
-        most = self._server.limits.max_header_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=most)
+        max_header_bytes = self._server.limits.max_header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
 
-    async def _read_all(self, nursery: trio.Nursery) -> None:
-        while not self._ending:
+    async def _read_requests(self, nursery: trio.Nursery) -> None:
+        while not self._closing:
             incoming = await self._read_request()
             if incoming is None:
-                self._caller_gone()
+                self._on_disconnect()
                 return
-            if isinstance(incoming, _Unreadable):
-                self._begin_unreadable(incoming)
+            if isinstance(incoming, _InvalidRequest):
+                self._start_invalid(incoming)
                 await self._send_finished()
             else:
                 await self._wait_for_turn(incoming)
-                if self._ending:
-                    # Its caller sees the closing answer and asks again.
+                if self._closing:
+                    # The caller sees the closing answer and retries.
                     break
-                self._begin(incoming, nursery)
+                self._start_exchange(incoming, nursery)
         await self._discard_input()
 
-    async def _read_request(self) -> _Exchange | _Unreadable | None:
-        """Return the next request, None if the caller has gone."""
-        incoming = _Incoming()
+    async def _read_request(self) -> _Exchange | _InvalidRequest | None:
+        """Return the next request, None if the caller has disconnected."""
+        incoming = _PartialRequest()
         while True:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 logger.info("malformed request", reason=str(error))
                 status = error.error_status_hint
-                return _Unreadable(plain_response(status, "malformed request"))
+                return _InvalidRequest(plain_response(status, "malformed request"))
             if event is h11.NEED_DATA:
-                missing = await self._read_more(incoming)
-                if missing is not None:
-                    return missing
+                failure = await self._read_more(incoming)
+                if failure is not None:
+                    return failure
             elif isinstance(event, h11.Request):
                 incoming.head = event
             elif isinstance(event, h11.Data):
                 incoming.chunks.append(bytes(event.data))
                 incoming.size += len(event.data)
                 if incoming.size > self._server.limits.max_body_bytes:
-                    return _Unreadable(plain_response(413, "the body is too large"))
+                    return _InvalidRequest(plain_response(413, "the body is too large"))
             elif isinstance(event, h11.EndOfMessage) and incoming.head is not None:
                 return self._make_exchange(incoming.head, incoming.chunks)
             else:
@@ -217,24 +222,24 @@
             headers=list(head.headers),
             body=b"".join(chunks),
         )
-        last = self._parser.their_state is h11.MUST_CLOSE
-        return _Exchange(self._parser, request, last)
+        closes_connection = self._parser.their_state is h11.MUST_CLOSE
+        return _Exchange(self._parser, request, closes_connection)
 
-    async def _read_more(self, incoming: _Incoming) -> _Unreadable | None:
-        """Feed more bytes to the parser, or return why there are none."""
+    async def _read_more(self, incoming: _PartialRequest) -> _InvalidRequest | None:
+        """Feed more bytes to the parser, or return the error response."""
         limits = self._server.limits
-        begun = incoming.head is not None or bool(self._parser.trailing_data[0])
-        limit_ms = limits.header_timeout_ms if begun else limits.idle_timeout_ms
+        started = incoming.head is not None or bool(self._parser.trailing_data[0])
+        limit_ms = limits.header_timeout_ms if started else limits.idle_timeout_ms
         data = b""
         with trio.move_on_after(limit_ms / 1000.0) as scope:
-            if self._parser.they_are_waiting_for_100_continue and not self._open:
+            if self._parser.they_are_waiting_for_100_continue and not self._exchanges:
                 await self._send_continue()
             data = await self._receive()
         if scope.cancelled_caught:
-            if begun:
+            if started:
                 reason = "the request did not arrive in time"
-                return _Unreadable(plain_response(408, reason))
-            if self._open:
+                return _InvalidRequest(plain_response(408, reason))
+            if self._exchanges:
                 return None
         self._parser.receive_data(data)
         return None
@@ -242,7 +247,7 @@
     async def _receive(self) -> bytes:
         try:
             return bytes(await self._stream.receive_some(READ_BYTES))
-        except NetworkErrors as error:
+        except NETWORK_ERRORS as error:
             logger.debug("connection lost", reason=str(error))
             return b""
 
@@ -251,16 +256,16 @@
         await self._stream.send_all(self._parser.send(informational) or b"")
 
     async def _wait_for_turn(self, exchange: _Exchange) -> None:
-        alone = exchange.request.method not in PIPELINED_METHODS
-        while self._open and (
-            alone
-            or len(self._open) >= MAX_PIPELINED
-            or self._open[-1].request.method not in PIPELINED_METHODS
+        sequential = exchange.request.method not in PIPELINED_METHODS
+        while self._exchanges and (
+            sequential
+            or len(self._exchanges) >= MAX_PIPELINED
+            or self._exchanges[-1].request.method not in PIPELINED_METHODS
         ):
-            await self._changed.wait()
+            await self._state_changed.wait()
 
-    def _begin(self, exchange: _Exchange, nursery: trio.Nursery) -> None:
-        self._ending = exchange.last
+    def _start_exchange(self, exchange: _Exchange, nursery: trio.Nursery) -> None:
+        self._closing = exchange.closes_connection
         self._append(exchange)
         nursery.start_soon(self._answer, exchange)
         rest, closed = exchange.parser.trailing_data
@@ -270,65 +275,65 @@
         if closed:
             self._parser.receive_data(b"")
 
-    def _begin_unreadable(self, unreadable: _Unreadable) -> None:
-        exchange = _Exchange(self._parser, _NO_REQUEST, last=True)
-        exchange.answer = _encode(exchange, unreadable.response)
-        self._ending = True
+    def _start_invalid(self, invalid: _InvalidRequest) -> None:
+        exchange = _Exchange(self._parser, _EMPTY_REQUEST, closes_connection=True)
+        exchange.answer = _encode(exchange, invalid.response)
+        self._closing = True
         self._append(exchange)
 
     def _append(self, exchange: _Exchange) -> None:
-        self._open.append(exchange)
-        self._server.request_begun()
+        self._exchanges.append(exchange)
+        self._server.request_started()
 
-    def _caller_gone(self) -> None:
-        self._gone.set()
-        self._ending = True
-        self._notify()
+    def _on_disconnect(self) -> None:
+        self._disconnected.set()
+        self._closing = True
+        self._notify_state_change()
 
     async def _discard_input(self) -> None:
-        """Read what comes behind the last request, until the caller goes.
+        """Discard input after the last request until the caller disconnects.
 
-        A close with unread bytes would reset the connection and could cost
-        the caller the last answer.
+        Closing with unread bytes would reset the connection, and the caller
+        could lose the last answer.
         """
         while await self._receive():
             pass
-        self._caller_gone()
+        self._on_disconnect()
 
     async def _answer(self, exchange: _Exchange) -> None:
-        response = await self._server.handler(exchange.request, self._gone.wait)
-        if self._server.closing and exchange is self._open[-1]:
-            exchange.last = self._ending = True
+        response = await self._server.handler(exchange.request, self._disconnected.wait)
+        if self._server.closing and exchange is self._exchanges[-1]:
+            exchange.closes_connection = self._closing = True
         exchange.answer = _encode(exchange, response)
         await self._send_finished()
 
     async def _send_finished(self) -> None:
-        """Send the answers whose turn it is."""
-        async with self._sending:
-            while self._open and self._open[0].answer is not None:
-                exchange = self._open[0]
+        """Send finished answers in the order of their requests."""
+        async with self._send_lock:
+            while self._exchanges and self._exchanges[0].answer is not None:
+                exchange = self._exchanges[0]
                 try:
                     await self._stream.send_all(exchange.answer or b"")
-                except NetworkErrors as error:
+                except NETWORK_ERRORS as error:
                     logger.debug("answer not sent", reason=str(error))
-                    self._caller_gone()
-                self._open.popleft()
+                    self._on_disconnect()
+                self._exchanges.popleft()
                 self._server.request_ended()
-                self._notify()
+                self._notify_state_change()
 
-    def _notify(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
+    def _notify_state_change(self) -> None:
+        self._state_changed.set()
+        self._state_changed = trio.Event()
 
 
-_NO_REQUEST = Request(method="GET", path="", query=b"", headers=[], body=b"")
+_EMPTY_REQUEST = Request(method="GET", path="", query=b"", headers=[], body=b"")
 
 
 def _encode(exchange: _Exchange, response: Response) -> bytes:
     """Return the bytes of an answer."""
     length = str(len(response.body)).encode()
     headers = [*response.headers, (b"content-length", length)]
-    if exchange.last:
+    if exchange.closes_connection:
         headers.append((b"connection", b"close"))
     parser = exchange.parser
     head = h11.Response(status_code=response.status, headers=headers)
