--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -25,7 +25,7 @@
 from catkinhollow.control.controller import Controller
 from catkinhollow.control.evidence_service import EvidenceService
 from catkinhollow.control.initial_split import (
-    FixInitialVersions,
+    SetInitialSplits,
     choose_initial_versions,
 )
 from catkinhollow.control.quarantine_policy import QuarantinePolicy
@@ -41,7 +41,7 @@
     MembersChanged,
     MeshReady,
     SnapshotEnforced,
-    TargetAnnounced,
+    TargetChanged,
     VersionQuarantined,
 )
 from catkinhollow.generated.fleet import Lease, Snapshot
@@ -50,7 +50,7 @@
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.elections import Elections
 from catkinhollow.mesh.mesh_service import MeshService
-from catkinhollow.mesh.peers import NngPeerLink, address_text
+from catkinhollow.mesh.peers import NngPeerLink, format_address
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -96,7 +96,7 @@
         self._router = CallRouter(location, random)
         self._client = HttpTargetClient(settings.http)
         self._store = HttpStoreClient(settings.store)
-        self._link = NngPeerLink(address_text(settings.peer))
+        self._link = NngPeerLink(format_address(settings.peer))
         self._mesh = MeshService(
             settings, self._timer, self._events, self.offer_snapshot, self._link
         )
@@ -151,7 +151,7 @@
         connect(MeshReady, self._open_traffic_if_ready)
         connect(SnapshotEnforced, self._open_traffic_if_ready)
         connect(VersionQuarantined, self._on_quarantine)
-        connect(TargetAnnounced, self._on_members_changed)
+        connect(TargetChanged, self._on_members_changed)
         self._evidence.connect(self._events)
 
     @property
@@ -192,7 +192,7 @@
             ready=self.ready,
             snapshot=self._holder.snapshot,
             newest_revision=self._holder.floor,
-            members=table.with_enforced(),
+            members=table.records_with_enforced_revision(),
             moves=self._controller.moves,
             quarantines=self._mesh.quarantines,
             lease=self._known_lease(),
@@ -306,7 +306,7 @@
         versions = choose_initial_versions(snapshot.fleet, records)
         if versions:
             logger.info("initial versions", versions=versions)
-            await update_fleet(self._store, FixInitialVersions(versions))
+            await update_fleet(self._store, SetInitialSplits(versions))
 
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/catkinhollow/mesh/mesh_service.py
+++ b/catkinhollow/mesh/mesh_service.py
@@ -7,7 +7,7 @@
 
 from catkinhollow.codec import decode_message, encode_message
 from catkinhollow.errors import SnapshotRejected
-from catkinhollow.events import EventManager, SnapshotEnforced, TargetAnnounced
+from catkinhollow.events import EventManager, SnapshotEnforced, TargetChanged
 from catkinhollow.generated.fleet import Snapshot
 from catkinhollow.generated.messages import EvidenceReport, MemberRecord, Quarantine
 from catkinhollow.generated.settings import Settings
@@ -22,7 +22,7 @@
     Send,
     SnapshotArrived,
 )
-from catkinhollow.mesh.peers import PeerEvent, PeerLink, address_text
+from catkinhollow.mesh.peers import PeerEvent, PeerLink, format_address
 from catkinhollow.timer import Subscription, Timer
 
 logger = get_logger(__name__)
@@ -33,12 +33,12 @@
 def own_record(settings: Settings, incarnation: int) -> MemberRecord:
     """Return the record that a starting daemon publishes."""
     return MemberRecord(
-        address=address_text(settings.peer),
+        address=format_address(settings.peer),
         incarnation=incarnation,
         failure_domain=settings.failure_domain,
         region=settings.region,
-        traffic_address=address_text(settings.traffic),
-        admin_address=address_text(settings.admin),
+        traffic_address=format_address(settings.traffic),
+        admin_address=format_address(settings.admin),
     )
 
 
@@ -63,13 +63,13 @@
         own = own_record(settings, self._clock.unix_ms())
         self._mesh = Mesh(
             own,
-            [address_text(seed) for seed in settings.seeds],
+            [format_address(seed) for seed in settings.seeds],
             settings.peers,
             Random(f"{own.address} {own.incarnation}"),
             self._clock.monotonic(),
         )
         events.connect(SnapshotEnforced, self._publish_snapshot)
-        events.connect(TargetAnnounced, self._publish_target)
+        events.connect(TargetChanged, self._publish_target)
 
     @property
     def table(self) -> MemberTable:
@@ -174,7 +174,7 @@
         self._carry_out(self._mesh.update_own(now_s, enforced_revision=revision))
         self._carry_out(self._mesh.revision_available(revision, data, now_s))
 
-    def _publish_target(self, event: TargetAnnounced) -> None:
+    def _publish_target(self, event: TargetChanged) -> None:
         commands = self._mesh.update_own(self._now_s(), targets=[event.record])
         self._carry_out(commands)
 
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -7,7 +7,7 @@
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.relay import MoveOrder, MoveProgress
 from catkinhollow.logs import get_logger
-from catkinhollow.mesh.rings import rendezvous
+from catkinhollow.mesh.rings import choose_by_rendezvous_hash
 from catkinhollow.relay.kinds import ORDERS
 from catkinhollow.relay.move_plan import MovePlan
 from catkinhollow.relay.peers import PeerDirectory
@@ -100,7 +100,7 @@
 
     def _own_rank(self, service: str) -> int | None:
         addresses = [peer.record.address for peer in self._directory if peer.linked]
-        writers = rendezvous(addresses, f"move/{service}", WRITER_COUNT)
+        writers = choose_by_rendezvous_hash(addresses, f"move/{service}", WRITER_COUNT)
         own = self._directory.own.record.address
         return writers.index(own) if own in writers else None
 
--- a/catkinhollow/relay/record_cleanup.py
+++ b/catkinhollow/relay/record_cleanup.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from catkinhollow.mesh.rings import rendezvous
+from catkinhollow.mesh.rings import choose_by_rendezvous_hash
 from catkinhollow.relay.peers import Peer
 
 # An instance that restarts is back within seconds; a daemon that was only
@@ -26,5 +26,6 @@
         for peer in known
         if not peer.linked
         and now_s - peer.disconnected_s > STALE_RECORD_S
-        and rendezvous(linked, f"cleanup/{peer.record.name}", 1) == [own.record.address]
+        and choose_by_rendezvous_hash(linked, f"cleanup/{peer.record.name}", 1)
+        == [own.record.address]
     ]
--- a/tests/test_fault_moves.py
+++ b/tests/test_fault_moves.py
@@ -4,10 +4,10 @@
 from attrs import evolve
 
 from catkinhollow.codec import from_plain, to_plain
-from catkinhollow.control.moves import ENDED, STEPS, Capacity
+from catkinhollow.control.moves import STEPS, TERMINAL_STATES, Capacity
 from catkinhollow.generated.fleet import Fleet, MoveState
 from catkinhollow.generated.messages import VersionCounts
-from tests.controller_world import JOBS, World, window
+from tests.controller_simulation import JOBS, ControllerSimulation, window
 from tests.fault_table import MOVES, cells
 from tests.move_oracle import MoveOracle
 
@@ -25,7 +25,7 @@
     def __init__(self, step, fault, seed):
         self.step, self.fault = step, fault
         self.call = CALLS[seed]
-        self.world = World()
+        self.world = ControllerSimulation()
         self.oracle = MoveOracle(self.world)
         self.daemon = self.world.daemons[0]
 
@@ -33,7 +33,7 @@
         for _ in range(seconds):
             if self.fault == "target-cold":
                 self.daemon.counts.append(_demand())
-            self.world.run_fairly(1)
+            self.world.run_all(1)
             self.oracle.check_new_writes()
 
     def run_until(self, condition):
@@ -60,11 +60,11 @@
             daemon.counts += window(0.5)
             daemon.controller.tick()
 
-    def meet(self, fate):
-        """Run until the call waits and meets the fate."""
+    def meet(self, outcome):
+        """Run until the call waits and meets the outcome."""
         world = self.world
-        world.fate_call, world.fate = self.call, fate
-        self.run_until(lambda: world.fate_call is None)
+        world.outcome_call, world.outcome = self.call, outcome
+        self.run_until(lambda: world.outcome_call is None)
 
     def inject(self):
         getattr(self, "_" + self.fault.replace("-", "_"))()
@@ -132,13 +132,13 @@
         """Cut the connection to the store; the call arrives much later."""
         self.meet("late")
         self.run(FAULT_S)
-        while self.world.late:
-            self.world.carry_out(self.world.late.pop(0))
+        while self.world.delayed_calls:
+            self.world.carry_out(self.world.delayed_calls.pop(0))
 
     def _stale_view(self):
         self.call = ("list", "moves")
         if self.step == "move-end":
-            self.run_until(lambda: self.world.move.state in ENDED)
+            self.run_until(lambda: self.world.move.state in TERMINAL_STATES)
         self.meet("old view")
 
     def _crossed(self):
@@ -176,7 +176,7 @@
         cold = Capacity(ready_slots=0, cold_slots=10)
         self.change_capacity(cold)
         if self.world.move.state == MoveState.RUNNING:
-            highest = cold.bearable_percent(9.0, 1.0)
+            highest = cold.supported_percent(9.0, 1.0)
             assert self.world.percent <= highest, "invariant 5"
 
     def change_capacity(self, capacity):
@@ -186,12 +186,12 @@
 
     def settle(self):
         world = self.world
-        world.fate_call = None
+        world.outcome_call = None
         world.preferred = {min(world.preferred)}
         for daemon in world.daemons:
             if daemon.paused:
                 world.resume(daemon)
-        self.run_until(lambda: world.move.state in ENDED)
+        self.run_until(lambda: world.move.state in TERMINAL_STATES)
         self.run(FAULT_S)
         self.oracle.check_settled()
 
