--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -8,8 +8,8 @@
 
 from catkinhollow.codec import encode_message
 from catkinhollow.generated.relay import Document, WeightedService
-from catkinhollow.relay.configuration_check import find_fault
-from catkinhollow.relay.document_handler import DocumentCheck
+from catkinhollow.relay.configuration_check import find_error
+from catkinhollow.relay.document_handler import DocumentValidator
 from catkinhollow.relay.documents import DigestComparison, DocumentTable
 from catkinhollow.relay.peer_watch import PeerWatch, ResetLink, SendStatus
 from catkinhollow.relay.retry_advice import retry_after_s
@@ -62,7 +62,7 @@
     table = DocumentTable()
     table.offer(make_document(5, "daemons/a"))
     table.offer(make_document(9, "daemons/b"))
-    gone = table.missing_from("daemons", set(), 7)
+    gone = table.find_deletions("daemons", set(), 7)
     assert [document.name for document in gone] == ["daemons/a"]
 
 
@@ -90,7 +90,7 @@
     asked = [
         step / 100
         for step in range(100)
-        if comparison.is_due(own=1, other=2, now_s=step / 100, near=True)
+        if comparison.is_due(own=1, other=2, now_s=step / 100, same_domain=True)
     ]
     assert asked[0] == pytest.approx(0.5, abs=0.02)
     assert len(asked) <= 3
@@ -99,10 +99,10 @@
 def test_peer_nearby_is_asked_before_one_elsewhere():
     """Guards against configurations that cross between failure domains."""
     comparison = DigestComparison()
-    assert not comparison.is_due(own=1, other=2, now_s=0.0, near=False)
-    assert not comparison.is_due(own=1, other=2, now_s=0.7, near=False)
-    assert comparison.is_due(own=1, other=2, now_s=0.7, near=True)
-    assert comparison.is_due(own=1, other=2, now_s=1.1, near=False)
+    assert not comparison.is_due(own=1, other=2, now_s=0.0, same_domain=False)
+    assert not comparison.is_due(own=1, other=2, now_s=0.7, same_domain=False)
+    assert comparison.is_due(own=1, other=2, now_s=0.7, same_domain=True)
+    assert comparison.is_due(own=1, other=2, now_s=1.1, same_domain=False)
 
 
 def test_change_that_the_store_brings_is_not_asked_for():
@@ -111,13 +111,13 @@
     for change in range(1, 20):
         late_s = 0.33 * change
         assert not comparison.is_due(
-            own=change, other=change + 1, now_s=late_s, near=True
+            own=change, other=change + 1, now_s=late_s, same_domain=True
         )
         assert not comparison.is_due(
-            own=change, other=change + 1, now_s=late_s + 0.05, near=True
+            own=change, other=change + 1, now_s=late_s + 0.05, same_domain=True
         )
         assert not comparison.is_due(
-            own=change + 1, other=change + 1, now_s=late_s + 0.1, near=True
+            own=change + 1, other=change + 1, now_s=late_s + 0.1, same_domain=True
         )
 
 
@@ -125,7 +125,7 @@
     """Guards against an isolated daemon that waits for the last change."""
     comparison = DigestComparison()
     due = [
-        comparison.is_due(own=1, other=2 + step // 3, now_s=step / 9, near=True)
+        comparison.is_due(own=1, other=2 + step // 3, now_s=step / 9, same_domain=True)
         for step in range(20)
     ]
     assert any(due[:8])
@@ -133,7 +133,7 @@
 
 def test_daemon_without_documents_asks_at_once():
     """Guards against a slow start while the store is away."""
-    assert DigestComparison().is_due(own=0, other=7, now_s=5.0, near=False)
+    assert DigestComparison().is_due(own=0, other=7, now_s=5.0, same_domain=False)
 
 
 def test_silent_link_is_reset():
@@ -155,11 +155,11 @@
     for step in range(14):
         now_s = step * 0.1
         watch.check({"p"}, now_s)
-        if quiet_s is None and watch.is_quiet("p", now_s):
+        if quiet_s is None and watch.is_unresponsive("p", now_s):
             quiet_s = now_s
     assert quiet_s is not None and quiet_s <= 0.9
-    watch.heard("p", 1.4)
-    assert not watch.is_quiet("p", 1.4)
+    watch.record_contact("p", 1.4)
+    assert not watch.is_unresponsive("p", 1.4)
 
 
 def test_answering_peer_is_not_reset():
@@ -170,29 +170,29 @@
         now_s = step * 0.2
         for command in watch.check(set(), now_s):
             assert command == SendStatus("p")
-            watch.heard("p", now_s + 0.05)
+            watch.record_contact("p", now_s + 0.05)
 
 
 def test_invalid_configuration_is_named():
     """Guards against a version that is applied in part."""
-    assert find_fault(make_configuration(), -1) == ""
-    assert "older" in find_fault(make_configuration(3), 4)
+    assert find_error(make_configuration(), -1) == ""
+    assert "older" in find_error(make_configuration(3), 4)
     unknown = make_configuration(routes=[make_route(service="none")])
-    assert "unknown service" in find_fault(unknown, -1)
+    assert "unknown service" in find_error(unknown, -1)
     bare = make_configuration(routes=[make_route(path_prefix="/a")])
-    assert "slash" in find_fault(bare, -1)
+    assert "slash" in find_error(bare, -1)
 
 
 def test_document_that_cannot_be_read_is_refused():
     """Guards against a peer of another release that ends this daemon."""
-    check = DocumentCheck()
+    check = DocumentValidator()
     for kind in ("configuration", "daemons", "orders", "evacuations", "novel"):
         broken = Document(name=f"{kind}/x", revision=5, body=b"\xc1 nothing")
         assert not check.accepts(broken), kind
     body = encode_message(make_configuration(3))
     configuration = Document(name="configuration/main", revision=6, body=body)
     assert check.accepts(configuration)
-    check.enforced(4)
+    check.set_version(4)
     assert not check.accepts(configuration)
 
 
