--- a/catkinhollow/schema/__init__.py
+++ b/catkinhollow/schema/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the JSON Schema files that the data classes are generated from."""
+"""Provide the JSON Schema files that the data classes are generated from."""
