--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -6,7 +6,7 @@
 import pynng
 import trio
 
-from catkinhollow.codec import decode_message, encode_filled
+from catkinhollow.codec import decode_message, encode_without_none
 from catkinhollow.generated.messages import Envelope
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
@@ -74,7 +74,7 @@
         """Call the receiver for each event until cancelled."""
 
 
-def address_text(address: Address) -> str:
+def format_address(address: Address) -> str:
     """Return an address of the settings as host:port."""
     host = f"[{address.host}]" if ":" in address.host else address.host
     return f"{host}:{address.port}"
@@ -126,11 +126,11 @@
         # The newest pipe: an older one may lead to a former process.
         pipe = next(reversed(pipes.values()))
         try:
-            data = encode_filled(envelope)
+            data = encode_without_none(envelope)
             self._socket.send_msg(_nng.Message(data, pipe), block=False)
         except _nng.NNGException:
             return False
-        self._counters.sent(len(data))
+        self._counters.count_sent(len(data))
         return True
 
     async def run(self, receiver: Callable[[PeerEvent], None]) -> None:
@@ -196,7 +196,7 @@
 
     def _take(self, message: _Message) -> None:
         data = message.bytes
-        self._counters.received(len(data))
+        self._counters.count_received(len(data))
         decoded = decode_message(data, Envelope)
         if decoded.is_error():
             logger.warning("peer message dropped", reason=decoded.error.reason)
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from catkinhollow.codec import encode_filled
+from catkinhollow.codec import encode_without_none
 from catkinhollow.events import FloorRaised
 from catkinhollow.generated.messages import MemberRecord
 from catkinhollow.generated.settings import PeerSettings
@@ -50,7 +50,7 @@
         self.random = Random(seed)
         self.now_s = 0.0
         self.loss = 0.0
-        self.sides = {}
+        self.partition_of = {}
         self.nodes = {}
         self.newest = 0
         self.snapshots = Counter()
@@ -95,7 +95,7 @@
         self._tick(node, node.due_s)
 
     def reachable(self, one, other):
-        return self.sides.get(one, 0) == self.sides.get(other, 0)
+        return self.partition_of.get(one, 0) == self.partition_of.get(other, 0)
 
     def enforce(self, node, revision, size=100):
         if revision <= node.enforced or revision < node.floor:
@@ -195,7 +195,7 @@
         if body is not None and body.ready:
             knows = max(node.enforced, node.heard[address])
         if self._count_bytes:
-            size = len(encode_filled(envelope))
+            size = len(encode_without_none(envelope))
             gossip = envelope.gossip
             self.announcements += gossip is not None and gossip.revision > 0
             self.bytes[node.address] += size
