--- a/catkinhollow/commands/__init__.py
+++ b/catkinhollow/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the commands of the command line, one module each."""
+"""Define the commands of the command line, one module for each group."""
--- a/catkinhollow/commands/apply.py
+++ b/catkinhollow/commands/apply.py
@@ -1,4 +1,4 @@
-"""Write the operators' files to the store."""
+"""Write fleet configuration files to the store."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 
 
 class ApplyCommand(StoreCommand):
-    """Replace the stored configuration by that of the files."""
+    """Replace the stored configuration with that of the files."""
 
     name = "apply"
-    description = "Put fleet configuration files in force."
+    description = "Write fleet configuration files to the store."
     arguments = [
-        argument("files", "YAML files that together are one fleet.", False, True)
+        argument("files", "YAML files that together define one fleet.", False, True)
     ]
     options = [
         STORE_OPTION,
@@ -28,7 +28,7 @@
     ]
 
     def handle(self) -> int:
-        """Write the configuration if all of it is valid."""
+        """Write the configuration if every file is valid."""
         from catkinhollow.configuration.editing import ApplyFiles
         from catkinhollow.configuration.fleet_files import load_fleet
         from catkinhollow.configuration.fleet_updates import plan_update, update_fleet
@@ -36,9 +36,9 @@
         loaded = load_fleet([Path(name) for name in self.argument("files")])
         if loaded.is_error():
             return self.print_problems(loaded.error)
-        change = plan_update if self.option("dry-run") else update_fleet
+        run_update = plan_update if self.option("dry-run") else update_fleet
         edit = ApplyFiles(loaded.ok)
-        result = self.use_store(lambda store: change(store, edit))
+        result = self.use_store(lambda store: run_update(store, edit))
         if result.is_error():
             return self.report_error(result.error)
         self._report(result.ok)
--- a/catkinhollow/commands/base.py
+++ b/catkinhollow/commands/base.py
@@ -1,6 +1,6 @@
-"""Share what the commands have in common."""
+"""Define the base class of the commands."""
 
-# Commands import what they need when they run, so that help is fast.
+# Commands import their dependencies when they run, so that --help is fast.
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
         self.io.error_output.write_line(line, type=Type.RAW)
 
     def print_problems(self, problems: Iterable[Problem]) -> ExitCode:
-        """Write one line for each problem of the operator's input."""
+        """Write one line for each problem in the input to standard error."""
         for problem in problems:
             self.print_error(str(problem))
         return ExitCode.INVALID
@@ -46,7 +46,10 @@
         table.set_headers([*headers]).render()
 
     def address_option(self, name: str, fallback: str | None = None) -> Address:
-        """Return the address in an option, or fail as a usage error."""
+        """Return the address given by an option.
+
+        Raise CleoValueError if it is missing or malformed.
+        """
         from catkinhollow.addresses import parse_address
 
         text = self.option(name) or fallback
@@ -58,8 +61,11 @@
         return address.ok
 
     def wants_json(self) -> bool:
-        """Return whether --output asks for JSON, or fail as a usage error."""
+        """Return whether --output is json.
+
+        Raise CleoValueError if the format is unknown.
+        """
         output = self.option("output")
         if output not in OUTPUT_FORMATS:
-            raise CleoValueError(f"--output is one of {', '.join(OUTPUT_FORMATS)}")
+            raise CleoValueError(f"--output must be one of {', '.join(OUTPUT_FORMATS)}")
         return bool(output == "json")
--- a/catkinhollow/commands/bench.py
+++ b/catkinhollow/commands/bench.py
@@ -24,12 +24,14 @@
     description = "Run an experiment on real processes on loopback."
     arguments = [argument("name", "Name of a file in experiments/, without .yaml.")]
     options = [
-        option("repeat", None, "Times that everything is run.", flag=False),
+        option(
+            "repeat", None, "Number of times that the experiment is run.", flag=False
+        ),
         option("out", None, "Directory of the result.", flag=False, default="out"),
     ]
 
     def handle(self) -> int:
-        """Return 1 if the run did not come to its end."""
+        """Run the experiment and return 1 if it is incomplete."""
         from attrs import evolve
 
         from catkinhollow.testbed.bench import run_bench
@@ -38,33 +40,33 @@
         loaded = load_experiment(self.argument("name"))
         if loaded.is_error():
             return self.print_problems(loaded.error)
-        repeat = self._repeat(loaded.ok.experiment.repeat)
+        repeat = self._read_repeat(loaded.ok.experiment.repeat)
         experiment = evolve(loaded.ok.experiment, repeat=repeat)
-        named = evolve(loaded.ok, experiment=experiment)
-        failure = run_bench(named, Path(self.option("out")), self.print_line)
+        named_experiment = evolve(loaded.ok, experiment=experiment)
+        failure = run_bench(named_experiment, Path(self.option("out")), self.print_line)
         if failure:
             self.print_error(failure)
             return INCOMPLETE
         return ExitCode.OK
 
-    def _repeat(self, default: int) -> int:
+    def _read_repeat(self, default: int) -> int:
         text = self.option("repeat")
         if text is None:
             return default
         if not text.isdecimal() or not int(text):
-            raise CleoValueError("--repeat is a whole number above 0")
+            raise CleoValueError("--repeat must be a whole number above 0")
         return int(text)
 
 
 class BenchReportCommand(BaseCommand):
-    """Write the reports of results."""
+    """Write reports of results."""
 
     name = "bench report"
     description = "Write a table and a plot beside each result in a directory."
-    arguments = [argument("directory", "Directory of results, or one result.")]
+    arguments = [argument("directory", "Directory of results or one result file.")]
 
     def handle(self) -> int:
-        """Write two files for each result."""
+        """Write a table and a plot for each result."""
         from catkinhollow.testbed.report import write_report
         from catkinhollow.testbed.results import read_results
 
@@ -80,7 +82,7 @@
 
 
 class BenchCompareCommand(BaseCommand):
-    """Compare results of two versions."""
+    """Compare the results of two versions."""
 
     name = "bench compare"
     description = "Show the ratio of each figure between two results."
@@ -99,7 +101,7 @@
         for results in (old, new):
             if results.is_error():
                 return self.print_problems(results.error)
-        rows = [_row(item) for item in compare(old.ok, new.ok)]
+        rows = [_build_row(item) for item in compare(old.ok, new.ok)]
         if not rows:
             self.print_error("the results have no experiment in common")
             return ExitCode.INVALID
@@ -108,7 +110,7 @@
         return ExitCode.OK
 
 
-def _row(item: Comparison | Unmatched) -> list[str]:
+def _build_row(item: Comparison | Unmatched) -> list[str]:
     from catkinhollow.testbed.compare import Comparison
 
     cell = item.cell
--- a/catkinhollow/commands/daemon.py
+++ b/catkinhollow/commands/daemon.py
@@ -14,14 +14,17 @@
 
 
 class DaemonCommand(BaseCommand):
-    """Check the settings, then become the lean daemon process."""
+    """Check the settings, then replace this process with the daemon."""
 
     name = "daemon"
     description = "Run the daemon of this instance."
     options = [option("settings", None, "Settings file of the daemon.", flag=False)]
 
     def handle(self) -> int:
-        """Replace this process, which has the heavy libraries loaded."""
+        """Replace this process with the daemon.
+
+        A new interpreter leaves out the large libraries that the checks load.
+        """
         from catkinhollow.configuration.settings import load_settings
         from catkinhollow.daemon.settings_environment import settings_to_environment
 
@@ -31,10 +34,10 @@
         result = load_settings(Path(file))
         if result.is_error():
             return self.print_problems(result.error)
-        return _become_daemon(settings_to_environment(result.ok))
+        return _exec_daemon(settings_to_environment(result.ok))
 
 
-def _become_daemon(environment: dict[str, str]) -> NoReturn:
+def _exec_daemon(environment: dict[str, str]) -> NoReturn:
     sys.stdout.flush()
     arguments = [sys.executable, "-m", DAEMON_MODULE]
     os.execve(sys.executable, arguments, environment)
--- a/catkinhollow/commands/domain.py
+++ b/catkinhollow/commands/domain.py
@@ -15,7 +15,7 @@
 
 
 class _DomainCommand(StoreCommand):
-    """Make an edit that concerns one failure domain."""
+    """Apply an edit of one failure domain."""
 
     arguments = [argument("domain", "Name of the failure domain.")]
 
@@ -40,11 +40,14 @@
     description = "Take a failure domain out of service."
     options = [
         STORE_OPTION,
-        option("force", description="Take out even the last failure domain."),
+        option(
+            "force",
+            description="Take the failure domain out even if it is the last one.",
+        ),
     ]
 
     def handle(self) -> int:
-        """Write the change unless it leaves nothing in service."""
+        """Write the change unless it takes out the last failure domain."""
         return self.use_store(self._take_out)
 
     async def _take_out(self, store: StoreClient) -> ExitCode:
@@ -69,7 +72,7 @@
     options = [STORE_OPTION]
 
     def handle(self) -> int:
-        """Write the change."""
+        """Write the change to the store."""
         from catkinhollow.configuration.editing import ReturnDomain
 
         edit = ReturnDomain(self.argument("domain"))
--- a/catkinhollow/commands/exit_codes.py
+++ b/catkinhollow/commands/exit_codes.py
@@ -4,7 +4,7 @@
 
 
 class ExitCode(IntEnum):
-    """Tell scripts why a command ended."""
+    """Indicate to scripts how a command ended."""
 
     OK = 0
     INVALID = 1
--- a/catkinhollow/commands/move.py
+++ b/catkinhollow/commands/move.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from catkinhollow.generated.fleet import Move
 
-SERVICE = argument("service", "Name of the service.")
-HEADERS = ["service", "version", "from", "state", "percent", "operator", "reason"]
+SERVICE_ARGUMENT = argument("service", "Name of the service.")
+TABLE_HEADERS = ["service", "version", "from", "state", "percent", "operator", "reason"]
 
 
 class MoveStartCommand(StoreCommand):
@@ -24,16 +24,26 @@
 
     name = "move start"
     description = "Move a service to a target version by a deadline."
-    arguments = [SERVICE, argument("version", "Target version to move to.")]
+    arguments = [SERVICE_ARGUMENT, argument("version", "Target version to move to.")]
     options = [
         STORE_OPTION,
-        option("by", None, "Deadline: +15m, or an ISO time with offset.", flag=False),
-        option("from", None, "Version in use, if there is no split yet.", flag=False),
-        option("operator", None, "Who asks for it; else the user.", flag=False),
+        option(
+            "by",
+            None,
+            "Deadline as +15m or as an ISO 8601 time with offset.",
+            flag=False,
+        ),
+        option("from", None, "Version in use if the service has no split.", flag=False),
+        option(
+            "operator",
+            None,
+            "Name of the operator (default: current user).",
+            flag=False,
+        ),
     ]
 
     def handle(self) -> int:
-        """Create the move unless one is running."""
+        """Create the move unless the service has a running one."""
         from catkinhollow.clock import TrioClock
         from catkinhollow.control.move_requests import MoveRequest, start_move
         from catkinhollow.deadlines import parse_deadline
@@ -89,7 +99,7 @@
         if as_json:
             self.print_line(encode_json(moves).decode())
         else:
-            self.print_table(HEADERS, [_row(move) for move in moves])
+            self.print_table(TABLE_HEADERS, [_build_row(move) for move in moves])
         return ExitCode.OK
 
 
@@ -98,11 +108,11 @@
 
     name = "move wait"
     description = "Wait for the end of the move of a service."
-    arguments = [SERVICE]
+    arguments = [SERVICE_ARGUMENT]
     options = [STORE_OPTION]
 
     def handle(self) -> int:
-        """Print each change, and tell the end by the exit code."""
+        """Print each change of the move and return how it ended."""
         from catkinhollow.control.move_requests import wait_for_end
         from catkinhollow.generated.fleet import MoveState
 
@@ -126,11 +136,11 @@
 
     name = "move cancel"
     description = "Return the traffic of a running move to the old version."
-    arguments = [SERVICE]
+    arguments = [SERVICE_ARGUMENT]
     options = [STORE_OPTION]
 
     def handle(self) -> int:
-        """Ask for the cancellation."""
+        """Request the cancellation."""
         from catkinhollow.control.move_requests import cancel_move
 
         result = self.use_store(partial(cancel_move, service=self.argument("service")))
@@ -141,7 +151,7 @@
         return ExitCode.OK
 
 
-def _row(move: Move) -> list[str]:
+def _build_row(move: Move) -> list[str]:
     return [
         move.service,
         move.version,
--- a/catkinhollow/commands/settings_show.py
+++ b/catkinhollow/commands/settings_show.py
@@ -16,7 +16,7 @@
     arguments = [argument("file", "Settings file of a daemon.")]
 
     def handle(self) -> int:
-        """Print the values in force with file and line, or default."""
+        """Print each value with the file and line that set it, or default."""
         from catkinhollow.configuration.settings import list_values, read_settings_file
 
         result = read_settings_file(Path(self.argument("file")))
--- a/catkinhollow/commands/standin.py
+++ b/catkinhollow/commands/standin.py
@@ -20,7 +20,7 @@
 FAULT_PREFIX = "fault-"
 
 HOST_OPTION = option(
-    "host", None, "Host to listen on.", flag=False, default="127.0.0.1"
+    "host", None, "Host address to listen on.", flag=False, default="127.0.0.1"
 )
 PORT_OPTION = option("port", None, "Port to listen on.", flag=False)
 
@@ -38,12 +38,12 @@
 
 
 class _StandinCommand(Command):
-    """Read the options that both stand-ins share."""
+    """Read the options that both stand-ins have."""
 
     def _address_text(self) -> str:
         return f"{self.option('host')}:{self.option('port')}"
 
-    def _given(self, data_class: type[Any], prefix: str = "") -> dict[str, Any]:
+    def _read_options(self, data_class: type[Any], prefix: str = "") -> dict[str, Any]:
         texts = {
             field.name: self.option(prefix + field.name.replace("_", "-"))
             for field in fields(data_class)
@@ -54,7 +54,7 @@
             if text is not None
         }
 
-    def _fail(self, error: DecodeError) -> int:
+    def _report_error(self, error: DecodeError) -> int:
         self.line_error(error.reason, style="error")
         return 2
 
@@ -63,7 +63,7 @@
         try:
             trio.run(serve)
         except* OSError as group:
-            failures = _reasons(group)
+            failures = _list_reasons(group)
         for failure in failures:
             self.line_error(f"cannot listen: {failure}", style="error")
         return 1 if failures else 0
@@ -77,10 +77,10 @@
     options = [HOST_OPTION, PORT_OPTION]
 
     def handle(self) -> int:
-        """Serve until a signal."""
-        address = from_plain(_plain_address(self._address_text()), Address)
+        """Serve until SIGTERM or SIGINT."""
+        address = from_plain(_split_address(self._address_text()), Address)
         if address.is_error():
-            return self._fail(address.error)
+            return self._report_error(address.error)
         return self._run(partial(run_store, address.ok))
 
 
@@ -93,7 +93,7 @@
         HOST_OPTION,
         PORT_OPTION,
         option("service", None, "Service that the target belongs to.", flag=False),
-        # cleo reads --version as the version of the program.
+        # cleo handles --version itself and prints the version of the program.
         option(
             "target-version",
             None,
@@ -107,10 +107,10 @@
     ]
 
     def handle(self) -> int:
-        """Serve until a signal."""
+        """Serve until SIGTERM or SIGINT."""
         options = self._target_options()
         if options.is_error():
-            return self._fail(options.error)
+            return self._report_error(options.error)
         return self._run(partial(run_target, options.ok))
 
     def _target_options(self) -> Result[TargetOptions, DecodeError]:
@@ -119,21 +119,21 @@
             {
                 "service": self.option("service"),
                 "version": self.option("target-version"),
-                "address": _plain_address(self._address_text()),
-                "admin": _plain_address(admin) if admin else None,
-                "profile": self._given(TargetProfile),
-                "faults": self._given(TargetFaults, FAULT_PREFIX),
+                "address": _split_address(self._address_text()),
+                "admin": _split_address(admin) if admin else None,
+                "profile": self._read_options(TargetProfile),
+                "faults": self._read_options(TargetFaults, FAULT_PREFIX),
             },
             TargetOptions,
         )
 
 
-def _reasons(error: BaseException) -> list[str]:
+def _list_reasons(error: BaseException) -> list[str]:
     if isinstance(error, BaseExceptionGroup):
-        return [reason for part in error.exceptions for reason in _reasons(part)]
+        return [reason for part in error.exceptions for reason in _list_reasons(part)]
     return [str(error)]
 
 
-def _plain_address(text: str) -> dict[str, Any]:
+def _split_address(text: str) -> dict[str, Any]:
     host, _, port = text.rpartition(":")
     return {"host": host, "port": int(port) if port.isdigit() else port}
--- a/catkinhollow/commands/status.py
+++ b/catkinhollow/commands/status.py
@@ -1,4 +1,4 @@
-"""Show what a daemon knows of the fleet."""
+"""Show the state of the fleet as one daemon knows it."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class StatusCommand(BaseCommand):
-    """Ask one daemon for its status."""
+    """Request the status of one daemon."""
 
     name = "status"
     description = "Show the state of the fleet as one daemon knows it."
@@ -24,7 +24,7 @@
     ]
 
     def handle(self) -> int:
-        """Print the answer of the daemon."""
+        """Print the status that the daemon returned."""
         import trio
 
         from catkinhollow.addresses import format_address
--- a/catkinhollow/commands/store_command.py
+++ b/catkinhollow/commands/store_command.py
@@ -1,4 +1,4 @@
-"""Share what the commands that use the store have in common."""
+"""Define the base class of the commands that use the store."""
 
 from __future__ import annotations
 
@@ -22,7 +22,9 @@
 
 STORE_VARIABLE = "CATKINHOLLOW_STORE"
 STORE_OPTION = option(
-    "store", description=f"Store as HOST:PORT, else ${STORE_VARIABLE}.", flag=False
+    "store",
+    description=f"Address of the store, HOST:PORT (default: ${STORE_VARIABLE}).",
+    flag=False,
 )
 
 
@@ -54,8 +56,8 @@
         super().__init__()
         self._connector = connector
 
-    def use_store(self, work: Callable[[StoreClient], Awaitable[T]]) -> T:
-        """Run work with a client for the store that the operator named."""
+    def use_store(self, operation: Callable[[StoreClient], Awaitable[T]]) -> T:
+        """Run an operation with a client of the store at the given address."""
         import trio
 
         from catkinhollow.generated.settings import StoreSettings
@@ -64,12 +66,12 @@
 
         async def run() -> T:
             async with self._connector(StoreSettings(address=address)) as store:
-                return await work(store)
+                return await operation(store)
 
         return trio.run(run)
 
     def report_error(self, error: UpdateError) -> ExitCode:
-        """Write why the store was not read or changed."""
+        """Write to standard error why the store was not read or changed."""
         from catkinhollow.configuration.editing import EditRefused
 
         if isinstance(error, EditRefused):
--- a/catkinhollow/commands/validate.py
+++ b/catkinhollow/commands/validate.py
@@ -1,4 +1,4 @@
-"""Check the operators' files."""
+"""Check fleet configuration files."""
 
 from pathlib import Path
 
@@ -9,12 +9,12 @@
 
 
 class ValidateCommand(BaseCommand):
-    """Check files without a store."""
+    """Check files without access to the store."""
 
     name = "validate"
     description = "Check fleet configuration files."
     arguments = [
-        argument("files", "YAML files that together are one fleet.", False, True)
+        argument("files", "YAML files that together define one fleet.", False, True)
     ]
 
     def handle(self) -> int:
