Clarify the wording of the daemon package

Name the updates of TargetHealth for what they do, speak of control actions instead of orders, and of propagation instead of passing on. Reword comments, doc strings and one log event.

--- a/catkinhollow/daemon/__init__.py
+++ b/catkinhollow/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of the daemon beside its traffic."""
+"""Run the parts of the daemon that do not carry traffic."""
--- a/catkinhollow/daemon/__main__.py
+++ b/catkinhollow/daemon/__main__.py
@@ -1,4 +1,8 @@
-"""Start the lean daemon process; the daemon command checks its settings."""
+"""Start the daemon process with settings that the daemon command validated.
+
+This process does not import the libraries that read and validate YAML, which
+keeps it small.
+"""
 
 import gc
 import sys
@@ -20,14 +24,14 @@
         print(f"settings: {settings.error.reason}", file=sys.stderr)
         return INVALID_SETTINGS
     configure_logging(settings.ok.log_level.value)
-    _exempt_loaded_code_from_collection()
+    _freeze_loaded_objects()
     trio.run(_run, settings.ok)
     return 0
 
 
-def _exempt_loaded_code_from_collection() -> None:
-    # What the imports leave lives as long as the process, and a full
-    # collection that visits it stops every call for about 30 ms.
+def _freeze_loaded_objects() -> None:
+    # Objects created by the imports live as long as the process. A full
+    # garbage collection that visits them stops all calls for about 30 ms.
     gc.collect()
     gc.freeze()
 
--- a/catkinhollow/daemon/admin.py
+++ b/catkinhollow/daemon/admin.py
@@ -1,4 +1,4 @@
-"""Serve health, metrics, status and announcements."""
+"""Serve the admin endpoints: health, metrics, status and announcements."""
 
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -22,24 +22,24 @@
 
 
 class DaemonView(Protocol):
-    """Show a daemon's state and take announcements."""
+    """Provide a daemon's state and receive announcements."""
 
     @property
     def ready(self) -> bool:
-        """Tell whether the daemon accepts calls."""
+        """Return whether the daemon accepts calls."""
 
     def status(self) -> Any:
-        """Return the status answer as a data class."""
+        """Return the status as a data class of the status schema."""
 
     def announce(self, record: TargetRecord) -> None:
-        """Take an announcement of the target on the instance."""
+        """Handle an announcement of the target on the instance."""
 
     def collect_metrics(self) -> Metrics:
-        """Return the metrics with their gauges up to date."""
+        """Return the metrics with updated gauges."""
 
 
 class AdminApplication:
-    """Serve the administrative port as an ASGI application."""
+    """Serve the admin endpoints as an ASGI application."""
 
     def __init__(self, daemon: DaemonView) -> None:
         self._daemon = daemon
--- a/catkinhollow/daemon/metrics.py
+++ b/catkinhollow/daemon/metrics.py
@@ -1,4 +1,4 @@
-"""Hold the metrics of a daemon."""
+"""Define the metrics of a daemon."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def render_response(registry: Registry) -> Response:
-    """Return all metrics of a registry in text form."""
+    """Return all metrics of a registry in the Prometheus text format."""
     content, headers = render(registry, ["text/plain"])
     pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
     return Response(status=200, headers=pairs, body=content)
@@ -85,14 +85,14 @@
         )
 
     def set_peer_counters(self, counters: LinkCounters) -> None:
-        """Take over the counts of the peer link."""
+        """Set the peer counters to those of the peer link."""
         self._peer_messages.set({"direction": "sent"}, counters.messages_sent)
         self._peer_messages.set({"direction": "received"}, counters.messages_received)
         self._peer_bytes.set({"direction": "sent"}, counters.bytes_sent)
         self._peer_bytes.set({"direction": "received"}, counters.bytes_received)
 
     def set_services(self, services: Iterable[ServiceStatus]) -> None:
-        """Take over the state of each service in the call router."""
+        """Set the gauges of each service from the call router's status."""
         for service in services:
             counts = {
                 "all": service.targets,
@@ -107,5 +107,5 @@
                 self._calls_held.set(labels, getattr(service, state))
 
     def render(self) -> Response:
-        """Return the metrics in text form."""
+        """Return the metrics in the Prometheus text format."""
         return render_response(self._registry)
--- a/catkinhollow/daemon/settings_environment.py
+++ b/catkinhollow/daemon/settings_environment.py
@@ -1,7 +1,7 @@
-"""Hand checked settings to the daemon process through its environment."""
+"""Pass validated settings to the daemon process in an environment variable."""
 
-# The daemon process has a limit of 32 MB, so this module imports neither
-# yaml nor jsonschema.
+# The daemon process has a memory limit of 32 MB, so this module must not
+# import yaml or jsonschema.
 
 from collections.abc import Mapping
 from os import environ
@@ -18,7 +18,7 @@
 def settings_from_environment(
     environment: Mapping[str, str] = environ,
 ) -> Result[Settings, DecodeError]:
-    """Return the settings that the daemon command has checked."""
+    """Return the settings that the daemon command has validated."""
     text = environment.get(SETTINGS_VARIABLE)
     if text is None:
         return Error(DecodeError(reason=f"{SETTINGS_VARIABLE} is not set"))
@@ -28,5 +28,5 @@
 def settings_to_environment(
     settings: Settings, environment: Mapping[str, str] = environ
 ) -> dict[str, str]:
-    """Return the environment of a daemon process with these settings."""
+    """Return an environment for a daemon process with these settings."""
     return {**environment, SETTINGS_VARIABLE: encode_json(settings).decode()}
--- a/catkinhollow/daemon/span_recorder.py
+++ b/catkinhollow/daemon/span_recorder.py
@@ -29,7 +29,7 @@
 
 
 class _RecordedSpan:
-    """Record one hop as an OpenTelemetry span."""
+    """Record the hop of a call as an OpenTelemetry span."""
 
     def __init__(self, span: Span, start_child: Callable[[Span, str], Any]) -> None:
         self._span = span
@@ -38,7 +38,10 @@
 
     @property
     def traceparent(self) -> bytes:
-        """Return the header value that makes the target's span a child."""
+        """Return the traceparent header that makes the target's span a child.
+
+        The parent is the current attempt, or the hop outside of attempts.
+        """
         context = self._current.get_span_context()
         sampled = context.trace_flags.sampled
         return TraceParent(
@@ -58,16 +61,16 @@
         self._span.end()
 
     def enter(self, child: Span) -> None:
-        """Make a child the parent of what the target records."""
+        """Make a child span the parent of the target's spans."""
         self._current = child
 
     def leave(self) -> None:
-        """Make the hop's own span the current one again."""
+        """Make the span of the hop the current one again."""
         self._current = self._span
 
 
 class _AttemptSpan(AbstractContextManager[None]):
-    """Keep a child span open during an attempt."""
+    """Keep a child span open for the duration of an attempt."""
 
     def __init__(self, hop: _RecordedSpan, child: Span) -> None:
         self._hop = hop
--- a/catkinhollow/daemon/status.py
+++ b/catkinhollow/daemon/status.py
@@ -1,4 +1,4 @@
-"""Build the status answer of a daemon."""
+"""Build the response of a daemon's status endpoint."""
 
 from collections.abc import Iterable
 
@@ -33,7 +33,7 @@
     lease: Lease | None = None,
     rejected: SnapshotRejected | None = None,
 ) -> DaemonStatus:
-    """Return the status; members include the daemon's own record."""
+    """Return the status; members must include the daemon's own record."""
     records = sorted(members, key=lambda record: record.address)
     enforced = snapshot.revision if snapshot else 0
     fleet = snapshot.fleet if snapshot else Fleet()
@@ -63,7 +63,8 @@
 
 
 def _member_status(record: MemberRecord, newest_revision: int) -> MemberStatus:
-    # Members that do not run cannot follow, so they do not lag.
+    # A member that is not running cannot enforce newer versions, so it is not
+    # counted as lagging.
     running = record.state in RUNNING_STATES
     return MemberStatus(
         address=record.address,
--- a/catkinhollow/daemon/supervisor.py
+++ b/catkinhollow/daemon/supervisor.py
@@ -1,4 +1,4 @@
-"""Watch over the target on this daemon's instance."""
+"""Supervise the target on this daemon's instance."""
 
 from collections.abc import Callable
 from enum import StrEnum
@@ -23,22 +23,22 @@
 
 
 class ControlAction(StrEnum):
-    """Name what a daemon may order its target to do."""
+    """List the control actions that a daemon can request from its target."""
 
     DRAIN = "drain"
     UNDRAIN = "undrain"
 
 
 class TargetSupervisor:
-    """Probe the target, and order it to drain or to resume."""
+    """Probe the target, and request that it drains or resumes work."""
 
     def __init__(self, settings: ProbeSettings, events: EventManager) -> None:
         self._settings = settings
         self._events = events
         self._health = TargetHealth(settings.failures_to_unhealthy)
         self._pool = AsyncConnectionPool(max_connections=2)
-        self._wanted: ControlAction | None = None
-        self._applied: tuple[int, ControlAction] | None = None
+        self._desired_action: ControlAction | None = None
+        self._last_applied: tuple[int, ControlAction] | None = None
 
     @property
     def record(self) -> TargetRecord | None:
@@ -46,27 +46,27 @@
         return self._health.record
 
     def announce(self, record: TargetRecord) -> None:
-        """Take an announcement of the target."""
-        self._publish_if(lambda: self._health.announced(record))
+        """Handle an announcement of the target."""
+        self._publish_change(lambda: self._health.update_record(record))
 
     def set_drain(self, drain: bool) -> None:
-        """Order the target to drain, or to take new work again."""
-        self._wanted = ControlAction.DRAIN if drain else ControlAction.UNDRAIN
+        """Set whether the target has to drain or to accept new work."""
+        self._desired_action = ControlAction.DRAIN if drain else ControlAction.UNDRAIN
 
     async def check(self) -> None:
-        """Probe the target and repeat an order that has not reached it."""
+        """Probe the target and send the control action if it is pending."""
         record = self._health.record
         if record is None:
             return
         healthy = await self._request("GET", record.address, "/health")
-        self._publish_if(lambda: self._health.probed(healthy))
-        await self._apply_order(record)
+        self._publish_change(lambda: self._health.add_probe_result(healthy))
+        await self._apply_action(record)
 
     async def aclose(self) -> None:
         """Close the connections to the target."""
         await self._pool.aclose()
 
-    def _publish_if(self, update: Callable[[], bool]) -> None:
+    def _publish_change(self, update: Callable[[], bool]) -> None:
         if update() and self._health.record is not None:
             record = self._health.record
             logger.info(
@@ -78,21 +78,24 @@
             )
             self._events.emit(TargetChanged(record=record))
 
-    async def _apply_order(self, record: TargetRecord) -> None:
-        # A restarted target has forgotten an earlier order.
-        if self._wanted is None:
+    async def _apply_action(self, record: TargetRecord) -> None:
+        # A restarted target does not know earlier actions, so the start time
+        # is part of what was applied.
+        if self._desired_action is None:
             return
-        order = (record.started_ms, self._wanted)
-        if order == self._applied:
+        current = (record.started_ms, self._desired_action)
+        if current == self._last_applied:
             return
-        path = f"/control/{self._wanted.value}"
+        path = f"/control/{self._desired_action.value}"
         if await self._request("POST", record.address, path):
-            self._applied = order
-            logger.info("target ordered", action=self._wanted.value)
+            self._last_applied = current
+            logger.info(
+                "control action sent to the target", action=self._desired_action.value
+            )
 
     async def _request(self, method: str, address: str, path: str) -> bool:
-        limit_s = self._settings.timeout_ms / 1000
-        with trio.move_on_after(limit_s):
+        timeout_s = self._settings.timeout_ms / 1000
+        with trio.move_on_after(timeout_s):
             try:
                 response = await self._pool.request(method, f"http://{address}{path}")
             except (NetworkError, ProtocolError, TimeoutException):
--- a/catkinhollow/daemon/tracers.py
+++ b/catkinhollow/daemon/tracers.py
@@ -1,4 +1,4 @@
-"""Choose the tracer that the settings ask for."""
+"""Create the tracer for the configured trace output."""
 
 from random import Random
 
@@ -7,10 +7,11 @@
 
 
 def make_tracer(settings: TracingSettings, instance: str, random: Random) -> Tracer:
-    """Return the tracer that the settings ask for."""
+    """Return the tracer for the configured trace output."""
     if settings.output is Output.NONE:
         return PropagatingTracer(random)
-    # opentelemetry takes over 2 MB, so only a daemon that records loads it.
+    # Importing opentelemetry takes over 2 MB of memory, so only a daemon that
+    # records spans does it.
     from catkinhollow.daemon.span_recorder import RecordingTracer
 
     return RecordingTracer(settings, instance)
--- a/catkinhollow/daemon/tracing.py
+++ b/catkinhollow/daemon/tracing.py
@@ -1,4 +1,4 @@
-"""Pass the W3C trace context on and record a span for each hop."""
+"""Propagate the W3C trace context and record a span for each hop."""
 
 from contextlib import AbstractContextManager, nullcontext
 from random import Random
@@ -15,7 +15,7 @@
 
 @frozen(kw_only=True)
 class TraceParent:
-    """Hold the trace context of a request."""
+    """Represent the W3C trace context of a request."""
 
     trace_id: int
     span_id: int
@@ -28,7 +28,7 @@
 
 
 def parse_traceparent(value: bytes | None) -> TraceParent | None:
-    """Return the context of a traceparent header, if it is well formed."""
+    """Return the context of a traceparent header, None if malformed."""
     parts = (value or b"").split(b"-")
     if len(parts) < 4 or len(parts[1]) != TRACE_ID_DIGITS:
         return None
@@ -49,7 +49,7 @@
 
     @property
     def traceparent(self) -> bytes:
-        """Return the header value to pass on."""
+        """Return the traceparent header value for the target."""
 
     def set(self, key: str, value: str | int | float) -> None:
         """Set an attribute of the span."""
@@ -68,19 +68,19 @@
         """Start a span that continues the request's trace."""
 
 
-class _PassedSpan:
-    """Pass a trace context on without recording."""
+class _PropagatedSpan:
+    """Propagate a trace context without recording a span."""
 
     def __init__(self, traceparent: bytes) -> None:
         self._traceparent = traceparent
 
     @property
     def traceparent(self) -> bytes:
-        """Return the header value to pass on."""
+        """Return the traceparent header value for the target."""
         return self._traceparent
 
     def set(self, key: str, value: str | int | float) -> None:
-        """Drop the attribute."""
+        """Ignore the attribute."""
 
     def attempt(self, address: str) -> AbstractContextManager[None]:
         """Record nothing."""
@@ -91,7 +91,7 @@
 
 
 class PropagatingTracer:
-    """Pass trace contexts on, and make one where there is none."""
+    """Propagate trace contexts; create one for requests without any."""
 
     def __init__(self, random: Random) -> None:
         self._random = random
@@ -100,10 +100,10 @@
         """Return a span that records nothing."""
         value = request.header(TRACE_HEADER)
         if value is not None:
-            return _PassedSpan(value)
+            return _PropagatedSpan(value)
         parent = TraceParent(
             trace_id=self._random.getrandbits(128) or 1,
             span_id=self._random.getrandbits(64) or 1,
             sampled=False,
         )
-        return _PassedSpan(parent.encode())
+        return _PropagatedSpan(parent.encode())
--- a/tests/daemon/test_status.py
+++ b/tests/daemon/test_status.py
@@ -1,4 +1,4 @@
-"""Tests of the status answer and its report."""
+"""Tests of the status response and of its text report."""
 
 from catkinhollow.codec import decode_json, encode_json
 from catkinhollow.daemon.status import build_status
@@ -19,7 +19,7 @@
 from catkinhollow.status_report import build_tables, summarize
 
 
-def member(port, revision, state="alive", domain="a"):
+def make_member(port, revision, state="alive", domain="a"):
     target = TargetRecord(
         service="orders", version="v1", address="x:1", slots=10, started_ms=1
     )
@@ -63,14 +63,18 @@
 ]
 
 
-def test_status_tells_who_lags_and_what_is_out_of_the_ordinary():
-    """Guards against an answer that hides a lagging or missing member."""
+def test_status_shows_lagging_members_and_exceptions():
+    """Guards against a status that hides a lagging or missing member."""
     status = build_status(
-        own=member(1, 7),
+        own=make_member(1, 7),
         ready=True,
         snapshot=Snapshot(revision=7, fleet=FLEET),
         newest_revision=5,
-        members=[member(3, 2, "dead", "b"), member(2, 9, domain="b"), member(1, 7)],
+        members=[
+            make_member(3, 2, "dead", "b"),
+            make_member(2, 9, domain="b"),
+            make_member(1, 7),
+        ],
         moves=MOVES,
         lease=Lease(holder="127.0.0.1:2", epoch=4),
         rejected=SnapshotRejected(
@@ -93,15 +97,15 @@
         ["a", "in", "1 of 1", "1", "1", ""],
         ["b", "OUT", "1 of 2", "0", "1", ""],
     ]
-    noted = tables["members not alive or lagging"]
-    assert [row[0][-1] for row in noted] == ["1", "3"]
+    listed = tables["members not alive or lagging"]
+    assert [row[0][-1] for row in listed] == ["1", "3"]
     assert tables["exceptions"][0][-1] == "Orders are confirmed by hand."
     assert tables["running moves"][0][4] == "2027-01-15 08:00:00+00:00"
 
 
 def test_status_of_a_daemon_without_configuration():
-    """Guards against an unready daemon that cannot say that it is unready."""
-    own = member(1, 0)
+    """Guards against a daemon that cannot report that it is not ready."""
+    own = make_member(1, 0)
     status = build_status(
         own=own, ready=False, snapshot=None, newest_revision=0, members=[own]
     )
@@ -112,8 +116,8 @@
 
 
 def test_controller_without_a_known_epoch_is_the_elected_one():
-    """Guards against an epoch of 0 that looks like a lease."""
-    own = member(1, 0)
+    """Guards against an unknown epoch that is shown as epoch 0 of a lease."""
+    own = make_member(1, 0)
     elected = Lease(holder="127.0.0.1:2", epoch=0)
     status = build_status(
         own=own,
--- a/tests/daemon/test_target_health.py
+++ b/tests/daemon/test_target_health.py
@@ -1,4 +1,4 @@
-"""Tests of the state of a target as its daemon sees it."""
+"""Tests of the target state derived from announcements and probes."""
 
 from catkinhollow.daemon.target_health import TargetHealth
 from catkinhollow.generated.messages import TargetRecord, TargetState
@@ -16,28 +16,31 @@
 
 
 def test_one_failed_probe_changes_nothing():
-    """Guards against a target that is taken out by one lost probe."""
+    """Guards against a target that is marked failed after one lost probe."""
     health = TargetHealth(failures_to_unhealthy=3)
-    assert health.announced(make_record())
-    assert not any(health.probed(False) for _ in range(2))
-    assert not health.probed(True)
-    assert not any(health.probed(False) for _ in range(2))
+    assert health.update_record(make_record())
+    assert not any(health.add_probe_result(False) for _ in range(2))
+    assert not health.add_probe_result(True)
+    assert not any(health.add_probe_result(False) for _ in range(2))
     assert health.record.state is TargetState.READY
 
 
 def test_repeated_announcement_does_not_hide_failed_probes():
-    """Guards against a dead port whose target still announces itself."""
+    """Guards against a failed port of a target that still announces itself."""
     health = TargetHealth(failures_to_unhealthy=2)
-    health.announced(make_record())
-    assert [health.probed(False), health.probed(False)] == [False, True]
-    assert not health.announced(make_record())
+    health.update_record(make_record())
+    assert [health.add_probe_result(False), health.add_probe_result(False)] == [
+        False,
+        True,
+    ]
+    assert not health.update_record(make_record())
     assert health.record.state is TargetState.FAILED
 
 
 def test_restarted_target_is_trusted_again():
-    """Guards against a predecessor's failures that stick to a new target."""
+    """Guards against failures that outlast the restart of the target."""
     health = TargetHealth(failures_to_unhealthy=1)
-    health.announced(make_record())
-    health.probed(False)
-    assert health.announced(make_record(started_ms=2))
+    health.update_record(make_record())
+    health.add_probe_result(False)
+    assert health.update_record(make_record(started_ms=2))
     assert health.record.state is TargetState.READY
--- a/tests/daemon/test_tracing.py
+++ b/tests/daemon/test_tracing.py
@@ -1,4 +1,4 @@
-"""Tests of the trace context and of the spans of a hop."""
+"""Tests of trace context propagation and of the spans of a hop."""
 
 import json
 from random import Random
@@ -26,7 +26,7 @@
     assert parse_traceparent(value) is None
 
 
-def test_disabled_tracing_passes_the_context_on():
+def test_disabled_tracing_propagates_the_context():
     """Guards against a trace that ends at a daemon without tracing."""
     tracer = make_tracer(TracingSettings(), "i1", Random(1))
     assert tracer.start(make_request(PARENT), "r").traceparent == PARENT
@@ -34,7 +34,7 @@
 
 
 def test_attempt_is_a_child_of_the_hop(monkeypatch):
-    """Guards against spans that do not join the caller's trace."""
+    """Guards against spans that are not part of the caller's trace."""
     lines = []
     monkeypatch.setattr(
         "catkinhollow.daemon.span_recorder.stderr",
@@ -43,9 +43,9 @@
     settings = TracingSettings(output=Output.STDERR)
     hop = make_tracer(settings, "i1", Random(1)).start(make_request(PARENT), "r")
     with hop.attempt("127.0.0.1:1"):
-        passed_on = parse_traceparent(hop.traceparent)
+        propagated = parse_traceparent(hop.traceparent)
     hop.end()
     attempt, server = (json.loads(line) for line in lines)
     assert server["parent_id"] == "0xb7ad6b7169203331"
     assert attempt["parent_id"] == server["context"]["span_id"]
-    assert f"0x{passed_on.span_id:016x}" == attempt["context"]["span_id"]
+    assert f"0x{propagated.span_id:016x}" == attempt["context"]["span_id"]
