--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -1,4 +1,4 @@
-"""Assemble the parts of a daemon."""
+"""Assemble and run the parts of a daemon."""
 
 import signal
 from collections.abc import Callable
@@ -55,16 +55,18 @@
 
 logger = get_logger(__name__)
 
-# Gathers the changes of a burst; the table of a large fleet takes a while.
-MEMBERS_DELAY_S = 0.05
-# Soon enough that commands know a new failure domain; a list that is not
-# stale costs no call of the store.
+# Batches a burst of changes, as processing the member table of a large fleet
+# takes a while.
+MEMBER_UPDATE_DELAY_S = 0.05
+# Short enough for commands to find a new failure domain soon. A list that is
+# not stale causes no store call.
 SEEDS_INTERVAL_S = 2.0
-SPLITS_INTERVAL_S = 1.0
+INITIAL_VERSIONS_INTERVAL_S = 1.0
 ADMIN_DRAIN_S = 0.5
-# Callers with an open connection learn from its next answer to close it.
+# After shutdown begins, each response on an open connection tells its caller
+# to close the connection; this is the time left for that.
 LINGER_S = 1.0
-# Lets the announcement of leaving reach the neighbours before the end.
+# Lets the leave message reach the neighbours before the process ends.
 LEAVE_DELAY_S = 0.2
 
 
@@ -79,16 +81,16 @@
         self._metrics = Metrics()
         self._holder = SnapshotHolder()
         self._rejected: SnapshotRejected | None = None
-        self._members_due = False
+        self._member_update_pending = False
         self._shutdown = trio.Event()
-        self._may_serve = trio.Event()
+        self._traffic_allowed = trio.Event()
         self._traffic_closed = trio.Event()
         self._listening = False
-        self._build_edges(Random())
-        self._build_control()
+        self._build_io_layer(Random())
+        self._build_control_plane()
         self._connect_events()
 
-    def _build_edges(self, random: Random) -> None:
+    def _build_io_layer(self, random: Random) -> None:
         settings = self._settings
         location = Location(
             failure_domain=settings.failure_domain, region=settings.region
@@ -117,7 +119,7 @@
         )
         self._bootstrap = Bootstrap(self._store, self._watcher, self._mesh, random)
 
-    def _build_control(self) -> None:
+    def _build_control_plane(self) -> None:
         settings = self._settings
         self._quarantines = QuarantinePolicy()
         self._elections = Elections(
@@ -128,7 +130,7 @@
             self._router, self._mesh, self._elections, self._clock
         )
         self._controller = Controller(
-            holder=self._holder_name(),
+            holder=self._lease_holder_name(),
             store=self._store,
             clock=self._clock,
             settings=settings.lease,
@@ -138,8 +140,9 @@
             quarantine=self._mesh.quarantine,
         )
 
-    def _holder_name(self) -> str:
-        # A restarted daemon must not take its predecessor's lease for its own.
+    def _lease_holder_name(self) -> str:
+        # The incarnation keeps a restarted daemon from treating the lease of
+        # its previous process as its own.
         own = self._mesh.table.own
         return f"{own.address}/{own.incarnation}"
 
@@ -156,16 +159,16 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether the daemon accepts calls."""
+        """Return whether the daemon accepts calls."""
         return self._listening
 
     @property
     def revision(self) -> int:
-        """Return the revision of the configuration in force."""
+        """Return the revision of the enforced configuration, 0 if none."""
         return self._holder.revision
 
     def offer_snapshot(self, snapshot: Snapshot) -> Result[Snapshot, SnapshotRejected]:
-        """Enforce a snapshot if it is valid and newer than the present one."""
+        """Enforce a snapshot if it is valid and newer than the current one."""
         result = self._holder.offer(snapshot)
         if result.is_ok():
             logger.info("configuration enforced", revision=snapshot.revision)
@@ -181,11 +184,11 @@
         return result
 
     def announce(self, record: TargetRecord) -> None:
-        """Take an announcement of the target on the instance."""
+        """Handle an announcement of the target on the instance."""
         self._supervisor.announce(record)
 
     def status(self) -> Any:
-        """Return the status answer as a data class."""
+        """Return the status as a data class of the status schema."""
         table = self._mesh.table
         return build_status(
             own=table.own,
@@ -200,14 +203,15 @@
         )
 
     def _known_lease(self) -> Lease | None:
-        # Only the holder knows the epoch; the others know who is elected.
+        # Only the holder of the lease knows its epoch. Other daemons know the
+        # elected controller and report it with epoch 0.
         if self._controller.epoch:
-            return Lease(holder=self._holder_name(), epoch=self._controller.epoch)
+            return Lease(holder=self._lease_holder_name(), epoch=self._controller.epoch)
         elected = self._elections.controller()
         return Lease(holder=elected, epoch=0) if elected else None
 
     def collect_metrics(self) -> Metrics:
-        """Return the metrics with their gauges up to date."""
+        """Return the metrics with updated gauges."""
         self._metrics.enforced_revision.set({}, self.revision)
         self._metrics.ready.set({}, int(self.ready))
         self._metrics.set_peer_counters(self._link.counters)
@@ -220,7 +224,7 @@
         return self._metrics
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then finish the calls in flight."""
+        """Serve until SIGTERM or SIGINT, then finish the calls in flight."""
         async with trio.open_nursery() as nursery:
             await self._start_listeners(nursery)
             for task in (
@@ -231,7 +235,7 @@
                 self._run_controller,
             ):
                 nursery.start_soon(task)
-            self._subscribe(nursery)
+            self._schedule_periodic_tasks(nursery)
             await self._wait_for_signal()
             await self._drain()
             nursery.cancel_scope.cancel()
@@ -247,9 +251,9 @@
         await self._serve_admin(nursery, AdminApplication(self), settings.admin)
 
     async def _serve_traffic(self, app: App) -> None:
-        # A caller whose connection is refused can try another entry daemon at
-        # once, so the port stays closed until there is a configuration.
-        await self._may_serve.wait()
+        # The port stays closed until there is a configuration: a caller whose
+        # connection is refused can try another ingress daemon at once.
+        await self._traffic_allowed.wait()
         settings = self._settings
         serve = partial(
             serve_app,
@@ -284,14 +288,18 @@
     async def _run_controller(self) -> None:
         await self._controller.run(self._timer)
 
-    def _subscribe(self, nursery: trio.Nursery) -> None:
-        def start(job: Callable[[], Any]) -> Callable[[], None]:
+    def _schedule_periodic_tasks(self, nursery: trio.Nursery) -> None:
+        def starter(job: Callable[[], Any]) -> Callable[[], None]:
             return lambda: nursery.start_soon(job)
 
         settings = self._settings
-        self._timer.subscribe(settings.probe.interval_s, start(self._supervisor.check))
-        self._timer.subscribe(SEEDS_INTERVAL_S, start(self._publish_seeds))
-        self._timer.subscribe(SPLITS_INTERVAL_S, start(self._fix_initial_versions))
+        self._timer.subscribe(
+            settings.probe.interval_s, starter(self._supervisor.check)
+        )
+        self._timer.subscribe(SEEDS_INTERVAL_S, starter(self._publish_seeds))
+        self._timer.subscribe(
+            INITIAL_VERSIONS_INTERVAL_S, starter(self._fix_initial_versions)
+        )
         self._evidence.subscribe(self._timer)
 
     async def _publish_seeds(self) -> None:
@@ -305,7 +313,7 @@
         records = self._mesh.table.records.values()
         versions = choose_initial_versions(snapshot.fleet, records)
         if versions:
-            logger.info("initial versions", versions=versions)
+            logger.info("setting initial versions", versions=versions)
             await update_fleet(self._store, FixInitialVersions(versions))
 
     async def _wait_for_signal(self) -> None:
@@ -325,7 +333,7 @@
 
     def _open_traffic_if_ready(self, _: Any) -> None:
         if self._mesh.ready and self._holder.snapshot is not None:
-            self._may_serve.set()
+            self._traffic_allowed.set()
 
     def _on_snapshot(self, event: SnapshotEnforced) -> None:
         fleet = event.snapshot.fleet
@@ -359,12 +367,12 @@
             self._router.lift_quarantine(service, version, now_s)
 
     def _on_members_changed(self, _: Any) -> None:
-        if not self._members_due:
-            self._members_due = True
-            self._timer.call_after(MEMBERS_DELAY_S, self._take_members)
+        if not self._member_update_pending:
+            self._member_update_pending = True
+            self._timer.call_after(MEMBER_UPDATE_DELAY_S, self._update_members)
 
-    def _take_members(self) -> None:
-        self._members_due = False
+    def _update_members(self) -> None:
+        self._member_update_pending = False
         records = self._mesh.table.records.values()
         now_s = self._clock.monotonic()
         self._router.update_members(records, now_s, self._clock.unix_ms())
