--- a/catkinhollow/clock.py
+++ b/catkinhollow/clock.py
@@ -1,4 +1,4 @@
-"""Read the clocks of the running process."""
+"""Read the current time."""
 
 from time import time_ns
 
@@ -6,10 +6,10 @@
 
 
 class TrioClock:
-    """Tell the time of the trio loop, which tests can virtualize."""
+    """Provide the time of the trio loop, which tests can mock."""
 
     def monotonic(self) -> float:
-        """Return the loop's time in seconds."""
+        """Return the monotonic time of the loop in seconds."""
         return trio.current_time()
 
     def unix_ms(self) -> int:
--- a/catkinhollow/errors.py
+++ b/catkinhollow/errors.py
@@ -1,4 +1,4 @@
-"""Define the typed errors that results carry."""
+"""Define the error types that results carry."""
 
 from enum import StrEnum
 
@@ -7,14 +7,17 @@
 
 @frozen(kw_only=True)
 class DecodeError:
-    """Report bytes that do not hold the expected message."""
+    """Report data that could not be decoded as the expected type."""
 
     reason: str
 
 
 @frozen(kw_only=True)
 class Problem:
-    """Report one fault of a file, with its line and path."""
+    """Report one problem of a file, with its line and path.
+
+    The file is empty and the line is 0 if they are not known.
+    """
 
     path: str
     reason: str
@@ -22,14 +25,14 @@
     line: int = 0
 
     def __str__(self) -> str:
-        """Return the fault on one line."""
+        """Return the problem as one line of text."""
         line = f":{self.line}" if self.line else ""
         parts = (f"{self.file}{line}" if self.file else "", self.path, self.reason)
         return ": ".join(part for part in parts if part)
 
 
 class StoreErrorKind(StrEnum):
-    """Classify why a call to the store has no usable answer."""
+    """Classify why a store call failed."""
 
     UNAVAILABLE = "unavailable"
     CONFLICT = "conflict"
@@ -39,7 +42,11 @@
 
 @frozen(kw_only=True)
 class StoreError:
-    """Report a store call without a usable answer."""
+    """Report a failed store call.
+
+    The revision is that of the stored object or of its deletion, as far as the
+    store reported it, else 0.
+    """
 
     kind: StoreErrorKind
     reason: str
--- a/catkinhollow/events.py
+++ b/catkinhollow/events.py
@@ -21,57 +21,57 @@
 
 @frozen(kw_only=True)
 class SnapshotEnforced:
-    """Announce that the daemon enforces a new configuration version."""
+    """Signal that the daemon enforces a new configuration version."""
 
     snapshot: Snapshot
 
 
 @frozen(kw_only=True)
 class MembersChanged:
-    """Announce that the member table has changed."""
+    """Signal that the member table has changed."""
 
 
 @frozen(kw_only=True)
 class TargetChanged:
-    """Announce that the target beside the daemon is new or has changed."""
+    """Signal that the target on the instance is new or has changed."""
 
     record: TargetRecord
 
 
 @frozen(kw_only=True)
 class VersionQuarantined:
-    """Announce that a target version gets no more traffic."""
+    """Signal that a target version receives no more traffic."""
 
     quarantine: Quarantine
 
 
 @frozen(kw_only=True)
 class FloorRaised:
-    """Announce the lowest revision that the daemon may enforce."""
+    """Signal a new lower bound of the revisions that may be enforced."""
 
     revision: int
 
 
 @frozen(kw_only=True)
 class MeshJoined:
-    """Announce that a peer has sent its member table."""
+    """Signal that a peer has sent its member table."""
 
 
 @frozen(kw_only=True)
 class MeshReady:
-    """Announce that the daemon may serve calls."""
+    """Signal that the mesh allows the daemon to serve calls."""
 
 
 @frozen(kw_only=True)
 class EvidenceReported:
-    """Announce outcome counts that a peer has sent."""
+    """Signal call outcome counts received from a peer."""
 
     sender: str
     report: EvidenceReport
 
 
 class EventManager:
-    """Connect listeners to event classes and call them in order."""
+    """Dispatch events to the listeners of their class, in connection order."""
 
     def __init__(self) -> None:
         self._listeners: dict[type, list[Callable[[Any], None]]] = defaultdict(list)
@@ -79,10 +79,10 @@
     def connect(
         self, event_class: type[EventT], listener: Callable[[EventT], None]
     ) -> None:
-        """Call the listener for each later event of the class."""
+        """Call the listener for each future event of the class."""
         self._listeners[event_class].append(listener)
 
     def emit(self, event: object) -> None:
-        """Call every listener of the event's class."""
+        """Call the listeners of the event's class synchronously."""
         for listener in self._listeners[type(event)]:
             listener(event)
--- a/catkinhollow/timer.py
+++ b/catkinhollow/timer.py
@@ -1,4 +1,4 @@
-"""Call subscribers at intervals and after delays."""
+"""Run callbacks at intervals and after delays."""
 
 from collections.abc import Callable
 from heapq import heappop, heappush
@@ -11,10 +11,10 @@
 
 
 class Clock(Protocol):
-    """Tell the time."""
+    """Provide the current time."""
 
     def monotonic(self) -> float:
-        """Return seconds that never go back."""
+        """Return a time in seconds that never decreases."""
 
     def unix_ms(self) -> int:
         """Return the Unix time in milliseconds."""
@@ -22,7 +22,7 @@
 
 @define(eq=False)
 class Subscription:
-    """Hold one callback and when it is due."""
+    """Represent a scheduled callback, one-shot if interval_s is None."""
 
     callback: Callable[[], None]
     interval_s: float | None
@@ -30,20 +30,21 @@
 
     @property
     def cancelled(self) -> bool:
-        """Tell whether the callback will not be called again."""
+        """Return whether the subscription has been cancelled."""
         return self._cancelled
 
     def cancel(self) -> None:
-        """Stop calling the callback."""
+        """Prevent further calls of the callback."""
         self._cancelled = True
 
 
 class Timer:
-    """Run callbacks when they are due, in one task."""
+    """Run callbacks in one task when they are due."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._order = count()
+        # Keeps callbacks with equal due times in scheduling order in the heap.
+        self._sequence = count()
         self._due: list[tuple[float, int, Subscription]] = []
         self._changed = trio.Event()
 
@@ -59,14 +60,17 @@
         *,
         first_delay_s: float | None = None,
     ) -> Subscription:
-        """Call the callback every interval, in seconds."""
+        """Call the callback at intervals given in seconds.
+
+        The first call comes after first_delay_s, by default one interval.
+        """
         subscription = Subscription(callback, interval_s)
         delay_s = interval_s if first_delay_s is None else first_delay_s
         self._schedule(subscription, delay_s)
         return subscription
 
     def call_after(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
-        """Call the callback once, after a delay in seconds."""
+        """Call the callback once after a delay in seconds."""
         subscription = Subscription(callback, None)
         self._schedule(subscription, delay_s)
         return subscription
@@ -82,7 +86,7 @@
 
     def _schedule(self, subscription: Subscription, delay_s: float) -> None:
         due = self._clock.monotonic() + delay_s
-        heappush(self._due, (due, next(self._order), subscription))
+        heappush(self._due, (due, next(self._sequence), subscription))
         self._changed.set()
 
     def _run_due(self) -> None:
--- a/tests/test_timer.py
+++ b/tests/test_timer.py
@@ -1,4 +1,4 @@
-"""Tests of the timer service in virtual time."""
+"""Tests of the timer in virtual time."""
 
 import trio
 
@@ -17,8 +17,8 @@
     assert calls == ["interval", "delay", "interval"]
 
 
-async def test_cancelled_subscription_is_silent(autojump_clock, nursery):
-    """Guards against a callback that runs after its part has stopped."""
+async def test_cancelled_subscription_is_not_called(autojump_clock, nursery):
+    """Guards against a callback that runs after its owner has cancelled it."""
     timer = Timer(TrioClock())
     calls = []
     subscription = timer.subscribe(1.0, lambda: calls.append(1))
@@ -30,7 +30,7 @@
 
 
 async def test_earlier_callback_wakes_a_sleeping_timer(autojump_clock, nursery):
-    """Guards against a timer that sleeps past a callback added meanwhile."""
+    """Guards against a timer that misses a callback added while it sleeps."""
     timer = Timer(TrioClock())
     calls = []
     timer.call_after(100.0, lambda: calls.append("late"))
