--- a/catkinhollow/__main__.py
+++ b/catkinhollow/__main__.py
@@ -1,4 +1,4 @@
-"""Run the command line."""
+"""Run the command line interface."""
 
 import sys
 
--- a/catkinhollow/addresses.py
+++ b/catkinhollow/addresses.py
@@ -1,4 +1,4 @@
-"""Read and write TCP addresses as text."""
+"""Parse and format TCP addresses."""
 
 from expression import Error, Ok, Result
 
@@ -9,10 +9,10 @@
 
 
 def parse_address(text: str) -> Result[Address, DecodeError]:
-    """Return the address of host:port text, IPv6 hosts in brackets."""
+    """Parse an address of the form host:port, with IPv6 hosts in brackets."""
     host, colon, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
-    # Only ASCII digits: isdigit alone takes other scripts too.
+    # isdigit alone also accepts non-ASCII digits.
     if not host or not colon or not (port.isascii() and port.isdigit()):
         return Error(DecodeError(reason=f"'{text}' is not of the form HOST:PORT"))
     if not 1 <= int(port) <= MAX_PORT:
@@ -21,6 +21,6 @@
 
 
 def format_address(address: Address) -> str:
-    """Return the address as host:port text."""
+    """Format an address as host:port, with IPv6 hosts in brackets."""
     host = f"[{address.host}]" if ":" in address.host else address.host
     return f"{host}:{address.port}"
--- a/catkinhollow/admin_client.py
+++ b/catkinhollow/admin_client.py
@@ -1,4 +1,4 @@
-"""Ask a daemon for its status over its admin address."""
+"""Request the status of a daemon from its admin endpoint."""
 
 import httpcore
 from attrs import frozen
@@ -16,7 +16,7 @@
 
 @frozen(kw_only=True)
 class DaemonUnreachable:
-    """Report a daemon that did not answer."""
+    """Report a daemon that could not be reached or did not answer."""
 
     reason: str
 
@@ -24,12 +24,12 @@
 async def fetch_status(
     address: Address,
 ) -> Result[DaemonStatus, DaemonUnreachable | DecodeError]:
-    """Return what the daemon at the admin address knows."""
+    """Return the status of the daemon at the admin address."""
     url = f"http://{format_address(address)}/status"
-    limits = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
     try:
         async with httpcore.AsyncConnectionPool() as pool:
-            response = await pool.request("GET", url, extensions={"timeout": limits})
+            response = await pool.request("GET", url, extensions={"timeout": timeouts})
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
--- a/catkinhollow/codec.py
+++ b/catkinhollow/codec.py
@@ -18,24 +18,27 @@
 
 
 def encode_without_none(message: Any) -> bytes:
-    """Encode a message that has one of many bodies without the empty ones."""
-    filled = {
+    """Encode a message as MessagePack without the fields that are None.
+
+    Suits messages in which only one of many optional bodies is set.
+    """
+    values = {
         name: value
         for name in _field_names(message.__class__)
         if (value := getattr(message, name)) is not None
     }
-    return msgpack.encode(filled)
+    return msgpack.encode(values)
 
 
 @cache
-def _field_names(kind: Any) -> tuple[str, ...]:
-    return tuple(field.name for field in fields(kind))
+def _field_names(message_class: Any) -> tuple[str, ...]:
+    return tuple(field.name for field in fields(message_class))
 
 
-def decode_message(data: bytes, kind: type[T]) -> Result[T, DecodeError]:
+def decode_message(data: bytes, message_class: type[T]) -> Result[T, DecodeError]:
     """Decode a MessagePack message of the given class."""
     try:
-        return Ok(msgpack.decode(data, type=kind))
+        return Ok(msgpack.decode(data, type=message_class))
     except MsgspecError as error:
         return Error(DecodeError(reason=str(error)))
 
@@ -45,18 +48,18 @@
     return json.encode(value)
 
 
-def decode_json(data: bytes, kind: type[T]) -> Result[T, DecodeError]:
+def decode_json(data: bytes, result_class: type[T]) -> Result[T, DecodeError]:
     """Decode a JSON document of the given class."""
     try:
-        return Ok(json.decode(data, type=kind))
+        return Ok(json.decode(data, type=result_class))
     except MsgspecError as error:
         return Error(DecodeError(reason=str(error)))
 
 
-def from_plain(value: Any, kind: type[T]) -> Result[T, DecodeError]:
+def from_plain(value: Any, result_class: type[T]) -> Result[T, DecodeError]:
     """Convert plain dicts and lists to the given class."""
     try:
-        return Ok(convert(value, type=kind))
+        return Ok(convert(value, type=result_class))
     except MsgspecError as error:
         return Error(DecodeError(reason=str(error)))
 
--- a/catkinhollow/logs.py
+++ b/catkinhollow/logs.py
@@ -1,4 +1,4 @@
-"""Write one structured line for each event."""
+"""Write structured log events as JSON lines."""
 
 import logging as standard_logging
 import sys
@@ -17,10 +17,10 @@
 
 
 class _JsonFormatter(standard_logging.Formatter):
-    """Format a record as one JSON line."""
+    """Format a log record as one JSON line."""
 
     def format(self, record: standard_logging.LogRecord) -> str:
-        """Return the record's time, level and message with its fields."""
+        """Return the record's time, level, message and fields as JSON."""
         line = {
             "time_ms": int(record.created * 1000),
             "level": record.levelname.lower(),
@@ -37,11 +37,11 @@
         self._module = module
 
     def debug(self, event: str, **fields: Any) -> None:
-        """Log an event that helps to find a fault."""
+        """Log an event that helps to diagnose faults."""
         self._log(standard_logging.DEBUG, event, fields)
 
     def info(self, event: str, **fields: Any) -> None:
-        """Log a change that operators may want to see."""
+        """Log a change of state for operators."""
         self._log(standard_logging.INFO, event, fields)
 
     def warning(self, event: str, **fields: Any) -> None:
@@ -65,8 +65,9 @@
 
 
 def configure_logging(level: str, stream: TextIO = sys.stderr) -> None:
-    """Write lines of the given level and above to the stream."""
-    # The command line is cleo's; unparsed absl flags would log a warning.
+    """Write events of the given level and above to the stream."""
+    # cleo parses the command line, so absl flags are never parsed, which
+    # would make absl log a warning.
     flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
--- a/catkinhollow/status_report.py
+++ b/catkinhollow/status_report.py
@@ -1,4 +1,4 @@
-"""Arrange a status answer for a reader."""
+"""Format a daemon's status as text lines and tables."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -20,7 +20,7 @@
 
 @frozen(kw_only=True)
 class Table:
-    """Hold one table as text."""
+    """Represent one table of text cells."""
 
     title: str
     headers: list[str]
@@ -28,7 +28,7 @@
 
 
 def summarize(status: DaemonStatus) -> list[tuple[str, str]]:
-    """Return the state of the fleet as labelled lines."""
+    """Summarize the state of the fleet in labelled lines."""
     lines = [
         ("daemon", f"{status.address} {'ready' if status.ready else 'NOT READY'}"),
         ("place", f"failure domain {status.failure_domain}, region {status.region}"),
@@ -46,20 +46,20 @@
 
 
 def build_tables(status: DaemonStatus) -> list[Table]:
-    """Return the tables that have rows."""
+    """Return the tables of the status that have rows."""
     tables = [
-        _domain_table(status),
-        _member_table(status.members),
-        _move_table(status),
-        _split_table(status.splits),
-        _quarantine_table(status),
+        _build_domain_table(status),
+        _build_member_table(status.members),
+        _build_move_table(status),
+        _build_split_table(status.splits),
+        _build_quarantine_table(status),
         build_exception_table(status.exceptions),
     ]
     return [table for table in tables if table.rows]
 
 
 def build_exception_table(exceptions: Iterable[ExceptionStatus]) -> Table:
-    """Return the exceptions with their reasons."""
+    """Return a table of the exceptions with their reasons."""
     return Table(
         title="exceptions",
         headers=["name", "scope", "setting", "value", "reason"],
@@ -77,7 +77,7 @@
 
 
 def describe_scope(service: str, route: str) -> str:
-    """Return what an exception holds for."""
+    """Return the service and route that an exception applies to."""
     parts = [
         f"service {service}" if service else "",
         f"route {route}" if route else "",
@@ -108,13 +108,13 @@
     return f"{address}, epoch {epoch}" if epoch else f"{address}, by election"
 
 
-def _domain_table(status: DaemonStatus) -> Table:
+def _build_domain_table(status: DaemonStatus) -> Table:
     domains = sorted({member.failure_domain for member in status.members})
     return Table(
         title="failure domains",
         headers=["name", "service", "running", "lagging", "ready targets", "others"],
         rows=[
-            _domain_row(
+            _build_domain_row(
                 domain,
                 "OUT" if domain in status.failure_domains_out else "in",
                 [item for item in status.members if item.failure_domain == domain],
@@ -124,7 +124,9 @@
     )
 
 
-def _domain_row(domain: str, service: str, members: list[MemberStatus]) -> list[str]:
+def _build_domain_row(
+    domain: str, service: str, members: list[MemberStatus]
+) -> list[str]:
     running = [member for member in members if member.state in RUNNING_STATES]
     targets = Counter(target.state for member in running for target in member.targets)
     others = [
@@ -142,13 +144,13 @@
     ]
 
 
-def _member_table(members: list[MemberStatus]) -> Table:
-    """Return the members that need attention, those furthest behind first."""
-    noted = [item for item in members if item.state != "alive" or item.lag_revisions]
-    noted.sort(key=lambda member: (-member.lag_revisions, member.address))
+def _build_member_table(members: list[MemberStatus]) -> Table:
+    """Return a table of members that need attention, largest lag first."""
+    listed = [item for item in members if item.state != "alive" or item.lag_revisions]
+    listed.sort(key=lambda member: (-member.lag_revisions, member.address))
     title = "members not alive or lagging"
-    if len(noted) > MAX_LISTED_MEMBERS:
-        title += f" (first {MAX_LISTED_MEMBERS} of {len(noted)})"
+    if len(listed) > MAX_LISTED_MEMBERS:
+        title += f" (first {MAX_LISTED_MEMBERS} of {len(listed)})"
     return Table(
         title=title,
         headers=["address", "failure domain", "state", "revision", "lag"],
@@ -160,12 +162,12 @@
                 str(member.enforced_revision),
                 str(member.lag_revisions),
             ]
-            for member in noted[:MAX_LISTED_MEMBERS]
+            for member in listed[:MAX_LISTED_MEMBERS]
         ],
     )
 
 
-def _move_table(status: DaemonStatus) -> Table:
+def _build_move_table(status: DaemonStatus) -> Table:
     return Table(
         title="running moves",
         headers=["service", "from", "to", "percent", "deadline", "operator"],
@@ -183,7 +185,7 @@
     )
 
 
-def _split_table(splits: Iterable[SplitStatus]) -> Table:
+def _build_split_table(splits: Iterable[SplitStatus]) -> Table:
     return Table(
         title="version splits",
         headers=["service", "version", "percent"],
@@ -195,7 +197,7 @@
     )
 
 
-def _quarantine_table(status: DaemonStatus) -> Table:
+def _build_quarantine_table(status: DaemonStatus) -> Table:
     return Table(
         title="quarantined versions",
         headers=["service", "version", "reason"],
@@ -204,5 +206,5 @@
 
 
 def _format_time(unix_ms: int) -> str:
-    moment = datetime.fromtimestamp(unix_ms / MS_PER_S, UTC)
-    return moment.isoformat(sep=" ", timespec="seconds")
+    time = datetime.fromtimestamp(unix_ms / MS_PER_S, UTC)
+    return time.isoformat(sep=" ", timespec="seconds")
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -1,4 +1,4 @@
-"""Hold store objects in memory behind the protocol of the store client."""
+"""Provide an in-memory store with the interface of the store client."""
 
 from collections.abc import Callable
 
@@ -9,7 +9,11 @@
 
 
 class MemoryStore:
-    """Keep objects with a store-wide revision, and count writes."""
+    """Keep objects with a store-wide revision and count writes.
+
+    down makes every read fail. Each put first calls and removes the first
+    function in before_put.
+    """
 
     def __init__(self):
         self.objects = {}
