Name the messages of a target announcement and departure

TargetNews, TargetFarewell and TargetStateWord become TargetAnnouncement, TargetDeparture and AnnouncedState, as the module, the setting and the relay already speak of announcements. The log events say so too; no test or tool matches them. generated.py is written anew by tools/generate.py.

--- a/catkinhollow/platform/announcements.py
+++ b/catkinhollow/platform/announcements.py
@@ -1,4 +1,4 @@
-"""Take the status reports of the target on the instance."""
+"""Receive the announcements of the target on the instance."""
 
 from typing import Protocol
 
@@ -14,30 +14,33 @@
 from catkinhollow.codec import decode_json
 from catkinhollow.logs import get_logger
 from catkinhollow.platform.generated import (
-    TargetFarewell,
-    TargetNews,
-    TargetStateWord,
+    AnnouncedState,
+    TargetAnnouncement,
+    TargetDeparture,
 )
 from catkinhollow.relay.gate_jobs import Announcement
 
 logger = get_logger(__name__)
 
-MAX_REPORT_BYTES = 65536
+MAX_BODY_BYTES = 65536
 PATH_PREFIX = "/instances/"
 
 
 class TargetListener(Protocol):
-    """Take news of the target."""
+    """Handle announcements of the target."""
 
-    def announce(self, news: Announcement) -> bool:
-        """Take what the target tells of itself; False if it is outdated."""
+    def announce(self, announcement: Announcement) -> bool:
+        """Handle an announcement; return False if it is outdated."""
 
     def leave(self, lifetime: str, born_ms: int | None) -> None:
-        """Take the announcement that the target ends."""
+        """Handle the departure of a target, which is about to end.
+
+        started_ms is the Unix time of the target's start, if it is known.
+        """
 
 
 class AnnouncementApplication:
-    """Serve status reports as an ASGI application."""
+    """Serve the endpoint for announcements as an ASGI application."""
 
     def __init__(self, listener: TargetListener, service: str) -> None:
         self._listener = listener
@@ -45,51 +48,53 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        read = await read_request(scope, receive, MAX_REPORT_BYTES)
-        response = self._answer(read.ok) if read.is_ok() else read.error
+        read = await read_request(scope, receive, MAX_BODY_BYTES)
+        response = self._handle(read.ok) if read.is_ok() else read.error
         await send_response(send, response)
 
-    def _answer(self, request: Request) -> Response:
+    def _handle(self, request: Request) -> Response:
         lifetime = request.path.removeprefix(PATH_PREFIX)
         if not request.path.startswith(PATH_PREFIX) or not lifetime:
             return plain_response(404, "no such resource")
         if request.method == "PUT":
-            return self._take_report(lifetime, request.body)
+            return self._handle_announcement(lifetime, request.body)
         if request.method == "DELETE":
-            return self._take_farewell(lifetime, request.body)
+            return self._handle_departure(lifetime, request.body)
         return plain_response(405, "only PUT and DELETE")
 
-    def _take_report(self, lifetime: str, body: bytes) -> Response:
-        decoded = decode_json(body, TargetNews)
+    def _handle_announcement(self, lifetime: str, body: bytes) -> Response:
+        decoded = decode_json(body, TargetAnnouncement)
         if decoded.is_error():
             logger.warning(
-                "status report refused", lifetime=lifetime, reason=decoded.error.reason
+                "announcement refused", lifetime=lifetime, reason=decoded.error.reason
             )
             return plain_response(400, decoded.error.reason)
-        news = decoded.ok
-        if news.service != self._service:
+        message = decoded.ok
+        if message.service != self._service:
             logger.warning(
-                "status report refused", lifetime=lifetime, service=news.service
+                "announcement refused", lifetime=lifetime, service=message.service
             )
             return plain_response(400, "target of another service")
-        taken = self._listener.announce(
+        accepted = self._listener.announce(
             Announcement(
                 lifetime=lifetime,
-                version=news.version,
-                slots=news.slots,
-                draining=news.state is TargetStateWord.DRAINING,
-                cold_s=news.cold_remaining_ms / 1000.0,
-                sequence=news.seq,
-                born_ms=news.born,
+                version=message.version,
+                slots=message.slots,
+                draining=message.state is AnnouncedState.DRAINING,
+                cold_s=message.cold_remaining_ms / 1000.0,
+                sequence=message.seq,
+                born_ms=message.born,
             )
         )
-        if not taken:
-            logger.info("status report outdated", lifetime=lifetime, sequence=news.seq)
+        if not accepted:
+            logger.info(
+                "announcement outdated", lifetime=lifetime, sequence=message.seq
+            )
         return json_response(200, {})
 
-    def _take_farewell(self, lifetime: str, body: bytes) -> Response:
-        decoded = decode_json(body or b"{}", TargetFarewell)
+    def _handle_departure(self, lifetime: str, body: bytes) -> Response:
+        decoded = decode_json(body or b"{}", TargetDeparture)
         born_ms = decoded.ok.born if decoded.is_ok() else None
-        logger.info("target leaves", lifetime=lifetime)
+        logger.info("target departs", lifetime=lifetime)
         self._listener.leave(lifetime, born_ms)
         return json_response(200, {})
--- a/catkinhollow/platform/generated.py
+++ b/catkinhollow/platform/generated.py
@@ -11,30 +11,32 @@
 
 @frozen(kw_only=True)
 class ObjectMetadata:
-    """Hold what the store keeps about one object."""
+    """Describe the metadata that the store keeps of one object."""
 
     name: str
     revision: Annotated[
-        int, Meta(description="Store-wide counter at the object's last change.", ge=0)
+        int, Meta(description="Store-wide revision of the object's last change.", ge=0)
     ]
     created_rev: Annotated[
-        int, Meta(description="The same counter at its creation.", ge=0)
+        int, Meta(description="Store-wide revision of the object's creation.", ge=0)
     ] = 0
     deletion_requested: bool = False
 
 
 @frozen(kw_only=True)
 class PlatformObject:
-    """Hold one object as the store sends it."""
+    """Represent one object in the format of the store."""
 
     metadata: ObjectMetadata
     spec: (
-        Annotated[Any, Meta(description="Written by whoever created the object.")]
-        | None
+        Annotated[Any, Meta(description="Written by the creator of the object.")] | None
     ) = None
     status: (
         Annotated[
-            Any, Meta(description="Written by the system for objects of the operator.")
+            Any,
+            Meta(
+                description="Written by this system for objects that an operator created."
+            ),
         ]
         | None
     ) = None
@@ -42,7 +44,7 @@
 
 @frozen(kw_only=True)
 class ObjectPage:
-    """Hold one part of a listing."""
+    """Represent one page of a listing."""
 
     items: list[PlatformObject]
     at_rev: Annotated[int, Meta(description="Revision of the store.", ge=0)]
@@ -51,7 +53,7 @@
 
 @frozen(kw_only=True)
 class ObjectEvent:
-    """Hold one change of an object."""
+    """Represent one change of an object."""
 
     object: PlatformObject
     deleted: bool = False
@@ -59,15 +61,15 @@
 
 @frozen(kw_only=True)
 class EventPage:
-    """Hold the changes after a revision."""
+    """Represent the changes after a revision."""
 
     events: list[ObjectEvent]
-    at_rev: Annotated[int, Meta(description="Revision to watch from next.", ge=0)]
+    at_rev: Annotated[int, Meta(description="Revision from which to watch next.", ge=0)]
 
 
 @frozen(kw_only=True)
 class RolloutSpec:
-    """Hold the operator's order to move a service."""
+    """Describe an operator's order to move a service to a target version."""
 
     service: str
     target_version: str
@@ -82,35 +84,47 @@
 
 @frozen(kw_only=True)
 class RolloutStatus:
-    """Hold the progress of a rollout as the operator reads it."""
+    """Describe the progress of a rollout for the operator."""
 
     state: RolloutState
     target_version: str
     percent: Annotated[
-        float, Meta(description="Ours; the share of requests that go to the version.")
+        float,
+        Meta(
+            description="Added by catkinhollow; share of requests that go to the target version."
+        ),
     ] = 0.0
     order: Annotated[
-        int, Meta(description="Ours; the revision at which the order was created.")
+        int,
+        Meta(
+            description="Added by catkinhollow; revision at which the order was created."
+        ),
     ] = 0
 
 
-class TargetStateWord(StrEnum):
+class AnnouncedState(StrEnum):
     READY = "ready"
     DRAINING = "draining"
 
 
 @frozen(kw_only=True)
-class TargetNews:
-    """Hold a status report of the target on the instance."""
+class TargetAnnouncement:
+    """Report the status of the target on the instance."""
 
     service: str
     address: str
     failure_domain: str
     version: str
     slots: Annotated[int, Meta(ge=1)]
-    state: TargetStateWord
+    state: AnnouncedState
     cold_remaining_ms: Annotated[float, Meta(ge=0.0)]
-    seq: Annotated[int, Meta(description="Grows with each report of one start.", ge=0)]
+    seq: Annotated[
+        int,
+        Meta(
+            description="Increases with each announcement after a start of the target.",
+            ge=0,
+        ),
+    ]
     born: Annotated[
         int, Meta(description="Unix time of the target's start in milliseconds.", ge=0)
     ]
@@ -120,7 +134,7 @@
 
 
 @frozen(kw_only=True)
-class TargetFarewell:
-    """Hold what a target says when it leaves."""
+class TargetDeparture:
+    """Represent the message of a target that is about to end."""
 
     born: Born | None = None
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -1,4 +1,4 @@
-"""Tests of the status reports of targets, and of the deploy folder."""
+"""Tests of target announcements and of the settings template in deploy."""
 
 import json
 import re
@@ -12,7 +12,7 @@
 from catkinhollow.relay.relay_settings import parse_relay_settings
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-REPORT = {
+ANNOUNCEMENT = {
     "service": "stock",
     "address": "10.1.0.8:8301",
     "failure_domain": "a",
@@ -26,19 +26,19 @@
 
 
 class Listener:
-    """Feed a gate at time zero."""
+    """Pass announcements to a gate at time 0."""
 
     def __init__(self):
         self.gate = Gate()
 
-    def announce(self, news):
-        return self.gate.announce(news, 0.0)
+    def announce(self, announcement):
+        return self.gate.announce(announcement, 0.0)
 
     def leave(self, lifetime, born_ms):
         self.gate.leave(lifetime, born_ms)
 
 
-async def ask(app, method, path, body=b""):
+async def send_request(app, method, path, body=b""):
     statuses = []
 
     async def receive():
@@ -58,13 +58,18 @@
     return statuses[0]
 
 
-async def test_report_opens_the_gate_and_farewell_closes_it():
-    """Guards against an acknowledged leaving that changes nothing."""
+async def test_announcement_opens_the_gate_and_departure_closes_it():
+    """Guards against a departure that is acknowledged but has no effect."""
     listener = Listener()
     app = AnnouncementApplication(listener, "stock")
-    assert await ask(app, "PUT", "/instances/i-1", json.dumps(REPORT).encode()) == 200
+    assert (
+        await send_request(
+            app, "PUT", "/instances/i-1", json.dumps(ANNOUNCEMENT).encode()
+        )
+        == 200
+    )
     assert listener.gate.state(0.0) == "serving"
-    assert await ask(app, "DELETE", "/instances/i-1") == 200
+    assert await send_request(app, "DELETE", "/instances/i-1") == 200
     assert listener.gate.state(0.0) == "draining"
 
 
@@ -78,19 +83,19 @@
         {"slots": 0},
     ],
 )
-async def test_report_of_another_writer_names_no_target(change):
-    """Guards against forged or broken reports."""
+async def test_invalid_announcement_is_refused(change):
+    """Guards against announcements of another service or with wrong fields."""
     listener = Listener()
     app = AnnouncementApplication(listener, "stock")
-    body = json.dumps({**REPORT, **change}).encode()
-    assert await ask(app, "PUT", "/instances/i-1", body) == 400
+    body = json.dumps({**ANNOUNCEMENT, **change}).encode()
+    assert await send_request(app, "PUT", "/instances/i-1", body) == 400
     assert listener.gate.state(0.0) == "unknown"
 
 
-async def test_unreadable_report_is_refused():
-    """Guards against a daemon that ends on bytes that are no report."""
+async def test_malformed_announcement_is_refused():
+    """Guards against a daemon that ends on bytes that cannot be decoded."""
     app = AnnouncementApplication(Listener(), "stock")
-    assert await ask(app, "PUT", "/instances/i-1", b"\xff\x00") == 400
+    assert await send_request(app, "PUT", "/instances/i-1", b"\xff\x00") == 400
 
 
 def test_template_gives_complete_settings():
@@ -105,5 +110,5 @@
 
 
 def test_unknown_setting_is_refused():
-    """Guards against a misspelt setting that has no effect."""
+    """Guards against a misspelt setting that is silently ignored."""
     assert "unknown setting" in parse_relay_settings({"peers": 1}).error.reason
