--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -1,4 +1,4 @@
-"""Call the platform's object store."""
+"""Access the platform's object store over HTTP."""
 
 import socket
 from typing import Any, TypeVar
@@ -19,13 +19,14 @@
 from catkinhollow.platform.generated import EventPage, ObjectPage, PlatformObject
 from catkinhollow.platform.objects import STATUS_KINDS, STORE_KINDS, encode_status
 
-# Each followed kind holds one connection while it waits; writes take others.
+# The watch of each kind occupies one connection while it waits; writes use
+# others.
 MAX_CONNECTIONS = 10
-# The store answers in milliseconds; a slow one takes some hundred.
+# The store answers within milliseconds, or some hundred when it is slow.
 CALL_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
-# Probes of an idle connection, so that one that went silent ends in 3 s
-# although a watch may wait for half a minute.
+# TCP keepalive probes close a connection whose peer has become silent within
+# 3 s, although a watch may wait for half a minute.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -48,7 +49,7 @@
 
 
 class PlatformStore:
-    """Read, write and watch the platform's objects under our kinds."""
+    """Read, write and watch the platform's objects by this project's kinds."""
 
     def __init__(self, address: str, pool: AsyncConnectionPool | None = None) -> None:
         self._base_url = f"http://{address}/objects"
@@ -64,7 +65,7 @@
         """Return one object."""
         path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}"
         read = await self._call("GET", path, None, PlatformObject)
-        return read.map(lambda item: _stored(kind, item))
+        return read.map(lambda item: _to_stored_object(kind, item))
 
     async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
         """Return all objects of a kind."""
@@ -76,7 +77,7 @@
             if read.is_error():
                 return Error(read.error)
             page = read.ok
-            objects.extend(_stored(kind, item) for item in page.items)
+            objects.extend(_to_stored_object(kind, item) for item in page.items)
             if not page.has_more or not page.items:
                 break
             after = f"?after={quote(page.items[-1].metadata.name, safe='')}"
@@ -85,17 +86,20 @@
     async def watch(
         self, kind: str, *, after: int, wait_s: float
     ) -> Result[ObjectList, StoreError]:
-        """Return objects changed after a revision, waiting for the first."""
+        """Return the objects changed after a revision; wait for the first."""
         path = f"/{STORE_KINDS[kind]}?watch={after}&wait_ms={int(wait_s * 1000)}"
         read = await self._call("GET", path, None, EventPage, wait_s)
         if read.is_error():
             if read.error.kind is StoreErrorKind.REFUSED:
-                # The history after the revision is gone.
+                # The store refuses a watch with status 410 if it no longer has
+                # the changes after the revision.
                 return await self.list_objects(kind)
             return Error(read.error)
         page = read.ok
         objects = [
-            _stored(kind, event.object, page.at_rev if event.deleted else None)
+            _to_stored_object(
+                kind, event.object, page.at_rev if event.deleted else None
+            )
             for event in page.events
         ]
         return Ok(ObjectList(revision=page.at_rev, objects=objects))
@@ -103,7 +107,7 @@
     async def put(
         self, kind: str, name: str, value: Any, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
-        """Write an object if its revision is still the given one, 0 if new."""
+        """Write an object if it still has the given revision, 0 if new."""
         path = f"/{STORE_KINDS[kind]}"
         metadata: dict[str, Any] = {"name": name}
         if if_revision:
@@ -118,25 +122,25 @@
                 path = f"{path}/{quote(name, safe='')}"
         method = "PUT" if if_revision else "POST"
         written = await self._call(method, path, body, PlatformObject)
-        return written.map(lambda item: _stored(kind, item))
+        return written.map(lambda item: _to_stored_object(kind, item))
 
     async def delete(
         self, kind: str, name: str, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
-        """Delete an object if its revision still is the given one."""
+        """Delete an object if it still has the given revision."""
         path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}?revision={if_revision}"
         deleted = await self._call("DELETE", path, None, PlatformObject)
-        return deleted.map(lambda item: _stored(kind, item))
+        return deleted.map(lambda item: _to_stored_object(kind, item))
 
     async def _call(
         self,
         method: str,
         path: str,
         body: Any,
-        kind: type[T],
+        result_class: type[T],
         wait_s: float = 0.0,
     ) -> Result[T, StoreError]:
-        timeout = {
+        timeouts = {
             "connect": CONNECT_TIMEOUT_S,
             "pool": CALL_TIMEOUT_S,
             "read": wait_s + CALL_TIMEOUT_S,
@@ -148,28 +152,28 @@
                 self._base_url + path,
                 headers=[(b"content-type", b"application/json")] if body else None,
                 content=encode_json(body) if body else None,
-                extensions={"timeout": timeout},
+                extensions={"timeout": timeouts},
             )
         except (NetworkError, ProtocolError, TimeoutException) as error:
             reason = f"{type(error).__name__}: {error}"
             return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
-        return _decode(response, kind)
+        return _decode(response, result_class)
 
 
-def _decode(response: Response, kind: type[T]) -> Result[T, StoreError]:
+def _decode(response: Response, result_class: type[T]) -> Result[T, StoreError]:
     if response.status not in (200, 201):
         error_kind = _ERROR_KINDS.get(response.status, StoreErrorKind.REFUSED)
         if response.status >= 500:
             error_kind = StoreErrorKind.UNAVAILABLE
         return Error(StoreError(kind=error_kind, reason=f"status {response.status}"))
-    decoded = decode_json(response.content, kind)
+    decoded = decode_json(response.content, result_class)
     if decoded.is_error():
-        reason = f"unreadable answer: {decoded.error.reason}"
+        reason = f"malformed response: {decoded.error.reason}"
         return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
     return Ok(decoded.ok)
 
 
-def _stored(
+def _to_stored_object(
     kind: str, item: PlatformObject, deleted_revision: int | None = None
 ) -> StoredObject:
     revision = item.metadata.revision
--- a/catkinhollow/platform/objects.py
+++ b/catkinhollow/platform/objects.py
@@ -1,4 +1,4 @@
-"""Translate the platform's stored objects into the project's types."""
+"""Convert between the platform's stored objects and the project's types."""
 
 from typing import Any
 
@@ -28,27 +28,27 @@
     ORDERS,
 )
 
-# The project's kinds and the store's names for them.
+# Maps the project's kinds to the store's names for them.
 STORE_KINDS = {
     CONFIGURATION: "config",
     ORDERS: "rollouts",
     EVACUATIONS: "evacuations",
     DAEMONS: "catkinhollow-daemons",
 }
-# Kinds of the operator; the system writes their status only.
+# Kinds whose objects belong to operators; the system writes only the status.
 STATUS_KINDS = {ORDERS}
 
-_STATES = {
+_ORDER_STATES = {
     RolloutState.IN_PROGRESS: OrderState.RUNNING,
     RolloutState.COMPLETED: OrderState.DONE,
     RolloutState.REVERTED: OrderState.WITHDRAWN,
 }
-_STATE_WORDS = {state: word for word, state in _STATES.items()}
+_ROLLOUT_STATES = {order: rollout for rollout, order in _ORDER_STATES.items()}
 
 
 def decode_object(stored: StoredObject) -> Result[Any, DecodeError]:
-    """Return the typed value of an object that exists."""
-    # The adapter of the store puts the whole platform object into the value.
+    """Return the typed value of a stored object that is not deleted."""
+    # PlatformStore puts the whole platform object into the value.
     item: PlatformObject = stored.value
     match stored.kind:
         case "configuration" if stored.name == CONFIGURATION_NAME:
@@ -64,14 +64,17 @@
 
 
 def encode_status(progress: Any) -> Any:
-    """Return the platform's status for the progress of an order."""
+    """Convert the progress of an order to the platform's status.
+
+    Raises ValueError if the progress cannot be decoded.
+    """
     decoded = from_plain(progress, MoveProgress)
     if decoded.is_error():
         raise ValueError(decoded.error.reason)
     value = decoded.ok
     return to_plain(
         RolloutStatus(
-            state=_STATE_WORDS[value.state],
+            state=_ROLLOUT_STATES[value.state],
             target_version=value.version,
             percent=value.percent,
             order=value.order,
@@ -89,7 +92,7 @@
         if status.is_ok():
             progress = MoveProgress(
                 version=status.ok.target_version,
-                state=_STATES[status.ok.state],
+                state=_ORDER_STATES[status.ok.state],
                 percent=status.ok.percent,
                 order=status.ok.order,
             )
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -1,4 +1,4 @@
-"""Tests of the client of the platform's store against a scripted stand-in."""
+"""Tests of the client of the platform's store against scripted responses."""
 
 import json
 
@@ -18,10 +18,10 @@
 
 
 class ScriptedApp:
-    """Answer each call with the next scripted status and body."""
+    """Answer each request with the next scripted status and body."""
 
-    def __init__(self, answers):
-        self.answers = answers
+    def __init__(self, responses):
+        self.responses = responses
         self.calls = []
 
     async def __call__(self, scope, receive, send):
@@ -30,19 +30,19 @@
         path = scope["raw_path"].decode() + (f"?{query}" if query else "")
         body = json.loads(message["body"]) if message["body"] else None
         self.calls.append((scope["method"], path, body))
-        status, answer = self.answers.pop(0)
-        content = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        status, value = self.responses.pop(0)
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
         await send({"type": "http.response.start", "status": status, "headers": []})
         await send({"type": "http.response.body", "body": content})
 
 
-def make_store(nursery, *answers):
-    app = ScriptedApp(list(answers))
+def make_store(nursery, *responses):
+    app = ScriptedApp(list(responses))
     return app, PlatformStore("127.0.0.1:1", AsgiPool(app, nursery))
 
 
-async def test_listing_follows_its_pages(nursery):
-    """Guards against daemons that know only a part of the fleet."""
+async def test_listing_reads_all_pages(nursery):
+    """Guards against daemons that know only the first page of objects."""
     first = {"items": [ORDER], "has_more": True, "at_rev": 20}
     second = {**ORDER, "metadata": {"name": "orders", "revision": 15}}
     last = {"items": [second], "has_more": False, "at_rev": 21}
@@ -53,8 +53,8 @@
     assert app.calls[1][1] == "/objects/rollouts?after=stock"
 
 
-async def test_order_and_its_progress_are_translated(nursery):
-    """Guards against an order that is driven under another's progress."""
+async def test_order_and_its_progress_are_converted(nursery):
+    """Guards against an order that gets the progress of another order."""
     _, store = make_store(nursery, (200, ORDER))
     stored = (await store.get("orders", "stock")).ok
     order = decode_object(stored).ok
@@ -64,7 +64,7 @@
 
 
 async def test_lost_history_is_replaced_by_a_listing(nursery):
-    """Guards against a watch that misses what happened in a gap."""
+    """Guards against a watch that misses changes the store has discarded."""
     page = {"items": [], "has_more": False, "at_rev": 30}
     app, store = make_store(nursery, (410, {"error": "gone"}), (200, page))
     listing = (await store.watch("evacuations", after=5, wait_s=20.0)).ok
@@ -72,8 +72,8 @@
     assert app.calls[0][1] == "/objects/evacuations?watch=5&wait_ms=20000"
 
 
-async def test_deletion_is_ordered_after_the_object(nursery):
-    """Guards against a deleted object that a later copy brings back."""
+async def test_deletion_has_a_newer_revision_than_the_object(nursery):
+    """Guards against a stale copy that restores a deleted object."""
     event = {"object": ORDER, "deleted": True}
     _, store = make_store(nursery, (200, {"events": [event], "at_rev": 40}))
     listing = (await store.watch("orders", after=5, wait_s=1.0)).ok
@@ -81,7 +81,7 @@
 
 
 async def test_progress_is_written_to_the_status_only(nursery):
-    """Guards against writes to what belongs to the operator."""
+    """Guards against writes to the spec, which belongs to the operator."""
     app, store = make_store(nursery, (200, ORDER))
     progress = {"version": "v2", "state": "withdrawn", "percent": 0.0, "order": 9}
     written = await store.put("orders", "stock", progress, if_revision=12)
@@ -93,8 +93,8 @@
     assert "spec" not in body
 
 
-async def test_conflict_and_unreadable_answers_are_values(nursery):
-    """Guards against a daemon that ends because the store misbehaves."""
+async def test_failed_responses_are_returned_as_errors(nursery):
+    """Guards against a daemon that ends on an error of the store."""
     _, store = make_store(nursery, (409, ORDER), (200, b"{broken"), (503, {}))
     kinds = [(await store.get("orders", "stock")) for _ in range(3)]
     assert all(isinstance(result, Result) and result.is_error() for result in kinds)
