Clarify the wording of the stand-in store and the sidecar

Reword comments and doc strings and rename private members. Checked with ruff, mypy, check_wording.py, tests/platform and tests/testbed/test_soak.py; no behaviour changes.

--- a/catkinhollow/platform/__init__.py
+++ b/catkinhollow/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Speak to the users' platform: its names, formats and calls."""
+"""Adapt the daemon to the users' platform: its names, formats and calls."""
--- a/catkinhollow/platform/header_names.py
+++ b/catkinhollow/platform/header_names.py
@@ -1,4 +1,4 @@
-"""Name the platform's headers."""
+"""Define the names of the platform's HTTP headers."""
 
 from catkinhollow.relay.header_names import HeaderNames
 
--- a/catkinhollow/platform/sidecar.py
+++ b/catkinhollow/platform/sidecar.py
@@ -1,4 +1,4 @@
-"""Start a relay daemon on the platform."""
+"""Run a relay daemon on the platform, beside the target of its instance."""
 
 import gc
 import os
@@ -29,8 +29,9 @@
         print(settings.error.reason, file=sys.stderr)
         return INVALID_SETTINGS
     configure_logging(settings.ok.log_level.value, sys.stdout)
-    # What the imports leave lives as long as the process; a full collection
-    # that visits it would stop every call for tens of milliseconds.
+    # Objects created by the imports live as long as the process. A full
+    # garbage collection that visits them would stop all calls for tens of
+    # milliseconds.
     gc.collect()
     gc.freeze()
     trio.run(_run, settings.ok, path)
--- a/catkinhollow/platform/standin_store.py
+++ b/catkinhollow/platform/standin_store.py
@@ -1,4 +1,7 @@
-"""Stand in for the platform's object store in tests and the soak."""
+"""Provide a stand-in for the platform's object store.
+
+Tests and the soak test use it.
+"""
 
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -32,12 +35,15 @@
         self._changed = trio.Event()
 
     def write(self, kind: str, name: str, value: Any) -> None:
-        """Write an object as the operator does, under the project's kind."""
+        """Write the spec of an object as an operator does.
+
+        The kind is one of the project's.
+        """
         self._put(STORE_KINDS[kind], name, {"spec": to_plain(value)})
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object as the operator does."""
-        self._drop(STORE_KINDS[kind], name)
+        """Remove an object as an operator does."""
+        self._delete(STORE_KINDS[kind], name)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -51,7 +57,7 @@
         path = request.path.removeprefix(PATH_PREFIX).split("/")
         kind, name = path[0], unquote(path[1]) if len(path) > 1 else ""
         query = {
-            key: found[0] for key, found in parse_qs(request.query.decode()).items()
+            key: values[0] for key, values in parse_qs(request.query.decode()).items()
         }
         if request.method == "GET":
             return await self._read(kind, name, query)
@@ -67,7 +73,9 @@
             return await self._watch(
                 kind, int(query["watch"]), int(query["wait_ms"]) / 1000.0
             )
-        items = [item for (own, _), item in self._objects.items() if own == kind]
+        items = [
+            item for (item_kind, _), item in self._objects.items() if item_kind == kind
+        ]
         return json_response(
             200, {"items": items, "has_more": False, "at_rev": self._revision}
         )
@@ -79,8 +87,9 @@
                 changed = self._changed
                 events = [
                     event
-                    for own, event in self._history
-                    if own == kind and event["object"]["metadata"]["revision"] > after
+                    for event_kind, event in self._history
+                    if event_kind == kind
+                    and event["object"]["metadata"]["revision"] > after
                 ]
                 if not events:
                     await changed.wait()
@@ -93,27 +102,27 @@
         name: str,
         body: dict[str, Any],
         query: dict[str, str],
-        rest: list[str],
+        subresource: list[str],
     ) -> Response:
-        known = self._objects.get((kind, name))
-        wanted = body.get("metadata", {}).get("revision") or query.get("revision")
-        if method != "POST" and known is None:
+        existing = self._objects.get((kind, name))
+        expected = body.get("metadata", {}).get("revision") or query.get("revision")
+        if method != "POST" and existing is None:
             return plain_response(404, "none")
-        if method == "POST" and known is not None:
-            return json_response(409, known)
-        if known and wanted and int(wanted) != known["metadata"]["revision"]:
-            return json_response(409, known)
+        if method == "POST" and existing is not None:
+            return json_response(409, existing)
+        if existing and expected and int(expected) != existing["metadata"]["revision"]:
+            return json_response(409, existing)
         if method == "DELETE":
-            return json_response(200, self._drop(kind, name))
-        part = "status" if rest == ["status"] else "spec"
+            return json_response(200, self._delete(kind, name))
+        part = "status" if subresource == ["status"] else "spec"
         return json_response(200, self._put(kind, name, {part: body.get(part)}))
 
     def _put(self, kind: str, name: str, parts: dict[str, Any]) -> dict[str, Any]:
-        known = self._objects.get((kind, name))
+        existing = self._objects.get((kind, name))
         self._revision += 1
-        created = known["metadata"]["created_rev"] if known else self._revision
+        created = existing["metadata"]["created_rev"] if existing else self._revision
         stored = {
-            **(known or {}),
+            **(existing or {}),
             **parts,
             "metadata": {
                 "name": name,
@@ -122,18 +131,18 @@
             },
         }
         self._objects[kind, name] = stored
-        self._note(kind, {"object": stored, "deleted": False})
+        self._record_event(kind, {"object": stored, "deleted": False})
         return stored
 
-    def _drop(self, kind: str, name: str) -> dict[str, Any]:
+    def _delete(self, kind: str, name: str) -> dict[str, Any]:
         self._revision += 1
         stored = self._objects.pop((kind, name))
         metadata = {**stored["metadata"], "revision": self._revision}
-        gone = {**stored, "metadata": metadata}
-        self._note(kind, {"object": gone, "deleted": True})
-        return gone
+        deleted = {**stored, "metadata": metadata}
+        self._record_event(kind, {"object": deleted, "deleted": True})
+        return deleted
 
-    def _note(self, kind: str, event: dict[str, Any]) -> None:
+    def _record_event(self, kind: str, event: dict[str, Any]) -> None:
         self._history.append((kind, event))
         self._changed.set()
         self._changed = trio.Event()
