--- a/catkinhollow/configuration/fleet_files.py
+++ b/catkinhollow/configuration/fleet_files.py
@@ -72,16 +72,16 @@
             problems.extend(result.error)
         else:
             documents.append(result.ok)
-            problems.extend(_document_problems(result.ok))
+            problems.extend(_find_document_problems(result.ok))
     if problems:
         return Error(problems)
-    problems = list(_duplicate_defaults(documents))
+    problems = list(_find_duplicate_defaults(documents))
     if problems:
         return Error(problems)
     return _merge(documents)
 
 
-def _document_problems(document: Document) -> Iterator[Problem]:
+def _find_document_problems(document: Document) -> Iterator[Problem]:
     problems = find_schema_problems(document, "fleet.yaml", "Fleet")
     if problems:
         yield from problems
@@ -98,14 +98,14 @@
             )
 
 
-def _duplicate_defaults(documents: Iterable[Document]) -> Iterator[Problem]:
+def _find_duplicate_defaults(documents: Iterable[Document]) -> Iterator[Problem]:
     first: Document | None = None
     for document in documents:
         if "defaults" not in document.value:
             continue
         if first is not None:
-            place = f"{first.file}:{first.line_of(('defaults',))}"
-            yield document.problem(("defaults",), f"already set in {place}")
+            location = f"{first.file}:{first.line_of(('defaults',))}"
+            yield document.problem(("defaults",), f"already set in {location}")
         first = first or document
 
 
--- a/catkinhollow/configuration/settings.py
+++ b/catkinhollow/configuration/settings.py
@@ -1,4 +1,4 @@
-"""Read and check the settings file of a daemon."""
+"""Read and validate the settings file of a daemon."""
 
 from collections.abc import Iterator
 from itertools import combinations
@@ -52,7 +52,7 @@
 
 def find_settings_problems(settings: Settings) -> Iterator[Problem]:
     """Yield the problems that the schema cannot express."""
-    yield from _address_problems(settings)
+    yield from _find_address_problems(settings)
     lease = settings.lease
     if lease.renew_interval_s >= lease.stop_deciding_s:
         yield Problem(
@@ -91,7 +91,7 @@
     return Ok(SettingsFile(settings=decoded.ok, document=document))
 
 
-def _address_problems(settings: Settings) -> Iterator[Problem]:
+def _find_address_problems(settings: Settings) -> Iterator[Problem]:
     listeners = {
         "traffic": settings.traffic,
         "admin": settings.admin,
--- a/catkinhollow/platform/standin_store.py
+++ b/catkinhollow/platform/standin_store.py
@@ -48,10 +48,10 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         read = await read_request(scope, receive, MAX_BODY_BYTES)
-        response = await self._answer(read.ok) if read.is_ok() else read.error
+        response = await self._handle(read.ok) if read.is_ok() else read.error
         await send_response(send, response)
 
-    async def _answer(self, request: Request) -> Response:
+    async def _handle(self, request: Request) -> Response:
         if self.down:
             return plain_response(503, "the store is down")
         path = request.path.removeprefix(PATH_PREFIX).split("/")
