--- a/catkinhollow/platform/generated.py
+++ b/catkinhollow/platform/generated.py
@@ -121,7 +121,7 @@
     seq: Annotated[
         int,
         Meta(
-            description="Increases with each announcement after a start of the target.",
+            description="Increasing sequence number of the announcements since the target's start.",
             ge=0,
         ),
     ]
