--- a/catkinhollow/platform/announcements.py
+++ b/catkinhollow/platform/announcements.py
@@ -32,7 +32,7 @@
     def announce(self, announcement: Announcement) -> bool:
         """Handle an announcement; return False if it is outdated."""
 
-    def leave(self, lifetime: str, born_ms: int | None) -> None:
+    def depart(self, lifetime: str, started_ms: int | None) -> None:
         """Handle the departure of a target, which is about to end.
 
         started_ms is the Unix time of the target's start, if it is known.
@@ -83,7 +83,7 @@
                 draining=message.state is AnnouncedState.DRAINING,
                 cold_s=message.cold_remaining_ms / 1000.0,
                 sequence=message.seq,
-                born_ms=message.born,
+                started_ms=message.born,
             )
         )
         if not accepted:
@@ -94,7 +94,7 @@
 
     def _handle_departure(self, lifetime: str, body: bytes) -> Response:
         decoded = decode_json(body or b"{}", TargetDeparture)
-        born_ms = decoded.ok.born if decoded.is_ok() else None
+        started_ms = decoded.ok.born if decoded.is_ok() else None
         logger.info("target departs", lifetime=lifetime)
-        self._listener.leave(lifetime, born_ms)
+        self._listener.depart(lifetime, started_ms)
         return json_response(200, {})
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -34,8 +34,8 @@
     def announce(self, announcement):
         return self.gate.announce(announcement, 0.0)
 
-    def leave(self, lifetime, born_ms):
-        self.gate.leave(lifetime, born_ms)
+    def depart(self, lifetime, started_ms):
+        self.gate.depart(lifetime, started_ms)
 
 
 async def send_request(app, method, path, body=b""):
