--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -61,7 +61,7 @@
 # Short enough for commands to find a new failure domain soon. A list that is
 # not stale causes no store call.
 SEEDS_INTERVAL_S = 2.0
-INITIAL_VERSIONS_INTERVAL_S = 1.0
+INITIAL_SPLITS_INTERVAL_S = 1.0
 ADMIN_DRAIN_S = 0.5
 # After shutdown begins, each response on an open connection tells its caller
 # to close the connection; this is the time left for that.
@@ -298,7 +298,7 @@
         )
         self._timer.subscribe(SEEDS_INTERVAL_S, starter(self._publish_seeds))
         self._timer.subscribe(
-            INITIAL_VERSIONS_INTERVAL_S, starter(self._fix_initial_versions)
+            INITIAL_SPLITS_INTERVAL_S, starter(self._set_initial_splits)
         )
         self._evidence.subscribe(self._timer)
 
@@ -306,7 +306,7 @@
         if self.ready and self._elections.is_first_watcher():
             await self._seeds.publish(self._elections.domain_members())
 
-    async def _fix_initial_versions(self) -> None:
+    async def _set_initial_splits(self) -> None:
         snapshot = self._holder.snapshot
         if snapshot is None or not self._controller.may_decide:
             return
