--- a/catkinhollow/daemon/span_recorder.py
+++ b/catkinhollow/daemon/span_recorder.py
@@ -60,11 +60,11 @@
         """End the span."""
         self._span.end()
 
-    def enter(self, child: Span) -> None:
+    def begin_attempt(self, child: Span) -> None:
         """Make a child span the parent of the target's spans."""
         self._current = child
 
-    def leave(self) -> None:
+    def end_attempt(self) -> None:
         """Make the span of the hop the current one again."""
         self._current = self._span
 
@@ -77,11 +77,11 @@
         self._child = child
 
     def __enter__(self) -> None:
-        self._hop.enter(self._child)
+        self._hop.begin_attempt(self._child)
 
     def __exit__(self, *_: object) -> None:
         self._child.end()
-        self._hop.leave()
+        self._hop.end_attempt()
 
 
 class RecordingTracer:
--- a/tests/configuration/test_fleet_updates.py
+++ b/tests/configuration/test_fleet_updates.py
@@ -29,13 +29,13 @@
         self.exists = False
         self.timeout_ms, self.splits, self.out = None, {}, []
 
-    @rule(timeout_ms=TIMEOUTS, names=NAMES, other=OTHER_CHANGES, dry=st.booleans())
-    def apply(self, timeout_ms, names, other, dry):
+    @rule(timeout_ms=TIMEOUTS, names=NAMES, other=OTHER_CHANGES, dry_run=st.booleans())
+    def apply(self, timeout_ms, names, other, dry_run):
         files = Fleet(
             defaults=Defaults(timeout_ms=timeout_ms),
             services=[Service(name=name) for name in sorted(names)],
         )
-        if dry:
+        if dry_run:
             before = self.store.revision
             assert trio.run(plan_update, self.store, ApplyFiles(files)).is_ok()
             assert self.store.revision == before
@@ -92,8 +92,8 @@
         return self.exists and name not in self.out and bool(remaining or force)
 
     def _same_configuration(self, timeout_ms, names):
-        wanted = (timeout_ms, names)
-        return self.exists and wanted == (self.timeout_ms, set(self.splits))
+        expected = (timeout_ms, names)
+        return self.exists and expected == (self.timeout_ms, set(self.splits))
 
     def _schedule_concurrent_write(self, other):
         """Let another writer change the object just before the next put."""
