--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -45,7 +45,7 @@
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestServer
 from catkinhollow.relay.store_follower import ObjectDecoder, StoreFollower
-from catkinhollow.relay.target_answers import make_classifier
+from catkinhollow.relay.target_responses import make_classifier
 from catkinhollow.relay.versions import VersionPolicy
 from catkinhollow.timer import Timer
 
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -49,12 +49,12 @@
 
 @define(eq=False)
 class _Exchange:
-    """Represent a request with the parser state that frames its answer."""
+    """Represent a request with the parser state that frames its response."""
 
     parser: h11.Connection
     request: Request
     closes_connection: bool
-    answer: bytes | None = None
+    response_bytes: bytes | None = None
 
 
 @frozen
@@ -101,7 +101,7 @@
 
     @property
     def closing(self) -> bool:
-        """Return whether connections close after their next answer."""
+        """Return whether connections close after their next response."""
         return self._closing
 
     async def serve(
@@ -125,7 +125,7 @@
         self._open_requests -= 1
 
     def begin_closing(self) -> None:
-        """Close each connection after its next answer."""
+        """Close each connection after its next response."""
         self._closing = True
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
@@ -152,7 +152,7 @@
         self._state_changed = trio.Event()
         self._disconnected = trio.Event()
         self._send_lock = trio.Lock()
-        # Set when no more requests are read, because an answer closes the
+        # Set when no more requests are read, because a response closes the
         # connection or the caller has disconnected.
         self._closing = False
 
@@ -182,7 +182,7 @@
             else:
                 await self._wait_for_turn(incoming)
                 if self._closing:
-                    # The caller sees the closing answer and retries.
+                    # The caller sees the closing response and retries.
                     break
                 self._start_exchange(incoming, nursery)
         await self._discard_input()
@@ -267,7 +267,7 @@
     def _start_exchange(self, exchange: _Exchange, nursery: trio.Nursery) -> None:
         self._closing = exchange.closes_connection
         self._append(exchange)
-        nursery.start_soon(self._answer, exchange)
+        nursery.start_soon(self._respond, exchange)
         rest, closed = exchange.parser.trailing_data
         self._parser = self._new_parser()
         if rest:
@@ -277,7 +277,7 @@
 
     def _start_invalid(self, invalid: _InvalidRequest) -> None:
         exchange = _Exchange(self._parser, _EMPTY_REQUEST, closes_connection=True)
-        exchange.answer = _encode(exchange, invalid.response)
+        exchange.response_bytes = _encode_response(exchange, invalid.response)
         self._closing = True
         self._append(exchange)
 
@@ -294,28 +294,28 @@
         """Discard input after the last request until the caller disconnects.
 
         Closing with unread bytes would reset the connection, and the caller
-        could lose the last answer.
+        could lose the last response.
         """
         while await self._receive():
             pass
         self._on_disconnect()
 
-    async def _answer(self, exchange: _Exchange) -> None:
+    async def _respond(self, exchange: _Exchange) -> None:
         response = await self._server.handler(exchange.request, self._disconnected.wait)
         if self._server.closing and exchange is self._exchanges[-1]:
             exchange.closes_connection = self._closing = True
-        exchange.answer = _encode(exchange, response)
+        exchange.response_bytes = _encode_response(exchange, response)
         await self._send_finished()
 
     async def _send_finished(self) -> None:
-        """Send finished answers in the order of their requests."""
+        """Send finished responses in the order of their requests."""
         async with self._send_lock:
-            while self._exchanges and self._exchanges[0].answer is not None:
+            while self._exchanges and self._exchanges[0].response_bytes is not None:
                 exchange = self._exchanges[0]
                 try:
-                    await self._stream.send_all(exchange.answer or b"")
+                    await self._stream.send_all(exchange.response_bytes or b"")
                 except NETWORK_ERRORS as error:
-                    logger.debug("answer not sent", reason=str(error))
+                    logger.debug("response not sent", reason=str(error))
                     self._on_disconnect()
                 self._exchanges.popleft()
                 self._server.request_ended()
@@ -329,8 +329,8 @@
 _EMPTY_REQUEST = Request(method="GET", path="", query=b"", headers=[], body=b"")
 
 
-def _encode(exchange: _Exchange, response: Response) -> bytes:
-    """Return the bytes of an answer."""
+def _encode_response(exchange: _Exchange, response: Response) -> bytes:
+    """Return the bytes of a response."""
     length = str(len(response.body)).encode()
     headers = [*response.headers, (b"content-length", length)]
     if exchange.closes_connection:
--- a/catkinhollow/relay/target_answers.py
+++ b/catkinhollow/relay/target_responses.py
@@ -22,28 +22,30 @@
     def broken(reason: str) -> Attempt:
         return Attempt(kind=AttemptKind.BROKEN, reason=reason)
 
-    def classify(request: Request, answer: Response) -> Attempt:
-        answered_id = answer.header(header_names.request_id)
-        if answered_id is not None and answered_id != request.header(
+    def classify(request: Request, response: Response) -> Attempt:
+        response_id = response.header(header_names.request_id)
+        if response_id is not None and response_id != request.header(
             header_names.request_id
         ):
             return broken("answer to another request")
         if (
-            answer.status == MISDIRECTED_STATUS
-            or answer.header(header_names.not_run) is not None
+            response.status == MISDIRECTED_STATUS
+            or response.header(header_names.not_run) is not None
         ):
             return Attempt(
-                kind=AttemptKind.REFUSED, response=answer, reason="refused by target"
+                kind=AttemptKind.REFUSED, response=response, reason="refused by target"
             )
-        if answer.status in NOT_RUN_STATUSES:
-            return broken(f"status {answer.status} without a mark that it has not run")
-        if answer.status in SUCCESS_STATUSES:
-            if answered_id is None:
+        if response.status in NOT_RUN_STATUSES:
+            return broken(
+                f"status {response.status} without a mark that it has not run"
+            )
+        if response.status in SUCCESS_STATUSES:
+            if response_id is None:
                 return broken("success without the request's id")
-            if answer.header(header_names.signature) is None:
+            if response.header(header_names.signature) is None:
                 return broken("success without the target's signature")
-            if answer.header(b"content-encoding") is not None:
+            if response.header(b"content-encoding") is not None:
                 return broken("encoded body")
-        return Attempt(kind=AttemptKind.ANSWERED, response=answer)
+        return Attempt(kind=AttemptKind.ANSWERED, response=response)
 
     return classify
--- a/tests/relay/test_target_answers.py
+++ b/tests/relay/test_target_responses.py
@@ -1,11 +1,11 @@
-"""Tests of what a target's response says about the request sent to it."""
+"""Tests of the classification of a target's responses."""
 
 import pytest
 
 from catkinhollow.calls.exchange import Request, Response
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.relay.header_names import HeaderNames
-from catkinhollow.relay.target_answers import make_classifier
+from catkinhollow.relay.target_responses import make_classifier
 
 NAMES = HeaderNames()
 ID = (NAMES.request_id, b"c1")
@@ -21,20 +21,20 @@
         (404, [ID, SIGNED], AttemptKind.ANSWERED),
         (503, [ID, NOT_RUN], AttemptKind.REFUSED),
         (421, [], AttemptKind.REFUSED),
-        # An extra answer, late, of a request before this one.
+        # A late extra response to an earlier request.
         (200, [SIGNED], AttemptKind.BROKEN),
         (200, [(NAMES.request_id, b"c0"), SIGNED], AttemptKind.BROKEN),
         (500, [(NAMES.request_id, b"c0")], AttemptKind.BROKEN),
-        # Something else answers at the address.
+        # A response from something other than the target.
         (200, [ID], AttemptKind.BROKEN),
         (200, [ID, SIGNED, (b"content-encoding", b"gzip")], AttemptKind.BROKEN),
-        # A refusal that does not say that the request has not run.
+        # A refusal without the header which says that the request has not run.
         (503, [ID], AttemptKind.BROKEN),
         (429, [ID, SIGNED], AttemptKind.BROKEN),
     ],
 )
-def test_response_is_judged_by_its_marks(status, headers, kind):
-    """Guards against another request's answer, and false refusals."""
+def test_response_is_classified_by_its_headers(status, headers, kind):
+    """Guards against the response to another request, and false refusals."""
     request = Request(method="GET", path="/a", query=b"", headers=[ID], body=b"")
-    answer = Response(status=status, headers=headers, body=b"")
-    assert make_classifier(NAMES)(request, answer).kind is kind
+    response = Response(status=status, headers=headers, body=b"")
+    assert make_classifier(NAMES)(request, response).kind is kind
