--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -237,6 +237,7 @@
             # This daemon has not received the peer's record yet.
             self._link.connect(sender)
         elif known and known != incarnation:
+            # The peer has restarted, so that its open calls have no answer.
             self._exchanges.fail_calls(sender)
         self._incarnations[sender] = incarnation
 
--- a/tests/relay/test_call_plan.py
+++ b/tests/relay/test_call_plan.py
@@ -1,4 +1,4 @@
-"""Tests of the steps of a call at its entry."""
+"""Tests of the steps of a call at its ingress daemon."""
 
 import pytest
 from relay_builders import make_answer, make_peer, make_route
@@ -33,14 +33,14 @@
 
 
 def test_answer_is_delivered():
-    """Guards against a repeated run of a request that has an answer."""
+    """Guards against another run of a request that has been answered."""
     plan = make_plan()
     assert isinstance(plan.next_step(0.0), SendTo)
     assert plan.on_answer(make_answer()) == Deliver(make_answer())
 
 
 def test_unsafe_call_of_unknown_outcome_is_never_sent_again():
-    """Guards against an order that runs twice."""
+    """Guards against a request with side effects that runs twice."""
     plan = make_plan("unsafe")
     plan.next_step(0.0)
     plan.on_answer(make_answer(CallOutcome.UNKNOWN))
@@ -51,7 +51,7 @@
 
 @pytest.mark.parametrize("kind", ["safe", "unsafe", "download"])
 def test_refused_call_goes_to_another_gate_without_budget(kind):
-    """Guards against refusals while another target has room."""
+    """Guards against refusals while another target has free capacity."""
     plan = make_plan(kind, tokens=0.0)
     first = plan.next_step(0.0)
     plan.on_answer(make_answer(CallOutcome.NOT_RUN, retry_after_ms=200))
@@ -61,23 +61,23 @@
 
 
 def test_unknown_kind_counts_as_not_idempotent():
-    """Guards against a configuration from a newer platform."""
+    """Guards against a second run on a route of a kind added later."""
     plan = make_plan("novel")
     plan.next_step(0.0)
     plan.on_answer(make_answer(CallOutcome.UNKNOWN))
     assert isinstance(plan.next_step(0.1), GiveUp)
 
 
-def test_repeat_at_a_target_needs_the_budget():
-    """Guards against repeats that overrun a service in trouble."""
+def test_retry_at_a_target_needs_the_budget():
+    """Guards against retries that overload a failing service."""
     plan = make_plan(tokens=0.0)
     plan.next_step(0.0)
     plan.on_answer(make_answer(CallOutcome.UNKNOWN))
     assert isinstance(plan.next_step(0.1), GiveUp)
 
 
-def test_repeated_runs_of_two_services_stay_within_the_budget_of_the_second():
-    """Guards against repeats that multiply along a chain of calls.
+def test_retries_of_two_services_stay_within_the_budget_of_the_second():
+    """Guards against retries that multiply along a chain of calls.
 
     Every run of the first service makes 1.4 calls to the second. Half of the
     runs fail at the first, and half of the second's targets refuse.
@@ -87,7 +87,7 @@
     second = RetryBudget(
         percent=ratio * RETRY_BUDGET_SHARE * 100, tokens=0.0, burst=3.0
     )
-    repeated_runs = repeats = calls = 0
+    repeated_runs = retries = calls = 0
     for number in range(requests):
         first.earn()
         runs = 1
@@ -98,8 +98,8 @@
             second.earn()
             calls += 1
             if calls % 2 and second.spend(REFUSED_RETRY_COST):
-                repeats += 1
-    assert repeats + repeated_runs * calls_per_run <= ratio * calls
+                retries += 1
+    assert retries + repeated_runs * calls_per_run <= ratio * calls
 
 
 def test_attempts_at_targets_are_bounded_by_the_route():
@@ -112,7 +112,7 @@
 
 
 def test_server_error_is_delivered_when_no_repeat_is_possible():
-    """Guards against a failure of the target turned into one of ours."""
+    """Guards against a target's error replaced by one of the daemon."""
     plan = make_plan(peers=1)
     plan.next_step(0.0)
     failure = make_answer(status=500)
@@ -129,7 +129,7 @@
 
 
 def test_refusal_everywhere_is_not_run():
-    """Guards against a 502 where the caller may safely come back."""
+    """Guards against a 502 when the caller may safely retry."""
     plan = make_plan("unsafe", peers=2)
     for _ in range(2):
         plan.next_step(0.0)
@@ -139,11 +139,11 @@
     assert step.retry_after_s == pytest.approx(0.15)
 
 
-def test_caller_comes_back_when_a_gate_may_be_open_again():
-    """Guards against callers told to come back at once while no gate is open.
+def test_caller_retries_when_a_gate_may_be_open_again():
+    """Guards against callers told to retry at once while no gate is open.
 
     During a rolling restart all gates of a service were closed for 2 s; its
-    callers came back after 50 ms, were refused again and gave up.
+    callers retried after 50 ms, were refused again and gave up.
     """
     plan = make_plan(peers=0)
     step = plan.next_step(0.0)
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -13,18 +13,18 @@
 from catkinhollow.relay.gate_jobs import Admitted, Queued, Refused
 
 
-def test_unknown_target_gets_nothing():
+def test_unknown_target_gets_no_calls():
     """Guards against calls before the target has announced itself."""
     gate = make_gate()
-    gate.finish(start(gate), AttemptKind.REFUSED, 421, 0.0)
+    gate.finish(start_call(gate), AttemptKind.REFUSED, 421, 0.0)
     assert gate.state(0.0) is GateState.UNKNOWN
     assert isinstance(gate.offer(make_job(), 0.0), Refused)
 
 
 def test_slots_bound_the_running_calls():
-    """Guards against calls that wait in the target, where no rank counts.
+    """Guards against calls that wait in the target, which ignores ranks.
 
-    One more than the slots is sent, so that no slot is idle between two runs.
+    One more call than slots is sent, so that no slot is idle between runs.
     """
     gate = make_gate(slots=2)
     kinds = [type(gate.offer(make_job(call_id=number), 0.0)) for number in range(4)]
@@ -35,7 +35,7 @@
 def test_calls_of_higher_rank_start_first():
     """Guards against urgent calls that wait behind others."""
     gate = make_gate(slots=1)
-    first = fill(gate)[0]
+    first = fill_slots(gate)[0]
     gate.offer(make_job(call_id=2, rank=2), 0.0)
     gate.offer(make_job(call_id=3, rank=0), 0.0)
     gate.finish(first, AttemptKind.ANSWERED, 200, 0.1)
@@ -46,7 +46,7 @@
 def test_call_that_cannot_start_in_time_is_refused_at_once():
     """Guards against calls that wait until their caller gives up."""
     gate = make_gate(slots=1)
-    fill(gate)
+    fill_slots(gate)
     decisions = [
         gate.offer(make_job(call_id=number, soft_deadline_s=0.3), 0.0)
         for number in range(2, 12)
@@ -54,14 +54,14 @@
     refused = [d for d in decisions if isinstance(d, Refused)]
     assert refused
     assert all(d.retry_after_s > 0 for d in refused)
-    # Usual run 0.1 s: at most 0.6 x 0.3 s of waiting fit.
+    # With runs of 0.1 s a call may wait for at most 0.6 x 0.3 s.
     assert gate.waiting <= 2
 
 
 def test_short_lookup_goes_before_new_long_work_of_its_rank():
-    """Guards against lookups that miss their time behind new long work."""
+    """Guards against lookups that miss their deadline behind new long work."""
     gate = make_gate(slots=9)
-    first = fill(gate)[0]
+    first = fill_slots(gate)[0]
     gate.offer(make_job(call_id=2, soft_deadline_s=0.6, latency_ms=600), 0.0)
     gate.offer(make_job(0.01, call_id=3, soft_deadline_s=0.15, latency_ms=150), 0.01)
     gate.finish(first, AttemptKind.ANSWERED, 200, 0.05)
@@ -70,9 +70,9 @@
 
 
 def test_long_work_that_has_waited_goes_before_new_short_lookups():
-    """Guards against long work that a load of short lookups starves."""
+    """Guards against long work that is starved by short lookups."""
     gate = make_gate(slots=9)
-    first = fill(gate)[0]
+    first = fill_slots(gate)[0]
     gate.offer(make_job(call_id=2, soft_deadline_s=0.6, latency_ms=600), 0.0)
     gate.offer(make_job(0.3, call_id=3, soft_deadline_s=0.15, latency_ms=150), 0.3)
     gate.finish(first, AttemptKind.ANSWERED, 200, 0.31)
@@ -80,14 +80,14 @@
     assert started == [2]
 
 
-def test_lasting_overload_starves_no_kind_of_a_rank():
-    """Guards against one kind of calls that pays for the whole overload.
+def test_sustained_overload_starves_no_kind_of_a_rank():
+    """Guards against one kind of calls that suffers the whole overload.
 
-    A target of 18 slots gets 235 lookups/s of 0.04 s and 65 orders/s of 0.3 s;
-    together that is 29 slots of work, so 0.62 of both could be served. When
-    lookups always went first, 0.98 of them and 0.47 of the orders were.
+    A target of 18 slots gets 235 lookups/s of 0.04 s and 65 orders/s of 0.3 s,
+    which need 29 slots, so that 0.62 of both can be served. When lookups
+    always started first, 0.98 of them and 0.47 of the orders were served.
     """
-    served, arrived, busy_s = overload_of_one_rank(
+    served, arrived, busy_s = simulate_one_rank(
         {"lookup": (235.0, 0.04, 0.15), "order": (65.0, 0.3, 0.6)}, seconds=20.0
     )
     assert served["lookup"] >= 0.5 * arrived["lookup"]
@@ -95,24 +95,24 @@
     assert busy_s >= 0.95 * 18 * 20.0
 
 
-def test_usual_time_of_a_version_is_that_of_its_own_runs():
+def test_run_time_of_a_version_depends_on_its_own_runs_only():
     """Guards against a fast new version that is withdrawn as slow.
 
-    A move compares the versions after 8 runs; the time that is assumed before
-    the first run made 8 runs of 5 ms look like 46 ms each.
+    A move compares the versions after 8 runs; with the initial estimate in
+    the average, 8 runs of 5 ms looked like 46 ms each.
     """
     gate = make_gate()
-    run_for(gate, 0.005, runs=8)
+    complete_runs(gate, 0.005, runs=8)
     assert gate.report(10.0).service_ms < 6.0
     gate.announce(make_announcement(lifetime="l2", version="v2", started_ms=9000), 10.0)
-    run_for(gate, 0.02, runs=8)
+    complete_runs(gate, 0.02, runs=8)
     assert 19.0 < gate.report(20.0).service_ms < 21.0
 
 
-def test_waiting_call_is_refused_when_others_push_it_back():
-    """Guards against late refusals of calls that lost their place."""
+def test_waiting_call_is_refused_when_others_delay_it_too_long():
+    """Guards against late refusals of calls that others have overtaken."""
     gate = make_gate(slots=1)
-    fill(gate)
+    fill_slots(gate)
     low = make_job(call_id=2, rank=2, soft_deadline_s=0.3)
     assert isinstance(gate.offer(low, 0.0), Queued)
     refused = []
@@ -123,7 +123,7 @@
 
 
 def test_cold_target_gets_no_more_than_its_rate():
-    """Guards against a cold target that falls over under full load."""
+    """Guards against a cold target that crashes under full load."""
     gate = make_gate(slots=9, cold_calls_per_s=10.0, cold_s=3.0)
     starts = []
     for step in range(100):
@@ -133,15 +133,17 @@
         for admitted in (d for d in decisions if isinstance(d, Admitted)):
             starts.append(now_s)
             gate.finish(admitted.job, AttemptKind.ANSWERED, 200, now_s)
-    for begin_s in starts:
-        within = sum(begin_s <= at_s < begin_s + 1.0 for at_s in starts)
+    for window_start_s in starts:
+        within = sum(
+            window_start_s <= start_s < window_start_s + 1.0 for start_s in starts
+        )
         assert within <= 10 * 1.5
 
 
-def test_leaving_target_gets_nothing_more():
-    """Guards against work for a target that has announced its end."""
+def test_draining_target_gets_no_more_calls():
+    """Guards against calls to a target that has announced its shutdown."""
     gate = make_gate(slots=1)
-    running = fill(gate)[0]
+    running = fill_slots(gate)[0]
     waiting = make_job(call_id=2)
     gate.offer(waiting, 0.0)
     gate.announce(make_announcement(sequence=2, draining=True), 0.1)
@@ -150,18 +152,19 @@
     assert isinstance(gate.offer(make_job(call_id=3), 0.2), Refused)
 
 
-def test_deleted_target_stays_gone_after_a_late_report():
-    """Guards against a delayed status report that revives a leaving target."""
+def test_departed_target_stays_closed_after_a_late_announcement():
+    """Guards against a delayed announcement that reopens a departed target."""
     gate = make_gate()
     gate.depart("t1", 1000)
     gate.announce(make_announcement(sequence=9), 0.1)
     assert gate.state(0.1) is GateState.DRAINING
 
 
-def test_late_report_does_not_revive_a_target_that_left_a_fresh_daemon():
-    """Guards against a leaving that a restarted daemon acknowledges first.
+def test_departure_before_the_first_announcement_keeps_the_gate_closed():
+    """Guards against calls to a target that departed from a new daemon.
 
-    It knows no target yet, and an earlier report arrives after the farewell.
+    A restarted daemon knows no target when it acknowledges the departure, and
+    a delayed announcement arrives afterwards.
     """
     gate = Gate(cold_calls_per_s=10.0)
     gate.depart("t1", 1000)
@@ -171,8 +174,8 @@
     assert gate.state(3.0) is GateState.SERVING
 
 
-def test_report_of_an_earlier_lifetime_is_outdated():
-    """Guards against a delayed report of a target that has crashed."""
+def test_announcement_of_an_earlier_lifetime_is_outdated():
+    """Guards against a delayed announcement of a target that has crashed."""
     gate = make_gate(lifetime="new", started_ms=2000)
     assert not gate.announce(
         make_announcement("old", sequence=99, started_ms=1000), 1.0
@@ -181,7 +184,7 @@
 
 
 def test_same_name_with_a_later_start_is_a_new_lifetime():
-    """Guards against the order numbers of an earlier start of a target."""
+    """Guards against sequence numbers of an earlier start of a target."""
     gate = make_gate(sequence=50)
     assert gate.announce(
         make_announcement(sequence=1, started_ms=5000, cold_s=2.0), 1.0
@@ -190,10 +193,10 @@
 
 
 def test_health_check_does_not_open_the_gate_of_a_restarted_daemon():
-    """Guards against work for a target whose leaving was acknowledged.
+    """Guards against calls to a target whose departure was acknowledged.
 
-    The predecessor of a restarted daemon may have acknowledged it, and a
-    leaving target can still pass a health check.
+    The previous process of a restarted daemon may have acknowledged it, and a
+    departing target can still pass a health check.
     """
     gate = Gate(cold_calls_per_s=10.0)
     gate.probe_passed("t1", 0.0, 0.1)
@@ -203,10 +206,10 @@
     assert gate.state(0.5) is GateState.SERVING
 
 
-def test_unreachable_target_is_down_until_it_is_heard():
+def test_unreachable_target_is_down_until_a_health_check_passes():
     """Guards against calls to a target whose port is closed."""
     gate = make_gate()
-    gate.finish(start(gate), AttemptKind.NOT_CONNECTED, 0, 0.0)
+    gate.finish(start_call(gate), AttemptKind.NOT_CONNECTED, 0, 0.0)
     assert gate.state(0.0) is GateState.DOWN
     assert gate.needs_probe
     gate.probe_passed("t1", 0.0, 0.5)
@@ -214,15 +217,15 @@
 
 
 def test_target_that_only_breaks_connections_is_down():
-    """Guards against calls to a target that has ended behind a proxy.
+    """Guards against calls to a target that has exited behind a proxy.
 
-    Found by seed 12 of the soak: each call was accepted and reset, and the
-    gate stayed open until the next announcement.
+    Each call was accepted and reset, and the gate stayed open until the next
+    announcement (seed 12 of the soak test).
     """
     gate = make_gate()
     for _ in range(MAX_CONSECUTIVE_BROKEN):
         assert gate.state(0.1) is GateState.SERVING
-        gate.finish(start(gate), AttemptKind.BROKEN, 0, 0.1)
+        gate.finish(start_call(gate), AttemptKind.BROKEN, 0, 0.1)
     assert gate.state(0.1) is GateState.DOWN
     assert gate.needs_probe
     gate.probe_passed("t1", 0.0, 0.6)
@@ -230,16 +233,16 @@
 
 
 def test_answers_between_broken_runs_keep_the_gate_open():
-    """Guards against a target taken out because it loses some answers."""
+    """Guards against a target marked down because it loses some answers."""
     gate = make_gate()
     for number in range(3 * MAX_CONSECUTIVE_BROKEN):
         kind = AttemptKind.BROKEN if number % 5 else AttemptKind.ANSWERED
-        gate.finish(start(gate), kind, 200, 0.1)
+        gate.finish(start_call(gate), kind, 200, 0.1)
     assert gate.state(0.1) is GateState.SERVING
 
 
 def test_lost_answers_do_not_slow_the_target_down():
-    """Guards against pacing a warm target whose answers are reset."""
+    """Guards against rate limiting a warm target that resets some answers."""
     gate = make_gate(slots=9, cold_calls_per_s=10.0)
     started = 0
     for step in range(100):
@@ -253,8 +256,8 @@
     assert gate.needs_probe
 
 
-def test_target_is_paced_after_an_evacuation_until_its_state_is_known():
-    """Guards against full load on targets that turned cold meanwhile."""
+def test_target_is_rate_limited_after_an_evacuation_until_it_announces():
+    """Guards against full load on targets that became cold in the meantime."""
     gate = make_gate()
     gate.set_evacuated(True)
     assert isinstance(gate.offer(make_job(), 0.0), Refused)
@@ -264,13 +267,13 @@
     assert gate.state(1.1) is GateState.SERVING
 
 
-def test_lasting_overload_serves_calls_in_time_and_by_rank():
-    """Guards against an overload in which every answer comes late.
+def test_sustained_overload_serves_calls_in_time_and_by_rank():
+    """Guards against an overload in which every answer is late.
 
-    A target of 9 slots and 0.1 s a run bears 90 calls/s; it gets 180, a third
-    of them urgent. Callers get full worth for answers within 0.5 s.
+    A target with 9 slots and runs of 0.1 s can serve 90 calls/s; it gets 180,
+    a third of them urgent. The soft deadline is 0.5 s.
     """
-    served, refused_late = overload_of_two_ranks(Random(1), rate=180.0, seconds=20.0)
+    served, refused_late = simulate_two_ranks(Random(1), rate=180.0, seconds=20.0)
     capacity = 90.0 * 20.0
     in_time = sum(served.values())
     assert in_time >= 0.85 * capacity
@@ -279,77 +282,79 @@
     assert refused_late <= 0.02 * 180.0 * 20.0
 
 
-def start(gate):
+def start_call(gate):
     job = make_job(call_id=1)
     assert isinstance(gate.offer(job, 0.0), Admitted)
     return job
 
 
-def run_for(gate, run_s, runs):
+def complete_runs(gate, run_s, runs):
     for number in range(runs):
         job = make_job(float(number), call_id=number)
         assert isinstance(gate.offer(job, float(number)), Admitted)
         gate.finish(job, AttemptKind.ANSWERED, 200, number + run_s)
 
 
-def fill(gate):
-    """Start all calls that the gate lets through at once."""
-    return [start(gate) for _ in range(gate.report(0.0).slots + PREFETCHED_CALLS)]
+def fill_slots(gate):
+    """Start all calls that the gate admits at once."""
+    return [start_call(gate) for _ in range(gate.report(0.0).slots + PREFETCHED_CALLS)]
 
 
 def arrival_times(random, rate, seconds):
-    at_s = 0.0
-    while at_s < seconds:
-        yield at_s
-        at_s += random.expovariate(rate)
+    arrival_s = 0.0
+    while arrival_s < seconds:
+        yield arrival_s
+        arrival_s += random.expovariate(rate)
 
 
-def overload_of_one_rank(works, seconds):
-    """Play works of (rate, run time, time to full worth) on 18 slots."""
+def simulate_one_rank(kinds, seconds):
+    """Simulate kinds of (rate, run time, soft deadline) on 18 slots."""
     random = Random(5)
     arrivals = [
         (
-            work_s,
+            run_time_s,
             make_job(
-                at_s,
+                arrival_s,
                 soft_deadline_s=soft_deadline_s,
                 deadline_s=soft_deadline_s * 2,
                 route=route,
                 latency_ms=int(soft_deadline_s * 1000),
             ),
         )
-        for route, (rate, work_s, soft_deadline_s) in works.items()
-        for at_s in arrival_times(random, rate, seconds)
+        for route, (rate, run_time_s, soft_deadline_s) in kinds.items()
+        for arrival_s in arrival_times(random, rate, seconds)
     ]
-    served, _, busy_s = play(arrivals, slots=18)
+    served, _, busy_s = simulate(arrivals, slots=18)
     return served, Counter(job.call.route for _, job in arrivals), busy_s
 
 
-def overload_of_two_ranks(random, rate, seconds):
-    """Play runs of 0.1 s on 9 slots, a third of them urgent."""
+def simulate_two_ranks(random, rate, seconds):
+    """Simulate runs of 0.1 s on 9 slots, a third of them urgent."""
     times = list(arrival_times(random, rate, seconds))
     arrivals = []
-    for at_s in times:
+    for arrival_s in times:
         urgent = random.random() < 1 / 3
         route = "urgent" if urgent else "usual"
-        arrivals.append((0.1, make_job(at_s, rank=0 if urgent else 2, route=route)))
-    served, refused, _ = play(arrivals, slots=9)
+        arrivals.append(
+            (0.1, make_job(arrival_s, rank=0 if urgent else 2, route=route))
+        )
+    served, refused, _ = simulate(arrivals, slots=9)
     return served, sum(waited_s > 0.125 * 0.5 for waited_s in refused)
 
 
-def play(arrivals, slots):
-    """Play pairs of run time and job at a gate.
+def simulate(arrivals, slots):
+    """Simulate pairs of run time and job at a gate.
 
-    Returns the calls served in time by route, how long each refused call had
-    waited, and the time of all runs.
+    Return the calls served in time by route, how long each refused call had
+    waited, and the total time of all runs.
     """
     gate = make_gate(slots=slots)
-    order = count()
-    works = {job: work_s for work_s, job in arrivals}
-    events = [(job.arrived_s, next(order), job) for job in works]
+    tie_breaker = count()
+    run_times_s = {job: run_time_s for run_time_s, job in arrivals}
+    events = [(job.arrived_s, next(tie_breaker), job) for job in run_times_s]
     heapify(events)
     served, refused, busy_s, running = Counter(), [], 0.0, set()
-    # Ends of the runs in the target's slots; what finds none free waits there.
+    # When each slot of the target becomes free; further calls wait for that.
     slots_free_s = [0.0] * slots
     while events:
         now_s, _, job = heappop(events)
@@ -357,15 +362,15 @@
         if job in running:
             gate.finish(job, AttemptKind.ANSWERED, 200, now_s)
             served[job.call.route] += now_s <= job.soft_deadline_s
-            busy_s += works[job]
+            busy_s += run_times_s[job]
         else:
             decisions.append(gate.offer(job, now_s))
         decisions += gate.decide(now_s)
         for decision in decisions:
             if isinstance(decision, Admitted):
-                end_s = max(now_s, heappop(slots_free_s)) + works[decision.job]
+                end_s = max(now_s, heappop(slots_free_s)) + run_times_s[decision.job]
                 heappush(slots_free_s, end_s)
-                heappush(events, (end_s, next(order), decision.job))
+                heappush(events, (end_s, next(tie_breaker), decision.job))
                 running.add(decision.job)
             elif isinstance(decision, Refused):
                 refused.append(now_s - decision.job.arrived_s)
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of gates."""
+"""Tests of the placement of calls."""
 
 from collections import Counter
 from random import Random
@@ -10,7 +10,7 @@
 
 
 class Clock:
-    """Tell a time that tests set."""
+    """Return a time that tests set."""
 
     def __init__(self, now_s=0.0):
         self.now_s = now_s
@@ -34,7 +34,7 @@
 
 
 def test_free_target_of_the_same_failure_domain_is_preferred():
-    """Guards against bytes between failure domains without need."""
+    """Guards against unnecessary traffic between failure domains."""
     own = make_peer("own", service="other")
     near, far = make_peer("near"), make_peer("far", failure_domain="b")
     placer = make_placer(own)
@@ -42,7 +42,7 @@
     assert chosen["near"] >= 90
 
 
-def test_busy_target_gives_way_to_a_free_one_elsewhere():
+def test_free_target_elsewhere_is_preferred_to_a_busy_one():
     """Guards against a queue at one target while others are free."""
     own = make_peer("own", service="other")
     busy = make_peer("near", report=make_report(running=9, waiting=6))
@@ -51,17 +51,17 @@
 
 
 def test_closed_gates_are_not_chosen():
-    """Guards against calls to targets that take none."""
+    """Guards against calls to targets that accept none."""
     own = make_peer("own", service="other")
     states = [state for state in GateState if state not in ("serving", "cold")]
     peers = [make_peer(str(s), report=make_report(s)) for s in states]
     assert choose(make_placer(own), peers) is None
 
 
-def test_burst_of_all_entries_does_not_meet_at_one_target():
-    """Guards against every entry sending a burst to the one free target.
+def test_burst_of_all_daemons_is_not_sent_to_one_target():
+    """Guards against bursts from all ingress daemons to the one free target.
 
-    Ten entries place eight calls each at the same moment; all see the same
+    Ten daemons place eight calls each at the same time; all have the same
     reports, in which one target is free and four are half full.
     """
     arrivals = Counter()
@@ -80,7 +80,7 @@
 
 
 def test_large_answers_stay_in_their_failure_domain_longer():
-    """Guards against downloads that travel to save a short wait."""
+    """Guards against remote downloads that only save a short wait."""
     own = make_peer("own", service="other")
     near = make_peer("near", report=make_report(running=6))
     far = make_peer("far", failure_domain="b")
@@ -89,11 +89,11 @@
     assert choose(placer, [near, far], answer_kb=200.0) is near
 
 
-def test_burst_with_old_reports_does_not_meet_at_one_target():
-    """Guards against herds in a fleet whose entries seldom hear of a target.
+def test_burst_with_old_reports_is_not_sent_to_one_target():
+    """Guards against a thundering herd in a fleet with infrequent reports.
 
-    Ninety entries place one call each; the reports are 2 s old, and one of
-    ten targets was free then.
+    Ninety daemons place one call each; the reports are 2 s old, and one of
+    ten targets was free at that time.
     """
     arrivals = Counter()
     for seed in range(90):
@@ -107,10 +107,11 @@
     assert len(arrivals) >= 8
 
 
-def test_known_targets_elsewhere_are_not_called_in_turn():
-    """Guards against calls that travel only because time has passed.
+def test_known_targets_elsewhere_are_not_explored():
+    """Guards against calls to other failure domains only for exploration.
 
-    With 90 entries and 100 targets, a turn each 10 s was most of the calls.
+    With 90 daemons and 100 targets, one call to each target every 10 s was
+    most of the traffic.
     """
     own = make_peer("own", service="other")
     near = make_peer("near", report=make_report(runs=100))
@@ -122,10 +123,10 @@
     assert chosen["near"] == 100
 
 
-def test_entries_do_not_meet_at_the_first_new_target():
-    """Guards against a herd of all entries when a fleet has just started.
+def test_daemons_do_not_all_explore_the_same_target():
+    """Guards against a thundering herd when a fleet has just started.
 
-    Sixty entries place two calls each among forty targets without any run.
+    Sixty daemons place two calls each on forty targets without any run.
     """
     arrivals = Counter()
     for seed in range(60):
@@ -138,7 +139,7 @@
 
 
 def test_target_that_was_never_called_gets_a_call():
-    """Guards against new targets that only their own entry uses."""
+    """Guards against new targets that only their own daemon uses."""
     own = make_peer("own", service="other")
     near, new = make_peer("near"), make_peer("new", failure_domain="b")
     placer = make_placer(own)
--- a/tests/relay/test_record_cleanup.py
+++ b/tests/relay/test_record_cleanup.py
@@ -1,4 +1,4 @@
-"""Tests of the deletion of entries whose daemons are gone."""
+"""Tests of the deletion of stale daemon records."""
 
 from relay_builders import make_peer
 
@@ -13,15 +13,15 @@
     return peers
 
 
-def test_one_daemon_is_responsible_for_an_entry():
-    """Guards against entries that nobody deletes, or all at once."""
+def test_one_daemon_is_responsible_for_a_record():
+    """Guards against records that no daemon or every daemon deletes."""
     peers = make_fleet()
     found = [find_stale_peers(peers, own, STALE_RECORD_S + 1) for own in peers[1:]]
     assert sorted(map(len, found)) == [0, 0, 0, 0, 1]
 
 
-def test_entry_of_a_restarting_daemon_stays():
-    """Guards against a daemon that must be found anew after each restart."""
+def test_record_of_a_restarting_daemon_is_kept():
+    """Guards against a daemon that must be rediscovered after each restart."""
     peers = make_fleet()
     assert not any(
         find_stale_peers(peers, own, STALE_RECORD_S - 1) for own in peers[1:]
@@ -29,7 +29,7 @@
 
 
 def test_daemon_that_lost_most_peers_deletes_nothing():
-    """Guards against a daemon behind a cut that empties the list."""
+    """Guards against a partitioned daemon that deletes all records."""
     peers = make_fleet(lost=4)
     assert not any(
         find_stale_peers(peers, own, STALE_RECORD_S + 1) for own in peers[4:]
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -1,4 +1,4 @@
-"""Tests of whole relay daemons that call each other on loopback."""
+"""Tests of complete relay daemons that call each other on loopback."""
 
 import pytest
 import trio
@@ -21,7 +21,7 @@
     fleet.configure(routes=[make_route(kind=kind)])
     await fleet.start("one", service="shop")
     await fleet.start("two", service="stock")
-    await fleet.linked()
+    await fleet.wait_linked()
 
 
 async def test_call_runs_at_the_target_behind_another_gate(fleet):
@@ -51,8 +51,8 @@
     assert f"catkinhollow_relay_attempts_total{labels} 3" in lines
 
 
-async def test_large_bodies_pass_whole(fleet):
-    """Guards against bodies that are cut between the daemons."""
+async def test_large_bodies_are_complete(fleet):
+    """Guards against bodies that are truncated between the daemons."""
     await start_pair(fleet, kind="unsafe")
     body = bytes(range(256)) * 2000
     response = await fleet.call("one", "c1", method="POST", content=body)
@@ -60,7 +60,7 @@
 
 
 async def test_route_changes_with_the_configuration(fleet):
-    """Guards against a daemon that keeps an older version."""
+    """Guards against a daemon that keeps an older configuration."""
     await start_pair(fleet)
     assert (await fleet.call("one", "c1", path="/new/x")).status == 404
     fleet.configure(2, routes=[make_route(path_prefix="/new/")])
@@ -70,7 +70,7 @@
 
 
 async def test_older_version_in_a_newer_write_is_refused(fleet):
-    """Guards against a route table that goes back."""
+    """Guards against a return to an older route table."""
     await start_pair(fleet)
     fleet.configure(5, routes=[make_route(path_prefix="/new/")])
     fleet.configure(4, routes=[make_route()])
@@ -78,8 +78,8 @@
     assert (await fleet.call("one", "c1", path="/new/x")).status == 200
 
 
-async def test_leaving_target_refuses_with_a_time_to_come_back(fleet):
-    """Guards against requests for a target that has announced its end."""
+async def test_departed_target_gets_no_requests_and_callers_a_retry_hint(fleet):
+    """Guards against requests to a target that has announced its departure."""
     await start_pair(fleet)
     fleet.members["two"].daemon.gate.depart("two", None)
     response = await fleet.call("one", "c1")
@@ -89,13 +89,13 @@
     assert fleet.members["two"].target.runs == {}
 
 
-async def test_failure_domain_that_is_out_gets_nothing(fleet):
-    """Guards against work for a failure domain out of service."""
+async def test_evacuated_failure_domain_gets_no_requests(fleet):
+    """Guards against requests to a failure domain out of service."""
     fleet.configure()
     await fleet.start("one", service="shop")
     await fleet.start("near", failure_domain="a")
     await fleet.start("far", failure_domain="b")
-    await fleet.linked()
+    await fleet.wait_linked()
     fleet.store.write("evacuations", "a", {})
     await trio.sleep(0.3)
     for number in range(10):
@@ -103,35 +103,35 @@
     assert fleet.members["near"].target.runs == {}
     fleet.store.remove("evacuations", "a")
     fleet.members["near"].daemon.gate.announce(make_announcement("near", sequence=2))
-    await fleet.linked()
+    await fleet.wait_linked()
     assert (await fleet.call("one", "back")).status == 200
 
 
-async def test_caller_that_leaves_cancels_a_safe_run(fleet):
-    """Guards against targets that work for callers who have gone."""
+async def test_caller_that_disconnects_cancels_a_safe_run(fleet):
+    """Guards against runs for callers that have disconnected."""
     await start_pair(fleet)
-    fleet.members["two"].target.work_s = 30.0
+    fleet.members["two"].target.run_time_s = 30.0
     with trio.move_on_after(0.3):
         await fleet.call("one", "c1")
     gate = fleet.members["two"].daemon.gate
-    await fleet.until(lambda: not gate.busy, 1.0)
+    await fleet.wait_until(lambda: not gate.busy, 1.0)
 
 
-async def test_request_ends_at_the_time_of_its_route(fleet):
-    """Guards against callers held past the operator's time."""
+async def test_request_ends_at_the_timeout_of_its_route(fleet):
+    """Guards against callers that wait longer than the route's timeout."""
     fleet.configure(routes=[make_route(timeout_ms=300.0)])
     await fleet.start("one", service="shop")
     await fleet.start("two", service="stock")
-    await fleet.linked()
-    fleet.members["two"].target.work_s = 30.0
+    await fleet.wait_linked()
+    fleet.members["two"].target.run_time_s = 30.0
     with trio.fail_after(1.0):
         assert (await fleet.call("one", "c1")).status == 504
 
 
 async def test_shutdown_finishes_the_runs_at_the_gate(fleet):
-    """Guards against answers cut by a restart of the gate's daemon."""
+    """Guards against answers lost by a restart of the gate's daemon."""
     await start_pair(fleet, kind="unsafe")
-    fleet.members["two"].target.work_s = 0.5
+    fleet.members["two"].target.run_time_s = 0.5
     answers = []
 
     async def order():
@@ -139,49 +139,49 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(order)
-        await fleet.until(lambda: fleet.members["two"].target.runs)
+        await fleet.wait_until(lambda: fleet.members["two"].target.runs)
         fleet.members["two"].stop.set()
     assert answers == [200]
-    # The target is well, so its gate is used until shortly before the end.
+    # The target is healthy, so its gate is used until shortly before the end.
     assert (await fleet.call("one", "c2", method="POST")).status == 200
     gate = fleet.members["two"].daemon.gate
-    await fleet.until(lambda: gate.gate.state(0.0) == "stopping")
+    await fleet.wait_until(lambda: gate.gate.state(0.0) == "stopping")
     assert (await fleet.call("one", "c3", method="POST")).status == 503
     await fleet.members["two"].stopped.wait()
 
 
 async def test_daemon_without_store_learns_from_its_peers(fleet):
-    """Guards against a restarted daemon that waits for the store."""
+    """Guards against a restarted daemon that cannot work without the store."""
     await start_pair(fleet)
     fleet.store.down = True
     await fleet.start("three", service="shop", announce=False)
     three = fleet.members["three"].daemon
     record = three.directory.own.record
-    # The peers know its address from before its restart.
+    # The peers know its address from the time before its restart.
     for name in ("one", "two"):
         directory = fleet.members[name].daemon.directory
         known = [peer.record for peer in directory if peer is not directory.own]
         directory.replace_all([*known, record])
         fleet.members[name].daemon.network.update_links()
-    await fleet.until(lambda: three.ready, 8.0)
+    await fleet.wait_until(lambda: three.ready, 8.0)
     two = fleet.members["two"].settings.peer
-    await fleet.until(lambda: three.directory.by_address(two).accepts_calls)
+    await fleet.wait_until(lambda: three.directory.by_address(two).accepts_calls)
     assert (await fleet.call("three", "c1")).status == 200
 
 
 async def test_order_moves_the_service_and_is_done(fleet):
-    """Guards against orders that nobody drives, or withdrawn for no fault.
+    """Guards against orders without progress and against false withdrawals.
 
-    Targets that answer within 5 ms must not look slow beside the time that is
-    assumed before their first run.
+    Targets that answer within 5 ms must not look slow because of the initial
+    estimate of the run time.
     """
     await start_pair(fleet)
     await fleet.start("next", service="stock", announce=False)
     for name in ("two", "next"):
-        fleet.members[name].target.work_s = 0.005
+        fleet.members[name].target.run_time_s = 0.005
     gate = fleet.members["next"].daemon.gate
     gate.announce(make_announcement("next", version="v2"))
-    await fleet.linked()
+    await fleet.wait_linked()
     order = MoveOrder(service="stock", version="v2", duration_s=10.0, order=50)
     fleet.store.write("orders", "stock", to_plain(order))
     with trio.fail_after(20.0):
@@ -198,8 +198,8 @@
     assert len(fleet.members["two"].target.headers) == before
 
 
-async def test_peer_is_used_though_its_link_came_before_its_entry(fleet):
-    """Guards against a link that nobody uses after a restart of both ends."""
+async def test_peer_is_used_if_its_link_came_up_before_its_record(fleet):
+    """Guards against an unused link after a restart of both daemons."""
     await start_pair(fleet)
     one, two = (fleet.members[name].daemon for name in ("one", "two"))
     record = two.directory.own.record
@@ -207,16 +207,18 @@
     one.directory.replace_all([record])
     assert not one.directory.by_address(record.address).linked
     one.network.update_links()
-    await fleet.until(lambda: one.directory.by_address(record.address).accepts_calls)
+    await fleet.wait_until(
+        lambda: one.directory.by_address(record.address).accepts_calls
+    )
     assert (await fleet.call("one", "c1")).status == 200
 
 
-async def test_callers_that_stay_are_refused_before_the_end(fleet):
-    """Guards against requests cut at the end of a shutdown's time."""
+async def test_callers_that_keep_sending_are_refused_before_the_end(fleet):
+    """Guards against requests aborted at the end of the grace period."""
     await start_pair(fleet)
-    fleet.members["two"].target.work_s = 0.3
+    fleet.members["two"].target.run_time_s = 0.3
     one = fleet.members["one"]
-    statuses, cut = [], []
+    statuses, aborted = [], []
 
     async def keep_calling(caller):
         while not one.stopped.is_set():
@@ -226,9 +228,9 @@
             except ConnectError:
                 return
             except (NetworkError, RemoteProtocolError):
-                # Its request crossed the close, which is no fault if nobody
-                # has run it.
-                cut.append(request_id)
+                # The request was sent while the connection closed, which is
+                # no fault if no target has run it.
+                aborted.append(request_id)
                 return
             statuses.append(answer.status)
             await trio.sleep(0.01)
@@ -239,4 +241,4 @@
             await trio.sleep(0.05)
         one.stop.set()
     assert set(statuses) == {200, 503}
-    assert not set(cut) & set(fleet.members["two"].target.runs)
+    assert not set(aborted) & set(fleet.members["two"].target.runs)
--- a/tests/relay/test_relay_moves.py
+++ b/tests/relay/test_relay_moves.py
@@ -1,4 +1,4 @@
-"""Tests of moves whose deadline is seconds away, in virtual time."""
+"""Tests of moves that take seconds, in virtual time."""
 
 from random import Random
 
@@ -21,52 +21,58 @@
     return evolve(order, progress=MoveProgress(**values))
 
 
-class Traffic:
-    """Play the runs of both versions while a plan drives an order.
+class TrafficSimulation:
+    """Simulate the runs of both versions during a move.
 
-    Three targets of each version; `bad_from_s` is when runs of the new
-    version start to fail with the chance `bad_share`, and `slow` multiplies
-    the time of its runs.
+    Each version has three targets. From `failing_from_s` on, runs of the new
+    version fail with probability `failing_share`; `slow_factor` multiplies its
+    run time. During `outage` 40 % of the runs of both versions fail.
     """
 
     def __init__(
-        self, *, per_s=100.0, bad_from_s=99.0, bad_share=0.0, slow=1.0, outage=(0, 0)
+        self,
+        *,
+        requests_per_s=100.0,
+        failing_from_s=99.0,
+        failing_share=0.0,
+        slow_factor=1.0,
+        outage=(0, 0),
     ):
         self.outage = outage
         self.random = Random(3)
-        self.per_s = per_s
-        self.bad_from_s = bad_from_s
-        self.bad_share = bad_share
-        self.slow = slow
+        self.requests_per_s = requests_per_s
+        self.failing_from_s = failing_from_s
+        self.failing_share = failing_share
+        self.slow_factor = slow_factor
         self.runs = {"v1": 0, "v2": 0}
         self.failures = {"v1": 0, "v2": 0}
         self.after_fiftieth = 0
 
-    def play(self, percent, now_s):
-        for _ in range(int(self.per_s * STEP_S)):
+    def simulate_step(self, percent, now_s):
+        for _ in range(int(self.requests_per_s * STEP_S)):
             version = "v2" if self.random.random() * 100 < percent else "v1"
             self.runs[version] += 1
             if self.outage[0] <= now_s < self.outage[1]:
                 self.failures[version] += self.random.random() < 0.4
-            if version == "v2" and now_s >= self.bad_from_s:
-                self.failures["v2"] += self.random.random() < self.bad_share
+            if version == "v2" and now_s >= self.failing_from_s:
+                self.failures["v2"] += self.random.random() < self.failing_share
 
     def reports(self):
-        slow = {"v1": 1.0, "v2": self.slow}
+        slow_factor = {"v1": 1.0, "v2": self.slow_factor}
         return [
             make_report(
                 version=version,
                 runs=self.runs[version] // 3,
                 failures=self.failures[version] // 3,
-                service_ms=100.0 * slow[version],
+                service_ms=100.0 * slow_factor[version],
             )
             for version in ("v1", "v2")
             for _ in range(3)
         ]
 
 
-def drive(traffic, duration_s=15.0):
-    """Return the final state and when it was reached."""
+def run_move(traffic, duration_s=15.0):
+    """Run a move; return its final state and when it was reached."""
     plan = MovePlan(make_order(duration_s), 0.0)
     now_s = 0.0
     while now_s < duration_s + 5.0:
@@ -76,48 +82,55 @@
         progress = plan.order.progress
         if progress.state is not OrderState.RUNNING:
             return progress.state, now_s
-        traffic.play(progress.percent, now_s)
+        traffic.simulate_step(progress.percent, now_s)
         now_s += STEP_S
     return plan.order.progress.state, now_s
 
 
-@pytest.mark.parametrize("per_s", [8.0, 25.0, 100.0])
-def test_good_version_is_done_in_time(per_s):
+@pytest.mark.parametrize("requests_per_s", [8.0, 25.0, 100.0])
+def test_good_version_is_done_in_time(requests_per_s):
     """Guards against a good version that waits for traffic it never gets."""
-    state, at_s = drive(Traffic(per_s=per_s))
+    state, at_s = run_move(TrafficSimulation(requests_per_s=requests_per_s))
     assert state is OrderState.DONE
     assert at_s < 15.0
 
 
-@pytest.mark.parametrize("bad_from_s", [0.0, 3.4, 5.0])
-@pytest.mark.parametrize("bad_share", [0.4, 0.6])
-def test_failing_version_is_withdrawn_with_little_exposure(bad_from_s, bad_share):
-    """Guards against a bad version that gets a tenth of the requests."""
-    traffic = Traffic(bad_from_s=bad_from_s, bad_share=bad_share)
-    state, _ = drive(traffic)
+@pytest.mark.parametrize("failing_from_s", [0.0, 3.4, 5.0])
+@pytest.mark.parametrize("failing_share", [0.4, 0.6])
+def test_failing_version_is_withdrawn_with_little_exposure(
+    failing_from_s, failing_share
+):
+    """Guards against a bad version that gets 10 % of the requests."""
+    traffic = TrafficSimulation(
+        failing_from_s=failing_from_s, failing_share=failing_share
+    )
+    state, _ = run_move(traffic)
     assert state is OrderState.WITHDRAWN
     assert traffic.runs["v2"] <= 0.1 * 15.0 * 100.0 + 50
     assert traffic.failures["v2"] < 50
 
 
-@pytest.mark.parametrize("begin_s", [1.0, 2.0, 4.0, 5.0])
-def test_outage_behind_both_versions_does_not_stop_a_move(begin_s):
-    """Guards against a good version withdrawn for the faults of another.
+@pytest.mark.parametrize("outage_start_s", [1.0, 2.0, 4.0, 5.0])
+def test_outage_behind_both_versions_does_not_stop_a_move(outage_start_s):
+    """Guards against a good version that is withdrawn for unrelated faults.
 
-    At 100 % there is no old version to compare with; failures count then.
+    At 100 % there is no old version left to compare with, so all failures
+    count.
     """
-    state, _ = drive(Traffic(outage=(begin_s, begin_s + 2.0)))
+    state, _ = run_move(
+        TrafficSimulation(outage=(outage_start_s, outage_start_s + 2.0))
+    )
     assert state is OrderState.DONE
 
 
 def test_slow_version_is_withdrawn():
-    """Guards against a version that answers, but several times slower."""
-    state, _ = drive(Traffic(slow=8.0))
+    """Guards against a version that is correct but several times slower."""
+    state, _ = run_move(TrafficSimulation(slow_factor=8.0))
     assert state is OrderState.WITHDRAWN
 
 
-def test_progress_of_an_earlier_order_starts_anew():
-    """Guards against a second order that ends with the state of the first."""
+def test_progress_of_an_earlier_order_is_reset():
+    """Guards against a new order that keeps the state of the previous one."""
     order = evolve(make_order(percent=100.0), order=8)
     progress, _ = MovePlan(order, 0.0).next_progress([], 0.0)
     assert (progress.state, progress.percent) == (OrderState.RUNNING, 0.0)
@@ -130,7 +143,7 @@
 
 
 def test_new_version_gets_its_share():
-    """Guards against a share that no daemon keeps to."""
+    """Guards against a share of calls that differs from the order."""
     old, new = make_fleet()
     policy = VersionPolicy(Random(1))
     policy.set_orders([make_order(percent=15.0)])
@@ -157,7 +170,7 @@
 
 
 def test_failing_version_gets_nothing_before_the_order_is_withdrawn():
-    """Guards against a bad version that goes on while the store is away."""
+    """Guards against calls to a bad version while the store is unreachable."""
     old, _ = make_fleet()
     report = make_report(version="v2", runs=20, failures=10)
     new = [make_peer(f"new{n}", report=report) for n in range(3)]
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -1,4 +1,4 @@
-"""Tests of routes, splits, documents, link watch, and retry advice."""
+"""Tests of routes, splits, documents, the peer watch, and retry advice."""
 
 from collections import Counter
 from random import Random
@@ -21,7 +21,7 @@
 
 
 def test_longest_prefix_of_the_host_wins():
-    """Guards against requests that run on the wrong service."""
+    """Guards against requests that are routed to the wrong service."""
     routes = [
         make_route("short", path_prefix="/a/"),
         make_route("long", path_prefix="/a/b/"),
@@ -35,7 +35,7 @@
 
 
 def test_split_keeps_its_weights_over_a_short_time():
-    """Guards against shares that are off when few requests came."""
+    """Guards against shares that deviate after only a few requests."""
     parts = [
         WeightedService(service="x", weight=90),
         WeightedService(service="y", weight=10),
@@ -48,8 +48,8 @@
     assert abs(total["y"] / 220 - 0.1) < 0.03
 
 
-def test_documents_never_go_back():
-    """Guards against an older version that arrives by another way."""
+def test_documents_never_return_to_an_older_revision():
+    """Guards against an older revision that arrives from another source."""
     table = DocumentTable()
     assert table.offer(make_document(5))
     assert not table.offer(make_document(4))
@@ -57,8 +57,8 @@
     assert table.get("configuration/main").revision == 5
 
 
-def test_deletion_found_by_a_listing_spares_newer_documents():
-    """Guards against a stale listing that removes what came after it."""
+def test_deletion_found_by_a_listing_keeps_newer_documents():
+    """Guards against a stale listing that removes newer documents."""
     table = DocumentTable()
     table.offer(make_document(5, "daemons/a"))
     table.offer(make_document(9, "daemons/b"))
@@ -66,38 +66,38 @@
     assert [document.name for document in gone] == ["daemons/a"]
 
 
-def test_equal_tables_have_equal_digests_whatever_the_order():
+def test_equal_tables_have_equal_digests_in_any_order():
     """Guards against endless transfers between equal daemons."""
-    one, two = DocumentTable(), DocumentTable()
+    first, second = DocumentTable(), DocumentTable()
     documents = [make_document(3, "daemons/a"), make_document(4, "daemons/b")]
     for document in documents:
-        one.offer(document)
-    two.offer(make_document(1, "daemons/a"))
+        first.offer(document)
+    second.offer(make_document(1, "daemons/a"))
     for document in reversed(documents):
-        two.offer(document)
-    assert one.digest == two.digest
-    two.offer(make_document(6, "daemons/c"))
-    assert [d.name for d in two.newer_than(one.versions)] == ["daemons/c"]
+        second.offer(document)
+    assert first.digest == second.digest
+    second.offer(make_document(6, "daemons/c"))
+    assert [d.name for d in second.newer_than(first.versions)] == ["daemons/c"]
 
 
-def test_lasting_difference_is_asked_for_once_and_not_at_every_peer():
+def test_lasting_difference_is_requested_once_and_not_from_every_peer():
     """Guards against a change that is sent by every peer of a large fleet.
 
     90 daemons each sent their whole configuration to a daemon that was some
-    milliseconds late.
+    milliseconds behind.
     """
     comparison = DigestComparison()
-    asked = [
+    requested_s = [
         step / 100
         for step in range(100)
         if comparison.is_due(own=1, other=2, now_s=step / 100, same_domain=True)
     ]
-    assert asked[0] == pytest.approx(0.5, abs=0.02)
-    assert len(asked) <= 3
+    assert requested_s[0] == pytest.approx(0.5, abs=0.02)
+    assert len(requested_s) <= 3
 
 
-def test_peer_nearby_is_asked_before_one_elsewhere():
-    """Guards against configurations that cross between failure domains."""
+def test_documents_are_requested_in_the_own_failure_domain_first():
+    """Guards against transfers of configurations between failure domains."""
     comparison = DigestComparison()
     assert not comparison.is_due(own=1, other=2, now_s=0.0, same_domain=False)
     assert not comparison.is_due(own=1, other=2, now_s=0.7, same_domain=False)
@@ -105,7 +105,7 @@
     assert comparison.is_due(own=1, other=2, now_s=1.1, same_domain=False)
 
 
-def test_change_that_the_store_brings_is_not_asked_for():
+def test_change_that_the_store_delivers_is_not_requested():
     """Guards against transfers during a series of changes every 0.33 s."""
     comparison = DigestComparison()
     for change in range(1, 20):
@@ -121,8 +121,8 @@
         )
 
 
-def test_daemon_cut_off_from_the_store_asks_during_a_series_of_changes():
-    """Guards against an isolated daemon that waits for the last change."""
+def test_daemon_without_the_store_requests_during_a_series_of_changes():
+    """Guards against an isolated daemon that waits until changes end."""
     comparison = DigestComparison()
     due = [
         comparison.is_due(own=1, other=2 + step // 3, now_s=step / 9, same_domain=True)
@@ -131,13 +131,13 @@
     assert any(due[:8])
 
 
-def test_daemon_without_documents_asks_at_once():
-    """Guards against a slow start while the store is away."""
+def test_daemon_without_documents_requests_them_at_once():
+    """Guards against a slow start while the store is unreachable."""
     assert DigestComparison().is_due(own=0, other=7, now_s=5.0, same_domain=False)
 
 
-def test_silent_link_is_reset():
-    """Guards against a connection that stays open and carries nothing."""
+def test_dead_link_is_reset():
+    """Guards against a connection that stays open but carries no data."""
     watch = PeerWatch()
     watch.link_up("p", 0.0)
     commands = []
@@ -147,22 +147,22 @@
     assert resets and resets[0] <= 2.5
 
 
-def test_peer_that_owes_an_answer_gets_no_new_calls():
-    """Guards against calls into a cut until its link counts as silent."""
+def test_unresponsive_peer_gets_no_new_calls():
+    """Guards against calls to a partitioned peer until its link is reset."""
     watch = PeerWatch()
     watch.link_up("p", 0.0)
-    quiet_s = None
+    unresponsive_s = None
     for step in range(14):
         now_s = step * 0.1
         watch.check({"p"}, now_s)
-        if quiet_s is None and watch.is_unresponsive("p", now_s):
-            quiet_s = now_s
-    assert quiet_s is not None and quiet_s <= 0.9
+        if unresponsive_s is None and watch.is_unresponsive("p", now_s):
+            unresponsive_s = now_s
+    assert unresponsive_s is not None and unresponsive_s <= 0.9
     watch.record_contact("p", 1.4)
     assert not watch.is_unresponsive("p", 1.4)
 
 
-def test_answering_peer_is_not_reset():
+def test_responsive_peer_is_not_reset():
     """Guards against resets of a link that is only idle."""
     watch = PeerWatch()
     watch.link_up("p", 0.0)
@@ -173,8 +173,8 @@
             watch.record_contact("p", now_s + 0.05)
 
 
-def test_invalid_configuration_is_named():
-    """Guards against a version that is applied in part."""
+def test_error_of_an_invalid_configuration_is_reported():
+    """Guards against a configuration version that is applied in part."""
     assert find_error(make_configuration(), -1) == ""
     assert "older" in find_error(make_configuration(3), 4)
     unknown = make_configuration(routes=[make_route(service="none")])
@@ -183,8 +183,8 @@
     assert "slash" in find_error(bare, -1)
 
 
-def test_document_that_cannot_be_read_is_refused():
-    """Guards against a peer of another release that ends this daemon."""
+def test_document_that_cannot_be_decoded_is_refused():
+    """Guards against a peer of another release that crashes this daemon."""
     check = DocumentValidator()
     for kind in ("configuration", "daemons", "orders", "evacuations", "novel"):
         broken = Document(name=f"{kind}/x", revision=5, body=b"\xc1 nothing")
@@ -197,7 +197,7 @@
 
 
 def test_retry_advice_fits_the_time_left_and_is_spread():
-    """Guards against callers told to return too late or all at once."""
+    """Guards against callers that retry too late or all at once."""
     assert retry_after_s(5.0, 0.9, 0.0) <= 0.3
     early, late = retry_after_s(0.1, 3.0, 0.0), retry_after_s(0.1, 3.0, 1.0)
     assert early < late
--- a/tests/relay/test_request_server.py
+++ b/tests/relay/test_request_server.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP listener of an entry, in memory and in virtual time."""
+"""Tests of the HTTP listener for callers, in memory and in virtual time."""
 
 import pytest
 import trio
@@ -12,17 +12,17 @@
 
 
 class Handler:
-    """Answer a path like /0.5 after so many seconds."""
+    """Answer a path like /0.5 after that many seconds."""
 
     def __init__(self):
         self.started = []
-        self.gone = []
+        self.disconnected_paths = []
 
     async def __call__(self, request, disconnected):
         self.started.append((trio.current_time(), request.method, request.path))
         with trio.move_on_after(float(request.path[1:])):
             await disconnected()
-            self.gone.append(request.path)
+            self.disconnected_paths.append(request.path)
         return plain_response(200, request.path)
 
 
@@ -59,10 +59,10 @@
     return data
 
 
-async def test_pipelined_requests_run_side_by_side_and_answer_in_order(
+async def test_pipelined_requests_run_concurrently_and_answer_in_order(
     autojump_clock, connect
 ):
-    """Guards against a request that waits for the run before it."""
+    """Guards against a request that waits for the run of an earlier one."""
     handler, _, open_connection = connect
     client = open_connection()
     await client.send_all(head("/1.0") + head("/0.5") + head("/0.75"))
@@ -72,10 +72,10 @@
     assert trio.current_time() - handler.started[0][0] == pytest.approx(1.0, abs=0.1)
 
 
-async def test_request_that_changes_something_waits_for_those_before_it(
+async def test_request_with_side_effects_waits_for_earlier_requests(
     autojump_clock, connect
 ):
-    """Guards against an order that runs though its caller sees it unread."""
+    """Guards against a run of a request that its caller considers unread."""
     handler, _, open_connection = connect
     client = open_connection()
     post = head("/0.1", "POST", "content-length: 2\r\n") + b"ab"
@@ -86,15 +86,15 @@
     assert times[2] >= 1.1
 
 
-async def test_caller_that_leaves_ends_its_requests(autojump_clock, connect):
-    """Guards against work for callers who have gone."""
+async def test_caller_that_disconnects_ends_its_requests(autojump_clock, connect):
+    """Guards against runs for callers that have disconnected."""
     handler, _, open_connection = connect
     client = open_connection()
     await client.send_all(head("/60.0"))
     await trio.sleep(1.0)
     await client.aclose()
     await trio.sleep(1.0)
-    assert handler.gone == ["/60.0"]
+    assert handler.disconnected_paths == ["/60.0"]
 
 
 @pytest.mark.parametrize(
@@ -107,21 +107,21 @@
         (head("/0.1", "POST", "content-length: 9\r\n") + b"x", b"408"),
     ],
 )
-async def test_bad_input_has_the_status_that_names_it(
+async def test_invalid_request_gets_the_matching_status(
     autojump_clock, connect, data, status
 ):
-    """Guards against silence, or a run, where the request is not proper."""
+    """Guards against an invalid request that runs or gets no response."""
     handler, _, open_connection = connect
     client = open_connection()
     await client.send_all(data)
-    answer = await read_all(client)
-    assert answer.startswith(b"HTTP/1.1 " + status)
-    assert b"connection: close" in answer.lower()
+    response = await read_all(client)
+    assert response.startswith(b"HTTP/1.1 " + status)
+    assert b"connection: close" in response.lower()
     assert handler.started == []
 
 
-async def test_chunked_body_arrives_whole(autojump_clock, connect):
-    """Guards against bodies without a length."""
+async def test_chunked_body_is_complete(autojump_clock, connect):
+    """Guards against truncated bodies of requests without a length."""
     handler, _, open_connection = connect
     client = open_connection()
     await client.send_all(head("/0.1", "POST", "transfer-encoding: chunked\r\n"))
@@ -133,30 +133,30 @@
 
 
 async def test_idle_connection_ends_after_the_limit(autojump_clock, connect):
-    """Guards against connections that stay open for ever."""
+    """Guards against idle connections that stay open forever."""
     _, _, open_connection = connect
     client = open_connection()
     await client.send_all(head("/0.1"))
     await read_until(client, b"/0.1\n")
-    begin_s = trio.current_time()
+    start_s = trio.current_time()
     assert await read_all(client) == b""
-    assert trio.current_time() - begin_s == pytest.approx(15.0, abs=0.2)
+    assert trio.current_time() - start_s == pytest.approx(15.0, abs=0.2)
 
 
-async def test_answer_during_shutdown_closes_its_connection(autojump_clock, connect):
-    """Guards against a request sent on a connection about to end."""
+async def test_response_during_shutdown_closes_its_connection(autojump_clock, connect):
+    """Guards against a request sent on a connection that is about to close."""
     _, server, open_connection = connect
     client = open_connection()
     await client.send_all(head("/1.0"))
     await trio.sleep(0.1)
     server.begin_closing()
-    answer = await read_all(client)
-    assert b"connection: close" in answer.lower()
-    assert answer.endswith(b"/1.0\n")
+    response = await read_all(client)
+    assert b"connection: close" in response.lower()
+    assert response.endswith(b"/1.0\n")
 
 
-async def test_server_is_busy_until_the_answer_is_sent(autojump_clock, connect):
-    """Guards against a shutdown between an answer and its last byte."""
+async def test_server_is_busy_until_the_response_is_sent(autojump_clock, connect):
+    """Guards against a shutdown before the last byte of a response."""
     handler, server, open_connection = connect
     client = open_connection()
     await client.send_all(head("/0.5"))
@@ -172,11 +172,11 @@
     assert not server.busy
 
 
-async def test_request_behind_a_closing_one_is_not_started(autojump_clock, connect):
-    """Guards against a run of a request that its caller sends again."""
+async def test_request_after_a_closing_one_is_not_started(autojump_clock, connect):
+    """Guards against a run of a request that its caller will repeat."""
     handler, _, open_connection = connect
     client = open_connection()
     await client.send_all(head("/0.5", more="connection: close\r\n") + head("/0.1"))
-    answer = await read_all(client)
-    assert answer.endswith(b"/0.5\n")
+    response = await read_all(client)
+    assert response.endswith(b"/0.5\n")
     assert [path for _, _, path in handler.started] == ["/0.5"]
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -1,4 +1,4 @@
-"""Build the values that tests of the relay need."""
+"""Build objects for tests of the relay."""
 
 from catkinhollow.generated.relay import (
     Answer,
@@ -35,6 +35,7 @@
 
 
 def make_job(now_s=0.0, *, soft_deadline_s=0.5, deadline_s=1.0, **changes):
+    """Build a job that arrives at `now_s`; its deadlines are relative."""
     return GateJob(
         call=make_call(**changes),
         arrived_s=now_s,
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -26,15 +26,15 @@
 from catkinhollow.testbed.processes import free_ports
 
 NAMES = HeaderNames()
-KINDS = {
+OBJECT_TYPES = {
     "configuration": RelayConfiguration,
     "orders": MoveOrder,
     "daemons": DaemonRecord,
 }
 
 
-class WatchedStore(MemoryStore):
-    """Let watches wait for changes, and write the progress of orders."""
+class WatchableStore(MemoryStore):
+    """Extend the store with watches and with writes of order progress."""
 
     def __init__(self):
         super().__init__()
@@ -43,15 +43,15 @@
 
     def write(self, kind, name, value):
         stored = super().write(kind, name, value)
-        self._note(stored)
+        self._record_change(stored)
         return stored
 
     def remove(self, kind, name):
         self.revision += 1
         stored = self.objects.pop((kind, name))
-        self._note(evolve(stored, revision=self.revision, deleted=True))
+        self._record_change(evolve(stored, revision=self.revision, deleted=True))
 
-    def _note(self, stored):
+    def _record_change(self, stored):
         self.history.append(stored)
         self.changed.set()
         self.changed = trio.Event()
@@ -84,15 +84,15 @@
 def decode(stored: StoredObject):
     if stored.kind == "evacuations":
         return Ok(stored.name)
-    return from_plain(stored.value, KINDS[stored.kind])
+    return from_plain(stored.value, OBJECT_TYPES[stored.kind])
 
 
 class Target:
-    """Answer requests after a while and count them by id."""
+    """Answer requests after a run time and count them by request id."""
 
-    def __init__(self, name, work_s=0.02):
+    def __init__(self, name, run_time_s=0.02):
         self.name = name
-        self.work_s = work_s
+        self.run_time_s = run_time_s
         self.runs = {}
         self.headers = []
         self.answer = None
@@ -104,7 +104,7 @@
             key = request_id.decode()
             self.runs[key] = self.runs.get(key, 0) + 1
             self.headers.append(dict(request.headers))
-        await trio.sleep(self.work_s)
+        await trio.sleep(self.run_time_s)
         response = self.answer or plain_response(200, f"{self.name} {request.path}")
         headers = [
             *response.headers,
@@ -119,7 +119,7 @@
 
 
 class Member:
-    """Hold one daemon with its target."""
+    """Represent one daemon with its target."""
 
     def __init__(self, settings, daemon, target):
         self.settings = settings
@@ -130,11 +130,11 @@
 
 
 class RelayFleet:
-    """Start members beside each other and call them."""
+    """Start several members and send requests to them."""
 
     def __init__(self, nursery):
         self.nursery = nursery
-        self.store = WatchedStore()
+        self.store = WatchableStore()
         self.members = {}
         self.pool = AsyncConnectionPool()
 
@@ -160,7 +160,7 @@
             store=self.store,
             decode=decode,
             header_names=NAMES,
-            announcement_app=lambda gate, service: Target("news"),
+            announcement_app=lambda gate, service: Target("announcements"),
             reload_settings=lambda: Ok(settings),
             random=Random(name),
         )
@@ -180,15 +180,15 @@
         value = to_plain(make_configuration(version, **changes))
         self.store.write("configuration", "main", value)
 
-    async def until(self, condition, limit_s=5.0):
-        """Wait for what other tasks bring about."""
+    async def wait_until(self, condition, limit_s=5.0):
+        """Wait until a condition holds."""
         with trio.fail_after(limit_s):
             while not condition():
                 await trio.sleep(0.01)
 
-    async def linked(self):
-        """Wait until every daemon can place calls at every other."""
-        await self.until(
+    async def wait_linked(self):
+        """Wait until every daemon can send calls to every other daemon."""
+        await self.wait_until(
             lambda: all(
                 member.daemon.ready
                 and len(member.daemon.directory.addresses) == len(self.members) - 1
