--- a/catkinhollow/relay/document_handler.py
+++ b/catkinhollow/relay/document_handler.py
@@ -28,8 +28,8 @@
 
 T = TypeVar("T")
 
-# Type of the body of each kind. The body of an evacuation has no further
-# content; the document's name is the failure domain.
+# Type of the body of each kind. The failure domain of an evacuation is taken
+# from the document's name.
 BODY_TYPES: dict[str, Any] = {
     CONFIGURATION: RelayConfiguration,
     DAEMONS: DaemonRecord,
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -46,7 +46,7 @@
 # Added to the announced cold time, because the announcement is sent some time
 # before it arrives.
 COLD_MARGIN_S = 0.3
-# Capacity of a cold target's token bucket, in calls.
+# Calls that may start at once on a cold target, beyond its rate.
 COLD_BURST_CALLS = 2.0
 # Rate limit of a cold target until the first configuration arrives.
 DEFAULT_COLD_CALLS_PER_S = 10.0
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -128,9 +128,9 @@
     async def serve(
         self, request: Request, wait_for_disconnect: WaitForDisconnect
     ) -> Response:
-        """Return the answer to a request.
+        """Return the response to a request.
 
-        The response is irrelevant once the caller has disconnected.
+        It is not used once the caller has disconnected.
         """
         if self._stopping:
             return plain_response(503, "the daemon ends")
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -24,10 +24,10 @@
 # Cost of full utilization as a share of a run: a target with free slots still
 # answers more slowly when it is nearly full.
 BUSY_SHARE = 0.5
-# Maximum random part of an estimate, as a share of a run. Daemons with equal
-# reports must choose different targets when these are busy, while a target
-# in the same failure domain that has just reported free slots is always a
-# good choice.
+# Random part of an estimate, as a share of a run, for a target that is full or
+# whose report is old. Daemons with equal reports must choose different targets
+# when these are busy, while a target in the same failure domain that has just
+# reported free slots is always a good choice.
 JITTER_SHARE = 0.3
 # Time constant with which the load in a report loses weight, several run
 # times long.
@@ -36,7 +36,8 @@
 # call, so that new targets are used from all failure domains.
 EXPLORE_S = 10.0
 # Runs after which a target is no longer new. Without this limit 90 ingress
-# daemons sent most of their calls to targets in other failure domains.
+# daemons sent most of their calls to targets in other failure domains, one
+# after another.
 EXPLORE_RUNS = 10
 # While there are new targets, they get this number divided by the number of
 # targets as their share of a daemon's calls. Otherwise all daemons of a large
--- a/catkinhollow/relay/retry_advice.py
+++ b/catkinhollow/relay/retry_advice.py
@@ -5,7 +5,7 @@
 answer is still of use to them.
 """
 
-# Share of the caller's remaining time that the delay may take.
+# Share of its remaining time that a caller is willing to wait before a retry.
 MAX_LEFT_SHARE = 0.33
 MIN_RETRY_S = 0.05
 # Callers refused at the same moment retry spread over this share of the delay.
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -102,8 +102,8 @@
             self._apply_object(stored)
         if listing.complete:
             names = {f"{kind}/{stored.name}" for stored in listing.objects}
-            gone = self._table.find_deletions(kind, names, listing.revision)
-            for document in gone:
+            deletions = self._table.find_deletions(kind, names, listing.revision)
+            for document in deletions:
                 self._on_document(document, "store")
         return listing.revision
 
--- a/catkinhollow/relay/versions.py
+++ b/catkinhollow/relay/versions.py
@@ -11,18 +11,18 @@
 # order's state, after this many failed runs. They must also be at least this
 # share of its runs, and this many times the share of the old version, because
 # an outage behind both versions makes both fail.
-MIN_FAILURES = 12
-MIN_FAILURE_SHARE = 0.25
-MIN_FAILURE_RATIO = 3.0
+STOP_MIN_FAILURES = 12
+STOP_MIN_FAILURE_SHARE = 0.25
+STOP_MIN_FAILURE_RATIO = 3.0
 
 
 def is_failing(new: Iterable[TargetReport], old: Iterable[TargetReport]) -> bool:
     """Return whether a new version fails too often to get more calls."""
     new_sums, old_sums = VersionSums.of(new), VersionSums.of(old)
     return (
-        new_sums.failures >= MIN_FAILURES
-        and new_sums.failure_share >= MIN_FAILURE_SHARE
-        and new_sums.failure_share >= MIN_FAILURE_RATIO * old_sums.failure_share
+        new_sums.failures >= STOP_MIN_FAILURES
+        and new_sums.failure_share >= STOP_MIN_FAILURE_SHARE
+        and new_sums.failure_share >= STOP_MIN_FAILURE_RATIO * old_sums.failure_share
     )
 
 
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -62,8 +62,8 @@
     table = DocumentTable()
     table.offer(make_document(5, "daemons/a"))
     table.offer(make_document(9, "daemons/b"))
-    gone = table.find_deletions("daemons", set(), 7)
-    assert [document.name for document in gone] == ["daemons/a"]
+    deletions = table.find_deletions("daemons", set(), 7)
+    assert [document.name for document in deletions] == ["daemons/a"]
 
 
 def test_equal_tables_have_equal_digests_in_any_order():
