--- a/catkinhollow/control/evidence_service.py
+++ b/catkinhollow/control/evidence_service.py
@@ -67,7 +67,7 @@
     def capacity(self, service: str, version: str) -> Capacity:
         """Return the slots of the targets of a version."""
         ready = cold = 0
-        for member in self._mesh.table.present():
+        for member in self._mesh.table.present_members():
             for target in member.targets:
                 if (target.service, target.version) != (service, version):
                     continue
--- a/catkinhollow/mesh/anti_entropy.py
+++ b/catkinhollow/mesh/anti_entropy.py
@@ -14,10 +14,10 @@
 
 # A flood reaches everyone well within one ping interval, so only a
 # difference in two answers running means that a message was lost.
-_DIFFERENCES_NEEDED = 2
+_MIN_DIFFERENCES = 2
 _MIN_INTERVAL_S = 1.0
 # A position takes about 40 bytes: at most 10 KB/s of positions.
-_POSITIONS_PER_S = 250
+_MAX_POSITIONS_PER_S = 250
 _DIGEST_MASK = (1 << 64) - 1
 
 
@@ -35,40 +35,40 @@
         self._quarantines = quarantines
         self._flooding = flooding
         self._commands = commands
-        self._differences: dict[str, int] = {}
-        self._next_s = 0.0
+        self._difference_counts: dict[str, int] = {}
+        self._next_comparison_s = 0.0
 
     @property
     def digest(self) -> int:
         """Return the digest of everything that tables must agree on."""
         return (self._table.digest + self._quarantines.digest) & _DIGEST_MASK
 
-    def take_digest(self, address: str, digest: int, now_s: float) -> None:
+    def on_digest(self, address: str, digest: int, now_s: float) -> None:
         """Start a comparison if a neighbour's digest keeps differing."""
         if digest == self.digest:
-            self._differences.pop(address, None)
+            self._difference_counts.pop(address, None)
             return
-        count = self._differences.get(address, 0) + 1
-        self._differences[address] = count
-        if count < _DIFFERENCES_NEEDED or now_s < self._next_s:
+        count = self._difference_counts.get(address, 0) + 1
+        self._difference_counts[address] = count
+        if count < _MIN_DIFFERENCES or now_s < self._next_comparison_s:
             return
-        self._next_s = now_s + _MIN_INTERVAL_S
-        del self._differences[address]
+        self._next_comparison_s = now_s + _MIN_INTERVAL_S
+        del self._difference_counts[address]
         request = CompareMembers(
             digests=self._table.bucket_digests, quarantines=self._quarantines.items
         )
         self._commands.send(address, compare_members=request)
 
-    def forget(self, address: str) -> None:
+    def remove_peer(self, address: str) -> None:
         """Drop a neighbour whose link is down."""
-        self._differences.pop(address, None)
+        self._difference_counts.pop(address, None)
 
-    def take_request(
+    def on_request(
         self, envelope: Envelope, request: CompareMembers, now_s: float
     ) -> None:
         """Answer with the positions in the buckets that differ."""
         sender = envelope.sender
-        self._flooding.take_quarantines(request.quarantines, sender, now_s)
+        self._flooding.add_quarantines(request.quarantines, sender, now_s)
         ours = self._table.bucket_digests
         buckets = [
             bucket
@@ -82,14 +82,14 @@
         )
         self._commands.send(sender, member_positions=answer)
 
-    def take_positions(
+    def on_positions(
         self, envelope: Envelope, answer: MemberPositions, now_s: float
     ) -> None:
         """Send the records that differ and ask for the other end's."""
         sender = envelope.sender
-        self._flooding.take_quarantines(answer.quarantines, sender, now_s)
-        pause_s = len(answer.positions) / _POSITIONS_PER_S
-        self._next_s = max(self._next_s, now_s + pause_s)
+        self._flooding.add_quarantines(answer.quarantines, sender, now_s)
+        pause_s = len(answer.positions) / _MAX_POSITIONS_PER_S
+        self._next_comparison_s = max(self._next_comparison_s, now_s + pause_s)
         buckets = [bucket for bucket in answer.buckets if bucket < BUCKET_COUNT]
         records, addresses = self._table.compare(buckets, answer.positions)
         if records:
@@ -97,7 +97,7 @@
         if addresses:
             self._commands.send(sender, pull_members=PullMembers(addresses=addresses))
 
-    def take_pull(self, envelope: Envelope, pull: PullMembers, now_s: float) -> None:
+    def on_pull(self, envelope: Envelope, pull: PullMembers, now_s: float) -> None:
         """Send the records that the other end asks for."""
         known = self._table.records
         records = [known[address] for address in pull.addresses if address in known]
--- a/catkinhollow/mesh/dissemination.py
+++ b/catkinhollow/mesh/dissemination.py
@@ -21,8 +21,9 @@
 )
 from catkinhollow.generated.settings import PeerSettings
 from catkinhollow.mesh.anti_entropy import TableComparison
+from catkinhollow.mesh.failure_detector import FailureDetector
 from catkinhollow.mesh.flooding import Flooding
-from catkinhollow.mesh.joining import Admission, Joiner
+from catkinhollow.mesh.joining import Joiner, JoinRateLimiter
 from catkinhollow.mesh.membership import MemberTable
 from catkinhollow.mesh.mesh_commands import (
     Command,
@@ -30,7 +31,6 @@
     Connect,
     Disconnect,
 )
-from catkinhollow.mesh.monitoring import Monitor
 from catkinhollow.mesh.neighbours import Neighbours
 from catkinhollow.mesh.pulling import SnapshotExchange
 from catkinhollow.mesh.quarantines import QuarantineSet
@@ -79,9 +79,9 @@
             self._table, self._quarantines, self._flooding, self._commands
         )
         self._snapshots = SnapshotExchange(self._commands, peers.pull_timeout_ms / 1000)
-        self._admission = Admission(peers.max_joins_per_s)
-        self._joiner = Joiner(self._without_own(seeds), random, now_s)
-        self._monitor = Monitor(
+        self._join_limiter = JoinRateLimiter(peers.max_joins_per_s)
+        self._joiner = Joiner(self._exclude_own(seeds), random, now_s)
+        self._failure_detector = FailureDetector(
             self._table,
             self._neighbours,
             self._flooding,
@@ -93,21 +93,21 @@
             random,
             now_s,
         )
-        self._reports: deque[tuple[str, EvidenceReport]] = deque(
+        self._waiting_reports: deque[tuple[str, EvidenceReport]] = deque(
             maxlen=_MAX_WAITING_REPORTS
         )
         self._refresh_due_s = inf
         self._handlers: dict[str, Callable[[Envelope, Any, float], None]] = {
-            "ping": self._monitor.take_ping,
+            "ping": self._failure_detector.on_ping,
             "ack": self._on_ack,
             "gossip": self._on_gossip,
-            "pull_snapshot": self._snapshots.take_pull,
-            "snapshot_reply": self._snapshots.take_reply,
+            "pull_snapshot": self._snapshots.on_pull,
+            "snapshot_reply": self._snapshots.on_reply,
             "join": self._on_join,
             "join_reply": self._on_join_reply,
-            "compare_members": self._comparison.take_request,
-            "member_positions": self._comparison.take_positions,
-            "pull_members": self._comparison.take_pull,
+            "compare_members": self._comparison.on_request,
+            "member_positions": self._comparison.on_positions,
+            "pull_members": self._comparison.on_pull,
             "evidence_report": self._on_evidence_report,
         }
 
@@ -145,7 +145,7 @@
     def due_s(self) -> float:
         """Return when the next tick is needed."""
         return min(
-            self._monitor.due_s,
+            self._failure_detector.due_s,
             self._flooding.due_s,
             self._snapshots.puller.due_s,
             self._joiner.due_s,
@@ -155,41 +155,41 @@
         """Take one message from a peer."""
         if envelope.sender == self._own_address:
             return []
-        self._neighbours.heard(envelope.sender, now_s)
+        self._neighbours.note_message(envelope.sender, now_s)
         for name, handler in self._handlers.items():
             body = getattr(envelope, name)
             if body is not None:
                 handler(envelope, body, now_s)
-        return self._finish(now_s)
+        return self._complete_step(now_s)
 
     def tick(self, now_s: float) -> list[Command]:
         """Do everything that is due."""
-        self._monitor.tick(now_s)
+        self._failure_detector.tick(now_s)
         if now_s >= self._refresh_due_s:
             self._refresh_due_s = inf
             self._table.update_own(now_s)
-            self._flooding.spread_member(self._own_address, now_s)
-        self._ask_seed(now_s)
+            self._flooding.flood_member(self._own_address, now_s)
+        self._send_due_join(now_s)
         if now_s >= self._flooding.due_s:
             self._flooding.flush()
-        return self._finish(now_s)
+        return self._complete_step(now_s)
 
     def link_up(self, address: str, now_s: float) -> list[Command]:
         """Note that messages can be sent to a peer."""
         self._neighbours.link_up(address)
-        if address == self._joiner.target:
+        if address == self._joiner.asked_seed:
             self._send_join(address)
         if self._neighbours.is_wanted(address):
-            self._monitor.ping(address)
+            self._failure_detector.ping(address)
         self._send_waiting_reports(address)
-        return self._finish(now_s)
+        return self._complete_step(now_s)
 
     def link_down(self, address: str, now_s: float) -> list[Command]:
         """Note that messages to a peer are lost from now on."""
         self._neighbours.link_down(address)
-        self._snapshots.puller.forget(address)
-        self._comparison.forget(address)
-        return self._finish(now_s)
+        self._snapshots.puller.remove_peer(address)
+        self._comparison.remove_peer(address)
+        return self._complete_step(now_s)
 
     def update_own(
         self,
@@ -200,15 +200,15 @@
     ) -> list[Command]:
         """Publish what this daemon enforces and which targets it has."""
         if enforced_revision is not None:
-            self._table.note_enforced(self._own_address, enforced_revision)
-            delay_s = self._random.uniform(0.0, self._refresh_spread_s())
+            self._table.note_enforced_revision(self._own_address, enforced_revision)
+            delay_s = self._random.uniform(0.0, self._max_refresh_delay_s())
             self._refresh_due_s = min(self._refresh_due_s, now_s + delay_s)
         if targets is not None:
             self._table.update_own(now_s, targets=targets)
-            self._flooding.spread_member(self._own_address, now_s)
-        return self._finish(now_s)
+            self._flooding.flood_member(self._own_address, now_s)
+        return self._complete_step(now_s)
 
-    def _refresh_spread_s(self) -> float:
+    def _max_refresh_delay_s(self) -> float:
         members = len(self._table.rings.members)
         per_member_s = min(_MAX_REFRESH_S_PER_MEMBER, _REFRESH_S_PER_PAIR * members)
         return per_member_s * members
@@ -216,75 +216,75 @@
     def leave(self, now_s: float) -> list[Command]:
         """Tell all neighbours at once that this daemon shuts down."""
         self._table.update_own(now_s, state=MemberState.LEFT)
-        self._flooding.spread_member(self._own_address, now_s)
+        self._flooding.flood_member(self._own_address, now_s)
         self._flooding.flush()
-        return self._finish(now_s)
+        return self._complete_step(now_s)
 
     def revision_available(
         self, revision: int, encoded_snapshot: bytes, now_s: float
     ) -> list[Command]:
         """Announce a snapshot that this daemon enforces and can send."""
         if self._snapshots.offer(revision, encoded_snapshot):
-            informed = self._snapshots.puller.announcers(revision)
+            informed = self._snapshots.puller.peers_with(revision)
             self._flooding.announce(revision, informed, now_s)
-        return self._finish(now_s)
+        return self._complete_step(now_s)
 
     def quarantine(self, quarantine: Quarantine, now_s: float) -> list[Command]:
         """Flood a quarantine that this daemon decided."""
-        self._flooding.take_quarantines([quarantine], "", now_s)
-        return self._finish(now_s)
+        self._flooding.add_quarantines([quarantine], "", now_s)
+        return self._complete_step(now_s)
 
     def store_answered(self, revision: int, now_s: float) -> list[Command]:
         """Note the newest revision in the store."""
         self._raise_floor(revision)
-        self._joiner.answered(now_s)
-        return self._finish(now_s)
+        self._joiner.on_answer(now_s)
+        return self._complete_step(now_s)
 
     def add_seeds(self, seeds: Iterable[str], now_s: float) -> list[Command]:
         """Ask these addresses too when joining or healing a partition."""
-        self._joiner.add_seeds(self._without_own(seeds))
-        return self._finish(now_s)
+        self._joiner.add_seeds(self._exclude_own(seeds))
+        return self._complete_step(now_s)
 
     def send_evidence(
         self, address: str, report: EvidenceReport, now_s: float
     ) -> list[Command]:
         """Send outcome counts to a collector, over a new link if needed."""
-        self._neighbours.want_until(address, now_s + _TEMPORARY_LINK_S)
-        self._reports.append((address, report))
+        self._neighbours.keep_until(address, now_s + _TEMPORARY_LINK_S)
+        self._waiting_reports.append((address, report))
         if self._neighbours.is_up(address):
             self._send_waiting_reports(address)
-        return self._finish(now_s)
+        return self._complete_step(now_s)
 
     def _on_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
-        self._joiner.heard(envelope.sender)
-        self._take_answer(ack.ready, ack.revision, ack.floor_revision, now_s)
-        self._monitor.take_ack(envelope, ack, now_s)
+        self._joiner.on_ack(envelope.sender)
+        self._apply_answer(ack.ready, ack.revision, ack.floor_revision, now_s)
+        self._failure_detector.on_ack(envelope, ack, now_s)
         # A neighbour that pinged first has already repaired this table;
         # a seed would send all of it once more.
-        if ack.digest == self._comparison.digest and self._joiner.skip():
+        if ack.digest == self._comparison.digest and self._joiner.mark_joined():
             self._commands.add(MeshJoined())
 
     def _on_gossip(self, envelope: Envelope, gossip: Gossip, now_s: float) -> None:
-        self._snapshots.puller.learn(envelope.sender, gossip.revision)
-        self._flooding.take_members(gossip.members, envelope.sender, now_s)
-        self._flooding.take_quarantines(gossip.quarantines, envelope.sender, now_s)
+        self._snapshots.puller.note_revision(envelope.sender, gossip.revision)
+        self._flooding.merge_members(gossip.members, envelope.sender, now_s)
+        self._flooding.add_quarantines(gossip.quarantines, envelope.sender, now_s)
 
     def _on_join(self, envelope: Envelope, join: Join, now_s: float) -> None:
         sender = envelope.sender
-        delay_s = self._admission.retry_delay_s(now_s)
+        delay_s = self._join_limiter.retry_delay_s(now_s)
         if delay_s > 0:
             refusal = JoinReply(
                 request_id=join.request_id, retry_after_ms=round(delay_s * 1000)
             )
             self._commands.send(sender, join_reply=refusal)
             return
-        self._flooding.take_members([join.member], sender, now_s)
+        self._flooding.merge_members([join.member], sender, now_s)
         reply = JoinReply(
             request_id=join.request_id,
             ready=self.ready,
             revision=self.revision,
-            floor_revision=self._table.enforced_at(sender),
-            members=self._table.present(),
+            floor_revision=self._table.enforced_revision_of(sender),
+            members=self._table.present_members(),
             quarantines=self._quarantines.items,
         )
         self._commands.send(sender, join_reply=reply)
@@ -292,13 +292,13 @@
     def _on_join_reply(
         self, envelope: Envelope, reply: JoinReply, now_s: float
     ) -> None:
-        if not self._joiner.reply(reply, now_s):
+        if not self._joiner.on_reply(reply, now_s):
             return
         self._commands.add(MeshJoined())
-        self._snapshots.puller.learn(envelope.sender, reply.revision)
-        self._take_answer(reply.ready, reply.revision, reply.floor_revision, now_s)
-        self._flooding.take_table(reply.members, now_s)
-        self._flooding.take_quarantines(reply.quarantines, envelope.sender, now_s)
+        self._snapshots.puller.note_revision(envelope.sender, reply.revision)
+        self._apply_answer(reply.ready, reply.revision, reply.floor_revision, now_s)
+        self._flooding.merge_table(reply.members, now_s)
+        self._flooding.add_quarantines(reply.quarantines, envelope.sender, now_s)
 
     def _on_evidence_report(
         self, envelope: Envelope, report: EvidenceReport, now_s: float
@@ -306,19 +306,19 @@
         arrived = EvidenceReported(sender=envelope.sender, report=report)
         self._commands.add(arrived)
 
-    def _take_answer(
+    def _apply_answer(
         self, ready: bool, revision: int, floor_revision: int, now_s: float
     ) -> None:
         self._raise_floor(floor_revision)
         if ready:
             self._raise_floor(revision)
-            self._joiner.answered(now_s)
+            self._joiner.on_answer(now_s)
 
     def _raise_floor(self, revision: int) -> None:
         if self._joiner.raise_floor(revision):
             self._commands.add(FloorRaised(revision=revision))
 
-    def _ask_seed(self, now_s: float) -> None:
+    def _send_due_join(self, now_s: float) -> None:
         seed = self._joiner.poll(now_s)
         if seed is not None:
             self._send_join(seed)
@@ -328,15 +328,17 @@
         self._commands.send(seed, join=join)
 
     def _send_waiting_reports(self, address: str) -> None:
-        waiting = [item for item in self._reports if item[0] != address]
-        for receiver, report in self._reports:
+        waiting = [item for item in self._waiting_reports if item[0] != address]
+        for receiver, report in self._waiting_reports:
             if receiver == address:
                 self._commands.send(address, evidence_report=report)
-        self._reports = deque(waiting, maxlen=_MAX_WAITING_REPORTS)
+        self._waiting_reports = deque(waiting, maxlen=_MAX_WAITING_REPORTS)
 
-    def _keep_links(self, now_s: float) -> None:
-        target = [self._joiner.target] if self._joiner.target else []
-        closed, opened = self._neighbours.want([*self._monitor.pinged, *target], now_s)
+    def _update_links(self, now_s: float) -> None:
+        asked = [self._joiner.asked_seed] if self._joiner.asked_seed else []
+        closed, opened = self._neighbours.set_wanted(
+            [*self._failure_detector.pinged_peers, *asked], now_s
+        )
         for address in closed:
             self._commands.add(Disconnect(address=address))
         for address in opened:
@@ -347,12 +349,12 @@
         if self._joiner.check_ready(self.revision, successors, now_s):
             self._commands.add(MeshReady())
 
-    def _finish(self, now_s: float) -> list[Command]:
+    def _complete_step(self, now_s: float) -> list[Command]:
         self._snapshots.poll(now_s)
-        self._keep_links(now_s)
+        self._update_links(now_s)
         self._check_ready(now_s)
-        self._flooding.report_change()
+        self._flooding.report_table_change()
         return self._commands.take()
 
-    def _without_own(self, addresses: Iterable[str]) -> list[str]:
+    def _exclude_own(self, addresses: Iterable[str]) -> list[str]:
         return [address for address in addresses if address != self._own_address]
--- a/catkinhollow/mesh/elections.py
+++ b/catkinhollow/mesh/elections.py
@@ -29,7 +29,7 @@
 
     def controller(self) -> str:
         """Return the member that should hold the lease, "" if none."""
-        members = [record.address for record in self._table.present()]
+        members = [record.address for record in self._table.present_members()]
         return _first(members, "controller")
 
     def collector(self) -> str:
@@ -42,7 +42,7 @@
         domain = self._table.own.failure_domain
         return [
             record.address
-            for record in self._table.present()
+            for record in self._table.present_members()
             if record.failure_domain == domain
         ]
 
--- a/catkinhollow/mesh/monitoring.py
+++ b/catkinhollow/mesh/failure_detector.py
@@ -19,7 +19,7 @@
 from catkinhollow.mesh.pulling import SnapshotExchange
 
 
-class Monitor:
+class FailureDetector:
     """Ping the successors on the rings and judge their silence."""
 
     def __init__(
@@ -46,33 +46,33 @@
         self._peers = peers
         self._random = random
         self._sequence = 0
-        self._retried: str | None = None
-        self._ticked_s = now_s
-        self._due_s = now_s + random.uniform(0.0, peers.ping_interval_s)
+        self._retried_address: str | None = None
+        self._last_tick_s = now_s
+        self._ping_due_s = now_s + random.uniform(0.0, peers.ping_interval_s)
         self._retry_due_s = now_s + random.uniform(0.5, 1.0) * peers.rejoin_interval_s
 
     @property
     def due_s(self) -> float:
         """Return when the next pings are due."""
-        return self._due_s
+        return self._ping_due_s
 
     @property
-    def pinged(self) -> list[str]:
+    def pinged_peers(self) -> list[str]:
         """Return the peers that get pings."""
         successors = self._table.rings.successors(self._own_address)
-        retried = [self._retried] if self._retried else []
+        retried = [self._retried_address] if self._retried_address else []
         return list(dict.fromkeys([*successors, *retried]))
 
     def tick(self, now_s: float) -> None:
         """Ping, suspect, declare dead and retry what is due."""
         self._resume_after_pause(now_s)
-        if now_s >= self._due_s:
-            self._due_s = now_s + self._peers.ping_interval_s
+        if now_s >= self._ping_due_s:
+            self._ping_due_s = now_s + self._peers.ping_interval_s
             self._check_members(now_s)
-            self._ping_all()
+            self._ping_peers()
         if now_s >= self._retry_due_s:
             self._retry_due_s = now_s + self._peers.rejoin_interval_s
-            self._choose_retried()
+            self._choose_retried_address()
 
     def ping(self, address: str) -> None:
         """Tell a peer this daemon's state and ask for the peer's."""
@@ -84,28 +84,30 @@
         )
         self._commands.send(address, ping=ping)
 
-    def take_ping(self, envelope: Envelope, ping: Ping, now_s: float) -> None:
+    def on_ping(self, envelope: Envelope, ping: Ping, now_s: float) -> None:
         """Answer a ping, with the floor if the peer is not ready."""
         sender = envelope.sender
-        self._learn(envelope, ping.revision)
+        self._update_peer(envelope, ping.revision)
         ack = Ack(
             sequence=ping.sequence,
             revision=self._snapshots.revision,
             digest=self._comparison.digest,
             ready=self._joiner.ready,
-            floor_revision=0 if ping.ready else self._table.enforced_at(sender),
+            floor_revision=0
+            if ping.ready
+            else self._table.enforced_revision_of(sender),
         )
         self._commands.send(sender, ack=ack)
 
-    def take_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
+    def on_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
         """Note the state of a peer and compare tables if they differ."""
-        self._learn(envelope, ack.revision)
-        self._comparison.take_digest(envelope.sender, ack.digest, now_s)
+        self._update_peer(envelope, ack.revision)
+        self._comparison.on_digest(envelope.sender, ack.digest, now_s)
 
-    def _learn(self, envelope: Envelope, revision: int) -> None:
+    def _update_peer(self, envelope: Envelope, revision: int) -> None:
         sender = envelope.sender
-        self._snapshots.puller.learn(sender, revision)
-        self._table.note_enforced(sender, revision)
+        self._snapshots.puller.note_revision(sender, revision)
+        self._table.note_enforced_revision(sender, revision)
         record = self._table.records.get(sender)
         if record is None or record.state is MemberState.ALIVE:
             return
@@ -115,26 +117,26 @@
 
     def _resume_after_pause(self, now_s: float) -> None:
         # After a long pause every neighbour seems silent, but none was asked.
-        if now_s - self._ticked_s > 2 * self._peers.ping_interval_s:
-            self._neighbours.restart_watches(now_s)
+        if now_s - self._last_tick_s > 2 * self._peers.ping_interval_s:
+            self._neighbours.restart_silence_timers(now_s)
             self._table.restart_timeouts(now_s)
-        self._ticked_s = now_s
+        self._last_tick_s = now_s
 
     def _check_members(self, now_s: float) -> None:
         watched = self._table.rings.successors(self._own_address)
-        for address in self._neighbours.watch(watched, now_s):
+        for address in self._neighbours.update_watched(watched, now_s):
             if self._table.suspect(address, now_s):
-                self._flooding.spread_member(address, now_s)
+                self._flooding.flood_member(address, now_s)
         for address in self._table.expire(now_s):
-            self._flooding.spread_member(address, now_s)
+            self._flooding.flood_member(address, now_s)
 
-    def _ping_all(self) -> None:
+    def _ping_peers(self) -> None:
         self._sequence += 1
-        for address in self.pinged:
+        for address in self.pinged_peers:
             self.ping(address)
 
-    def _choose_retried(self) -> None:
+    def _choose_retried_address(self) -> None:
         present = self._table.rings.members
         absent = {*self._table.gone, *self._joiner.seeds} - present
         absent.discard(self._own_address)
-        self._retried = self._random.choice(sorted(absent)) if absent else None
+        self._retried_address = self._random.choice(sorted(absent)) if absent else None
--- a/catkinhollow/mesh/flooding.py
+++ b/catkinhollow/mesh/flooding.py
@@ -14,7 +14,7 @@
 
 
 @define
-class _Pending:
+class _PendingGossip:
     """Hold what one neighbour has not been told yet."""
 
     members: set[str] = field(factory=set)
@@ -38,7 +38,7 @@
         self._neighbours = neighbours
         self._commands = commands
         self._batch_interval_s = batch_interval_s
-        self._pending: dict[str, _Pending] = {}
+        self._pending: dict[str, _PendingGossip] = {}
         self._due_s = inf
         self._table_changed = False
 
@@ -47,7 +47,7 @@
         """Return when the batch is to be sent."""
         return self._due_s
 
-    def take_members(
+    def merge_members(
         self, records: Iterable[MemberRecord], sender: str, now_s: float
     ) -> None:
         """Merge records and pass on those that were news."""
@@ -56,36 +56,36 @@
                 merged = self._table.records[record.address]
                 # A sender whose record was only a part needs the merged one.
                 informed = sender if merged == record else ""
-                self.spread_member(record.address, now_s, informed=informed)
+                self.flood_member(record.address, now_s, informed=informed)
 
-    def take_table(self, records: Iterable[MemberRecord], now_s: float) -> None:
+    def merge_table(self, records: Iterable[MemberRecord], now_s: float) -> None:
         """Merge the table that a joiner gets, which others already have."""
         for record in records:
             if self._table.merge(record, now_s):
                 self._table_changed = True
 
-    def take_quarantines(
+    def add_quarantines(
         self, quarantines: Iterable[Quarantine], sender: str, now_s: float
     ) -> None:
         """Keep quarantines and pass on those that were news."""
         for quarantine in quarantines:
             if self._quarantines.add(quarantine):
                 self._commands.add(VersionQuarantined(quarantine=quarantine))
-                for neighbour in self._targets(sender):
-                    self._open(neighbour, now_s).quarantines.append(quarantine)
+                for neighbour in self._receivers(sender):
+                    self._pending_for(neighbour, now_s).quarantines.append(quarantine)
 
-    def spread_member(self, address: str, now_s: float, *, informed: str = "") -> None:
+    def flood_member(self, address: str, now_s: float, *, informed: str = "") -> None:
         """Tell the neighbours about a changed record of the table."""
         self._table_changed = True
-        for neighbour in self._targets(informed):
-            self._open(neighbour, now_s).members.add(address)
+        for neighbour in self._receivers(informed):
+            self._pending_for(neighbour, now_s).members.add(address)
 
     def announce(self, revision: int, informed: Iterable[str], now_s: float) -> None:
         """Tell the neighbours which revision can be pulled here."""
-        for neighbour in self._targets(*informed):
-            self._open(neighbour, now_s).revision = revision
+        for neighbour in self._receivers(*informed):
+            self._pending_for(neighbour, now_s).revision = revision
 
-    def report_change(self) -> None:
+    def report_table_change(self) -> None:
         """Add one command if the table has changed since the last call."""
         if self._table_changed:
             self._commands.add(MembersChanged())
@@ -96,16 +96,16 @@
         pending, self._pending = self._pending, {}
         self._due_s = inf
         records = self._table.records
-        for neighbour, news in pending.items():
+        for neighbour, queued in pending.items():
             gossip = Gossip(
                 # A record may have expired since it was queued.
-                members=[records[a] for a in sorted(news.members) if a in records],
-                revision=news.revision,
-                quarantines=news.quarantines,
+                members=[records[a] for a in sorted(queued.members) if a in records],
+                revision=queued.revision,
+                quarantines=queued.quarantines,
             )
             self._commands.send(neighbour, gossip=gossip)
 
-    def _targets(self, *informed: str) -> list[str]:
+    def _receivers(self, *informed: str) -> list[str]:
         # Links outside the rings carry joins and reports only: a collector
         # of reports has too many to flood over all of them.
         rings = self._table.rings
@@ -119,7 +119,7 @@
             if self._neighbours.is_up(address) and address not in informed
         ]
 
-    def _open(self, neighbour: str, now_s: float) -> _Pending:
+    def _pending_for(self, neighbour: str, now_s: float) -> _PendingGossip:
         if not self._pending:
             self._due_s = now_s + self._batch_interval_s
-        return self._pending.setdefault(neighbour, _Pending())
+        return self._pending.setdefault(neighbour, _PendingGossip())
--- a/catkinhollow/mesh/joining.py
+++ b/catkinhollow/mesh/joining.py
@@ -15,26 +15,26 @@
 _NEIGHBOUR_GRACE_S = 1.5
 
 
-class Admission:
+class JoinRateLimiter:
     """Admit a bounded number of joiners per second."""
 
     def __init__(self, max_joins_per_s: int) -> None:
-        self._rate = max_joins_per_s
-        self._second_s = -inf
+        self._max_joins_per_s = max_joins_per_s
+        self._window_start_s = -inf
         self._admitted = 0
         self._refused = 0
 
     def retry_delay_s(self, now_s: float) -> float:
         """Return 0 to admit the joiner, else when it should ask again."""
-        if now_s - self._second_s >= 1.0:
-            self._second_s = now_s
+        if now_s - self._window_start_s >= 1.0:
+            self._window_start_s = now_s
             self._admitted = self._refused = 0
-        if self._admitted < self._rate:
+        if self._admitted < self._max_joins_per_s:
             self._admitted += 1
             return 0.0
         self._refused += 1
         # Later askers wait longer, so that they do not return all at once.
-        return 1.0 + self._refused / self._rate
+        return 1.0 + self._refused / self._max_joins_per_s
 
 
 class Joiner:
@@ -44,14 +44,14 @@
         self._random = random
         self._seeds: list[str] = []
         self._next_seed = 0
-        self._target: str | None = None
+        self._asked_seed: str | None = None
         self._request_id = 0
         self._due_s = now_s + random.uniform(0.0, _FIRST_DELAY_S)
         self._joined = False
         self._ready = False
         self._floor = 0
         self._answered_at_s = inf
-        self._heard: set[str] = set()
+        self._acked_neighbours: set[str] = set()
         self.add_seeds(seeds)
 
     @property
@@ -65,9 +65,9 @@
         return list(self._seeds)
 
     @property
-    def target(self) -> str | None:
+    def asked_seed(self) -> str | None:
         """Return the seed that is being asked."""
-        return self._target
+        return self._asked_seed
 
     @property
     def request_id(self) -> int:
@@ -99,17 +99,17 @@
         """Return the seed to ask now, if one is due."""
         if now_s < self.due_s:
             return None
-        self._target = self._seeds[self._next_seed % len(self._seeds)]
+        self._asked_seed = self._seeds[self._next_seed % len(self._seeds)]
         self._next_seed += 1
         self._request_id += 1
         self._due_s = now_s + _REPLY_TIMEOUT_S * self._random.uniform(1.0, 1.5)
-        return self._target
+        return self._asked_seed
 
-    def reply(self, reply: JoinReply, now_s: float) -> bool:
+    def on_reply(self, reply: JoinReply, now_s: float) -> bool:
         """Take an answer and tell whether the daemon has joined by it."""
         if self._joined or reply.request_id != self._request_id:
             return False
-        self._target = None
+        self._asked_seed = None
         if reply.retry_after_ms:
             delay_s = reply.retry_after_ms / 1000
             self._due_s = now_s + delay_s * self._random.uniform(0.5, 1.5)
@@ -117,11 +117,11 @@
         self._joined = True
         return True
 
-    def skip(self) -> bool:
+    def mark_joined(self) -> bool:
         """Stop asking seeds and tell whether that ends the joining."""
         if self._joined:
             return False
-        self._target = None
+        self._asked_seed = None
         self._joined = True
         return True
 
@@ -132,14 +132,14 @@
         self._floor = revision
         return True
 
-    def answered(self, now_s: float) -> None:
+    def on_answer(self, now_s: float) -> None:
         """Note that a ready peer or the store has answered."""
         self._answered_at_s = min(self._answered_at_s, now_s)
 
-    def heard(self, neighbour: str) -> None:
+    def on_ack(self, neighbour: str) -> None:
         """Note that a ring neighbour has told the floor that it knows."""
         if not self._ready:
-            self._heard.add(neighbour)
+            self._acked_neighbours.add(neighbour)
 
     def check_ready(
         self, revision: int, neighbours: Iterable[str], now_s: float
@@ -149,11 +149,11 @@
             return False
         if self._answered_at_s == inf:
             return False
-        complete = self._heard.issuperset(neighbours) and (
+        complete = self._acked_neighbours.issuperset(neighbours) and (
             self._joined or not self._seeds
         )
         if not complete and now_s - self._answered_at_s < _NEIGHBOUR_GRACE_S:
             return False
         self._ready = True
-        self._heard.clear()
+        self._acked_neighbours.clear()
         return True
--- a/catkinhollow/mesh/membership.py
+++ b/catkinhollow/mesh/membership.py
@@ -20,10 +20,10 @@
 _DIGEST_MASK = (1 << 64) - 1
 
 # One watcher alone may have a broken link to a member that is alive.
-_REPORTERS_NEEDED = 2
+_MIN_REPORTERS = 2
 
 _PRECEDENCE = {state: rank for rank, state in enumerate(MemberState)}
-_GONE = (MemberState.DEAD, MemberState.LEFT)
+_GONE_STATES = (MemberState.DEAD, MemberState.LEFT)
 
 
 def record_hash(record: MemberRecord) -> int:
@@ -41,7 +41,7 @@
     return int(xxh3_64_intdigest(address.encode())) % BUCKET_COUNT
 
 
-def join_records(held: MemberRecord, other: MemberRecord) -> MemberRecord:
+def merge_records(held: MemberRecord, other: MemberRecord) -> MemberRecord:
     """Return the newest knowledge of both records, in either order."""
     if other.incarnation != held.incarnation:
         return max(held, other, key=lambda record: record.incarnation)
@@ -64,7 +64,7 @@
         self._hashes: list[dict[str, int]] = [{} for _ in range(BUCKET_COUNT)]
         self._digests = [0] * BUCKET_COUNT
         self._rings = Rings()
-        self._enforced: dict[str, int] = {}
+        self._enforced_revisions: dict[str, int] = {}
         self._confirmed_at_s: dict[str, float] = {}
         self._gone_at_s: dict[str, float] = {}
         self._store(own, 0.0)
@@ -104,27 +104,29 @@
         record = self._records.get(address)
         return record is not None and record.state is MemberState.ALIVE
 
-    def present(self) -> list[MemberRecord]:
+    def present_members(self) -> list[MemberRecord]:
         """Return the records of members that are alive or suspect."""
         return [
-            record for record in self._records.values() if record.state not in _GONE
+            record
+            for record in self._records.values()
+            if record.state not in _GONE_STATES
         ]
 
-    def enforced_at(self, address: str) -> int:
+    def enforced_revision_of(self, address: str) -> int:
         """Return the newest revision known to be enforced at an address."""
-        return self._enforced.get(address, 0)
+        return self._enforced_revisions.get(address, 0)
 
     def records_with_enforced_revision(self) -> list[MemberRecord]:
         """Return all records with the newest enforced revision known."""
         return [
-            evolve(record, enforced_revision=self.enforced_at(record.address))
+            evolve(record, enforced_revision=self.enforced_revision_of(record.address))
             for record in self._records.values()
         ]
 
-    def note_enforced(self, address: str, revision: int) -> None:
+    def note_enforced_revision(self, address: str, revision: int) -> None:
         """Remember a revision that a member enforces."""
-        if revision > self.enforced_at(address):
-            self._enforced[address] = revision
+        if revision > self.enforced_revision_of(address):
+            self._enforced_revisions[address] = revision
 
     def merge(self, record: MemberRecord, now_s: float) -> bool:
         """Take over newer knowledge and tell whether there was any."""
@@ -134,12 +136,12 @@
         if held is None:
             # A dead record that others still keep must not come back here
             # after it expired, else no table would ever drop it.
-            if record.state in _GONE:
+            if record.state in _GONE_STATES:
                 return False
             self._store(record, now_s)
             return True
-        self.note_enforced(record.address, record.enforced_revision)
-        merged = join_records(held, record)
+        self.note_enforced_revision(record.address, record.enforced_revision)
+        merged = merge_records(held, record)
         if record_hash(merged) == record_hash(held):
             return False
         self._store(merged, now_s)
@@ -157,7 +159,7 @@
         changed = evolve(
             own,
             version=own.version + 1,
-            enforced_revision=self.enforced_at(own.address),
+            enforced_revision=self.enforced_revision_of(own.address),
             targets=own.targets if targets is None else targets,
             state=own.state if state is None else state,
         )
@@ -166,7 +168,7 @@
     def suspect(self, address: str, now_s: float) -> bool:
         """Report that this daemon gets no answer from a member."""
         held = self._records.get(address)
-        if held is None or held.state in _GONE:
+        if held is None or held.state in _GONE_STATES:
             return False
         report = evolve(
             held, state=MemberState.SUSPECT, suspected_by=[self._own_address]
@@ -211,14 +213,14 @@
             self._records[address]
             for address, value in ours.items()
             if theirs.get(address) != value
-            and (address in theirs or self._records[address].state not in _GONE)
+            and (address in theirs or self._records[address].state not in _GONE_STATES)
         ]
         ask = [address for address in theirs if ours.get(address) != theirs[address]]
         return send, ask
 
     def _refute(self, record: MemberRecord, now_s: float) -> bool:
         own = self.own
-        self.note_enforced(own.address, record.enforced_revision)
+        self.note_enforced_revision(own.address, record.enforced_revision)
         if record.incarnation < own.incarnation:
             return False
         # A newer version or state at the same incarnation is not ours: it
@@ -235,12 +237,12 @@
     def _store(self, record: MemberRecord, now_s: float) -> None:
         address = record.address
         held = self._records.get(address)
-        if held is not None and held.state not in _GONE:
+        if held is not None and held.state not in _GONE_STATES:
             self._add_to_digest(held, -1)
         self._records[address] = record
         self._hashes[bucket_of(address)][address] = record_hash(record)
-        self.note_enforced(address, record.enforced_revision)
-        if record.state in _GONE:
+        self.note_enforced_revision(address, record.enforced_revision)
+        if record.state in _GONE_STATES:
             self._rings.discard(address)
             self._gone_at_s.setdefault(address, now_s)
         else:
@@ -261,7 +263,7 @@
         del self._records[address]
         del self._hashes[bucket_of(address)][address]
         del self._gone_at_s[address]
-        self._enforced.pop(address, None)
+        self._enforced_revisions.pop(address, None)
 
     def _is_old(self, gone_at_s: float, now_s: float) -> bool:
         return now_s - gone_at_s >= self._dead_retention_s
@@ -272,7 +274,7 @@
             for watcher in self._rings.predecessors(address)
             if self.is_alive(watcher)
         ]
-        needed = min(_REPORTERS_NEEDED, max(1, len(watchers)))
+        needed = min(_MIN_REPORTERS, max(1, len(watchers)))
         if len(self._records[address].suspected_by) < needed:
             self._confirmed_at_s[address] = now_s
             return False
--- a/catkinhollow/mesh/mesh_service.py
+++ b/catkinhollow/mesh/mesh_service.py
@@ -30,7 +30,7 @@
 SnapshotOffer = Callable[[Snapshot], Result[Snapshot, SnapshotRejected]]
 
 
-def own_record(settings: Settings, incarnation: int) -> MemberRecord:
+def make_own_record(settings: Settings, incarnation: int) -> MemberRecord:
     """Return the record that a starting daemon publishes."""
     return MemberRecord(
         address=format_address(settings.peer),
@@ -58,9 +58,9 @@
         self._events = events
         self._offer = offer
         self._link = link
-        self._wake: Subscription | None = None
-        self._wake_due_s = 0.0
-        own = own_record(settings, self._clock.unix_ms())
+        self._tick_subscription: Subscription | None = None
+        self._next_tick_s = 0.0
+        own = make_own_record(settings, self._clock.unix_ms())
         self._mesh = Mesh(
             own,
             [format_address(seed) for seed in settings.seeds],
@@ -88,34 +88,34 @@
 
     def store_answered(self, revision: int) -> None:
         """Note the newest revision in the store."""
-        self._carry_out(self._mesh.store_answered(revision, self._now_s()))
+        self._execute(self._mesh.store_answered(revision, self._now_s()))
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Ask these peers too when joining or healing a partition."""
-        self._carry_out(self._mesh.add_seeds(addresses, self._now_s()))
+        self._execute(self._mesh.add_seeds(addresses, self._now_s()))
 
     def quarantine(self, quarantine: Quarantine) -> None:
         """Spread a quarantine that this daemon decided."""
-        self._carry_out(self._mesh.quarantine(quarantine, self._now_s()))
+        self._execute(self._mesh.quarantine(quarantine, self._now_s()))
 
     def send_evidence(self, address: str, report: EvidenceReport) -> None:
         """Send outcome counts to a collector."""
-        self._carry_out(self._mesh.send_evidence(address, report, self._now_s()))
+        self._execute(self._mesh.send_evidence(address, report, self._now_s()))
 
     def leave(self) -> None:
         """Tell the neighbours that this daemon shuts down."""
-        self._carry_out(self._mesh.leave(self._now_s()))
+        self._execute(self._mesh.leave(self._now_s()))
 
     async def run(self) -> None:
         """Serve the peer link until cancelled."""
         self._schedule_tick()
         try:
-            await self._link.run(self._take_event)
+            await self._link.run(self._on_event)
         finally:
-            if self._wake is not None:
-                self._wake.cancel()
+            if self._tick_subscription is not None:
+                self._tick_subscription.cancel()
 
-    def _take_event(self, event: PeerEvent) -> None:
+    def _on_event(self, event: PeerEvent) -> None:
         now_s = self._now_s()
         match event:
             case LinkUp(address=address):
@@ -124,13 +124,13 @@
                 commands = self._mesh.link_down(address, now_s)
             case envelope:
                 commands = self._mesh.receive(envelope, now_s)
-        self._carry_out(commands)
+        self._execute(commands)
 
     def _tick(self) -> None:
-        self._wake = None
-        self._carry_out(self._mesh.tick(self._now_s()))
+        self._tick_subscription = None
+        self._execute(self._mesh.tick(self._now_s()))
 
-    def _carry_out(self, commands: list[Command]) -> None:
+    def _execute(self, commands: list[Command]) -> None:
         for command in commands:
             match command:
                 case Send(address=address, envelope=envelope):
@@ -147,13 +147,13 @@
 
     def _schedule_tick(self) -> None:
         due_s = self._mesh.due_s
-        if self._wake is not None:
-            if self._wake_due_s <= due_s:
+        if self._tick_subscription is not None:
+            if self._next_tick_s <= due_s:
                 return
-            self._wake.cancel()
-        self._wake_due_s = due_s
+            self._tick_subscription.cancel()
+        self._next_tick_s = due_s
         delay_s = max(0.0, due_s - self._now_s())
-        self._wake = self._timer.call_after(delay_s, self._tick)
+        self._tick_subscription = self._timer.call_after(delay_s, self._tick)
 
     def _offer_snapshot(self, data: bytes) -> None:
         decoded = decode_message(data, Snapshot)
@@ -171,12 +171,12 @@
         now_s = self._now_s()
         revision = event.snapshot.revision
         data = encode_message(event.snapshot)
-        self._carry_out(self._mesh.update_own(now_s, enforced_revision=revision))
-        self._carry_out(self._mesh.revision_available(revision, data, now_s))
+        self._execute(self._mesh.update_own(now_s, enforced_revision=revision))
+        self._execute(self._mesh.revision_available(revision, data, now_s))
 
     def _publish_target(self, event: TargetChanged) -> None:
         commands = self._mesh.update_own(self._now_s(), targets=[event.record])
-        self._carry_out(commands)
+        self._execute(commands)
 
     def _now_s(self) -> float:
         return self._clock.monotonic()
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -98,9 +98,9 @@
         self._receiver: Callable[[PeerEvent], None] | None = None
         self._wanted: set[str] = set()
         self._dialers: dict[str, _Dialer] = {}
-        self._dialled: dict[int, str] = {}
+        self._dialed_addresses: dict[int, str] = {}
         self._pipes: dict[str, dict[int, _Pipe]] = {}
-        self._senders: dict[int, str] = {}
+        self._pipe_addresses: dict[int, str] = {}
         self._open_pipes: set[int] = set()
 
     @property
@@ -136,34 +136,34 @@
     async def run(self, receiver: Callable[[PeerEvent], None]) -> None:
         """Call the receiver for each event until cancelled."""
         self._receiver = receiver
-        self._report_pipes(trio.lowlevel.current_trio_token())
+        self._register_pipe_callbacks(trio.lowlevel.current_trio_token())
         self._socket.listen(f"tcp://{self._own_address}")
         try:
             for address in self._wanted:
                 self._dial_if_needed(address)
             while True:
                 message = await self._socket.arecv_msg()
-                self._take(message)
+                self._on_message(message)
         finally:
             self._receiver = None
             self._socket.close()
 
-    def _report_pipes(self, token: trio.lowlevel.TrioToken) -> None:
+    def _register_pipe_callbacks(self, token: trio.lowlevel.TrioToken) -> None:
         # nng calls back on its own threads; all state stays on the loop.
-        def opened(pipe: _Pipe) -> None:
-            self._hand_over(token, self._open_pipes.add, pipe.id)
+        def on_opening(pipe: _Pipe) -> None:
+            self._run_on_loop(token, self._open_pipes.add, pipe.id)
 
-        def added(pipe: _Pipe) -> None:
-            self._hand_over(token, self._pipe_added, pipe, _dialer_id(pipe))
+        def on_added(pipe: _Pipe) -> None:
+            self._run_on_loop(token, self._pipe_added, pipe, _dialer_id(pipe))
 
-        def removed(pipe: _Pipe) -> None:
-            self._hand_over(token, self._pipe_removed, pipe.id)
+        def on_removed(pipe: _Pipe) -> None:
+            self._run_on_loop(token, self._pipe_removed, pipe.id)
 
-        self._socket.add_pre_pipe_connect_cb(opened)
-        self._socket.add_post_pipe_connect_cb(added)
-        self._socket.add_post_pipe_remove_cb(removed)
+        self._socket.add_pre_pipe_connect_cb(on_opening)
+        self._socket.add_post_pipe_connect_cb(on_added)
+        self._socket.add_post_pipe_remove_cb(on_removed)
 
-    def _hand_over(
+    def _run_on_loop(
         self,
         token: trio.lowlevel.TrioToken,
         callback: Callable[..., None],
@@ -175,16 +175,16 @@
             logger.debug("pipe event after the end of the loop")
 
     def _pipe_added(self, pipe: _Pipe, dialer_id: int) -> None:
-        address = self._dialled.get(dialer_id)
+        address = self._dialed_addresses.get(dialer_id)
         if address is not None:
-            self._identify(address, pipe)
+            self._assign_pipe(address, pipe)
 
     def _pipe_removed(self, pipe_id: int) -> None:
         self._open_pipes.discard(pipe_id)
-        self._forget_sender(pipe_id)
+        self._release_pipe(pipe_id)
 
-    def _forget_sender(self, pipe_id: int) -> None:
-        address = self._senders.pop(pipe_id, None)
+    def _release_pipe(self, pipe_id: int) -> None:
+        address = self._pipe_addresses.pop(pipe_id, None)
         if address is None:
             return
         pipes = self._pipes[address]
@@ -194,7 +194,7 @@
             self._emit(LinkDown(address=address))
             self._dial_if_needed(address)
 
-    def _take(self, message: _Message) -> None:
+    def _on_message(self, message: _Message) -> None:
         data = message.bytes
         self._counters.count_received(len(data))
         decoded = decode_message(data, Envelope)
@@ -203,22 +203,25 @@
             return
         envelope = decoded.ok
         if message.pipe is not None:
-            self._identify(envelope.sender, message.pipe)
+            self._assign_pipe(envelope.sender, message.pipe)
         self._emit(envelope)
 
-    def _identify(self, address: str, pipe: _Pipe) -> None:
+    def _assign_pipe(self, address: str, pipe: _Pipe) -> None:
         # A message can be read after its pipe has closed; nng would drop
         # everything sent to such a pipe without an error.
-        if pipe.id not in self._open_pipes or self._senders.get(pipe.id) == address:
+        if (
+            pipe.id not in self._open_pipes
+            or self._pipe_addresses.get(pipe.id) == address
+        ):
             return
-        self._forget_sender(pipe.id)
-        self._senders[pipe.id] = address
+        self._release_pipe(pipe.id)
+        self._pipe_addresses[pipe.id] = address
         known = address in self._pipes
         self._pipes.setdefault(address, {})[pipe.id] = pipe
         if not known:
             self._emit(LinkUp(address=address))
         # Both ends dialled: the one with the lower address keeps its pipe.
-        accepted = _dialer_id(pipe) not in self._dialled
+        accepted = _dialer_id(pipe) not in self._dialed_addresses
         if accepted and address < self._own_address:
             self._close_dialer(address)
 
@@ -234,12 +237,12 @@
             logger.warning("dial failed", address=address, reason=str(error))
             return
         self._dialers[address] = dialer
-        self._dialled[dialer.id] = address
+        self._dialed_addresses[dialer.id] = address
 
     def _close_dialer(self, address: str) -> None:
         dialer = self._dialers.pop(address, None)
         if dialer is not None:
-            del self._dialled[dialer.id]
+            del self._dialed_addresses[dialer.id]
             dialer.close()
 
     def _emit(self, event: PeerEvent) -> None:
--- a/catkinhollow/mesh/pulling.py
+++ b/catkinhollow/mesh/pulling.py
@@ -9,7 +9,7 @@
 
 
 @frozen(kw_only=True)
-class Pull:
+class PullRequest:
     """Hold one request for a snapshot."""
 
     address: str
@@ -17,13 +17,17 @@
 
 
 class SnapshotPuller:
-    """Pull from the first announcer, then from the next after a timeout."""
+    """Choose the peer to pull from.
+
+    The first peer that announced a newer revision is asked first, then the
+    next one after a timeout.
+    """
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
-        self._announced: dict[str, int] = {}
-        self._tried: set[str] = set()
-        self._in_flight: Pull | None = None
+        self._newest_revisions: dict[str, int] = {}
+        self._tried_peers: set[str] = set()
+        self._in_flight: PullRequest | None = None
         self._deadline_s = inf
         self._received_revision = 0
         self._request_id = 0
@@ -33,59 +37,67 @@
         """Return when the request in flight times out."""
         return self._deadline_s
 
-    def announcers(self, revision: int) -> list[str]:
+    def peers_with(self, revision: int) -> list[str]:
         """Return the peers known to have the revision or a newer one."""
-        return [peer for peer, newest in self._announced.items() if newest >= revision]
+        return [
+            peer
+            for peer, newest in self._newest_revisions.items()
+            if newest >= revision
+        ]
 
-    def learn(self, address: str, revision: int) -> None:
+    def note_revision(self, address: str, revision: int) -> None:
         """Remember that a peer has a revision."""
-        if revision > self._announced.get(address, 0):
+        if revision > self._newest_revisions.get(address, 0):
             # The order of the dict is the order of the announcements.
-            self._announced.pop(address, None)
-            self._announced[address] = revision
+            self._newest_revisions.pop(address, None)
+            self._newest_revisions[address] = revision
 
-    def forget(self, address: str) -> None:
+    def remove_peer(self, address: str) -> None:
         """Drop a peer whose link is down."""
-        self._announced.pop(address, None)
-        self._tried.discard(address)
+        self._newest_revisions.pop(address, None)
+        self._tried_peers.discard(address)
         if self._in_flight is not None and self._in_flight.address == address:
-            self._end()
+            self._end_request()
 
-    def received(self, address: str, revision: int) -> bool:
+    def on_received(self, address: str, revision: int) -> bool:
         """End the request and tell whether the snapshot is new here."""
         if self._in_flight is not None and self._in_flight.address == address:
-            self._end()
-        self._announced[address] = revision
+            self._end_request()
+        self._newest_revisions[address] = revision
         if revision <= self._received_revision:
             return False
         self._received_revision = revision
-        self._tried.clear()
+        self._tried_peers.clear()
         return True
 
-    def poll(self, enforced_revision: int, now_s: float) -> Pull | None:
+    def poll(self, enforced_revision: int, now_s: float) -> PullRequest | None:
         """Return the request to send now, if there is one."""
         if self._in_flight is not None:
             if now_s < self._deadline_s:
                 return None
-            self._tried.add(self._in_flight.address)
-            self._end()
+            self._tried_peers.add(self._in_flight.address)
+            self._end_request()
         # A snapshot that was received and refused is not pulled again.
-        known = max(enforced_revision, self._received_revision)
-        newer = [a for a, revision in self._announced.items() if revision > known]
-        if not newer:
+        known_revision = max(enforced_revision, self._received_revision)
+        candidates = [
+            a
+            for a, revision in self._newest_revisions.items()
+            if revision > known_revision
+        ]
+        if not candidates:
             return None
-        if self._tried.issuperset(newer):
-            self._tried.clear()
-        address = next(a for a in newer if a not in self._tried)
-        return self._start(address, now_s)
+        if self._tried_peers.issuperset(candidates):
+            self._tried_peers.clear()
+        address = next(a for a in candidates if a not in self._tried_peers)
+        return self._start_request(address, now_s)
 
-    def _start(self, address: str, now_s: float) -> Pull:
+    def _start_request(self, address: str, now_s: float) -> PullRequest:
         self._request_id += 1
-        self._in_flight = Pull(address=address, request_id=self._request_id)
+        self._in_flight = PullRequest(address=address, request_id=self._request_id)
         self._deadline_s = now_s + self._timeout_s
         return self._in_flight
 
-    def _end(self) -> None:
+    def _end_request(self) -> None:
         self._in_flight = None
         self._deadline_s = inf
 
@@ -126,7 +138,7 @@
             )
             self._commands.send(pull.address, pull_snapshot=request)
 
-    def take_pull(self, envelope: Envelope, pull: PullSnapshot, now_s: float) -> None:
+    def on_pull(self, envelope: Envelope, pull: PullSnapshot, now_s: float) -> None:
         """Send the snapshot if the peer's one is older."""
         newer = self._revision > pull.known_revision
         reply = SnapshotReply(
@@ -136,11 +148,9 @@
         )
         self._commands.send(envelope.sender, snapshot_reply=reply)
 
-    def take_reply(
-        self, envelope: Envelope, reply: SnapshotReply, now_s: float
-    ) -> None:
+    def on_reply(self, envelope: Envelope, reply: SnapshotReply, now_s: float) -> None:
         """Pass a newer snapshot to the edge."""
-        is_new = self._puller.received(envelope.sender, reply.revision)
+        is_new = self._puller.on_received(envelope.sender, reply.revision)
         if is_new and reply.snapshot and reply.revision > self._revision:
             arrived = SnapshotArrived(revision=reply.revision, data=reply.snapshot)
             self._commands.add(arrived)
--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -119,7 +119,7 @@
         expected = dict.fromkeys(nodes, MemberState.ALIVE)
         known = set()
         for node in nodes.values():
-            present = node.mesh.table.present()
+            present = node.mesh.table.present_members()
             assert {r.address: r.state for r in present} == expected
             assert node.enforced == newest
             known.add(frozenset(q.version for q in node.mesh.quarantines))
@@ -143,7 +143,7 @@
 
 
 def states(node):
-    return [record.state for record in node.mesh.table.present()]
+    return [record.state for record in node.mesh.table.present_members()]
 
 
 def test_stopped_daemon_suspects_nobody_and_rejoins():
@@ -185,18 +185,18 @@
     network, nodes = small_fleet()
     for knowing in nodes[:4]:
         network.start(ADDRESSES[4], [ADDRESSES[0]])
-        knowing.mesh.table.note_enforced(ADDRESSES[4], 9)
+        knowing.mesh.table.note_enforced_revision(ADDRESSES[4], 9)
         network.advance(5.0)
         joiner = network.nodes[ADDRESSES[4]]
         watched = knowing.address in joiner.mesh.table.rings.successors(ADDRESSES[4])
         assert joiner.mesh.ready != (watched or knowing is nodes[0])
-        knowing.mesh.table._enforced[ADDRESSES[4]] = 1
+        knowing.mesh.table._enforced_revisions[ADDRESSES[4]] = 1
 
 
 def test_joins_are_admitted_at_a_bounded_rate_and_told_the_floor():
     """Guards against a seed that sends its table to everyone at once."""
     network, (seed, *_) = small_fleet()
-    seed.mesh.table.note_enforced("joiner", 9)
+    seed.mesh.table.note_enforced_revision("joiner", 9)
     seed.mesh.link_up("joiner", network.now_s)
     member = MemberRecord(
         address="joiner", incarnation=1, failure_domain="a", region="r"
@@ -223,7 +223,7 @@
     network.advance(20.0)
     nodes = list(network.nodes.values())
     assert all(node.mesh.ready for node in nodes)
-    assert {len(node.mesh.table.present()) for node in nodes} == {len(nodes)}
+    assert {len(node.mesh.table.present_members()) for node in nodes} == {len(nodes)}
     assert sum(len(node.mesh.links) for node in nodes) / len(nodes) < 8.5
 
     network.snapshots.clear()
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from catkinhollow.generated.messages import MemberRecord, MemberState
-from catkinhollow.mesh.membership import MemberTable, join_records, record_hash
+from catkinhollow.mesh.membership import MemberTable, merge_records, record_hash
 from catkinhollow.mesh.rings import Rings, choose_by_rendezvous_hash
 
 NAMES = [f"m{number}" for number in range(6)]
@@ -34,12 +34,12 @@
 
 @settings(derandomize=True, deadline=None)
 @given(RECORDS, RECORDS, RECORDS)
-def test_join_is_independent_of_order(one, other, third):
+def test_merge_is_independent_of_order(one, other, third):
     """Guards against tables that differ after records crossed in flight."""
-    both = record_hash(join_records(join_records(one, other), third))
-    assert both == record_hash(join_records(third, join_records(other, one)))
-    assert both == record_hash(join_records(one, join_records(other, third)))
-    assert record_hash(join_records(one, one)) == record_hash(
+    both = record_hash(merge_records(merge_records(one, other), third))
+    assert both == record_hash(merge_records(third, merge_records(other, one)))
+    assert both == record_hash(merge_records(one, merge_records(other, third)))
+    assert record_hash(merge_records(one, one)) == record_hash(
         evolve(one, suspected_by=sorted(one.suspected_by))
     )
 
--- a/tests/mesh/test_mesh_service.py
+++ b/tests/mesh/test_mesh_service.py
@@ -99,5 +99,5 @@
     await until(lambda: first.mesh.table.records[second.address].targets == [record])
 
     second.mesh.leave()
-    await until(lambda: len(first.mesh.table.present()) == 2)
+    await until(lambda: len(first.mesh.table.present_members()) == 2)
     nursery.cancel_scope.cancel()
