--- a/catkinhollow/mesh/joining.py
+++ b/catkinhollow/mesh/joining.py
@@ -1,4 +1,4 @@
-"""Decide how a daemon joins, and when it may serve."""
+"""Decide how a daemon joins the mesh and when it may serve calls."""
 
 from collections.abc import Iterable
 from math import inf
@@ -6,39 +6,44 @@
 
 from catkinhollow.generated.messages import JoinReply
 
-# Spreads the first requests of daemons that restart together.
+# Upper limit of the random delay that spreads the first requests of daemons
+# that restart together.
 _FIRST_DELAY_S = 0.5
-# A seed answers in milliseconds; the rest covers a slow connection.
+# A seed answers within milliseconds; the rest allows for a slow connection.
 _REPLY_TIMEOUT_S = 1.0
-# After an answer the ring neighbours get one ping interval and a half to
-# report a higher floor; a dead neighbour must not block the start.
+# Time for the ring neighbours to report a higher floor after the first answer:
+# one and a half ping intervals. A dead neighbour must not block the start.
 _NEIGHBOUR_GRACE_S = 1.5
 
 
 class JoinRateLimiter:
-    """Admit a bounded number of joiners per second."""
+    """Limit the number of joining daemons admitted per second."""
 
     def __init__(self, max_joins_per_s: int) -> None:
         self._max_joins_per_s = max_joins_per_s
         self._window_start_s = -inf
-        self._admitted = 0
-        self._refused = 0
+        self._admitted_count = 0
+        self._refused_count = 0
 
     def retry_delay_s(self, now_s: float) -> float:
-        """Return 0 to admit the joiner, else when it should ask again."""
+        """Return 0 to admit a daemon, or the time after which to ask again."""
         if now_s - self._window_start_s >= 1.0:
             self._window_start_s = now_s
-            self._admitted = self._refused = 0
-        if self._admitted < self._max_joins_per_s:
-            self._admitted += 1
+            self._admitted_count = self._refused_count = 0
+        if self._admitted_count < self._max_joins_per_s:
+            self._admitted_count += 1
             return 0.0
-        self._refused += 1
-        # Later askers wait longer, so that they do not return all at once.
-        return 1.0 + self._refused / self._max_joins_per_s
+        self._refused_count += 1
+        # Each further refused daemon waits longer, so that they do not all
+        # return at the same time.
+        return 1.0 + self._refused_count / self._max_joins_per_s
 
 
 class Joiner:
-    """Ask seeds in turn and collect the floors of the answers."""
+    """Ask the seeds in turn and track the floor from their answers.
+
+    The floor is the lowest revision that the daemon may start to serve with.
+    """
 
     def __init__(self, seeds: Iterable[str], random: Random, now_s: float) -> None:
         self._random = random
@@ -50,18 +55,18 @@
         self._joined = False
         self._ready = False
         self._floor = 0
-        self._answered_at_s = inf
+        self._first_answer_s = inf
         self._acked_neighbours: set[str] = set()
         self.add_seeds(seeds)
 
     @property
     def due_s(self) -> float:
-        """Return when to ask the next seed."""
+        """Return the time at which to ask the next seed."""
         return self._due_s if self._seeds and not self._joined else inf
 
     @property
     def seeds(self) -> list[str]:
-        """Return the addresses to ask."""
+        """Return the addresses of the seeds."""
         return list(self._seeds)
 
     @property
@@ -71,32 +76,32 @@
 
     @property
     def request_id(self) -> int:
-        """Return the number of the request in flight."""
+        """Return the identifier of the request in flight."""
         return self._request_id
 
     @property
     def joined(self) -> bool:
-        """Tell whether a peer has sent its table."""
+        """Return whether the daemon has received the member table."""
         return self._joined
 
     @property
     def ready(self) -> bool:
-        """Tell whether the daemon may serve."""
+        """Return whether the daemon may serve calls."""
         return self._ready
 
     @property
     def floor(self) -> int:
-        """Return the lowest revision to serve with."""
+        """Return the lowest revision to start serving with."""
         return self._floor
 
     def add_seeds(self, seeds: Iterable[str]) -> None:
-        """Ask these addresses too, in random order."""
+        """Append these seeds in random order, unless already known."""
         new = [seed for seed in dict.fromkeys(seeds) if seed not in self._seeds]
         self._random.shuffle(new)
         self._seeds.extend(new)
 
     def poll(self, now_s: float) -> str | None:
-        """Return the seed to ask now, if one is due."""
+        """Return the seed to ask now, if a request is due."""
         if now_s < self.due_s:
             return None
         self._asked_seed = self._seeds[self._next_seed % len(self._seeds)]
@@ -106,7 +111,7 @@
         return self._asked_seed
 
     def on_reply(self, reply: JoinReply, now_s: float) -> bool:
-        """Take an answer and tell whether the daemon has joined by it."""
+        """Handle a reply and return whether the daemon joined through it."""
         if self._joined or reply.request_id != self._request_id:
             return False
         self._asked_seed = None
@@ -118,7 +123,7 @@
         return True
 
     def mark_joined(self) -> bool:
-        """Stop asking seeds and tell whether that ends the joining."""
+        """Stop asking seeds and return whether the daemon joined just now."""
         if self._joined:
             return False
         self._asked_seed = None
@@ -126,33 +131,33 @@
         return True
 
     def raise_floor(self, revision: int) -> bool:
-        """Require a revision and tell whether that raised the floor."""
+        """Require a revision and return whether it raised the floor."""
         if self._ready or revision <= self._floor:
             return False
         self._floor = revision
         return True
 
     def on_answer(self, now_s: float) -> None:
-        """Note that a ready peer or the store has answered."""
-        self._answered_at_s = min(self._answered_at_s, now_s)
+        """Record that a ready peer or the store has answered."""
+        self._first_answer_s = min(self._first_answer_s, now_s)
 
     def on_ack(self, neighbour: str) -> None:
-        """Note that a ring neighbour has told the floor that it knows."""
+        """Record that a neighbour has reported the floor that it knows."""
         if not self._ready:
             self._acked_neighbours.add(neighbour)
 
     def check_ready(
         self, revision: int, neighbours: Iterable[str], now_s: float
     ) -> bool:
-        """Tell whether the daemon becomes ready now."""
+        """Return whether the daemon becomes ready now."""
         if self._ready or revision <= 0 or revision < self._floor:
             return False
-        if self._answered_at_s == inf:
+        if self._first_answer_s == inf:
             return False
-        complete = self._acked_neighbours.issuperset(neighbours) and (
+        is_complete = self._acked_neighbours.issuperset(neighbours) and (
             self._joined or not self._seeds
         )
-        if not complete and now_s - self._answered_at_s < _NEIGHBOUR_GRACE_S:
+        if not is_complete and now_s - self._first_answer_s < _NEIGHBOUR_GRACE_S:
             return False
         self._ready = True
         self._acked_neighbours.clear()
--- a/catkinhollow/mesh/membership.py
+++ b/catkinhollow/mesh/membership.py
@@ -1,4 +1,4 @@
-"""Keep the table of all members and decide who is dead."""
+"""Maintain the table of members and decide which members are dead."""
 
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
@@ -14,20 +14,22 @@
 )
 from catkinhollow.mesh.rings import Rings
 
-# A table comparison first compares sums per bucket, so that it lists only
-# about 22 of 1,400 members for each record that differs.
+# Buckets of a member table. A table comparison exchanges one digest per bucket
+# first, and then lists only about 22 of 1,400 members for each record that
+# differs.
 BUCKET_COUNT = 64
 _DIGEST_MASK = (1 << 64) - 1
 
-# One watcher alone may have a broken link to a member that is alive.
+# Reporters that have to suspect a member before its timeout starts: a single
+# watcher may have a broken link to a member that is alive.
 _MIN_REPORTERS = 2
 
-_PRECEDENCE = {state: rank for rank, state in enumerate(MemberState)}
+_STATE_PRECEDENCE = {state: rank for rank, state in enumerate(MemberState)}
 _GONE_STATES = (MemberState.DEAD, MemberState.LEFT)
 
 
 def record_hash(record: MemberRecord) -> int:
-    """Return a hash of everything that decides a merge."""
+    """Return a hash of the fields that determine the result of a merge."""
     reporters = ",".join(sorted(record.suspected_by))
     text = (
         f"{record.address}|{record.incarnation}|{record.version}|"
@@ -41,18 +43,21 @@
     return int(xxh3_64_intdigest(address.encode())) % BUCKET_COUNT
 
 
-def merge_records(held: MemberRecord, other: MemberRecord) -> MemberRecord:
-    """Return the newest knowledge of both records, in either order."""
-    if other.incarnation != held.incarnation:
-        return max(held, other, key=lambda record: record.incarnation)
-    newest = other if other.version > held.version else held
-    state = max(held.state, other.state, key=_PRECEDENCE.__getitem__)
-    reporters = sorted({*held.suspected_by, *other.suspected_by})
+def merge_records(current: MemberRecord, other: MemberRecord) -> MemberRecord:
+    """Return the newest state from two records of the same member.
+
+    The result does not depend on the order of the records.
+    """
+    if other.incarnation != current.incarnation:
+        return max(current, other, key=lambda record: record.incarnation)
+    newest = other if other.version > current.version else current
+    state = max(current.state, other.state, key=_STATE_PRECEDENCE.__getitem__)
+    reporters = sorted({*current.suspected_by, *other.suspected_by})
     return evolve(newest, state=state, suspected_by=reporters)
 
 
 class MemberTable:
-    """Hold one record per member and its timeouts."""
+    """Maintain one record per member, and the timeouts of suspects."""
 
     def __init__(
         self, own: MemberRecord, *, suspect_timeout_s: float, dead_retention_s: float
@@ -76,17 +81,17 @@
 
     @property
     def records(self) -> Mapping[str, MemberRecord]:
-        """Return all records by address, dead and left ones too."""
+        """Return all records by address, including dead and left members."""
         return MappingProxyType(self._records)
 
     @property
     def rings(self) -> Rings:
-        """Return the rings of the members that are alive or suspect."""
+        """Return the hash rings of the members that are alive or suspect."""
         return self._rings
 
     @property
     def digest(self) -> int:
-        """Return the sum of the hashes of present members' records."""
+        """Return the sum of the record hashes of present members."""
         return sum(self._digests) & _DIGEST_MASK
 
     @property
@@ -96,11 +101,11 @@
 
     @property
     def gone(self) -> Iterable[str]:
-        """Return the addresses of dead and left members still kept."""
+        """Return the addresses of retained dead and left members."""
         return self._gone_at_s.keys()
 
     def is_alive(self, address: str) -> bool:
-        """Tell whether the member is present and not suspected."""
+        """Return whether the member is present and not suspected."""
         record = self._records.get(address)
         return record is not None and record.state is MemberState.ALIVE
 
@@ -117,32 +122,32 @@
         return self._enforced_revisions.get(address, 0)
 
     def records_with_enforced_revision(self) -> list[MemberRecord]:
-        """Return all records with the newest enforced revision known."""
+        """Return all records with the newest known enforced revision."""
         return [
             evolve(record, enforced_revision=self.enforced_revision_of(record.address))
             for record in self._records.values()
         ]
 
     def note_enforced_revision(self, address: str, revision: int) -> None:
-        """Remember a revision that a member enforces."""
+        """Record a revision that a member enforces."""
         if revision > self.enforced_revision_of(address):
             self._enforced_revisions[address] = revision
 
     def merge(self, record: MemberRecord, now_s: float) -> bool:
-        """Take over newer knowledge and tell whether there was any."""
+        """Merge a received record and return whether the table changed."""
         if record.address == self._own_address:
             return self._refute(record, now_s)
-        held = self._records.get(record.address)
-        if held is None:
-            # A dead record that others still keep must not come back here
-            # after it expired, else no table would ever drop it.
+        current = self._records.get(record.address)
+        if current is None:
+            # A dead record that has expired here must not be added again from
+            # a table that still retains it, or no table would ever drop it.
             if record.state in _GONE_STATES:
                 return False
             self._store(record, now_s)
             return True
         self.note_enforced_revision(record.address, record.enforced_revision)
-        merged = merge_records(held, record)
-        if record_hash(merged) == record_hash(held):
+        merged = merge_records(current, record)
+        if record_hash(merged) == record_hash(current):
             return False
         self._store(merged, now_s)
         return True
@@ -166,37 +171,45 @@
         self._store(changed, now_s)
 
     def suspect(self, address: str, now_s: float) -> bool:
-        """Report that this daemon gets no answer from a member."""
-        held = self._records.get(address)
-        if held is None or held.state in _GONE_STATES:
+        """Report a member that does not answer this daemon.
+
+        Return whether the table changed.
+        """
+        current = self._records.get(address)
+        if current is None or current.state in _GONE_STATES:
             return False
         report = evolve(
-            held, state=MemberState.SUSPECT, suspected_by=[self._own_address]
+            current, state=MemberState.SUSPECT, suspected_by=[self._own_address]
         )
         return self.merge(report, now_s)
 
     def expire(self, now_s: float) -> list[str]:
-        """Declare suspects dead, drop old records, and return new deaths."""
+        """Declare overdue suspects dead and drop old records.
+
+        Return the addresses of the members that were declared dead.
+        """
         for address, gone_at_s in list(self._gone_at_s.items()):
-            if address != self._own_address and self._is_old(gone_at_s, now_s):
+            if address != self._own_address and self._is_retention_over(
+                gone_at_s, now_s
+            ):
                 self._drop(address)
         deaths = [
             address
             for address in list(self._confirmed_at_s)
-            if self._is_overdue(address, now_s)
+            if self._is_suspect_overdue(address, now_s)
         ]
         for address in deaths:
-            held = self._records[address]
-            self._store(evolve(held, state=MemberState.DEAD), now_s)
+            current = self._records[address]
+            self._store(evolve(current, state=MemberState.DEAD), now_s)
         return deaths
 
     def restart_timeouts(self, now_s: float) -> None:
-        """Give every suspect its full time again after a pause."""
+        """Restart the timeout of every suspect after a pause."""
         for address in self._confirmed_at_s:
             self._confirmed_at_s[address] = now_s
 
     def positions(self, buckets: Iterable[int]) -> list[MemberPosition]:
-        """Return address and hash of the records in some buckets."""
+        """Return the address and hash of each record in the buckets."""
         return [
             MemberPosition(address=address, hash=value)
             for bucket in buckets
@@ -206,39 +219,42 @@
     def compare(
         self, buckets: Iterable[int], positions: Iterable[MemberPosition]
     ) -> tuple[list[MemberRecord], list[str]]:
-        """Return the records to send and the addresses to ask for."""
+        """Return the records to send and the addresses to request."""
         theirs = {position.address: position.hash for position in positions}
         ours = {p.address: p.hash for p in self.positions(buckets)}
-        send = [
+        changed_records = [
             self._records[address]
             for address, value in ours.items()
             if theirs.get(address) != value
             and (address in theirs or self._records[address].state not in _GONE_STATES)
         ]
-        ask = [address for address in theirs if ours.get(address) != theirs[address]]
-        return send, ask
+        requested = [
+            address for address in theirs if ours.get(address) != theirs[address]
+        ]
+        return changed_records, requested
 
     def _refute(self, record: MemberRecord, now_s: float) -> bool:
         own = self.own
         self.note_enforced_revision(own.address, record.enforced_revision)
         if record.incarnation < own.incarnation:
             return False
-        # A newer version or state at the same incarnation is not ours: it
-        # belongs to a predecessor at this address or is a false report.
-        foreign = (
+        # A newer version or state at the same incarnation was not published by
+        # this process: it comes from an earlier process at this address or is
+        # a false report.
+        is_foreign = (
             record.incarnation > own.incarnation
             or record.version > own.version
-            or _PRECEDENCE[record.state] > _PRECEDENCE[own.state]
+            or _STATE_PRECEDENCE[record.state] > _STATE_PRECEDENCE[own.state]
         )
-        if foreign:
+        if is_foreign:
             self._store(evolve(own, incarnation=record.incarnation + 1), now_s)
-        return foreign
+        return is_foreign
 
     def _store(self, record: MemberRecord, now_s: float) -> None:
         address = record.address
-        held = self._records.get(address)
-        if held is not None and held.state not in _GONE_STATES:
-            self._add_to_digest(held, -1)
+        current = self._records.get(address)
+        if current is not None and current.state not in _GONE_STATES:
+            self._add_to_digest(current, -1)
         self._records[address] = record
         self._hashes[bucket_of(address)][address] = record_hash(record)
         self.note_enforced_revision(address, record.enforced_revision)
@@ -265,10 +281,10 @@
         del self._gone_at_s[address]
         self._enforced_revisions.pop(address, None)
 
-    def _is_old(self, gone_at_s: float, now_s: float) -> bool:
+    def _is_retention_over(self, gone_at_s: float, now_s: float) -> bool:
         return now_s - gone_at_s >= self._dead_retention_s
 
-    def _is_overdue(self, address: str, now_s: float) -> bool:
+    def _is_suspect_overdue(self, address: str, now_s: float) -> bool:
         watchers = [
             watcher
             for watcher in self._rings.predecessors(address)
--- a/catkinhollow/mesh/neighbours.py
+++ b/catkinhollow/mesh/neighbours.py
@@ -1,10 +1,10 @@
-"""Track the links of a daemon and which watched peers are silent."""
+"""Track the links of a daemon and the silence of watched peers."""
 
 from collections.abc import Iterable
 
 
 class Neighbours:
-    """Hold which links are wanted, up, and when each was last heard."""
+    """Track wanted and open links, and the last message of watched peers."""
 
     def __init__(self, max_silence_s: float) -> None:
         self._max_silence_s = max_silence_s
@@ -15,21 +15,24 @@
 
     @property
     def up(self) -> frozenset[str]:
-        """Return the addresses with a link."""
+        """Return the addresses with an open link."""
         return frozenset(self._up)
 
     def is_up(self, address: str) -> bool:
-        """Tell whether messages can be sent to the address."""
+        """Return whether messages can be sent to the address."""
         return address in self._up
 
     def is_wanted(self, address: str) -> bool:
-        """Tell whether this daemon keeps a link to the address."""
+        """Return whether this daemon keeps a link to the address."""
         return address in self._wanted
 
     def set_wanted(
         self, addresses: Iterable[str], now_s: float
     ) -> tuple[list[str], list[str]]:
-        """Replace the wanted links and return those to close and to open."""
+        """Replace the wanted links and return those to close and to open.
+
+        Temporary links that have not expired stay wanted.
+        """
         self._temporary_until_s = {
             address: until_s
             for address, until_s in self._temporary_until_s.items()
@@ -38,28 +41,28 @@
         wanted = {*addresses, *self._temporary_until_s}
         added, removed = wanted - self._wanted, self._wanted - wanted
         self._wanted = wanted
-        # Sorted, because the order of a set differs between processes.
+        # Sorted, as the iteration order of a set differs between processes.
         return sorted(removed), sorted(added)
 
     def keep_until(self, address: str, until_s: float) -> None:
-        """Keep a temporary link from the next change of wanted links on."""
+        """Want a temporary link, from the next call of set_wanted on."""
         self._temporary_until_s[address] = until_s
 
     def link_up(self, address: str) -> None:
-        """Note that a link can carry messages."""
+        """Record that a link can carry messages."""
         self._up.add(address)
 
     def link_down(self, address: str) -> None:
-        """Note that a link is gone."""
+        """Record that a link is closed."""
         self._up.discard(address)
 
     def note_message(self, address: str, now_s: float) -> None:
-        """Note a message from a peer that is being watched."""
+        """Record a message if its sender is watched."""
         if address in self._last_heard_s:
             self._last_heard_s[address] = now_s
 
     def update_watched(self, addresses: Iterable[str], now_s: float) -> list[str]:
-        """Replace the watched peers and return the silent ones."""
+        """Replace the watched peers and return those that are silent."""
         self._last_heard_s = {
             address: self._last_heard_s.get(address, now_s) for address in addresses
         }
@@ -70,5 +73,5 @@
         ]
 
     def restart_silence_timers(self, now_s: float) -> None:
-        """Give every watched peer its full time again after a pause."""
+        """Restart the silence timeout of every watched peer after a pause."""
         self._last_heard_s = dict.fromkeys(self._last_heard_s, now_s)
--- a/catkinhollow/mesh/quarantines.py
+++ b/catkinhollow/mesh/quarantines.py
@@ -1,4 +1,4 @@
-"""Keep the set of quarantined target versions."""
+"""Maintain the set of quarantined target versions."""
 
 from collections.abc import Iterable
 
@@ -6,7 +6,7 @@
 
 from catkinhollow.generated.messages import Quarantine
 
-# Far more than the moves that run at once; bounds memory and messages.
+# Far more than the number of concurrent moves; limits memory and message size.
 _MAX_QUARANTINES = 256
 _DIGEST_MASK = (1 << 64) - 1
 
@@ -18,7 +18,7 @@
 
 
 class QuarantineSet:
-    """Hold the newest quarantines, the same ones in any order of arrival."""
+    """Retain the newest quarantines, independent of the order of arrival."""
 
     def __init__(self) -> None:
         self._items: dict[_Key, Quarantine] = {}
@@ -31,11 +31,11 @@
 
     @property
     def digest(self) -> int:
-        """Return the sum of the hashes of the keys."""
+        """Return the sum of the key hashes."""
         return self._digest
 
     def add(self, quarantine: Quarantine) -> bool:
-        """Keep a quarantine and tell whether it is new and recent enough."""
+        """Add a quarantine and return whether it is new and was retained."""
         key = _key(quarantine)
         if key in self._items:
             return False
@@ -45,9 +45,9 @@
             del self._items[oldest]
             if oldest == key:
                 return False
-        self._digest = self._sum(self._items)
+        self._digest = self._digest_of(self._items)
         return True
 
-    def _sum(self, keys: Iterable[_Key]) -> int:
+    def _digest_of(self, keys: Iterable[_Key]) -> int:
         hashes = (xxh3_64_intdigest(repr(key).encode()) for key in keys)
         return sum(hashes) & _DIGEST_MASK
--- a/catkinhollow/mesh/rings.py
+++ b/catkinhollow/mesh/rings.py
@@ -1,4 +1,4 @@
-"""Order members on hash rings and rank them for a key."""
+"""Order members on hash rings and choose members by rendezvous hash."""
 
 from bisect import bisect_left, insort
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 # The union of four rings is an expander with a degree of about 8.
 RING_COUNT = 4
 
-# Larger than any planned fleet; an entry takes about 300 bytes.
+# More than the members of any planned fleet; an entry takes about 300 bytes.
 _CACHED_POSITIONS = 4096
 
 
@@ -23,7 +23,7 @@
 
 
 class Rings:
-    """Keep members sorted on every ring."""
+    """Maintain the sorted positions of the members on every ring."""
 
     def __init__(self) -> None:
         self._members: set[str] = set()
@@ -75,7 +75,7 @@
 def choose_by_rendezvous_hash(
     members: Iterable[str], key: str, count: int
 ) -> list[str]:
-    """Return the members with the highest hashes for the key."""
+    """Return the members with the highest hashes for a key."""
     seed = xxh3_64_intdigest(key.encode())
     return nlargest(
         count,
