--- a/catkinhollow/mesh/anti_entropy.py
+++ b/catkinhollow/mesh/anti_entropy.py
@@ -1,4 +1,4 @@
-"""Compare the member tables of two daemons."""
+"""Repair differences between the member tables of two daemons."""
 
 from catkinhollow.generated.messages import (
     CompareMembers,
@@ -12,17 +12,21 @@
 from catkinhollow.mesh.mesh_commands import CommandQueue
 from catkinhollow.mesh.quarantines import QuarantineSet
 
-# A flood reaches everyone well within one ping interval, so only a
-# difference in two answers running means that a message was lost.
+# A flood reaches all members well within one ping interval, so only a
+# difference in two consecutive answers shows that a message was lost.
 _MIN_DIFFERENCES = 2
 _MIN_INTERVAL_S = 1.0
-# A position takes about 40 bytes: at most 10 KB/s of positions.
+# A position takes about 40 bytes, which limits positions to 10 KB/s.
 _MAX_POSITIONS_PER_S = 250
 _DIGEST_MASK = (1 << 64) - 1
 
 
 class TableComparison:
-    """Decide when to compare tables and send each step."""
+    """Decide when to compare tables, and send and answer each step.
+
+    The steps are the digests of all buckets, the positions of the buckets
+    that differ, and the records that differ.
+    """
 
     def __init__(
         self,
@@ -40,11 +44,11 @@
 
     @property
     def digest(self) -> int:
-        """Return the digest of everything that tables must agree on."""
+        """Return the digest of the members and quarantines to agree on."""
         return (self._table.digest + self._quarantines.digest) & _DIGEST_MASK
 
     def on_digest(self, address: str, digest: int, now_s: float) -> None:
-        """Start a comparison if a neighbour's digest keeps differing."""
+        """Start a comparison if a neighbour's digest differs repeatedly."""
         if digest == self.digest:
             self._difference_counts.pop(address, None)
             return
@@ -60,7 +64,7 @@
         self._commands.send(address, compare_members=request)
 
     def remove_peer(self, address: str) -> None:
-        """Drop a neighbour whose link is down."""
+        """Drop the state of a neighbour whose link is down."""
         self._difference_counts.pop(address, None)
 
     def on_request(
@@ -85,7 +89,7 @@
     def on_positions(
         self, envelope: Envelope, answer: MemberPositions, now_s: float
     ) -> None:
-        """Send the records that differ and ask for the other end's."""
+        """Send the records that differ and request those of the peer."""
         sender = envelope.sender
         self._flooding.add_quarantines(answer.quarantines, sender, now_s)
         pause_s = len(answer.positions) / _MAX_POSITIONS_PER_S
@@ -98,7 +102,11 @@
             self._commands.send(sender, pull_members=PullMembers(addresses=addresses))
 
     def on_pull(self, envelope: Envelope, pull: PullMembers, now_s: float) -> None:
-        """Send the records that the other end asks for."""
-        known = self._table.records
-        records = [known[address] for address in pull.addresses if address in known]
+        """Send the records that the peer requests."""
+        records_by_address = self._table.records
+        records = [
+            records_by_address[address]
+            for address in pull.addresses
+            if address in records_by_address
+        ]
         self._commands.send(envelope.sender, gossip=Gossip(members=records))
--- a/catkinhollow/mesh/dissemination.py
+++ b/catkinhollow/mesh/dissemination.py
@@ -1,4 +1,4 @@
-"""Decide what a daemon tells its neighbours and asks of them."""
+"""Decide which messages a daemon exchanges with its peers."""
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
@@ -35,20 +35,24 @@
 from catkinhollow.mesh.pulling import SnapshotExchange
 from catkinhollow.mesh.quarantines import QuarantineSet
 
-# Enforced revisions reach ring neighbours with each ping. The rest of the
-# table learns them from refreshed records. Flooding one record costs each
-# member about 6.6 KB, so a large fleet refreshes one record in 4 s: 1.6 KB/s.
-# A small fleet can afford more: with 11 members all are refreshed in 5 s.
+# Ring neighbours learn the enforced revision of a daemon from each ping, all
+# other members from a refreshed record. Flooding one record costs each member
+# about 6.6 KB, so a large fleet refreshes one record every 4 s, at 1.6 KB/s. A
+# small fleet can refresh more often: 11 members are all refreshed within 5 s.
 _MAX_REFRESH_S_PER_MEMBER = 4.0
 _REFRESH_S_PER_PAIR = 0.04
 
-# A link outside the rings stays open between reports, once a second.
+# Lifetime of a link outside the rings after an evidence report. Reports are
+# sent once a second, so the link stays open between them.
 _TEMPORARY_LINK_S = 10.0
 _MAX_WAITING_REPORTS = 16
 
 
 class Mesh:
-    """Hold the state of one daemon among its peers; do no input or output."""
+    """Represent the state of one daemon in the mesh, without any I/O.
+
+    Each method returns the commands that the I/O layer has to execute.
+    """
 
     def __init__(
         self,
@@ -118,12 +122,12 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether the daemon may serve calls."""
+        """Return whether the daemon may serve calls."""
         return self._joiner.ready
 
     @property
     def floor(self) -> int:
-        """Return the lowest revision the daemon may start to serve with."""
+        """Return the lowest revision to start serving with."""
         return self._joiner.floor
 
     @property
@@ -138,12 +142,12 @@
 
     @property
     def links(self) -> frozenset[str]:
-        """Return the addresses with a link."""
+        """Return the addresses with an open link."""
         return self._neighbours.up
 
     @property
     def due_s(self) -> float:
-        """Return when the next tick is needed."""
+        """Return the time at which the next tick is due."""
         return min(
             self._failure_detector.due_s,
             self._flooding.due_s,
@@ -152,7 +156,7 @@
         )
 
     def receive(self, envelope: Envelope, now_s: float) -> list[Command]:
-        """Take one message from a peer."""
+        """Handle a message from a peer."""
         if envelope.sender == self._own_address:
             return []
         self._neighbours.note_message(envelope.sender, now_s)
@@ -163,7 +167,7 @@
         return self._complete_step(now_s)
 
     def tick(self, now_s: float) -> list[Command]:
-        """Do everything that is due."""
+        """Execute everything that is due."""
         self._failure_detector.tick(now_s)
         if now_s >= self._refresh_due_s:
             self._refresh_due_s = inf
@@ -175,7 +179,7 @@
         return self._complete_step(now_s)
 
     def link_up(self, address: str, now_s: float) -> list[Command]:
-        """Note that messages can be sent to a peer."""
+        """Handle a new link, over which messages can be sent to a peer."""
         self._neighbours.link_up(address)
         if address == self._joiner.asked_seed:
             self._send_join(address)
@@ -185,7 +189,7 @@
         return self._complete_step(now_s)
 
     def link_down(self, address: str, now_s: float) -> list[Command]:
-        """Note that messages to a peer are lost from now on."""
+        """Handle the loss of the link to a peer."""
         self._neighbours.link_down(address)
         self._snapshots.puller.remove_peer(address)
         self._comparison.remove_peer(address)
@@ -198,7 +202,7 @@
         enforced_revision: int | None = None,
         targets: list[TargetRecord] | None = None,
     ) -> list[Command]:
-        """Publish what this daemon enforces and which targets it has."""
+        """Publish the enforced revision and the targets of this daemon."""
         if enforced_revision is not None:
             self._table.note_enforced_revision(self._own_address, enforced_revision)
             delay_s = self._random.uniform(0.0, self._max_refresh_delay_s())
@@ -214,7 +218,7 @@
         return per_member_s * members
 
     def leave(self, now_s: float) -> list[Command]:
-        """Tell all neighbours at once that this daemon shuts down."""
+        """Tell all neighbours immediately that this daemon shuts down."""
         self._table.update_own(now_s, state=MemberState.LEFT)
         self._flooding.flood_member(self._own_address, now_s)
         self._flooding.flush()
@@ -230,25 +234,25 @@
         return self._complete_step(now_s)
 
     def quarantine(self, quarantine: Quarantine, now_s: float) -> list[Command]:
-        """Flood a quarantine that this daemon decided."""
+        """Flood a quarantine that this daemon has imposed."""
         self._flooding.add_quarantines([quarantine], "", now_s)
         return self._complete_step(now_s)
 
     def store_answered(self, revision: int, now_s: float) -> list[Command]:
-        """Note the newest revision in the store."""
+        """Handle an answer of the store with its newest revision."""
         self._raise_floor(revision)
         self._joiner.on_answer(now_s)
         return self._complete_step(now_s)
 
     def add_seeds(self, seeds: Iterable[str], now_s: float) -> list[Command]:
-        """Ask these addresses too when joining or healing a partition."""
+        """Add addresses to contact for joining or healing a partition."""
         self._joiner.add_seeds(self._exclude_own(seeds))
         return self._complete_step(now_s)
 
     def send_evidence(
         self, address: str, report: EvidenceReport, now_s: float
     ) -> list[Command]:
-        """Send outcome counts to a collector, over a new link if needed."""
+        """Send outcome counts to a peer, over a temporary link if needed."""
         self._neighbours.keep_until(address, now_s + _TEMPORARY_LINK_S)
         self._waiting_reports.append((address, report))
         if self._neighbours.is_up(address):
@@ -259,8 +263,8 @@
         self._joiner.on_ack(envelope.sender)
         self._apply_answer(ack.ready, ack.revision, ack.floor_revision, now_s)
         self._failure_detector.on_ack(envelope, ack, now_s)
-        # A neighbour that pinged first has already repaired this table;
-        # a seed would send all of it once more.
+        # A neighbour that pinged first has already repaired this table, and a
+        # seed would send the whole table again.
         if ack.digest == self._comparison.digest and self._joiner.mark_joined():
             self._commands.add(MeshJoined())
 
--- a/catkinhollow/mesh/failure_detector.py
+++ b/catkinhollow/mesh/failure_detector.py
@@ -1,4 +1,4 @@
-"""Watch ring neighbours, and retry members that are gone."""
+"""Detect failed ring neighbours and retry members that are gone."""
 
 from random import Random
 
@@ -20,7 +20,7 @@
 
 
 class FailureDetector:
-    """Ping the successors on the rings and judge their silence."""
+    """Ping the successors on the rings and suspect those that are silent."""
 
     def __init__(
         self,
@@ -53,18 +53,18 @@
 
     @property
     def due_s(self) -> float:
-        """Return when the next pings are due."""
+        """Return the time at which the next pings are due."""
         return self._ping_due_s
 
     @property
     def pinged_peers(self) -> list[str]:
-        """Return the peers that get pings."""
+        """Return the addresses of the peers to ping."""
         successors = self._table.rings.successors(self._own_address)
         retried = [self._retried_address] if self._retried_address else []
         return list(dict.fromkeys([*successors, *retried]))
 
     def tick(self, now_s: float) -> None:
-        """Ping, suspect, declare dead and retry what is due."""
+        """Send due pings, suspect silent members and expire suspects."""
         self._resume_after_pause(now_s)
         if now_s >= self._ping_due_s:
             self._ping_due_s = now_s + self._peers.ping_interval_s
@@ -75,7 +75,7 @@
             self._choose_retried_address()
 
     def ping(self, address: str) -> None:
-        """Tell a peer this daemon's state and ask for the peer's."""
+        """Send this daemon's state to a peer and request the peer's state."""
         ping = Ping(
             sequence=self._sequence,
             revision=self._snapshots.revision,
@@ -85,7 +85,7 @@
         self._commands.send(address, ping=ping)
 
     def on_ping(self, envelope: Envelope, ping: Ping, now_s: float) -> None:
-        """Answer a ping, with the floor if the peer is not ready."""
+        """Answer a ping, including the floor if the peer is not ready."""
         sender = envelope.sender
         self._update_peer(envelope, ping.revision)
         ack = Ack(
@@ -100,7 +100,7 @@
         self._commands.send(sender, ack=ack)
 
     def on_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
-        """Note the state of a peer and compare tables if they differ."""
+        """Record the state of a peer and compare tables if they differ."""
         self._update_peer(envelope, ack.revision)
         self._comparison.on_digest(envelope.sender, ack.digest, now_s)
 
@@ -112,11 +112,12 @@
         if record is None or record.state is MemberState.ALIVE:
             return
         if record.incarnation >= envelope.incarnation:
-            # The sender is alive and refutes this once it knows.
+            # The sender is alive and refutes this record when it receives it.
             self._commands.send(sender, gossip=Gossip(members=[record]))
 
     def _resume_after_pause(self, now_s: float) -> None:
-        # After a long pause every neighbour seems silent, but none was asked.
+        # After a long pause of this process every neighbour seems silent,
+        # although none has been pinged.
         if now_s - self._last_tick_s > 2 * self._peers.ping_interval_s:
             self._neighbours.restart_silence_timers(now_s)
             self._table.restart_timeouts(now_s)
--- a/catkinhollow/mesh/flooding.py
+++ b/catkinhollow/mesh/flooding.py
@@ -1,4 +1,4 @@
-"""Spread changes from neighbour to neighbour, once each."""
+"""Flood changes from neighbour to neighbour."""
 
 from collections.abc import Iterable
 from math import inf
@@ -15,7 +15,7 @@
 
 @define
 class _PendingGossip:
-    """Hold what one neighbour has not been told yet."""
+    """Collect the changes to send to one neighbour."""
 
     members: set[str] = field(factory=set)
     quarantines: list[Quarantine] = field(factory=list)
@@ -23,7 +23,10 @@
 
 
 class Flooding:
-    """Batch changes, so that a burst costs one message per neighbour."""
+    """Forward each change once, and batch changes per neighbour.
+
+    A burst of changes costs one message per neighbour.
+    """
 
     def __init__(
         self,
@@ -44,22 +47,26 @@
 
     @property
     def due_s(self) -> float:
-        """Return when the batch is to be sent."""
+        """Return the time at which to send the batch."""
         return self._due_s
 
     def merge_members(
         self, records: Iterable[MemberRecord], sender: str, now_s: float
     ) -> None:
-        """Merge records and pass on those that were news."""
+        """Merge records and forward those that changed the table."""
         for record in records:
             if self._table.merge(record, now_s):
                 merged = self._table.records[record.address]
-                # A sender whose record was only a part needs the merged one.
+                # The sender needs the merged record if it differs from the
+                # received one.
                 informed = sender if merged == record else ""
                 self.flood_member(record.address, now_s, informed=informed)
 
     def merge_table(self, records: Iterable[MemberRecord], now_s: float) -> None:
-        """Merge the table that a joiner gets, which others already have."""
+        """Merge the table received on joining, without forwarding it.
+
+        The other members already have its records.
+        """
         for record in records:
             if self._table.merge(record, now_s):
                 self._table_changed = True
@@ -67,7 +74,7 @@
     def add_quarantines(
         self, quarantines: Iterable[Quarantine], sender: str, now_s: float
     ) -> None:
-        """Keep quarantines and pass on those that were news."""
+        """Add quarantines and forward the new ones."""
         for quarantine in quarantines:
             if self._quarantines.add(quarantine):
                 self._commands.add(VersionQuarantined(quarantine=quarantine))
@@ -75,24 +82,24 @@
                     self._pending_for(neighbour, now_s).quarantines.append(quarantine)
 
     def flood_member(self, address: str, now_s: float, *, informed: str = "") -> None:
-        """Tell the neighbours about a changed record of the table."""
+        """Queue a changed record of the table for the neighbours."""
         self._table_changed = True
         for neighbour in self._receivers(informed):
             self._pending_for(neighbour, now_s).members.add(address)
 
     def announce(self, revision: int, informed: Iterable[str], now_s: float) -> None:
-        """Tell the neighbours which revision can be pulled here."""
+        """Queue the revision that can be pulled here for the neighbours."""
         for neighbour in self._receivers(*informed):
             self._pending_for(neighbour, now_s).revision = revision
 
     def report_table_change(self) -> None:
-        """Add one command if the table has changed since the last call."""
+        """Emit one event if the table has changed since the last call."""
         if self._table_changed:
             self._commands.add(MembersChanged())
             self._table_changed = False
 
     def flush(self) -> None:
-        """Send everything that waits."""
+        """Send all queued changes."""
         pending, self._pending = self._pending, {}
         self._due_s = inf
         records = self._table.records
@@ -106,16 +113,16 @@
             self._commands.send(neighbour, gossip=gossip)
 
     def _receivers(self, *informed: str) -> list[str]:
-        # Links outside the rings carry joins and reports only: a collector
-        # of reports has too many to flood over all of them.
+        # Links outside the rings carry only joins and evidence reports. A
+        # collector of reports has too many such links to flood over all.
         rings = self._table.rings
         own_address = self._table.own.address
-        around = dict.fromkeys(
+        ring_neighbours = dict.fromkeys(
             [*rings.successors(own_address), *rings.predecessors(own_address)]
         )
         return [
             address
-            for address in around
+            for address in ring_neighbours
             if self._neighbours.is_up(address) and address not in informed
         ]
 
--- a/catkinhollow/mesh/pulling.py
+++ b/catkinhollow/mesh/pulling.py
@@ -1,4 +1,4 @@
-"""Pull newer snapshots from peers and send them the newest."""
+"""Pull newer snapshots from peers and serve the newest one to them."""
 
 from math import inf
 
@@ -10,7 +10,7 @@
 
 @frozen(kw_only=True)
 class PullRequest:
-    """Hold one request for a snapshot."""
+    """Describe a snapshot request to a peer."""
 
     address: str
     request_id: int
@@ -34,7 +34,7 @@
 
     @property
     def due_s(self) -> float:
-        """Return when the request in flight times out."""
+        """Return the time at which the request in flight times out."""
         return self._deadline_s
 
     def peers_with(self, revision: int) -> list[str]:
@@ -46,21 +46,21 @@
         ]
 
     def note_revision(self, address: str, revision: int) -> None:
-        """Remember that a peer has a revision."""
+        """Record that a peer has a revision."""
         if revision > self._newest_revisions.get(address, 0):
-            # The order of the dict is the order of the announcements.
+            # Reinserted, so that the dict is ordered by time of announcement.
             self._newest_revisions.pop(address, None)
             self._newest_revisions[address] = revision
 
     def remove_peer(self, address: str) -> None:
-        """Drop a peer whose link is down."""
+        """Drop the state of a peer whose link is down."""
         self._newest_revisions.pop(address, None)
         self._tried_peers.discard(address)
         if self._in_flight is not None and self._in_flight.address == address:
             self._end_request()
 
     def on_received(self, address: str, revision: int) -> bool:
-        """End the request and tell whether the snapshot is new here."""
+        """End the request and return whether the revision is new."""
         if self._in_flight is not None and self._in_flight.address == address:
             self._end_request()
         self._newest_revisions[address] = revision
@@ -71,13 +71,13 @@
         return True
 
     def poll(self, enforced_revision: int, now_s: float) -> PullRequest | None:
-        """Return the request to send now, if there is one."""
+        """Return the request to send now, if one is due."""
         if self._in_flight is not None:
             if now_s < self._deadline_s:
                 return None
             self._tried_peers.add(self._in_flight.address)
             self._end_request()
-        # A snapshot that was received and refused is not pulled again.
+        # A snapshot that was received but refused is not pulled again.
         known_revision = max(enforced_revision, self._received_revision)
         candidates = [
             a
@@ -103,7 +103,7 @@
 
 
 class SnapshotExchange:
-    """Hold the snapshot that peers can pull, and pull newer ones."""
+    """Serve the current snapshot to peers, and pull newer ones."""
 
     def __init__(self, commands: CommandQueue, timeout_s: float) -> None:
         self._commands = commands
@@ -118,11 +118,11 @@
 
     @property
     def puller(self) -> SnapshotPuller:
-        """Return what decides whom to ask."""
+        """Return the component that chooses the peer to pull from."""
         return self._puller
 
     def offer(self, revision: int, encoded_snapshot: bytes) -> bool:
-        """Take a snapshot for peers and tell whether it is newer."""
+        """Offer a snapshot to peers and return whether it is newer."""
         if revision <= self._revision:
             return False
         self._revision = revision
@@ -130,7 +130,7 @@
         return True
 
     def poll(self, now_s: float) -> None:
-        """Ask a peer if one has a newer snapshot."""
+        """Send a pull request if a peer has a newer snapshot."""
         pull = self._puller.poll(self._revision, now_s)
         if pull is not None:
             request = PullSnapshot(
@@ -139,17 +139,17 @@
             self._commands.send(pull.address, pull_snapshot=request)
 
     def on_pull(self, envelope: Envelope, pull: PullSnapshot, now_s: float) -> None:
-        """Send the snapshot if the peer's one is older."""
-        newer = self._revision > pull.known_revision
+        """Answer a pull, with the snapshot if the peer has an older one."""
+        is_newer = self._revision > pull.known_revision
         reply = SnapshotReply(
             request_id=pull.request_id,
             revision=self._revision,
-            snapshot=self._snapshot if newer else b"",
+            snapshot=self._snapshot if is_newer else b"",
         )
         self._commands.send(envelope.sender, snapshot_reply=reply)
 
     def on_reply(self, envelope: Envelope, reply: SnapshotReply, now_s: float) -> None:
-        """Pass a newer snapshot to the edge."""
+        """Emit a newer snapshot for the I/O layer."""
         is_new = self._puller.on_received(envelope.sender, reply.revision)
         if is_new and reply.snapshot and reply.revision > self._revision:
             arrived = SnapshotArrived(revision=reply.revision, data=reply.snapshot)
