--- a/catkinhollow/mesh/links.py
+++ b/catkinhollow/mesh/links.py
@@ -1,4 +1,4 @@
-"""Share what the links over nng have in common."""
+"""Define events, counters and thread limits of the links over nng."""
 
 from typing import Any
 
@@ -9,7 +9,7 @@
 _nng: Any = pynng
 _lib: Any = _nng._nng.lib
 
-_THREAD_COUNTS = (
+_THREAD_COUNT_PARAMETERS = (
     "NNG_INIT_NUM_TASK_THREADS",
     "NNG_INIT_MAX_TASK_THREADS",
     "NNG_INIT_NUM_EXPIRE_THREADS",
@@ -22,21 +22,21 @@
 
 @frozen(kw_only=True)
 class LinkUp:
-    """Tell that messages can be sent to a peer."""
+    """Signal that messages can be sent to a peer."""
 
     address: str
 
 
 @frozen(kw_only=True)
 class LinkDown:
-    """Tell that no connection to a peer is left."""
+    """Signal that the last connection to a peer has closed."""
 
     address: str
 
 
 @define
 class LinkCounters:
-    """Count messages and their bytes, without those of nng and TCP."""
+    """Count messages and their bytes, excluding nng and TCP overhead."""
 
     messages_sent: int = 0
     bytes_sent: int = 0
@@ -55,6 +55,9 @@
 
 
 def limit_nng_threads() -> None:
-    """Let nng start the fewest threads; call before the first socket."""
-    for name in _THREAD_COUNTS:
+    """Limit nng to one thread of each kind.
+
+    Call this before the first socket is opened.
+    """
+    for name in _THREAD_COUNT_PARAMETERS:
         _lib.nng_init_set_parameter(getattr(_lib, name), 1)
--- a/catkinhollow/mesh/mesh_commands.py
+++ b/catkinhollow/mesh/mesh_commands.py
@@ -1,4 +1,4 @@
-"""Define what the mesh asks its edge to do."""
+"""Define the commands of the mesh to the I/O layer."""
 
 from typing import Any, TypeAlias
 
@@ -19,7 +19,7 @@
 
 @frozen(kw_only=True)
 class Send:
-    """Send an envelope over the link to a peer."""
+    """Request the sending of an envelope over the link to a peer."""
 
     address: str
     envelope: Envelope
@@ -27,27 +27,28 @@
 
 @frozen(kw_only=True)
 class Connect:
-    """Keep a link to a peer until told otherwise."""
+    """Request a link to a peer, which is kept until a Disconnect."""
 
     address: str
 
 
 @frozen(kw_only=True)
 class Disconnect:
-    """Stop keeping the link to a peer."""
+    """Request that the link to a peer is no longer kept."""
 
     address: str
 
 
 @frozen(kw_only=True)
 class SnapshotArrived:
-    """Offer a snapshot that a peer sent."""
+    """Offer an encoded snapshot that a peer sent."""
 
     revision: int
     data: bytes
 
 
-# An event among the commands is emitted to the other parts of the daemon.
+# The I/O layer emits the events among the commands to the other parts of the
+# daemon.
 Command: TypeAlias = (
     Send
     | Connect
@@ -63,7 +64,7 @@
 
 
 class CommandQueue:
-    """Collect commands until the edge takes them."""
+    """Collect commands until the I/O layer takes them."""
 
     def __init__(self, table: MemberTable, neighbours: Neighbours) -> None:
         self._table = table
@@ -75,7 +76,7 @@
         self._commands.append(command)
 
     def send(self, address: str, **body: Any) -> None:
-        """Append a message with one body, unless there is no link."""
+        """Append a message with one body if there is a link to the peer."""
         if not self._neighbours.is_up(address):
             return
         own = self._table.own
@@ -83,6 +84,6 @@
         self.add(Send(address=address, envelope=envelope))
 
     def take(self) -> list[Command]:
-        """Return and forget the commands."""
+        """Return and clear the commands."""
         commands, self._commands = self._commands, []
         return commands
--- a/catkinhollow/mesh/mesh_service.py
+++ b/catkinhollow/mesh/mesh_service.py
@@ -1,4 +1,4 @@
-"""Run the mesh of one daemon over its peer link."""
+"""Run the mesh of a daemon over its peer link."""
 
 from collections.abc import Callable, Iterable
 from random import Random
@@ -31,7 +31,7 @@
 
 
 def make_own_record(settings: Settings, incarnation: int) -> MemberRecord:
-    """Return the record that a starting daemon publishes."""
+    """Return the member record that a starting daemon publishes."""
     return MemberRecord(
         address=format_address(settings.peer),
         incarnation=incarnation,
@@ -43,7 +43,7 @@
 
 
 class MeshService:
-    """Feed time and messages to the mesh and carry out its commands."""
+    """Pass time and messages to the mesh and execute its commands."""
 
     def __init__(
         self,
@@ -78,7 +78,7 @@
 
     @property
     def ready(self) -> bool:
-        """Tell whether the daemon may serve calls."""
+        """Return whether the daemon may serve calls."""
         return self._mesh.ready
 
     @property
@@ -87,19 +87,19 @@
         return self._mesh.quarantines
 
     def store_answered(self, revision: int) -> None:
-        """Note the newest revision in the store."""
+        """Handle an answer of the store with its newest revision."""
         self._execute(self._mesh.store_answered(revision, self._now_s()))
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Ask these peers too when joining or healing a partition."""
+        """Add peers to contact for joining or healing a partition."""
         self._execute(self._mesh.add_seeds(addresses, self._now_s()))
 
     def quarantine(self, quarantine: Quarantine) -> None:
-        """Spread a quarantine that this daemon decided."""
+        """Flood a quarantine that this daemon has imposed."""
         self._execute(self._mesh.quarantine(quarantine, self._now_s()))
 
     def send_evidence(self, address: str, report: EvidenceReport) -> None:
-        """Send outcome counts to a collector."""
+        """Send a report to a collector or to the controller."""
         self._execute(self._mesh.send_evidence(address, report, self._now_s()))
 
     def leave(self) -> None:
@@ -107,7 +107,7 @@
         self._execute(self._mesh.leave(self._now_s()))
 
     async def run(self) -> None:
-        """Serve the peer link until cancelled."""
+        """Run the peer link until cancelled."""
         self._schedule_tick()
         try:
             await self._link.run(self._on_event)
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -23,33 +23,33 @@
 _nng: Any = pynng
 _lib: Any = _nng._nng.lib
 
-# Messages that wait in nng; a full queue drops instead of blocking.
+# Messages that nng queues; a full queue drops messages instead of blocking.
 _SEND_QUEUE_MESSAGES = 256
 _RECEIVE_QUEUE_MESSAGES = 512
-# A snapshot has at most 1 MB, a table of 1,400 members about 0.6 MB.
+# A snapshot takes at most 1 MB, a table of 1,400 members about 0.6 MB.
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 _RECONNECT_MIN_MS = 100
 _RECONNECT_MAX_MS = 2000
 
 
 class _Pipe(Protocol):
-    """Describe one connection of an nng socket."""
+    """Represent one connection of an nng socket."""
 
     id: int
     pipe: Any
 
 
 class _Dialer(Protocol):
-    """Describe what keeps connecting to one address."""
+    """Connect to one address repeatedly until closed."""
 
     id: int
 
     def close(self) -> None:
-        """Stop connecting, and close the connection."""
+        """Stop connecting and close the connection."""
 
 
 class _Message(Protocol):
-    """Describe one message that was received."""
+    """Represent a received message."""
 
     bytes: bytes
     pipe: _Pipe | None
@@ -59,7 +59,7 @@
 
 
 class PeerLink(Protocol):
-    """Keep connections to peers; never block on a slow or dead one."""
+    """Maintain connections to peers; never block on a slow or dead one."""
 
     def connect(self, address: str) -> None:
         """Keep a connection to a peer until disconnected."""
@@ -75,7 +75,7 @@
 
 
 def format_address(address: Address) -> str:
-    """Return an address of the settings as host:port."""
+    """Return the address as host:port text."""
     host = f"[{address.host}]" if ":" in address.host else address.host
     return f"{host}:{address.port}"
 
@@ -123,7 +123,7 @@
         pipes = self._pipes.get(address)
         if not pipes:
             return False
-        # The newest pipe: an older one may lead to a former process.
+        # An older pipe may lead to a former process of the peer.
         pipe = next(reversed(pipes.values()))
         try:
             data = encode_without_none(envelope)
@@ -149,7 +149,8 @@
             self._socket.close()
 
     def _register_pipe_callbacks(self, token: trio.lowlevel.TrioToken) -> None:
-        # nng calls back on its own threads; all state stays on the loop.
+        # nng calls these functions on its own threads, but all state is only
+        # accessed from the event loop.
         def on_opening(pipe: _Pipe) -> None:
             self._run_on_loop(token, self._open_pipes.add, pipe.id)
 
@@ -207,8 +208,8 @@
         self._emit(envelope)
 
     def _assign_pipe(self, address: str, pipe: _Pipe) -> None:
-        # A message can be read after its pipe has closed; nng would drop
-        # everything sent to such a pipe without an error.
+        # A message can be read after its pipe has closed. nng would drop all
+        # messages sent to such a pipe without an error.
         if (
             pipe.id not in self._open_pipes
             or self._pipe_addresses.get(pipe.id) == address
@@ -220,7 +221,8 @@
         self._pipes.setdefault(address, {})[pipe.id] = pipe
         if not known:
             self._emit(LinkUp(address=address))
-        # Both ends dialled: the one with the lower address keeps its pipe.
+        # If both ends have dialed, the end with the lower address keeps its
+        # pipe.
         accepted = _dialer_id(pipe) not in self._dialed_addresses
         if accepted and address < self._own_address:
             self._close_dialer(address)
