--- a/tests/controller_simulation.py
+++ b/tests/controller_simulation.py
@@ -1,4 +1,4 @@
-"""Run controllers against a store in memory, one store call at a time."""
+"""Simulate controllers on an in-memory store, one store call at a time."""
 
 from collections.abc import Coroutine
 from copy import deepcopy
@@ -22,7 +22,7 @@
 
 @mutable
 class Call:
-    """Hold one call to the store that waits to be carried out."""
+    """Represent a store call that is suspended until the test executes it."""
 
     method: str
     kind: str
@@ -36,8 +36,8 @@
         return (yield self)
 
 
-class Calls:
-    """Turn each use of the store client into a call that waits."""
+class SuspendedStoreClient:
+    """Implement the store client with suspended calls."""
 
     async def get(self, kind, name):
         return await Call("get", kind, name)
@@ -49,8 +49,8 @@
         return await Call("put", kind, name, deepcopy(value), if_revision)
 
 
-class MemoryStore:
-    """Hold objects, and every write in order."""
+class RecordingStore:
+    """Store objects in memory and record every write in order."""
 
     def __init__(self):
         self.revision = 0
@@ -82,7 +82,7 @@
 
 @mutable
 class Clock:
-    """Tell a time that only the test moves."""
+    """Provide a time that only the test advances."""
 
     now_s: float = 1000.0
 
@@ -95,9 +95,9 @@
 
 @mutable(eq=False)
 class Daemon:
-    """Hold one controller, its running jobs and their waiting calls."""
+    """Represent one controller, its running jobs and their pending calls."""
 
-    world: "ControllerSimulation"
+    simulation: "ControllerSimulation"
     controller: Controller = None
     counts: list = Factory(list)
     paused: bool = False
@@ -108,14 +108,14 @@
         return counts
 
     def capacity(self, service, version):
-        return self.world.capacity
+        return self.simulation.capacity
 
     def start(self, job):
         if job not in self.jobs:
             self._resume(job, getattr(self.controller, job)(), None)
 
     def answer(self, job, result):
-        """Give a waiting call its result."""
+        """Resume a job with the result of its pending call."""
         self._resume(job, self.jobs.pop(job)[0], result)
 
     def crash(self):
@@ -125,22 +125,22 @@
     def _resume(self, job, coroutine, result):
         try:
             call = coroutine.send(result)
-            call.after_quarantine = self.world.is_move_quarantined()
+            call.after_quarantine = self.simulation.is_move_quarantined()
             self.jobs[job] = (coroutine, call)
         except StopIteration:
             pass
 
 
 class ControllerSimulation:
-    """Hold a store and several daemons, of which one is preferred."""
+    """Simulate a store and several daemons, some of which are preferred."""
 
     def __init__(self, count=3):
         self.clock = Clock()
-        self.store = MemoryStore()
+        self.store = RecordingStore()
         self.ends = []
         self.quarantines = []
         self.preferred = {0}
-        self.names = 0
+        self.incarnations = 0
         self.delayed_calls = []
         self.outcome = "ok"
         self.capacity = Capacity(ready_slots=100)
@@ -151,11 +151,11 @@
         self.daemons = [self.make_daemon(number) for number in range(count)]
 
     def make_daemon(self, number):
-        self.names += 1
+        self.incarnations += 1
         daemon = Daemon(self)
         daemon.controller = Controller(
-            holder=f"daemon-{number}#{self.names}",
-            store=Calls(),
+            holder=f"daemon-{number}#{self.incarnations}",
+            store=SuspendedStoreClient(),
             clock=self.clock,
             settings=LeaseSettings(),
             is_preferred=lambda: number in self.preferred,
@@ -221,11 +221,14 @@
             if not daemon.paused:
                 daemon.controller.tick()
 
-    def run_all(self, seconds, failing=0.0):
-        """Let every daemon that is not paused run, subject to the plan."""
+    def run_all(self, seconds, failure_rate=0.0):
+        """Run every daemon that is not paused for some seconds.
+
+        The first call that matches outcome_call gets the set outcome.
+        """
         for _ in range(seconds):
             for number in self.preferred:
-                self.daemons[number].counts += window(failing)
+                self.daemons[number].counts += window(failure_rate)
             self.tick()
             for daemon in self.daemons:
                 for job in JOBS:
@@ -243,7 +246,16 @@
                 self.answer(daemon, job, "ok")
 
     def answer(self, daemon, job, outcome):
-        """Carry out a waiting call, or make it fail in the given way."""
+        """Give the pending call of a job one of the simulated outcomes.
+
+        - ok: the call is executed and answered;
+        - refused: the call fails without being executed;
+        - lost answer: the call is executed, but fails for the caller;
+        - late: the call fails, and the test may execute it later;
+        - pause: the daemon is paused before the call is executed;
+        - slow answer: the daemon is paused after the call is executed;
+        - old view: a list returns an older state, other calls are refused.
+        """
         call = daemon.jobs[job][1]
         if outcome in ("pause", "slow answer"):
             daemon.paused = True
@@ -261,7 +273,7 @@
         daemon.answer(job, result)
 
     def carry_out(self, call):
-        """Carry out a call and check that it raises no bad version's share."""
+        """Execute a call and check that no quarantined share increases."""
         before = self.move.percent if self.move else 0.0, self.percent
         result = self.store.carry_out(call)
         if call.method == "list":
@@ -280,12 +292,16 @@
     return sum(part["percent"] for part in split if part["version"] == "new")
 
 
-def window(failing):
-    """Return one second of counts, a part of the new version failing."""
-    bad = round(20 * failing)
+def window(failure_rate):
+    """Return counts of one second with a failure rate of the new version."""
+    new_failures = round(20 * failure_rate)
     return [
         VersionCounts(
-            service="orders", version="new", route="all", requests=20, failures=bad
+            service="orders",
+            version="new",
+            route="all",
+            requests=20,
+            failures=new_failures,
         ),
         VersionCounts(
             service="orders", version="old", route="all", requests=180, failures=1
--- a/tests/move_oracle.py
+++ b/tests/move_oracle.py
@@ -1,4 +1,4 @@
-"""The oracle of a move: what may follow each write in the store."""
+"""Test oracle that checks the writes of moves, the lease and the split."""
 
 from catkinhollow.codec import from_plain
 from catkinhollow.control.moves import TERMINAL_STATES
@@ -7,25 +7,25 @@
 
 
 class MoveOracle:
-    """Check every write of the moves, the lease and the split in order."""
+    """Check every write in order against the previous one."""
 
-    def __init__(self, world):
-        self.world = world
+    def __init__(self, simulation):
+        self.simulation = simulation
         self.crashed = False
         self.checked = 0
         self.last_move = None
         self.last_lease = Lease(holder="", epoch=0)
 
     def check_new_writes(self):
-        """Check each write against the one before it."""
-        for stored in self.world.store.writes[self.checked :]:
+        """Check the writes since the last call."""
+        for stored in self.simulation.store.writes[self.checked :]:
             if stored.kind == "moves":
                 self.check_move(from_plain(stored.value, Move).ok)
             if stored.kind == "leases":
                 self.check_lease(from_plain(stored.value, Lease).ok)
             if stored.kind == "config" and self.last_move:
                 self.check_split(split_percent(stored))
-        self.checked = len(self.world.store.writes)
+        self.checked = len(self.simulation.store.writes)
 
     def check_move(self, move):
         last, self.last_move = self.last_move, move
@@ -49,18 +49,18 @@
             assert percent == final_percent(self.last_move)
 
     def check_ends(self):
-        """Check that each ended move was reported, and none twice."""
-        ends = [move.started_ms for move in self.world.ends]
+        """Check that the end of each move was reported exactly once."""
+        ends = [move.started_ms for move in self.simulation.ends]
         assert len(set(ends)) == len(ends)
-        assert self.crashed or self.world.move.started_ms in ends
+        assert self.crashed or self.simulation.move.started_ms in ends
 
     def check_settled(self):
-        """Check that the move has ended and that the split says so."""
+        """Check that the move has ended with the matching split."""
         self.check_new_writes()
-        assert self.world.move.state in TERMINAL_STATES
-        assert self.world.percent == final_percent(self.world.move)
-        (number,) = self.world.preferred
-        assert self.world.daemons[number].controller.may_decide
+        assert self.simulation.move.state in TERMINAL_STATES
+        assert self.simulation.percent == final_percent(self.simulation.move)
+        (number,) = self.simulation.preferred
+        assert self.simulation.daemons[number].controller.may_decide
         self.check_ends()
 
 
