--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -1,4 +1,4 @@
-"""Daemons with real snapshots and routers on the network in memory."""
+"""Simulated network of daemons with real snapshots and routers."""
 
 from collections import Counter, defaultdict
 from random import Random
@@ -31,10 +31,10 @@
 
 ADDRESSES = [f"127.0.0.1:{port}" for port in range(7001, 7007)]
 DOMAINS = ("fd0", "fd1", "fd2")
-# Router times start here, so that the targets are warm.
-BEGIN_S = 1000.0
-CHECK_S = 0.2
-POLL_S = 0.4
+# Start of the router clock, late enough for the targets to be warm.
+ROUTER_START_S = 1000.0
+CHECK_INTERVAL_S = 0.2
+POLL_INTERVAL_S = 0.4
 MOVE_MS = 1
 SPLIT = [
     VersionWeight(version="v1", percent=50.0),
@@ -49,7 +49,7 @@
 
 
 class HistoryStore(MemoryStore):
-    """Keep every version of the configuration; lose an answer on request."""
+    """Record every version of the configuration; can lose an answer."""
 
     def __init__(self):
         super().__init__()
@@ -70,7 +70,7 @@
 
 
 class FleetNetwork(Network):
-    """Run daemons that read a store, enforce it and route calls by it."""
+    """Simulate daemons that read a store, enforce it and route calls."""
 
     def __init__(self, seed):
         super().__init__(seed)
@@ -90,7 +90,7 @@
         self.pass_time(12.0)
 
     def write_changed_fleet(self, change):
-        """Write a changed configuration, as another writer does."""
+        """Write a changed configuration in the place of another writer."""
         stored = self.store.objects["config", "fleet"]
         fleet = change(from_plain(stored.value, Fleet).ok)
         return self.store.write("config", "fleet", to_plain(fleet))
@@ -144,10 +144,10 @@
 
     @property
     def router_s(self):
-        return BEGIN_S + self.now_s
+        return ROUTER_START_S + self.now_s
 
     def read_store(self, node, revision):
-        """Offer what the store told, as the watcher does."""
+        """Offer a stored revision to a daemon, as the watcher does."""
         if not node.alive or node.stopped:
             return
         self.enforce(node, revision)
@@ -155,20 +155,22 @@
             self._run(node, node.mesh.store_answered(revision, self.now_s))
 
     def pass_time(self, seconds):
-        """Advance while watchers poll, and check every daemon."""
+        """Advance the time with polling watchers, and check every daemon."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self._poll_store()
-            self.advance(CHECK_S)
+            self.advance(CHECK_INTERVAL_S)
             for node in list(self.nodes.values()):
                 self.check(node)
 
     def check(self, node):
-        """Assert what holds at any time: invariants 1, 2, 3 and 12."""
+        """Check the invariants 1, 2, 3 and 12, which hold at any time."""
         holder = self.holders[node]
         if holder.snapshot is not None:
             fleet = holder.snapshot.fleet
-            assert fleet == self.store.history[holder.revision], "3: applied in part"
+            assert fleet == self.store.history[holder.revision], (
+                "invariant 3: applied partially"
+            )
             services = {service.name for service in fleet.services}
             RouteTable(fleet)
             assert {route.service for route in fleet.routes} <= services, "invariant 2"
@@ -176,10 +178,10 @@
             served = self.served[node.address]
             assert holder.revision >= served, "invariant 1: served an older version"
             self.served[node.address] = holder.revision
-        self._bring_up_to_date(node)
+        self._update_router(node)
 
     def pick_targets(self, node, count=12):
-        """Return the entries that a daemon picks for some orders."""
+        """Return the target entries that a daemon picks for some requests."""
         entries = []
         for _ in range(count):
             sent = send_call(self.routers[node], self.router_s, "POST")
@@ -188,7 +190,7 @@
                 sent[0].finished(builders.OK, self.router_s + 0.01)
         return entries
 
-    def _bring_up_to_date(self, node):
+    def _update_router(self, node):
         router, now_s = self.routers[node], self.router_s
         if node.stopped:
             return
@@ -205,7 +207,7 @@
             router.lift_quarantine(service, version, now_s)
 
     def _poll_store(self):
-        if self.store.down or self.now_s - self._polled_s < POLL_S:
+        if self.store.down or self.now_s - self._polled_s < POLL_INTERVAL_S:
             return
         self._polled_s = self.now_s
         revision = self.pinned_revision or self.store.revision
--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -1,4 +1,4 @@
-"""Tests of membership and dissemination between many daemons."""
+"""Tests of membership and dissemination among many daemons."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -22,11 +22,11 @@
 
 
 class MeshMachine(RuleBasedStateMachine):
-    """Guards against tables that diverge and revisions that go back.
+    """Guards against member tables that diverge and revisions that decrease.
 
-    The network asserts at each start of service that the daemon enforces
-    at least what any ready peer that answered had enforced or had heard
-    of this address.
+    When a daemon becomes ready, the network asserts that it enforces at
+    least the revision that any ready peer which answered it enforced, or
+    knew to be enforced at its address.
     """
 
     @initialize(seed=st.integers(0, 1000))
@@ -147,7 +147,7 @@
 
 
 def test_stopped_daemon_suspects_nobody_and_rejoins():
-    """Guards against a resumed daemon that blames others or stays dead."""
+    """Guards against a resumed daemon that suspects others or stays dead."""
     network, (node, *others) = small_fleet()
     node.stopped = True
     network.advance(30.0)
@@ -160,7 +160,7 @@
 
 
 def test_leaving_daemon_tells_its_neighbours_at_once():
-    """Guards against a notice that waits for a tick that never comes."""
+    """Guards against a leave message that waits for a tick after the exit."""
     network, (node, *others) = small_fleet()
     network.call(node, "leave")
     node.stopped = True
@@ -169,7 +169,7 @@
 
 
 def test_lost_quarantine_is_repaired():
-    """Guards against a quarantine that only the flood carries."""
+    """Guards against a quarantine that is lost with its flooded messages."""
     network, nodes = small_fleet()
     network.loss = 1.0
     item = make_quarantine("v")
@@ -183,18 +183,18 @@
 def test_joiner_learns_its_floor_from_a_neighbour():
     """Guards against a restarted daemon that serves an older revision."""
     network, nodes = small_fleet()
-    for knowing in nodes[:4]:
+    for informed in nodes[:4]:
         network.start(ADDRESSES[4], [ADDRESSES[0]])
-        knowing.mesh.table.note_enforced_revision(ADDRESSES[4], 9)
+        informed.mesh.table.note_enforced_revision(ADDRESSES[4], 9)
         network.advance(5.0)
         joiner = network.nodes[ADDRESSES[4]]
-        watched = knowing.address in joiner.mesh.table.rings.successors(ADDRESSES[4])
-        assert joiner.mesh.ready != (watched or knowing is nodes[0])
-        knowing.mesh.table._enforced_revisions[ADDRESSES[4]] = 1
+        watched = informed.address in joiner.mesh.table.rings.successors(ADDRESSES[4])
+        assert joiner.mesh.ready != (watched or informed is nodes[0])
+        informed.mesh.table._enforced_revisions[ADDRESSES[4]] = 1
 
 
 def test_joins_are_admitted_at_a_bounded_rate_and_told_the_floor():
-    """Guards against a seed that sends its table to everyone at once."""
+    """Guards against a seed that sends its table to all daemons at once."""
     network, (seed, *_) = small_fleet()
     seed.mesh.table.note_enforced_revision("joiner", 9)
     seed.mesh.link_up("joiner", network.now_s)
@@ -213,7 +213,10 @@
 
 
 def test_large_fleet_converges_within_the_stated_bounds():
-    """Guards against floods, repeated snapshots and links that grow with N."""
+    """Guards against traffic and links per daemon that grow with the fleet.
+
+    Each daemon receives a snapshot once.
+    """
     network = Network(7, count_bytes=True)
     addresses = [f"127.0.0.1:{port}" for port in range(8000, 8250)]
     network.newest = 1
@@ -234,7 +237,7 @@
     assert {node.enforced for node in nodes} == {2}
     assert set(network.snapshots.values()) == {1}
     assert len(network.snapshots) == len(nodes) - 1
-    # One announcement over each of 8 links, then 11 KB/s besides one
-    # snapshot in and one out.
+    # Each daemon sends at most one announcement over each of its 8 links. The
+    # traffic is one snapshot in, one out and 11 KB/s of other messages.
     assert 0 < network.announcements < 8 * len(nodes)
     assert sum(network.bytes.values()) / len(nodes) < 2 * 20_000 + 4 * 11_000
--- a/tests/mesh/test_joining.py
+++ b/tests/mesh/test_joining.py
@@ -7,7 +7,7 @@
 
 
 def test_joiner_asks_the_next_seed_and_waits_when_refused():
-    """Guards against a joiner that stops at a dead seed or hammers one."""
+    """Guards against a joining daemon that blocks on or overloads a seed."""
     joiner = Joiner(["a", "b"], Random(1), 0.0)
     first = joiner.poll(0.5)
     assert joiner.poll(0.9) is None
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -35,7 +35,7 @@
 @settings(derandomize=True, deadline=None)
 @given(RECORDS, RECORDS, RECORDS)
 def test_merge_is_independent_of_order(one, other, third):
-    """Guards against tables that differ after records crossed in flight."""
+    """Guards against tables that diverge when records arrive in any order."""
     both = record_hash(merge_records(merge_records(one, other), third))
     assert both == record_hash(merge_records(third, merge_records(other, one)))
     assert both == record_hash(merge_records(one, merge_records(other, third)))
@@ -45,7 +45,7 @@
 
 
 def test_death_needs_two_reporters_and_expires():
-    """Guards against one broken link that kills, and dead that return."""
+    """Guards against deaths by one broken link, and dead that return."""
     table = make_table()
     assert table.suspect("m1", 0.0)
     assert not table.expire(100.0)
@@ -61,7 +61,7 @@
 
 
 def test_restart_with_equal_incarnation_replaces_the_predecessor():
-    """Guards against a clock that gives two lives one incarnation."""
+    """Guards against two processes with one incarnation from the clock."""
     table = make_table()
     assert table.merge(evolve(member("m0"), version=4), 0.0)
     assert (table.own.incarnation, table.own.state) == (2, MemberState.ALIVE)
@@ -70,7 +70,7 @@
 @settings(derandomize=True, deadline=None)
 @given(st.lists(st.tuples(st.booleans(), st.sampled_from(NAMES))))
 def test_rings_match_a_rebuilt_copy(steps):
-    """Guards against rings that drift as members come and go."""
+    """Guards against rings that diverge as members are added and removed."""
     rings, members = Rings(), set()
     for present, name in steps:
         (rings.add if present else rings.discard)(name)
--- a/tests/mesh/test_mesh_service.py
+++ b/tests/mesh/test_mesh_service.py
@@ -74,7 +74,7 @@
 
 
 async def test_services_share_members_snapshots_and_quarantines(nursery):
-    """Guards against messages, snapshots or events lost at the edge."""
+    """Guards against messages, snapshots or events lost in the I/O layer."""
     addresses = [free_address() for _ in range(3)]
     daemons = [Daemon(address, addresses[:1]) for address in addresses]
     first, second, third = daemons
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -40,7 +40,7 @@
 
 
 async def test_link_reconnects_to_a_restarted_peer(nursery):
-    """Guards against pipes mapped to a wrong peer or kept after its death."""
+    """Guards against pipes mapped to a wrong peer or kept after its end."""
     one, other = Peer(free_address()), Peer(free_address())
     one.link.connect(other.address)
     nursery.start_soon(one.run)
@@ -60,8 +60,9 @@
 
 
 async def test_both_ends_dial_and_disconnect(nursery):
-    """Guards against a pair that loses its link when one end lets go."""
-    # The lower address keeps its pipe, so the other end has to dial again.
+    """Guards against a lost link when only one end disconnects."""
+    # The end with the lower address keeps its pipe, so that the other end has
+    # to dial again when it disconnects.
     one, other = map(Peer, sorted([free_address(), free_address()]))
     pairs = [(one, other), (other, one)]
     for peer, remote in pairs:
@@ -75,7 +76,7 @@
             await remote.expect(ping(peer.address, sequence))
         one.link.disconnect(other.address)
         await trio.sleep(0.05)
-        # An accepted pipe has no address before the dialling end has sent.
+        # An accepted pipe has no address until the dialing end has sent.
         pairs = [(other, one), (one, other)]
     other.link.disconnect(one.address)
     await one.expect(LinkDown(address=other.address))
--- a/tests/mesh/test_pulling.py
+++ b/tests/mesh/test_pulling.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of the peer that sends a snapshot."""
+"""Tests of the choice of the peer to pull a snapshot from."""
 
 from catkinhollow.mesh.mesh_commands import CommandQueue
 from catkinhollow.mesh.pulling import SnapshotExchange, SnapshotPuller
@@ -21,7 +21,7 @@
 
 
 def test_older_snapshot_is_not_offered_to_peers():
-    """Guards against peers that pull an older revision again."""
+    """Guards against peers that pull an older revision."""
     exchange = SnapshotExchange(CommandQueue(None, None), 0.5)
     assert exchange.offer(7, b"new")
     assert not exchange.offer(6, b"old")
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -1,4 +1,4 @@
-"""A network in memory, in virtual time, for many Mesh objects."""
+"""Simulated network in virtual time for many Mesh objects."""
 
 from collections import Counter
 from heapq import heappop, heappush
@@ -26,7 +26,11 @@
 
 @define(eq=False)
 class Node:
-    """One life of a daemon; the oracle's knowledge about it is beside."""
+    """Represent one process of a daemon, with the expectations of the test.
+
+    `required` is the revision that the daemon has to enforce when it becomes
+    ready; `heard` has the newest revision that each peer announced to it.
+    """
 
     address: str
     mesh: Mesh
@@ -40,11 +44,11 @@
     closed: list = field(factory=list)
     heard: Counter = field(factory=Counter)
     required: int = 0
-    was_ready: bool = False
+    has_been_ready: bool = False
 
 
 class Network:
-    """Carry messages with delay, loss and partitions."""
+    """Deliver messages with delay, loss and partitions."""
 
     def __init__(self, seed, *, count_bytes=False):
         self.random = Random(seed)
@@ -143,8 +147,8 @@
                     self.enforce(node, revision, len(data))
                 case FloorRaised(revision=revision):
                     node.floor = max(node.floor, revision)
-        if node.mesh.ready and not node.was_ready:
-            node.was_ready = True
+        if node.mesh.ready and not node.has_been_ready:
+            node.has_been_ready = True
             assert node.enforced >= node.required
         if node.due_s <= self.now_s or node.mesh.due_s < node.due_s:
             node.due_s = max(self.now_s + 0.001, node.mesh.due_s)
@@ -191,9 +195,9 @@
 
     def _send(self, node, address, envelope):
         body = envelope.ack or envelope.join_reply
-        knows = 0
+        known_revision = 0
         if body is not None and body.ready:
-            knows = max(node.enforced, node.heard[address])
+            known_revision = max(node.enforced, node.heard[address])
         if self._count_bytes:
             size = len(encode_without_none(envelope))
             gossip = envelope.gossip
@@ -201,9 +205,11 @@
             self.bytes[node.address] += size
             self.bytes[address] += size
         if self.random.random() >= self.loss:
-            self._later(self._delay_s(), self._arrive, node, address, envelope, knows)
+            self._later(
+                self._delay_s(), self._arrive, node, address, envelope, known_revision
+            )
 
-    def _arrive(self, sender, address, envelope, knows):
+    def _arrive(self, sender, address, envelope, known_revision):
         node = self.nodes.get(address)
         link = frozenset((sender.address, address))
         if node is None or link not in self._links or not self.reachable(*link):
@@ -211,7 +217,7 @@
         if node.stopped:
             node.inbox.append((sender.address, envelope))
             return
-        node.required = max(node.required, 0 if node.was_ready else knows)
+        node.required = max(node.required, 0 if node.has_been_ready else known_revision)
         self._deliver(sender.address, node, envelope)
 
     def _deliver(self, sender, node, envelope):
