--- a/tests/mesh/test_mesh_service.py
+++ b/tests/mesh/test_mesh_service.py
@@ -74,7 +74,7 @@
 
 
 async def test_services_share_members_snapshots_and_quarantines(nursery):
-    """Guards against messages, snapshots or events lost at the edge."""
+    """Guards against messages, snapshots or events lost in the I/O layer."""
     addresses = [free_address() for _ in range(3)]
     daemons = [Daemon(address, addresses[:1]) for address in addresses]
     first, second, third = daemons
@@ -99,5 +99,5 @@
     await until(lambda: first.mesh.table.records[second.address].targets == [record])
 
     second.mesh.leave()
-    await until(lambda: len(first.mesh.table.present()) == 2)
+    await until(lambda: len(first.mesh.table.present_members()) == 2)
     nursery.cancel_scope.cancel()
