Rename the empty hop of measure_hop to a baseline proxy

tools/empty_hop.py becomes tools/baseline_proxy.py: it is the proxy without any code of catkinhollow that the daemons are compared with. docs/decisions/memory-and-cpu.md names the old path.

--- a/tools/empty_hop.py
+++ b/tools/baseline_proxy.py
@@ -1,4 +1,4 @@
-"""Pass calls on with hypercorn and httpcore and nothing else."""
+"""Forward requests with hypercorn and httpcore alone, as a baseline."""
 
 import sys
 from typing import Any
@@ -17,7 +17,7 @@
 HOST = "127.0.0.1"
 
 
-class EmptyHop:
+class BaselineProxy:
     """Forward each request to one target as an ASGI application."""
 
     def __init__(self, target_port: int) -> None:
@@ -66,4 +66,4 @@
     config.bind = [f"{HOST}:{sys.argv[1]}"]
     config.accesslog = None
     config.keep_alive_max_requests = sys.maxsize
-    trio.run(serve, EmptyHop(int(sys.argv[2])), config)
+    trio.run(serve, BaselineProxy(int(sys.argv[2])), config)
--- a/tools/measure_hop.py
+++ b/tools/measure_hop.py
@@ -1,4 +1,4 @@
-"""Compare direct calls, an empty hop, and daemons in interleaved blocks."""
+"""Compare direct calls, a baseline proxy and daemons in interleaved blocks."""
 
 import subprocess
 import sys
@@ -104,8 +104,8 @@
         try:
             await _start(cluster, 2 if other else 1)
             node = cluster.nodes["n0"]
-            with _empty_hop(node.target_port) as hop:
-                routes = [_direct(cluster), hop, _daemon(cluster, "n0", "daemon")]
+            with _baseline_proxy(node.target_port) as proxy:
+                routes = [_direct(cluster), proxy, _daemon(cluster, "n0", "daemon")]
                 if other:
                     with _other_daemon(cluster, "n1", other) as route:
                         await _measure_routes([*routes, route], rate_per_s, blocks)
@@ -162,12 +162,12 @@
 
 
 @contextmanager
-def _empty_hop(target_port: int) -> Iterator[Route]:
+def _baseline_proxy(target_port: int) -> Iterator[Route]:
     port = free_ports(1)[0]
-    script = Path(__file__).with_name("empty_hop.py")
+    script = Path(__file__).with_name("baseline_proxy.py")
     arguments = [sys.executable, str(script), str(port), str(target_port)]
     with _ended(arguments, ROOT) as process:
-        yield Route(name="empty hop", entry=f"127.0.0.1:{port}", process=process)
+        yield Route(name="baseline", entry=f"127.0.0.1:{port}", process=process)
 
 
 @contextmanager
