Clarify the wording of the tools

Measurement scripts name what they measure and in which unit; Route of measure_hop becomes CallPath, as a route is part of the configuration.

--- a/tools/check_generated.py
+++ b/tools/check_generated.py
@@ -1,4 +1,4 @@
-"""Check that generating again changes no committed file."""
+"""Check that the committed generated files match their schemas."""
 
 import sys
 from pathlib import Path
@@ -11,7 +11,7 @@
 
 
 def main() -> int:
-    """Return 1 and name the files that differ from their schema."""
+    """Return 1 and print the files that do not match their schema."""
     stale = []
     with TemporaryDirectory(dir=OUTPUT_DIR.parent) as directory:
         pairs = [
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -14,31 +14,31 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "fault-matrix.md"
-GROUPS = [
+TEST_FILES = [
     str(ROOT / "tests" / f"test_fault_{name}.py")
     for name in ("orders", "configuration", "moves", "cold_start")
 ]
-CELL = re.compile(r"\[(?P<cell>.+)-\d+\]$")
+CELL_PATTERN = re.compile(r"\[(?P<cell>.+)-\d+\]$")
 
 Cell = tuple[str, str]
 
 
 class Recorder:
-    """Keep the result of each test of a cell."""
+    """Record the results of the tests of each cell."""
 
     def __init__(self) -> None:
         self.cells: dict[Cell, list[bool]] = defaultdict(list)
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
-        """Note a test that has run."""
+        """Record the result of a test."""
         if report.when == "call" or report.failed:
-            self.cells[_cell(report.nodeid)].append(report.passed)
+            self.cells[_parse_cell(report.nodeid)].append(report.passed)
 
 
-def _cell(node_id: str) -> Cell:
-    found = CELL.search(node_id)
-    assert found, node_id
-    text = found["cell"]
+def _parse_cell(node_id: str) -> Cell:
+    match = CELL_PATTERN.search(node_id)
+    assert match, node_id
+    text = match["cell"]
     return next(
         (text.removeprefix(f"{step}-"), step)
         for step in STEPS
@@ -46,15 +46,15 @@
     )
 
 
-def run() -> dict[Cell, list[bool]]:
+def run_tests() -> dict[Cell, list[bool]]:
     """Run the tests and return the results by cell."""
     recorder = Recorder()
-    pytest.main(GROUPS, plugins=[recorder])
+    pytest.main(TEST_FILES, plugins=[recorder])
     return recorder.cells
 
 
 def render(cells: dict[Cell, list[bool]]) -> str:
-    """Return the page for the results."""
+    """Return the text of the page for the results."""
     reasons = {
         reason: number
         for number, reason in enumerate(dict.fromkeys(NOT_APPLICABLE.values()), 1)
@@ -66,7 +66,7 @@
         "Written by `python -m tools.fault_matrix`; do not edit. Rows are faults,",
         "columns are steps. A cell holds the number of its tests that passed, or",
         "**red** with the number that failed, or in brackets the number of the",
-        "reason why the fault can't meet the step.",
+        "reason why the fault does not apply to the step.",
         "",
         f"{passed} cells passed, {len(cells) - passed} red, "
         f"{len(NOT_APPLICABLE)} not applicable; "
@@ -76,14 +76,16 @@
         "| --- |" + " --- |" * len(STEPS),
     ]
     for fault, title in FAULTS.items():
-        texts = [_text(cells, reasons, (fault, step)) for step in STEPS]
+        texts = [_format_cell(cells, reasons, (fault, step)) for step in STEPS]
         lines.append(f"| {title} | " + " | ".join(texts) + " |")
     lines += ["", "Not applicable because:", ""]
     lines += [f"{number}. {reason}" for reason, number in reasons.items()]
     return "\n".join(lines) + "\n"
 
 
-def _text(cells: dict[Cell, list[bool]], reasons: dict[str, int], cell: Cell) -> str:
+def _format_cell(
+    cells: dict[Cell, list[bool]], reasons: dict[str, int], cell: Cell
+) -> str:
     if cell in NOT_APPLICABLE:
         return f"({reasons[NOT_APPLICABLE[cell]]})"
     results = cells.get(cell, [])
@@ -94,8 +96,8 @@
 
 
 def main() -> int:
-    """Run every cell and write the page; fail if a cell is red."""
-    cells = run()
+    """Run every cell, write the page and return 1 if a cell is red."""
+    cells = run_tests()
     PAGE.write_text(render(cells))
     return int(any(not all(results) or not results for results in cells.values()))
 
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -1,4 +1,4 @@
-"""Run all state machines for some minutes and count their steps.
+"""Run the stateful tests for a given time and count their steps.
 
 Run it as `python -m tools.fuzz --minutes N --seed S` from the root.
 """
@@ -19,7 +19,7 @@
 from tests.testbed.test_store_state import StoreMachine
 from tests.testbed.test_target_model import SlotMachine
 
-MACHINES = (
+STATE_MACHINES = (
     CallRouterMachine,
     RacingControllers,
     MeshMachine,
@@ -27,15 +27,15 @@
     StoreMachine,
     SlotMachine,
 )
-# Small enough that every machine gets its turns within a minute.
+# Small enough that every state machine runs within a minute.
 EXAMPLES_PER_ROUND = 50
 STEPS_PER_EXAMPLE = 60
 
 
-def counted(
+def count_steps(
     machine: type[RuleBasedStateMachine], steps: Counter[str]
 ) -> type[RuleBasedStateMachine]:
-    """Return the machine with each executed rule counted."""
+    """Return the state machine with a counter of its executed rules."""
 
     def check_invariants(self: RuleBasedStateMachine, *args: object) -> None:
         steps[machine.__name__] += 1
@@ -44,11 +44,11 @@
     return type(machine.__name__, (machine,), {"check_invariants": check_invariants})
 
 
-def run_round(number: int, steps: Counter[str]) -> None:
-    """Run every machine once with a seed."""
-    for machine in MACHINES:
+def run_round(round_seed: int, steps: Counter[str]) -> None:
+    """Run every state machine once with a seed."""
+    for machine in STATE_MACHINES:
         run_state_machine_as_test(
-            use_seed(number)(counted(machine, steps)),
+            use_seed(round_seed)(count_steps(machine, steps)),
             settings=settings(
                 deadline=None,
                 database=None,
@@ -59,21 +59,21 @@
 
 
 def main() -> int:
-    """Run rounds with growing seeds until the time is over."""
+    """Run rounds with increasing seeds until the time is over."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--minutes", type=float, default=10.0)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     end_s = time.monotonic() + options.minutes * 60
     steps: Counter[str] = Counter()
-    number = options.seed
-    while time.monotonic() < end_s or number == options.seed:
-        print(f"seed {number}", flush=True)
-        run_round(number, steps)
-        number += 1
+    round_seed = options.seed
+    while time.monotonic() < end_s or round_seed == options.seed:
+        print(f"seed {round_seed}", flush=True)
+        run_round(round_seed, steps)
+        round_seed += 1
     for name, count in steps.items():
         print(f"{name}: {count} steps")
-    print(f"{sum(steps.values())} steps, seeds {options.seed} to {number - 1}")
+    print(f"{sum(steps.values())} steps, seeds {options.seed} to {round_seed - 1}")
     return 0
 
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,4 +1,4 @@
-"""Generate the attrs classes from the JSON Schema files in YAML."""
+"""Generate the attrs classes and the reference from the JSON Schema files."""
 
 import subprocess
 import sys
@@ -58,7 +58,7 @@
 
 
 def main() -> None:
-    """Generate every module and the reference."""
+    """Generate every module and docs/settings.md."""
     for schema in sorted(SCHEMA_DIR.glob("*.yaml")):
         generate(schema, OUTPUT_DIR / f"{schema.stem}.py")
     generate(PLATFORM_DIR / "schema.yaml", PLATFORM_DIR / "generated.py")
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -1,4 +1,4 @@
-"""Generate the reference of the settings and of the fleet files."""
+"""Generate the reference of the settings and the fleet files."""
 
 from collections.abc import Iterator
 from pathlib import Path
@@ -16,9 +16,10 @@
 Generated from `catkinhollow/schema/` by `tools/generate_reference.py`; do not
 edit.
 
-Files are YAML with plain values: no tags, no merge keys, no key twice. Anchors
-and aliases are allowed. An unknown key, a wrong type or a value out of bounds
-refuses the whole file, with file, line and reason.
+Files are YAML with plain values, without tags, merge keys or duplicate keys.
+Anchors and aliases are allowed. A file with an unknown key, a value of the
+wrong type or a value out of bounds is refused as a whole; the error names file,
+line and reason.
 """
 SETTINGS_INTRODUCTION = """\
 ## Settings of a daemon
@@ -31,19 +32,19 @@
 RELAY_INTRODUCTION = """\
 ## Settings of a relay daemon
 
-On the users' platform: the platform fills the values into `deploy/daemon.yaml`
-and puts the result where the variable `CATKINHOLLOW_SETTINGS` says. The file is
-read again on SIGHUP and every 2 s; a changed `grace_s` holds at once, other
-values from the next start.
+On the users' platform, the platform fills the values into `deploy/daemon.yaml`
+and writes the result to the path in the environment variable
+`CATKINHOLLOW_SETTINGS`. The file is reloaded on SIGHUP and every 2 s; a changed
+`grace_s` takes effect immediately, other values at the next start.
 """
 FLEET_INTRODUCTION = """\
 ## Fleet files
 
-One or several files, checked by `catkinhollow validate FILE...` and put in
-force by `catkinhollow apply FILE...`. The lists of all files are joined;
-`defaults` are in one file only. Within one fleet the names of services, of
+One or more files, checked by `catkinhollow validate FILE...` and written to the
+store by `catkinhollow apply FILE...`. The lists of all files are concatenated;
+`defaults` may be set in one file only. Within a fleet the names of services, of
 routes and of exceptions are unique, no two routes have the same method and
-path prefix, and no two exceptions replace one setting for the same scope.
+path prefix, and no two exceptions replace the same setting for the same scope.
 """
 
 
@@ -63,24 +64,28 @@
 
 def _describe_all(schema_file: str, root: str) -> Iterator[str]:
     schema = yaml.safe_load((SCHEMA_DIR / schema_file).read_text())
-    words = schema.get("x-pattern-words", {})
+    pattern_texts = schema.get("x-pattern-words", {})
     definitions = schema["$defs"]
-    for name in _reachable(definitions, root):
+    for name in _list_reachable(definitions, root):
         if "properties" in definitions[name]:
-            yield _describe(name, definitions, words)
+            yield _describe(name, definitions, pattern_texts)
 
 
-def _reachable(definitions: dict[str, Any], root: str) -> list[str]:
+def _list_reachable(definitions: dict[str, Any], root: str) -> list[str]:
     names = [root]
     for name in names:
         for item in definitions[name].get("properties", {}).values():
-            target = _target(item) or _target(item.get("items", {}))
-            if target and target not in names:
-                names.append(target)
+            referenced = _referenced_name(item) or _referenced_name(
+                item.get("items", {})
+            )
+            if referenced and referenced not in names:
+                names.append(referenced)
     return names
 
 
-def _describe(name: str, definitions: dict[str, Any], words: dict[str, str]) -> str:
+def _describe(
+    name: str, definitions: dict[str, Any], pattern_texts: dict[str, str]
+) -> str:
     definition = definitions[name]
     required = definition.get("required", [])
     lines = [
@@ -92,36 +97,36 @@
     for key, item in definition["properties"].items():
         cells = [
             f"`{key}`",
-            _type_words(item, definitions),
-            _limit_words(item, definitions, words),
-            "required" if key in required else _default_words(item),
+            _format_type(item, definitions),
+            _format_limits(item, definitions, pattern_texts),
+            "required" if key in required else _format_default(item),
             item.get("description", ""),
         ]
         lines.append(f"| {' | '.join(cells)} |")
     return "\n".join(lines) + "\n"
 
 
-def _target(item: dict[str, Any]) -> str:
+def _referenced_name(item: dict[str, Any]) -> str:
     return str(item.get("$ref", "")).removeprefix("#/$defs/")
 
 
-def _type_words(item: dict[str, Any], definitions: dict[str, Any]) -> str:
+def _format_type(item: dict[str, Any], definitions: dict[str, Any]) -> str:
     if item.get("type") == "array":
-        return f"list of {_type_words(item['items'], definitions)}"
-    target = _target(item)
-    if target and "properties" in definitions[target]:
-        return f"[{target}](#{target.lower()})"
-    return str(definitions[target]["type"] if target else item["type"])
+        return f"list of {_format_type(item['items'], definitions)}"
+    referenced = _referenced_name(item)
+    if referenced and "properties" in definitions[referenced]:
+        return f"[{referenced}](#{referenced.lower()})"
+    return str(definitions[referenced]["type"] if referenced else item["type"])
 
 
-def _limit_words(
-    item: dict[str, Any], definitions: dict[str, Any], words: dict[str, str]
+def _format_limits(
+    item: dict[str, Any], definitions: dict[str, Any], pattern_texts: dict[str, str]
 ) -> str:
-    target = _target(item)
-    if target and "enum" in definitions[target]:
-        item = {**definitions[target], **item}
+    referenced = _referenced_name(item)
+    if referenced and "enum" in definitions[referenced]:
+        item = {**definitions[referenced], **item}
     if item.get("type") == "array":
-        entries = _limit_words(item["items"], definitions, words)
+        entries = _format_limits(item["items"], definitions, pattern_texts)
         size = f"at most {item['maxItems']} entries" if "maxItems" in item else ""
         return "; ".join(part for part in (size, entries) if part)
     limits = [
@@ -135,11 +140,11 @@
     if "enum" in item:
         parts.append("one of " + ", ".join(f"`{value}`" for value in item["enum"]))
     if "pattern" in item:
-        parts.append(words[item["pattern"]])
+        parts.append(pattern_texts[item["pattern"]])
     return ", ".join(parts)
 
 
-def _default_words(item: dict[str, Any]) -> str:
+def _format_default(item: dict[str, Any]) -> str:
     default = item["default"]
     if default in ({}, []):
         return "the defaults below" if default == {} else "none"
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -1,4 +1,4 @@
-"""Measure the CPU time of our own code in a call, without any socket."""
+"""Measure the CPU time of catkinhollow's code per call, without sockets."""
 
 import sys
 from collections.abc import Awaitable, Callable
@@ -37,7 +37,7 @@
     (b"x-deadline-ms", b"10000"),
     (b"x-backer", b"b0"),
 ]
-ANSWER = Response(
+RESPONSE = Response(
     status=200,
     headers=[
         (b"content-type", b"application/json"),
@@ -53,18 +53,18 @@
     "query_string": b"",
     "headers": HEADERS,
 }
-ON_THE_WIRE = (
+RAW_RESPONSE = (
     b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
     b"x-target-version: v1\r\ncontent-length: 2\r\n\r\n{}"
 )
 
 
 class InstantClient:
-    """Answer every request at once."""
+    """Return a response to every request immediately."""
 
     async def send(self, address: str, request: Request, timeout_s: float) -> Attempt:
-        """Return the same answer to each request."""
-        return Attempt(kind=AttemptKind.ANSWERED, response=ANSWER)
+        """Return the same response to each request."""
+        return Attempt(kind=AttemptKind.ANSWERED, response=RESPONSE)
 
 
 def make_router() -> CallRouter:
@@ -96,7 +96,7 @@
 
 
 def make_application() -> TrafficApplication:
-    """Return the application without its sockets."""
+    """Return the traffic application without a listener."""
     dispatcher = Dispatcher(
         router=make_router(),
         client=InstantClient(),
@@ -109,18 +109,20 @@
 
 
 async def measure(name: str, call: Callable[[], Awaitable[Any]]) -> None:
-    """Print the median CPU time of a call over some rounds."""
+    """Print the median and the minimum CPU time of a call over the rounds."""
     times_us = []
     for _ in range(ROUNDS):
-        began_s = process_time()
+        started_s = process_time()
         for _ in range(CALLS):
             await call()
-        times_us.append(1e6 * (process_time() - began_s) / CALLS)
-    print(f"{name:20} median {median(times_us):6.1f} us, least {min(times_us):6.1f} us")
+        times_us.append(1e6 * (process_time() - started_s) / CALLS)
+    print(
+        f"{name:20} median {median(times_us):6.1f} us, minimum {min(times_us):6.1f} us"
+    )
 
 
 async def main() -> None:
-    """Measure the application, and the client on a stream in memory."""
+    """Measure the traffic application and the HTTP client."""
     application = make_application()
     statuses: list[int] = []
 
@@ -137,9 +139,9 @@
 
 
 async def measure_client() -> None:
-    """Measure our client and httpcore on a stream in memory."""
+    """Measure HttpTargetClient with httpcore on an in-memory stream."""
     client = HttpTargetClient(HttpSettings())
-    stream = AsyncMockStream([ON_THE_WIRE] * (CALLS * ROUNDS + 1))
+    stream = AsyncMockStream([RAW_RESPONSE] * (CALLS * ROUNDS + 1))
     origin = Origin(b"http", b"127.0.0.1", 1)
     connection = AsyncHTTP11Connection(origin, stream)
     connections = client._targets["127.0.0.1:1"]
@@ -153,11 +155,11 @@
 
     # A connection that has never been used counts as new and not as idle.
     connections.idle.clear()
-    await client._give_back(connections, await _used(connection), True)
+    await client._give_back(connections, await _use_once(connection), True)
     await measure("client and httpcore", call)
 
 
-async def _used(connection: AsyncHTTP11Connection) -> AsyncHTTP11Connection:
+async def _use_once(connection: AsyncHTTP11Connection) -> AsyncHTTP11Connection:
     response = await connection.request("GET", "http://127.0.0.1:1/s/x")
     await response.aread()
     await response.aclose()
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -1,4 +1,4 @@
-"""Measure the time that the decisions about one call take."""
+"""Measure the time that the routing decisions for one call take."""
 
 import sys
 from pathlib import Path
@@ -31,7 +31,7 @@
 
 
 def make_fleet(split: bool) -> Fleet:
-    """Return a configuration of the design size."""
+    """Return a configuration of the size that the system is designed for."""
     weights = [
         VersionWeight(version="v1", percent=90),
         VersionWeight(version="v2", percent=10),
@@ -50,7 +50,7 @@
 
 
 def make_members() -> list[MemberRecord]:
-    """Return 6 failure domains with 40 targets of each service."""
+    """Return members in 6 failure domains with 40 targets of each service."""
     return [
         MemberRecord(
             address=f"m{service}-{index}:1",
@@ -73,35 +73,35 @@
 
 
 def measure(in_flight: int, split: bool) -> None:
-    """Print the decision time of a call with so many others in flight."""
+    """Print the decision time of a call while others are in flight."""
     router = CallRouter(Location(failure_domain="fd0", region="region0"), Random(1))
     router.enforce(make_fleet(split), 0.0)
     members = make_members()
     router.update_members(members, 0.0, 10**9)
     members[0] = evolve(members[0], version=1, enforced_revision=2)
-    begun = perf_counter()
+    started_s = perf_counter()
     router.update_members(members, 0.0, 10**9)
-    update_ms = (perf_counter() - begun) * 1000
+    update_ms = (perf_counter() - started_s) * 1000
     answered = AttemptResult(kind=AttemptKind.ANSWERED, status=200)
-    held, times, now_s = [], [], 0.0
+    open_calls, times_us, now_s = [], [], 0.0
     for number in range(CALLS):
         now_s += CALL_INTERVAL_S
         facts = CallFacts(method="GET", path="/s1/x", backer=f"b{number % 8}")
         start = perf_counter()
         result = router.begin(facts, now_s)
         step = result.ok.next_step(now_s) if result.is_ok() else None
-        spent = perf_counter() - start
+        elapsed_s = perf_counter() - start
         if isinstance(step, SendTo):
-            held.append(result.ok)
-        if len(held) >= in_flight:
+            open_calls.append(result.ok)
+        if len(open_calls) >= in_flight:
             start = perf_counter()
-            held.pop(0).finished(answered, now_s)
-            spent += perf_counter() - start
-        times.append(spent * 1e6)
-    cuts = quantiles(times, n=100)
+            open_calls.pop(0).finished(answered, now_s)
+            elapsed_s += perf_counter() - start
+        times_us.append(elapsed_s * 1e6)
+    percentiles = quantiles(times_us, n=100)
     print(
-        f"in flight {in_flight}, split {split}: median {cuts[49]:.1f} us, "
-        f"p99 {cuts[98]:.1f} us, mean {sum(times) / CALLS:.1f} us; "
+        f"in flight {in_flight}, split {split}: median {percentiles[49]:.1f} us, "
+        f"p99 {percentiles[98]:.1f} us, mean {sum(times_us) / CALLS:.1f} us; "
         f"update of one member {update_ms:.2f} ms"
     )
 
--- a/tools/measure_hop.py
+++ b/tools/measure_hop.py
@@ -27,13 +27,13 @@
 from catkinhollow.testbed.processes import free_ports  # noqa: E402
 
 FLEET = ROOT / "examples" / "consortium"
-START_LIMIT_S = 30.0
+START_TIMEOUT_S = 30.0
 SETTLE_S = 4.0
 BLOCK_S = 2.0
 # The first block of each path opens its connections.
 WARMUP_BLOCKS = 1
 SEED = 1
-KIND = CallKind(
+CALL_KIND = CallKind(
     name="browse",
     method="GET",
     path="/catalogue/a",
@@ -45,8 +45,8 @@
 
 
 @define(kw_only=True)
-class Route:
-    """Hold one way to the target and what was measured on it."""
+class CallPath:
+    """Represent one path to the target with its measurements."""
 
     name: str
     entry: str
@@ -56,77 +56,77 @@
     cpu_s: float = 0.0
 
     def reset(self) -> None:
-        """Forget what was measured."""
+        """Discard the measurements."""
         self.times_s.clear()
         self.results.clear()
         self.cpu_s = 0.0
 
-    def print(self, base: "Route") -> None:
-        """Print the figures, and what they add to those of another route."""
-        own, other = _cuts_ms(self.times_s), _cuts_ms(base.times_s)
-        added = " ".join(f"{a - b:+6.2f}" for a, b in zip(own, other, strict=True))
-        shown = " ".join(f"{value:6.2f}" for value in own)
+    def print(self, base: "CallPath") -> None:
+        """Print the figures and their difference from those of a base path."""
+        own, other = _percentiles_ms(self.times_s), _percentiles_ms(base.times_s)
+        added_text = " ".join(f"{a - b:+6.2f}" for a, b in zip(own, other, strict=True))
+        own_text = " ".join(f"{value:6.2f}" for value in own)
         cpu_ms = 1000 * self.cpu_s / len(self.times_s)
         rss_mib = self.process.memory_info().rss / 2**20
         print(
             f"{self.name:9} {dict(self.results)}; "
-            f"p50/p90/p99 {shown} ms; added {added} ms; "
+            f"p50/p90/p99 {own_text} ms; added {added_text} ms; "
             f"CPU {cpu_ms:.3f} ms a call; rss {rss_mib:.1f} MiB"
         )
 
 
-def _cuts_ms(times_s: Sequence[float]) -> list[float]:
-    cuts = quantiles(times_s, n=100)
-    return [1000 * cuts[index] for index in (49, 89, 98)]
+def _percentiles_ms(times_s: Sequence[float]) -> list[float]:
+    percentiles = quantiles(times_s, n=100)
+    return [1000 * percentiles[index] for index in (49, 89, 98)]
 
 
-async def run_block(route: Route, rate_per_s: float, block_s: float) -> None:
-    """Call along one route at a steady rate and add up its figures."""
+async def run_block(path: CallPath, rate_per_s: float, block_s: float) -> None:
+    """Call along one path at a steady rate and add to its figures."""
     log = CallLog()
-    entries = [route.entry]
-    callers = CallerGroup(lambda: entries, [KIND], rate_per_s, Random(SEED), log)
-    before = route.process.cpu_times()
+    entries = [path.entry]
+    callers = CallerGroup(lambda: entries, [CALL_KIND], rate_per_s, Random(SEED), log)
+    before = path.process.cpu_times()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run)
         await trio.sleep(block_s)
         callers.stop()
-    after = route.process.cpu_times()
-    route.cpu_s += after.user + after.system - before.user - before.system
+    after = path.process.cpu_times()
+    path.cpu_s += after.user + after.system - before.user - before.system
     for record in log.records:
-        route.times_s.append(record.taken_s)
-        route.results[record.result.value] += 1
+        path.times_s.append(record.taken_s)
+        path.results[record.result.value] += 1
 
 
 async def measure(rate_per_s: float, blocks: int, other: Path | None) -> None:
-    """Print the figures of every route."""
+    """Print the figures of every path."""
     with TemporaryDirectory() as directory:
         cluster = Cluster(Path(directory), region="windhoek")
         try:
             await _start(cluster, 2 if other else 1)
             node = cluster.nodes["n0"]
             with _baseline_proxy(node.target_port) as proxy:
-                routes = [_direct(cluster), proxy, _daemon(cluster, "n0", "daemon")]
+                paths = [_direct(cluster), proxy, _daemon(cluster, "n0", "daemon")]
                 if other:
-                    with _other_daemon(cluster, "n1", other) as route:
-                        await _measure_routes([*routes, route], rate_per_s, blocks)
+                    with _other_daemon(cluster, "n1", other) as path:
+                        await _measure_paths([*paths, path], rate_per_s, blocks)
                 else:
-                    await _measure_routes(routes, rate_per_s, blocks)
+                    await _measure_paths(paths, rate_per_s, blocks)
         finally:
             with trio.CancelScope(shield=True):
                 await cluster.stop()
 
 
-async def _measure_routes(
-    routes: Sequence[Route], rate_per_s: float, blocks: int
+async def _measure_paths(
+    paths: Sequence[CallPath], rate_per_s: float, blocks: int
 ) -> None:
     await trio.sleep(SETTLE_S)
     for number in range(WARMUP_BLOCKS + blocks):
-        for route in routes:
-            await run_block(route, rate_per_s, BLOCK_S)
+        for path in paths:
+            await run_block(path, rate_per_s, BLOCK_S)
             if number < WARMUP_BLOCKS:
-                route.reset()
-    for route in routes:
-        route.print(routes[0])
+                path.reset()
+    for path in paths:
+        path.print(paths[0])
 
 
 async def _start(cluster: Cluster, count: int) -> None:
@@ -147,41 +147,41 @@
         )
         for index in range(count)
     )
-    if not await cluster.wait_ready(START_LIMIT_S):
+    if not await cluster.wait_ready(START_TIMEOUT_S):
         raise SystemExit("a daemon did not become ready")
 
 
-def _daemon(cluster: Cluster, node: str, name: str) -> Route:
+def _daemon(cluster: Cluster, node: str, name: str) -> CallPath:
     process = psutil.Process(cluster.daemon(node).process.pid)
-    return Route(name=name, entry=cluster.nodes[node].traffic, process=process)
+    return CallPath(name=name, entry=cluster.nodes[node].traffic, process=process)
 
 
-def _direct(cluster: Cluster) -> Route:
+def _direct(cluster: Cluster) -> CallPath:
     node = cluster.nodes["n0"]
-    return Route(name="direct", entry=node.target, process=psutil.Process())
+    return CallPath(name="direct", entry=node.target, process=psutil.Process())
 
 
 @contextmanager
-def _baseline_proxy(target_port: int) -> Iterator[Route]:
+def _baseline_proxy(target_port: int) -> Iterator[CallPath]:
     port = free_ports(1)[0]
     script = Path(__file__).with_name("baseline_proxy.py")
     arguments = [sys.executable, str(script), str(port), str(target_port)]
-    with _ended(arguments, ROOT) as process:
-        yield Route(name="baseline", entry=f"127.0.0.1:{port}", process=process)
+    with _terminated_on_exit(arguments, ROOT) as process:
+        yield CallPath(name="baseline", entry=f"127.0.0.1:{port}", process=process)
 
 
 @contextmanager
-def _other_daemon(cluster: Cluster, node: str, root: Path) -> Iterator[Route]:
+def _other_daemon(cluster: Cluster, node: str, root: Path) -> Iterator[CallPath]:
     """Run the daemon of a node from another checkout."""
     cluster.kill_daemon(node)
     settings = cluster.nodes[node].settings_path
     module = ["-m", "catkinhollow", "daemon", "--settings", str(settings)]
-    with _ended([sys.executable, *module], root) as process:
-        yield Route(name="other", entry=cluster.nodes[node].traffic, process=process)
+    with _terminated_on_exit([sys.executable, *module], root) as process:
+        yield CallPath(name="other", entry=cluster.nodes[node].traffic, process=process)
 
 
 @contextmanager
-def _ended(arguments: list[str], root: Path) -> Iterator[psutil.Process]:
+def _terminated_on_exit(arguments: list[str], root: Path) -> Iterator[psutil.Process]:
     child = subprocess.Popen(arguments, cwd=root, stderr=subprocess.DEVNULL)
     try:
         yield psutil.Process(child.pid)
@@ -191,7 +191,7 @@
 
 
 def main() -> None:
-    """Measure as the arguments ask."""
+    """Run the measurement that the arguments select."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--rate", type=float, default=200.0)
     parser.add_argument("--blocks", type=int, default=10)
--- a/tools/measure_memory.py
+++ b/tools/measure_memory.py
@@ -1,4 +1,4 @@
-"""Measure the memory and the CPU time of daemons without calls."""
+"""Measure the memory and the CPU time of daemons that serve no calls."""
 
 import subprocess
 import sys
@@ -18,12 +18,13 @@
 
 FLEET = ROOT / "examples" / "consortium"
 FAILURE_DOMAINS = ("windhoek-a", "windhoek-b", "windhoek-c")
-START_LIMIT_S = 60.0
-# The joins, the first ejections of links and the seed lists are done by then.
+START_TIMEOUT_S = 60.0
+# By then the joins, the first ejections of links and the writes of the seed
+# lists are complete.
 SETTLE_S = 8.0
 MIB = 1024 * 1024
 
-# Each library is counted without what an earlier one has already loaded.
+# The figure of a library excludes what an earlier one has already loaded.
 IMPORT_ORDER = (
     "attrs",
     "trio",
@@ -54,7 +55,7 @@
 
 @frozen(kw_only=True)
 class Usage:
-    """Hold what one daemon used at rest."""
+    """Describe the resources that one daemon uses without calls."""
 
     rss_mib: float
     uss_mib: float
@@ -64,7 +65,7 @@
 
 
 def print_imports() -> None:
-    """Print what each library adds to the resident memory of a process."""
+    """Print the resident memory that each library adds to a process."""
     arguments = [sys.executable, "-c", IMPORT_SCRIPT, *IMPORT_ORDER]
     lines = subprocess.run(
         arguments, cwd=ROOT, check=True, capture_output=True, text=True
@@ -75,7 +76,7 @@
 
 
 async def measure(count: int, window_s: float) -> list[Usage]:
-    """Return what each of some daemons uses over a time without calls."""
+    """Return the usage of each daemon over a time without calls."""
     with TemporaryDirectory() as directory:
         cluster = Cluster(Path(directory), region="windhoek")
         try:
@@ -112,7 +113,7 @@
         )
         for index in range(count)
     )
-    if not await cluster.wait_ready(START_LIMIT_S):
+    if not await cluster.wait_ready(START_TIMEOUT_S):
         raise SystemExit("a daemon did not become ready")
 
 
@@ -142,7 +143,7 @@
 
 
 def main() -> None:
-    """Measure as the arguments ask."""
+    """Run the measurement that the arguments select."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--daemons", type=int, default=1)
     parser.add_argument("--window-s", type=float, default=10.0)
--- a/tools/measure_tables.py
+++ b/tools/measure_tables.py
@@ -1,4 +1,4 @@
-"""Measure the memory and time of a daemon's tables at the design size."""
+"""Measure the memory and time of a daemon's tables at the design limits."""
 
 import sys
 import tracemalloc
@@ -59,7 +59,7 @@
 
 
 def make_fleet() -> Fleet:
-    """Return a configuration with every service and its routes."""
+    """Return a configuration with all services and their routes."""
     backers = [Backer(name=f"backer-{n}", share_percent=20.0) for n in range(BACKERS)]
     services = [Service(name=f"service-{n}", backers=backers) for n in range(SERVICES)]
     routes = [
@@ -75,7 +75,7 @@
 
 
 def report_bytes(counts: int) -> int:
-    """Return the size of a window's report with so many counts."""
+    """Return the size in bytes of an evidence report with some counts."""
     entry = VersionCounts(
         service="service-1",
         version="v1",
@@ -110,12 +110,12 @@
     tracemalloc.stop()
     snapshot = encode_message(Snapshot(revision=1, fleet=fleet))
     members[5] = evolve(members[5], version=1)
-    began = perf_counter()
+    started_s = perf_counter()
     router.update_members(members, 1001.0, 1)
-    update_ms = (perf_counter() - began) * 1000
-    began = perf_counter()
+    update_ms = (perf_counter() - started_s) * 1000
+    started_s = perf_counter()
     router.enforce(fleet, 1002.0)
-    enforce_ms = (perf_counter() - began) * 1000
+    enforce_ms = (perf_counter() - started_s) * 1000
     print(f"members {MEMBERS}, services {SERVICES}")
     print(f"member table            {records_mib:.1f} MiB")
     print(f"directory and router    {all_mib - records_mib:.1f} MiB")
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,4 +1,4 @@
-"""Run the tests, passing over exactly those listed in KNOWN-RED.txt."""
+"""Run the tests except those listed in KNOWN-RED.txt."""
 
 import os
 import sys
@@ -8,11 +8,11 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-# More workers than that make the tests of processes wait for each other.
+# With more workers the tests that start processes wait for each other.
 MAX_WORKERS = 8
 
 
-def known_red() -> list[str]:
+def read_known_red() -> list[str]:
     """Return the pytest node ids of the entries in KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
         return []
@@ -23,11 +23,11 @@
 
 
 def main() -> int:
-    """Run pytest and print each test that is passed over."""
-    red = known_red()
-    for node_id in red:
+    """Run pytest and print each test that is deselected."""
+    known_red = read_known_red()
+    for node_id in known_red:
         print(f"known red, not run: {node_id}")
-    deselect = [f"--deselect={node_id}" for node_id in red]
+    deselect = [f"--deselect={node_id}" for node_id in known_red]
     workers = min(MAX_WORKERS, os.cpu_count() or 1)
     parallel = ["-n", str(workers), "--dist", "worksteal"]
     return int(pytest.main([*parallel, *deselect, *sys.argv[1:]]))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,7 @@
 """Run seeds of the fault soak against real daemons on this machine.
 
 Run it as `python -m tools.soak --seed S --seeds N` from the root. The logs of
-the daemons of a seed that broke a promise are kept.
+the daemons of a seed that violated an invariant are kept.
 """
 
 import argparse
@@ -16,7 +16,7 @@
 
 
 def main() -> int:
-    """Run the seeds and return 1 if any broke a promise."""
+    """Run the seeds and return 1 if any violated an invariant."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
@@ -36,7 +36,7 @@
         statuses = dict(sorted(result.statuses.items()))
         print(
             f"seed {seed}: {len(result.faults)} faults, answers {statuses},"
-            f" held up for {result.stalled_s:.1f} s"
+            f" test process stalled for {result.stalled_s:.1f} s"
         )
         if not result.broken:
             rmtree(directory)
@@ -47,7 +47,7 @@
         for fault in result.faults:
             print(f"  {fault.at_s:6.2f} s: {fault.kind} {fault.instance}")
         print(f"  logs in {directory}")
-    print(f"{failed} of {options.seeds} seeds broke a promise")
+    print(f"{failed} of {options.seeds} seeds violated an invariant")
     return 1 if failed else 0
 
 
