--- a/tests/test_fault_configuration.py
+++ b/tests/test_fault_configuration.py
@@ -1,4 +1,4 @@
-"""The fault matrix, configuration: each fault while daemons agree."""
+"""Fault matrix of configuration changes: each fault at each step."""
 
 from random import Random
 
@@ -14,7 +14,7 @@
     Quarantine,
     SnapshotReply,
 )
-from tests.fault_table import CONFIGURATION, MESH, cells
+from tests.fault_table import CONFIGURATION, MESH, list_cells
 from tests.fleet_network import (
     ADDRESSES,
     INVALID,
@@ -26,18 +26,19 @@
 
 # Longer than a lease (10 s) and than the detection of a dead daemon (6 s).
 FAULT_S = 12.0
-# Objectives: in force everywhere within 4 s; a failure domain that is out
-# and a bad version get nothing new after 2 s.
+# Objectives: a version is in force everywhere within 4 s; a failure domain out
+# of service and a bad version get no new requests after 2 s.
 CONVERGENCE_S = 4.0
-LAST_WORK_S = 2.0
-# Dead members are retried every 5 s; a resumed daemon needs a ping and pull.
+LAST_REQUEST_S = 2.0
+# Dead members are contacted every 5 s; a resumed daemon then needs a ping and
+# a pull.
 REJOIN_S = 16.0
-# Faults that keep a version from its watchers or from a part of the daemons.
-HINDERING = ("split", "outage", "slow-store", "stale-view")
+# Faults that keep a version from the watchers or from some of the daemons.
+DELAYING_FAULTS = ("split", "outage", "slow-store", "stale-view")
 
 
-class Scene:
-    """Hold one step and the fault that meets it."""
+class ConfigurationScenario:
+    """Run one step with one fault."""
 
     def __init__(self, step, fault, seed):
         self.step, self.fault = step, fault
@@ -57,17 +58,17 @@
         return self.network.nodes.get(self.actor)
 
     def begin(self):
-        """Take the step; a write by an operator or a message by a daemon."""
+        """Start the step: a write by an operator or an action of a daemon."""
         network = self.network
         match self.step:
             case "join":
                 network.start(self.actor, ADDRESSES)
             case "spread":
-                self.write(lambda: network.apply(1700))
+                self.apply_update(lambda: network.apply(1700))
             case "domain-out":
-                self.write(lambda: network.edit(TakeDomainOut("fd1")))
+                self.apply_update(lambda: network.edit(TakeDomainOut("fd1")))
             case "domain-in":
-                self.write(lambda: network.edit(ReturnDomain("fd1")))
+                self.apply_update(lambda: network.edit(ReturnDomain("fd1")))
             case "withdraw":
                 item = Quarantine(
                     service="orders", version="v2", move_started_ms=MOVE_MS, reason="b"
@@ -76,11 +77,13 @@
             case "shutdown":
                 network.call(self.node, "leave")
 
-    def write(self, update):
-        """Make an update; after an unknown outcome the operator repeats it."""
+    def apply_update(self, update):
+        """Apply an update, and repeat it if its outcome is unknown."""
         store = self.network.store
-        if self.fault == "crossed":
-            store.before_put = [lambda: self.network.write_changed_fleet(_slower)]
+        if self.fault == "concurrent-update":
+            store.before_put = [
+                lambda: self.network.write_changed_fleet(_raise_timeout)
+            ]
         store.lose_answer = self.fault == "lost-answer"
         writes = store.writes
         result = update()
@@ -88,7 +91,7 @@
             assert result.is_error()
             assert update().is_ok(), "the repeated update"
             assert store.writes == writes + 1, "written twice"
-        elif self.fault == "crossed" and self.step == "spread":
+        elif self.fault == "concurrent-update" and self.step == "spread":
             assert result.is_error(), "an update overwrote another operator's"
         else:
             assert result.is_ok()
@@ -113,23 +116,23 @@
         self.network.cut_links = {frozenset((self.actor, other))}
 
     def _split(self):
-        sides = {address: index % 2 for index, address in enumerate(ADDRESSES)}
-        self.network.partition_of = sides
+        partitions = {address: index % 2 for index, address in enumerate(ADDRESSES)}
+        self.network.partition_of = partitions
 
     def _outage(self):
         self.network.store.down = True
 
     def _stale_view(self):
-        """Restart a watcher, which then starts from the older view."""
+        """Restart a watcher, which then starts from the stale read."""
         if self.step in CONFIGURATION:
             self.network.start(self.actor, ADDRESSES)
 
-    def _crossed(self):
+    def _concurrent_update(self):
         if self.step not in CONFIGURATION:
-            self.network.write_changed_fleet(_slower)
+            self.network.write_changed_fleet(_raise_timeout)
 
     def _race(self):
-        """Let a second operator undo or change what the first one wrote."""
+        """Let a second operator revert or change what the first one wrote."""
         network = self.network
         match self.step:
             case "spread":
@@ -141,7 +144,7 @@
                 network.edit(TakeDomainOut("fd1"))
                 network.edit(ReturnDomain("fd1"))
             case "withdraw":
-                network.write_changed_fleet(_slower)
+                network.write_changed_fleet(_raise_timeout)
 
     def _target_dies(self):
         self.announce([])
@@ -159,15 +162,15 @@
         for link in [link for link in self.network._links if self.actor in link]:
             self.network._close(link)
 
-    def before(self):
-        """Bring about a fault of the store, which meets the whole step."""
+    def inject_store_fault(self):
+        """Inject a fault of the store, which lasts for the whole step."""
         network = self.network
         network.store_delay_s = 3.0 if self.fault == "slow-store" else 0.0
         if self.fault == "stale-view":
             network.pinned_revision = network.newest_valid - (self.step != "spread")
 
     def _wrong_answer(self):
-        """Answer requests that the daemon did not make, with old contents."""
+        """Send answers with old contents to requests that were not made."""
         old = min(self.network.store.history)
         for body in (
             {"join_reply": JoinReply(request_id=99, ready=True, revision=old)},
@@ -193,8 +196,8 @@
         if self.fault == "pause" and self.step != "shutdown":
             network.resume(self.node)
 
-    def check_end(self, skip=()):
-        """Assert what the step promises, at every daemon but some."""
+    def check_guarantees(self, skip=()):
+        """Check the guarantees of the step at every daemon not in skip."""
         network = self.network
         for address, node in network.nodes.items():
             if address in skip:
@@ -207,48 +210,49 @@
             if self.step == "domain-out":
                 assert "fd1" not in domains, "invariant 6"
             if self.step == "domain-in":
-                assert "fd1" in domains, "a returned domain gets no work"
+                assert "fd1" in domains, "a returned domain gets no requests"
             if self.step == "withdraw":
                 versions = {entry.record.version for entry in picked}
                 assert versions == {"v1"}, "invariant 4"
             if self.step == "shutdown" and self.actor not in network.nodes:
-                leaving = f"t{ADDRESSES.index(self.actor)}:1"
+                departed = f"t{ADDRESSES.index(self.actor)}:1"
                 addresses = {entry.record.address for entry in picked}
-                assert leaving not in addresses, "invariant 10"
+                assert departed not in addresses, "invariant 10"
 
 
-def _slower(fleet):
+def _raise_timeout(fleet):
     changed = make_fleet(2500)
     if find_fleet_problems(fleet):
         return changed
     return evolve(fleet, defaults=changed.defaults)
 
 
-@pytest.mark.parametrize(("step", "fault", "seed"), cells(MESH))
+@pytest.mark.parametrize(("step", "fault", "seed"), list_cells(MESH))
 def test_configuration(step, fault, seed):
-    """Guards against daemons that go back, disagree or route to what left.
+    """Guards against daemons that revert, disagree or use departed targets.
 
     Invariants 1, 2, 3, 12; 4 in "withdraw", 6 in "domain-out", 10 in
     "shutdown".
     """
-    scene = Scene(step, fault, seed)
-    network = scene.network
-    scene.before()
-    # A partition meets the step in one case and its first messages in others.
-    is_first = fault in ("split", "cut-link") and seed == 1
-    if is_first:
-        scene.inject()
-    scene.begin()
-    if not is_first:
+    scenario = ConfigurationScenario(step, fault, seed)
+    network = scenario.network
+    scenario.inject_store_fault()
+    # With seed 1 a partition precedes the step, otherwise it follows the first
+    # messages.
+    partition_first = fault in ("split", "cut-link") and seed == 1
+    if partition_first:
+        scenario.inject()
+    scenario.begin()
+    if not partition_first:
         network.pass_time(0.2 if fault != "outage" else 0.0)
-        scene.inject()
+        scenario.inject()
     if step == "shutdown" and fault != "restart":
         network.pass_time(0.2)
-        network.kill(scene.actor)
+        network.kill(scenario.actor)
     network.pass_time(CONVERGENCE_S)
-    if fault not in HINDERING:
-        scene.check_end(skip=[scene.actor])
+    if fault not in DELAYING_FAULTS:
+        scenario.check_guarantees(skip=[scenario.actor])
     network.pass_time(FAULT_S - CONVERGENCE_S)
-    scene.heal()
+    scenario.heal()
     network.pass_time(REJOIN_S)
-    scene.check_end()
+    scenario.check_guarantees()
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -1,4 +1,4 @@
-"""Check that the fault matrix has no gaps."""
+"""Test that the fault matrix has no gaps."""
 
 from tests import (
     test_fault_cold_start,
@@ -8,7 +8,7 @@
 )
 from tests.fault_table import FAULTS, NOT_APPLICABLE, STEPS
 
-GROUPS = (
+TEST_FUNCTIONS = (
     test_fault_orders.test_order,
     test_fault_configuration.test_configuration,
     test_fault_moves.test_move,
@@ -17,11 +17,11 @@
 
 
 def test_every_cell_is_tested_or_has_a_reason():
-    """Guards against a fault or a step that silently has no test."""
+    """Guards against a fault or a step without a test or a reason."""
     tested = {
         (fault, step)
-        for group in GROUPS
-        for mark in group.pytestmark
+        for test_function in TEST_FUNCTIONS
+        for mark in test_function.pytestmark
         if mark.name == "parametrize"
         for step, fault, _ in mark.args[1]
     }
--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -1,4 +1,4 @@
-"""The fault matrix, orders: each fault at each step of an order."""
+"""Fault matrix of orders: each fault at each step of an order."""
 
 from functools import partial
 
@@ -7,30 +7,30 @@
 
 from catkinhollow.generated.fleet import Defaults
 from catkinhollow.generated.messages import TargetState
-from tests.fault_table import ORDERS, cells
+from tests.fault_table import ORDERS, list_cells
 from tests.order_world import OrderWorld
 
 ORDERS_AT_ONCE = 6
 KEY = b"key-1"
 
 
-async def forever():
+async def hang():
     await trio.sleep(60.0)
 
 
-class Fault:
-    """Meet the order at one step, the first few times it gets there."""
+class FaultInjector:
+    """Inject a fault the first few times that an order reaches a step."""
 
     def __init__(self, world, step, name, seed, clock):
         self.world, self.step, self.name, self.clock = world, step, name, clock
-        self.times = 1 + 2 * seed
-        self.met = 0
+        self.max_injections = 1 + 2 * seed
+        self.injections = 0
         self.scope = trio.CancelScope()
 
     async def __call__(self, host):
-        if self.met >= self.times:
+        if self.injections >= self.max_injections:
             return None
-        self.met += 1
+        self.injections += 1
         return await getattr(self, "_" + self.name.replace("-", "_"))(host)
 
     async def _kill(self, host):
@@ -43,26 +43,26 @@
         self.clock.jump(30.0)
 
     async def _cut_link(self, host):
-        """Lose all that is sent from now on in this exchange."""
+        """Drop everything that is sent from now on in this exchange."""
         if self.step == "order-connect":
-            await forever()
+            await hang()
         return "hang"
 
     async def _split(self, host):
-        """Lose all that crosses the regions while the split lasts."""
-        self.times = 1000
+        """Drop everything that is sent between the regions."""
+        self.max_injections = 1000
         if int(host[1]) % 2 == 0:
             return None
         return await self._cut_link(host)
 
-    async def _crossed(self, host):
-        """Enforce another version and a drained target in the middle."""
+    async def _concurrent_update(self, host):
+        """Enforce another version and drain a target during the order."""
         self.world.enforce(defaults=Defaults(timeout_ms=1000))
-        if self.met == 1:
+        if self.injections == 1:
             self.world.announce(host, state=TargetState.DRAINING)
 
     async def _race(self, host):
-        """Enforce a domain going out, and its return, in the middle."""
+        """Take a failure domain out and return it during the order."""
         self.world.enforce(failure_domains_out=["fd0"])
         self.world.enforce(failure_domains_out=[])
 
@@ -72,7 +72,7 @@
         return "cut"
 
     async def _target_cold(self, host):
-        """Shed the work, or fail if the target has begun it."""
+        """Refuse the request, or fail if the target has started it."""
         return "refuse" if self.step == "order-written" else "error"
 
     async def _cut_connection(self, host):
@@ -82,27 +82,29 @@
         return "other"
 
 
-@pytest.mark.parametrize(("step", "fault", "seed"), cells(ORDERS))
+@pytest.mark.parametrize(("step", "fault", "seed"), list_cells(ORDERS))
 async def test_order(step, fault, seed, autojump_clock):
-    """Guards against orders that run twice, falsely "not run" or crossed.
+    """Guards against orders run twice, falsely "not run" or mixed up.
 
     Invariants 7, 8 and 9.
     """
     async with trio.open_nursery() as nursery:
         world = OrderWorld(nursery, seed)
-        met = world.faults[step] = Fault(world, step, fault, seed, autojump_clock)
-        with met.scope:
+        injector = world.faults[step] = FaultInjector(
+            world, step, fault, seed, autojump_clock
+        )
+        with injector.scope:
             async with trio.open_nursery() as callers:
                 for number in range(ORDERS_AT_ONCE):
                     key = KEY + b"%d" % number if fault == "restart" else None
                     callers.start_soon(partial(world.order, number, key))
-        assert met.met
+        assert injector.injections
         if fault in ("kill", "restart"):
             world.start_daemon()
         if fault == "restart":
             for number in range(ORDERS_AT_ONCE):
                 await world.order(number, KEY + b"%d" % number)
-        # Calls that begin after the fault use what it left behind.
+        # Calls that start after the fault use the state that it left behind.
         world.faults.clear()
         for number in range(100, 100 + ORDERS_AT_ONCE):
             await world.order(number)
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -93,7 +93,7 @@
 
 
 async def test_killed_daemon_loses_and_doubles_no_order(tmp_path):
-    """Guards against orders lost or doubled when an entry daemon dies."""
+    """Guards against lost or duplicated orders when an ingress daemon dies."""
     log = CallLog()
     async with running_cluster(tmp_path) as cluster:
         callers = make_callers(cluster, log)
@@ -113,10 +113,10 @@
 
 
 async def test_shutdown_finishes_calls_in_flight(tmp_path):
-    """Guards against a graceful shutdown that cuts a request."""
+    """Guards against a graceful shutdown that interrupts a request."""
     log = CallLog()
     async with running_cluster(tmp_path) as cluster:
-        # Warm targets, so that eight slow calls at once find slots.
+        # No slow start, so that eight slow calls find slots at the same time.
         revision = await change_defaults(cluster, slow_start_s=0, timeout_ms=9000)
         await wait_until(cluster, lambda status: status.enforced_revision >= revision)
         callers = make_callers(cluster, log)
@@ -133,7 +133,7 @@
 
 
 async def test_paused_daemon_catches_up_and_never_goes_back(tmp_path):
-    """Guards against a daemon that stays dead or old after a long pause."""
+    """Guards against a daemon that stays dead or outdated after a pause."""
     async with running_cluster(tmp_path) as cluster:
         paused = cluster.daemon("orders-2")
         paused.send(signal.SIGSTOP)
@@ -157,7 +157,7 @@
 
 
 async def test_accepted_change_spreads_while_the_store_is_away(tmp_path):
-    """Guards against a version that is lost with the store's outage."""
+    """Guards against an accepted version that is lost in a store outage."""
     async with running_cluster(tmp_path) as cluster:
         revision = await change_defaults(cluster, timeout_ms=1800)
         await cluster.request("POST", cluster.store, "/faults", b'{"outage":"refuse"}')
@@ -171,7 +171,7 @@
 
 
 async def test_daemon_without_configuration_accepts_no_connection(tmp_path):
-    """Guards against callers that a starting daemon refuses one by one."""
+    """Guards against a daemon that accepts calls before it is configured."""
     cluster = Cluster(tmp_path, region="windhoek")
     try:
         node = cluster.add(make_specs(1))[0]
