Clarify the wording of the tests of commands and of the builders

Doc strings name the failure that a test guards against; the feature says invalid instead of wrong, and HOME becomes ROUTER_LOCATION.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,4 +1,4 @@
-"""Build configurations, members and routers for the tests of calls."""
+"""Build configurations, members and call routers for tests."""
 
 from random import Random
 
@@ -9,7 +9,7 @@
 from catkinhollow.generated.fleet import Fleet, Method, RequestKind, Route, Service
 from catkinhollow.generated.messages import MemberRecord, MemberState, TargetRecord
 
-HOME = Location(failure_domain="fd0", region="r0")
+ROUTER_LOCATION = Location(failure_domain="fd0", region="r0")
 OK = AttemptResult(kind=AttemptKind.ANSWERED, status=200)
 ERROR = AttemptResult(kind=AttemptKind.ANSWERED, status=500)
 REFUSED = AttemptResult(kind=AttemptKind.REFUSED, status=503)
@@ -34,7 +34,7 @@
 
 
 def make_member(index, domain="fd0", region="r0", state=MemberState.ALIVE, **target):
-    """Return a member with one warm target, its fields changed as given."""
+    """Return a member with one warm target that has the given fields."""
     fields = {"version": "v1", "slots": 10, "started_ms": 0} | target
     record = TargetRecord(service="orders", address=f"t{index}:1", **fields)
     return MemberRecord(
@@ -48,8 +48,8 @@
 
 
 def make_router(members, configuration=None, share=1.0, random=None, picker=None):
-    """Return a router at 1000 s, when targets started at 0 are warm."""
-    router = CallRouter(HOME, random or Random(1), picker)
+    """Return a router at time 1000 s, when targets started at 0 s are warm."""
+    router = CallRouter(ROUTER_LOCATION, random or Random(1), picker)
     router.enforce(configuration or make_fleet(), 1000.0)
     router.update_members(members, 1000.0, 1_000_000)
     router.set_entry_share("orders", share, 1000.0)
@@ -64,7 +64,7 @@
 
 
 def send_call(router, now_s, method="GET"):
-    """Begin a call and return it with its target, or None without a target."""
+    """Begin a call and return it with its target, or None without one."""
     result = begin_call(router, now_s, method)
     step = result.ok.next_step(now_s) if result.is_ok() else None
     if isinstance(step, Wait):
@@ -73,6 +73,6 @@
 
 
 def send_orders(router, count):
-    """Return the targets that so many orders reach at the same time."""
+    """Begin a number of orders at once and return their targets."""
     sent = [send_call(router, 1000.0, "POST") for _ in range(count)]
     return [item[1] for item in sent if item]
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -1,4 +1,4 @@
-"""Tests of the command line: output, exit codes and what is written."""
+"""Tests of the command line: output, exit codes and writes to the store."""
 
 from contextlib import nullcontext
 from functools import partial
@@ -37,7 +37,7 @@
 
 
 def test_apply_writes_once_and_lists_changes(store, call):
-    """Guards against writes without a change and changes without a report."""
+    """Guards against writes without a change and unreported changes."""
     code, out, _ = call("apply", *CONSORTIUM, "--dry-run")
     assert (code, store.writes) == (0, 0)
     assert "service orders: added" in out
@@ -52,7 +52,7 @@
 
 
 def test_first_apply_of_defaults_is_written(store, call, tmp_path):
-    """Guards against daemons that wait for a version that says nothing new."""
+    """Guards against daemons that wait because mere defaults are not written."""
     path = tmp_path / "fleet.yaml"
     path.write_text("services: []\n")
     assert call("apply", str(path))[1] == "applied: revision 1\n"
@@ -60,7 +60,7 @@
 
 
 def test_apply_reports_a_conflict(store, call):
-    """Guards against the change of one operator that undoes another's."""
+    """Guards against an update that overwrites that of another operator."""
     call("apply", *CONSORTIUM)
     other = to_plain(load_fleet([Path(BOARD)]).ok)
     store.before_put = [lambda: store.write("config", "fleet", other)]
@@ -71,7 +71,7 @@
 
 
 def test_domain_commands(store, call):
-    """Guards against the last failure domain taken out by mistake."""
+    """Guards against taking the last failure domain out by mistake."""
     assert call("domain", "out", "a")[0] == 1
     call("apply", BOARD)
     for name in ("a", "b"):
@@ -115,7 +115,7 @@
     ],
 )
 def test_exit_codes(store, call, arguments, code):
-    """Guards against scripts that take one failure for another."""
+    """Guards against failures that share an exit code."""
     store.down = True
     actual, out, err = call(*arguments)
     assert actual == code
@@ -124,20 +124,20 @@
 
 
 def test_status_asks_the_daemon(monkeypatch, call):
-    """Guards against lost answers and failures that look like one."""
+    """Guards against a lost status and failures that look like a status."""
 
-    def answer(body):
+    def mock_response(body):
         backend = httpcore.AsyncMockBackend([b"HTTP/1.1 200 OK\r\n\r\n", body])
         pool = partial(POOL, network_backend=backend)
         monkeypatch.setattr(httpcore, "AsyncConnectionPool", pool)
 
     member = {"address": "x:9", "failure_domain": "a", "region": "r"}
     state = {"ready": True, "enforced_revision": 4, "newest_revision": 4}
-    answer(dumps({**member, **state}).encode())
+    mock_response(dumps({**member, **state}).encode())
     code, out, _ = call("status", "--daemon", "127.0.0.1:1")
     assert code == 0
     assert "x:9 ready" in out
-    answer(b"{}")
+    mock_response(b"{}")
     assert call("status", "--daemon", "127.0.0.1:1")[0] == 1
     monkeypatch.undo()
     assert call("status", "--daemon", "127.0.0.1:1")[0] == 3
--- a/tests/commands/test_move_commands.py
+++ b/tests/commands/test_move_commands.py
@@ -1,4 +1,4 @@
-"""Tests of the move commands: exit codes, output and what is written."""
+"""Tests of the move commands: exit codes, output and writes to the store."""
 
 from contextlib import nullcontext
 from json import loads
@@ -60,7 +60,7 @@
 
 
 def test_loser_of_a_race_learns_the_winner(store, call):
-    """Guards against one operator's move that replaces another's."""
+    """Guards against a move that overwrites that of another operator."""
     other = Move(
         service="orders",
         version="v3",
@@ -92,14 +92,14 @@
     ],
 )
 def test_wrong_requests_write_nothing(store, call, arguments, code, error):
-    """Guards against moves that cannot work."""
+    """Guards against moves that cannot succeed."""
     assert call("move", *arguments)[0] == code
     assert error in call("move", *arguments)[2]
     assert store.writes == 1
 
 
 def test_status_cancel_and_wait(store, call):
-    """Guards against an end that scripts cannot tell."""
+    """Guards against exit codes that do not tell how a move ended."""
     call(*START)
     (shown,) = loads(call("move", "status", "--output", "json")[1])
     assert (shown["version"], shown["state"]) == ("v2", "running")
@@ -116,7 +116,7 @@
 
 
 class WatchedStore(MemoryStore):
-    """Change another move, then end this one before an outage."""
+    """Report a change of another move, then end this one before an outage."""
 
     def __init__(self):
         super().__init__()
@@ -134,8 +134,8 @@
 
 
 async def test_wait_outlasts_an_outage(autojump_clock):
-    """Guards against a wait that gives up, or repeats unchanged states."""
-    store, seen = WatchedStore(), []
+    """Guards against a wait that ends at an outage or repeats a state."""
+    store, reported = WatchedStore(), []
     move = Move(
         service="orders",
         version="v2",
@@ -147,11 +147,11 @@
     store.write("moves", "orders", to_plain(move))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(repair_after, store, 60.0)
-        result = await wait_for_end(store, "orders", seen.append)
+        result = await wait_for_end(store, "orders", reported.append)
     assert result.ok.state == MoveState.WITHDRAWN
-    assert [item.state for item in seen] == ["running", "withdrawn"]
+    assert [item.state for item in reported] == ["running", "withdrawn"]
     store.down = True
-    assert (await wait_for_end(store, "orders", seen.append)).is_error()
+    assert (await wait_for_end(store, "orders", reported.append)).is_error()
 
 
 async def repair_after(store, delay_s):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Keep the ports of test processes that run at the same time apart."""
+"""Assign separate port ranges to test workers that run at the same time."""
 
 import os
 
--- a/tests/features/bad_files.feature
+++ b/tests/features/bad_files.feature
@@ -1,7 +1,7 @@
-Feature: Wrong fleet files are refused whole
-  Operators see the file, the line and the reason, and nothing is written.
+Feature: Invalid fleet files are refused as a whole
+  The error names the file, the line and the reason, and nothing is written.
 
-  Scenario Outline: A wrong file next to a good one
+  Scenario Outline: An invalid file together with a valid one
     Given a store that holds a configuration
     When the operator applies good.yaml and <file>
     Then the command ends with exit code 1
--- a/tests/test_bad_files.py
+++ b/tests/test_bad_files.py
@@ -1,4 +1,4 @@
-"""Steps of the feature on wrong fleet files."""
+"""Steps of the feature about invalid fleet files."""
 
 from contextlib import nullcontext
 from pathlib import Path
@@ -42,7 +42,7 @@
 
 
 @then(parsers.parse("the first error is at {file}, line {line:d}, path {path}"))
-def _place(outcome, file, line, path):
+def _location(outcome, file, line, path):
     first = outcome[1].err.splitlines()[0]
     assert first.startswith(f"{DATA / 'bad' / file}:{line}: {path}: ")
 
@@ -59,6 +59,6 @@
 
 @pytest.mark.parametrize("path", sorted((DATA / "bad").iterdir()), ids=lambda p: p.name)
 def test_feature_covers_file(path):
-    """Guards against a bad file that no scenario applies."""
+    """Guards against an invalid file that no scenario uses."""
     feature = Path(__file__).parent / "features" / "bad_files.feature"
     assert f"| {path.name} " in feature.read_text()
