--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -52,7 +52,7 @@
 
 
 def test_first_apply_of_defaults_is_written(store, call, tmp_path):
-    """Guards against daemons that wait because mere defaults are not written."""
+    """Guards against daemons that wait as mere defaults are not written."""
     path = tmp_path / "fleet.yaml"
     path.write_text("services: []\n")
     assert call("apply", str(path))[1] == "applied: revision 1\n"
