--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -123,7 +123,7 @@
     assert bool(err) == (code != 0)
 
 
-def test_status_asks_the_daemon(monkeypatch, call):
+def test_status_queries_the_daemon(monkeypatch, call):
     """Guards against a lost status and failures that look like a status."""
 
     def mock_response(body):
--- a/tests/commands/test_move_commands.py
+++ b/tests/commands/test_move_commands.py
@@ -59,7 +59,7 @@
     assert store.objects["moves", "orders"].value["started_ms"] > first["started_ms"]
 
 
-def test_loser_of_a_race_learns_the_winner(store, call):
+def test_concurrent_start_reports_the_running_move(store, call):
     """Guards against a move that overwrites that of another operator."""
     other = Move(
         service="orders",
@@ -91,7 +91,7 @@
         (("cancel", "orders"), 1, "no move of orders"),
     ],
 )
-def test_wrong_requests_write_nothing(store, call, arguments, code, error):
+def test_invalid_requests_write_nothing(store, call, arguments, code, error):
     """Guards against moves that cannot succeed."""
     assert call("move", *arguments)[0] == code
     assert error in call("move", *arguments)[2]
@@ -133,7 +133,7 @@
         return Ok(ObjectList(revision=self.revision))
 
 
-async def test_wait_outlasts_an_outage(autojump_clock):
+async def test_wait_continues_after_an_outage(autojump_clock):
     """Guards against a wait that ends at an outage or repeats a state."""
     store, reported = WatchedStore(), []
     move = Move(
--- a/tests/test_fault_configuration.py
+++ b/tests/test_fault_configuration.py
@@ -123,7 +123,7 @@
         self.network.store.down = True
 
     def _stale_view(self):
-        """Restart a watcher, which then starts from the stale read."""
+        """Restart a watcher, which then reads an older revision."""
         if self.step in CONFIGURATION:
             self.network.start(self.actor, ADDRESSES)
 
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -31,7 +31,7 @@
 
 
 def make_fleet(split: bool) -> Fleet:
-    """Return a configuration of the size that the system is designed for."""
+    """Return a configuration of the design size."""
     weights = [
         VersionWeight(version="v1", percent=90),
         VersionWeight(version="v2", percent=10),
--- a/tools/measure_tables.py
+++ b/tools/measure_tables.py
@@ -1,4 +1,4 @@
-"""Measure the memory and time of a daemon's tables at the design limits."""
+"""Measure the memory and time of a daemon's tables at the design size."""
 
 import sys
 import tracemalloc
