--- a/catkinhollow/calls/call.py
+++ b/catkinhollow/calls/call.py
@@ -27,7 +27,7 @@
 
 
 @frozen(kw_only=True)
-class CallFacts:
+class RequestAttributes:
     """Hold what the decisions need to know about a request."""
 
     method: str
--- a/catkinhollow/calls/call_router.py
+++ b/catkinhollow/calls/call_router.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from catkinhollow.calls.balancer import Balancer, Picker
-from catkinhollow.calls.call import Call, CallFacts, Refusal
+from catkinhollow.calls.call import Call, Refusal, RequestAttributes
 from catkinhollow.calls.directory import TargetDirectory
 from catkinhollow.calls.evidence_counts import EvidenceCounts
 from catkinhollow.calls.latency import LatencyBook
@@ -108,22 +108,24 @@
         self._entry_shares[service] = min(1.0, max(MIN_ENTRY_SHARE, share))
         self._configure_named({service}, now_s)
 
-    def begin(self, facts: CallFacts, now_s: float) -> Result[Call, Refusal]:
+    def begin(
+        self, attributes: RequestAttributes, now_s: float
+    ) -> Result[Call, Refusal]:
         """Begin a call, or refuse it; what is refused did not run."""
         if self._routes is None:
             return self._refuse(503, "no configuration yet")
-        route = self._routes.match(facts.method, facts.path)
+        route = self._routes.match(attributes.method, attributes.path)
         if route is None:
             return self._refuse(404, "no route")
         policy, service = self._policies[route.name], self._services[route.service]
         service.pool.refresh(now_s)
         if not service.pool.groups:
             return self._refuse(503, "no target")
-        account = service.admission.account(facts.backer)
+        account = service.admission.account(attributes.backer)
         service.begin()
         time_ms = policy.timeout_ms
-        if facts.deadline_ms is not None:
-            time_ms = min(time_ms, facts.deadline_ms)
+        if attributes.deadline_ms is not None:
+            time_ms = min(time_ms, attributes.deadline_ms)
         return Ok(
             Call(
                 route=route,
--- a/catkinhollow/calls/dispatch.py
+++ b/catkinhollow/calls/dispatch.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from catkinhollow.calls.call import Call, CallFacts, GiveUp, SendTo, Wait
+from catkinhollow.calls.call import Call, GiveUp, RequestAttributes, SendTo, Wait
 from catkinhollow.calls.call_router import CallRouter
 from catkinhollow.calls.egress import TargetClient
 from catkinhollow.calls.exchange import (
@@ -74,7 +74,7 @@
         `disconnected` returns when the caller has gone away.
         """
         started_s = self._clock.monotonic()
-        begun = self._router.begin(_read_facts(request), started_s)
+        begun = self._router.begin(_read_attributes(request), started_s)
         if begun.is_error():
             refusal = begun.error
             self._metrics.refusals.inc({"reason": refusal.reason})
@@ -232,9 +232,9 @@
         self._metrics.call_seconds.observe({"route": call.route.name}, taken_s)
 
 
-def _read_facts(request: Request) -> CallFacts:
+def _read_attributes(request: Request) -> RequestAttributes:
     deadline = request.header(DEADLINE_HEADER)
-    return CallFacts(
+    return RequestAttributes(
         method=request.method,
         path=request.path,
         backer=(request.header(BACKER_HEADER) or b"").decode("latin-1"),
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from catkinhollow.calls.call import CallFacts, SendTo, Wait
+from catkinhollow.calls.call import RequestAttributes, SendTo, Wait
 from catkinhollow.calls.call_router import CallRouter
 from catkinhollow.calls.pool import Location
 from catkinhollow.calls.retries import AttemptKind, AttemptResult
@@ -57,10 +57,10 @@
 
 
 def begin(router, now_s, method="GET", backer="", deadline_ms=None):
-    facts = CallFacts(
+    attributes = RequestAttributes(
         method=method, path="/o/1", backer=backer, deadline_ms=deadline_ms
     )
-    return router.begin(facts, now_s)
+    return router.begin(attributes, now_s)
 
 
 def send(router, now_s, method="GET"):
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from catkinhollow.calls.call import CallFacts, SendTo  # noqa: E402
+from catkinhollow.calls.call import RequestAttributes, SendTo  # noqa: E402
 from catkinhollow.calls.call_router import CallRouter  # noqa: E402
 from catkinhollow.calls.pool import Location  # noqa: E402
 from catkinhollow.calls.retries import AttemptKind, AttemptResult  # noqa: E402
@@ -86,9 +86,11 @@
     held, times, now_s = [], [], 0.0
     for number in range(CALLS):
         now_s += CALL_INTERVAL_S
-        facts = CallFacts(method="GET", path="/s1/x", backer=f"b{number % 8}")
+        attributes = RequestAttributes(
+            method="GET", path="/s1/x", backer=f"b{number % 8}"
+        )
         start = perf_counter()
-        result = router.begin(facts, now_s)
+        result = router.begin(attributes, now_s)
         step = result.ok.next_step(now_s) if result.is_ok() else None
         spent = perf_counter() - start
         if isinstance(step, SendTo):
