Rename egress.Attempt to SendResult

The class is what TargetClient.send returns, not the attempt itself, and AttemptResult already names what the call router gets of it.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -49,7 +49,7 @@
 
 
 @frozen(kw_only=True)
-class Attempt:
+class SendResult:
     """Hold what one attempt at a target came to."""
 
     kind: AttemptKind
@@ -65,11 +65,13 @@
 class TargetClient(Protocol):
     """Send one request to one target and report what is known of it."""
 
-    async def send(self, address: str, request: Request, timeout_s: float) -> Attempt:
+    async def send(
+        self, address: str, request: Request, timeout_s: float
+    ) -> SendResult:
         """Make one attempt; the timeout is in seconds."""
 
 
-Classify = Callable[[Request, Response], Attempt]
+Classify = Callable[[Request, Response], SendResult]
 
 
 @define
@@ -80,16 +82,16 @@
     count: int = 0
 
 
-def classify_answer(request: Request, answer: Response) -> Attempt:
+def classify_answer(request: Request, answer: Response) -> SendResult:
     """Return what a whole response says about the request."""
     sent_id = request.header(REQUEST_ID_HEADER)
     answered_id = answer.header(REQUEST_ID_HEADER)
     if answered_id is not None and answered_id != sent_id:
         reason = "answer to another request"
-        return Attempt(kind=AttemptKind.BROKEN, reason=reason)
+        return SendResult(kind=AttemptKind.BROKEN, reason=reason)
     if answer.header(NOT_RUN_HEADER) == b"1":
-        return Attempt(kind=AttemptKind.REFUSED, response=answer, reason="refused")
-    return Attempt(kind=AttemptKind.ANSWERED, response=answer)
+        return SendResult(kind=AttemptKind.REFUSED, response=answer, reason="refused")
+    return SendResult(kind=AttemptKind.ANSWERED, response=answer)
 
 
 class HttpTargetClient:
@@ -107,18 +109,22 @@
         self._backend = TrioBackend()
         self._targets: dict[str, _Connections] = defaultdict(_Connections)
 
-    async def send(self, address: str, request: Request, timeout_s: float) -> Attempt:
+    async def send(
+        self, address: str, request: Request, timeout_s: float
+    ) -> SendResult:
         """Make one attempt; the timeout is in seconds."""
         connections = self._targets[address]
         connection = await self._take_idle(connections)
         if connection is None:
             if connections.count >= self._settings.max_connections_per_target:
-                return Attempt(
+                return SendResult(
                     kind=AttemptKind.NOT_CONNECTED, reason="no free connection"
                 )
             connection = await self._open(connections, address, timeout_s)
             if connection is None:
-                return Attempt(kind=AttemptKind.NOT_CONNECTED, reason="connect failed")
+                return SendResult(
+                    kind=AttemptKind.NOT_CONNECTED, reason="connect failed"
+                )
         clean = False
         try:
             attempt = await self._exchange(connection, address, request, timeout_s)
@@ -176,27 +182,27 @@
         address: str,
         request: Request,
         timeout_s: float,
-    ) -> Attempt:
+    ) -> SendResult:
         http_request = _to_http(address, request)
         with trio.move_on_after(timeout_s):
             try:
                 return await self._read_answer(connection, http_request, request)
             except ConnectionNotAvailable:
                 # httpcore refuses before it writes the first byte.
-                return Attempt(
+                return SendResult(
                     kind=AttemptKind.NOT_CONNECTED, reason="connection closed"
                 )
             except (NetworkError, ProtocolError, TimeoutException) as error:
                 reason = f"{type(error).__name__}: {error}"
-                return Attempt(kind=AttemptKind.BROKEN, reason=reason)
-        return Attempt(kind=AttemptKind.TIMEOUT, reason="timeout")
+                return SendResult(kind=AttemptKind.BROKEN, reason=reason)
+        return SendResult(kind=AttemptKind.TIMEOUT, reason="timeout")
 
     async def _read_answer(
         self,
         connection: AsyncHTTP11Connection,
         http_request: HttpRequest,
         request: Request,
-    ) -> Attempt:
+    ) -> SendResult:
         response = await connection.handle_async_request(http_request)
         limit = self._settings.max_body_bytes
         body = bytearray()
@@ -205,7 +211,7 @@
                 body += part
                 if len(body) > limit:
                     reason = f"response is larger than {limit} bytes"
-                    return Attempt(kind=AttemptKind.BROKEN, reason=reason)
+                    return SendResult(kind=AttemptKind.BROKEN, reason=reason)
         finally:
             await response.aclose()
         headers = [(name.lower(), value) for name, value in response.headers]
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -6,7 +6,7 @@
 import trio
 from attrs import define, field
 
-from catkinhollow.calls.egress import Attempt, TargetClient
+from catkinhollow.calls.egress import SendResult, TargetClient
 from catkinhollow.calls.exchange import Headers, Request
 from catkinhollow.calls.retries import SERVER_ERROR, AttemptKind
 from catkinhollow.generated.relay import Answer, Call, CallOutcome, RelayConfiguration
@@ -219,7 +219,7 @@
 
     async def _run_job(self, submission: Submission) -> None:
         job = submission.job
-        attempt = Attempt(kind=AttemptKind.CANCELLED, reason="cancelled")
+        attempt = SendResult(kind=AttemptKind.CANCELLED, reason="cancelled")
         try:
             with submission.scope:
                 timeout_s = job.expires_s - self._clock.monotonic() + RUN_SLACK_S
@@ -228,7 +228,7 @@
         finally:
             self._finish(submission, attempt)
 
-    def _finish(self, submission: Submission, attempt: Attempt) -> None:
+    def _finish(self, submission: Submission, attempt: SendResult) -> None:
         job = submission.job
         now_s = self._clock.monotonic()
         self._gate.finish(job, attempt.kind, attempt.status, now_s)
@@ -245,7 +245,7 @@
             submission.answered = True
             submission.on_answer(answer)
 
-    def _to_answer(self, call: Call, attempt: Attempt, now_s: float) -> Answer:
+    def _to_answer(self, call: Call, attempt: SendResult, now_s: float) -> Answer:
         report = self._gate.report(now_s)
         if attempt.kind is AttemptKind.ANSWERED and attempt.response is not None:
             response = attempt.response
--- a/catkinhollow/relay/request_log.py
+++ b/catkinhollow/relay/request_log.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from catkinhollow.calls.egress import Attempt
+from catkinhollow.calls.egress import SendResult
 from catkinhollow.generated.relay import Call
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.gate import Gate
@@ -41,7 +41,7 @@
             budget_ms=call.budget_ms,
         )
 
-    def run_failed(self, call: Call, attempt: Attempt, lifetime: str) -> None:
+    def run_failed(self, call: Call, attempt: SendResult, lifetime: str) -> None:
         """Log that a run at the target has no answer."""
         self._write(
             "run failed",
--- a/catkinhollow/relay/target_answers.py
+++ b/catkinhollow/relay/target_answers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from catkinhollow.calls.egress import Attempt
+from catkinhollow.calls.egress import SendResult
 from catkinhollow.calls.exchange import Request, Response
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.relay.gate import MISDIRECTED
@@ -14,18 +14,18 @@
 PROMISES = (408, 421, 429, 503)
 
 
-def make_classifier(names: HeaderNames) -> Callable[[Request, Response], Attempt]:
+def make_classifier(names: HeaderNames) -> Callable[[Request, Response], SendResult]:
     """Return the function that judges responses with these header names."""
 
-    def broken(reason: str) -> Attempt:
-        return Attempt(kind=AttemptKind.BROKEN, reason=reason)
+    def broken(reason: str) -> SendResult:
+        return SendResult(kind=AttemptKind.BROKEN, reason=reason)
 
-    def classify(request: Request, answer: Response) -> Attempt:
+    def classify(request: Request, answer: Response) -> SendResult:
         answered_id = answer.header(names.request_id)
         if answered_id is not None and answered_id != request.header(names.request_id):
             return broken("answer to another request")
         if answer.status == MISDIRECTED or answer.header(names.not_run) is not None:
-            return Attempt(
+            return SendResult(
                 kind=AttemptKind.REFUSED, response=answer, reason="refused by target"
             )
         if answer.status in PROMISES:
@@ -37,6 +37,6 @@
                 return broken("success without the target's signature")
             if answer.header(b"content-encoding") is not None:
                 return broken("encoded body")
-        return Attempt(kind=AttemptKind.ANSWERED, response=answer)
+        return SendResult(kind=AttemptKind.ANSWERED, response=answer)
 
     return classify
--- a/tests/calls/test_dispatch.py
+++ b/tests/calls/test_dispatch.py
@@ -6,7 +6,7 @@
 import trio
 
 from catkinhollow.calls.dispatch import Dispatcher
-from catkinhollow.calls.egress import Attempt
+from catkinhollow.calls.egress import SendResult
 from catkinhollow.calls.exchange import NOT_RUN_HEADER, Request, Response
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.clock import TrioClock
@@ -29,7 +29,7 @@
         self.sent.append(request)
         await trio.sleep(WORK_S)
         response = Response(status=200, headers=[], body=b"done")
-        return Attempt(kind=AttemptKind.ANSWERED, response=response)
+        return SendResult(kind=AttemptKind.ANSWERED, response=response)
 
 
 @pytest.fixture
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -15,7 +15,7 @@
 
 from catkinhollow.calls.call_router import CallRouter  # noqa: E402
 from catkinhollow.calls.dispatch import Dispatcher  # noqa: E402
-from catkinhollow.calls.egress import Attempt, HttpTargetClient  # noqa: E402
+from catkinhollow.calls.egress import HttpTargetClient, SendResult  # noqa: E402
 from catkinhollow.calls.exchange import Request, Response  # noqa: E402
 from catkinhollow.calls.ingress import TrafficApplication  # noqa: E402
 from catkinhollow.calls.pool import Location  # noqa: E402
@@ -62,9 +62,11 @@
 class InstantClient:
     """Answer every request at once."""
 
-    async def send(self, address: str, request: Request, timeout_s: float) -> Attempt:
+    async def send(
+        self, address: str, request: Request, timeout_s: float
+    ) -> SendResult:
         """Return the same answer to each request."""
-        return Attempt(kind=AttemptKind.ANSWERED, response=ANSWER)
+        return SendResult(kind=AttemptKind.ANSWERED, response=ANSWER)
 
 
 def make_router() -> CallRouter:
