--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -216,7 +216,9 @@
             await response.aclose()
         headers = [(name.lower(), value) for name, value in response.headers]
         answer = Response(
-            status=response.status, headers=end_to_end(headers), body=bytes(body)
+            status=response.status,
+            headers=end_to_end_headers(headers),
+            body=bytes(body),
         )
         return self._classify(request, answer)
 
@@ -241,7 +243,7 @@
     return bool(received)
 
 
-def end_to_end(headers: Headers) -> Headers:
+def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers without those that concern one connection."""
     return [header for header in headers if header[0] not in HOP_BY_HOP]
 
@@ -251,7 +253,7 @@
     target = request.path.encode()
     if request.query:
         target += b"?" + request.query
-    headers = end_to_end(request.headers)
+    headers = end_to_end_headers(request.headers)
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         headers = [*headers, (b"content-length", str(len(request.body)).encode())]
     url = URL(scheme=b"http", host=host.encode(), port=int(port), target=target)
--- a/catkinhollow/calls/ingress.py
+++ b/catkinhollow/calls/ingress.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 from uuid import uuid4
 
-from catkinhollow.calls.egress import end_to_end
+from catkinhollow.calls.egress import end_to_end_headers
 from catkinhollow.calls.exchange import (
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
@@ -58,7 +58,7 @@
 
 def with_request_id(request: Request) -> Request:
     """Return the request to pass on, with an id of its own if it has none."""
-    headers = end_to_end(request.headers)
+    headers = end_to_end_headers(request.headers)
     if request.header(REQUEST_ID_HEADER) is None:
         headers.append((REQUEST_ID_HEADER, uuid4().hex.encode()))
     return request_with_headers(request, headers)
--- a/catkinhollow/relay/entry.py
+++ b/catkinhollow/relay/entry.py
@@ -6,7 +6,7 @@
 import trio
 from attrs import define
 
-from catkinhollow.calls.egress import end_to_end
+from catkinhollow.calls.egress import end_to_end_headers
 from catkinhollow.calls.exchange import Headers, Request, Response, plain_response
 from catkinhollow.calls.retries import RetryBudget
 from catkinhollow.generated.relay import (
@@ -240,7 +240,7 @@
             target += b"?" + request.query
         headers = [
             [name, value]
-            for name, value in end_to_end(request.headers)
+            for name, value in end_to_end_headers(request.headers)
             if name not in self._own_headers
         ]
         request_id = request.header(self._names.request_id) or b""
