--- a/catkinhollow/calls/call.py
+++ b/catkinhollow/calls/call.py
@@ -119,7 +119,9 @@
 
 @define(kw_only=True, eq=False)
 class Call:
-    """Hold one call: ask `next_step`, report `finished`, until it is done.
+    """Hold one call from its first decision to its outcome.
+
+    Ask `next_step` and report to `finish_attempt` until the call is done.
 
     A waiting call is sent by its host as soon as there is room. `grant` then
     reserves the target, so that the order of waiting calls does not depend on
@@ -190,8 +192,8 @@
         self._refusal = SHED
         self._tell_edge()
 
-    def finished(self, result: AttemptResult, now_s: float) -> None:
-        """Take what the attempt in flight came to."""
+    def finish_attempt(self, result: AttemptResult, now_s: float) -> None:
+        """Record the result of the attempt in flight."""
         sent = self._sent
         assert sent is not None
         self._sent = None
@@ -214,14 +216,14 @@
     def close(self, now_s: float) -> None:
         """End the call because the caller went away.
 
-        A target that still has the request stays busy until `finished`.
+        A target that still has the request stays busy until `finish_attempt`.
         """
         if self.done:
             return
         if self._granted:
             # The edge never sent this attempt.
             self.outcome = combine(self._outcomes)
-            self.finished(AttemptResult(kind=AttemptKind.CANCELLED), now_s)
+            self.finish_attempt(AttemptResult(kind=AttemptKind.CANCELLED), now_s)
             return
         if self._sent is not None:
             self._outcomes.append(Outcome.UNKNOWN)
--- a/catkinhollow/calls/dispatch.py
+++ b/catkinhollow/calls/dispatch.py
@@ -214,7 +214,7 @@
                 attempt = await self._client.send(address, outgoing, step.timeout_s)
             result = AttemptResult(kind=attempt.kind, status=attempt.status)
         finally:
-            call.finished(result, self._clock.monotonic())
+            call.finish_attempt(result, self._clock.monotonic())
         if attempt.kind is AttemptKind.ANSWERED:
             return attempt.response
         logger.debug(
--- a/tests/calls/test_balancer.py
+++ b/tests/calls/test_balancer.py
@@ -36,7 +36,7 @@
     router, sent = make_router(members, configuration), []
     for number in range(2000):
         call, entry = send(router, 1000.0 + number * 0.01)
-        call.finished(OK, 1000.0 + number * 0.01)
+        call.finish_attempt(OK, 1000.0 + number * 0.01)
         sent.append(entry.record.address)
     assert 340 < sent.count("t1:1") < 460
 
@@ -67,7 +67,7 @@
     cold = member(0, started_ms=1_000_000)
     router = make_router([cold], share=0.1)
     call, _ = send(router, 1000.5)
-    call.finished(OK, 1000.51)
+    call.finish_attempt(OK, 1000.51)
     assert send(router, 1000.52) is None
     assert send(router, 1000.6)
 
@@ -102,7 +102,7 @@
     for number in range(1000):
         reached = send(router, 1000.0 + number * 0.01)
         if reached:
-            reached[0].finished(OK, 1000.0 + number * 0.01)
+            reached[0].finish_attempt(OK, 1000.0 + number * 0.01)
             sent.append(reached[1])
     assert versions(sent).keys() == {"v2"}
     assert 0.7 * percent < len(sent) / 10 < 1.3 * percent
--- a/tests/calls/test_call_router.py
+++ b/tests/calls/test_call_router.py
@@ -148,7 +148,7 @@
         if call is None or call.in_flight is None:
             return
         self.busy[call.in_flight.record.address] -= 1
-        call.finished(result, self.now_s)
+        call.finish_attempt(result, self.now_s)
         self.sent[call].append(OUTCOMES[result])
         if call in self.closed:
             self.open -= 1
@@ -254,9 +254,11 @@
             call, entry = send(router, now_s, "POST")
             busy_s = 0.03 if entry.record.version == "v2" else 0.01
             broken = number % 10 == 9
-            call.finished(builders.BROKEN if broken else builders.OK, now_s + busy_s)
+            call.finish_attempt(
+                builders.BROKEN if broken else builders.OK, now_s + busy_s
+            )
         call, _ = send(router, now_s)
-        call.finished(builders.REFUSED, now_s)
+        call.finish_attempt(builders.REFUSED, now_s)
         counts = {item.version: item for item in router.take_counts()}
         assert sum(item.requests for item in counts.values()) == 300
         assert sum(item.failures for item in counts.values()) == 30
@@ -271,6 +273,6 @@
     for number in range(300):
         now_s = 1000.0 + number * 0.01
         call, _ = send(router, now_s, "POST")
-        call.finished(builders.ERROR, now_s)
+        call.finish_attempt(builders.ERROR, now_s)
         assert router.status(now_s).services[0].ejected <= 2
     assert router.status(now_s).services[0].ejected == 2
--- a/tests/calls/test_cold_targets.py
+++ b/tests/calls/test_cold_targets.py
@@ -108,7 +108,7 @@
 
     def finish(self, now_s, router, call, target, result):
         target.in_flight -= 1
-        call.finished(result, now_s)
+        call.finish_attempt(result, now_s)
         self.step(now_s, router, call)
 
     def wait(self, now_s, router, call, until_s):
--- a/tests/calls/test_retries.py
+++ b/tests/calls/test_retries.py
@@ -29,7 +29,7 @@
     assert classify(result) is outcome
     for method, again in (("GET", get_again), ("POST", post_again)):
         call, first = send(three_targets(), 1000.0, method)
-        call.finished(result, 1000.01)
+        call.finish_attempt(result, 1000.01)
         assert call.done != again
         if again:
             assert call.next_step(1000.01).entry is not first
@@ -41,7 +41,7 @@
     for number in range(1000):
         call = begin(router, 1000.0 + number).ok
         while not isinstance(call.next_step(1000.0 + number), GiveUp):
-            call.finished(builders.ERROR, 1000.0 + number)
+            call.finish_attempt(builders.ERROR, 1000.0 + number)
     assert 200 <= router.status(2000.0).retries <= 210
 
 
@@ -58,9 +58,9 @@
     """Guards against attempts that outlive the caller's deadline."""
     call = begin(three_targets(), 1000.0, deadline_ms=500).ok
     assert call.next_step(1000.0).timeout_s == pytest.approx(0.5)
-    call.finished(REFUSED, 1000.2)
+    call.finish_attempt(REFUSED, 1000.2)
     assert call.next_step(1000.2).timeout_s == pytest.approx(0.3)
-    call.finished(REFUSED, 1000.499)
+    call.finish_attempt(REFUSED, 1000.499)
     step = call.next_step(1000.499)
     assert step == GiveUp(outcome=Outcome.NOT_RUN, reason="the deadline has passed")
 
@@ -69,8 +69,8 @@
     """Guards against one hung target that takes a lookup's whole time."""
     router = three_targets()
     call, _ = send(router, 1000.0)
-    call.finished(OK, 1000.01)
+    call.finish_attempt(OK, 1000.01)
     call = begin(router, 1100.0).ok
     assert call.next_step(1100.0).timeout_s == pytest.approx(1.0)
-    call.finished(TIMEOUT, 1101.0)
+    call.finish_attempt(TIMEOUT, 1101.0)
     assert call.next_step(1101.0).timeout_s == pytest.approx(0.5)
--- a/tests/calls/test_waiting.py
+++ b/tests/calls/test_waiting.py
@@ -59,7 +59,7 @@
     """Guards against orders behind lookups, and against a slot given twice."""
     router, running = full_router()
     lookup, order = wait(router, "GET"), wait(router, "POST")
-    running.finished(OK, NOW_S)
+    running.finish_attempt(OK, NOW_S)
     assert isinstance(lookup.next_step(NOW_S), Wait)
     assert isinstance(order.next_step(NOW_S), SendTo)
 
@@ -68,7 +68,7 @@
     """Guards against a reserved slot that nobody uses or gives back."""
     router, running = full_router()
     order, lookup = wait(router, "POST"), wait(router, "GET")
-    running.finished(OK, NOW_S)
+    running.finish_attempt(OK, NOW_S)
     order.close(NOW_S)
     assert order.outcome is Outcome.NOT_RUN
     assert isinstance(lookup.next_step(NOW_S), SendTo)
--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -183,7 +183,7 @@
             sent = send(self.routers[node], self.router_s, "POST")
             if sent is not None:
                 entries.append(sent[1])
-                sent[0].finished(builders.OK, self.router_s + 0.01)
+                sent[0].finish_attempt(builders.OK, self.router_s + 0.01)
         return entries
 
     def _bring_up_to_date(self, node):
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -97,7 +97,7 @@
             held.append(result.ok)
         if len(held) >= in_flight:
             start = perf_counter()
-            held.pop(0).finished(answered, now_s)
+            held.pop(0).finish_attempt(answered, now_s)
             spent += perf_counter() - start
         times.append(spent * 1e6)
     cuts = quantiles(times, n=100)
