Rename order_world to order_simulation

"World" says neither that targets are simulated nor that orders are checked. OrderWorld becomes OrderSimulation; order, announce, check and reach become place_order, update_target, check_orders and apply_fault, and dead becomes stopped_targets.

--- a/tests/order_world.py
+++ b/tests/order_simulation.py
@@ -69,7 +69,7 @@
 
 
 @define(eq=False)
-class OrderWorld:
+class OrderSimulation:
     """Hold targets in memory, their ledger, and an entry daemon."""
 
     nursery: trio.Nursery
@@ -78,7 +78,7 @@
     callers: list = field(factory=list)
     faults: dict = field(factory=dict)
     seen_keys: dict = field(factory=dict)
-    dead: set = field(factory=set)
+    stopped_targets: set = field(factory=set)
     members: list = field(factory=list)
     router: object = None
     dispatcher: object = None
@@ -106,21 +106,21 @@
 
     async def connect_tcp(self, host, port, timeout):
         """Open a connection to a target, as the egress does."""
-        await self.reach("order-connect", host)
-        if host in self.dead:
+        await self.apply_fault("order-connect", host)
+        if host in self.stopped_targets:
             raise ConnectError("refused")
         near, far = memory_stream_pair()
         self.nursery.start_soon(self._serve, host, far)
         await trio.sleep(0.001)
         return Stream(near)
 
-    async def reach(self, step, host):
+    async def apply_fault(self, step, host):
         """Meet the fault of this step; return what the target does then."""
         fault = self.faults.get(step)
         return await fault(host) if fault else None
 
     async def _serve(self, host, stream):
-        while host not in self.dead:
+        while host not in self.stopped_targets:
             request = await _read_request(stream)
             if request is None:
                 return
@@ -130,11 +130,11 @@
 
     async def _answer(self, host, stream, headers, body):
         """Answer one request; tell whether the connection stays open."""
-        kind = await self.reach("order-written", host)
+        kind = await self.apply_fault("order-written", host)
         if kind == "refuse":
             await stream.send_all(REFUSAL)
             return True
-        if kind == "cut" or host in self.dead:
+        if kind == "cut" or host in self.stopped_targets:
             return False
         if kind == "hang":
             return await trio.sleep(60.0)
@@ -144,7 +144,7 @@
             self.seen_keys[key] = body
         await trio.sleep(STEP_S)
         answer = ANSWER % (headers[REQUEST_ID_HEADER], len(body), body)
-        kind = await self.reach("order-answer", host)
+        kind = await self.apply_fault("order-answer", host)
         if kind == "other":
             other = b"x" * len(body)
             # The own answer comes after it, when nobody waits for it.
@@ -153,7 +153,7 @@
             answer = ERROR
         if kind == "hang":
             return await trio.sleep(60.0)
-        if kind in ("cut", "refuse") or host in self.dead:
+        if kind in ("cut", "refuse") or host in self.stopped_targets:
             await stream.send_all(answer[:-2])
             return False
         try:
@@ -162,7 +162,7 @@
             return False
         return True
 
-    async def order(self, number, key=None):
+    async def place_order(self, number, key=None):
         """Place one order and keep what the caller was told."""
         body = b"order-%04d" % number
         headers = [(b"host", b"entry"), (REQUEST_ID_HEADER, b"id-%d" % number)]
@@ -175,7 +175,7 @@
         self.callers.append(caller)
         caller.response = await self.dispatcher.dispatch(request, trio.sleep_forever)
 
-    def check(self):
+    def check_orders(self):
         """Assert invariants 7, 8 and 9 for every order."""
         for caller in self.callers:
             runs, response = self.ledger[caller.body], caller.response
@@ -195,7 +195,7 @@
         """Enforce a configuration version in the middle of the orders."""
         self.router.enforce(fleet(**changes), trio.current_time() + 1000.0)
 
-    def announce(self, host, **changes):
+    def update_target(self, host, **changes):
         """Change the record of one target in the member table."""
         for index, item in enumerate(self.members):
             if item.targets[0].address.startswith(host):
--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -8,7 +8,7 @@
 from catkinhollow.generated.fleet import Defaults
 from catkinhollow.generated.messages import TargetState
 from tests.fault_table import ORDERS, cells
-from tests.order_world import OrderWorld
+from tests.order_simulation import OrderSimulation
 
 ORDERS_AT_ONCE = 6
 KEY = b"key-1"
@@ -21,8 +21,13 @@
 class Fault:
     """Meet the order at one step, the first few times it gets there."""
 
-    def __init__(self, world, step, name, seed, clock):
-        self.world, self.step, self.name, self.clock = world, step, name, clock
+    def __init__(self, simulation, step, name, seed, clock):
+        self.simulation, self.step, self.name, self.clock = (
+            simulation,
+            step,
+            name,
+            clock,
+        )
         self.times = 1 + 2 * seed
         self.met = 0
         self.scope = trio.CancelScope()
@@ -57,18 +62,18 @@
 
     async def _crossed(self, host):
         """Enforce another version and a drained target in the middle."""
-        self.world.enforce(defaults=Defaults(timeout_ms=1000))
+        self.simulation.enforce(defaults=Defaults(timeout_ms=1000))
         if self.met == 1:
-            self.world.announce(host, state=TargetState.DRAINING)
+            self.simulation.update_target(host, state=TargetState.DRAINING)
 
     async def _race(self, host):
         """Enforce a domain going out, and its return, in the middle."""
-        self.world.enforce(failure_domains_out=["fd0"])
-        self.world.enforce(failure_domains_out=[])
+        self.simulation.enforce(failure_domains_out=["fd0"])
+        self.simulation.enforce(failure_domains_out=[])
 
     async def _target_dies(self, host):
-        if len(self.world.dead) < 2:
-            self.world.dead.add(host)
+        if len(self.simulation.stopped_targets) < 2:
+            self.simulation.stopped_targets.add(host)
         return "cut"
 
     async def _target_cold(self, host):
@@ -89,24 +94,26 @@
     Invariants 7, 8 and 9.
     """
     async with trio.open_nursery() as nursery:
-        world = OrderWorld(nursery, seed)
-        met = world.faults[step] = Fault(world, step, fault, seed, autojump_clock)
+        simulation = OrderSimulation(nursery, seed)
+        met = simulation.faults[step] = Fault(
+            simulation, step, fault, seed, autojump_clock
+        )
         with met.scope:
             async with trio.open_nursery() as callers:
                 for number in range(ORDERS_AT_ONCE):
                     key = KEY + b"%d" % number if fault == "restart" else None
-                    callers.start_soon(partial(world.order, number, key))
+                    callers.start_soon(partial(simulation.place_order, number, key))
         assert met.met
         if fault in ("kill", "restart"):
-            world.start_daemon()
+            simulation.start_daemon()
         if fault == "restart":
             for number in range(ORDERS_AT_ONCE):
-                await world.order(number, KEY + b"%d" % number)
+                await simulation.place_order(number, KEY + b"%d" % number)
         # Calls that begin after the fault use what it left behind.
-        world.faults.clear()
+        simulation.faults.clear()
         for number in range(100, 100 + ORDERS_AT_ONCE):
-            await world.order(number)
-        world.check()
-        later = world.callers[-ORDERS_AT_ONCE:]
+            await simulation.place_order(number)
+        simulation.check_orders()
+        later = simulation.callers[-ORDERS_AT_ONCE:]
         assert sum(caller.response.status == 200 for caller in later) == ORDERS_AT_ONCE
         nursery.cancel_scope.cancel()
