--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -1,4 +1,4 @@
-"""Daemons with real snapshots and routers on the network in memory."""
+"""Simulated network of daemons with real snapshots and routers."""
 
 from collections import Counter, defaultdict
 from random import Random
@@ -13,7 +13,7 @@
 from catkinhollow.configuration.editing import ApplyFiles
 from catkinhollow.configuration.fleet_updates import update_fleet
 from catkinhollow.configuration.snapshot import SnapshotHolder
-from catkinhollow.configuration.validation import find_problems
+from catkinhollow.configuration.validation import find_fleet_problems
 from catkinhollow.control.quarantine_policy import QuarantinePolicy
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.fleet import (
@@ -25,16 +25,16 @@
     VersionWeight,
 )
 from tests import builders
-from tests.builders import make_router, send
+from tests.builders import make_router, send_call
 from tests.memory_store import MemoryStore
 from tests.mesh_network import Network, snapshot_bytes
 
 ADDRESSES = [f"127.0.0.1:{port}" for port in range(7001, 7007)]
 DOMAINS = ("fd0", "fd1", "fd2")
-# Router times start here, so that the targets are warm.
-BEGIN_S = 1000.0
-CHECK_S = 0.2
-POLL_S = 0.4
+# Start of the router clock, late enough for the targets to be warm.
+ROUTER_START_S = 1000.0
+CHECK_INTERVAL_S = 0.2
+POLL_INTERVAL_S = 0.4
 MOVE_MS = 1
 SPLIT = [
     VersionWeight(version="v1", percent=50.0),
@@ -45,11 +45,11 @@
 
 def make_fleet(timeout_ms):
     defaults = Defaults(timeout_ms=timeout_ms, local_preference=False)
-    return builders.fleet(Service(name="orders"), defaults=defaults)
+    return builders.make_fleet(Service(name="orders"), defaults=defaults)
 
 
 class HistoryStore(MemoryStore):
-    """Keep every version of the configuration; lose an answer on request."""
+    """Record every version of the configuration; can lose an answer."""
 
     def __init__(self):
         super().__init__()
@@ -70,27 +70,27 @@
 
 
 class FleetNetwork(Network):
-    """Run daemons that read a store, enforce it and route calls by it."""
+    """Simulate daemons that read a store, enforce it and route calls."""
 
     def __init__(self, seed):
         super().__init__(seed)
         self.store = HistoryStore()
         self.store.write("config", "fleet", to_plain(make_fleet(1500)))
-        self.stored_fleet_with(lambda fleet: _with_split(fleet))
+        self.write_changed_fleet(lambda fleet: _with_split(fleet))
         self.holders = defaultdict(SnapshotHolder)
         self.routers = {}
         self.policies = defaultdict(QuarantinePolicy)
         self.served = Counter()
-        self.cut = set()
-        self.view = None
+        self.cut_links = set()
+        self.pinned_revision = None
         self.store_delay_s = 0.0
         self._polled_s = 0.0
         for address in ADDRESSES[:5]:
             self.start(address, ADDRESSES)
         self.pass_time(12.0)
 
-    def stored_fleet_with(self, change):
-        """Write a changed configuration, as another writer does."""
+    def write_changed_fleet(self, change):
+        """Write a changed configuration in the place of another writer."""
         stored = self.store.objects["config", "fleet"]
         fleet = change(from_plain(stored.value, Fleet).ok)
         return self.store.write("config", "fleet", to_plain(fleet))
@@ -98,7 +98,7 @@
     @property
     def newest_valid(self):
         history = self.store.history
-        return max(item for item in history if not find_problems(history[item]))
+        return max(item for item in history if not find_fleet_problems(history[item]))
 
     def edit(self, edit):
         return trio.run(update_fleet, self.store, edit)
@@ -118,13 +118,15 @@
     def make_record(self, address, incarnation):
         index = ADDRESSES.index(address)
         version = f"v{1 + (index >= 3)}"
-        made = builders.member(
+        made = builders.make_member(
             index, DOMAINS[index % 3], f"r{index % 3 == 0:d}", version=version
         )
         return evolve(made, address=address, incarnation=incarnation)
 
     def reachable(self, one, other):
-        return frozenset((one, other)) not in self.cut and super().reachable(one, other)
+        return frozenset((one, other)) not in self.cut_links and super().reachable(
+            one, other
+        )
 
     def enforce(self, node, revision, size=100):
         holder = self.holders[node]
@@ -142,31 +144,33 @@
 
     @property
     def router_s(self):
-        return BEGIN_S + self.now_s
+        return ROUTER_START_S + self.now_s
 
     def read_store(self, node, revision):
-        """Offer what the store told, as the watcher does."""
+        """Offer a stored revision to a daemon, as the watcher does."""
         if not node.alive or node.stopped:
             return
         self.enforce(node, revision)
-        if not find_problems(self.store.history[revision]):
+        if not find_fleet_problems(self.store.history[revision]):
             self._run(node, node.mesh.store_answered(revision, self.now_s))
 
     def pass_time(self, seconds):
-        """Advance while watchers poll, and check every daemon."""
+        """Advance the time with polling watchers, and check every daemon."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self._poll_store()
-            self.advance(CHECK_S)
+            self.advance(CHECK_INTERVAL_S)
             for node in list(self.nodes.values()):
                 self.check(node)
 
     def check(self, node):
-        """Assert what holds at any time: invariants 1, 2, 3 and 12."""
+        """Check the invariants 1, 2, 3 and 12, which hold at any time."""
         holder = self.holders[node]
         if holder.snapshot is not None:
             fleet = holder.snapshot.fleet
-            assert fleet == self.store.history[holder.revision], "3: applied in part"
+            assert fleet == self.store.history[holder.revision], (
+                "invariant 3: applied partially"
+            )
             services = {service.name for service in fleet.services}
             RouteTable(fleet)
             assert {route.service for route in fleet.routes} <= services, "invariant 2"
@@ -174,19 +178,19 @@
             served = self.served[node.address]
             assert holder.revision >= served, "invariant 1: served an older version"
             self.served[node.address] = holder.revision
-        self._bring_up_to_date(node)
+        self._update_router(node)
 
-    def picks(self, node, count=12):
-        """Return the entries that a daemon picks for some orders."""
+    def pick_targets(self, node, count=12):
+        """Return the target entries that a daemon picks for some requests."""
         entries = []
         for _ in range(count):
-            sent = send(self.routers[node], self.router_s, "POST")
+            sent = send_call(self.routers[node], self.router_s, "POST")
             if sent is not None:
                 entries.append(sent[1])
                 sent[0].finish_attempt(builders.OK, self.router_s + 0.01)
         return entries
 
-    def _bring_up_to_date(self, node):
+    def _update_router(self, node):
         router, now_s = self.routers[node], self.router_s
         if node.stopped:
             return
@@ -203,10 +207,10 @@
             router.lift_quarantine(service, version, now_s)
 
     def _poll_store(self):
-        if self.store.down or self.now_s - self._polled_s < POLL_S:
+        if self.store.down or self.now_s - self._polled_s < POLL_INTERVAL_S:
             return
         self._polled_s = self.now_s
-        revision = self.view or self.store.revision
+        revision = self.pinned_revision or self.store.revision
         for address in ADDRESSES[:2]:
             node = self.nodes.get(address)
             if node is not None:
