--- a/catkinhollow/relay/target_responses.py
+++ b/catkinhollow/relay/target_responses.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from catkinhollow.calls.egress import Attempt
+from catkinhollow.calls.egress import SendResult
 from catkinhollow.calls.exchange import Request, Response
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.relay.gate import MISDIRECTED_STATUS
@@ -16,13 +16,13 @@
 
 def make_classifier(
     header_names: HeaderNames,
-) -> Callable[[Request, Response], Attempt]:
+) -> Callable[[Request, Response], SendResult]:
     """Return a function that classifies responses by these headers."""
 
-    def broken(reason: str) -> Attempt:
-        return Attempt(kind=AttemptKind.BROKEN, reason=reason)
+    def broken(reason: str) -> SendResult:
+        return SendResult(kind=AttemptKind.BROKEN, reason=reason)
 
-    def classify(request: Request, response: Response) -> Attempt:
+    def classify(request: Request, response: Response) -> SendResult:
         response_id = response.header(header_names.request_id)
         if response_id is not None and response_id != request.header(
             header_names.request_id
@@ -32,7 +32,7 @@
             response.status == MISDIRECTED_STATUS
             or response.header(header_names.not_run) is not None
         ):
-            return Attempt(
+            return SendResult(
                 kind=AttemptKind.REFUSED, response=response, reason="refused by target"
             )
         if response.status in NOT_RUN_STATUSES:
@@ -46,6 +46,6 @@
                 return broken("success without the target's signature")
             if response.header(b"content-encoding") is not None:
                 return broken("encoded body")
-        return Attempt(kind=AttemptKind.ANSWERED, response=response)
+        return SendResult(kind=AttemptKind.ANSWERED, response=response)
 
     return classify
--- a/tests/test_fault_orders.py
+++ b/tests/test_fault_orders.py
@@ -8,7 +8,7 @@
 from catkinhollow.generated.fleet import Defaults
 from catkinhollow.generated.messages import TargetState
 from tests.fault_table import ORDERS, list_cells
-from tests.order_world import OrderWorld
+from tests.order_simulation import OrderSimulation
 
 ORDERS_AT_ONCE = 6
 KEY = b"key-1"
@@ -21,8 +21,13 @@
 class FaultInjector:
     """Inject a fault the first few times that an order reaches a step."""
 
-    def __init__(self, world, step, name, seed, clock):
-        self.world, self.step, self.name, self.clock = world, step, name, clock
+    def __init__(self, simulation, step, name, seed, clock):
+        self.simulation, self.step, self.name, self.clock = (
+            simulation,
+            step,
+            name,
+            clock,
+        )
         self.max_injections = 1 + 2 * seed
         self.injections = 0
         self.scope = trio.CancelScope()
@@ -57,18 +62,18 @@
 
     async def _concurrent_update(self, host):
         """Enforce another version and drain a target during the order."""
-        self.world.enforce(defaults=Defaults(timeout_ms=1000))
+        self.simulation.enforce(defaults=Defaults(timeout_ms=1000))
         if self.injections == 1:
-            self.world.announce(host, state=TargetState.DRAINING)
+            self.simulation.update_target(host, state=TargetState.DRAINING)
 
     async def _race(self, host):
         """Take a failure domain out and return it during the order."""
-        self.world.enforce(failure_domains_out=["fd0"])
-        self.world.enforce(failure_domains_out=[])
+        self.simulation.enforce(failure_domains_out=["fd0"])
+        self.simulation.enforce(failure_domains_out=[])
 
     async def _target_dies(self, host):
-        if len(self.world.dead) < 2:
-            self.world.dead.add(host)
+        if len(self.simulation.stopped_targets) < 2:
+            self.simulation.stopped_targets.add(host)
         return "cut"
 
     async def _target_cold(self, host):
@@ -89,26 +94,26 @@
     Invariants 7, 8 and 9.
     """
     async with trio.open_nursery() as nursery:
-        world = OrderWorld(nursery, seed)
-        injector = world.faults[step] = FaultInjector(
-            world, step, fault, seed, autojump_clock
+        simulation = OrderSimulation(nursery, seed)
+        injector = simulation.faults[step] = FaultInjector(
+            simulation, step, fault, seed, autojump_clock
         )
         with injector.scope:
             async with trio.open_nursery() as callers:
                 for number in range(ORDERS_AT_ONCE):
                     key = KEY + b"%d" % number if fault == "restart" else None
-                    callers.start_soon(partial(world.order, number, key))
+                    callers.start_soon(partial(simulation.place_order, number, key))
         assert injector.injections
         if fault in ("kill", "restart"):
-            world.start_daemon()
+            simulation.start_daemon()
         if fault == "restart":
             for number in range(ORDERS_AT_ONCE):
-                await world.order(number, KEY + b"%d" % number)
+                await simulation.place_order(number, KEY + b"%d" % number)
         # Calls that start after the fault use the state that it left behind.
-        world.faults.clear()
+        simulation.faults.clear()
         for number in range(100, 100 + ORDERS_AT_ONCE):
-            await world.order(number)
-        world.check()
-        later = world.callers[-ORDERS_AT_ONCE:]
+            await simulation.place_order(number)
+        simulation.check_orders()
+        later = simulation.callers[-ORDERS_AT_ONCE:]
         assert sum(caller.response.status == 200 for caller in later) == ORDERS_AT_ONCE
         nursery.cancel_scope.cancel()
