--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -68,7 +68,7 @@
     """Hold what one run has found."""
 
     seed: int
-    broken: list[str]
+    violations: list[str]
     statuses: Counter[int]
     faults: list[Fault]
     stalled_s: float
@@ -114,14 +114,14 @@
                 nursery.start_soon(self._watch_stalls)
                 await self._start_all(nursery, names)
                 last_s = await self._call_and_disturb(names, faults)
-                broken = self._ledger.broken_promises(last_s)
-                broken += await self._check_versions()
+                violations = self._ledger.broken_promises(last_s)
+                violations += await self._check_versions()
                 nursery.cancel_scope.cancel()
         finally:
             self._group.kill_all()
         return SoakResult(
             seed=self._seed,
-            broken=broken,
+            violations=violations,
             statuses=self._ledger.statuses,
             faults=faults,
             stalled_s=self._ledger.stalled_s,
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -32,7 +32,7 @@
     result = await soak.run()
     assert result.faults
     assert result.statuses[200] > 0
-    assert result.broken == []
+    assert result.violations == []
 
 
 def test_same_seed_plans_the_same_faults_and_ends_them():
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -38,11 +38,11 @@
             f"seed {seed}: {len(result.faults)} faults, answers {statuses},"
             f" test process stalled for {result.stalled_s:.1f} s"
         )
-        if not result.broken:
+        if not result.violations:
             rmtree(directory)
             continue
         failed += 1
-        for line in result.broken:
+        for line in result.violations:
             print(f"  {line}")
         for fault in result.faults:
             print(f"  {fault.at_s:6.2f} s: {fault.kind} {fault.instance}")
