Reword the soak test and name its records by content

The ledger's methods now say what they record, violations replace broken promises, and a request that races the close of its connection is named as such. Log lines and violation texts change after their prefix; the tests match the same prefixes.

--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -1,9 +1,9 @@
-"""Disturb real daemons at random and check what their callers get.
+"""Inject random faults into running daemons and check the call guarantees.
 
-The daemons of the platform run as processes of their own. Targets, the store
-and the callers live in this process, so that it sees every request, every run
-and every answer. Faults come from outside the daemons: signals, crashes of
-targets, a store that is away, connections that are reset or carry nothing.
+Each daemon of the platform runs as a separate process. The targets, the store
+and the callers run in this process, so that it observes every request, run
+and response. All faults are external to the daemons: signals, crashed targets,
+an unavailable store, and connections that are reset or carry no data.
 """
 
 import signal
@@ -49,23 +49,25 @@
 SERVICE = "stock"
 HOST = b"shop.example"
 TIMEOUT_S = 1.5
-# A caller that hears nothing for longer counts the request as lost.
-GIVE_UP_S = 6.0
-# Callers at each daemon, and the mean pause of each between two requests.
-CALLERS = 2
+# A request without a response after this time counts as lost.
+CALLER_TIMEOUT_S = 6.0
+CALLERS_PER_DAEMON = 2
+# Mean pause of a caller between two requests.
 MEAN_PAUSE_S = 0.1
-# Time in which all daemons have to start on a busy machine.
+# Time limit for all daemons to start; long enough for a busy machine.
 START_LIMIT_S = 30.0
-# Calls after the recovery, which all have to succeed.
-SETTLED_S = 2.0
-# A process that runs again so much later than it asked for was held up.
-TICK_S = 0.05
+# Time after the recovery time in which the callers go on, for the check that
+# calls succeed again.
+AFTER_RECOVERY_S = 2.0
+# This process was stalled if it wakes up more than STALL_S after the interval
+# that it slept for.
+STALL_CHECK_INTERVAL_S = 0.05
 STALL_S = 0.2
 
 
 @frozen(kw_only=True)
 class SoakResult:
-    """Hold what one run has found."""
+    """Represent the outcome of one run."""
 
     seed: int
     violations: list[str]
@@ -76,7 +78,7 @@
 
 @define(eq=False)
 class _Member:
-    """Hold one daemon with its target and the disturbed connections."""
+    """Represent one daemon with its target and the proxies in between."""
 
     settings: RelaySettings
     target: SoakTarget
@@ -86,7 +88,7 @@
 
 
 class Soak:
-    """Run one seed."""
+    """Run the soak test with one seed."""
 
     def __init__(
         self, seed: int, *, daemons: int, seconds: float, directory: Path
@@ -102,19 +104,19 @@
         self._members: dict[str, _Member] = {}
         self._version = 0
         self._request_ids = count(1)
-        self._daemons = daemons
-        self._calling = True
+        self._daemon_count = daemons
+        self._is_calling = True
 
     async def run(self) -> SoakResult:
-        """Run the seed and return what was broken."""
-        names = [f"d{number}" for number in range(self._daemons)]
+        """Run the test and return the violations that it found."""
+        names = [f"d{number}" for number in range(self._daemon_count)]
         faults = plan_faults(self._random, names, self._seconds)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_stalls)
-                await self._start_all(nursery, names)
-                last_s = await self._call_and_disturb(names, faults)
-                violations = self._ledger.broken_promises(last_s)
+                nursery.start_soon(self._record_stalls)
+                await self._start_fleet(nursery, names)
+                last_fault_s = await self._call_during_faults(names, faults)
+                violations = self._ledger.find_violations(last_fault_s)
                 violations += await self._check_versions()
                 nursery.cancel_scope.cancel()
         finally:
@@ -127,7 +129,7 @@
             stalled_s=self._ledger.stalled_s,
         )
 
-    async def _start_all(self, nursery: trio.Nursery, names: list[str]) -> None:
+    async def _start_fleet(self, nursery: trio.Nursery, names: list[str]) -> None:
         self._configure()
         store_port = free_ports(1)[0]
         await nursery.start(serve_on_loopback, self._store, store_port)
@@ -135,30 +137,30 @@
             await self._start_member(nursery, name, store_port)
         with trio.fail_after(START_LIMIT_S):
             for name in names:
-                while not await self._is_good(name, "/s/start"):
+                while not await self._is_serving(name, "/s/start"):
                     await trio.sleep(0.1)
 
     async def _start_member(
         self, nursery: trio.Nursery, name: str, store_port: int
     ) -> None:
         ports = free_ports(8)
-        at = [f"127.0.0.1:{port}" for port in ports]
+        addresses = [f"127.0.0.1:{port}" for port in ports]
         settings = RelaySettings(
             instance=name,
             failure_domain="a" if int(name[1:]) % 2 else "b",
             region="r",
             service=SERVICE,
-            target=at[0],
-            requests=at[1],
-            ready=at[2],
-            announcements=at[3],
-            peer=at[4],
-            metrics=at[5],
-            store=at[6],
+            target=addresses[0],
+            requests=addresses[1],
+            ready=addresses[2],
+            announcements=addresses[3],
+            peer=addresses[4],
+            metrics=addresses[5],
+            store=addresses[6],
         )
         member = _Member(
             settings=settings,
-            target=SoakTarget(settings, ports[7], self._ledger.ran, self._clock),
+            target=SoakTarget(settings, ports[7], self._ledger.record_run, self._clock),
             to_target=LoopbackProxy(ports[7]),
             to_store=LoopbackProxy(store_port),
         )
@@ -178,7 +180,7 @@
         )
 
     def _configure(self) -> None:
-        """Write the next version, with a route that no earlier one has."""
+        """Write the next version, with a route that only this version has."""
         self._version += 1
         routes = [
             RelayRoute(
@@ -201,29 +203,29 @@
         )
         self._store.write(CONFIGURATION, CONFIGURATION_NAME, configuration)
 
-    async def _call_and_disturb(self, names: list[str], faults: list[Fault]) -> float:
-        """Call at all daemons meanwhile; return the end of the last fault."""
+    async def _call_during_faults(self, names: list[str], faults: list[Fault]) -> float:
+        """Call all daemons during the faults; return the last fault's end."""
         async with trio.open_nursery() as callers:
             for name in names:
-                for _ in range(CALLERS):
+                for _ in range(CALLERS_PER_DAEMON):
                     random = Random(self._random.random())
-                    callers.start_soon(self._call_on, name, random)
-            last_s = await self._disturb(faults)
-            await trio.sleep_until(last_s + RECOVERY_S + SETTLED_S)
-            self._calling = False
-        return last_s
-
-    async def _disturb(self, faults: list[Fault]) -> float:
-        """Bring about all faults and return when the last one was over."""
+                    callers.start_soon(self._run_caller, name, random)
+            last_fault_s = await self._inject_all(faults)
+            await trio.sleep_until(last_fault_s + RECOVERY_S + AFTER_RECOVERY_S)
+            self._is_calling = False
+        return last_fault_s
+
+    async def _inject_all(self, faults: list[Fault]) -> float:
+        """Inject all faults and return the time when the last one was over."""
         started_s = self._clock.monotonic()
         async with trio.open_nursery() as running:
             for fault in faults:
                 await trio.sleep_until(started_s + fault.at_s)
                 logger.info("fault", kind=fault.kind, instance=fault.instance)
-                running.start_soon(self._bring_about, fault)
+                running.start_soon(self._inject, fault)
         return self._clock.monotonic()
 
-    async def _bring_about(self, fault: Fault) -> None:
+    async def _inject(self, fault: Fault) -> None:
         member = self._members[fault.instance]
         match fault.kind:
             case FaultKind.KILL:
@@ -233,16 +235,16 @@
             case FaultKind.PAUSE:
                 await self._pause(member, fault)
             case FaultKind.TARGET_CRASH:
-                member.target.crash(fault.for_s)
+                member.target.crash(fault.duration_s)
             case FaultKind.TARGET_RESET:
                 member.to_target.reset()
             case FaultKind.TARGET_SILENT:
-                await self._silence(member.to_target, fault.for_s)
+                await self._block_traffic(member.to_target, fault.duration_s)
             case FaultKind.STORE_SILENT:
-                await self._silence(member.to_store, fault.for_s)
+                await self._block_traffic(member.to_store, fault.duration_s)
             case FaultKind.STORE_DOWN:
                 self._store.down = True
-                await trio.sleep(fault.for_s)
+                await trio.sleep(fault.duration_s)
                 self._store.down = False
             case FaultKind.CONFIGURE:
                 self._configure()
@@ -251,8 +253,8 @@
         begin_s = self._clock.monotonic()
         if member.child is not None:
             member.child.send(signal.SIGKILL)
-            await member.child.wait(GIVE_UP_S)
-        await trio.sleep(fault.for_s)
+            await member.child.wait(CALLER_TIMEOUT_S)
+        await trio.sleep(fault.duration_s)
         await self._restart(member, fault.instance, begin_s)
 
     async def _terminate(self, member: _Member, fault: Fault) -> None:
@@ -262,43 +264,43 @@
             if not await member.child.wait(member.settings.grace_s):
                 member.child.send(signal.SIGKILL)
         end_s = self._clock.monotonic()
-        self._ledger.ending(fault.instance, begin_s, end_s)
+        self._ledger.record_shutdown(fault.instance, begin_s, end_s)
         await self._restart(member, fault.instance, end_s)
 
     async def _restart(self, member: _Member, name: str, begin_s: float) -> None:
         self._start_daemon(name)
-        # One that does not serve by then is named by the checks at the end.
+        # The final checks report a daemon that does not serve by then.
         with trio.move_on_after(START_LIMIT_S):
-            while not await self._is_good(name, "/s/restarted"):
+            while not await self._is_serving(name, "/s/restarted"):
                 await trio.sleep(0.1)
-        self._ledger.away(name, begin_s, self._clock.monotonic())
+        self._ledger.record_outage(name, begin_s, self._clock.monotonic())
 
     async def _pause(self, member: _Member, fault: Fault) -> None:
         begin_s = self._clock.monotonic()
         if member.child is not None:
             member.child.send(signal.SIGSTOP)
-            await trio.sleep(fault.for_s)
+            await trio.sleep(fault.duration_s)
             member.child.send(signal.SIGCONT)
-        self._ledger.away(fault.instance, begin_s, self._clock.monotonic())
+        self._ledger.record_outage(fault.instance, begin_s, self._clock.monotonic())
 
-    async def _silence(self, proxy: LoopbackProxy, for_s: float) -> None:
+    async def _block_traffic(self, proxy: LoopbackProxy, duration_s: float) -> None:
         proxy.silent = True
-        await trio.sleep(for_s)
+        await trio.sleep(duration_s)
         proxy.silent = False
 
-    async def _watch_stalls(self) -> None:
-        """Note when the machine gave this process no time."""
+    async def _record_stalls(self) -> None:
+        """Record when this process got no CPU time."""
         while True:
             begin_s = self._clock.monotonic()
-            await trio.sleep(TICK_S)
+            await trio.sleep(STALL_CHECK_INTERVAL_S)
             now_s = self._clock.monotonic()
-            if now_s - begin_s > TICK_S + STALL_S:
-                self._ledger.stalled(begin_s, now_s)
+            if now_s - begin_s > STALL_CHECK_INTERVAL_S + STALL_S:
+                self._ledger.record_stall(begin_s, now_s)
 
-    async def _call_on(self, name: str, random: Random) -> None:
-        """Call at one daemon over a connection that is kept open."""
+    async def _run_caller(self, name: str, random: Random) -> None:
+        """Call one daemon over a persistent connection."""
         pool = AsyncConnectionPool(max_connections=1)
-        while self._calling:
+        while self._is_calling:
             await trio.sleep(random.expovariate(1.0 / MEAN_PAUSE_S))
             await self._call(pool, name, unsafe=random.random() < 0.5)
 
@@ -307,19 +309,19 @@
     ) -> None:
         request_id = f"{self._seed}-{next(self._request_ids)}"
         method, path = ("POST", "/u/x") if unsafe else ("GET", "/s/x")
-        self._ledger.sent(
+        self._ledger.record_request(
             request_id, name, unsafe=unsafe, now_s=self._clock.monotonic()
         )
         status = 0
         try:
-            with trio.move_on_after(GIVE_UP_S):
+            with trio.move_on_after(CALLER_TIMEOUT_S):
                 status = await self._request(pool, name, method, path, request_id)
         except ConnectError:
-            self._ledger.unsent(request_id)
+            self._ledger.discard_request(request_id)
             return
         except (NetworkError, ProtocolError, TimeoutException) as error:
-            logger.info("no answer", request_id=request_id, reason=repr(error))
-        self._ledger.answered(request_id, status, self._clock.monotonic())
+            logger.info("no response", request_id=request_id, reason=repr(error))
+        self._ledger.record_response(request_id, status, self._clock.monotonic())
 
     async def _request(
         self,
@@ -336,17 +338,17 @@
         )
         return response.status
 
-    async def _is_good(self, name: str, path: str) -> bool:
-        """Tell whether a safe call at a daemon succeeds."""
+    async def _is_serving(self, name: str, path: str) -> bool:
+        """Return whether a safe call to a daemon succeeds."""
         request_id = f"{self._seed}-check-{next(self._request_ids)}"
-        with trio.move_on_after(GIVE_UP_S):
+        with trio.move_on_after(CALLER_TIMEOUT_S):
             async with AsyncConnectionPool() as pool:
                 try:
-                    found = await self._request(pool, name, "GET", path, request_id)
+                    status = await self._request(pool, name, "GET", path, request_id)
                 except (NetworkError, ProtocolError, TimeoutException) as error:
-                    logger.debug("not good yet", instance=name, reason=repr(error))
+                    logger.debug("not serving yet", instance=name, reason=repr(error))
                     return False
-                return found == 200
+                return status == 200
         return False
 
     async def _check_versions(self) -> list[str]:
@@ -354,5 +356,5 @@
         return [
             f"configuration: {name} does not enforce version {self._version}"
             for name in self._members
-            if not await self._is_good(name, path)
+            if not await self._is_serving(name, path)
         ]
--- a/catkinhollow/testbed/soak_faults.py
+++ b/catkinhollow/testbed/soak_faults.py
@@ -1,4 +1,4 @@
-"""Plan the faults of a soak from a seed."""
+"""Plan the faults of a soak test from a seed."""
 
 from collections.abc import Sequence
 from enum import StrEnum
@@ -6,55 +6,55 @@
 
 from attrs import frozen
 
-# Faults begin this much apart on average and last some seconds, so that two
-# or three overlap.
+# Mean time between the starts of two faults. With the durations below, two or
+# three faults overlap.
 MEAN_GAP_S = 1.2
 MIN_FAULT_S = 0.3
 MAX_FAULT_S = 2.5
 
 
 class FaultKind(StrEnum):
-    """Name what is done to a process or a connection."""
+    """List the faults of processes and connections."""
 
     KILL = "kill"
-    """End a daemon by force; start it again after the time."""
+    """Send SIGKILL to a daemon; start it again after the duration."""
     TERMINATE = "terminate"
-    """End a daemon with SIGTERM; start it again after its end."""
+    """Send SIGTERM to a daemon; start it again after its exit."""
     PAUSE = "pause"
-    """Stop a daemon with SIGSTOP for the time."""
+    """Stop a daemon with SIGSTOP for the duration."""
     TARGET_CRASH = "target crash"
-    """End a target; a new lifetime starts after the time."""
+    """Stop a target at once; start a new lifetime after the duration."""
     TARGET_SILENT = "target silent"
-    """Let connections to a target carry nothing for the time."""
+    """Forward no bytes to or from a target for the duration."""
     TARGET_RESET = "target reset"
     """Reset all connections to a target at once."""
     STORE_DOWN = "store down"
-    """Let the store refuse every call for the time."""
+    """Make the store refuse every call for the duration."""
     STORE_SILENT = "store silent"
-    """Let one daemon's connections to the store carry nothing."""
+    """Forward no bytes between one daemon and the store for the duration."""
     CONFIGURE = "configure"
     """Write a new configuration version."""
 
 
 @frozen(kw_only=True)
 class Fault:
-    """Hold one planned fault."""
+    """Describe one planned fault."""
 
     at_s: float
     kind: FaultKind
     instance: str
-    for_s: float
+    duration_s: float
 
     @property
     def end_s(self) -> float:
-        """Return when it is over."""
-        return self.at_s + self.for_s
+        """Return the end, in seconds after the start of the plan."""
+        return self.at_s + self.duration_s
 
 
 def plan_faults(
     random: Random, instances: Sequence[str], until_s: float
 ) -> list[Fault]:
-    """Return faults that are all over at the given time, in their order."""
+    """Return faults in the order of their start, all over by `until_s`."""
     faults: list[Fault] = []
     at_s = random.expovariate(1.0 / MEAN_GAP_S)
     while at_s < until_s - MAX_FAULT_S:
@@ -62,30 +62,30 @@
             at_s=at_s,
             kind=random.choice(list(FaultKind)),
             instance=random.choice(instances),
-            for_s=random.uniform(MIN_FAULT_S, MAX_FAULT_S),
+            duration_s=random.uniform(MIN_FAULT_S, MAX_FAULT_S),
         )
-        # A process is in one hand at a time; other faults may overlap.
-        if not any(_collide(fault, other) for other in faults):
+        # A daemon or target has one fault at a time; other faults may overlap.
+        if not any(_conflicts(fault, other) for other in faults):
             faults.append(fault)
         at_s += random.expovariate(1.0 / MEAN_GAP_S)
     return faults
 
 
-_ON_DAEMON = {FaultKind.KILL, FaultKind.TERMINATE, FaultKind.PAUSE}
-_ON_TARGET = {
+_DAEMON_FAULTS = {FaultKind.KILL, FaultKind.TERMINATE, FaultKind.PAUSE}
+_TARGET_FAULTS = {
     FaultKind.TARGET_CRASH,
     FaultKind.TARGET_SILENT,
     FaultKind.TARGET_RESET,
 }
-# Time that a daemon needs beyond the fault: its shutdown and its start.
+# Time that a daemon needs after the fault to shut down and start again.
 _RESTART_S = 6.0
 
 
-def _collide(fault: Fault, earlier: Fault) -> bool:
+def _conflicts(fault: Fault, earlier: Fault) -> bool:
     if fault.instance != earlier.instance:
         return False
-    same_hand = any(
+    same_process = any(
         fault.kind in kinds and earlier.kind in kinds
-        for kinds in (_ON_DAEMON, _ON_TARGET)
+        for kinds in (_DAEMON_FAULTS, _TARGET_FAULTS)
     )
-    return same_hand and fault.at_s < earlier.end_s + _RESTART_S
+    return same_process and fault.at_s < earlier.end_s + _RESTART_S
--- a/catkinhollow/testbed/soak_ledger.py
+++ b/catkinhollow/testbed/soak_ledger.py
@@ -1,26 +1,27 @@
-"""Check what callers and targets saw against the promises to callers."""
+"""Check what callers and targets observed against the call guarantees."""
 
 from collections import Counter, defaultdict
 from math import inf
 
 from attrs import define
 
-# Answers may be this late, as the processes share the machine's cores with
-# the callers and with each other.
-SLACK_S = 1.0
-# Time after the last fault in which everything has to work again.
+# Tolerated delay of a response beyond the timeout, because the daemons share
+# the cores of the machine with the callers and with each other.
+LATE_TOLERANCE_S = 1.0
+# Time after the last fault within which all calls must work again.
 RECOVERY_S = 8.0
-# Share of the calls after that time that must succeed.
-RECOVERED_SHARE = 0.98
+# Share of the calls after the recovery time that must succeed.
+MIN_RECOVERED_SHARE = 0.98
 NOT_RUN_STATUS = 503
-# A request may cross the close of its connection by a daemon that ends; then
-# it has not run, and its connection ends this soon.
-CROSSING_S = 0.5
+# A request that is sent while a daemon closes the connection at shutdown may
+# be lost unread. Such a request never runs, and its connection ends within
+# this time.
+CLOSE_RACE_S = 0.5
 
 
 @define
-class _Sent:
-    """Hold one request of a caller."""
+class _SentRequest:
+    """Represent one request of a caller."""
 
     request_id: str
     instance: str
@@ -28,105 +29,119 @@
     started_s: float
     ended_s: float = inf
     status: int = 0
-    """Status of the answer, 0 if the connection ended without one."""
+    """HTTP status of the response, 0 if the connection ended without one."""
 
 
 class SoakLedger:
-    """Hold every request, every run, and when a daemon could not answer."""
+    """Record requests, runs and outages, and find violated guarantees."""
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
-        self._sent: dict[str, _Sent] = {}
+        self._requests: dict[str, _SentRequest] = {}
         self._runs: Counter[str] = Counter()
-        self._away: dict[str, list[tuple[float, float]]] = defaultdict(list)
-        self._ending: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._outages: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._shutdowns: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self._stalls: list[tuple[float, float]] = []
 
     @property
     def stalled_s(self) -> float:
-        """Return for how long this process did not run, in seconds."""
+        """Return for how long the test process was stalled, in seconds."""
         return sum(end_s - begin_s for begin_s, end_s in self._stalls)
 
     @property
     def statuses(self) -> Counter[int]:
-        """Return how often each status was answered."""
-        return Counter(sent.status for sent in self._sent.values())
+        """Return the number of requests by response status."""
+        return Counter(request.status for request in self._requests.values())
 
-    def sent(
+    def record_request(
         self, request_id: str, instance: str, *, unsafe: bool, now_s: float
     ) -> None:
-        """Note a request that a caller is about to send."""
-        self._sent[request_id] = _Sent(request_id, instance, unsafe, now_s)
+        """Record a request that a caller is about to send."""
+        self._requests[request_id] = _SentRequest(request_id, instance, unsafe, now_s)
 
-    def answered(self, request_id: str, status: int, now_s: float) -> None:
-        """Note an answer, or with status 0 the end of the connection."""
-        sent = self._sent[request_id]
-        sent.status, sent.ended_s = status, now_s
+    def record_response(self, request_id: str, status: int, now_s: float) -> None:
+        """Record a response, or with status 0 the end of the connection."""
+        request = self._requests[request_id]
+        request.status, request.ended_s = status, now_s
 
-    def unsent(self, request_id: str) -> None:
-        """Forget a request for which no connection could be opened."""
-        del self._sent[request_id]
+    def discard_request(self, request_id: str) -> None:
+        """Discard a request for which no connection could be opened."""
+        del self._requests[request_id]
 
-    def ran(self, request_id: str) -> None:
-        """Note that a target began to work on a request."""
+    def record_run(self, request_id: str) -> None:
+        """Record that a target started to run a request."""
         self._runs[request_id] += 1
 
-    def away(self, instance: str, begin_s: float, end_s: float) -> None:
-        """Note when a daemon was paused, killed or not yet started."""
-        self._away[instance].append((begin_s, end_s))
+    def record_outage(self, instance: str, begin_s: float, end_s: float) -> None:
+        """Record when a daemon was paused, killed or not yet started."""
+        self._outages[instance].append((begin_s, end_s))
 
-    def ending(self, instance: str, begin_s: float, end_s: float) -> None:
-        """Note the time from SIGTERM to the end of a daemon's process."""
-        self._ending[instance].append((begin_s, end_s))
+    def record_shutdown(self, instance: str, begin_s: float, end_s: float) -> None:
+        """Record the time from SIGTERM to the exit of a daemon's process."""
+        self._shutdowns[instance].append((begin_s, end_s))
 
-    def stalled(self, begin_s: float, end_s: float) -> None:
-        """Note when this process itself did not run, so times mean nothing."""
+    def record_stall(self, begin_s: float, end_s: float) -> None:
+        """Record when this process got no CPU time.
+
+        The times of requests that overlap a stall are not checked.
+        """
         self._stalls.append((begin_s, end_s))
 
-    def broken_promises(self, last_fault_s: float) -> list[str]:
-        """Return a line for each promise that was broken."""
+    def find_violations(self, last_fault_s: float) -> list[str]:
+        """Return a line for each violated guarantee."""
         found: list[str] = []
-        for sent in self._sent.values():
-            found.extend(self._check(sent))
-        settled = [
-            sent
-            for sent in self._sent.values()
-            if sent.started_s > last_fault_s + RECOVERY_S
+        for request in self._requests.values():
+            found.extend(self._check(request))
+        recovered = [
+            request
+            for request in self._requests.values()
+            if request.started_s > last_fault_s + RECOVERY_S
         ]
-        good = sum(sent.status == 200 for sent in settled)
-        if not settled or good < RECOVERED_SHARE * len(settled):
-            found.append(f"recovery: {good} of {len(settled)} calls succeed at the end")
+        succeeded = sum(request.status == 200 for request in recovered)
+        if not recovered or succeeded < MIN_RECOVERED_SHARE * len(recovered):
+            found.append(
+                f"recovery: {succeeded} of {len(recovered)} calls succeeded after"
+                " the recovery time"
+            )
         return found
 
-    def _check(self, sent: _Sent) -> list[str]:
-        runs = self._runs[sent.request_id]
-        where = f"{sent.request_id} at {sent.instance}, {sent.started_s:.3f} s"
-        excused = self._was_away(sent)
+    def _check(self, request: _SentRequest) -> list[str]:
+        runs = self._runs[request.request_id]
+        where = f"{request.request_id} at {request.instance}, {request.started_s:.3f} s"
+        in_outage = self._overlaps_outage(request)
         found = []
-        if sent.unsafe and runs > 1:
+        if request.unsafe and runs > 1:
             found.append(f"duplicate: {where} ran {runs} times")
-        if sent.status == NOT_RUN_STATUS and runs:
-            found.append(f"false refusal: {where} was refused and ran")
-        if sent.status == 200 and not runs:
-            found.append(f"false answer: {where} never ran")
-        if sent.status == 0 and not excused and not self._has_crossed(sent, runs):
-            found.append(f"lost: {where} got no answer")
-        late_s = sent.ended_s - sent.started_s - self._timeout_s
-        timed = not any(_overlap(sent, stall) for stall in self._stalls)
-        if late_s > SLACK_S and timed and not excused:
-            found.append(f"late: {where} was answered {late_s:.1f} s late")
+        if request.status == NOT_RUN_STATUS and runs:
+            found.append(f"false refusal: {where} was refused although it ran")
+        if request.status == 200 and not runs:
+            found.append(f"false answer: {where} succeeded although it never ran")
+        if (
+            request.status == 0
+            and not in_outage
+            and not self._raced_close(request, runs)
+        ):
+            found.append(f"lost: {where} got no response")
+        late_s = request.ended_s - request.started_s - self._timeout_s
+        is_timed = not any(_overlaps(request, stall) for stall in self._stalls)
+        if late_s > LATE_TOLERANCE_S and is_timed and not in_outage:
+            found.append(f"late: {where} ended {late_s:.1f} s after the timeout")
         return found
 
-    def _has_crossed(self, sent: _Sent, runs: int) -> bool:
+    def _raced_close(self, request: _SentRequest, runs: int) -> bool:
         return (
             runs == 0
-            and sent.ended_s - sent.started_s <= CROSSING_S
-            and any(_overlap(sent, span) for span in self._ending[sent.instance])
+            and request.ended_s - request.started_s <= CLOSE_RACE_S
+            and any(
+                _overlaps(request, span) for span in self._shutdowns[request.instance]
+            )
         )
 
-    def _was_away(self, sent: _Sent) -> bool:
-        return any(_overlap(sent, away) for away in self._away[sent.instance])
+    def _overlaps_outage(self, request: _SentRequest) -> bool:
+        return any(
+            _overlaps(request, outage) for outage in self._outages[request.instance]
+        )
 
 
-def _overlap(sent: _Sent, span: tuple[float, float]) -> bool:
-    return span[0] <= sent.ended_s and sent.started_s <= span[1]
+def _overlaps(request: _SentRequest, span: tuple[float, float]) -> bool:
+    return span[0] <= request.ended_s and request.started_s <= span[1]
--- a/catkinhollow/testbed/soak_target.py
+++ b/catkinhollow/testbed/soak_target.py
@@ -1,4 +1,4 @@
-"""Stand in for the target of one daemon in a soak."""
+"""Provide the target of one daemon in a soak test."""
 
 from collections.abc import Callable
 from itertools import count
@@ -30,18 +30,18 @@
 
 
 class SoakTarget:
-    """Answer requests, count their runs, and announce each lifetime."""
+    """Serve requests, report their runs, and announce each lifetime."""
 
     def __init__(
         self,
         settings: RelaySettings,
         port: int,
-        ran: Callable[[str], None],
+        record_run: Callable[[str], None],
         clock: Clock,
     ) -> None:
         self._settings = settings
         self._port = port
-        self._ran = ran
+        self._record_run = record_run
         self._clock = clock
         self._lifetime = ""
         self._lifetimes = count(1)
@@ -50,7 +50,7 @@
         self._pool = AsyncConnectionPool()
 
     async def run(self) -> None:
-        """Live again each time a crash has ended, until cancelled."""
+        """Serve until cancelled, with a new lifetime after each crash."""
         while True:
             self._lifetime = f"{self._settings.instance}-{next(self._lifetimes)}"
             with trio.CancelScope() as self._scope:
@@ -60,7 +60,7 @@
             await trio.sleep(self._down_s)
 
     def crash(self, down_s: float) -> None:
-        """End this lifetime at once; the next one starts after the time."""
+        """End this lifetime at once; start the next one after `down_s`."""
         self._down_s = down_s
         self._scope.cancel()
 
@@ -80,7 +80,7 @@
         if expected is not None and expected != self._lifetime.encode():
             await send_response(send, plain_response(421, "another lifetime", headers))
             return
-        self._ran(request_id.decode())
+        self._record_run(request_id.decode())
         await trio.sleep(WORK_S)
         headers += [(NAMES.request_id, request_id), (NAMES.signature, b"soak")]
         await send_response(
@@ -88,10 +88,10 @@
         )
 
     async def _announce(self) -> None:
-        born_ms = self._clock.unix_ms()
+        started_ms = self._clock.unix_ms()
         url = f"http://{self._settings.announcements}/instances/{self._lifetime}"
         for sequence in count(1):
-            report = {
+            announcement = {
                 "service": self._settings.service,
                 "address": self._settings.target,
                 "failure_domain": self._settings.failure_domain,
@@ -100,12 +100,12 @@
                 "state": "ready",
                 "cold_remaining_ms": 0,
                 "seq": sequence,
-                "born": born_ms,
+                "born": started_ms,
             }
-            content = encode_json(report)
+            content = encode_json(announcement)
             try:
                 with trio.move_on_after(ANNOUNCE_INTERVAL_S):
                     await self._pool.request("PUT", url, content=content)
             except (NetworkError, ProtocolError, TimeoutException) as error:
-                logger.debug("announcement not taken", reason=repr(error))
+                logger.debug("announcement not accepted", reason=repr(error))
             await trio.sleep(ANNOUNCE_INTERVAL_S)
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -1,4 +1,4 @@
-"""Tests of the fault soak and of what it is made of."""
+"""Tests of the soak test under faults and of its parts."""
 
 from random import Random
 
@@ -17,17 +17,17 @@
 from catkinhollow.testbed.soak_faults import MAX_FAULT_S, plan_faults
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, SoakLedger
 
-# Seeds that have found a fault:
-# 12: a target that had ended behind a proxy kept its gate open.
-# 43 (6 daemons, 20 s): a request that crossed the close of its connection was
-#     called lost; see the test of crossing requests.
+# Seeds that found a fault:
+# 12: a gate stayed open after its target behind a proxy had ended.
+# 43 (6 daemons, 20 s): a request that raced the close of its connection was
+#     reported as lost; see the test of that race.
 CI_SEEDS = (12,)
 
 
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", CI_SEEDS)
-async def test_daemons_keep_their_promises_under_faults(seed, tmp_path):
-    """Guards against lost, doubled or late requests when faults overlap."""
+async def test_daemons_keep_the_call_guarantees_under_faults(seed, tmp_path):
+    """Guards against lost, duplicate or late requests when faults overlap."""
     soak = Soak(seed, daemons=4, seconds=10.0, directory=tmp_path)
     result = await soak.run()
     assert result.faults
@@ -35,26 +35,26 @@
     assert result.violations == []
 
 
-def test_same_seed_plans_the_same_faults_and_ends_them():
-    """Guards against a failed seed that can't be played again."""
+def test_same_seed_gives_the_same_faults_and_all_end():
+    """Guards against a failed seed that can't be reproduced."""
     names = ["d0", "d1", "d2"]
     first = plan_faults(Random(3), names, 60.0)
     assert first == plan_faults(Random(3), names, 60.0)
     assert first
     assert all(fault.end_s <= 60.0 for fault in first)
-    assert all(fault.for_s <= MAX_FAULT_S for fault in first)
+    assert all(fault.duration_s <= MAX_FAULT_S for fault in first)
 
 
 def make_ledger(*, runs, status, unsafe=True, ended_s=0.5):
     ledger = SoakLedger(1.5)
-    ledger.sent("r", "d0", unsafe=unsafe, now_s=0.0)
+    ledger.record_request("r", "d0", unsafe=unsafe, now_s=0.0)
     for _ in range(runs):
-        ledger.ran("r")
-    ledger.answered("r", status, ended_s)
+        ledger.record_run("r")
+    ledger.record_response("r", status, ended_s)
     # One call after the recovery succeeds.
-    ledger.sent("last", "d0", unsafe=False, now_s=RECOVERY_S + 1.0)
-    ledger.ran("last")
-    ledger.answered("last", 200, RECOVERY_S + 1.1)
+    ledger.record_request("last", "d0", unsafe=False, now_s=RECOVERY_S + 1.0)
+    ledger.record_run("last")
+    ledger.record_response("last", 200, RECOVERY_S + 1.1)
     return ledger
 
 
@@ -72,53 +72,54 @@
         (1, 502, True, 0.5, ""),
     ],
 )
-def test_each_broken_promise_is_named(runs, status, unsafe, ended_s, expected):
-    """Guards against a soak that passes whatever happens."""
+def test_each_violation_is_reported(runs, status, unsafe, ended_s, expected):
+    """Guards against a soak test that passes in spite of violations."""
     ledger = make_ledger(runs=runs, status=status, unsafe=unsafe, ended_s=ended_s)
-    found = ledger.broken_promises(0.0)
+    found = ledger.find_violations(0.0)
     assert [line.partition(":")[0] for line in found] == (
         [expected] if expected else []
     )
 
 
-def test_daemon_that_was_killed_may_lose_its_open_requests():
-    """Guards against blame for what no daemon can prevent."""
+def test_killed_daemon_may_lose_its_open_requests():
+    """Guards against violations that no daemon can prevent."""
     ledger = make_ledger(runs=1, status=0)
-    ledger.away("d0", 0.4, 2.0)
-    assert ledger.broken_promises(0.0) == []
-    # A doubled run has no excuse.
-    doubled = make_ledger(runs=2, status=0)
-    doubled.away("d0", 0.4, 2.0)
-    assert len(doubled.broken_promises(0.0)) == 1
+    ledger.record_outage("d0", 0.4, 2.0)
+    assert ledger.find_violations(0.0) == []
+    # An outage does not excuse a duplicate run.
+    duplicate = make_ledger(runs=2, status=0)
+    duplicate.record_outage("d0", 0.4, 2.0)
+    assert len(duplicate.find_violations(0.0)) == 1
 
 
 @pytest.mark.parametrize(
     ("runs", "ended_s", "lost"), [(0, 0.2, False), (1, 0.2, True), (0, 1.2, True)]
 )
-def test_only_a_request_that_crosses_the_close_may_get_no_answer(runs, ended_s, lost):
-    """Guards against requests that an ending daemon takes and drops.
+def test_only_a_request_that_races_the_close_may_get_no_response(runs, ended_s, lost):
+    """Guards against requests that a daemon reads at shutdown and drops.
 
-    Seed 43: a request was sent while the daemon closed its connections, 1 s
-    before the end of its process; it was never read and never ran.
+    Only an unread request may be lost. Seed 43: a request was sent while the
+    daemon closed its connections, 1 s before its process ended; it was never
+    read and never ran.
     """
     ledger = make_ledger(runs=runs, status=0, ended_s=ended_s)
-    ledger.ending("d0", -2.0, 1.0)
-    assert bool(ledger.broken_promises(0.0)) is lost
+    ledger.record_shutdown("d0", -2.0, 1.0)
+    assert bool(ledger.find_violations(0.0)) is lost
 
 
-def test_time_in_which_the_observer_was_held_up_proves_no_delay():
-    """Guards against late answers that nobody was there to take."""
+def test_requests_during_a_stall_of_the_test_process_are_not_late():
+    """Guards against delays that the test process itself has caused."""
     ledger = make_ledger(runs=1, status=504, ended_s=3.5)
-    ledger.stalled(1.0, 2.6)
-    assert ledger.broken_promises(0.0) == []
+    ledger.record_stall(1.0, 2.6)
+    assert ledger.find_violations(0.0) == []
 
 
-def test_fleet_that_stays_broken_is_named():
-    """Guards against a soak that ends before the daemons have recovered."""
+def test_fleet_that_does_not_recover_is_reported():
+    """Guards against a soak test that misses daemons without recovery."""
     ledger = make_ledger(runs=1, status=200)
-    ledger.sent("bad", "d0", unsafe=False, now_s=RECOVERY_S + 1.0)
-    ledger.answered("bad", 503, RECOVERY_S + 1.1)
-    assert ledger.broken_promises(0.0)[0].startswith("recovery")
+    ledger.record_request("bad", "d0", unsafe=False, now_s=RECOVERY_S + 1.0)
+    ledger.record_response("bad", 503, RECOVERY_S + 1.1)
+    assert ledger.find_violations(0.0)[0].startswith("recovery")
 
 
 async def serve(nursery, app):
@@ -128,7 +129,7 @@
 
 
 async def test_stand_in_store_serves_the_client(nursery):
-    """Guards against a stand-in that differs from what the client expects."""
+    """Guards against a stand-in with responses that the client rejects."""
     app = StandInStore()
     port = await serve(nursery, app)
     store = PlatformStore(f"127.0.0.1:{port}")
@@ -151,14 +152,14 @@
     assert (await store.list_objects("orders")).is_error()
 
 
-async def test_proxy_holds_back_and_resets(nursery):
-    """Guards against a disturbance that does not happen."""
+async def test_proxy_blocks_traffic_and_resets_connections(nursery):
+    """Guards against faults that are not applied."""
     app = StandInStore()
-    far = await serve(nursery, app)
-    near = free_ports(1)[0]
-    proxy = LoopbackProxy(far)
-    await nursery.start(proxy.serve, near)
-    url = f"http://127.0.0.1:{near}/objects/config"
+    server_port = await serve(nursery, app)
+    proxy_port = free_ports(1)[0]
+    proxy = LoopbackProxy(server_port)
+    await nursery.start(proxy.serve, proxy_port)
+    url = f"http://127.0.0.1:{proxy_port}/objects/config"
     async with AsyncConnectionPool() as pool:
         assert (await pool.request("GET", url)).status == 200
         proxy.silent = True
