Describe what measure_memory waits for after the start

The comment spoke of ejections of links; mesh/neighbours.py closes the links that are no longer wanted.

--- a/tools/measure_memory.py
+++ b/tools/measure_memory.py
@@ -19,8 +19,8 @@
 FLEET = ROOT / "examples" / "consortium"
 FAILURE_DOMAINS = ("windhoek-a", "windhoek-b", "windhoek-c")
 START_TIMEOUT_S = 60.0
-# By then the joins, the first ejections of links and the writes of the seed
-# lists are complete.
+# By then the joins, the closing of links that are no longer wanted and the
+# writes of the seed lists are complete.
 SETTLE_S = 8.0
 MIB = 1024 * 1024
 
