--- a/catkinhollow/mesh/dissemination.py
+++ b/catkinhollow/mesh/dissemination.py
@@ -51,7 +51,8 @@
 class Mesh:
     """Represent the state of one daemon in the mesh, without any I/O.
 
-    Each method returns the commands that the I/O layer has to execute.
+    Methods that change the state return the commands that the I/O layer has
+    to execute.
     """
 
     def __init__(
@@ -263,8 +264,8 @@
         self._joiner.on_ack(envelope.sender)
         self._apply_answer(ack.ready, ack.revision, ack.floor_revision, now_s)
         self._failure_detector.on_ack(envelope, ack, now_s)
-        # A neighbour that pinged first has already repaired this table, and a
-        # seed would send the whole table again.
+        # With equal digests a neighbour that pinged first has already repaired
+        # this table, and a seed would only send the whole table again.
         if ack.digest == self._comparison.digest and self._joiner.mark_joined():
             self._commands.add(MeshJoined())
 
--- a/catkinhollow/mesh/joining.py
+++ b/catkinhollow/mesh/joining.py
@@ -81,7 +81,7 @@
 
     @property
     def joined(self) -> bool:
-        """Return whether the daemon has received the member table."""
+        """Return whether the daemon has the member table of a peer."""
         return self._joined
 
     @property
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -173,7 +173,7 @@
         try:
             token.run_sync_soon(callback, *arguments)
         except trio.RunFinishedError:
-            logger.debug("pipe event after the end of the loop")
+            logger.debug("pipe event after loop shutdown")
 
     def _pipe_added(self, pipe: _Pipe, dialer_id: int) -> None:
         address = self._dialed_addresses.get(dialer_id)
@@ -217,20 +217,20 @@
             return
         self._release_pipe(pipe.id)
         self._pipe_addresses[pipe.id] = address
-        known = address in self._pipes
+        is_linked = address in self._pipes
         self._pipes.setdefault(address, {})[pipe.id] = pipe
-        if not known:
+        if not is_linked:
             self._emit(LinkUp(address=address))
         # If both ends have dialed, the end with the lower address keeps its
         # pipe.
-        accepted = _dialer_id(pipe) not in self._dialed_addresses
-        if accepted and address < self._own_address:
+        is_accepted = _dialer_id(pipe) not in self._dialed_addresses
+        if is_accepted and address < self._own_address:
             self._close_dialer(address)
 
     def _dial_if_needed(self, address: str) -> None:
-        running = self._receiver is not None
-        needed = address in self._wanted and address not in self._pipes
-        if not running or not needed or address in self._dialers:
+        is_running = self._receiver is not None
+        is_needed = address in self._wanted and address not in self._pipes
+        if not is_running or not is_needed or address in self._dialers:
             return
         try:
             dialer: _Dialer = self._socket.dial(f"tcp://{address}", block=False)
--- a/tests/control/test_reporting.py
+++ b/tests/control/test_reporting.py
@@ -38,11 +38,11 @@
 
     A report is obsolete if it comes from an earlier process of the sender.
     """
-    total, accepted, fastest = ReportAggregator(), set(), {}
+    aggregator, accepted, fastest = ReportAggregator(), set(), {}
     newest = {}
     for name, incarnation, window_s, delay_s in deliveries:
         skew_ms = 60_000 if name == "x" else -60_000
-        is_accepted = total.accept(
+        is_accepted = aggregator.accept(
             make_sender(name, incarnation),
             make_report(window_s * 1000 + 100_000),
             (window_s + delay_s) * 1000 + 100_000 + skew_ms,
@@ -56,7 +56,7 @@
             is_late = (delay_s - fastest[process]) * 1000 > MAX_EXTRA_DELAY_MS
         assert is_accepted == (is_newer and not is_late)
         accepted |= {(name, *key)} if is_accepted else set()
-    assert sum(entry.requests for entry in total.take()) == len(accepted)
+    assert sum(entry.requests for entry in aggregator.take()) == len(accepted)
 
 
 class WindowCounts:
--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -76,7 +76,7 @@
         super().__init__(seed)
         self.store = HistoryStore()
         self.store.write("config", "fleet", to_plain(make_fleet(1500)))
-        self.write_changed_fleet(lambda fleet: _with_split(fleet))
+        self.write_changed_fleet(lambda fleet: _with_even_split(fleet))
         self.holders = defaultdict(SnapshotHolder)
         self.routers = {}
         self.policies = defaultdict(QuarantinePolicy)
@@ -123,8 +123,8 @@
         )
         return evolve(made, address=address, incarnation=incarnation)
 
-    def reachable(self, one, other):
-        return frozenset((one, other)) not in self.cut_links and super().reachable(
+    def is_reachable(self, one, other):
+        return frozenset((one, other)) not in self.cut_links and super().is_reachable(
             one, other
         )
 
@@ -214,8 +214,8 @@
         for address in ADDRESSES[:2]:
             node = self.nodes.get(address)
             if node is not None:
-                self._later(self.store_delay_s, self.read_store, node, revision)
+                self._schedule(self.store_delay_s, self.read_store, node, revision)
 
 
-def _with_split(fleet):
+def _with_even_split(fleet):
     return evolve(fleet, services=[Service(name="orders", split=SPLIT)])
--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -132,7 +132,7 @@
 TestMesh = MeshMachine.TestCase
 
 
-def small_fleet():
+def make_small_fleet():
     network = Network(3)
     network.newest = 1
     for address in ADDRESSES:
@@ -142,35 +142,35 @@
     return network, [network.nodes[address] for address in ADDRESSES]
 
 
-def states(node):
+def present_states(node):
     return [record.state for record in node.mesh.table.present_members()]
 
 
 def test_stopped_daemon_suspects_nobody_and_rejoins():
     """Guards against a resumed daemon that suspects others or stays dead."""
-    network, (node, *others) = small_fleet()
+    network, (node, *others) = make_small_fleet()
     node.stopped = True
     network.advance(30.0)
-    assert all(len(states(other)) == 4 for other in others)
+    assert all(len(present_states(other)) == 4 for other in others)
     node.inbox.clear()
     network.resume(node)
-    assert set(states(node)) == {MemberState.ALIVE}
+    assert set(present_states(node)) == {MemberState.ALIVE}
     network.advance(1.0)
-    assert all(states(other) == [MemberState.ALIVE] * 5 for other in others)
+    assert all(present_states(other) == [MemberState.ALIVE] * 5 for other in others)
 
 
 def test_leaving_daemon_tells_its_neighbours_at_once():
     """Guards against a leave message that waits for a tick after the exit."""
-    network, (node, *others) = small_fleet()
+    network, (node, *others) = make_small_fleet()
     network.call(node, "leave")
     node.stopped = True
     network.advance(0.5)
-    assert all(len(states(other)) == 4 for other in others)
+    assert all(len(present_states(other)) == 4 for other in others)
 
 
 def test_lost_quarantine_is_repaired():
     """Guards against a quarantine that is lost with its flooded messages."""
-    network, nodes = small_fleet()
+    network, nodes = make_small_fleet()
     network.loss = 1.0
     item = make_quarantine("v")
     network.call(nodes[0], "quarantine", item)
@@ -182,7 +182,7 @@
 
 def test_joiner_learns_its_floor_from_a_neighbour():
     """Guards against a restarted daemon that serves an older revision."""
-    network, nodes = small_fleet()
+    network, nodes = make_small_fleet()
     for informed in nodes[:4]:
         network.start(ADDRESSES[4], [ADDRESSES[0]])
         informed.mesh.table.note_enforced_revision(ADDRESSES[4], 9)
@@ -195,7 +195,7 @@
 
 def test_joins_are_admitted_at_a_bounded_rate_and_told_the_floor():
     """Guards against a seed that sends its table to all daemons at once."""
-    network, (seed, *_) = small_fleet()
+    network, (seed, *_) = make_small_fleet()
     seed.mesh.table.note_enforced_revision("joiner", 9)
     seed.mesh.link_up("joiner", network.now_s)
     member = MemberRecord(
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -21,14 +21,16 @@
 )
 
 
-def member(address):
+def make_member(address):
     return MemberRecord(address=address, incarnation=1, failure_domain="a", region="r")
 
 
 def make_table():
-    table = MemberTable(member("m0"), suspect_timeout_s=3.0, dead_retention_s=600.0)
+    table = MemberTable(
+        make_member("m0"), suspect_timeout_s=3.0, dead_retention_s=600.0
+    )
     for name in NAMES[1:]:
-        table.merge(member(name), 0.0)
+        table.merge(make_member(name), 0.0)
     return table
 
 
@@ -63,7 +65,7 @@
 def test_restart_with_equal_incarnation_replaces_the_predecessor():
     """Guards against two processes with one incarnation from the clock."""
     table = make_table()
-    assert table.merge(evolve(member("m0"), version=4), 0.0)
+    assert table.merge(evolve(make_member("m0"), version=4), 0.0)
     assert (table.own.incarnation, table.own.state) == (2, MemberState.ALIVE)
 
 
--- a/tests/mesh/test_mesh_service.py
+++ b/tests/mesh/test_mesh_service.py
@@ -22,14 +22,14 @@
 from tests.mesh.test_peers import free_address
 
 
-def plain(address):
+def plain_address(address):
     host, port = address.split(":")
     return {"host": host, "port": int(port)}
 
 
 class Daemon:
     def __init__(self, address, seeds):
-        own = plain(address)
+        own = plain_address(address)
         values = {
             "region": "r",
             "failure_domain": "a",
@@ -37,7 +37,7 @@
             "traffic": own,
             "admin": own,
             "peer": own,
-            "seeds": [plain(seed) for seed in seeds],
+            "seeds": [plain_address(seed) for seed in seeds],
             "peers": {"ping_interval_s": 0.1, "suspect_timeout_s": 0.3},
         }
         self.address = address
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -34,7 +34,7 @@
                     return
 
 
-def ping(sender, sequence):
+def make_ping(sender, sequence):
     body = Ping(sequence=sequence, revision=0, digest=0)
     return Envelope(sender=sender, incarnation=1, ping=body)
 
@@ -44,15 +44,15 @@
     one, other = Peer(free_address()), Peer(free_address())
     one.link.connect(other.address)
     nursery.start_soon(one.run)
-    assert not one.send(other.address, ping=ping("", 0).ping)
+    assert not one.send(other.address, ping=make_ping("", 0).ping)
     for sequence in range(3):
         nursery.start_soon(other.run)
         await one.expect(LinkUp(address=other.address))
-        assert one.send(other.address, ping=ping("", sequence).ping)
+        assert one.send(other.address, ping=make_ping("", sequence).ping)
         await other.expect(LinkUp(address=one.address))
-        await other.expect(ping(one.address, sequence))
-        assert other.send(one.address, ping=ping("", sequence).ping)
-        await one.expect(ping(other.address, sequence))
+        await other.expect(make_ping(one.address, sequence))
+        assert other.send(one.address, ping=make_ping("", sequence).ping)
+        await one.expect(make_ping(other.address, sequence))
         other.scope.cancel()
         await one.expect(LinkDown(address=other.address))
         other = Peer(other.address)
@@ -71,9 +71,9 @@
     for sequence in range(3):
         for peer, remote in pairs:
             with trio.fail_after(10):
-                while not peer.send(remote.address, ping=ping("", sequence).ping):
+                while not peer.send(remote.address, ping=make_ping("", sequence).ping):
                     await trio.sleep(0.01)
-            await remote.expect(ping(peer.address, sequence))
+            await remote.expect(make_ping(peer.address, sequence))
         one.link.disconnect(other.address)
         await trio.sleep(0.05)
         # An accepted pipe has no address until the dialing end has sent.
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -98,7 +98,7 @@
             self._link_down(node, address)
         self._tick(node, node.due_s)
 
-    def reachable(self, one, other):
+    def is_reachable(self, one, other):
         return self.partition_of.get(one, 0) == self.partition_of.get(other, 0)
 
     def enforce(self, node, revision, size=100):
@@ -125,10 +125,10 @@
             action(*args)
         self.now_s = end_s
 
-    def _later(self, delay_s, action, *args):
-        self._at(self.now_s + delay_s, action, *args)
+    def _schedule(self, delay_s, action, *args):
+        self._schedule_at(self.now_s + delay_s, action, *args)
 
-    def _at(self, time_s, action, *args):
+    def _schedule_at(self, time_s, action, *args):
         heappush(self._events, (time_s, next(self._order), action, args))
 
     def _run(self, node, commands):
@@ -138,7 +138,7 @@
                     self._send(node, address, envelope)
                 case Connect(address=address):
                     node.wanted.add(address)
-                    self._later(self._delay_s(), self._dial, node, address)
+                    self._schedule(self._delay_s(), self._dial, node, address)
                 case Disconnect(address=address):
                     node.wanted.discard(address)
                     self._drop_unwanted(node, address)
@@ -152,7 +152,7 @@
             assert node.enforced >= node.required
         if node.due_s <= self.now_s or node.mesh.due_s < node.due_s:
             node.due_s = max(self.now_s + 0.001, node.mesh.due_s)
-            self._at(node.due_s, self._tick, node, node.due_s)
+            self._schedule_at(node.due_s, self._tick, node, node.due_s)
 
     def _tick(self, node, due_s):
         if node.alive and not node.stopped and due_s == node.due_s:
@@ -165,11 +165,11 @@
         if not node.alive or address not in node.wanted:
             return
         link = frozenset((node.address, address))
-        if address in self.nodes and self.reachable(*link) and not node.stopped:
+        if address in self.nodes and self.is_reachable(*link) and not node.stopped:
             self._links.add(link)
             self._run(node, node.mesh.link_up(address, self.now_s))
         else:
-            self._later(1.0, self._dial, node, address)
+            self._schedule(1.0, self._dial, node, address)
 
     def _drop_unwanted(self, node, address):
         link = frozenset((node.address, address))
@@ -191,7 +191,7 @@
         if frozenset((node.address, address)) not in self._links:
             self._run(node, node.mesh.link_down(address, self.now_s))
             if address in node.wanted:
-                self._later(0.1, self._dial, node, address)
+                self._schedule(0.1, self._dial, node, address)
 
     def _send(self, node, address, envelope):
         body = envelope.ack or envelope.join_reply
@@ -205,14 +205,14 @@
             self.bytes[node.address] += size
             self.bytes[address] += size
         if self.random.random() >= self.loss:
-            self._later(
+            self._schedule(
                 self._delay_s(), self._arrive, node, address, envelope, known_revision
             )
 
     def _arrive(self, sender, address, envelope, known_revision):
         node = self.nodes.get(address)
         link = frozenset((sender.address, address))
-        if node is None or link not in self._links or not self.reachable(*link):
+        if node is None or link not in self._links or not self.is_reachable(*link):
             return
         if node.stopped:
             node.inbox.append((sender.address, envelope))
