--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -123,7 +123,7 @@
         pipes = self._pipes.get(address)
         if not pipes:
             return False
-        # An older pipe may lead to a former process of the peer.
+        # Use the newest pipe, as an older one may lead to a former process.
         pipe = next(reversed(pipes.values()))
         try:
             data = encode_without_none(envelope)
