--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -6,7 +6,7 @@
 import trio
 from attrs import define
 
-from catkinhollow.calls.egress import end_to_end
+from catkinhollow.calls.egress import end_to_end_headers
 from catkinhollow.calls.exchange import Headers, Request, Response, plain_response
 from catkinhollow.calls.retries import RetryBudget
 from catkinhollow.generated.relay import (
@@ -128,9 +128,9 @@
     async def serve(
         self, request: Request, wait_for_disconnect: WaitForDisconnect
     ) -> Response:
-        """Return the answer to a request.
+        """Return the response to a request.
 
-        The response is irrelevant once the caller has disconnected.
+        It is not used once the caller has disconnected.
         """
         if self._stopping:
             return plain_response(503, "the daemon ends")
@@ -252,7 +252,7 @@
             target += b"?" + request.query
         headers = [
             [name, value]
-            for name, value in end_to_end(request.headers)
+            for name, value in end_to_end_headers(request.headers)
             if name not in self._internal_headers
         ]
         request_id = request.header(self._header_names.request_id) or b""
--- /dev/null
+++ b/catkinhollow/relay/target_responses.py
@@ -0,0 +1,51 @@
+"""Classify the responses of a target."""
+
+from collections.abc import Callable
+
+from catkinhollow.calls.egress import SendResult
+from catkinhollow.calls.exchange import Request, Response
+from catkinhollow.calls.retries import AttemptKind
+from catkinhollow.relay.gate import MISDIRECTED_STATUS
+from catkinhollow.relay.header_names import HeaderNames
+
+SUCCESS_STATUSES = range(200, 300)
+# Callers conclude from these that the request has not run, which only the
+# not-run header of the target can guarantee.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+def make_classifier(
+    header_names: HeaderNames,
+) -> Callable[[Request, Response], SendResult]:
+    """Return a function that classifies responses by these headers."""
+
+    def broken(reason: str) -> SendResult:
+        return SendResult(kind=AttemptKind.BROKEN, reason=reason)
+
+    def classify(request: Request, response: Response) -> SendResult:
+        response_id = response.header(header_names.request_id)
+        if response_id is not None and response_id != request.header(
+            header_names.request_id
+        ):
+            return broken("answer to another request")
+        if (
+            response.status == MISDIRECTED_STATUS
+            or response.header(header_names.not_run) is not None
+        ):
+            return SendResult(
+                kind=AttemptKind.REFUSED, response=response, reason="refused by target"
+            )
+        if response.status in NOT_RUN_STATUSES:
+            return broken(
+                f"status {response.status} without a mark that it has not run"
+            )
+        if response.status in SUCCESS_STATUSES:
+            if response_id is None:
+                return broken("success without the request's id")
+            if response.header(header_names.signature) is None:
+                return broken("success without the target's signature")
+            if response.header(b"content-encoding") is not None:
+                return broken("encoded body")
+        return SendResult(kind=AttemptKind.ANSWERED, response=response)
+
+    return classify
--- a/tests/fleet_network.py
+++ b/tests/fleet_network.py
@@ -187,7 +187,7 @@
             sent = send_call(self.routers[node], self.router_s, "POST")
             if sent is not None:
                 entries.append(sent[1])
-                sent[0].finished(builders.OK, self.router_s + 0.01)
+                sent[0].finish_attempt(builders.OK, self.router_s + 0.01)
         return entries
 
     def _update_router(self, node):
