Clarify the comments of the gate

Name the quantities that constants divide or limit, describe the keys and units of the gate's tables, and state what the tests guard against. The docstring of test_unknown_target_gets_no_calls described another case. Rename locals that kept older terms (usual, place, worth, dropped).

--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -1,12 +1,13 @@
 """Control the admission of calls to one target.
 
 The gate protects a target from bursts and from sustained overload. Every call
-to a target passes its gate, so slots, cold rate and draining are enforced
-exactly, and a call that the gate refuses has not run. Waiting calls are
-ordered by rank, then by their arrival plus a share of the time to their soft
-deadline: short lookups that a running request waits for start before new long
-work, but not before work that has waited for a long time. A call that cannot
-start in time is refused as soon as that is known.
+to a target passes its gate, so its number of slots, its rate limit while it is
+cold and its draining are enforced exactly, and a call that the gate refuses
+has not run. Waiting calls are ordered by rank (0 first), then by their arrival
+plus a share of the time to their soft deadline: short lookups that a running
+request waits for start before new long work, but not before work that has
+waited for a long time. A call that cannot start in time is refused as soon as
+that is known.
 """
 
 from math import inf
@@ -27,7 +28,7 @@
 from catkinhollow.relay.gate_rates import ArrivalRate, estimate_overtaken_wait_s
 from catkinhollow.relay.token_bucket import TokenBucket
 
-# Estimated run time until the first run has ended.
+# Run time that is assumed until the first run has ended.
 INITIAL_RUN_TIME_S = 0.1
 # Minimum weight of a run in the moving average of run times, which adapts
 # within about 10 runs. The first runs of a version are weighted equally, so
@@ -37,11 +38,13 @@
 # Shorter runs count as this long: runs that fail immediately would make an
 # overloaded target look fast.
 MIN_RUN_TIME_S = 0.005
-# Divisor of the expected run time when the latest start is computed. Run
-# times vary, and an answer after the soft deadline is still of some use.
+# Divisor of the expected run time or wait in the checks for a late start. A
+# value above 1 allows later starts, because run times vary and an answer after
+# the soft deadline is still of some use.
 LATE_START_FACTOR = 1.25
-# Share of the time to its soft deadline that a call may wait; a refusal after
-# a longer wait leaves the caller too little time to retry.
+# Share of the time to its soft deadline that a call may wait, or of the time
+# to its deadline if the run alone takes longer than to the soft one. A refusal
+# after a longer wait leaves the caller too little time to retry.
 MAX_WAIT_SHARE = 0.6
 # Added to the announced cold time, because the announcement is sent some time
 # before it arrives.
@@ -60,13 +63,15 @@
 # Calls sent to the target beyond its slots. They wait in the target's queue,
 # so that a slot is not idle for the round trip to the gate between two runs.
 PREFETCHED_CALLS = 1
-# Consecutive runs without an answer after which the target is considered down.
-# A target that loses half of its answers rarely reaches this number; one that
-# has exited behind a proxy that still accepts connections does.
+# Number of broken runs, without an answered one in between, after which the
+# target is considered down. A target that loses half of its answers rarely
+# reaches it; one that has exited behind a proxy that still accepts connections
+# does.
 MAX_CONSECUTIVE_BROKEN = 10
-# HTTP status of a target that is not the expected one.
+# HTTP status with which a target other than the expected one responds.
 MISDIRECTED_STATUS = 421
-# Used for a departure without a start time; later than any real start.
+# Used for a departure without a start time; later than any real start, so that
+# a delayed announcement of the lifetime does not open the gate.
 UNKNOWN_START_MS = 2**63
 # Limit of the queue; more waiting calls would only be refused later.
 MAX_WAITING_CALLS = 200
@@ -95,7 +100,7 @@
     _may_be_cold: bool = True
     """Whether the target may be cold without having announced it."""
     _probe_requested: bool = False
-    """Whether a run broke, so that a health check should clarify why."""
+    """Whether a broken run has made the target's state uncertain."""
     _consecutive_broken: int = 0
     _evacuated: bool = False
     _stopping: bool = False
@@ -105,11 +110,13 @@
     _running: set[GateJob] = field(factory=set)
     _run_time_s: float = INITIAL_RUN_TIME_S
     _run_time_samples: int = 0
-    """Runs of the target's version in the average run time."""
+    """Number of runs of the target's version in the average run time."""
     _route_run_time_s: dict[str, float] = field(factory=dict)
+    """Average run time of each route."""
     _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
+    """Arrival rate of each urgency: the rank and latency of the calls."""
     _departed_lifetimes: dict[str, int] = field(factory=dict)
-    """Start of each lifetime whose departure preceded its announcement."""
+    """Start in Unix ms of each lifetime that departed before it announced."""
 
     @property
     def running(self) -> int:
@@ -184,7 +191,7 @@
         return Queued()
 
     def decide(self, now_s: float) -> list[Decision]:
-        """Return the waiting calls that can start or must be refused now."""
+        """Decide which waiting calls start now and which are refused."""
         decisions: list[Decision] = []
         state = self.state(now_s)
         if state not in OPEN_STATES:
@@ -275,7 +282,7 @@
         return True
 
     def depart(self, lifetime: str, started_ms: int | None) -> None:
-        """Handle the departure of a lifetime."""
+        """Handle the departure of the target with this lifetime."""
         target = self._target
         known = target is not None and target.announcement.lifetime == lifetime
         if target is not None and known:
@@ -283,8 +290,8 @@
                 return
             target.departed = True
         else:
-            # A restarted daemon may receive the departure first; a delayed
-            # announcement must not open the gate afterwards.
+            # A restarted daemon may receive the departure before the first
+            # announcement; a delayed one must not open the gate afterwards.
             self._departed_lifetimes[lifetime] = (
                 UNKNOWN_START_MS if started_ms is None else started_ms
             )
@@ -342,9 +349,9 @@
         self._run_time_samples += 1
         weight = max(MIN_RUN_WEIGHT, 1.0 / self._run_time_samples)
         self._run_time_s += weight * (taken_s - self._run_time_s)
-        usual_s = self._route_run_time_s.get(job.call.route, taken_s)
-        self._route_run_time_s[job.call.route] = usual_s + MIN_RUN_WEIGHT * (
-            taken_s - usual_s
+        mean_s = self._route_run_time_s.get(job.call.route, taken_s)
+        self._route_run_time_s[job.call.route] = mean_s + MIN_RUN_WEIGHT * (
+            taken_s - mean_s
         )
 
     def _can_start(self, now_s: float) -> bool:
@@ -364,9 +371,9 @@
         return Admitted(job)
 
     def _queue_position(self, job: GateJob) -> int:
-        place = _queue_key(job)
+        key = _queue_key(job)
         for index, other in enumerate(self._waiting):
-            if _queue_key(other) > place:
+            if _queue_key(other) > key:
                 return index
         return len(self._waiting)
 
@@ -414,13 +421,18 @@
         return overtakers
 
     def _latest_start_s(self, job: GateJob) -> float:
-        usual_s = self._expected_run_s(job)
-        worth_most_s = job.soft_deadline_s - job.arrived_s
-        if usual_s < worth_most_s:
-            late_s = job.soft_deadline_s - usual_s / LATE_START_FACTOR
-            return min(late_s, job.arrived_s + MAX_WAIT_SHARE * worth_most_s)
+        """Return the time after which a call must not start any more.
+
+        A call whose run takes longer than the time to its soft deadline is
+        checked against its deadline only.
+        """
+        run_s = self._expected_run_s(job)
+        soft_budget_s = job.soft_deadline_s - job.arrived_s
+        if run_s < soft_budget_s:
+            late_s = job.soft_deadline_s - run_s / LATE_START_FACTOR
+            return min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
         return min(
-            job.deadline_s - usual_s,
+            job.deadline_s - run_s,
             job.arrived_s + MAX_WAIT_SHARE * (job.deadline_s - job.arrived_s),
         )
 
@@ -430,20 +442,21 @@
     def _refuse_late(self, now_s: float) -> list[Refused]:
         """Refuse calls that more urgent ones have delayed for too long."""
         kept: list[GateJob] = []
-        dropped: list[Refused] = []
+        refused: list[Refused] = []
         ahead_s = self._mean_running_s()
         for job in self._waiting:
             wait_s = self._rate_limited_wait_s(ahead_s, len(kept), now_s)
             if now_s + wait_s / LATE_START_FACTOR > self._latest_start_s(job):
                 retry_s = self._queue_drain_s(now_s)
-                dropped.append(Refused(job, "cannot start in time", retry_s))
+                refused.append(Refused(job, "cannot start in time", retry_s))
             else:
                 kept.append(job)
                 ahead_s += self._expected_run_s(job)
         self._waiting = kept
-        return dropped
+        return refused
 
 
+# Kinds of attempts that may have run at the target.
 _RUN_KINDS = (AttemptKind.ANSWERED, AttemptKind.BROKEN, AttemptKind.TIMEOUT)
 
 
--- a/catkinhollow/relay/gate_jobs.py
+++ b/catkinhollow/relay/gate_jobs.py
@@ -16,9 +16,10 @@
     """Identifies one start of the target."""
     version: str
     slots: int
+    """Number of calls that the target runs at the same time."""
     draining: bool
     cold_s: float
-    """Time for which the target is still cold."""
+    """Time for which the target is still cold, 0 if it is not."""
     sequence: int
     """Increases with each announcement of the same lifetime."""
     started_ms: int
@@ -37,7 +38,7 @@
     """Time at which the ingress daemon gives up."""
     started_s: float = 0.0
     lifetime: str = ""
-    """Lifetime of the target at which the run started."""
+    """Lifetime of the target when the run started."""
 
 
 @frozen
@@ -49,7 +50,7 @@
 
 @frozen
 class Queued:
-    """Report that the call waits for a later decision."""
+    """Report that the call waits in the queue for a later decision."""
 
 
 @frozen
--- a/catkinhollow/relay/gate_rates.py
+++ b/catkinhollow/relay/gate_rates.py
@@ -6,8 +6,8 @@
 
 from attrs import define
 
-# Time constant of the arrival rates, from which the load of more urgent calls
-# is predicted.
+# Time constant with which past arrivals lose weight in the arrival rates, from
+# which the load of more urgent calls is predicted.
 ARRIVAL_MEMORY_S = 2.0
 # Limit of the capacity share that more urgent calls are assumed to take;
 # above it every other call would be refused at once.
@@ -21,6 +21,7 @@
     """Estimate the arrival rate of calls of one urgency."""
 
     count: float = 0.0
+    """Number of past arrivals, in which older ones have less weight."""
     updated_s: float = 0.0
 
     def add(self, now_s: float) -> None:
@@ -41,15 +42,16 @@
 ) -> float:
     """Return how long a call waits if later calls overtake it, in seconds.
 
-    Each overtaker is the share of the target's capacity that one kind of
-    calls takes, and the wait in seconds after which it no longer overtakes.
+    `wait_s` is its wait if none does. Each overtaker is the share of the
+    target's capacity that one kind of calls takes, and the wait in seconds
+    after which calls of this kind no longer overtake.
     """
     total = sum(share for share, _ in overtakers)
     if total <= 0.0:
         return wait_s
     scale = min(ARRIVAL_BURST_FACTOR, MAX_OVERTAKING_SHARE / total)
-    # Start with the wait if every kind overtakes until the end. A kind whose
-    # window is shorter than that adds a fixed delay instead of a share.
+    # Start with the wait if every kind of calls overtakes until its end. A
+    # kind whose window ends earlier adds a fixed delay instead of a share.
     fixed_s, remaining_share = wait_s, scale * total
     estimate_s = fixed_s / (1.0 - remaining_share)
     for share, window_s in sorted(overtakers, key=itemgetter(1)):
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -14,7 +14,11 @@
 
 
 def test_unknown_target_gets_no_calls():
-    """Guards against calls before the target has announced itself."""
+    """Guards against calls to a different target at the same address.
+
+    It responds with status 421; the gate stays closed until the next
+    announcement.
+    """
     gate = make_gate()
     gate.finish(start_call(gate), AttemptKind.REFUSED, 421, 0.0)
     assert gate.state(0.0) is GateState.UNKNOWN
@@ -24,7 +28,7 @@
 def test_slots_bound_the_running_calls():
     """Guards against calls that wait in the target, which ignores ranks.
 
-    One more call than slots is sent, so that no slot is idle between runs.
+    One call more than the slots is sent, so that no slot is idle between runs.
     """
     gate = make_gate(slots=2)
     kinds = [type(gate.offer(make_job(call_id=number), 0.0)) for number in range(4)]
@@ -81,7 +85,7 @@
 
 
 def test_sustained_overload_starves_no_kind_of_a_rank():
-    """Guards against one kind of calls that suffers the whole overload.
+    """Guards against an overload at the expense of one kind of calls.
 
     A target of 18 slots gets 235 lookups/s of 0.04 s and 65 orders/s of 0.3 s,
     which need 29 slots, so that 0.62 of both can be served. When lookups
