Describe the state and the retry costs of the call plan

The comment on the costs did not say that a retry is free while the call has not reached a target; the fields that decide the outcome had no description.

--- a/catkinhollow/relay/call_plan.py
+++ b/catkinhollow/relay/call_plan.py
@@ -16,8 +16,10 @@
 NO_GATE_RETRY_S = 1.0
 # With less time left, another gate cannot answer before the deadline.
 MIN_TIME_LEFT_S = 0.02
-# Cost of a retry in tokens of the retry budget. A repeated run repeats its own
-# calls too, which add retries at the services that it calls.
+# Cost of a retry, in tokens of the retry budget, after a target has refused
+# the call or may have run it; it is free if the call has not reached a target.
+# A repeated run repeats its own calls too, which add retries at the services
+# that it calls.
 REFUSED_RETRY_COST = 1.0
 RUN_RETRY_COST = 2.0
 IDEMPOTENT_KINDS = ("safe", "download")
@@ -40,7 +42,7 @@
 
 @frozen(kw_only=True)
 class GiveUp:
-    """Request an error response, because no target has answered."""
+    """Request an error response because no target has answered."""
 
     outcome: CallOutcome
     reason: str
@@ -74,12 +76,18 @@
     budget: RetryBudget
     tried_addresses: set[str] = field(factory=set)
     target_attempts: int = 0
+    """Number of attempts that reached a target."""
     outcome_unknown: bool = False
+    """Whether a target may have run the call without a final answer."""
     reason: str = "no target accepts calls"
+    """Reason that an error response gives."""
     retry_after_s: float = 0.0
+    """Shortest retry hint of the refusals."""
     _fallback_answer: Answer | None = None
+    """Error response of a target, delivered if no retry succeeds."""
     _gates_tried: int = 0
     _retry_cost: float = 0.0
+    """Cost of the next attempt in tokens of the retry budget."""
 
     @property
     def idempotent(self) -> bool:
@@ -87,7 +95,7 @@
         return is_idempotent(self.route)
 
     def next_step(self, now_s: float) -> Step:
-        """Return the next step."""
+        """Choose the gate of the next attempt or end the call."""
         left_s = self.deadline_s - now_s
         if left_s <= MIN_TIME_LEFT_S or self._gates_tried >= MAX_GATES:
             return self._finish()
@@ -109,7 +117,7 @@
         return SendTo(peer)
 
     def on_answer(self, answer: Answer) -> Deliver | None:
-        """Handle the answer of a gate; return it if it is final."""
+        """Handle the answer of a gate; return `Deliver` if it is final."""
         if answer.reached_target:
             self.target_attempts += 1
             refused = answer.outcome is CallOutcome.NOT_RUN
--- a/tests/relay/test_call_plan.py
+++ b/tests/relay/test_call_plan.py
@@ -61,7 +61,7 @@
 
 
 def test_unknown_kind_counts_as_not_idempotent():
-    """Guards against a second run on a route of a kind added later."""
+    """Guards against a second run on routes of a kind from a newer release."""
     plan = make_plan("novel")
     plan.next_step(0.0)
     plan.on_answer(make_answer(CallOutcome.UNKNOWN))
