--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -21,13 +21,13 @@
 
 # Run time assumed for a target that has not reported one.
 DEFAULT_SERVICE_MS = 100.0
-# Cost of full utilization as a share of a run: a target with free slots still
-# answers more slowly when it is nearly full.
+# Cost of full utilization as a share of the run time: a target with free slots
+# still answers more slowly when it is nearly full.
 BUSY_SHARE = 0.5
-# Random part of an estimate, as a share of a run, for a target that is full or
-# whose report is old. Daemons with equal reports must choose different targets
-# when these are busy, while a target in the same failure domain that has just
-# reported free slots is always a good choice.
+# Random part of an estimate, as a share of the run time, for a target that is
+# full or whose report is old. Daemons with equal reports must choose different
+# targets when these are busy, while a target in the same failure domain that
+# has just reported free slots is always a good choice.
 JITTER_SHARE = 0.3
 # Time constant with which the load in a report loses weight, several run
 # times long.
@@ -39,9 +39,9 @@
 # daemons sent most of their calls to targets in other failure domains, one
 # after another.
 EXPLORE_RUNS = 10
-# While there are new targets, they get this number divided by the number of
-# targets as their share of a daemon's calls. Otherwise all daemons of a large
-# fleet would send all calls to new targets until the next reports.
+# The share of a daemon's calls that go to new targets, while there are any, is
+# this number divided by the number of available targets. Otherwise all daemons
+# of a large fleet would send all calls to new targets until the next reports.
 EXPLORE_CALLS = 4.0
 # Weight of a call sent after the report: other ingress daemons, which have
 # the same report, have probably sent calls there too.
@@ -55,8 +55,8 @@
     """Configure the cost of a call's distance as milliseconds of waiting.
 
     The cost of another failure domain includes the price of the transferred
-    bytes: a download of 90 KB should rather wait for a whole run than be
-    served from there.
+    bytes: a download of 90 KB should rather wait for a whole run at a target
+    nearby than be served from there.
     """
 
     same_domain_ms: float = 0.5
@@ -71,7 +71,10 @@
     def choose(
         self, candidates: Sequence[Peer], excluded: Collection[str], answer_kb: float
     ) -> Peer | None:
-        """Return the peer that should run the call, None if none can."""
+        """Return the peer that should run the call, None if none can.
+
+        `answer_kb` is the expected size of the answer in KiB.
+        """
 
 
 class LeastWaitPlacer:
@@ -88,7 +91,10 @@
     def choose(
         self, candidates: Sequence[Peer], excluded: Collection[str], answer_kb: float
     ) -> Peer | None:
-        """Return the peer that should run the call, None if none can."""
+        """Return the peer that should run the call, None if none can.
+
+        `answer_kb` is the expected size of the answer in KiB.
+        """
         now_s = self._clock.monotonic()
         available = [
             (peer, peer.report)
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -27,6 +27,7 @@
 
 
 def choose(placer, peers, answer_kb=1.0):
+    """Choose a peer; all of them were called recently, so none is explored."""
     for peer in peers:
         if peer.last_called_s < 0.0:
             peer.last_called_s = 0.0
