Clarify the comments on moves between versions

Restore that min_share is for short orders, say that failures are counted per stage and when a move ends although the old version is running calls, and name the log event of a written step like those of the steps that were not written.

--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -16,8 +16,9 @@
 logger = get_logger(__name__)
 
 STEP_INTERVAL_S = 0.1
-# Daemons that may write a step, and the delay of each after the previous one.
+# Number of daemons that may write a step.
 WRITER_COUNT = 3
+# Delay of each of them after the previous one, while the step is still due.
 TAKEOVER_S = 1.0
 
 
@@ -36,9 +37,9 @@
     """Write the progress of orders.
 
     Each write is conditional on the revision of the previous one. Every daemon
-    tracks every order, so that a daemon that takes over knows its age. The
-    first daemons by rendezvous hash may write a step; each waits longer than
-    the one before it.
+    tracks every order, so that a daemon that takes over knows the order's age.
+    The first daemons by rendezvous hash may write a step; each waits longer
+    than the one before it.
     """
 
     def __init__(
@@ -122,7 +123,7 @@
             "reason": reason,
         }
         if result.is_ok():
-            logger.info("move step", revision=result.ok.revision, **fields)
+            logger.info("move step written", revision=result.ok.revision, **fields)
             tracked.revision = result.ok.revision
         elif result.error.kind is StoreErrorKind.CONFLICT:
             logger.info("move step written by another daemon", **fields)
--- a/catkinhollow/relay/move_plan.py
+++ b/catkinhollow/relay/move_plan.py
@@ -29,7 +29,7 @@
     min_s: float
     """Minimum time at this share in seconds."""
     min_share: float
-    """Upper limit of `min_s` as a share of the order's duration."""
+    """Upper limit of `min_s` as a share of the duration, for short orders."""
     max_elapsed_share: float
     """Elapsed share of the duration after which `min_runs` is ignored."""
     min_runs: int
@@ -52,8 +52,8 @@
         percent=100.0, min_s=2.0, min_share=0.14, max_elapsed_share=0.8, min_runs=0
     ),
 )
-# A version is withdrawn after this many failed runs if their share exceeds
-# the old version's by this margin.
+# A version is withdrawn after this many failed runs at a stage if their share
+# of its runs exceeds the old version's by more than this margin.
 MIN_FAILURES = 4
 FAILURE_MARGIN = 0.06
 # Runs of the old version at a stage that are needed to update its failure
@@ -64,7 +64,8 @@
 MIN_SLOW_RUNS = 8
 SLOW_FACTOR = 2.5
 # A version that does not get all requests at this share of the duration is
-# withdrawn.
+# withdrawn. If it gets them, the move is done then even if runs of the old
+# version have not ended.
 WITHDRAW_ELAPSED_SHARE = 0.93
 
 
@@ -182,8 +183,8 @@
             self._old_at_start = old
 
     def _find_failure(self, new: VersionSums, old: VersionSums) -> str:
-        # Both versions are compared over the same period, so that a fault
-        # behind both counts against neither.
+        # Both versions are compared over the same period, so that a fault that
+        # affects both counts against neither.
         runs, failures = new.counts_since(self._new_at_start)
         old_runs, old_failures = old.counts_since(self._old_at_start)
         if old_runs >= MIN_OLD_RUNS:
--- a/catkinhollow/relay/versions.py
+++ b/catkinhollow/relay/versions.py
@@ -9,8 +9,8 @@
 
 # This daemon stops sending calls to a new version, without waiting for the
 # order's state, after this many failed runs. They must also be at least this
-# share of its runs, and this many times the share of the old version, because
-# an outage behind both versions makes both fail.
+# share of its runs, and this share must be at least this many times that of
+# the old version, because an outage that affects both makes both fail.
 STOP_MIN_FAILURES = 12
 STOP_MIN_FAILURE_SHARE = 0.25
 STOP_MIN_FAILURE_RATIO = 3.0
@@ -32,6 +32,8 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._orders: dict[str, MoveOrder] = {}
+        # Accumulated share of the new version by service; it gets a call when
+        # this reaches 1.
         self._credits: dict[str, float] = {}
 
     @property
@@ -68,8 +70,8 @@
             return False
         credit = self._credits.get(service)
         if credit is None:
-            # A random start, so that daemons that start together do not
-            # choose the new version at the same calls.
+            # A random initial value, so that daemons that start together do
+            # not choose the new version at the same time.
             credit = self._random.random()
         credit += percent / 100.0
         picked = credit >= 1.0
--- a/tests/relay/test_relay_moves.py
+++ b/tests/relay/test_relay_moves.py
@@ -114,8 +114,8 @@
 def test_outage_behind_both_versions_does_not_stop_a_move(outage_start_s):
     """Guards against a good version that is withdrawn for unrelated faults.
 
-    At 100 % there is no old version left to compare with, so all failures
-    count.
+    The outages end before the new version gets all requests: after that, the
+    old version has no runs to compare with, and failures count.
     """
     state, _ = run_move(
         TrafficSimulation(outage=(outage_start_s, outage_start_s + 2.0))
