Clarify the comments of the ingress and the peer network

Say what an incarnation of 0 means, why broadcast statuses are marked as replies and which open calls a restarted peer leaves unanswered; distinguish the request target from the target that runs a call.

--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -40,7 +40,7 @@
 logger = get_logger(__name__)
 
 RETRY_AFTER_HEADER = b"retry-after"
-# Time that an answer needs to reach the caller; no gate may answer later.
+# Time reserved for returning an answer to the caller before its deadline.
 RETURN_MARGIN_S = 0.01
 # Weight of one answer in the moving average of a route's answer sizes.
 ANSWER_SIZE_WEIGHT = 0.1
@@ -130,7 +130,7 @@
     ) -> Response:
         """Return the response to a request.
 
-        It is not used once the caller has disconnected.
+        The response is a placeholder if the caller has disconnected.
         """
         if self._stopping:
             return plain_response(503, "the daemon ends")
@@ -201,7 +201,10 @@
         started_s: float,
         wait_for_disconnect: WaitForDisconnect,
     ) -> Answer | None:
-        """Return a gate's answer, None if the caller has disconnected."""
+        """Return a gate's answer, None if the caller has disconnected.
+
+        The outcome is unknown if no answer arrives before the deadline.
+        """
         now_s = self._clock.monotonic()
         left_s = plan.deadline_s - now_s
         soft_left_s = started_s + plan.route.target_latency_ms / 1000.0 - now_s
@@ -235,8 +238,8 @@
         return self._placer.choose(candidates, tried, answer_kb)
 
     def _budget(self, service: str) -> RetryBudget:
-        # The slack is shared by all daemons, but each budget must allow at
-        # least one repeated run.
+        # The slack is a number of tokens for all daemons together, but each
+        # budget must allow at least one repeated run.
         burst = max(RUN_RETRY_COST, self._retry_slack / len(self._network.directory))
         budget = self._budgets.get(service)
         if budget is None:
@@ -247,9 +250,9 @@
         return budget
 
     def _make_call(self, request: Request, route: RelayRoute, service: str) -> Call:
-        target = request.path.encode("latin-1")
+        request_target = request.path.encode("latin-1")
         if request.query:
-            target += b"?" + request.query
+            request_target += b"?" + request.query
         headers = [
             [name, value]
             for name, value in end_to_end(request.headers)
@@ -260,7 +263,7 @@
             call_id=0,
             request_id=request_id.decode("latin-1"),
             method=request.method,
-            target=target,
+            target=request_target,
             headers=headers,
             body=request.body,
             route=route.name,
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -70,6 +70,8 @@
         self._exchanges = ExchangeTable()
         self._last_call_id = 1
         self._incoming_calls: dict[tuple[str, int], Submission] = {}
+        # Incarnation of each connected daemon by address, 0 until its first
+        # frame arrives.
         self._incarnations: dict[str, int] = {}
         self._digest_comparison = DigestComparison()
         self._linked_addresses: set[str] = set()
@@ -137,13 +139,16 @@
                 self._send_status(peer.record.address, reply=False)
 
     def broadcast_status(self) -> None:
-        """Send the current status to all linked peers."""
+        """Send the current status to all linked peers.
+
+        It is marked as a reply, so that the peers do not reply to it.
+        """
         for peer in self._directory:
             if peer.linked and peer is not self._directory.own:
                 self._send_status(peer.record.address, reply=True)
 
     async def run(self) -> None:
-        """Serve the links until cancelled."""
+        """Process events of the links until cancelled."""
         self._timer.subscribe(LINK_WATCH_INTERVAL_S, self._watch_links)
         await self._link.run(self._handle_event)
 
@@ -234,21 +239,22 @@
             peer.unresponsive = False
         known = self._incarnations.get(sender)
         if known is None:
-            # This daemon has not received the peer's record yet.
+            # This daemon has not received the peer's record yet, and therefore
+            # has no connection to it.
             self._link.connect(sender)
         elif known and known != incarnation:
-            # The peer has restarted, so that its open calls have no answer.
+            # The peer has restarted and will not answer the open calls to it.
             self._exchanges.fail_calls(sender)
         self._incarnations[sender] = incarnation
 
     def _handle_call(self, sender: str, call: Call) -> None:
         key = (sender, call.call_id)
 
-        def answer(value: Answer) -> None:
+        def send_answer(answer: Answer) -> None:
             self._incoming_calls.pop(key, None)
-            self._send(sender, answer=value)
+            self._send(sender, answer=answer)
 
-        submission = self._gate.submit(call, answer)
+        submission = self._gate.submit(call, send_answer)
         if not submission.answered:
             self._incoming_calls[key] = submission
 
