Reword the stand-in target model, the stand-in store and the audit

Deletion records are tombstones, calls rather than work are refused, and the caller group takes addresses of ingress daemons. Private names follow the terms of the field.

--- a/catkinhollow/testbed/audit.py
+++ b/catkinhollow/testbed/audit.py
@@ -1,4 +1,4 @@
-"""Compare what callers were told with what targets executed."""
+"""Compare the responses to callers with the executions at targets."""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -10,7 +10,7 @@
 
 @frozen(kw_only=True)
 class AuditReport:
-    """Hold the faults that the comparison found."""
+    """Represent the number of calls with each fault or outcome."""
 
     requests: int
     lost: int
@@ -22,15 +22,16 @@
 
 
 def audit(log: CallLog, executions: Iterable[str]) -> AuditReport:
-    """Return the report; executions are request ids, one per execution."""
-    runs = Counter(executions)
+    """Compare call records with executions, one request id for each."""
+    execution_counts = Counter(executions)
     return AuditReport(
         requests=len(log.records),
-        lost=_count_lost(log, runs),
-        duplicated=_count_duplicated(log, runs),
+        lost=_count_lost(log, execution_counts),
+        duplicated=_count_duplicated(log, execution_counts),
         wrong_answer=log.count(CallResult.WRONG_ANSWER),
         false_not_run=sum(
-            record.result is CallResult.NOT_RUN and runs[record.request_id] > 0
+            record.result is CallResult.NOT_RUN
+            and execution_counts[record.request_id] > 0
             for record in log.records
         ),
         refusals=log.count(CallResult.NOT_RUN),
@@ -38,15 +39,15 @@
     )
 
 
-def _count_lost(log: CallLog, runs: Mapping[str, int]) -> int:
+def _count_lost(log: CallLog, execution_counts: Mapping[str, int]) -> int:
     return sum(
-        record.result is CallResult.OK and not runs[record.request_id]
+        record.result is CallResult.OK and not execution_counts[record.request_id]
         for record in log.records
     )
 
 
-def _count_duplicated(log: CallLog, runs: Mapping[str, int]) -> int:
+def _count_duplicated(log: CallLog, execution_counts: Mapping[str, int]) -> int:
     return sum(
-        not record.kind.idempotent and runs[record.request_id] > 1
+        not record.kind.idempotent and execution_counts[record.request_id] > 1
         for record in log.records
     )
--- a/catkinhollow/testbed/callers.py
+++ b/catkinhollow/testbed/callers.py
@@ -1,4 +1,4 @@
-"""Send calls as clients would, and keep a record of each."""
+"""Send calls as clients do, and record each one."""
 
 from collections.abc import Callable, Sequence
 from enum import StrEnum
@@ -26,13 +26,13 @@
     find_header,
 )
 
-CALL_LIMIT_S = 10.0
-ENTRY_TRIES = 3
-SERVER_ERROR = 500
+CALL_TIMEOUT_S = 10.0
+CONNECT_ATTEMPTS = 3
+MIN_SERVER_ERROR = 500
 
 
 class CallResult(StrEnum):
-    """Classify what a caller knows of its request."""
+    """Classify what a response says about a request."""
 
     OK = "ok"
     NOT_RUN = "not_run"
@@ -43,20 +43,22 @@
 
 @frozen(kw_only=True)
 class CallKind:
-    """Hold one kind of call and how often callers make it."""
+    """Describe a kind of call and its share of the calls."""
 
     name: str
     method: str
     path: str
     weight: float
+    """Share of the calls that are of this kind, relative to other kinds."""
     worth: float
+    """Weight of a call in the share of the worth that was served."""
     idempotent: bool = True
     backer: str = ""
 
 
 @frozen(kw_only=True)
 class CallRecord:
-    """Hold one call as its caller saw it."""
+    """Represent one call as its caller observed it."""
 
     request_id: str
     kind: CallKind
@@ -64,6 +66,7 @@
     status: int
     started_s: float
     taken_s: float
+    """Time from the call to its response or timeout."""
     version: str = ""
     refusal: str = ""
 
@@ -75,26 +78,26 @@
     records: list[CallRecord] = Factory(list)
 
     def count(self, result: CallResult) -> int:
-        """Return how many calls had the result."""
+        """Return the number of calls with a result."""
         return sum(record.result is result for record in self.records)
 
     def between(self, start_s: float, end_s: float) -> list[CallRecord]:
-        """Return the calls that started within a time span."""
+        """Return the calls that started from `start_s` to before `end_s`."""
         return [item for item in self.records if start_s <= item.started_s < end_s]
 
 
 class CallerGroup:
-    """Make calls at a steady rate, whatever the answers take."""
+    """Make calls at a mean rate that does not depend on response times."""
 
     def __init__(
         self,
-        entries: Callable[[], Sequence[str]],
+        addresses: Callable[[], Sequence[str]],
         kinds: Sequence[CallKind],
         rate_per_s: float,
         random: Random,
         log: CallLog,
     ) -> None:
-        self._entries = entries
+        self._addresses = addresses
         self._kinds = kinds
         self._weights = [kind.weight for kind in kinds]
         self._rate_per_s = rate_per_s
@@ -104,28 +107,28 @@
         self._stopping = trio.Event()
 
     def stop(self) -> None:
-        """Make no new calls; those in flight finish."""
+        """Make no new calls; calls in flight finish."""
         self._stopping.set()
 
     async def run(self) -> None:
-        """Make calls until stopped, and wait for their answers."""
+        """Make calls until stopped, and wait for their responses."""
         async with trio.open_nursery() as nursery:
             while not self._stopping.is_set():
                 kind = self._random.choices(self._kinds, self._weights)[0]
-                entry = self._random.choice(self._entries())
-                nursery.start_soon(self.call, entry, kind)
+                address = self._random.choice(self._addresses())
+                nursery.start_soon(self.call, address, kind)
                 pause_s = self._random.expovariate(self._rate_per_s)
                 with trio.move_on_after(pause_s):
                     await self._stopping.wait()
         for pool in self._pools.values():
             await pool.aclose()
 
-    async def call(self, entry: str, kind: CallKind) -> CallRecord:
-        """Make one call through an entry daemon and record it."""
+    async def call(self, address: str, kind: CallKind) -> CallRecord:
+        """Make one call through an ingress daemon and record it."""
         request_id = uuid4().hex
         started_s = trio.current_time()
-        response = await self._send(entry, kind, request_id)
-        result = judge(response, request_id)
+        response = await self._send(address, kind, request_id)
+        result = classify_response(response, request_id)
         record = CallRecord(
             request_id=request_id,
             kind=kind,
@@ -140,27 +143,29 @@
         return record
 
     async def _send(
-        self, entry: str, kind: CallKind, request_id: str
+        self, address: str, kind: CallKind, request_id: str
     ) -> Response | None:
         headers = _headers(kind, request_id)
-        with trio.move_on_after(CALL_LIMIT_S):
-            for _ in range(ENTRY_TRIES):
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            for _ in range(CONNECT_ATTEMPTS):
                 try:
-                    return await self._request(entry, kind, headers)
+                    return await self._request(address, kind, headers)
                 except ConnectError:
-                    # No byte was sent, so another entry daemon may be tried.
-                    entry = self._random.choice(self._entries())
+                    # No byte was sent, so another daemon may be tried.
+                    address = self._random.choice(self._addresses())
                 except (NetworkError, ProtocolError, TimeoutException):
                     return None
         return None
 
-    async def _request(self, entry: str, kind: CallKind, headers: Headers) -> Response:
-        pool = self._pools.get(entry)
+    async def _request(
+        self, address: str, kind: CallKind, headers: Headers
+    ) -> Response:
+        pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[entry] = AsyncConnectionPool(max_connections=100)
+            pool = self._pools[address] = AsyncConnectionPool(max_connections=100)
         return await pool.request(
             kind.method,
-            f"http://{entry}{kind.path}",
+            f"http://{address}{kind.path}",
             headers=headers,
             content=b"" if kind.method == "GET" else b"{}",
         )
@@ -169,7 +174,7 @@
 def _headers(kind: CallKind, request_id: str) -> Headers:
     headers = [
         (REQUEST_ID_HEADER, request_id.encode()),
-        (DEADLINE_HEADER, str(int(CALL_LIMIT_S * 1000)).encode()),
+        (DEADLINE_HEADER, str(int(CALL_TIMEOUT_S * 1000)).encode()),
         (BACKER_HEADER, kind.backer.encode()),
     ]
     if not kind.idempotent:
@@ -177,8 +182,8 @@
     return headers
 
 
-def judge(response: Response | None, request_id: str) -> CallResult:
-    """Return what the answer tells the caller."""
+def classify_response(response: Response | None, request_id: str) -> CallResult:
+    """Return what a response says about the request of its caller."""
     if response is None:
         return CallResult.UNKNOWN
     headers = [(name.lower(), value) for name, value in response.headers]
@@ -188,7 +193,7 @@
         return CallResult.UNKNOWN
     if find_header(headers, REQUEST_ID_HEADER) != request_id.encode():
         return CallResult.WRONG_ANSWER
-    if response.status >= SERVER_ERROR:
+    if response.status >= MIN_SERVER_ERROR:
         return CallResult.FAILED
     if request_id.encode() not in response.content:
         return CallResult.WRONG_ANSWER
--- a/catkinhollow/testbed/store.py
+++ b/catkinhollow/testbed/store.py
@@ -31,7 +31,7 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 
-# Room for the writer id and the JSON around the value.
+# The body holds the writer id and JSON syntax beside the value.
 MAX_BODY_BYTES = MAX_VALUE_BYTES + 1024
 
 MAX_WAIT_S = 60.0
@@ -41,7 +41,7 @@
 
 @frozen(kw_only=True)
 class _Watch:
-    """Hold the parameters of a watch."""
+    """Describe a watch as a client requests it."""
 
     kind: str
     after: int
@@ -49,36 +49,36 @@
 
 
 class StoreApp:
-    """Answer the HTTP calls to a stand-in store."""
+    """Serve the HTTP calls to a stand-in store."""
 
     def __init__(self, state: StoreState) -> None:
         self._state = state
         self._changed = trio.Event()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer one call."""
+        """Serve one call."""
         read = await read_request(scope, receive, MAX_BODY_BYTES)
         if read.is_error():
             await send_response(send, read.error)
         elif read.ok.path.startswith("/v1/"):
-            await self._answer_api(read.ok, receive, send)
+            await self._serve_api(read.ok, receive, send)
         else:
             await send_response(send, self._control(read.ok))
 
-    async def _answer_api(self, request: Request, receive: Receive, send: Send) -> None:
+    async def _serve_api(self, request: Request, receive: Receive, send: Send) -> None:
         segments = request.path.removeprefix("/v1/").split("/")
-        self._state.count(_call_name(request.method, segments))
-        if await self._outage(receive, send):
+        self._state.count_call(_call_name(request.method, segments))
+        if await self._apply_outage(receive, send):
             return
         await trio.sleep(self._state.faults.delay_ms / 1000)
         if request.method == "GET" and segments == ["watch"]:
-            await self._answer_watch(request, receive, send)
+            await self._serve_watch(request, receive, send)
         elif request.method in ("PUT", "DELETE"):
-            await self._answer_write(request, segments, receive, send)
+            await self._serve_write(request, segments, receive, send)
         else:
             await send_response(send, self._read(request, segments))
 
-    async def _outage(self, receive: Receive, send: Send) -> bool:
+    async def _apply_outage(self, receive: Receive, send: Send) -> bool:
         mode = self._state.faults.outage
         if mode is OutageMode.REFUSE:
             await send_response(send, _error(503, "the store is unavailable"))
@@ -93,11 +93,11 @@
             case "GET", ["objects", kind, name]:
                 stored = self._state.get(unquote(kind), unquote(name))
                 if stored is None or stored.deleted:
-                    return _absent(stored)
+                    return _not_found_response(stored)
                 return json_response(200, stored)
         return _error(400, "no such call")
 
-    async def _answer_write(
+    async def _serve_write(
         self, request: Request, segments: list[str], receive: Receive, send: Send
     ) -> None:
         result = self._write(request, segments)
@@ -106,7 +106,7 @@
             return
         self._notify()
         response = json_response(200, result.ok)
-        match self._state.take_response_loss():
+        match self._state.consume_response_loss():
             case None:
                 await send_response(send, response)
             case ResponseLoss.CUT:
@@ -120,22 +120,22 @@
         if len(segments) != 3 or segments[0] != "objects":
             return Error(_error(400, "no such call"))
         kind, name = unquote(segments[1]), unquote(segments[2])
-        if_revision = _integer(request.header(b"if-match"))
+        if_revision = _parse_revision(request.header(b"if-match"))
         if if_revision is None:
             return Error(_error(400, "If-Match holds no revision"))
         if request.method == "DELETE":
             writer_id = (request.header(b"x-writer-id") or b"").decode("latin-1")
             result = self._state.delete(kind, name, writer_id, if_revision=if_revision)
-            return result.map_error(_refusal)
+            return result.map_error(_error_response)
         write = decode_json(request.body, ObjectWrite)
         if write.is_error():
             return Error(_error(400, write.error.reason))
         if len(encode_json(write.ok.value)) > MAX_VALUE_BYTES:
             return Error(_error(413, f"the value exceeds {MAX_VALUE_BYTES} bytes"))
         result = self._state.put(kind, name, write.ok, if_revision=if_revision)
-        return result.map_error(_refusal)
+        return result.map_error(_error_response)
 
-    async def _answer_watch(
+    async def _serve_watch(
         self, request: Request, receive: Receive, send: Send
     ) -> None:
         parsed = _parse_watch(request)
@@ -144,7 +144,7 @@
             return
         watch = parsed.ok
         await self._wait_for_changes(watch, receive)
-        if not await self._outage(receive, send):
+        if not await self._apply_outage(receive, send):
             found = self._state.changes(watch.kind, watch.after)
             response = json_response(200, found or self._state.no_changes())
             await send_response(send, response)
@@ -182,7 +182,7 @@
         if merged.is_error():
             return _error(400, merged.error.reason)
         self._state.set_faults(merged.ok)
-        # Waiting watches see an outage too.
+        # An outage applies to waiting watches too.
         self._notify()
         return json_response(200, merged.ok)
 
@@ -202,19 +202,19 @@
 def _parse_watch(request: Request) -> Result[_Watch, Response]:
     query = parse_qs(request.query.decode("latin-1"))
     kind = query.get("kind", [""])[0]
-    after = _integer(query.get("after", ["0"])[0].encode())
-    wait_s = _seconds(query.get("wait_s", ["30"])[0])
+    after = _parse_revision(query.get("after", ["0"])[0].encode())
+    wait_s = _parse_seconds(query.get("wait_s", ["30"])[0])
     if not kind or after is None or wait_s is None:
         return Error(_error(400, "a watch needs kind, after and wait_s"))
     return Ok(_Watch(kind=kind, after=after, wait_s=min(wait_s, MAX_WAIT_S)))
 
 
-def _integer(text: bytes | None) -> int | None:
+def _parse_revision(text: bytes | None) -> int | None:
     value = (text or b"").strip(b'"')
     return int(value) if value.isdigit() else None
 
 
-def _seconds(text: str) -> float | None:
+def _parse_seconds(text: str) -> float | None:
     try:
         value = float(text)
     except ValueError:
@@ -222,7 +222,7 @@
     return value if 0.0 <= value < inf else None
 
 
-def _absent(deleted: StoredObject | None) -> Response:
+def _not_found_response(deleted: StoredObject | None) -> Response:
     body = ErrorBody(
         error="no such object",
         revision=deleted.revision if deleted else 0,
@@ -231,7 +231,7 @@
     return json_response(404, body)
 
 
-def _refusal(error: StoreError) -> Response:
+def _error_response(error: StoreError) -> Response:
     status = STATUS_BY_KIND.get(error.kind, 400)
     return _error(status, error.reason, error.revision)
 
--- a/catkinhollow/testbed/store_state.py
+++ b/catkinhollow/testbed/store_state.py
@@ -1,4 +1,4 @@
-"""Hold the objects, counters and faults of the stand-in store."""
+"""Implement the objects, call counts and faults of the stand-in store."""
 
 from collections import Counter
 from typing import Any
@@ -14,24 +14,24 @@
     StoreFaults,
 )
 
-# Deletions kept for watches; older ones are forgotten, and a watch from
-# before them gets a complete listing.
+# Number of tombstones (deletion records) kept for watches. A watch from before
+# a discarded tombstone gets a complete listing.
 DEFAULT_TOMBSTONE_LIMIT = 1000
 
 
 @define
-class _View:
-    """Hold the objects, deleted ones included, at one revision."""
+class _Snapshot:
+    """Hold the objects and tombstones of one revision."""
 
     objects: dict[tuple[str, str], StoredObject]
     revision: int = 0
-    # Revision of the newest forgotten deletion.
-    forgotten_revision: int = 0
+    # Revision of the newest discarded tombstone.
+    discarded_revision: int = 0
 
-    def copy(self) -> "_View":
+    def copy(self) -> "_Snapshot":
         return evolve(self, objects=dict(self.objects))
 
-    def live(self, kind: str | None = None) -> list[StoredObject]:
+    def list_live(self, kind: str | None = None) -> list[StoredObject]:
         return [
             stored
             for stored in self.objects.values()
@@ -44,14 +44,14 @@
 
     def __init__(self, *, tombstone_limit: int = DEFAULT_TOMBSTONE_LIMIT) -> None:
         self._tombstone_limit = tombstone_limit
-        self._current = _View({})
-        self._stale: _View | None = None
+        self._current = _Snapshot({})
+        self._stale: _Snapshot | None = None
         self._calls: Counter[str] = Counter()
         self._faults = StoreFaults()
 
     @property
     def faults(self) -> StoreFaults:
-        """Return the fault switches."""
+        """Return the injected faults."""
         return self._faults
 
     @property
@@ -60,98 +60,99 @@
         return self._current.revision
 
     def set_faults(self, faults: StoreFaults) -> None:
-        """Set the fault switches; stale reads start from the present view."""
+        """Set the faults to inject; stale reads return the objects of now."""
         self._faults = faults
         if not faults.stale_reads:
             self._stale = None
         elif self._stale is None:
             self._stale = self._current.copy()
 
-    def count(self, call: str) -> None:
-        """Count one call of a kind."""
+    def count_call(self, call: str) -> None:
+        """Count one call by its kind."""
         self._calls[call] += 1
 
     def counters(self) -> StoreCounters:
-        """Return the counts since the last reset."""
+        """Return the call counts since the last reset."""
         return StoreCounters(
             calls=dict(self._calls),
             revision=self.revision,
-            objects=len(self._current.live()),
+            objects=len(self._current.list_live()),
         )
 
     def reset_counters(self) -> None:
-        """Count from zero again."""
+        """Reset the call counts to zero."""
         self._calls.clear()
 
     def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return one object or the record of its deletion."""
-        return self._view().objects.get((kind, name))
+        """Return one object or its tombstone."""
+        return self._read_snapshot().objects.get((kind, name))
 
     def list_objects(self, kind: str) -> ObjectList:
         """Return all objects of a kind."""
-        view = self._view()
+        snapshot = self._read_snapshot()
         return ObjectList(
-            revision=view.revision, objects=view.live(kind), complete=True
+            revision=snapshot.revision, objects=snapshot.list_live(kind), complete=True
         )
 
     def changes(self, kind: str, after: int) -> ObjectList | None:
-        """Return what a watch reports, or None when it has to wait."""
-        view = self._view()
-        # A revision from the future comes from before a loss of the store.
-        # A view that is only stale catches up, so its watch waits.
-        ahead = self._stale is None and after > view.revision
-        if after < view.forgotten_revision or ahead:
+        """Return the changes after a revision, or None if there are none."""
+        snapshot = self._read_snapshot()
+        # A client knows a later revision than the store if the store lost its
+        # data: it gets a complete listing. A stale snapshot that is behind the
+        # client catches up when the fault ends, so the watch waits.
+        ahead = self._stale is None and after > snapshot.revision
+        if after < snapshot.discarded_revision or ahead:
             return self.list_objects(kind)
         changed = [
             stored
-            for stored in view.objects.values()
+            for stored in snapshot.objects.values()
             if stored.kind == kind and stored.revision > after
         ]
         if not changed:
             return None
         changed.sort(key=lambda stored: stored.revision)
-        return ObjectList(revision=view.revision, objects=changed)
+        return ObjectList(revision=snapshot.revision, objects=changed)
 
     def no_changes(self) -> ObjectList:
-        """Return what a watch reports when its wait has ended."""
-        return ObjectList(revision=self._view().revision)
+        """Return the empty result of a watch whose wait time is over."""
+        return ObjectList(revision=self._read_snapshot().revision)
 
     def put(
         self, kind: str, name: str, write: ObjectWrite, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
         """Write an object if its revision is still the given one."""
-        present = self._present(kind, name)
-        if present is None and if_revision != 0:
+        current = self._find_object(kind, name)
+        if current is None and if_revision != 0:
             return Error(_not_found())
-        if present is not None and present.revision != if_revision:
-            return Error(_conflict(present))
+        if current is not None and current.revision != if_revision:
+            return Error(_conflict(current))
         return Ok(self._store(kind, name, write.value, write.writer_id))
 
     def delete(
         self, kind: str, name: str, writer_id: str, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
         """Delete an object if its revision is still the given one."""
-        present = self._present(kind, name)
-        if present is None:
+        current = self._find_object(kind, name)
+        if current is None:
             return Error(_not_found())
-        if present.revision != if_revision:
-            return Error(_conflict(present))
+        if current.revision != if_revision:
+            return Error(_conflict(current))
         deleted = self._store(kind, name, None, writer_id, deleted=True)
-        self._forget_old_deletions()
+        self._discard_oldest_tombstone()
         return Ok(deleted)
 
-    def take_response_loss(self) -> ResponseLoss | None:
-        """Return how to lose the response of a write that took effect."""
-        left = self._faults.lose_writes
-        if left == 0:
+    def consume_response_loss(self) -> ResponseLoss | None:
+        """Return how to lose the response to a write, and count it down."""
+        remaining = self._faults.lose_writes
+        if remaining == 0:
             return None
-        self._faults = evolve(self._faults, lose_writes=left - 1)
+        self._faults = evolve(self._faults, lose_writes=remaining - 1)
         return self._faults.lose_mode
 
-    def _view(self) -> _View:
+    def _read_snapshot(self) -> _Snapshot:
         return self._stale or self._current
 
-    def _present(self, kind: str, name: str) -> StoredObject | None:
+    def _find_object(self, kind: str, name: str) -> StoredObject | None:
         stored = self._current.objects.get((kind, name))
         return None if stored is None or stored.deleted else stored
 
@@ -170,23 +171,23 @@
         self._current.objects[kind, name] = stored
         return stored
 
-    def _forget_old_deletions(self) -> None:
+    def _discard_oldest_tombstone(self) -> None:
         objects = self._current.objects
-        deletions = [stored for stored in objects.values() if stored.deleted]
-        if len(deletions) <= self._tombstone_limit:
+        tombstones = [stored for stored in objects.values() if stored.deleted]
+        if len(tombstones) <= self._tombstone_limit:
             return
-        oldest = min(deletions, key=lambda stored: stored.revision)
+        oldest = min(tombstones, key=lambda stored: stored.revision)
         del objects[oldest.kind, oldest.name]
-        self._current.forgotten_revision = oldest.revision
+        self._current.discarded_revision = oldest.revision
 
 
 def _not_found() -> StoreError:
     return StoreError(kind=StoreErrorKind.NOT_FOUND, reason="no such object")
 
 
-def _conflict(present: StoredObject) -> StoreError:
+def _conflict(current: StoredObject) -> StoreError:
     return StoreError(
         kind=StoreErrorKind.CONFLICT,
-        reason=f"the revision is {present.revision}",
-        revision=present.revision,
+        reason=f"the revision is {current.revision}",
+        revision=current.revision,
     )
--- a/tests/testbed/test_store_state.py
+++ b/tests/testbed/test_store_state.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-in store's state against a plain dict."""
+"""Tests that compare the stand-in store's state with a dict."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -28,10 +28,10 @@
         self.copy = {}
         self.watched = 0
 
-    @rule(name=NAMES, value=st.integers(), right=st.booleans(), other=REVISIONS)
-    def put(self, name, value, right, other):
+    @rule(name=NAMES, value=st.integers(), is_current=st.booleans(), other=REVISIONS)
+    def put(self, name, value, is_current, other):
         current = self.expected.get(name, (0, None))[0]
-        revision = current if right else other
+        revision = current if is_current else other
         before = self.state.revision
         write = ObjectWrite(value=value, writer_id="w")
         result = self.state.put("k", name, write, if_revision=revision)
@@ -40,10 +40,10 @@
             assert result.ok.revision == before + 1
             self.expected[name] = (before + 1, value)
 
-    @rule(name=NAMES, right=st.booleans(), other=REVISIONS)
-    def delete(self, name, right, other):
+    @rule(name=NAMES, is_current=st.booleans(), other=REVISIONS)
+    def delete(self, name, is_current, other):
         current = self.expected.get(name, (0, None))[0]
-        revision = current if right else other
+        revision = current if is_current else other
         result = self.state.delete("k", name, "w", if_revision=revision)
         present = name in self.expected
         self.check(result, present and revision == current, present)
@@ -87,8 +87,8 @@
     )
 
 
-def test_stale_reads_show_the_old_view_and_writes_the_new_one():
-    """Guards against a stale view that follows writes or blocks them."""
+def test_stale_reads_return_old_objects_while_writes_use_new_ones():
+    """Guards against stale reads that show new writes or block them."""
     state = StoreState()
     write = ObjectWrite(value=1, writer_id="w")
     state.put("k", "a", write, if_revision=0)
--- a/tests/testbed/test_target_model.py
+++ b/tests/testbed/test_target_model.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-in target's decisions."""
+"""Tests of the admission and the faults of the stand-in target."""
 
 from attrs import evolve
 from hypothesis import settings
@@ -27,7 +27,7 @@
 
 
 class SlotMachine(RuleBasedStateMachine):
-    """Compare the assignment of slots with two lists."""
+    """Compare the assignment of slots with two lists as a model."""
 
     def __init__(self):
         super().__init__()
@@ -89,7 +89,7 @@
 
 
 def test_slots_match_two_lists():
-    """Guards against lost slots, overfull slots and wrong refusals."""
+    """Guards against lost slots, more calls than slots and false refusals."""
     run_state_machine_as_test(
         SlotMachine,
         settings=settings(derandomize=True, deadline=None, max_examples=150),
@@ -97,7 +97,7 @@
 
 
 def begin_all(model, count, now_s, call=CALL):
-    """Begin as many calls and return their plans."""
+    """Begin `count` calls at once and return their plans."""
     works = [model.admit(call, now_s).ok for _ in range(count)]
     plans = [model.begin(work, now_s).ok for work in works]
     for work in works:
@@ -106,7 +106,7 @@
 
 
 def test_cold_target_is_slow_and_fails_under_full_load():
-    """Guards against a cold start that costs nothing or never ends."""
+    """Guards against a cold start without effect or without end."""
     model = TargetModel(COLD, now_s=0.0)
     durations = [begin_all(model, 1, now_s)[0].duration_s for now_s in (0, 5, 10)]
     assert durations == [0.4, 0.25, 0.1]
@@ -115,8 +115,8 @@
     assert {plan.status for plan in begin_all(model, 4, 10.0)} == {200}
 
 
-def test_collapse_restarts_the_warm_up_and_silent_cold_is_not_announced():
-    """Guards against a target that warms up under overload."""
+def test_collapse_restarts_the_warm_up_without_an_announcement():
+    """Guards against a target that gets warm in spite of overload."""
     model = TargetModel(evolve(COLD, collapse=True), now_s=0.0)
     begin_all(model, 4, 5.0)
     assert model.health(10.0).state is TargetState.COLD
@@ -126,8 +126,8 @@
     assert model.announced_state(20.0) is TargetState.COLD
 
 
-def test_fault_strikes_after_its_delay_under_load_and_on_its_path_only():
-    """Guards against a bad version that is bad at the wrong moment."""
+def test_fault_applies_after_its_delay_under_load_and_on_its_path_only():
+    """Guards against a fault that affects calls outside its conditions."""
     model = TargetModel(evolve(WARM, slots=4), now_s=0.0)
     faults = TargetFaults(
         mode=FaultMode.FAIL, after_s=5.0, min_load=0.5, path_prefix="/orders"
@@ -144,15 +144,15 @@
     assert 200 < slow < 300 and all(plan.status == 200 for plan in plans)
 
 
-def test_reports_lie_and_lag_by_switch():
-    """Guards against reports that stay true under the switches."""
+def test_faults_make_reports_late_and_false():
+    """Guards against reports that stay correct in spite of the faults."""
     model = TargetModel(evolve(WARM, slots=3), now_s=0.0)
     model.set_faults(TargetFaults(report_lag_s=2.0), 0.0)
     assert model.load(0.0).running == 0
     model.admit(CALL, 0.5)
     assert model.load(1.9).running == 0
     assert model.load(2.0).running == 1
-    lies = TargetFaults(load_lie=LoadLie.FULL, health_lie=HealthLie.FAILED)
-    model.set_faults(lies, 3.0)
+    false_reports = TargetFaults(load_lie=LoadLie.FULL, health_lie=HealthLie.FAILED)
+    model.set_faults(false_reports, 3.0)
     assert model.load(3.0).running == 3
     assert model.health(3.0).state is TargetState.FAILED
