--- a/tests/configuration/test_http_store.py
+++ b/tests/configuration/test_http_store.py
@@ -37,7 +37,7 @@
         return super()._store(kind, name, value, writer_id, deleted=deleted)
 
     def write_as_other(self):
-        present = self._present("config", "fleet")
+        present = self._find_object("config", "fleet")
         revision = present.revision if present else 0
         write = ObjectWrite(value="other", writer_id="other")
         self.put("config", "fleet", write, if_revision=revision)
