Reword the stand-ins and name their modules by content

onward.py becomes downstream.py, switches.py faults.py, hop.py hop_bench.py and moments.py observations.py; their imports follow. Texts that the stand-ins send in HTTP bodies are unchanged.

--- a/catkinhollow/testbed/announcer.py
+++ b/catkinhollow/testbed/announcer.py
@@ -17,7 +17,7 @@
 
 logger = logging.get_absl_logger()
 
-# A daemon that restarted has forgotten its target.
+# Announcements repeat, as a restarted daemon does not know its target.
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 1.0
 
--- a/catkinhollow/testbed/bench.py
+++ b/catkinhollow/testbed/bench.py
@@ -15,7 +15,7 @@
 from catkinhollow.testbed.deployment import BenchError
 from catkinhollow.testbed.domain_bench import DomainRunner
 from catkinhollow.testbed.experiments import NamedExperiment
-from catkinhollow.testbed.hop import HopRunner
+from catkinhollow.testbed.hop_bench import HopRunner
 from catkinhollow.testbed.measures import Recorder, read_commit, read_machine
 from catkinhollow.testbed.move_bench import MoveRunner
 from catkinhollow.testbed.rest_bench import RestRunner
--- a/catkinhollow/testbed/daemon_logs.py
+++ b/catkinhollow/testbed/daemon_logs.py
@@ -1,4 +1,4 @@
-"""Read from the daemons' logs when each enforced a version or was ready."""
+"""Read the times of configuration and readiness events from daemon logs."""
 
 from collections.abc import Sequence
 from pathlib import Path
@@ -15,7 +15,7 @@
 
 @frozen(kw_only=True)
 class LogEvent:
-    """Hold one line of a log."""
+    """Represent one event of a daemon's log."""
 
     time_ms: float
     event: str
@@ -28,13 +28,13 @@
 
 
 def read_events(path: Path) -> list[LogEvent]:
-    """Return the events of a log that are measured, oldest first."""
+    """Return the events that the benchmarks use, oldest first."""
     events = []
     for line in path.read_bytes().splitlines():
         try:
             event = json.decode(line, type=LogEvent)
         except DecodeError:
-            # Output of a process that failed is no event.
+            # A failed process writes other output too, such as a traceback.
             continue
         if event.event in (ENFORCED, READY, QUARANTINED):
             events.append(event)
@@ -44,7 +44,7 @@
 def enforced_ms(
     events: Sequence[LogEvent], revision: int, since_ms: float = 0.0
 ) -> float | None:
-    """Return when a revision or a later one was first in force."""
+    """Return when a revision or a later one was first enforced."""
     for event in events:
         in_time = event.time_ms >= since_ms
         if event.event == ENFORCED and event.revision >= revision and in_time:
@@ -53,7 +53,7 @@
 
 
 def ready_ms(events: Sequence[LogEvent], since_ms: float) -> float | None:
-    """Return when a daemon was first ready after a moment."""
+    """Return when a daemon was first ready from `since_ms` on."""
     for event in events:
         if event.event == READY and event.time_ms >= since_ms:
             return event.time_ms
--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -29,7 +29,7 @@
 from catkinhollow.testbed.daemon_logs import now_ms
 from catkinhollow.testbed.deployment import BenchError, Deployment, open_deployment
 from catkinhollow.testbed.measures import ROOT, Recorder
-from catkinhollow.testbed.moments import (
+from catkinhollow.testbed.observations import (
     SETTLE_MS,
     open_store,
     read_executions,
--- a/catkinhollow/testbed/onward.py
+++ b/catkinhollow/testbed/downstream.py
@@ -1,4 +1,4 @@
-"""Call on from a stand-in target to the next service of a chain."""
+"""Call the next service of a chain from a stand-in target."""
 
 from catkinhollow.calls.egress import HttpTargetClient, TargetClient
 from catkinhollow.calls.exchange import (
@@ -10,32 +10,35 @@
 from catkinhollow.generated.settings import HttpSettings
 from catkinhollow.testbed.target_model import Call
 
-HOST_PREFIX = "127."
+LOOPBACK_PREFIX = "127."
 TIMEOUT_S = 10.0
 OK_STATUS = 200
 
 
 def parse_then(text: str) -> tuple[str, ...]:
-    """Return the ADDRESS/PATH of each further call of a chain."""
+    """Return the ADDRESS/PATH of each downstream call of a chain.
+
+    Raise ValueError for a step that is not on loopback or has no path.
+    """
     steps = tuple(text.split(",")) if text else ()
-    if not all(step.startswith(HOST_PREFIX) and "/" in step for step in steps):
+    if not all(step.startswith(LOOPBACK_PREFIX) and "/" in step for step in steps):
         raise ValueError("then holds no ADDRESS/PATH on loopback")
     return steps
 
 
 def chain_path(path: str, steps: tuple[str, ...]) -> tuple[str, bytes]:
-    """Return the path and the query of a call with further calls."""
+    """Return the path and query of a call with downstream calls."""
     return path, f"then={','.join(steps)}".encode() if steps else b""
 
 
-class OnwardCaller:
-    """Make the next call of a chain and wait for its answer."""
+class DownstreamCaller:
+    """Make the next call of a chain and wait for its response."""
 
     def __init__(self, client: TargetClient | None = None) -> None:
         self._client = client or HttpTargetClient(HttpSettings())
 
     async def call(self, call: Call) -> bool:
-        """Make the call if there is one, and tell whether all went well."""
+        """Make the next call, if any; return whether the chain succeeded."""
         if not call.then:
             return True
         address, _, path = call.then[0].partition("/")
@@ -47,8 +50,8 @@
             headers=_headers(call, address),
             body=b"",
         )
-        attempt = await self._client.send(address, request, TIMEOUT_S)
-        return attempt.status == OK_STATUS
+        result = await self._client.send(address, request, TIMEOUT_S)
+        return result.status == OK_STATUS
 
 
 def _headers(call: Call, address: str) -> Headers:
--- a/catkinhollow/testbed/switches.py
+++ b/catkinhollow/testbed/faults.py
@@ -1,4 +1,4 @@
-"""Change the fault switches of a stand-in."""
+"""Change the injected faults of a stand-in."""
 
 from typing import Any, TypeVar
 
@@ -7,11 +7,14 @@
 from catkinhollow.codec import decode_json, from_plain, to_plain
 from catkinhollow.errors import DecodeError
 
-SwitchesT = TypeVar("SwitchesT")
+FaultsT = TypeVar("FaultsT")
 
 
-def merge_switches(current: SwitchesT, body: bytes) -> Result[SwitchesT, DecodeError]:
-    """Return the switches with those named in a JSON object changed."""
+def merge_faults(current: FaultsT, body: bytes) -> Result[FaultsT, DecodeError]:
+    """Return the faults with the fields of a JSON object replaced.
+
+    The error names fields that do not exist.
+    """
     changes = decode_json(body, dict[str, Any])
     if changes.is_error():
         return Error(changes.error)
--- a/catkinhollow/testbed/hop.py
+++ b/catkinhollow/testbed/hop_bench.py
@@ -20,8 +20,8 @@
     open_deployment,
     plain_fleet,
 )
+from catkinhollow.testbed.downstream import chain_path
 from catkinhollow.testbed.measures import Recorder, Times, read_cpu_s
-from catkinhollow.testbed.onward import chain_path
 
 CALL_LIMIT_S = 10.0
 OK_STATUS = 200
--- a/catkinhollow/testbed/loopback_proxy.py
+++ b/catkinhollow/testbed/loopback_proxy.py
@@ -1,4 +1,4 @@
-"""Disturb the connections to one server on loopback."""
+"""Inject faults into the connections to one server on loopback."""
 
 import socket
 
@@ -12,17 +12,17 @@
 
 
 class LoopbackProxy:
-    """Pass bytes on, hold them back, or reset the connections."""
+    """Forward bytes, hold them back, or reset the connections."""
 
-    def __init__(self, target_port: int) -> None:
-        self._target_port = target_port
+    def __init__(self, server_port: int) -> None:
+        self._server_port = server_port
         self._silent = False
         self._changed = trio.Event()
         self._scopes: set[trio.CancelScope] = set()
 
     @property
     def silent(self) -> bool:
-        """Tell whether connections stay open and carry nothing."""
+        """Return whether connections stay open but forward no bytes."""
         return self._silent
 
     @silent.setter
@@ -46,25 +46,27 @@
             listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
             task_status.started()
             await trio.serve_listeners(
-                self._connect, listeners, handler_nursery=nursery
+                self._handle_connection, listeners, handler_nursery=nursery
             )
 
-    async def _connect(self, near: trio.SocketStream) -> None:
+    async def _handle_connection(self, client: trio.SocketStream) -> None:
         try:
-            far = await trio.open_tcp_stream("127.0.0.1", self._target_port)
+            server = await trio.open_tcp_stream("127.0.0.1", self._server_port)
         except OSError:
-            _abort(near)
+            _abort(client)
             return
         with trio.CancelScope() as scope:
             self._scopes.add(scope)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._pump, near, far)
-                nursery.start_soon(self._pump, far, near)
+                nursery.start_soon(self._forward, client, server)
+                nursery.start_soon(self._forward, server, client)
         self._scopes.discard(scope)
-        _abort(near)
-        _abort(far)
+        _abort(client)
+        _abort(server)
 
-    async def _pump(self, source: trio.SocketStream, sink: trio.SocketStream) -> None:
+    async def _forward(
+        self, source: trio.SocketStream, sink: trio.SocketStream
+    ) -> None:
         try:
             while data := await source.receive_some(CHUNK_BYTES):
                 while self._silent:
@@ -76,10 +78,10 @@
 
 
 def _abort(stream: trio.SocketStream) -> None:
-    """Close a connection so that its peer sees a reset."""
+    """Close a connection with a TCP reset."""
     linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
     try:
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     except OSError as error:
-        logger.debug("connection was closed before", reason=repr(error))
+        logger.debug("connection already closed", reason=repr(error))
     stream.socket.close()
--- a/catkinhollow/testbed/move_bench.py
+++ b/catkinhollow/testbed/move_bench.py
@@ -19,7 +19,7 @@
 from catkinhollow.testbed.deployment import BenchError, Deployment, open_deployment
 from catkinhollow.testbed.domain_bench import DOMAINS, load_example, make_kinds
 from catkinhollow.testbed.measures import Recorder
-from catkinhollow.testbed.moments import (
+from catkinhollow.testbed.observations import (
     SETTLE_MS,
     open_store,
     read_executions,
--- a/catkinhollow/testbed/responses.py
+++ b/catkinhollow/testbed/responses.py
@@ -1,4 +1,4 @@
-"""Answer or abandon a call the way a failing server does."""
+"""Truncate a response or abandon a call as a failing server does."""
 
 import trio
 
@@ -6,8 +6,8 @@
 from catkinhollow.calls.http_server import Receive, Send, wait_disconnect
 
 
-async def send_cut(send: Send, response: Response) -> None:
-    """Send the head and half of the body, for a connection to be cut."""
+async def send_truncated(send: Send, response: Response) -> None:
+    """Send the head and half of the body; the server then disconnects."""
     length = (b"content-length", str(len(response.body)).encode())
     headers = [*response.headers, length]
     await send(
@@ -18,6 +18,6 @@
 
 
 async def cancel_on_disconnect(receive: Receive, nursery: trio.Nursery) -> None:
-    """Cancel the nursery when the client has closed the connection."""
+    """Cancel the nursery once the client has closed the connection."""
     await wait_disconnect(receive)
     nursery.cancel_scope.cancel()
--- a/catkinhollow/testbed/standins.py
+++ b/catkinhollow/testbed/standins.py
@@ -1,4 +1,4 @@
-"""Run the stand-ins until a signal ends them."""
+"""Run a stand-in as a process until SIGTERM or SIGINT."""
 
 import signal
 
@@ -16,19 +16,19 @@
 from catkinhollow.testbed.target_control import TargetControl, TargetIdentity
 from catkinhollow.testbed.target_model import TargetModel
 
-# Waiting watches and hung calls need not finish.
+# Short, as waiting watches and hung calls need not finish.
 STORE_DRAIN_S = 0.5
 
 TARGET_DRAIN_S = 20.0
 
-# Time in which callers learn that the target leaves, before it closes idle
-# connections; twice the interval of its announcements.
+# Time between the drain state and the close of idle connections, in which
+# callers learn of it; twice the interval of the announcements.
 TARGET_LINGER_S = 2.0
 
 
 @frozen(kw_only=True)
 class TargetOptions:
-    """Hold what starts a stand-in target."""
+    """Configure a stand-in target."""
 
     service: str
     version: str
--- a/catkinhollow/testbed/store.py
+++ b/catkinhollow/testbed/store.py
@@ -25,9 +25,9 @@
     ResponseLoss,
     StoreFaults,
 )
-from catkinhollow.testbed.responses import cancel_on_disconnect, send_cut
+from catkinhollow.testbed.faults import merge_faults
+from catkinhollow.testbed.responses import cancel_on_disconnect, send_truncated
 from catkinhollow.testbed.store_state import StoreState
-from catkinhollow.testbed.switches import merge_switches
 
 MAX_VALUE_BYTES = 1024 * 1024
 
@@ -110,7 +110,7 @@
             case None:
                 await send_response(send, response)
             case ResponseLoss.CUT:
-                await send_cut(send, response)
+                await send_truncated(send, response)
             case ResponseLoss.HANG:
                 await wait_disconnect(receive)
 
@@ -178,7 +178,7 @@
         return _error(404, "no such path")
 
     def _change_faults(self, body: bytes) -> Response:
-        merged = merge_switches(self._state.faults, body)
+        merged = merge_faults(self._state.faults, body)
         if merged.is_error():
             return _error(400, merged.error.reason)
         self._state.set_faults(merged.ok)
--- a/catkinhollow/testbed/target.py
+++ b/catkinhollow/testbed/target.py
@@ -26,51 +26,51 @@
 )
 from catkinhollow.codec import encode_json
 from catkinhollow.generated.testbed import Execution, FaultMode
-from catkinhollow.testbed.onward import OnwardCaller, parse_then
-from catkinhollow.testbed.responses import cancel_on_disconnect, send_cut
+from catkinhollow.testbed.downstream import DownstreamCaller, parse_then
+from catkinhollow.testbed.responses import cancel_on_disconnect, send_truncated
 from catkinhollow.testbed.target_control import TargetControl
 from catkinhollow.testbed.target_model import Call, Plan, TargetModel, Work
 from catkinhollow.timer import Clock
 
 MAX_REQUEST_BYTES = 8 * 1024 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-ONWARD_FAILED_STATUS = 502
+DOWNSTREAM_FAILED_STATUS = 502
 
 
 class TargetApp:
-    """Answer the HTTP calls to a stand-in target."""
+    """Serve the HTTP calls to a stand-in target."""
 
     def __init__(
         self,
         model: TargetModel,
         clock: Clock,
         control: TargetControl,
-        onward: OnwardCaller | None = None,
+        downstream: DownstreamCaller | None = None,
     ) -> None:
         self._model = model
-        self._onward = onward or OnwardCaller()
+        self._downstream = downstream or DownstreamCaller()
         self._clock = clock
         self._control = control
-        self._slot_given: dict[Work, trio.Event] = {}
-        self._answered = Call(request_id="none", method="GET", path="/none")
+        self._slot_events: dict[Work, trio.Event] = {}
+        self._previous_call = Call(request_id="none", method="GET", path="/none")
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer one call."""
+        """Serve one call."""
         read = await read_request(scope, receive, MAX_REQUEST_BYTES)
         if read.is_error():
             await send_response(send, read.error)
             return
-        control = self._control.answer(read.ok)
-        if control is not None:
-            await send_response(send, control)
+        response = self._control.respond(read.ok)
+        if response is not None:
+            await send_response(send, response)
             return
         call = _parse_call(read.ok)
         if call.is_error():
             await send_response(send, call.error)
         else:
-            await self._answer_work(call.ok, receive, send)
+            await self._serve_call(call.ok, receive, send)
 
-    async def _answer_work(self, call: Call, receive: Receive, send: Send) -> None:
+    async def _serve_call(self, call: Call, receive: Receive, send: Send) -> None:
         admitted = self._model.admit(call, self._clock.monotonic())
         if admitted.is_error():
             await self._send_refusal(call, admitted.error.reason, send)
@@ -85,21 +85,21 @@
             await self._send_refusal(call, plan.error.reason, send)
             return
         finished = await self._run(work, plan.ok)
-        await self._send_answer(call, finished, send)
+        await self._send_response(call, finished, send)
 
     async def _wait_for_slot(self, work: Work, receive: Receive) -> bool:
-        given = self._slot_given[work] = trio.Event()
+        slot_event = self._slot_events[work] = trio.Event()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_on_disconnect, receive, nursery)
-            await given.wait()
+            await slot_event.wait()
             nursery.cancel_scope.cancel()
-        del self._slot_given[work]
-        return given.is_set()
+        del self._slot_events[work]
+        return slot_event.is_set()
 
     def _release(self, work: Work) -> None:
         following = self._model.release(work)
         if following is not None:
-            self._slot_given[following].set()
+            self._slot_events[following].set()
 
     async def _run(self, work: Work, plan: Plan) -> Plan:
         call = work.call
@@ -113,35 +113,35 @@
             )
         )
         await trio.sleep(plan.duration_s)
-        if not await self._onward.call(call):
-            plan = evolve(plan, status=ONWARD_FAILED_STATUS)
+        if not await self._downstream.call(call):
+            plan = evolve(plan, status=DOWNSTREAM_FAILED_STATUS)
         end_ms = self._clock.unix_ms()
         self._control.recorder.finish(number, end_ms=end_ms, status=plan.status)
         self._release(work)
         return plan
 
-    async def _send_answer(self, call: Call, plan: Plan, send: Send) -> None:
-        told = self._answered if plan.fault is FaultMode.MISMATCH else call
-        self._answered = call
+    async def _send_response(self, call: Call, plan: Plan, send: Send) -> None:
+        named_call = self._previous_call if plan.fault is FaultMode.MISMATCH else call
+        self._previous_call = call
         response = Response(
             status=plan.status,
             headers=[
                 (b"content-type", b"application/json"),
-                *self._own_headers(told),
+                *self._identity_headers(named_call),
             ],
-            body=self._body(told, call.body_bytes),
+            body=self._body(named_call, call.body_bytes),
         )
         if plan.fault is FaultMode.TRUNCATE:
-            await send_cut(send, response)
+            await send_truncated(send, response)
         else:
             await send_response(send, response)
 
     async def _send_refusal(self, call: Call, reason: str, send: Send) -> None:
         refusal = not_run_response(reason)
-        refusal.headers.extend(self._own_headers(call))
+        refusal.headers.extend(self._identity_headers(call))
         await send_response(send, refusal)
 
-    def _own_headers(self, call: Call) -> list[tuple[bytes, bytes]]:
+    def _identity_headers(self, call: Call) -> list[tuple[bytes, bytes]]:
         return [
             (REQUEST_ID_HEADER, call.request_id.encode("latin-1")),
             (VERSION_HEADER, self._control.identity.version.encode("latin-1")),
--- a/catkinhollow/testbed/target_control.py
+++ b/catkinhollow/testbed/target_control.py
@@ -1,4 +1,4 @@
-"""Answer the reports and switches of the stand-in target."""
+"""Serve the reports and the control calls of the stand-in target."""
 
 from attrs import frozen
 
@@ -8,7 +8,7 @@
 from catkinhollow.generated.messages import TargetRecord, TargetState
 from catkinhollow.generated.testbed import TargetFaults
 from catkinhollow.testbed.executions import ExecutionRecorder
-from catkinhollow.testbed.switches import merge_switches
+from catkinhollow.testbed.faults import merge_faults
 from catkinhollow.testbed.target_model import TargetModel
 from catkinhollow.timer import Clock
 
@@ -17,7 +17,7 @@
 
 @frozen(kw_only=True)
 class TargetIdentity:
-    """Hold what a target announces and never changes."""
+    """Describe the announced attributes of a target that never change."""
 
     service: str
     version: str
@@ -25,7 +25,7 @@
 
 
 class TargetControl:
-    """Report the state of a target and set its switches."""
+    """Report the state of a target and change its state and faults."""
 
     def __init__(
         self, identity: TargetIdentity, model: TargetModel, clock: Clock
@@ -38,16 +38,16 @@
 
     @property
     def identity(self) -> TargetIdentity:
-        """Return what the target announces and never changes."""
+        """Return the announced attributes that never change."""
         return self._identity
 
     @property
     def recorder(self) -> ExecutionRecorder:
-        """Return the log of executions."""
+        """Return the recorder of the executions."""
         return self._recorder
 
     def record(self) -> TargetRecord:
-        """Return what the target announces."""
+        """Return the record that the target announces."""
         return TargetRecord(
             service=self._identity.service,
             version=self._identity.version,
@@ -57,8 +57,8 @@
             state=self._model.announced_state(self._clock.monotonic()),
         )
 
-    def answer(self, request: Request) -> Response | None:
-        """Return the response to a control call, None for other calls."""
+    def respond(self, request: Request) -> Response | None:
+        """Return the response to a control call, or None for other calls."""
         match request.method, request.path:
             case "GET", "/health":
                 return self._health()
@@ -92,7 +92,7 @@
         current, body = self._model.faults, request.body
         if request.method == "DELETE":
             body = encode_json(TargetFaults())
-        merged = merge_switches(current, body)
+        merged = merge_faults(current, body)
         if merged.is_error():
             return plain_response(400, merged.error.reason)
         self._model.set_faults(merged.ok, self._clock.monotonic())
--- a/tests/testbed/test_announcer.py
+++ b/tests/testbed/test_announcer.py
@@ -16,7 +16,7 @@
 
 
 class Daemon:
-    """Collect announcements; answer, refuse, cut or hang as told."""
+    """Collect announcements; answer, refuse, cut or hang in a fixed order."""
 
     def __init__(self):
         self.records = []
@@ -35,10 +35,10 @@
         await send_response(send, plain_response(status, behaviour))
 
 
-async def test_target_is_announced_again_to_a_daemon_that_was_away(
+async def test_target_is_announced_again_after_failed_announcements(
     autojump_clock, nursery
 ):
-    """Guards against a target that its restarted daemon never learns of."""
+    """Guards against a restarted daemon that never learns of its target."""
     daemon = Daemon()
     admin = Address(host="127.0.0.1", port=1)
     announcer = Announcer(admin, lambda: RECORD, AsgiPool(daemon, nursery))
--- a/tests/testbed/test_bench.py
+++ b/tests/testbed/test_bench.py
@@ -11,6 +11,7 @@
 from catkinhollow.testbed.compare import Unmatched, compare
 from catkinhollow.testbed.convergence_bench import Change, Delays, cost_figures
 from catkinhollow.testbed.daemon_logs import read_events, ready_ms
+from catkinhollow.testbed.downstream import chain_path, parse_then
 from catkinhollow.testbed.experiments import list_experiments, load_experiment
 from catkinhollow.testbed.fits import fit_all
 from catkinhollow.testbed.fleet_load import (
@@ -19,9 +20,8 @@
     PeerTraffic,
     load_between,
 )
-from catkinhollow.testbed.hop import PairTimes
+from catkinhollow.testbed.hop_bench import PairTimes
 from catkinhollow.testbed.measures import parse_metrics
-from catkinhollow.testbed.onward import chain_path, parse_then
 from catkinhollow.testbed.report import write_report
 
 REST = "description: x\nrest: {sizes: [3]}\n"
@@ -178,7 +178,7 @@
     assert round(figures["added_p99_per_daemon_ms"], 2) == 1
 
 
-def test_chain_hands_on_the_remaining_steps():
+def test_chain_passes_the_remaining_steps_on():
     """Guards against a chain that loops or leaves loopback."""
     steps = parse_then("127.0.0.1:1/a,127.0.0.1:2/b")
     assert chain_path("/a", steps[1:]) == ("/a", b"then=127.0.0.1:2/b")
--- a/tests/testbed/test_standin.py
+++ b/tests/testbed/test_standin.py
@@ -30,7 +30,7 @@
 
 @pytest.mark.processes
 async def test_stand_ins_serve_and_end_on_sigterm(nursery):
-    """Guards against commands that misread options or do not end cleanly."""
+    """Guards against misread options and exits other than 0 on SIGTERM."""
     store, store_url = await start(nursery, "store")
     options = ["--service", "orders", "--target-version", "v9", "--slots", "3"]
     target, target_url = await start(
--- a/tests/testbed/test_target.py
+++ b/tests/testbed/test_target.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-in target's answers, in memory."""
+"""Tests of the stand-in target's responses, in memory."""
 
 import trio
 import trio.testing
@@ -19,18 +19,18 @@
 
 
 class Caller:
-    """Call a target and keep the answers by request id."""
+    """Call a target and keep the responses by request id."""
 
     def __init__(self, nursery):
         model = TargetModel(PROFILE, now_s=0.0, version="v2")
         control = TargetControl(IDENTITY, model, TrioClock())
         app = TargetApp(model, TrioClock(), control)
         self._pool = AsgiPool(app, nursery)
-        self.answers = {}
+        self.responses = {}
 
     async def call(self, request_id, *, give_up_s=100.0, query="", **headers):
         with trio.move_on_after(give_up_s):
-            self.answers[request_id] = await self._pool.request(
+            self.responses[request_id] = await self._pool.request(
                 "POST",
                 f"{URL}/orders{query}",
                 headers={"X-Request-Id": request_id, **headers},
@@ -48,7 +48,7 @@
 
 
 async def test_refused_and_abandoned_calls_do_not_run(autojump_clock, nursery):
-    """Guards against a false "not run" and work that ends with its caller."""
+    """Guards against false "not run" marks and runs cut by their caller."""
     caller = Caller(nursery)
     async with trio.open_nursery() as callers:
         for request_id, give_up_s in [("a", 0.5), ("b", 0.5), ("c", 9), ("d", 9)]:
@@ -56,18 +56,18 @@
             callers.start_soon(
                 lambda i=request_id, s=give_up_s: caller.call(i, give_up_s=s)
             )
-    assert {name: answer.status for name, answer in caller.answers.items()} == {
+    assert {name: response.status for name, response in caller.responses.items()} == {
         "c": 200,
         "d": 503,
     }
-    assert (b"catkinhollow-not-run", b"1") in caller.answers["d"].headers
+    assert (b"catkinhollow-not-run", b"1") in caller.responses["d"].headers
     assert await caller.executed() == (["a", "c"], 1)
 
 
-async def test_late_calls_and_calls_to_a_drained_target_do_not_run(
+async def test_calls_past_their_deadline_or_to_a_draining_target_do_not_run(
     autojump_clock, nursery
 ):
-    """Guards against a drain that cuts work, and work past its deadline."""
+    """Guards against a drain that stops runs, and runs past a deadline."""
     caller = Caller(nursery)
     async with trio.open_nursery() as callers:
         callers.start_soon(caller.call, "before")
@@ -78,17 +78,19 @@
     await caller.call("late", **{"X-Deadline-Ms": "999"})
     await caller.call("wrong", **{"X-Deadline-Ms": "soon"})
     await caller.call("timely", **{"X-Deadline-Ms": "1000"})
-    statuses = {name: answer.status for name, answer in caller.answers.items()}
+    statuses = {name: response.status for name, response in caller.responses.items()}
     refused = {"during": 503, "late": 503, "wrong": 400}
     assert statuses == {"before": 200, "timely": 200, **refused}
     assert await caller.executed() == (["before", "timely"], 2)
 
 
-async def test_answer_names_its_request_unless_switched(autojump_clock, nursery):
-    """Guards against faults of the response that no caller can see."""
+async def test_response_names_its_request_unless_a_fault_is_set(
+    autojump_clock, nursery
+):
+    """Guards against response faults that a caller cannot detect."""
     caller = Caller(nursery)
     await caller.call("first", query="?size=300")
-    first = caller.answers["first"]
+    first = caller.responses["first"]
     assert (b"x-request-id", b"first") in first.headers
     assert (b"x-target-version", b"v2") in first.headers
     body = decode_json(first.content, dict).ok
@@ -96,7 +98,7 @@
     assert len(first.content) == 300
     await caller.control("/control/faults", {"mode": "mismatch"})
     await caller.call("second")
-    assert (b"x-request-id", b"first") in caller.answers["second"].headers
+    assert (b"x-request-id", b"first") in caller.responses["second"].headers
     await caller.control("/control/faults", {"mode": "truncate"})
     with raises(RemoteProtocolError):
         await caller.call("third")
