--- a/catkinhollow/testbed/cluster.py
+++ b/catkinhollow/testbed/cluster.py
@@ -1,4 +1,4 @@
-"""Run a deployment of daemons, stand-in targets and a stand-in store."""
+"""Run daemons, stand-in targets and a stand-in store as processes."""
 
 import signal
 from collections.abc import Iterable, Iterator, Mapping
@@ -25,14 +25,14 @@
 logger = get_logger(__name__)
 
 HOST = "127.0.0.1"
-CONTROL_LIMIT_S = 5.0
+CONTROL_TIMEOUT_S = 5.0
 POLL_S = 0.05
 SEEDS_PER_DAEMON = 3
 
 
 @frozen(kw_only=True)
 class NodeSpec:
-    """Hold one instance: a target and its daemon."""
+    """Configure one instance: a target and its daemon."""
 
     name: str
     service: str
@@ -44,7 +44,7 @@
 
 @define(kw_only=True)
 class Node:
-    """Hold the addresses of one running instance."""
+    """Represent one running instance with its ports and settings file."""
 
     spec: NodeSpec
     traffic_port: int
@@ -55,12 +55,12 @@
 
     @property
     def traffic(self) -> str:
-        """Return the address that callers use."""
+        """Return the address where the daemon accepts calls."""
         return f"{HOST}:{self.traffic_port}"
 
     @property
     def admin(self) -> str:
-        """Return the administrative address of the daemon."""
+        """Return the admin address of the daemon."""
         return f"{HOST}:{self.admin_port}"
 
     @property
@@ -108,7 +108,7 @@
         )
 
     def add(self, specs: Iterable[NodeSpec]) -> list[Node]:
-        """Start the instances, each with its daemon."""
+        """Start a daemon, and a target if it has one, for each instance."""
         nodes = [self._make_node(spec) for spec in specs]
         for node in nodes:
             self.nodes[node.spec.name] = node
@@ -126,11 +126,14 @@
         )
 
     def kill_daemon(self, name: str) -> None:
-        """End a daemon with SIGKILL."""
+        """Send SIGKILL to a daemon."""
         self.daemon(name).send(signal.SIGKILL)
 
     async def run_command(self, *arguments: str, limit_s: float = 30.0) -> int:
-        """Run an operator's command to its end and return its exit code."""
+        """Run an operator's command and return its exit code.
+
+        Kill the command if it runs for longer than `limit_s`.
+        """
         name = f"command-{next(self._commands)}"
         child = self._group.start(name, [*arguments, "--store", self.store])
         if not await child.wait(limit_s):
@@ -140,7 +143,7 @@
     async def wait_ready(
         self, limit_s: float, nodes: Iterable[Node] | None = None
     ) -> bool:
-        """Wait until every daemon accepts calls; tell whether all do."""
+        """Wait until every daemon accepts calls; return whether all do."""
         with trio.move_on_after(limit_s):
             for node in list(self.nodes.values() if nodes is None else nodes):
                 while await self.request("GET", node.admin, "/health") != 200:
@@ -149,7 +152,7 @@
         return False
 
     async def status(self, node: Node) -> DaemonStatus | None:
-        """Return the status of a daemon, if it answers."""
+        """Return the status of a daemon, or None without a response."""
         response = await self.fetch("GET", node.admin, "/status", b"")
         if response is None:
             return None
@@ -167,31 +170,31 @@
         """Return the request id of every execution at one target."""
         response = await self.fetch("GET", node.target, "/control/executions", b"")
         if response is None:
-            logger.error("no execution log", target=node.spec.name)
+            logger.error("execution log unavailable", target=node.spec.name)
             return []
         log = decode_json(response.content, ExecutionLog).ok
         return [execution.request_id for execution in log.executions]
 
     async def set_faults(self, node: Node, faults: TargetFaults) -> None:
-        """Set the fault switches of a target."""
+        """Set the faults that a target injects."""
         await self.fetch("POST", node.target, "/control/faults", encode_json(faults))
 
     async def request(
         self, method: str, address: str, path: str, body: bytes = b""
     ) -> int:
-        """Return the status of a request, 0 without an answer."""
+        """Return the HTTP status of a response, or 0 without a response."""
         response = await self.fetch(method, address, path, body)
         return response.status if response else 0
 
     async def stop(self) -> None:
-        """End every process."""
+        """Stop every process."""
         await self._group.stop_all()
 
     def kill(self) -> None:
-        """End every process at once, without a drain."""
+        """Kill every process at once, without a drain."""
         self._group.kill_all()
 
-    def find(self, service: str, version: str) -> Iterator[Node]:
+    def find_nodes(self, service: str, version: str) -> Iterator[Node]:
         """Return the nodes of one target version."""
         for node in self.nodes.values():
             if (node.spec.service, node.spec.version) == (service, version):
@@ -200,8 +203,8 @@
     async def fetch(
         self, method: str, address: str, path: str, body: bytes = b""
     ) -> Response | None:
-        """Return the answer to a request to any process, if there is one."""
-        with trio.move_on_after(CONTROL_LIMIT_S):
+        """Return the response of any process, or None without a response."""
+        with trio.move_on_after(CONTROL_TIMEOUT_S):
             try:
                 async with AsyncConnectionPool() as pool:
                     url = f"http://{address}{path}"
--- a/catkinhollow/testbed/convergence_bench.py
+++ b/catkinhollow/testbed/convergence_bench.py
@@ -19,9 +19,9 @@
 )
 from catkinhollow.testbed.deployment import (
     Deployment,
-    bare_specs,
+    make_fleet,
+    make_specs_without_targets,
     open_deployment,
-    plain_fleet,
 )
 from catkinhollow.testbed.fleet_load import (
     FleetLoad,
@@ -110,7 +110,9 @@
 
         plan = self._plan
         async with open_deployment(self._experiment) as deployment:
-            nodes = await deployment.start(plain_fleet(["service"]), bare_specs(size))
+            nodes = await deployment.start(
+                make_fleet(["service"]), make_specs_without_targets(size)
+            )
             await trio.sleep(plan.settle_s)
             fleet = _FleetMeasure(deployment, nodes, plan, random)
             await fleet.measure_rest()
--- a/catkinhollow/testbed/demo.py
+++ b/catkinhollow/testbed/demo.py
@@ -205,7 +205,7 @@
         return total
 
     async def _kill_daemon(self) -> None:
-        node = next(self._cluster.find("stock", "v1"))
+        node = next(self._cluster.find_nodes("stock", "v1"))
         self._cluster.kill_daemon(node.spec.name)
         await trio.sleep(0.5)
         self._cluster.start_daemon(node)
--- a/catkinhollow/testbed/deployment.py
+++ b/catkinhollow/testbed/deployment.py
@@ -1,4 +1,4 @@
-"""Run the processes of an experiment, and read their counters."""
+"""Run the processes of an experiment and read their counters."""
 
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
@@ -17,24 +17,24 @@
 from catkinhollow.testbed.cluster import HOST, Cluster, Node, NodeSpec
 from catkinhollow.testbed.measures import parse_metrics
 
-STORE_LIMIT_S = 20.0
+STORE_START_LIMIT_S = 20.0
 POLL_S = 0.05
 FAILURE_DOMAINS = 6
 
 
 class BenchError(Exception):
-    """Report that a run cannot go on."""
+    """Report that a benchmark run cannot continue."""
 
 
 @frozen(kw_only=True)
 class PeerTraffic:
-    """Hold the counts of a daemon's peer link."""
+    """Represent the messages and bytes that a daemon exchanged with peers."""
 
     messages: float
     bytes: float
 
 
-def plain_fleet(services: Sequence[str], *, in_flight: int = 10) -> Fleet:
+def make_fleet(services: Sequence[str], *, in_flight: int = 10) -> Fleet:
     """Return a configuration with one route for each service."""
     return Fleet(
         defaults=Defaults(slow_start_s=0.0, max_in_flight_per_target=in_flight),
@@ -45,8 +45,8 @@
     )
 
 
-def bare_specs(count: int) -> list[NodeSpec]:
-    """Return instances without targets, spread over failure domains."""
+def make_specs_without_targets(count: int) -> list[NodeSpec]:
+    """Return instances without targets, distributed over failure domains."""
     return [
         NodeSpec(
             name=f"n{index}",
@@ -60,7 +60,7 @@
 
 
 class Deployment:
-    """Hold the cluster of one measurement and its store."""
+    """Run the cluster and the store client of one measurement."""
 
     def __init__(self, directory: Path, experiment: Experiment) -> None:
         self._experiment = experiment
@@ -77,11 +77,11 @@
     async def start(self, fleet: Fleet, specs: Sequence[NodeSpec]) -> list[Node]:
         """Start the store and the instances, in batches."""
         self.cluster.start_store()
-        with trio.move_on_after(STORE_LIMIT_S):
+        with trio.move_on_after(STORE_START_LIMIT_S):
             while await self.cluster.request("GET", self.cluster.store, "/faults") == 0:
                 await trio.sleep(POLL_S)
         self._fleet = fleet
-        await self.change(fleet)
+        await self.write_fleet(fleet)
         nodes: list[Node] = []
         batch = self._experiment.start_batch
         for first in range(0, len(specs), batch):
@@ -91,12 +91,18 @@
         return nodes
 
     async def wait_ready(self, nodes: Sequence[Node]) -> None:
-        """Wait until the daemons accept calls, or fail."""
+        """Wait until the daemons accept calls.
+
+        Raise BenchError if they don't within the time limit.
+        """
         if not await self.cluster.wait_ready(self._experiment.ready_limit_s, nodes):
             raise BenchError("a daemon did not become ready in time")
 
-    async def change(self, fleet: Fleet) -> int:
-        """Write a configuration and return its revision."""
+    async def write_fleet(self, fleet: Fleet) -> int:
+        """Write a configuration and return its revision.
+
+        Raise BenchError if the store refuses it.
+        """
         result = await self._store.put(
             "config", "fleet", to_plain(fleet), if_revision=self._revision
         )
@@ -106,28 +112,28 @@
         return self._revision
 
     async def change_timeout(self, timeout_ms: int) -> int:
-        """Write a configuration with another timeout; return its revision."""
+        """Write the configuration with a new timeout; return its revision."""
         defaults = evolve(self._fleet.defaults, timeout_ms=timeout_ms)
-        return await self.change(evolve(self._fleet, defaults=defaults))
+        return await self.write_fleet(evolve(self._fleet, defaults=defaults))
 
     async def store_calls(self) -> Mapping[str, int]:
-        """Return how often the store was called, by kind of call."""
+        """Return the number of store calls by kind."""
         response = await self.cluster.fetch("GET", self.cluster.store, "/counters")
         if response is None:
-            raise BenchError("the store did not tell its counters")
+            raise BenchError("the store did not report its counters")
         return decode_json(response.content, StoreCounters).ok.calls
 
     async def set_store_faults(self, faults: StoreFaults) -> None:
-        """Set the fault switches of the store."""
+        """Set the faults that the store injects."""
         await self.cluster.fetch(
             "POST", self.cluster.store, "/faults", encode_json(faults)
         )
 
     async def peer_traffic(self, node: Node) -> PeerTraffic:
-        """Return what a daemon sent to and received from others."""
+        """Return what a daemon sent to and received from its peers."""
         response = await self.cluster.fetch("GET", node.admin, "/metrics")
         if response is None:
-            raise BenchError(f"{node.daemon_name} did not tell its metrics")
+            raise BenchError(f"{node.daemon_name} did not report its metrics")
         samples = parse_metrics(response.content.decode())
         return PeerTraffic(
             messages=_total(samples, "catkinhollow_peer_messages_total"),
@@ -139,21 +145,21 @@
         return self.cluster.daemon(node.spec.name).process.pid
 
     def log_path(self, node: Node) -> Path:
-        """Return the log of a node's daemon."""
+        """Return the path of the log of a node's daemon."""
         return self.directory / f"{node.daemon_name}.log"
 
     def kill(self, node: Node) -> None:
-        """End a daemon with SIGKILL and wait for its end."""
+        """Kill a daemon and wait for the end of its process."""
         self.cluster.kill_daemon(node.spec.name)
         self.cluster.daemon(node.spec.name).process.wait()
 
     def restart(self, node: Node) -> None:
-        """End a daemon with SIGKILL and start it again."""
+        """Kill a daemon and start it again."""
         self.kill(node)
         self.cluster.start_daemon(node)
 
     async def close(self) -> None:
-        """End every process."""
+        """Stop every process."""
         await self._store.aclose()
         self.cluster.kill()
 
@@ -166,7 +172,7 @@
 
 @asynccontextmanager
 async def open_deployment(experiment: Experiment) -> AsyncIterator[Deployment]:
-    """Own a deployment; its processes end with the block."""
+    """Open a deployment whose processes are killed at the end of the block."""
     with TemporaryDirectory(prefix="catkinhollow-bench-") as directory:
         deployment = Deployment(Path(directory), experiment)
         try:
--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -30,7 +30,7 @@
 from catkinhollow.testbed.deployment import BenchError, Deployment, open_deployment
 from catkinhollow.testbed.measures import ROOT, Recorder
 from catkinhollow.testbed.observations import (
-    SETTLE_MS,
+    ROUTING_OBJECTIVE_MS,
     open_store,
     read_executions,
     wait_accepted,
@@ -256,7 +256,7 @@
     last_ms = max(starts_ms, default=moments.out_ms)
     return {
         "reached_later_than_2_s": sum(
-            start_ms > moments.out_ms + SETTLE_MS for start_ms in starts_ms
+            start_ms > moments.out_ms + ROUTING_OBJECTIVE_MS for start_ms in starts_ms
         ),
         "last_new_call_ms": last_ms - moments.out_ms,
         "reached_after_return": sum(item.start_ms >= moments.in_ms for item in there),
--- a/catkinhollow/testbed/hop_bench.py
+++ b/catkinhollow/testbed/hop_bench.py
@@ -17,8 +17,8 @@
 from catkinhollow.testbed.deployment import (
     BenchError,
     Deployment,
+    make_fleet,
     open_deployment,
-    plain_fleet,
 )
 from catkinhollow.testbed.downstream import chain_path
 from catkinhollow.testbed.measures import Recorder, Times, read_cpu_s
@@ -95,7 +95,7 @@
             depth = chain.daemons
             async with open_deployment(self._experiment) as deployment:
                 nodes = await deployment.start(
-                    plain_fleet(_services(depth), in_flight=IN_FLIGHT), _specs(depth)
+                    make_fleet(_services(depth), in_flight=IN_FLIGHT), _specs(depth)
                 )
                 measure = _ChainMeasure(deployment, nodes, random)
                 await measure.wait_first()
--- a/catkinhollow/testbed/move_bench.py
+++ b/catkinhollow/testbed/move_bench.py
@@ -20,7 +20,7 @@
 from catkinhollow.testbed.domain_bench import DOMAINS, load_example, make_kinds
 from catkinhollow.testbed.measures import Recorder
 from catkinhollow.testbed.observations import (
-    SETTLE_MS,
+    ROUTING_OBJECTIVE_MS,
     open_store,
     read_executions,
     wait_accepted,
@@ -84,12 +84,12 @@
             "daemons_that_quarantined": len(self.quarantined_ms),
         }
         if self.quarantined_ms:
-            limit_ms = self.withdrawn_ms + SETTLE_MS
+            limit_ms = self.withdrawn_ms + ROUTING_OBJECTIVE_MS
             figures["later_than_2_s_after_quarantine"] = self._after(limit_ms)
         if self.evidence_ms is not None:
             waited_ms = self.withdrawn_ms - self.evidence_ms
             figures["evidence_to_withdrawal_s"] = waited_ms / 1000
-            limit_ms = self.evidence_ms + SETTLE_MS
+            limit_ms = self.evidence_ms + ROUTING_OBJECTIVE_MS
             figures["later_than_2_s_after_evidence"] = self._after(limit_ms)
         return figures
 
--- a/catkinhollow/testbed/processes.py
+++ b/catkinhollow/testbed/processes.py
@@ -1,4 +1,4 @@
-"""Start child processes for the test bed and take them down again."""
+"""Start and stop child processes for the test bed."""
 
 import os
 import signal
@@ -15,29 +15,30 @@
 
 STOP_GRACE_S = 8.0
 
-# Below the ports of outgoing connections (32768 and above on Linux): one of
-# those could take a port before its process listens or while it restarts.
+# Below the ephemeral ports (32768 and above on Linux): an outgoing connection
+# could take a port before its process listens or while the process restarts.
 FIRST_PORT = 12000
 END_PORT = 32000
-# Runs at the same time keep their ports apart with this variable, FIRST-END.
+# Concurrent test runs set separate port ranges, FIRST-END, in this variable.
 PORTS_VARIABLE = "CATKINHOLLOW_TEST_PORTS"
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
 
-def _count_ports() -> Iterator[int]:
+def _iterate_ports() -> Iterator[int]:
     text = os.environ.get(PORTS_VARIABLE, f"{FIRST_PORT}-{END_PORT}")
     begin, end = (int(part) for part in text.split("-"))
     first = randrange(begin, end)
     return cycle([*range(first, end), *range(begin, first)])
 
 
-# No port is given out twice, as its process may not listen yet.
-_ports = _count_ports()
+# A port is not returned again before all others, as its process may not listen
+# yet.
+_ports = _iterate_ports()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing on loopback listens on."""
+    """Return ports on which no process listens on loopback."""
     return list(islice(filter(_is_free, _ports), count))
 
 
@@ -53,14 +54,14 @@
 
 @define
 class Child:
-    """Hold one child process."""
+    """Represent one child process."""
 
     name: str
     process: subprocess.Popen[bytes]
 
     @property
     def running(self) -> bool:
-        """Tell whether the process has not ended."""
+        """Return whether the process has not ended."""
         return self.process.poll() is None
 
     def send(self, number: signal.Signals) -> None:
@@ -69,7 +70,7 @@
             self.process.send_signal(number)
 
     async def wait(self, limit_s: float) -> bool:
-        """Wait for the end of the process and tell whether it came in time."""
+        """Wait for the end of the process; return whether it ended in time."""
         with trio.move_on_after(limit_s):
             while self.running:
                 await trio.sleep(0.02)
@@ -77,7 +78,7 @@
 
 
 class ProcessGroup:
-    """Own a set of child processes and end all of them."""
+    """Start a group of child processes and stop all of them."""
 
     def __init__(self, log_dir: Path) -> None:
         self._log_dir = log_dir
@@ -85,7 +86,7 @@
 
     @property
     def children(self) -> Mapping[str, Child]:
-        """Return the newest child of each name."""
+        """Return the child that was started last under each name."""
         return self._children
 
     def start(
@@ -95,7 +96,7 @@
         environment: Mapping[str, str] = {},
         module: str = "catkinhollow",
     ) -> Child:
-        """Start a module of the package in a process of its own."""
+        """Start a module of the package in a separate process."""
         log_path = self._log_dir / f"{name}.log"
         with log_path.open("ab") as log:
             process = subprocess.Popen(
@@ -111,14 +112,14 @@
         return child
 
     def kill_all(self) -> None:
-        """End every child at once, without a drain."""
+        """Kill every child at once, without a drain."""
         for child in self._children.values():
             child.send(signal.SIGKILL)
         for child in self._children.values():
             child.process.wait()
 
     async def stop_all(self) -> None:
-        """End every child, by force where it does not end by itself."""
+        """Stop every child; kill those that do not end in time."""
         for child in self._children.values():
             child.send(signal.SIGCONT)
             child.send(signal.SIGTERM)
--- a/catkinhollow/testbed/rest_bench.py
+++ b/catkinhollow/testbed/rest_bench.py
@@ -4,9 +4,9 @@
 
 from catkinhollow.generated.bench import Experiment, Point, RestPlan
 from catkinhollow.testbed.deployment import (
-    bare_specs,
+    make_fleet,
+    make_specs_without_targets,
     open_deployment,
-    plain_fleet,
 )
 from catkinhollow.testbed.fleet_load import load_between, machine_load, take_sample
 from catkinhollow.testbed.measures import Recorder, read_usage, spread
@@ -29,7 +29,9 @@
 
     async def _measure(self, size: int) -> dict[str, float]:
         async with open_deployment(self._experiment) as deployment:
-            nodes = await deployment.start(plain_fleet(["service"]), bare_specs(size))
+            nodes = await deployment.start(
+                make_fleet(["service"]), make_specs_without_targets(size)
+            )
             await trio.sleep(self._plan.settle_s)
             load = machine_load()
             before = await take_sample(deployment, nodes)
--- a/catkinhollow/testbed/storm_bench.py
+++ b/catkinhollow/testbed/storm_bench.py
@@ -14,9 +14,9 @@
 )
 from catkinhollow.testbed.deployment import (
     Deployment,
-    bare_specs,
+    make_fleet,
+    make_specs_without_targets,
     open_deployment,
-    plain_fleet,
 )
 from catkinhollow.testbed.fleet_load import machine_load
 from catkinhollow.testbed.measures import Recorder, Times, read_cpu_s, spread
@@ -40,7 +40,9 @@
 
     async def _measure(self, size: int) -> dict[str, float]:
         async with open_deployment(self._experiment) as deployment:
-            nodes = await deployment.start(plain_fleet(["service"]), bare_specs(size))
+            nodes = await deployment.start(
+                make_fleet(["service"]), make_specs_without_targets(size)
+            )
             await trio.sleep(self._plan.settle_s)
             load = machine_load()
             revision = await deployment.change_timeout(TIMEOUT_MS)
