Rename entry_share to ingress_share

The daemon that receives a request is the ingress daemon in all parts. set_entry_share becomes set_ingress_share.

--- a/catkinhollow/calls/call_router.py
+++ b/catkinhollow/calls/call_router.py
@@ -19,7 +19,7 @@
 from catkinhollow.generated.fleet import Fleet, Route, Service
 from catkinhollow.generated.messages import MemberRecord, MemberState, VersionCounts
 
-MIN_ENTRY_SHARE = 1e-6
+MIN_INGRESS_SHARE = 1e-6
 
 
 @frozen(kw_only=True)
@@ -54,7 +54,7 @@
         self._services: dict[str, ServiceCalls] = {}
         self._quarantined: set[tuple[str, str]] = set()
         self._default_share = 1.0
-        self._entry_shares: dict[str, float] = {}
+        self._ingress_shares: dict[str, float] = {}
 
     def enforce(self, fleet: Fleet, now_s: float) -> None:
         """Apply a configuration version to every later decision."""
@@ -103,9 +103,9 @@
         self._quarantined.discard((service, version))
         self._configure_named({service}, now_s)
 
-    def set_entry_share(self, service: str, share: float, now_s: float) -> None:
+    def set_ingress_share(self, service: str, share: float, now_s: float) -> None:
         """Set this daemon's estimated part of all calls to a service."""
-        self._entry_shares[service] = min(1.0, max(MIN_ENTRY_SHARE, share))
+        self._ingress_shares[service] = min(1.0, max(MIN_INGRESS_SHARE, share))
         self._configure_named({service}, now_s)
 
     def begin(
@@ -204,7 +204,7 @@
         return TargetLimits(
             slow_start_s=policy.slow_start_s,
             max_in_flight=max(allowed),
-            entry_share=self._entry_shares.get(service, self._default_share),
+            ingress_share=self._ingress_shares.get(service, self._default_share),
         )
 
     def _routes_of(self, service: str) -> list[Route]:
--- a/catkinhollow/calls/targets.py
+++ b/catkinhollow/calls/targets.py
@@ -56,7 +56,7 @@
 
     slow_start_s: float
     max_in_flight: int
-    entry_share: float = 1.0
+    ingress_share: float = 1.0
 
 
 @define(kw_only=True, eq=False)
@@ -142,7 +142,7 @@
         self._advance_ramp(now_s)
         cap = self.cap
         if self._ramp < cap:
-            self.limit = max(1, int(self._ramp * self.limits.entry_share))
+            self.limit = max(1, int(self._ramp * self.limits.ingress_share))
         else:
             self.limit = max(1, int(self._window))
             self.rest_until_s = 0.0
@@ -230,7 +230,7 @@
             self._hold_until_s = max(self._hold_until_s, now_s + RAMP_HOLD_S)
         loaded = self.in_flight + 1 > self._window / 2
         if sample is Sample.REFUSED or (sample is Sample.SLOW and loaded):
-            fair = self.cap * self.limits.entry_share
+            fair = self.cap * self.limits.ingress_share
             above = self._window > fair
             factor = SHRINK_FACTOR if above else SHRINK_FACTOR_BELOW_SHARE
             self._window = max(1.0, self._window * factor)
@@ -260,7 +260,7 @@
         self._hold_until_s = started_s
         self._strikes = 0
         self._advance_ramp(now_s)
-        fair = self._ramp * self.limits.entry_share
+        fair = self._ramp * self.limits.ingress_share
         if self.is_cold and fair < 1.0:
             self.rest_until_s = now_s + self.phase * FIRST_CALL_S * (1.0 / fair - 1.0)
         self.refresh(now_s)
@@ -279,6 +279,6 @@
         self._ramp_at_s = now_s
 
     def _rest(self, busy_s: float, now_s: float) -> None:
-        fair = self._ramp * self.limits.entry_share
+        fair = self._ramp * self.limits.ingress_share
         if self.is_cold and fair < 1.0:
             self.rest_until_s = now_s + busy_s * (1.0 / fair - 1.0)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -52,7 +52,7 @@
     router = CallRouter(ROUTER_LOCATION, random or Random(1), picker)
     router.enforce(configuration or make_fleet(), 1000.0)
     router.update_members(members, 1000.0, 1_000_000)
-    router.set_entry_share("orders", share, 1000.0)
+    router.set_ingress_share("orders", share, 1000.0)
     return router
 
 
--- a/tests/calls/test_targets.py
+++ b/tests/calls/test_targets.py
@@ -6,7 +6,7 @@
 
 
 def make_stats(started_s=0.0, share=1.0):
-    limits = TargetLimits(slow_start_s=10.0, max_in_flight=10, entry_share=share)
+    limits = TargetLimits(slow_start_s=10.0, max_in_flight=10, ingress_share=share)
     stats = TargetStats(slots=10, limits=limits, phase=0.5)
     stats.restart(started_s, 0.0)
     return stats
--- a/tests/test_fault_cold_start.py
+++ b/tests/test_fault_cold_start.py
@@ -22,7 +22,7 @@
 
 def set_shares(routers, now_s):
     for router in routers.values():
-        router.set_entry_share("orders", 1 / len(routers), now_s)
+        router.set_ingress_share("orders", 1 / len(routers), now_s)
 
 
 def update(routers, members, now_s):
