Name call priorities in admission and the waiting list

Worth and UNPROMISED say neither that calls are ordered by priority nor which callers the account is for. Constants get names that say what they bound, and the comments keep their reasons.

--- a/catkinhollow/calls/__init__.py
+++ b/catkinhollow/calls/__init__.py
@@ -1,1 +1,1 @@
-"""Decide and carry out calls to targets."""
+"""Route calls to targets and send them."""
--- a/catkinhollow/calls/call.py
+++ b/catkinhollow/calls/call.py
@@ -187,7 +187,10 @@
         return ended
 
     def drop(self) -> None:
-        """End the wait for a worthier call; it has left the waiting list."""
+        """End the wait in favour of a call of higher priority.
+
+        The waiting list has already removed this call.
+        """
         self._waiting = False
         self._refusal = SHED
         self._tell_edge()
--- a/catkinhollow/calls/service_calls.py
+++ b/catkinhollow/calls/service_calls.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from catkinhollow.calls.admission import ServiceAdmission, worth_of
+from catkinhollow.calls.admission import ServiceAdmission, call_priority
 from catkinhollow.calls.balancer import Picker
 from catkinhollow.calls.call import Call, FinishedAttempt
 from catkinhollow.calls.directory import TargetEntry
@@ -77,8 +77,8 @@
     def admit(self, call: Call, now_s: float) -> bool:
         """Count the call in flight if there is room for it."""
         capacity = self.pool.capacity
-        worth = worth_of(call.route)
-        return self.admission.admit(call.account, worth, capacity, now_s)
+        priority = call_priority(call.route)
+        return self.admission.admit(call.account, priority, capacity, now_s)
 
     def is_outranked(self, call: Call) -> bool:
         """Return whether a waiting call goes before this one."""
@@ -97,8 +97,8 @@
         self.waiting.remove(_wait_class(call), call)
 
     def wake(self, now_s: float) -> None:
-        """Send the waiting calls that there is room for, by worth."""
-        for calls in self.waiting.by_worth():
+        """Send the waiting calls that there is room for, by priority."""
+        for calls in self.waiting.by_priority():
             for call in calls:
                 # Those behind it in its class would be refused for the same
                 # reason.
@@ -171,7 +171,7 @@
     def _take_out(self, call: Call, now_s: float) -> None:
         if call.admitted:
             call.admitted = False
-            self.admission.release(call.account, worth_of(call.route), now_s)
+            self.admission.release(call.account, call_priority(call.route), now_s)
 
     def _is_slow(
         self,
@@ -188,7 +188,7 @@
 
 
 def _wait_class(call: Call) -> WaitClass:
-    return WaitClass(worth_of(call.route), call.route.name, call.account)
+    return WaitClass(call_priority(call.route), call.route.name, call.account)
 
 
 def _classify(call: Call, attempt: FinishedAttempt, ratio: float) -> Sample:
--- a/catkinhollow/calls/waiting.py
+++ b/catkinhollow/calls/waiting.py
@@ -1,29 +1,29 @@
-"""Keep the calls of one service that wait for free capacity."""
+"""Queue the calls of one service that wait for free capacity."""
 
 from typing import Generic, NamedTuple, TypeVar
 
-from catkinhollow.calls.admission import Worth
+from catkinhollow.calls.admission import Priority
 
-# With 10 ms a call and two slots, a service works this off in half a second.
+# A service with two slots and 10 ms per call serves 100 in half a second.
 MAX_WAITING = 100
 # A caller that is refused within this time can still use another daemon.
 MAX_WAIT_S = 1.0
-WAIT_PART = 0.25
+WAIT_FRACTION = 0.25
 
 ItemT = TypeVar("ItemT")
 
 
 class WaitClass(NamedTuple):
-    """Name calls that admission and balancer treat alike."""
+    """Identify calls that admission and balancer treat alike."""
 
-    worth: Worth
+    priority: Priority
     route: str
     account: str
 
 
 def wait_time_s(remaining_s: float) -> float:
-    """Return how long a call may wait, well under its deadline."""
-    return min(MAX_WAIT_S, WAIT_PART * remaining_s)
+    """Return how long a call may wait, a fraction of the time that is left."""
+    return min(MAX_WAIT_S, WAIT_FRACTION * remaining_s)
 
 
 class WaitingList(Generic[ItemT]):
@@ -38,17 +38,21 @@
         return self._count
 
     def outranks(self, key: WaitClass) -> bool:
-        """Return whether an item waits that goes before a new one."""
+        """Return whether a waiting item goes before a new one."""
         return key in self._classes or any(
-            other.worth > key.worth for other in self._classes
+            other.priority > key.priority for other in self._classes
         )
 
     def add(self, key: WaitClass, item: ItemT) -> ItemT | None:
-        """Add an item and return the one that found no place, if any."""
+        """Add an item and return the one that the full list drops, if any.
+
+        The newest item of the lowest class is dropped for one of a higher
+        priority; otherwise the new item itself.
+        """
         dropped = None
         if self._count >= self._max_waiting:
-            least = min(self._classes, key=lambda other: other.worth)
-            if least.worth >= key.worth:
+            least = min(self._classes, key=lambda other: other.priority)
+            if least.priority >= key.priority:
                 return item
             dropped = next(reversed(self._classes[least]))
             self.remove(least, dropped)
@@ -57,15 +61,16 @@
         return dropped
 
     def remove(self, key: WaitClass, item: ItemT) -> None:
-        """Take an item out."""
+        """Remove an item from its class."""
         items = self._classes[key]
         del items[item]
         self._count -= 1
         if not items:
             del self._classes[key]
 
-    def by_worth(self) -> list[list[ItemT]]:
-        """Return the items of each class, the worthiest class first."""
-        # The sort is stable: of equal classes the one that began first leads.
-        classes = sorted(self._classes, key=lambda key: key.worth, reverse=True)
+    def by_priority(self) -> list[list[ItemT]]:
+        """Return the items of each class, the highest priority first."""
+        # The sort is stable: of classes with the same priority, the one that
+        # was added first leads.
+        classes = sorted(self._classes, key=lambda key: key.priority, reverse=True)
         return [list(self._classes[key]) for key in classes]
--- a/tests/calls/test_admission.py
+++ b/tests/calls/test_admission.py
@@ -1,6 +1,10 @@
-"""Tests of backer shares and of shedding by worth."""
+"""Tests of backer shares and of shedding by priority."""
 
-from catkinhollow.calls.admission import UNPROMISED, ServiceAdmission, worth_of
+from catkinhollow.calls.admission import (
+    DEFAULT_ACCOUNT,
+    ServiceAdmission,
+    call_priority,
+)
 from catkinhollow.generated.fleet import Backer, Route, Service
 from tests.builders import LOOKUP, ORDER
 
@@ -14,17 +18,17 @@
 
 def admit(admission, backer, count, now_s, route=ORDER):
     """Return how many of the calls are admitted with 100 slots."""
-    account, worth = admission.account(backer), worth_of(route)
-    return sum(admission.admit(account, worth, 100.0, now_s) for _ in range(count))
+    account, priority = admission.account(backer), call_priority(route)
+    return sum(admission.admit(account, priority, 100.0, now_s) for _ in range(count))
 
 
 def release(admission, backer, count, now_s, route=ORDER):
     for _ in range(count):
-        admission.release(admission.account(backer), worth_of(route), now_s)
+        admission.release(admission.account(backer), call_priority(route), now_s)
 
 
 def test_surge_of_one_backer_leaves_the_others_their_share():
-    """Guards against a backer that takes what another is promised and uses."""
+    """Guards against a backer that takes the share another one uses."""
     admission = make_admission(a=40, b=40)
     assert admit(admission, "b", 30, 0.0) == 30
     assert admit(admission, "a", 200, 0.0) == 65
@@ -35,7 +39,7 @@
 
 
 def test_unused_share_is_lent_and_given_back():
-    """Guards against idle reserves, and against a share that stays taken."""
+    """Guards against idle reserved slots and a share that stays lent out."""
     admission = make_admission(a=50, b=50)
     assert admit(admission, "a", 200, 0.0) == 95
     assert admit(admission, "b", 20, 0.0) == 5
@@ -44,10 +48,10 @@
     assert admit(admission, "b", 20, 0.1) == 20
 
 
-def test_unknown_callers_use_what_is_unpromised():
-    """Guards against callers without a backer in promised capacity."""
+def test_unknown_callers_use_what_is_not_guaranteed():
+    """Guards against callers without a backer in guaranteed capacity."""
     admission = make_admission(a=90)
-    assert admission.account("nobody") == UNPROMISED
+    assert admission.account("nobody") == DEFAULT_ACCOUNT
     assert admit(admission, "nobody", 200, 0.0) == 70
     assert admit(admission, "a", 200, 0.0) == 30
     full = make_admission(a=90)
@@ -56,9 +60,9 @@
 
 
 def test_under_overload_lookups_are_shed_before_orders():
-    """Guards against orders that find the service full of lookups."""
+    """Guards against orders refused because lookups use all slots."""
     browse = Route(name="browse", service="orders", path_prefix="/b", worth=500)
-    assert worth_of(LOOKUP) < worth_of(browse) < worth_of(ORDER)
+    assert call_priority(LOOKUP) < call_priority(browse) < call_priority(ORDER)
     admission = make_admission()
     assert admit(admission, "", 200, 0.0, LOOKUP) == 95
     assert admit(admission, "", 30, 0.0) == 5
