Reword the modules that decide about calls

Targets, pool, latency, retries, call, service calls, router and directory name attempts, samples, baselines and pauses in the usual terms; strikes become bad samples, rests become pauses. Comments keep their reasons and numbers.

--- a/catkinhollow/calls/admission.py
+++ b/catkinhollow/calls/admission.py
@@ -12,8 +12,8 @@
 DEFAULT_ACCOUNT_CEILING = 0.7
 # Fraction of the capacity for a backer beyond its share and for calls below
 # the highest priority; the rest stays free for the first calls that go before
-# them. At 0.8, a simulation with 67 % of the slots in use and no call of higher
-# priority shed 2 % of the lookups.
+# them. At 0.8, a simulation with 67 % of the slots in use and no call of
+# higher priority shed 2 % of the lookups.
 LOWER_CEILING = 0.95
 # Recorded demand decays to 0 over this time, so an unused share stays reserved
 # about this long after its last use.
--- a/catkinhollow/calls/balancer.py
+++ b/catkinhollow/calls/balancer.py
@@ -11,7 +11,7 @@
 
 
 class Picker(Protocol):
-    """Choose targets; the router calls it for each attempt."""
+    """Choose the target of each attempt."""
 
     def pick(
         self,
@@ -24,7 +24,7 @@
 
 
 class Balancer:
-    """Pick by version split, then locality, then the less loaded of two."""
+    """Pick by version split, then distance, then the less loaded of two."""
 
     def __init__(self, random: Random) -> None:
         self._random = random
@@ -38,14 +38,14 @@
     ) -> TargetEntry | None:
         """Return a target with free capacity, or None."""
         for number, group in enumerate(self._in_drawn_order(pool.groups)):
-            if number and not pool.takes_overflow(group):
+            if number and not pool.accepts_overflow(group):
                 continue
             for tier in group.tiers:
                 free = [
                     entry
                     for entry in tier
                     if (stats := entry.stats).in_flight < stats.limit
-                    and stats.rest_until_s <= now_s
+                    and stats.paused_until_s <= now_s
                     and stats.in_flight < max_in_flight
                     and entry not in excluded
                 ]
--- a/catkinhollow/calls/call.py
+++ b/catkinhollow/calls/call.py
@@ -1,4 +1,4 @@
-"""Decide the steps of one call."""
+"""Decide the next step of one call."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -12,10 +12,10 @@
     MIN_ATTEMPT_S,
     AttemptKind,
     AttemptResult,
-    attempt_time_s,
-    classify,
-    combine,
-    may_send_again,
+    attempt_timeout_s,
+    classify_result,
+    combine_outcomes,
+    is_retryable,
     retry_cost,
 )
 from catkinhollow.calls.waiting import wait_time_s
@@ -28,7 +28,7 @@
 
 @frozen(kw_only=True)
 class RequestAttributes:
-    """Hold what the decisions need to know about a request."""
+    """Represent what the decisions need of a request."""
 
     method: str
     path: str
@@ -38,7 +38,7 @@
 
 @frozen(kw_only=True)
 class Refusal:
-    """Hold why a call was not begun; the request did not run."""
+    """Represent why a call was not begun; the request did not run."""
 
     status: int
     reason: str
@@ -46,7 +46,7 @@
 
 @frozen(kw_only=True)
 class SendTo:
-    """Tell the edge to send the request to a target."""
+    """Represent the decision to send the request to a target now."""
 
     entry: TargetEntry
     timeout_s: float
@@ -54,17 +54,17 @@
 
 @frozen(kw_only=True)
 class Wait:
-    """Tell the edge to ask again when it is notified, or at this time."""
+    """Represent the decision to wait for a notification or this time."""
 
     until_s: float
 
 
 @frozen(kw_only=True)
 class GiveUp:
-    """Tell the edge to end the call.
+    """Represent the decision to end the call without another attempt.
 
     With the outcome "answered" the caller gets the last whole response that
-    the edge received, a 5xx that is not retried.
+    the dispatcher received, a 5xx that is not retried.
     """
 
     outcome: Outcome
@@ -73,16 +73,16 @@
 
 @frozen(kw_only=True)
 class FinishedAttempt:
-    """Hold an attempt as the call reports it to its router."""
+    """Represent an ended attempt as the call reports it to its host."""
 
     entry: TargetEntry
     result: AttemptResult
-    busy_s: float
+    duration_s: float
     timeout_s: float
 
 
 class CallHost(Protocol):
-    """Provide a call with targets and budgets, and learn from its attempts."""
+    """Provide a call with targets and budgets, and record its attempts."""
 
     def pick_target(
         self, call: "Call", excluded: list[TargetEntry], now_s: float
@@ -96,36 +96,40 @@
         """Return whether a waiting call goes before this one."""
 
     def enqueue(self, call: "Call", now_s: float) -> bool:
-        """Take the call out of flight and put it on the waiting list."""
+        """Count the call as no longer in flight and queue it.
+
+        Return False if the waiting list is full.
+        """
 
     def dequeue(self, call: "Call") -> None:
-        """Take the call off the waiting list."""
+        """Remove the call from the waiting list."""
 
     def start(self, entry: TargetEntry) -> None:
         """Count an attempt as in flight."""
 
     def spend_retry(self, call: "Call", cost: float) -> bool:
-        """Take a retry from the service's budget if it is there."""
+        """Return whether the budget allows a retry, and charge it."""
 
-    def usual_latency_s(self, call: "Call") -> float:
-        """Return the usual latency of the call's route, 0 if unknown."""
+    def median_latency_s(self, call: "Call") -> float:
+        """Return the median latency of the call's route, 0 if unknown."""
 
-    def learn(self, call: "Call", attempt: FinishedAttempt, now_s: float) -> None:
-        """Count an attempt that has ended."""
+    def record_attempt(
+        self, call: "Call", attempt: FinishedAttempt, now_s: float
+    ) -> None:
+        """Record the result of an attempt that has ended."""
 
     def release(self, call: "Call", now_s: float) -> None:
-        """Count the end of the call and give way to waiting ones."""
+        """Count the end of the call and wake waiting ones."""
 
 
 @define(kw_only=True, eq=False)
 class Call:
-    """Hold one call from its first decision to its outcome.
-
-    Ask `next_step` and report to `finish_attempt` until the call is done.
+    """Represent one call from its first decision to its outcome.
 
-    A waiting call is sent by its host as soon as there is room. `grant` then
-    reserves the target, so that the order of waiting calls does not depend on
-    the order in which the edge runs its tasks.
+    The dispatcher asks `next_step` and reports to `finish_attempt` until the
+    call is done. The host grants a target to a waiting call as soon as there
+    is room. `grant` reserves the target at once, so that the order of waiting
+    calls does not depend on the order in which the dispatcher's tasks run.
     """
 
     route: Route
@@ -155,11 +159,11 @@
 
     @property
     def in_flight(self) -> TargetEntry | None:
-        """Return the target that the request is with, if it is with one."""
+        """Return the target that has the request now, or None."""
         return self._sent.entry if self._sent else None
 
     def next_step(self, now_s: float) -> SendTo | Wait | GiveUp:
-        """Return where to send the request now, or how the call ends."""
+        """Return whether to send the request, wait, or end the call."""
         assert not self.done
         if self._granted and self._sent:
             self._granted = False
@@ -173,8 +177,8 @@
             return self._sent
         return self._wait(now_s)
 
-    def on_change(self, notify: Callable[[], None]) -> None:
-        """Call the function when the wait ends before its time."""
+    def on_wait_end(self, notify: Callable[[], None]) -> None:
+        """Register the function to call when the wait ends early."""
         self._notify = notify
 
     def grant(self, now_s: float) -> bool:
@@ -182,18 +186,18 @@
         self._granted = self._start(now_s)
         ended = self._granted or self._refusal is NO_BUDGET
         if ended:
-            self._leave_list()
-            self._tell_edge()
+            self._leave_queue()
+            self._notify_dispatcher()
         return ended
 
-    def drop(self) -> None:
+    def shed(self) -> None:
         """End the wait in favour of a call of higher priority.
 
         The waiting list has already removed this call.
         """
         self._waiting = False
         self._refusal = SHED
-        self._tell_edge()
+        self._notify_dispatcher()
 
     def finish_attempt(self, result: AttemptResult, now_s: float) -> None:
         """Record the result of the attempt in flight."""
@@ -204,28 +208,29 @@
         attempt = FinishedAttempt(
             entry=sent.entry,
             result=result,
-            busy_s=max(0.0, now_s - self._sent_at_s),
+            duration_s=max(0.0, now_s - self._sent_at_s),
             timeout_s=sent.timeout_s,
         )
-        self.host.learn(self, attempt, now_s)
+        self.host.record_attempt(self, attempt, now_s)
         if self.done:
             self._release(now_s)
             return
         self._last = result
-        self._outcomes.append(classify(result))
-        if not may_send_again(result, self.route.idempotent):
+        self._outcomes.append(classify_result(result))
+        if not is_retryable(result, self.route.idempotent):
             self._end(now_s)
 
     def close(self, now_s: float) -> None:
-        """End the call because the caller went away.
+        """End the call because the caller disconnected.
 
-        A target that still has the request stays busy until `finish_attempt`.
+        A target that still has the request counts it as in flight until
+        `finish_attempt`.
         """
         if self.done:
             return
         if self._granted:
-            # The edge never sent this attempt.
-            self.outcome = combine(self._outcomes)
+            # The dispatcher has not sent this attempt.
+            self.outcome = combine_outcomes(self._outcomes)
             self.finish_attempt(AttemptResult(kind=AttemptKind.CANCELLED), now_s)
             return
         if self._sent is not None:
@@ -271,12 +276,12 @@
             self._waiting = True
         return Wait(until_s=self._wait_until_s)
 
-    def _leave_list(self) -> None:
+    def _leave_queue(self) -> None:
         if self._waiting:
             self._waiting = False
             self.host.dequeue(self)
 
-    def _tell_edge(self) -> None:
+    def _notify_dispatcher(self) -> None:
         if self._notify:
             self._notify()
 
@@ -284,17 +289,18 @@
         entry = self.host.pick_target(self, self._tried, now_s)
         refused = self._last and self._last.kind is AttemptKind.REFUSED
         if entry is None and self._tried and not refused:
-            # A second try at the only target helps against a lost connection.
+            # After a lost connection, a second attempt at the only target may
+            # succeed.
             return self.host.pick_target(self, [], now_s)
         return entry
 
     def _send(self, entry: TargetEntry, now_s: float) -> None:
-        timeout_s = attempt_time_s(
+        timeout_s = attempt_timeout_s(
             self.policy,
             self.route.idempotent,
             self.attempts,
             self.deadline_s - now_s,
-            self.host.usual_latency_s(self),
+            self.host.median_latency_s(self),
         )
         self.attempts += 1
         self._tried.append(entry)
@@ -307,8 +313,8 @@
         return GiveUp(outcome=outcome, reason=reason)
 
     def _end(self, now_s: float) -> Outcome:
-        self._leave_list()
-        self.outcome = combine(self._outcomes)
+        self._leave_queue()
+        self.outcome = combine_outcomes(self._outcomes)
         self._release(now_s)
         return self.outcome
 
--- a/catkinhollow/calls/call_router.py
+++ b/catkinhollow/calls/call_router.py
@@ -1,4 +1,4 @@
-"""Decide about every call of an entry daemon."""
+"""Decide about every call of an ingress daemon."""
 
 from collections.abc import Iterable
 from random import Random
@@ -10,7 +10,7 @@
 from catkinhollow.calls.call import Call, Refusal, RequestAttributes
 from catkinhollow.calls.directory import TargetDirectory
 from catkinhollow.calls.evidence_counts import EvidenceCounts
-from catkinhollow.calls.latency import LatencyBook
+from catkinhollow.calls.latency import RouteLatencies
 from catkinhollow.calls.policy import Policy, resolve
 from catkinhollow.calls.pool import Location, PoolSettings, ServicePool
 from catkinhollow.calls.routing import RouteTable
@@ -24,7 +24,7 @@
 
 @frozen(kw_only=True)
 class RouterStatus:
-    """Hold the values of the router for the metrics."""
+    """Represent the state of the router for the metrics."""
 
     in_flight: int
     calls: int
@@ -37,7 +37,7 @@
 
 
 class CallRouter:
-    """Admit calls, choose their targets, and learn from their attempts."""
+    """Admit calls, choose their targets and record their attempts."""
 
     def __init__(
         self, location: Location, random: Random, picker: Picker | None = None
@@ -45,7 +45,7 @@
         self._location = location
         self._picker = picker or Balancer(random)
         self._directory = TargetDirectory(random)
-        self._latencies = LatencyBook()
+        self._latencies = RouteLatencies()
         self._evidence = EvidenceCounts()
         self._counters = CallCounters()
         self._fleet = Fleet()
@@ -57,7 +57,7 @@
         self._ingress_shares: dict[str, float] = {}
 
     def enforce(self, fleet: Fleet, now_s: float) -> None:
-        """Apply a configuration version to every later decision."""
+        """Apply a configuration to all later decisions."""
         self._fleet = fleet
         self._routes = RouteTable(fleet)
         self._policies = {
@@ -67,7 +67,7 @@
         self._latencies.keep_routes({route.name for route in fleet.routes})
         names = {service.name for service in fleet.services}
         for name in self._services.keys() - names:
-            # Calls in flight of a service that is gone are not sent again.
+            # An empty pool prevents retries of calls to a removed service.
             self._services[name].pool.rebuild([], now_s)
         self._services = {
             service.name: self._services.get(service.name) or self._new(service)
@@ -79,10 +79,10 @@
     def update_members(
         self, members: Iterable[MemberRecord], now_s: float, unix_ms: int
     ) -> None:
-        """Take the whole member table.
+        """Apply the whole member table.
 
-        The number of alive members gives the entry share of the services for
-        which none is set.
+        A service for which no ingress share is set gets 1 / (number of alive
+        members).
         """
         table = list(members)
         changed = self._directory.update(table, now_s, unix_ms)
@@ -94,24 +94,24 @@
         self._configure_named(changed, now_s)
 
     def quarantine(self, service: str, version: str, now_s: float) -> None:
-        """Send a version nothing more."""
+        """Exclude a version from all later attempts."""
         self._quarantined.add((service, version))
         self._configure_named({service}, now_s)
 
     def lift_quarantine(self, service: str, version: str, now_s: float) -> None:
-        """Let a version have traffic again, when a new move to it starts."""
+        """Allow attempts at a version again, when a new move to it starts."""
         self._quarantined.discard((service, version))
         self._configure_named({service}, now_s)
 
     def set_ingress_share(self, service: str, share: float, now_s: float) -> None:
-        """Set this daemon's estimated part of all calls to a service."""
+        """Set this daemon's estimated fraction of all calls to a service."""
         self._ingress_shares[service] = min(1.0, max(MIN_INGRESS_SHARE, share))
         self._configure_named({service}, now_s)
 
     def begin(
         self, attributes: RequestAttributes, now_s: float
     ) -> Result[Call, Refusal]:
-        """Begin a call, or refuse it; what is refused did not run."""
+        """Begin a call, or refuse it; a refused request did not run."""
         if self._routes is None:
             return self._refuse(503, "no configuration yet")
         route = self._routes.match(attributes.method, attributes.path)
@@ -137,9 +137,9 @@
         )
 
     def wake(self, now_s: float) -> bool:
-        """Send waiting calls that have room; return whether others wait.
+        """Grant targets to waiting calls; return whether any still wait.
 
-        Releases do so too; this finds capacity that appears with time.
+        A release does so, too; this finds capacity that appears over time.
         """
         waiting = [item for item in self._services.values() if item.waiting]
         for service in waiting:
@@ -147,11 +147,11 @@
         return any(service.waiting for service in waiting)
 
     def take_counts(self) -> list[VersionCounts]:
-        """Return the evidence by version and route since the last take."""
+        """Return the evidence by version and route since the last call."""
         return self._evidence.take()
 
     def status(self, now_s: float) -> RouterStatus:
-        """Return the values for the metrics."""
+        """Return the state for the metrics."""
         counters = self._counters
         return RouterStatus(
             in_flight=counters.in_flight,
@@ -196,8 +196,9 @@
         calls.pool.rebuild(self._directory.usable(name), now_s)
 
     def _target_limits(self, service: str, policy: Policy) -> TargetLimits:
-        # A route may allow more per target than its service does; the target's
-        # bound is then the highest, and the balancer keeps that of each route.
+        # A route may allow more calls per target than its service does. The
+        # target's bound is the highest of them; the balancer enforces the
+        # bound of each route.
         allowed = [policy.max_in_flight_per_target]
         for route in self._routes_of(service):
             allowed.append(self._policies[route.name].max_in_flight_per_target)
--- a/catkinhollow/calls/directory.py
+++ b/catkinhollow/calls/directory.py
@@ -1,4 +1,4 @@
-"""Keep every known target by service."""
+"""Index the known targets by service."""
 
 from collections import defaultdict
 from collections.abc import Iterable
@@ -15,13 +15,13 @@
 )
 
 _ROUTABLE_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
-# In force until the service is configured; no call uses them.
+# Apply until the service is configured; no call uses them.
 _INITIAL_LIMITS = TargetLimits(slow_start_s=10.0, max_in_flight=10_000)
 
 
 @frozen(kw_only=True)
-class _Place:
-    """Hold what the member table says about one target."""
+class _Placement:
+    """Represent one target as a member of the table lists it."""
 
     member: MemberRecord
     record: TargetRecord
@@ -29,13 +29,13 @@
 
     @property
     def rank(self) -> tuple[bool, int]:
-        """Order two members that announce the same target address."""
+        """Return the precedence among members with the same target address."""
         return self.usable, self.member.incarnation
 
 
 @define(kw_only=True, eq=False)
 class TargetEntry:
-    """Hold one known target, where it runs, and what was observed of it."""
+    """Represent one known target, its location and its statistics."""
 
     record: TargetRecord
     failure_domain: str
@@ -46,7 +46,7 @@
 
 
 class TargetDirectory:
-    """Hold all targets; statistics survive updates of their records."""
+    """Index all targets; statistics survive updates of their records."""
 
     def __init__(self, random: Random) -> None:
         self._random = random
@@ -55,12 +55,12 @@
         self._members: dict[str, MemberRecord] = {}
 
     def usable(self, service: str) -> list[TargetEntry]:
-        """Return the targets of a service that may get work."""
+        """Return the targets of a service that may get calls."""
         entries = self._services.get(service, {})
         return [entry for entry in entries.values() if entry.usable]
 
     def configure(self, service: str, limits: TargetLimits, now_s: float) -> None:
-        """Set the limits of every present and later target of a service."""
+        """Set the limits of all current and later targets of a service."""
         first = service not in self._limits
         self._limits[service] = limits
         for entry in self._services.get(service, {}).values():
@@ -71,27 +71,27 @@
     def update(
         self, members: Iterable[MemberRecord], now_s: float, unix_ms: int
     ) -> set[str]:
-        """Take the whole member table; return the services that changed."""
+        """Apply the whole member table; return the services that changed."""
         affected = self._replace_members({item.address: item for item in members})
         if not affected:
             return set()
-        places = _find_places(self._members.values(), affected)
-        changed = self._drop_missing(places, affected)
-        for (service, address), place in places.items():
-            # A clock that is ahead of ours must not make a target look young
-            # for ever, and one that is behind cannot be told from age.
-            age_s = max(0.0, (unix_ms - place.record.started_ms) / 1000)
+        placements = _find_placements(self._members.values(), affected)
+        changed = self._drop_missing(placements, affected)
+        for (service, address), placement in placements.items():
+            # A target whose clock is ahead must not count as just started for
+            # ever; a clock that is behind cannot be told from a higher age.
+            age_s = max(0.0, (unix_ms - placement.record.started_ms) / 1000)
             entry = self._services[service].get(address)
             if entry is None:
-                self._add(place, now_s - age_s, now_s)
+                self._add(placement, now_s - age_s, now_s)
                 changed.add(service)
-            elif self._change(entry, place, now_s - age_s, now_s):
+            elif self._change(entry, placement, now_s - age_s, now_s):
                 changed.add(service)
         return changed
 
     def _replace_members(self, members: dict[str, MemberRecord]) -> set[str]:
-        # Most updates change few of 1,400 records; only the services of the
-        # changed ones are looked at, so that an update does not delay calls.
+        # Most updates change few of 1,400 records. Only the services of the
+        # changed records are updated, so that an update does not delay calls.
         old = self._members
         records = [
             record
@@ -104,12 +104,12 @@
         return {target.service for record in records for target in record.targets}
 
     def _drop_missing(
-        self, places: dict[tuple[str, str], _Place], services: set[str]
+        self, placements: dict[tuple[str, str], _Placement], services: set[str]
     ) -> set[str]:
         changed = set()
         for service in services:
             entries = self._services[service]
-            for address in [key for key in entries if (service, key) not in places]:
+            for address in [key for key in entries if (service, key) not in placements]:
                 entry = entries[address]
                 if entry.usable:
                     changed.add(service)
@@ -118,53 +118,57 @@
                     del entries[address]
         return changed
 
-    def _add(self, place: _Place, started_s: float, now_s: float) -> None:
-        record = place.record
+    def _add(self, placement: _Placement, started_s: float, now_s: float) -> None:
+        record = placement.record
         stats = TargetStats(
             slots=record.slots,
             limits=self._limits.get(record.service, _INITIAL_LIMITS),
-            phase=self._random.random(),
+            first_call_jitter=self._random.random(),
         )
         stats.restart(started_s, now_s)
         self._services[record.service][record.address] = TargetEntry(
             record=record,
-            failure_domain=place.member.failure_domain,
-            region=place.member.region,
+            failure_domain=placement.member.failure_domain,
+            region=placement.member.region,
             started_s=started_s,
             stats=stats,
-            usable=place.usable,
+            usable=placement.usable,
         )
 
     def _change(
-        self, entry: TargetEntry, place: _Place, started_s: float, now_s: float
+        self,
+        entry: TargetEntry,
+        placement: _Placement,
+        started_s: float,
+        now_s: float,
     ) -> bool:
         old = (entry.record, entry.failure_domain, entry.region, entry.usable)
-        member, record = place.member, place.record
-        new = (record, member.failure_domain, member.region, place.usable)
+        member, record = placement.member, placement.record
+        new = (record, member.failure_domain, member.region, placement.usable)
         if old == new:
             return False
-        started_again = record.started_ms != entry.record.started_ms
+        restarted = record.started_ms != entry.record.started_ms
         entry.record, entry.failure_domain, entry.region, entry.usable = new
         entry.stats.configure(record.slots, entry.stats.limits, now_s)
-        if started_again:
+        if restarted:
             entry.started_s = started_s
             entry.stats.restart(started_s, now_s)
         return True
 
 
-def _find_places(
+def _find_placements(
     members: Iterable[MemberRecord], services: set[str]
-) -> dict[tuple[str, str], _Place]:
-    places: dict[tuple[str, str], _Place] = {}
+) -> dict[tuple[str, str], _Placement]:
+    placements: dict[tuple[str, str], _Placement] = {}
     for member in members:
         routable = member.state in _ROUTABLE_STATES
         for record in member.targets:
             if record.service not in services:
                 continue
             usable = routable and record.state is not TargetState.DRAINING
-            place = _Place(member=member, record=record, usable=usable)
+            placement = _Placement(member=member, record=record, usable=usable)
             key = (record.service, record.address)
-            known = places.get(key)
-            if known is None or place.rank > known.rank:
-                places[key] = place
-    return places
+            known = placements.get(key)
+            if known is None or placement.rank > known.rank:
+                placements[key] = placement
+    return placements
--- a/catkinhollow/calls/dispatch.py
+++ b/catkinhollow/calls/dispatch.py
@@ -95,21 +95,21 @@
             backer = request.header(BACKER_HEADER) or b""
             # No header value has a line break, so that no two pairs are alike.
             name = (backer + b"\n" + key).decode("latin-1")
-            return await self._run_once(call, request, name, disconnected)
+            return await self._run_keyed(call, request, name, disconnected)
         finally:
             # Reached early only when the caller's task is cancelled.
             call.close(self._clock.monotonic())
 
-    async def _run_once(
+    async def _run_keyed(
         self, call: Call, request: Request, key: str, disconnected: Disconnected
     ) -> Response:
         path = f"{request.path}?{request.query.decode('latin-1')}"
-        print_of_request = fingerprint(request.method, path, request.body)
+        request_fingerprint = fingerprint(request.method, path, request.body)
         while True:
-            step = self._keys.begin(key, print_of_request, self._clock.monotonic())
+            step = self._keys.begin(key, request_fingerprint, self._clock.monotonic())
             match step:
                 case Fresh():
-                    return await self._run_fresh(call, request, key, disconnected)
+                    return await self._run_new_key(call, request, key, disconnected)
                 case InFlight():
                     await self._wait_for(key)
                 case Replay(response=response):
@@ -122,7 +122,7 @@
                 case TableFull():
                     return not_run_response("too many keyed requests")
 
-    async def _run_fresh(
+    async def _run_new_key(
         self, call: Call, request: Request, key: str, disconnected: Disconnected
     ) -> Response:
         outcome, response = Outcome.UNKNOWN, None
@@ -176,7 +176,7 @@
     async def _wait(self, call: Call, step: Wait, disconnected: Disconnected) -> bool:
         """Wait for the call's turn; return False if the caller went away."""
         changed = trio.Event()
-        call.on_change(changed.set)
+        call.on_wait_end(changed.set)
         self._schedule_wake()
         gone = trio.Event()
 
--- a/catkinhollow/calls/evidence_counts.py
+++ b/catkinhollow/calls/evidence_counts.py
@@ -1,12 +1,12 @@
-"""Count what the versions of each service do, for the moves."""
+"""Count the results of attempts by version, as evidence for moves."""
 
 from attrs import define
 
 from catkinhollow.calls.targets import Sample
 from catkinhollow.generated.messages import VersionCounts
 
-# Refused attempts, and attempts that found no listener, tell about the load or
-# a restart of one instance, not about its version.
+# Refused attempts, and attempts that found no listener, indicate load or a
+# restart of one instance, not a fault of its version.
 _COUNTED = (Sample.CLEAN, Sample.SLOW, Sample.FAILED)
 
 
@@ -19,7 +19,7 @@
 
 
 class EvidenceCounts:
-    """Sum the attempts by service, version and route between two takes."""
+    """Sum the attempts by service, version and route until taken."""
 
     def __init__(self) -> None:
         self._counts: dict[tuple[str, str, str], _Counts] = {}
@@ -39,7 +39,7 @@
         counts.latency_ms_sum += latency_s * 1000
 
     def take(self) -> list[VersionCounts]:
-        """Return the sums and start again from 0."""
+        """Return the sums and reset them to 0."""
         taken, self._counts = self._counts, {}
         return [
             VersionCounts(
--- a/catkinhollow/calls/idempotency.py
+++ b/catkinhollow/calls/idempotency.py
@@ -57,7 +57,7 @@
 @define(kw_only=True)
 class _KeyedRequest:
     fingerprint: bytes
-    begun_s: float
+    retained_since_s: float
     outcome: Outcome | None = None
     response: Response | None = None
     size_bytes: int = 0
@@ -92,7 +92,9 @@
             return _repeat(known, fingerprint)
         if len(self._entries) >= self._max_entries and not self._drop_oldest():
             return TableFull()
-        self._entries[key] = _KeyedRequest(fingerprint=fingerprint, begun_s=now_s)
+        self._entries[key] = _KeyedRequest(
+            fingerprint=fingerprint, retained_since_s=now_s
+        )
         return Fresh()
 
     def wait(self, key: str, waiter: Callable[[], None]) -> None:
@@ -108,7 +110,7 @@
             del self._entries[key]
         else:
             entry.outcome = outcome
-            entry.begun_s = now_s
+            entry.retained_since_s = now_s
             self._entries.move_to_end(key)
             if outcome is Outcome.ANSWERED and response is not None:
                 self._store(key, entry, response)
@@ -146,11 +148,11 @@
     def _expire(self, now_s: float) -> None:
         while self._entries:
             key, entry = next(iter(self._entries.items()))
-            if now_s - entry.begun_s < RETENTION_S:
+            if now_s - entry.retained_since_s < RETENTION_S:
                 return
             if entry.outcome is None:
                 # A request still in flight is looked at again later.
-                entry.begun_s = now_s
+                entry.retained_since_s = now_s
                 self._entries.move_to_end(key)
                 continue
             self._drop_response(key)
--- a/catkinhollow/calls/latency.py
+++ b/catkinhollow/calls/latency.py
@@ -1,13 +1,13 @@
-"""Track the usual latency of each route, so that slow answers stand out."""
+"""Estimate the median latency of each route to detect slow responses."""
 
 from attrs import define
 
 # Each sample moves the estimate of the median by this fraction, so that it
 # follows a change within about 100 samples and ignores single outliers.
 MEDIAN_STEP = 0.02
-# Below this number of samples the estimate is too poor to judge by.
+# With fewer samples the estimate is too inaccurate to be used.
 MIN_SAMPLES = 20
-# An answer counts as slow in the evidence above this multiple of the median.
+# A response counts as slow in the evidence above this multiple of the median.
 EVIDENCE_SLOW_RATIO = 2.0
 # Differences below this are scheduling noise on small instances.
 SLOW_MARGIN_S = 0.005
@@ -22,13 +22,13 @@
 
     @property
     def slow_limit_s(self) -> float:
-        """Return the latency above which an answer is evidence of slowness."""
+        """Return the latency above which a response counts as slow."""
         if self.samples < MIN_SAMPLES:
             return float("inf")
         return max(EVIDENCE_SLOW_RATIO * self.median_s, self.median_s + SLOW_MARGIN_S)
 
     def add(self, latency_s: float) -> None:
-        """Move the estimate towards the sample."""
+        """Move the estimate towards a sample."""
         self.samples += 1
         if self.samples == 1:
             self.median_s = latency_s
@@ -38,20 +38,20 @@
             self.median_s *= 1.0 - MEDIAN_STEP
 
     def ratio(self, latency_s: float) -> float:
-        """Return the multiple of the usual latency, 1 within noise."""
+        """Return the latency as a multiple of the median, 1 within noise."""
         if self.samples < MIN_SAMPLES or latency_s < self.median_s + SLOW_MARGIN_S:
             return 1.0
         return latency_s / self.median_s
 
 
-class LatencyBook:
-    """Hold the usual latencies by route and by region of the target."""
+class RouteLatencies:
+    """Represent the latency estimates by route and region of the target."""
 
     def __init__(self) -> None:
         self._routes: dict[tuple[str, str], RouteLatency] = {}
 
     def find(self, route: str, region: str) -> RouteLatency:
-        """Return the estimate of a route to a region, empty at first."""
+        """Return the estimate of a route to a region; a new one is empty."""
         key = (route, region)
         found = self._routes.get(key)
         if found is None:
@@ -59,7 +59,7 @@
         return found
 
     def keep_routes(self, routes: set[str]) -> None:
-        """Forget the routes that the configuration no longer has."""
+        """Drop the estimates of all other routes."""
         self._routes = {
             key: value for key, value in self._routes.items() if key[0] in routes
         }
--- a/catkinhollow/calls/pool.py
+++ b/catkinhollow/calls/pool.py
@@ -1,4 +1,4 @@
-"""Keep the targets of one service in the order in which they get work."""
+"""Group the targets of one service by version and distance."""
 
 import math
 from collections.abc import Collection, Iterable
@@ -10,26 +10,27 @@
 from catkinhollow.generated.fleet import VersionWeight
 from catkinhollow.generated.messages import TargetState
 
-# In this time a slow start of 5 s moves by 1 %.
+# A slow start of 5 s advances by 1 % in this time.
 REFRESH_INTERVAL_S = 0.05
-STRIKE_WEIGHT = 0.02
-# In a service without strikes, five in a row are needed to call a target cold.
-MIN_STRIKE_RATE = 0.05
+BAD_SAMPLE_WEIGHT = 0.02
+# In a service without bad samples, five in a row mark a target as cold.
+MIN_BAD_SAMPLE_RATE = 0.05
 
-# Each send moves the observed shares by this part, so that they follow about
-# the last 100 sends of this daemon.
+# Each attempt moves the observed shares by this fraction, so that they follow
+# about the last 100 attempts of this daemon.
 SHARE_STEP = 0.01
-# Two sends above its weight; less would hold back a version at its weight.
+# Two attempts above the weight; a smaller margin would hold back a version
+# that is at its weight.
 OVERFLOW_MARGIN = 0.02
-# A version below this weight is still on trial and gets no overflow at all.
+# A version below this weight is a canary and gets no overflow at all.
 CANARY_PERCENT = 10.0
 
-_STRIKES = (Sample.REFUSED, Sample.SLOW, Sample.FAILED, Sample.UNREACHABLE)
+_BAD_SAMPLES = (Sample.REFUSED, Sample.SLOW, Sample.FAILED, Sample.UNREACHABLE)
 
 
 @frozen(kw_only=True)
 class Location:
-    """Hold where this entry daemon runs."""
+    """Represent where this ingress daemon runs."""
 
     failure_domain: str
     region: str
@@ -37,7 +38,7 @@
 
 @frozen(kw_only=True)
 class PoolSettings:
-    """Hold what the configuration says about a service's targets."""
+    """Configure how a service's targets are grouped and ejected."""
 
     split: list[VersionWeight]
     failure_domains_out: frozenset[str]
@@ -48,7 +49,7 @@
 
 @frozen(kw_only=True)
 class VersionGroup:
-    """Hold the targets of a share of the traffic, the nearest tier first."""
+    """Represent a version's targets and share, the nearest tier first."""
 
     version: str
     percent: float
@@ -62,20 +63,20 @@
 
 @define(kw_only=True, eq=False)
 class ServicePool:
-    """Hold the targets of a service that may get work now."""
+    """Represent the targets of a service that may get calls now."""
 
     location: Location
     settings: PoolSettings
     groups: list[VersionGroup] = field(factory=list, init=False)
     entries: list[TargetEntry] = field(factory=list, init=False)
     capacity: float = field(default=0.0, init=False)
-    strike_rate: float = field(default=MIN_STRIKE_RATE, init=False)
+    bad_sample_rate: float = field(default=MIN_BAD_SAMPLE_RATE, init=False)
     _first_version: str = field(default="", init=False)
     _shares: dict[str, float] = field(factory=dict, init=False)
     _refresh_at_s: float = field(default=-math.inf, init=False)
 
     def rebuild(self, usable: Iterable[TargetEntry], now_s: float) -> None:
-        """Sort the usable targets by version and distance."""
+        """Group the usable targets by version and distance."""
         settings = self.settings
         self.groups = self._find_groups(
             [
@@ -91,13 +92,13 @@
             group.version: self._shares.get(group.version, self._weight(group))
             for group in self.groups
         }
-        self._follow_announced_failures(now_s)
-        self._keep_ejection_bound(now_s)
+        self._apply_announced_failures(now_s)
+        self._enforce_ejection_bound(now_s)
         self._refresh_at_s = -math.inf
         self.refresh(now_s)
 
     def refresh(self, now_s: float) -> None:
-        """Bring limits and the capacity up to date, at most every 50 ms."""
+        """Update limits and the capacity, at most every 50 ms."""
         if now_s < self._refresh_at_s:
             return
         self._refresh_at_s = now_s + REFRESH_INTERVAL_S
@@ -106,10 +107,10 @@
                 entry.stats.refresh(now_s)
         self.capacity = float(sum(entry.stats.limit for entry in self.entries))
 
-    def takes_overflow(self, group: VersionGroup) -> bool:
-        """Return whether a version may get calls that were drawn for another.
+    def accepts_overflow(self, group: VersionGroup) -> bool:
+        """Return whether a version may get calls drawn for another version.
 
-        The version that started first takes all; a later one may be bad.
+        The version that started first accepts all; a later one may be faulty.
         """
         if group.version == self._first_version:
             return True
@@ -119,43 +120,45 @@
         return share <= self._weight(group) + OVERFLOW_MARGIN
 
     def count_send(self, version: str) -> None:
-        """Count a send in the observed shares of the versions."""
+        """Count an attempt in the observed shares of the versions."""
         if len(self.groups) > 1:
             for name, share in self._shares.items():
                 self._shares[name] += SHARE_STEP * ((name == version) - share)
 
-    def observe(self, entry: TargetEntry, sample: Sample, now_s: float) -> None:
-        """Learn from an attempt that its target has already learned from."""
+    def record_sample(self, entry: TargetEntry, sample: Sample, now_s: float) -> None:
+        """Record a sample that the target's statistics already include."""
         if sample is not Sample.IGNORED:
-            struck = sample in _STRIKES
-            rate = self.strike_rate + STRIKE_WEIGHT * (struck - self.strike_rate)
-            self.strike_rate = max(MIN_STRIKE_RATE, rate)
+            is_bad = sample in _BAD_SAMPLES
+            rate = self.bad_sample_rate + BAD_SAMPLE_WEIGHT * (
+                is_bad - self.bad_sample_rate
+            )
+            self.bad_sample_rate = max(MIN_BAD_SAMPLE_RATE, rate)
         stats = entry.stats
-        if not stats.wants_ejection or stats.ejected_until_s > now_s:
+        if not stats.needs_ejection or stats.ejected_until_s > now_s:
             return
         for group in self.groups:
             if entry in group.entries and self._may_eject(group, now_s):
                 stats.eject(now_s)
 
     def ejected(self, now_s: float) -> list[TargetEntry]:
-        """Return the targets that are out because of failures."""
+        """Return the targets that are ejected because of failures."""
         return [entry for entry in self.entries if _is_ejected(entry, now_s)]
 
     def _weight(self, group: VersionGroup) -> float:
         return group.percent / sum(other.percent for other in self.groups)
 
     def _ejection_bound(self, group: VersionGroup) -> int:
-        # The bound holds for each version, because a service whose targets of
-        # the main version are all out is as good as empty.
+        # The bound holds for each version, because a service is as good as
+        # empty when all targets of its main version are ejected.
         return int(len(group.entries) * self.settings.max_ejected_percent / 100)
 
     def _may_eject(self, group: VersionGroup, now_s: float) -> bool:
         ejected = sum(_is_ejected(entry, now_s) for entry in group.entries)
         return ejected < self._ejection_bound(group)
 
-    def _follow_announced_failures(self, now_s: float) -> None:
-        # The health signal of a target lags or misleads, so it counts only
-        # within the bound on ejections.
+    def _apply_announced_failures(self, now_s: float) -> None:
+        # The announced health of a target may be late or wrong, so it counts
+        # only within the bound on ejections.
         for group in self.groups:
             for entry in group.entries:
                 held = entry.stats.ejected_until_s == math.inf
@@ -163,9 +166,9 @@
                 if held and not failed:
                     entry.stats.readmit(now_s)
                 elif failed and not held and self._may_eject(group, now_s):
-                    entry.stats.hold_out(math.inf, now_s)
+                    entry.stats.eject_until(math.inf, now_s)
 
-    def _keep_ejection_bound(self, now_s: float) -> None:
+    def _enforce_ejection_bound(self, now_s: float) -> None:
         for group in self.groups:
             ejected = [item for item in group.entries if _is_ejected(item, now_s)]
             ejected.sort(key=lambda entry: entry.stats.ejected_until_s)
@@ -178,8 +181,8 @@
         for entry in entries:
             by_version.setdefault(entry.record.version, []).append(entry)
         if not self.settings.split and entries:
-            # A version that is started beside the first one gets its first
-            # calls from a move.
+            # A version that is started beside the first one gets no calls
+            # until a move sets a split.
             first = _first_version(entries)
             return [self._group(first, 100.0, by_version[first])]
         quarantined = self.settings.quarantined
--- a/catkinhollow/calls/service_calls.py
+++ b/catkinhollow/calls/service_calls.py
@@ -1,4 +1,4 @@
-"""Provide the calls of one service with targets, and learn from them."""
+"""Admit the calls of one service, pick targets and record results."""
 
 from collections import Counter
 
@@ -9,15 +9,16 @@
 from catkinhollow.calls.call import Call, FinishedAttempt
 from catkinhollow.calls.directory import TargetEntry
 from catkinhollow.calls.evidence_counts import EvidenceCounts
-from catkinhollow.calls.latency import LatencyBook, RouteLatency
+from catkinhollow.calls.latency import RouteLatencies, RouteLatency
 from catkinhollow.calls.pool import ServicePool
 from catkinhollow.calls.retries import AttemptKind, RetryBudget
 from catkinhollow.calls.targets import Sample
 from catkinhollow.calls.waiting import WaitClass, WaitingList
 
 # A timeout counts as a failure of the target only if the attempt had at least
-# this part of the route's time; callers may leave less than any target needs.
-FULL_TIMEOUT_PART = 0.2
+# this fraction of the route's timeout; a caller's deadline may leave less time
+# than any target needs.
+FULL_TIMEOUT_FRACTION = 0.2
 
 _SAMPLES = {
     AttemptKind.REFUSED: Sample.REFUSED,
@@ -29,7 +30,7 @@
 
 @frozen(kw_only=True)
 class ServiceStatus:
-    """Hold the state of one service for the metrics."""
+    """Represent the state of one service for the metrics."""
 
     name: str
     in_flight: int
@@ -42,7 +43,7 @@
 
 @define(kw_only=True)
 class CallCounters:
-    """Hold the counters that all services of a router share."""
+    """Represent the counters that all services of a router share."""
 
     in_flight: int = 0
     calls: int = 0
@@ -55,12 +56,12 @@
 
 @define(kw_only=True, eq=False)
 class ServiceCalls:
-    """Hold what the router keeps for one service; host of its calls."""
+    """Represent the state of one service; the host of its calls."""
 
     name: str
     pool: ServicePool
     picker: Picker
-    latencies: LatencyBook
+    latencies: RouteLatencies
     evidence: EvidenceCounts
     counters: CallCounters
     slow_start_s: float = 0.0
@@ -85,23 +86,23 @@
         return bool(self.waiting) and self.waiting.outranks(_wait_class(call))
 
     def enqueue(self, call: Call, now_s: float) -> bool:
-        """Take the call out of flight and put it on the waiting list."""
-        self._take_out(call, now_s)
+        """Count the call as no longer in flight and queue it."""
+        self._release_admission(call, now_s)
         dropped = self.waiting.add(_wait_class(call), call)
         if dropped is not None and dropped is not call:
-            dropped.drop()
+            dropped.shed()
         return dropped is not call
 
     def dequeue(self, call: Call) -> None:
-        """Take the call off the waiting list."""
+        """Remove the call from the waiting list."""
         self.waiting.remove(_wait_class(call), call)
 
     def wake(self, now_s: float) -> None:
-        """Send the waiting calls that there is room for, by priority."""
+        """Grant targets to the waiting calls in the order of priority."""
         for calls in self.waiting.by_priority():
             for call in calls:
-                # Those behind it in its class would be refused for the same
-                # reason.
+                # Calls behind it in the same class would be refused for the
+                # same reason.
                 if not call.grant(now_s):
                     break
 
@@ -119,44 +120,46 @@
         self.pool.count_send(entry.record.version)
 
     def spend_retry(self, call: Call, cost: float) -> bool:
-        """Take a retry from the service's budget if it is there."""
+        """Return whether the budget allows a retry, and charge it."""
         allowed = self.budget.spend(cost)
         self.counters.retries += allowed
         self.counters.retries_denied += not allowed
         return allowed
 
-    def usual_latency_s(self, call: Call) -> float:
-        """Return the usual latency of the call's route, 0 if unknown."""
+    def median_latency_s(self, call: Call) -> float:
+        """Return the median latency of the call's route, 0 if unknown."""
         region = self.pool.location.region
         return self.latencies.find(call.route.name, region).median_s
 
-    def learn(self, call: Call, attempt: FinishedAttempt, now_s: float) -> None:
-        """Count an attempt that has ended."""
-        entry, busy_s = attempt.entry, attempt.busy_s
+    def record_attempt(
+        self, call: Call, attempt: FinishedAttempt, now_s: float
+    ) -> None:
+        """Record the result of an attempt that has ended."""
+        entry, duration_s = attempt.entry, attempt.duration_s
         self.counters.attempts += 1
-        usual = self.latencies.find(call.route.name, entry.region)
-        ratio = usual.ratio(busy_s)
+        latency = self.latencies.find(call.route.name, entry.region)
+        ratio = latency.ratio(duration_s)
         sample = _classify(call, attempt, ratio)
-        slow = self._is_slow(entry, sample, usual, busy_s, now_s)
-        rate = self.pool.strike_rate
-        entry.stats.finish(sample, busy_s, ratio, rate, now_s)
-        self.pool.observe(entry, sample, now_s)
+        slow = self._is_slow(entry, sample, latency, duration_s, now_s)
+        rate = self.pool.bad_sample_rate
+        entry.stats.finish(sample, duration_s, ratio, rate, now_s)
+        self.pool.record_sample(entry, sample, now_s)
         if sample in (Sample.CLEAN, Sample.SLOW):
-            usual.add(busy_s)
+            latency.add(duration_s)
         key = (self.name, entry.record.version, call.route.name)
-        self.evidence.add(key, sample, busy_s, slow)
+        self.evidence.add(key, sample, duration_s, slow)
 
     def release(self, call: Call, now_s: float) -> None:
-        """Count the end of the call and give way to waiting ones."""
+        """Count the end of the call and wake waiting ones."""
         assert call.outcome is not None
-        self._take_out(call, now_s)
+        self._release_admission(call, now_s)
         self.counters.in_flight -= 1
         self.counters.outcomes[call.outcome.value] += 1
         if self.waiting:
             self.wake(now_s)
 
     def status(self, now_s: float) -> ServiceStatus:
-        """Return the values for the metrics."""
+        """Return the state for the metrics."""
         pool = self.pool
         return ServiceStatus(
             name=self.name,
@@ -168,7 +171,7 @@
             ejected=len(pool.ejected(now_s)),
         )
 
-    def _take_out(self, call: Call, now_s: float) -> None:
+    def _release_admission(self, call: Call, now_s: float) -> None:
         if call.admitted:
             call.admitted = False
             self.admission.release(call.account, call_priority(call.route), now_s)
@@ -177,14 +180,14 @@
         self,
         entry: TargetEntry,
         sample: Sample,
-        usual: RouteLatency,
-        busy_s: float,
+        latency: RouteLatency,
+        duration_s: float,
         now_s: float,
     ) -> bool:
-        # Targets of a good version are slow too while they are cold.
+        # Targets of a good version are slow, too, while they are cold.
         warm = now_s - entry.started_s >= self.slow_start_s
         answered = sample in (Sample.CLEAN, Sample.SLOW)
-        return warm and answered and busy_s > usual.slow_limit_s
+        return warm and answered and duration_s > latency.slow_limit_s
 
 
 def _wait_class(call: Call) -> WaitClass:
@@ -198,6 +201,6 @@
     if result.kind is AttemptKind.ANSWERED:
         return Sample.SLOW if attempt.entry.stats.is_slow(ratio) else Sample.CLEAN
     if result.kind is AttemptKind.TIMEOUT:
-        full_s = FULL_TIMEOUT_PART * call.policy.timeout_ms / 1000
+        full_s = FULL_TIMEOUT_FRACTION * call.policy.timeout_ms / 1000
         return Sample.FAILED if attempt.timeout_s >= full_s else Sample.SLOW
     return _SAMPLES[result.kind]
--- a/tests/calls/test_call_router.py
+++ b/tests/calls/test_call_router.py
@@ -182,7 +182,7 @@
             left_s = call.deadline_s - self.now_s
             assert 0.0 < step.until_s - self.now_s <= left_s / 4 + 1e-6
             self.waiting[call] = step.until_s
-            call.on_change(lambda: self.notified.append(call))
+            call.on_wait_end(lambda: self.notified.append(call))
             return
         self.waiting.pop(call, None)
         if not isinstance(step, SendTo):
@@ -252,10 +252,10 @@
         for number in range(300):
             now_s = begin_s + number * 0.01
             call, entry = send_call(router, now_s, "POST")
-            busy_s = 0.03 if entry.record.version == "v2" else 0.01
+            duration_s = 0.03 if entry.record.version == "v2" else 0.01
             broken = number % 10 == 9
             call.finish_attempt(
-                builders.BROKEN if broken else builders.OK, now_s + busy_s
+                builders.BROKEN if broken else builders.OK, now_s + duration_s
             )
         call, _ = send_call(router, now_s)
         call.finish_attempt(builders.REFUSED, now_s)
--- a/tests/calls/test_cold_targets.py
+++ b/tests/calls/test_cold_targets.py
@@ -114,7 +114,7 @@
     def wait(self, now_s, router, call, until_s):
         self.waiting.add(call)
         self.schedule(until_s, self.resume, router, call)
-        call.on_change(lambda: self.notified.append((router, call)))
+        call.on_wait_end(lambda: self.notified.append((router, call)))
         if router not in self.waking:
             self.waking.add(router)
             self.schedule(now_s + WAKE_INTERVAL_S, self.wake, router)
--- a/tests/calls/test_retries.py
+++ b/tests/calls/test_retries.py
@@ -4,7 +4,7 @@
 
 from catkinhollow.calls.call import GiveUp
 from catkinhollow.calls.exchange import Outcome
-from catkinhollow.calls.retries import RetryBudget, classify, retry_cost
+from catkinhollow.calls.retries import RetryBudget, classify_result, retry_cost
 from tests import builders
 from tests.builders import (
     OK,
@@ -34,7 +34,7 @@
 )
 def test_only_safe_requests_are_sent_again(result, outcome, get_again, post_again):
     """Guards against orders that run twice, and a false "not run"."""
-    assert classify(result) is outcome
+    assert classify_result(result) is outcome
     for method, again in (("GET", get_again), ("POST", post_again)):
         call, first = send_call(three_targets(), 1000.0, method)
         call.finish_attempt(result, 1000.01)
