--- a/catkinhollow/testbed/bench.py
+++ b/catkinhollow/testbed/bench.py
@@ -1,4 +1,4 @@
-"""Run an experiment to its end or its limit, and keep its figures."""
+"""Run an experiment up to its time limit and write its figures."""
 
 import signal
 from collections.abc import Callable
@@ -32,7 +32,7 @@
 
 
 def make_runner(experiment: Experiment) -> ExperimentRunner:
-    """Return the runner of the plan that is given."""
+    """Return the runner for the plan of an experiment."""
     if experiment.hop is not None:
         return HopRunner(experiment, experiment.hop)
     if experiment.convergence is not None:
@@ -50,7 +50,7 @@
 
 @define
 class Bench:
-    """Run the repeats of one experiment and write its points."""
+    """Run the repeats of one experiment and write the result."""
 
     _named: NamedExperiment
     _path: Path
@@ -59,7 +59,10 @@
     _failure: str = ""
 
     async def run(self) -> str:
-        """Return why the run ended early, empty when it is complete."""
+        """Run the experiment.
+
+        Return why it ended early, or an empty text if it is complete.
+        """
         started = datetime.now(UTC).isoformat(timespec="seconds")
         machine, commit = read_machine(), read_commit()
         experiment = self._named.experiment
@@ -110,7 +113,10 @@
 
 
 def run_bench(named: NamedExperiment, directory: Path, print_line: Printer) -> str:
-    """Run an experiment; return why it ended early, empty if it did not."""
+    """Run an experiment and write its result to a directory.
+
+    Return why it ended early, or an empty text if it is complete.
+    """
     directory.mkdir(parents=True, exist_ok=True)
     path = directory / f"{named.name}.json"
     return trio.run(Bench(named, path, print_line).run)
--- a/catkinhollow/testbed/compare.py
+++ b/catkinhollow/testbed/compare.py
@@ -1,19 +1,22 @@
-"""Compare the results of two versions of the code."""
+"""Compare the benchmark results of two versions of the code."""
 
 from collections.abc import Iterator, Sequence
 
 from attrs import frozen
 
 from catkinhollow.generated.bench import BenchResult
-from catkinhollow.testbed.results import Cell, medians
+from catkinhollow.testbed.results import FigureKey, compute_medians
 
 
 @frozen(kw_only=True)
 class Comparison:
-    """Hold one figure before and after; no ratio without an old value."""
+    """Represent one figure of both results.
+
+    The ratio is None if the old value is 0.
+    """
 
     experiment: str
-    cell: Cell
+    cell: FigureKey
     old: float
     new: float
     ratio: float | None
@@ -21,27 +24,27 @@
 
 @frozen(kw_only=True)
 class Unmatched:
-    """Hold a figure that only one of the results has."""
+    """Represent a figure that only one of the results has."""
 
     experiment: str
-    cell: Cell
+    cell: FigureKey
 
 
 def compare(
     old: Sequence[BenchResult], new: Sequence[BenchResult]
 ) -> Iterator[Comparison | Unmatched]:
-    """Yield every figure of the experiments that both sides have."""
+    """Yield every figure of the experiments that both results have."""
     newer = {result.experiment: result for result in new}
     for result in old:
-        other = newer.get(result.experiment)
-        if other is not None:
-            yield from _compare_one(result, other)
+        matching = newer.get(result.experiment)
+        if matching is not None:
+            yield from _compare_one(result, matching)
 
 
 def _compare_one(
     old: BenchResult, new: BenchResult
 ) -> Iterator[Comparison | Unmatched]:
-    before, after = medians(old.points), medians(new.points)
+    before, after = compute_medians(old.points), compute_medians(new.points)
     for cell in sorted(before.keys() | after.keys()):
         if cell not in before or cell not in after:
             yield Unmatched(experiment=old.experiment, cell=cell)
--- a/catkinhollow/testbed/convergence.py
+++ b/catkinhollow/testbed/convergence.py
@@ -1,4 +1,4 @@
-"""Read from the daemons' logs when each enforced a revision."""
+"""Read from daemon logs when each daemon enforced a revision."""
 
 from pathlib import Path
 from time import time_ns
@@ -7,7 +7,7 @@
 import trio
 from msgspec import DecodeError, json
 
-WAIT_S = 4.0
+DELAY_LIMIT_S = 4.0
 POLL_S = 0.1
 
 
@@ -24,14 +24,14 @@
     async def delays_ms(
         self, revision: int, accepted_ms: float, daemons: int
     ) -> list[float]:
-        """Return one delay per daemon; fewer if some enforce it too late."""
+        """Return a delay per daemon that enforces the revision in time."""
         delays: list[float] = []
-        with trio.move_on_after(WAIT_S):
-            while len(delays := self._read(revision, accepted_ms)) < daemons:
+        with trio.move_on_after(DELAY_LIMIT_S):
+            while len(delays := self._read_delays_ms(revision, accepted_ms)) < daemons:
                 await trio.sleep(POLL_S)
         return delays
 
-    def _read(self, revision: int, accepted_ms: float) -> list[float]:
+    def _read_delays_ms(self, revision: int, accepted_ms: float) -> list[float]:
         delays = []
         for path in self._directory.glob("daemon-*.log"):
             enforced_ms = first_enforced_ms(path, revision)
--- a/catkinhollow/testbed/convergence_bench.py
+++ b/catkinhollow/testbed/convergence_bench.py
@@ -1,4 +1,4 @@
-"""Measure the time until all daemons enforce a change, and its cost."""
+"""Measure how long a change takes to reach all daemons, and its cost."""
 
 from collections.abc import Sequence
 from random import Random
@@ -38,7 +38,7 @@
 
 @frozen(kw_only=True)
 class Change:
-    """Hold a change that the store accepted."""
+    """Represent a change that the store accepted."""
 
     revision: int
     accepted_ms: float
@@ -53,27 +53,27 @@
     late: int = 0
 
     def add(self, change: Change, logs: Sequence[Sequence[LogEvent]]) -> None:
-        """Add one change with the log of each daemon."""
+        """Add the delays of one change, with the log of each daemon."""
         delays_ms = []
         for events in logs:
-            arrived_ms = enforced_ms(events, change.revision)
-            if arrived_ms is None:
+            applied_ms = enforced_ms(events, change.revision)
+            if applied_ms is None:
                 self.late += 1
             else:
-                delays_ms.append(max(0.0, arrived_ms - change.accepted_ms))
+                delays_ms.append(max(0.0, applied_ms - change.accepted_ms))
         for delay_ms in delays_ms:
             self.all.add_s(delay_ms / MS_PER_S)
         if delays_ms:
             self.last_ms.append(max(delays_ms))
 
     def figures(self) -> dict[str, float]:
-        """Return the percentiles, and the last daemon's delay per change."""
+        """Return percentiles, and the median delay of the last daemon."""
         last = {"last_daemon_median_ms": median(self.last_ms)} if self.last_ms else {}
         return {**self.all.figures("delay"), **last, "late": self.late}
 
 
 def cost_figures(load: FleetLoad, rest: FleetLoad, changes: int) -> dict[str, float]:
-    """Return the cost of a change beyond that of the rest."""
+    """Return the cost per change without the cost of idle daemons."""
 
     def per_change(name: str) -> float:
         return (load.mean(name) - rest.rate(name) * load.period_s) / changes
@@ -90,7 +90,7 @@
 
 
 class ConvergenceRunner:
-    """Change the configuration of fleets of several sizes."""
+    """Measure changes of the configuration in fleets of several sizes."""
 
     def __init__(self, experiment: Experiment, plan: ConvergencePlan) -> None:
         self._experiment = experiment
@@ -124,7 +124,7 @@
 
 
 class _FleetMeasure:
-    """Make the changes at one fleet."""
+    """Measure the changes in one fleet."""
 
     def __init__(
         self,
@@ -141,14 +141,14 @@
         self._rest: FleetLoad | None = None
 
     async def measure_rest(self) -> None:
-        """Measure what the daemons use without changes."""
+        """Measure the cost of the daemons without changes."""
         before = await take_sample(self._deployment, self._nodes)
         await trio.sleep(BASELINE_S)
         after = await take_sample(self._deployment, self._nodes)
         self._rest = load_between(before, after)
 
     async def plain(self) -> dict[str, float]:
-        """Make changes while nothing else happens."""
+        """Measure changes without faults."""
         assert self._rest is not None
         load = machine_load()
         before = await take_sample(self._deployment, self._nodes)
@@ -163,37 +163,37 @@
         }
 
     async def restarts(self) -> dict[str, float]:
-        """Make changes while some daemons are killed and start again."""
+        """Measure changes while some daemons are killed and restarted."""
         load = machine_load()
         share = self._plan.restart_percent / 100
-        chosen = self._random.sample(
+        restarted = self._random.sample(
             list(self._nodes), max(1, round(share * len(self._nodes)))
         )
         killed_ms: dict[str, float] = {}
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._restart_all, chosen, killed_ms)
+            nursery.start_soon(self._restart_all, restarted, killed_ms)
             changes = await self._make_changes()
-        await self._deployment.wait_ready(chosen)
+        await self._deployment.wait_ready(restarted)
         await trio.sleep(self._plan.arrive_s)
-        others = [node for node in self._nodes if node not in chosen]
+        others = [node for node in self._nodes if node not in restarted]
         back = Times()
-        for node in chosen:
+        for node in restarted:
             since_ms = killed_ms[node.spec.name]
             back_ms = ready_ms(self._events(node), since_ms)
             if back_ms is not None:
                 back.add_s((back_ms - since_ms) / MS_PER_S)
         last = Delays()
-        last.add(changes[-1], [self._events(node) for node in chosen])
+        last.add(changes[-1], [self._events(node) for node in restarted])
         return {
             **self._delays(changes, others).figures(),
             **back.figures("restarted_ready"),
-            "restarted": len(chosen),
+            "restarted": len(restarted),
             "restarted_late": last.late,
             **load,
         }
 
     async def outage(self) -> dict[str, float]:
-        """Make a change just before the store is out, and one after."""
+        """Measure a change just before a store outage, and one after it."""
         load = machine_load()
         before = await self._change()
         await self._deployment.set_store_faults(StoreFaults(outage=OutageMode.REFUSE))
@@ -222,13 +222,13 @@
         return Change(revision=revision, accepted_ms=now_ms())
 
     async def _restart_all(
-        self, chosen: Sequence[Node], killed_ms: dict[str, float]
+        self, restarted: Sequence[Node], killed_ms: dict[str, float]
     ) -> None:
         period_s = self._plan.changes * self._plan.pause_s / 2
-        for node in chosen:
+        for node in restarted:
             killed_ms[node.spec.name] = now_ms()
             self._deployment.restart(node)
-            await trio.sleep(period_s / len(chosen))
+            await trio.sleep(period_s / len(restarted))
 
     def _delays(self, changes: Sequence[Change], nodes: Sequence[Node]) -> Delays:
         logs = [self._events(node) for node in nodes]
--- a/catkinhollow/testbed/demo.py
+++ b/catkinhollow/testbed/demo.py
@@ -1,4 +1,4 @@
-"""Show a deployment under changes and faults, and report what was seen."""
+"""Run a deployment under changes and faults, and report the outcome."""
 
 import json
 from collections.abc import Awaitable, Callable
@@ -31,7 +31,7 @@
 EXAMPLE = Path(__file__).resolve().parent.parent.parent / "examples" / "consortium"
 FAILURE_DOMAINS = ("windhoek-a", "windhoek-b", "windhoek-c")
 TARGETS = {"catalogue": 5, "orders": 3, "stock": 3}
-KINDS = (
+CALL_KINDS = (
     CallKind(
         name="browse",
         method="GET",
@@ -61,13 +61,13 @@
 RATE_PER_S = 150.0
 TARGET_OPTIONS = {"service-ms": "8", "warmup-s": "2"}
 START_LIMIT_S = 15.0
-CHANGES = 8
-CHANGE_PAUSE_S = 0.4
+CHANGE_COUNT = 8
+CHANGE_INTERVAL_S = 0.4
 DOMAIN_OUT_S = 2.5
 DOMAIN_SETTLE_S = 2.0
 MOVE_LIMIT_S = 17.0
 WITHDRAW_LIMIT_S = 17.0
-# The end is written to the store shortly after the deadline at the latest.
+# The final state reaches the store at the latest shortly after the deadline.
 MOVE_GRACE_S = 3.0
 SEED = 20261204
 NOT_RUN = "not run"
@@ -75,7 +75,7 @@
 
 @define
 class DemoReport:
-    """Hold one line for each thing that the demo tried."""
+    """Collect a line for each step and the figures of the demo."""
 
     lines: list[tuple[str, str]] = Factory(list)
     convergence_ms: list[float] = Factory(list)
@@ -83,12 +83,12 @@
     moves_withdrawn: int = 0
 
     def add(self, step: str, result: str) -> None:
-        """Add a line."""
+        """Add the result of a step."""
         self.lines.append((step, result))
 
 
 class Demo:
-    """Run the Consortium's deployment on loopback for about a minute."""
+    """Run the example `consortium` on loopback for about a minute."""
 
     def __init__(self, directory: Path) -> None:
         self._cluster = Cluster(directory, region="windhoek")
@@ -98,15 +98,22 @@
             StoreSettings(address=_address(self._cluster.store))
         )
         self._probe = ConvergenceProbe(directory)
-        self._entries: list[str] = []
+        self._addresses: list[str] = []
 
     async def run(self) -> int:
-        """Run every step, print the report, and return the exit code."""
+        """Run every step, print the report, and return the exit code.
+
+        The code is 1 for lost, duplicate or wrong responses.
+        """
         try:
             await self._start()
             async with trio.open_nursery() as nursery:
                 callers = CallerGroup(
-                    lambda: self._entries, KINDS, RATE_PER_S, Random(SEED), self._log
+                    lambda: self._addresses,
+                    CALL_KINDS,
+                    RATE_PER_S,
+                    Random(SEED),
+                    self._log,
                 )
                 nursery.start_soon(callers.run)
                 await self._run_steps()
@@ -129,7 +136,7 @@
         self._cluster.add(_initial_specs())
         ready = await self._cluster.wait_ready(START_LIMIT_S)
         self._report.add("start 11 targets with daemons", "ok" if ready else "late")
-        self._entries = [node.traffic for node in self._cluster.nodes.values()]
+        self._addresses = [node.traffic for node in self._cluster.nodes.values()]
         await trio.sleep(2.0)
 
     async def _wait_for_store(self) -> None:
@@ -152,22 +159,22 @@
             nursery.start_soon(self._move_to_bad_version)
 
     async def _change_configuration(self) -> None:
-        alive = len(self._cluster.nodes)
-        for change in range(CHANGES):
-            revision = await self._edit_timeout(2000 + change)
+        daemon_count = len(self._cluster.nodes)
+        for change in range(CHANGE_COUNT):
+            revision = await self._write_timeout(2000 + change)
             accepted_ms = self._probe.now_ms()
-            await trio.sleep(CHANGE_PAUSE_S)
+            await trio.sleep(CHANGE_INTERVAL_S)
             if revision is None:
                 self._report.add(f"change {change}", "store refused")
                 continue
-            delays_ms = await self._probe.delays_ms(revision, accepted_ms, alive)
+            delays_ms = await self._probe.delays_ms(revision, accepted_ms, daemon_count)
             self._report.convergence_ms += delays_ms
-            if len(delays_ms) < alive:
-                missing = alive - len(delays_ms)
+            if len(delays_ms) < daemon_count:
+                missing = daemon_count - len(delays_ms)
                 self._report.add(f"change {change}", f"{missing} daemons late")
-        self._report.add("change configuration under load", f"{CHANGES} changes")
+        self._report.add("change configuration under load", f"{CHANGE_COUNT} changes")
 
-    async def _edit_timeout(self, timeout_ms: int) -> int | None:
+    async def _write_timeout(self, timeout_ms: int) -> int | None:
         stored = (await self._store.get(FLEET_KIND, FLEET_NAME)).ok
         fleet = from_plain(stored.value, Fleet).ok
         defaults = evolve(fleet.defaults, timeout_ms=timeout_ms)
@@ -181,7 +188,7 @@
 
     async def _take_domain_out_and_back(self) -> None:
         domain = FAILURE_DOMAINS[1]
-        began_s = trio.current_time()
+        start_s = trio.current_time()
         code = await self._cluster.run_command("domain", "out", domain)
         await trio.sleep(DOMAIN_OUT_S)
         before = await self._executions_in(domain)
@@ -190,7 +197,7 @@
         back = await self._cluster.run_command("domain", "in", domain)
         await trio.sleep(DOMAIN_SETTLE_S)
         returned = await self._executions_in(domain) - before - late
-        served = _served_worth(self._log.between(began_s, trio.current_time()))
+        served = _served_share(self._log.between(start_s, trio.current_time()))
         self._report.add(
             f"take {domain} out and back",
             f"exit {code}/{back}, {late} calls there while out, {returned} after, "
@@ -218,17 +225,17 @@
         self._report.add("move catalogue to v2", state)
 
     async def _move_to_bad_version(self) -> None:
-        began_s = trio.current_time()
+        start_s = trio.current_time()
         faults = {"fault-mode": "fail", "fault-rate": "0.8"}
         state = await self._move("stock", "v2", 3, faults, WITHDRAW_LIMIT_S)
         self._report.moves_withdrawn += state == MoveState.WITHDRAWN
         calls = [
             record
-            for record in self._log.between(began_s, trio.current_time())
+            for record in self._log.between(start_s, trio.current_time())
             if record.kind.name == "check"
         ]
-        bad = sum(record.version == "v2" for record in calls)
-        share = bad / max(1, len(calls))
+        bad_count = sum(record.version == "v2" for record in calls)
+        share = bad_count / max(1, len(calls))
         self._report.add(
             "move stock to a failing v2", f"{state}, answered {share:.1%} of its calls"
         )
@@ -245,7 +252,7 @@
         nodes = self._cluster.add(_specs(service, version, targets, options))
         if not await self._cluster.wait_ready(START_LIMIT_S):
             return f"{NOT_RUN}: the new targets' daemons are not ready"
-        self._add_entries(nodes)
+        self._add_addresses(nodes)
         deadline = datetime.now(UTC) + timedelta(seconds=limit_s)
         code = await self._cluster.run_command(
             "move", "start", service, version, "--by", deadline.isoformat()
@@ -264,8 +271,8 @@
                     state = from_plain(stored.ok.value, Move).ok.state
         return state.value
 
-    def _add_entries(self, nodes: list[Node]) -> None:
-        self._entries += [node.traffic for node in nodes]
+    def _add_addresses(self, nodes: list[Node]) -> None:
+        self._addresses += [node.traffic for node in nodes]
 
     def _print(self, result: AuditReport) -> None:
         for step, outcome in self._report.lines:
@@ -275,7 +282,7 @@
 
 def _summary(report: DemoReport, result: AuditReport) -> dict[str, object]:
     delays_ms = report.convergence_ms
-    cuts = quantiles(delays_ms, n=100) if len(delays_ms) > 1 else None
+    percentiles = quantiles(delays_ms, n=100) if len(delays_ms) > 1 else None
     return {
         "requests": result.requests,
         "lost": result.lost,
@@ -284,8 +291,8 @@
         "false_not_run": result.false_not_run,
         "unknown": result.unknown,
         "convergence_ms": {
-            "p50": round(cuts[49], 1) if cuts else None,
-            "p99": round(cuts[98], 1) if cuts else None,
+            "p50": round(percentiles[49], 1) if percentiles else None,
+            "p99": round(percentiles[98], 1) if percentiles else None,
         },
         "moves_done": report.moves_done,
         "moves_withdrawn": report.moves_withdrawn,
@@ -293,7 +300,7 @@
     }
 
 
-def _served_worth(records: list[CallRecord]) -> float:
+def _served_share(records: list[CallRecord]) -> float:
     total = sum(record.kind.worth for record in records)
     served = sum(
         record.kind.worth for record in records if record.result is CallResult.OK
@@ -330,7 +337,10 @@
 
 
 def run_demo(log_directory: Path | None) -> int:
-    """Run the demo; without a directory the logs are removed afterwards."""
+    """Run the demo and return the exit code.
+
+    Without a directory the logs are removed at the end.
+    """
     if log_directory is not None:
         log_directory.mkdir(parents=True, exist_ok=True)
         return trio.run(Demo(log_directory).run)
--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -1,4 +1,4 @@
-"""Measure the service while a failure domain leaves and returns."""
+"""Measure calls while a failure domain is out of service and returns."""
 
 import os
 from collections import Counter
@@ -37,18 +37,19 @@
 )
 
 DOMAINS = ("domain-a", "domain-b", "domain-c")
-LEAVING = DOMAINS[1]
+REMOVED_DOMAIN = DOMAINS[1]
 ACCEPT_LIMIT_S = 15.0
 KILL_AFTER_S = 1.0
 RESTART_AFTER_S = 0.5
-# The store returns before the failure domain, which needs a write.
-STORE_RETURN_S = 2.0
+# The store outage ends this long before the domain returns, as the return
+# needs a write to the store.
+STORE_RECOVERY_S = 2.0
 SLOTS = 10
 
 
 @frozen(kw_only=True)
-class Moments:
-    """Hold the Unix times of the changes of one run."""
+class DomainTimes:
+    """Represent the Unix times of the changes in one run."""
 
     began_ms: float
     out_ms: float
@@ -56,7 +57,7 @@
     ended_ms: float
 
 
-def make_kinds(fleet: Fleet, rates: dict[str, float]) -> list[CallKind]:
+def make_call_kinds(fleet: Fleet, rates: dict[str, float]) -> list[CallKind]:
     """Return a kind of call for each route and backer."""
     routes: dict[str, list[Route]] = {}
     for route in fleet.routes:
@@ -80,8 +81,12 @@
     ]
 
 
-def find_rates(plan: DomainPlan, targets: dict[str, int]) -> dict[str, float]:
-    """Return the calls a second for the planned use of the slots left."""
+def compute_call_rates(plan: DomainPlan, targets: dict[str, int]) -> dict[str, float]:
+    """Return the calls per second of each service.
+
+    They use the planned share of the slots that remain while the domain is
+    out of service.
+    """
     per_target = SLOTS * plan.use_percent / 100 * 1000 / plan.service_ms
     return {
         service: per_target * sum(index % len(DOMAINS) != 1 for index in range(count))
@@ -90,7 +95,7 @@
 
 
 def served_percent(records: Iterable[CallRecord]) -> float:
-    """Return the share of the worth that was served."""
+    """Return the served share of the calls, weighted by their worth."""
     total = served = 0.0
     for record in records:
         total += record.kind.worth
@@ -99,7 +104,7 @@
 
 
 class DomainRunner:
-    """Take a failure domain out of each deployment and return it."""
+    """Take a failure domain of each deployment out of service and back."""
 
     def __init__(self, experiment: Experiment, plan: DomainPlan) -> None:
         self._experiment = experiment
@@ -109,7 +114,7 @@
         """Record the points of one repeat."""
         for deployment_plan in self._plan.deployments:
             fleet = load_example(deployment_plan.example)
-            rates = find_rates(self._plan, deployment_plan.targets)
+            rates = compute_call_rates(self._plan, deployment_plan.targets)
             specs = _specs(deployment_plan.targets, self._plan.service_ms)
             for variant in self._plan.variants:
                 random = Random(self._experiment.seed + repeat)
@@ -117,7 +122,10 @@
                     nodes = await deployment.start(fleet, specs)
                     measure = _DomainMeasure(deployment, self._plan, nodes)
                     figures = await measure.run(
-                        variant, make_kinds(fleet, rates), sum(rates.values()), random
+                        variant,
+                        make_call_kinds(fleet, rates),
+                        sum(rates.values()),
+                        random,
                     )
                 record(
                     Point(
@@ -130,7 +138,7 @@
 
 
 class _DomainMeasure:
-    """Make one run of one deployment."""
+    """Measure one run of one deployment."""
 
     def __init__(
         self, deployment: Deployment, plan: DomainPlan, nodes: Sequence[Node]
@@ -139,7 +147,9 @@
         self._cluster = deployment.cluster
         self._plan = plan
         self._nodes = nodes
-        self._leaving = [node for node in nodes if node.spec.failure_domain == LEAVING]
+        self._removed_nodes = [
+            node for node in nodes if node.spec.failure_domain == REMOVED_DOMAIN
+        ]
         self._store = open_store(self._cluster)
         self._log = CallLog()
         self._codes: list[int] = []
@@ -151,47 +161,49 @@
         rate_per_s: float,
         random: Random,
     ) -> dict[str, float]:
-        """Return the figures."""
+        """Return the figures of the run."""
         load = os.getloadavg()[0]
-        entries = [node.traffic for node in self._nodes]
-        callers = CallerGroup(lambda: entries, kinds, rate_per_s, random, self._log)
+        addresses = [node.traffic for node in self._nodes]
+        callers = CallerGroup(lambda: addresses, kinds, rate_per_s, random, self._log)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(callers.run)
-            moments = await self._run_changes(variant)
+            times = await self._run_changes(variant)
             callers.stop()
         await self._store.aclose()
-        there = await read_executions(self._cluster, self._leaving)
-        everywhere = await read_executions(self._cluster, self._nodes)
-        report = audit(self._log, [item.request_id for item in everywhere])
+        removed = await read_executions(self._cluster, self._removed_nodes)
+        executions = await read_executions(self._cluster, self._nodes)
+        report = audit(self._log, [item.request_id for item in executions])
         return {
-            **self._served(moments),
-            **reached_figures(there, moments),
-            **_audited(report),
-            **self._refusals(moments),
+            **self._served(times),
+            **compute_reached_figures(removed, times),
+            **_audit_figures(report),
+            **self._refusals(times),
             "commands_failed": sum(code != 0 for code in self._codes),
             "calls_per_s": rate_per_s,
             "load_average": load,
         }
 
-    async def _run_changes(self, variant: DomainVariant) -> Moments:
+    async def _run_changes(self, variant: DomainVariant) -> DomainTimes:
         plan = self._plan
         await trio.sleep(plan.settle_s)
         began_ms = now_ms()
         await trio.sleep(plan.before_s)
-        out_ms = await self._command("out", variant)
-        await self._disturb(variant)
+        out_ms = await self._change_domain("out", variant)
+        await self._inject_fault(variant)
         await trio.sleep(plan.out_s - (now_ms() - out_ms) / 1000)
-        in_ms = await self._command("in", DomainVariant.GRACEFUL)
+        in_ms = await self._change_domain("in", DomainVariant.GRACEFUL)
         await trio.sleep(plan.after_s)
-        return Moments(began_ms=began_ms, out_ms=out_ms, in_ms=in_ms, ended_ms=now_ms())
+        return DomainTimes(
+            began_ms=began_ms, out_ms=out_ms, in_ms=in_ms, ended_ms=now_ms()
+        )
 
-    async def _command(self, direction: str, variant: DomainVariant) -> float:
+    async def _change_domain(self, direction: str, variant: DomainVariant) -> float:
         is_out = direction == "out"
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_command, direction)
             accepted_ms = await wait_accepted(
                 self._store,
-                lambda fleet: (LEAVING in fleet.failure_domains_out) is is_out,
+                lambda fleet: (REMOVED_DOMAIN in fleet.failure_domains_out) is is_out,
                 ACCEPT_LIMIT_S,
             )
             if variant is DomainVariant.STORE_OUT:
@@ -200,10 +212,10 @@
         return accepted_ms
 
     async def _run_command(self, direction: str) -> None:
-        code = await self._cluster.run_command("domain", direction, LEAVING)
+        code = await self._cluster.run_command("domain", direction, REMOVED_DOMAIN)
         self._codes.append(code)
 
-    async def _disturb(self, variant: DomainVariant) -> None:
+    async def _inject_fault(self, variant: DomainVariant) -> None:
         match variant:
             case DomainVariant.DAEMON_KILLED:
                 await trio.sleep(KILL_AFTER_S)
@@ -212,22 +224,22 @@
                 await trio.sleep(RESTART_AFTER_S)
                 self._cluster.start_daemon(node)
             case DomainVariant.STORE_OUT:
-                await trio.sleep(self._plan.out_s - STORE_RETURN_S)
+                await trio.sleep(self._plan.out_s - STORE_RECOVERY_S)
                 await self._deployment.set_store_faults(StoreFaults())
 
     def _between(self, start_ms: float, end_ms: float) -> list[CallRecord]:
-        # Callers stamp their records with the clock of trio.
+        # The records of callers have times of the trio clock.
         offset_ms = now_ms() - trio.current_time() * 1000
         return self._log.between(
             (start_ms - offset_ms) / 1000, (end_ms - offset_ms) / 1000
         )
 
-    def _served(self, moments: Moments) -> dict[str, float]:
+    def _served(self, times: DomainTimes) -> dict[str, float]:
         spans = {
-            "before": (moments.began_ms, moments.out_ms),
-            "during": (moments.out_ms, moments.in_ms),
-            "after": (moments.in_ms, moments.ended_ms),
-            "change": (moments.out_ms, moments.ended_ms),
+            "before": (times.began_ms, times.out_ms),
+            "during": (times.out_ms, times.in_ms),
+            "after": (times.in_ms, times.ended_ms),
+            "change": (times.out_ms, times.ended_ms),
         }
         figures = {}
         for name, span in spans.items():
@@ -236,34 +248,34 @@
             figures[f"calls_{name}"] = len(records)
         return figures
 
-    def _refusals(self, moments: Moments) -> dict[str, float]:
-        # Cold targets refuse calls before the measured time.
+    def _refusals(self, times: DomainTimes) -> dict[str, float]:
+        # Leave out calls before the measured time: cold targets refuse some.
         reasons = Counter(
             f"not run: {record.refusal}" if record.refusal else str(record.result)
-            for record in self._between(moments.began_ms, moments.ended_ms)
+            for record in self._between(times.began_ms, times.ended_ms)
             if record.result is not CallResult.OK
         )
         return {f"calls {reason}": count for reason, count in reasons.items()}
 
 
-def reached_figures(there: Iterable[Execution], moments: Moments) -> dict[str, float]:
-    """Return how late calls reached the domain that left."""
+def compute_reached_figures(
+    removed: Iterable[Execution], times: DomainTimes
+) -> dict[str, float]:
+    """Return how long calls still reached the domain out of service."""
     starts_ms = [
-        item.start_ms
-        for item in there
-        if moments.out_ms < item.start_ms < moments.in_ms
+        item.start_ms for item in removed if times.out_ms < item.start_ms < times.in_ms
     ]
-    last_ms = max(starts_ms, default=moments.out_ms)
+    last_ms = max(starts_ms, default=times.out_ms)
     return {
         "reached_later_than_2_s": sum(
-            start_ms > moments.out_ms + ROUTING_OBJECTIVE_MS for start_ms in starts_ms
+            start_ms > times.out_ms + ROUTING_OBJECTIVE_MS for start_ms in starts_ms
         ),
-        "last_new_call_ms": last_ms - moments.out_ms,
-        "reached_after_return": sum(item.start_ms >= moments.in_ms for item in there),
+        "last_new_call_ms": last_ms - times.out_ms,
+        "reached_after_return": sum(item.start_ms >= times.in_ms for item in removed),
     }
 
 
-def _audited(report: AuditReport) -> dict[str, float]:
+def _audit_figures(report: AuditReport) -> dict[str, float]:
     return {
         "requests": report.requests,
         "lost": report.lost,
@@ -275,7 +287,10 @@
 
 
 def load_example(name: str) -> Fleet:
-    """Return the configuration of an example."""
+    """Return the configuration of an example.
+
+    Raise BenchError if it is not valid.
+    """
     directory = ROOT / "examples" / name
     files = [directory / "fleet.yaml", directory / "routes.yaml"]
     loaded = load_fleet([path for path in files if path.exists()])
--- a/catkinhollow/testbed/experiments.py
+++ b/catkinhollow/testbed/experiments.py
@@ -1,4 +1,4 @@
-"""Read and check the files of experiments."""
+"""Read and validate experiment files."""
 
 from pathlib import Path
 
@@ -17,7 +17,7 @@
 
 @frozen(kw_only=True)
 class NamedExperiment:
-    """Hold a checked experiment and its name."""
+    """Represent a validated experiment and its name."""
 
     name: str
     experiment: Experiment
@@ -31,7 +31,7 @@
 def load_experiment(
     name: str, directory: Path = DIRECTORY
 ) -> Result[NamedExperiment, list[Problem]]:
-    """Return the experiment of a name, or everything wrong with its file."""
+    """Return an experiment by its name, or all problems of its file."""
     if name not in list_experiments(directory):
         known = ", ".join(list_experiments(directory)) or "none"
         return Error([Problem(path="", reason=f"no experiment {name!r}; have {known}")])
@@ -46,10 +46,10 @@
     problems = find_schema_problems(document, "bench.yaml", "Experiment")
     if problems:
         return Error(problems)
-    given = [plan for plan in PLANS if plan in document.value]
-    if len(given) != 1:
+    plans = [plan for plan in PLANS if plan in document.value]
+    if len(plans) != 1:
         reason = f"exactly one of {', '.join(PLANS)} is needed"
-        path = (given[1],) if given else ()
+        path = (plans[1],) if plans else ()
         return Error([document.problem(path, reason)])
     decoded = from_plain(document.value, Experiment)
     if decoded.is_error():
--- a/catkinhollow/testbed/fits.py
+++ b/catkinhollow/testbed/fits.py
@@ -1,4 +1,4 @@
-"""Fit figures against the number of daemons, and carry them on."""
+"""Fit figures to the number of daemons and extrapolate them."""
 
 from collections.abc import Callable, Sequence
 from math import log2
@@ -12,7 +12,7 @@
 
 @frozen(kw_only=True)
 class Fit:
-    """Hold a straight line over a scale of the size."""
+    """Represent a linear fit over a scale of the size."""
 
     scale: str
     slope: float
@@ -25,7 +25,7 @@
 
 
 def fit_all(points: Sequence[tuple[int, float]]) -> list[Fit]:
-    """Return a fit for each scale; none for fewer than three sizes."""
+    """Return a linear fit for each scale, or none for too few sizes."""
     if len({size for size, _ in points}) < MIN_SIZES:
         return []
     return [_fit(scale, points) for scale in SCALES]
--- a/catkinhollow/testbed/fleet_load.py
+++ b/catkinhollow/testbed/fleet_load.py
@@ -1,4 +1,4 @@
-"""Measure what the daemons of a deployment use over a period."""
+"""Measure the resource use of a deployment's daemons over a period."""
 
 import os
 from collections.abc import Mapping, Sequence
@@ -13,7 +13,7 @@
 
 @frozen(kw_only=True)
 class DaemonSample:
-    """Hold the counts of one daemon process."""
+    """Represent the counters of one daemon process."""
 
     pid: int
     cpu_s: float
@@ -22,7 +22,7 @@
 
 @frozen(kw_only=True)
 class FleetSample:
-    """Hold the counts of all daemons and of the store at one moment."""
+    """Represent the counters of all daemons and the store at one time."""
 
     taken_s: float
     daemons: Mapping[str, DaemonSample]
@@ -31,7 +31,7 @@
 
 @frozen(kw_only=True)
 class DaemonLoad:
-    """Hold what one daemon used over a period."""
+    """Represent the resource use of one daemon over a period."""
 
     cpu_s: float
     messages: float
@@ -40,7 +40,7 @@
 
 @frozen(kw_only=True)
 class FleetLoad:
-    """Hold what the daemons used over a period."""
+    """Represent the resource use of the daemons over a period."""
 
     period_s: float
     daemons: Sequence[DaemonLoad]
@@ -57,8 +57,8 @@
 
 
 async def take_sample(deployment: Deployment, nodes: Sequence[Node]) -> FleetSample:
-    """Read the counts of all daemons and of the store."""
-    # Serving the metrics costs CPU, so the CPU is read before.
+    """Read the counters of all daemons and of the store."""
+    # Read the CPU time first, as the daemons use CPU to serve their metrics.
     cpu_s = {node.spec.name: read_cpu_s(deployment.pid(node)) for node in nodes}
     calls = await deployment.store_calls()
     taken_s = perf_counter()
@@ -77,7 +77,7 @@
 
 
 def load_between(before: FleetSample, after: FleetSample) -> FleetLoad:
-    """Return the use of the daemons that ran all the time."""
+    """Return the resource use without daemons that restarted."""
     loads = []
     for name, last in after.daemons.items():
         first = before.daemons[name]
@@ -97,5 +97,5 @@
 
 
 def machine_load() -> dict[str, float]:
-    """Return how busy the machine is."""
+    """Return the load average of the machine."""
     return {"load_average": os.getloadavg()[0]}
--- a/catkinhollow/testbed/hop_bench.py
+++ b/catkinhollow/testbed/hop_bench.py
@@ -1,4 +1,4 @@
-"""Measure the time and the CPU that daemons add to a call."""
+"""Measure the latency and CPU time that daemons add to a call."""
 
 import os
 from collections.abc import Sequence
@@ -23,7 +23,7 @@
 from catkinhollow.testbed.downstream import chain_path
 from catkinhollow.testbed.measures import Recorder, Times, read_cpu_s
 
-CALL_LIMIT_S = 10.0
+CALL_TIMEOUT_S = 10.0
 OK_STATUS = 200
 STEADY = "steady"
 SERIES = (STEADY, "back to back")
@@ -40,7 +40,7 @@
 
 @frozen(kw_only=True)
 class Chain:
-    """Hold the first address of a call, its path and its further steps."""
+    """Describe a call: first address, path, and query with further steps."""
 
     address: str
     path: str
@@ -49,7 +49,7 @@
 
 @define
 class PairTimes:
-    """Collect the times of calls in pairs."""
+    """Collect the times of paired calls, direct and through daemons."""
 
     direct: Times = Factory(Times)
     through: Times = Factory(Times)
@@ -57,13 +57,13 @@
     failed: int = 0
 
     def add(self, direct_s: float, through_s: float) -> None:
-        """Add one pair; a pair without added time counts as 1 us."""
+        """Add one pair; added time below 1 us counts as 1 us."""
         self.direct.add_s(direct_s)
         self.through.add_s(through_s)
         self.added.add_s(max(0.0, through_s - direct_s))
 
     def figures(self, depth: int) -> dict[str, float]:
-        """Return the percentiles, and what one daemon adds."""
+        """Return percentiles, and the added time per daemon."""
         direct, through = self.direct, self.through
         added_p50 = through.percentile_ms(50) - direct.percentile_ms(50)
         added_p99 = through.percentile_ms(99) - direct.percentile_ms(99)
@@ -82,7 +82,7 @@
 
 
 class HopRunner:
-    """Run chains of calls through daemons, paired with direct ones."""
+    """Measure chains of calls through daemons, paired with direct calls."""
 
     def __init__(self, experiment: Experiment, plan: HopPlan) -> None:
         self._experiment = experiment
@@ -99,9 +99,9 @@
                 )
                 measure = _ChainMeasure(deployment, nodes, random)
                 await measure.wait_first()
-                rest_share = await measure.warm_up(self._plan)
+                idle_cpu_share = await measure.warm_up(self._plan)
                 for series in SERIES:
-                    figures = await measure.run(chain, series, rest_share)
+                    figures = await measure.run(chain, series, idle_cpu_share)
                     record(
                         Point(series=series, size=depth, repeat=repeat, figures=figures)
                     )
@@ -109,13 +109,13 @@
 
 
 class _ChainMeasure:
-    """Make the calls of one chain."""
+    """Measure the calls of one chain."""
 
     def __init__(
         self, deployment: Deployment, nodes: Sequence[Node], random: Random
     ) -> None:
         self._random = random
-        # The daemon of the last node has no call to pass on.
+        # The daemon of the last node gets no calls, as its target makes none.
         self._pids = [deployment.pid(node) for node in nodes[:-1]]
         self._depth = len(nodes) - 1
         self._client = HttpTargetClient(HttpSettings())
@@ -124,33 +124,36 @@
         self._through = _chain([node.traffic for node in nodes[:-1]])
 
     async def wait_first(self) -> None:
-        """Wait until the daemons know the targets."""
+        """Wait until a call through the daemons succeeds.
+
+        Raise BenchError if none does in time.
+        """
         with trio.move_on_after(FIRST_CALL_LIMIT_S):
             while await self._call(self._through) is None:
                 await trio.sleep(FIRST_CALL_POLL_S)
             return
-        raise BenchError("no call got through the chain")
+        raise BenchError("no call through the chain succeeded")
 
     async def warm_up(self, plan: HopPlan) -> float:
-        """Return the CPU time of the daemons at rest per second."""
+        """Warm up, and return the CPU time per second of the idle daemons."""
         await self._back_to_back(plan.warmup_pairs, PairTimes())
-        return await self._rest_share(plan.rest_s)
+        return await self._measure_idle_cpu_share(plan.rest_s)
 
     async def run(
-        self, plan: ChainPlan, series: str, rest_share: float
+        self, plan: ChainPlan, series: str, idle_cpu_share: float
     ) -> dict[str, float]:
         """Return the figures of one series."""
         times = PairTimes()
         load = os.getloadavg()[0]
-        cpu_s, began_s = self._cpu_s(), perf_counter()
+        cpu_s, start_s = self._cpu_s(), perf_counter()
         if series == STEADY:
             await self._steady(plan, times)
         else:
             await self._back_to_back(plan.back_to_back_pairs, times)
-        taken_s = perf_counter() - began_s
+        taken_s = perf_counter() - start_s
         cpu_s = self._cpu_s() - cpu_s
         calls = (times.added.count + times.failed) * self._depth
-        net_s = max(0.0, cpu_s - rest_share * taken_s)
+        net_s = max(0.0, cpu_s - idle_cpu_share * taken_s)
         return {
             **times.figures(self._depth),
             "daemon_cpu_per_call_ms": cpu_s * 1000 / calls,
@@ -162,10 +165,10 @@
         """Close the connections."""
         await self._client.aclose()
 
-    async def _rest_share(self, rest_s: float) -> float:
-        cpu_s, began_s = self._cpu_s(), perf_counter()
+    async def _measure_idle_cpu_share(self, rest_s: float) -> float:
+        cpu_s, start_s = self._cpu_s(), perf_counter()
         await trio.sleep(rest_s)
-        return (self._cpu_s() - cpu_s) / (perf_counter() - began_s)
+        return (self._cpu_s() - cpu_s) / (perf_counter() - start_s)
 
     async def _steady(self, plan: ChainPlan, times: PairTimes) -> None:
         due_s = trio.current_time()
@@ -202,10 +205,10 @@
             ],
             body=b"",
         )
-        began_s = perf_counter()
-        attempt = await self._client.send(chain.address, request, CALL_LIMIT_S)
-        taken_s = perf_counter() - began_s
-        return taken_s if attempt.status == OK_STATUS else None
+        start_s = perf_counter()
+        result = await self._client.send(chain.address, request, CALL_TIMEOUT_S)
+        taken_s = perf_counter() - start_s
+        return taken_s if result.status == OK_STATUS else None
 
     def _cpu_s(self) -> float:
         return sum(read_cpu_s(pid) for pid in self._pids)
--- a/catkinhollow/testbed/measures.py
+++ b/catkinhollow/testbed/measures.py
@@ -1,4 +1,4 @@
-"""Measure processes, times and counters for the bench."""
+"""Measure processes, times and counters for the benchmarks."""
 
 import os
 import platform
@@ -17,10 +17,10 @@
 Recorder = Callable[[Point], None]
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-# The histogram library carries no type annotations.
+# The histogram library has no type annotations.
 _hdrh: Any = histogram
 MAX_US = 600_000_000
-DIGITS = 3
+SIGNIFICANT_DIGITS = 3
 US_PER_MS = 1000.0
 US_PER_S = 1_000_000.0
 PERCENTILES = {"p50": 50.0, "p99": 99.0, "max": 100.0}
@@ -30,7 +30,7 @@
     """Collect times in a histogram."""
 
     def __init__(self) -> None:
-        self._histogram = _hdrh.HdrHistogram(1, MAX_US, DIGITS)
+        self._histogram = _hdrh.HdrHistogram(1, MAX_US, SIGNIFICANT_DIGITS)
 
     @property
     def count(self) -> int:
@@ -47,15 +47,15 @@
         return float(value) / US_PER_MS
 
     def figures(self, name: str) -> dict[str, float]:
-        """Return the usual percentiles by name."""
+        """Return the 50th and 99th percentile and the maximum by name."""
         return {
             f"{name}_{label}_ms": self.percentile_ms(percentile)
             for label, percentile in PERCENTILES.items()
         }
 
 
-def spread(name: str, unit: str, values: Iterable[float]) -> dict[str, float]:
-    """Return the median and the extremes of a figure over processes."""
+def median_and_max(name: str, unit: str, values: Iterable[float]) -> dict[str, float]:
+    """Return the median and the maximum of a figure over processes."""
     ordered = sorted(values)
     return {
         f"{name}_median_{unit}": median(ordered),
@@ -64,8 +64,8 @@
 
 
 @frozen(kw_only=True)
-class Usage:
-    """Hold what a process has used and holds."""
+class ProcessUsage:
+    """Represent the CPU time, memory and threads of a process."""
 
     cpu_s: float
     rss_bytes: int
@@ -79,11 +79,11 @@
     return float(times.user + times.system)
 
 
-def read_usage(pid: int) -> Usage:
-    """Return what a process has used and holds."""
+def read_usage(pid: int) -> ProcessUsage:
+    """Return the CPU time, memory and threads of a process."""
     process = psutil.Process(pid)
     memory = process.memory_full_info()
-    return Usage(
+    return ProcessUsage(
         cpu_s=read_cpu_s(pid),
         rss_bytes=memory.rss,
         uss_bytes=memory.uss,
@@ -92,7 +92,7 @@
 
 
 def parse_metrics(text: str) -> Mapping[str, float]:
-    """Return the samples of a metrics page by name and labels."""
+    """Return the samples of a Prometheus text page by name and labels."""
     samples = {}
     for line in text.splitlines():
         if line and not line.startswith("#"):
@@ -102,7 +102,7 @@
 
 
 def read_machine() -> Machine:
-    """Return the machine and how busy it is."""
+    """Return a description of the machine with its load average."""
     return Machine(
         cores=os.cpu_count() or 0,
         memory_bytes=psutil.virtual_memory().total,
@@ -113,7 +113,7 @@
 
 
 def read_commit() -> str:
-    """Return the commit of the code, marked if files differ from it."""
+    """Return the commit of the code, marked if there are local changes."""
     command = ["git", "describe", "--always", "--abbrev=10", "--dirty", "--exclude=*"]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     return done.stdout.strip() or "unknown"
--- a/catkinhollow/testbed/move_bench.py
+++ b/catkinhollow/testbed/move_bench.py
@@ -1,4 +1,4 @@
-"""Measure moves to good and to bad target versions."""
+"""Measure moves to working and to faulty target versions."""
 
 import os
 from collections.abc import Iterable, Sequence
@@ -17,7 +17,7 @@
 from catkinhollow.testbed.cluster import Node, NodeSpec
 from catkinhollow.testbed.daemon_logs import QUARANTINED, read_events
 from catkinhollow.testbed.deployment import BenchError, Deployment, open_deployment
-from catkinhollow.testbed.domain_bench import DOMAINS, load_example, make_kinds
+from catkinhollow.testbed.domain_bench import DOMAINS, load_example, make_call_kinds
 from catkinhollow.testbed.measures import Recorder
 from catkinhollow.testbed.observations import (
     ROUTING_OBJECTIVE_MS,
@@ -30,45 +30,51 @@
 SERVICE = "readings"
 OLD, NEW = "v1", "v2"
 SPLIT_LIMIT_S = 30.0
-# New targets become known and warm before a move is requested.
-PREPARE_S = 3.0
-# The end is written to the store shortly after the deadline at the latest.
+# Time for new targets to be announced and warm before the move starts.
+WARMUP_S = 3.0
+# The final state reaches the store at the latest shortly after the deadline.
 GRACE_S = 5.0
-# Calls go on after the end, to show whether any reach a withdrawn version.
+# Calls continue after the move, to show whether any reach a withdrawn version.
 AFTER_S = 3.0
 POLL_S = 0.1
 SLOW_FACTOR = 10.0
-SERVER_ERROR = 500
+MIN_SERVER_ERROR = 500
 
 
 @frozen(kw_only=True)
 class MoveTrace:
-    """Hold what a move did, as Unix times."""
+    """Represent a move and its executions, with Unix times."""
 
     move: Move
     old: Sequence[Execution]
     new: Sequence[Execution]
     quarantined_ms: Sequence[float]
     slow_ms: float
+    """Duration from which an execution counts as faulty, in milliseconds."""
 
     @property
     def withdrawn_ms(self) -> float:
-        """Return when the first daemon stopped sending calls."""
+        """Return when the first daemon quarantined the version.
+
+        Without a quarantine, return the end of the move.
+        """
         return min(self.quarantined_ms, default=self.move.ended_ms)
 
     @property
     def evidence_ms(self) -> float | None:
-        """Return when the first call of the new version ended badly."""
+        """Return the end of the first faulty call to the new version."""
         return min(
-            (item.end_ms for item in self.new if self._is_bad(item)), default=None
+            (item.end_ms for item in self.new if self._is_faulty(item)), default=None
         )
 
     def figures(self) -> dict[str, float]:
         """Return the figures of the move."""
         move, state = self.move, self.move.state
         ended_ms = move.ended_ms or move.deadline_ms
-        new, old = (self._before_withdrawal(items) for items in (self.new, self.old))
-        bad = [item for item in self.new if self._is_bad(item)]
+        new, old = (
+            self._count_before_withdrawal(items) for items in (self.new, self.old)
+        )
+        faulty = [item for item in self.new if self._is_faulty(item)]
         figures: dict[str, float] = {
             "done": int(state is MoveState.DONE),
             "withdrawn": int(state is MoveState.WITHDRAWN),
@@ -80,35 +86,35 @@
             "calls_before_the_move": sum(
                 item.start_ms < move.started_ms for item in self.new
             ),
-            "struck_calls": len(bad),
+            "struck_calls": len(faulty),
             "daemons_that_quarantined": len(self.quarantined_ms),
         }
         if self.quarantined_ms:
             limit_ms = self.withdrawn_ms + ROUTING_OBJECTIVE_MS
-            figures["later_than_2_s_after_quarantine"] = self._after(limit_ms)
+            figures["later_than_2_s_after_quarantine"] = self._count_after(limit_ms)
         if self.evidence_ms is not None:
             waited_ms = self.withdrawn_ms - self.evidence_ms
             figures["evidence_to_withdrawal_s"] = waited_ms / 1000
             limit_ms = self.evidence_ms + ROUTING_OBJECTIVE_MS
-            figures["later_than_2_s_after_evidence"] = self._after(limit_ms)
+            figures["later_than_2_s_after_evidence"] = self._count_after(limit_ms)
         return figures
 
-    def _before_withdrawal(self, items: Iterable[Execution]) -> int:
+    def _count_before_withdrawal(self, items: Iterable[Execution]) -> int:
         first_ms, last_ms = self.move.started_ms, self.withdrawn_ms
         return sum(first_ms <= item.start_ms <= last_ms for item in items)
 
-    def _after(self, limit_ms: float) -> int:
+    def _count_after(self, limit_ms: float) -> int:
         return sum(item.start_ms > limit_ms for item in self.new)
 
-    def _is_bad(self, item: Execution) -> bool:
+    def _is_faulty(self, item: Execution) -> bool:
         if not item.end_ms:
             return False
         is_slow = item.end_ms - item.start_ms >= self.slow_ms
-        return item.status >= SERVER_ERROR or is_slow
+        return item.status >= MIN_SERVER_ERROR or is_slow
 
 
 class MoveRunner:
-    """Move one service to each sort of version, in fresh deployments."""
+    """Move a service to each version of the plan, in new deployments."""
 
     def __init__(self, experiment: Experiment, plan: MovePlan) -> None:
         self._experiment = experiment
@@ -131,7 +137,7 @@
 
 
 class _MoveMeasure:
-    """Make one move."""
+    """Measure one move."""
 
     def __init__(self, deployment: Deployment, plan: MovePlan, fleet: Fleet) -> None:
         self._deployment = deployment
@@ -141,22 +147,23 @@
         self._store = open_store(self._cluster)
 
     async def run(self, version: FaultPlan, random: Random) -> MoveTrace:
-        """Return what the move did."""
+        """Return the trace of the move."""
         old = await self._deployment.start(self._fleet, self._specs(OLD))
-        entries = [node.traffic for node in old]
+        addresses = [node.traffic for node in old]
         rate_per_s = self._plan.rate_per_s
-        kinds = make_kinds(self._fleet, {SERVICE: rate_per_s})
-        callers = CallerGroup(lambda: entries, kinds, rate_per_s, random, CallLog())
+        kinds = make_call_kinds(self._fleet, {SERVICE: rate_per_s})
+        callers = CallerGroup(lambda: addresses, kinds, rate_per_s, random, CallLog())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(callers.run)
             await trio.sleep(self._plan.settle_s)
-            # A version started before the split is fixed would get calls.
+            # Targets of a new version that start before the service has a
+            # split would get calls.
             await wait_accepted(self._store, _has_split, SPLIT_LIMIT_S)
             new = self._cluster.add(self._specs(NEW))
             await self._deployment.wait_ready(new)
-            entries += [node.traffic for node in new]
-            await trio.sleep(PREPARE_S)
-            await self._request(version, new)
+            addresses += [node.traffic for node in new]
+            await trio.sleep(WARMUP_S)
+            await self._start_move(version, new)
             move = await self._wait_for_end()
             await trio.sleep(AFTER_S)
             callers.stop()
@@ -169,7 +176,7 @@
             slow_ms=self._slow_ms(version),
         )
 
-    async def _request(self, version: FaultPlan, new: Sequence[Node]) -> None:
+    async def _start_move(self, version: FaultPlan, new: Sequence[Node]) -> None:
         faults = TargetFaults(
             mode=FaultMode(version.mode.value),
             rate=version.rate,
@@ -196,7 +203,7 @@
                 if stored.is_ok():
                     move = from_plain(stored.ok.value, Move).ok
         if move is None:
-            raise BenchError("the store did not tell the move")
+            raise BenchError("the store did not return the move")
         return move
 
     def _quarantined_ms(self, nodes: Iterable[Node]) -> list[float]:
--- a/catkinhollow/testbed/report.py
+++ b/catkinhollow/testbed/report.py
@@ -1,4 +1,4 @@
-"""Write a result as a table in Markdown and a plot in SVG."""
+"""Write a benchmark result as Markdown tables and an SVG plot."""
 
 from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
@@ -9,14 +9,14 @@
 
 from catkinhollow.generated.bench import BenchResult
 from catkinhollow.testbed.fits import DESIGN_SIZE, fit_all
-from catkinhollow.testbed.results import Cell, gather
+from catkinhollow.testbed.results import FigureKey, group_values
 
-# The plot library carries no type annotations.
+# The plot library has no type annotations.
 _xy: Any = XY
 
 MEBIBYTE = 1024 * 1024
 
-# Figures of each kind of experiment that share a unit and make one plot.
+# The plotted figures of each kind of experiment; they share a unit.
 PLOTTED = {
     "hop": ("added_p50_per_daemon_ms", "added_p99_per_daemon_ms"),
     "convergence": ("delay_p50_ms", "delay_p99_ms", "last_daemon_median_ms"),
@@ -29,14 +29,14 @@
     ),
     "move": ("reached_percent",),
 }
-# These say how a figure was measured and are no function of the size.
 # Only these kinds measure how a figure grows with the number of daemons.
-FITTED = {"convergence", "rest", "storm"}
-NOT_FITTED = {"load_average", "pairs", "failed", "restarted"}
+FITTED_KINDS = {"convergence", "rest", "storm"}
+# These figures describe the measurement and do not depend on the size.
+UNFITTED_FIGURES = {"load_average", "pairs", "failed", "restarted"}
 
 
 def write_report(result: BenchResult, directory: Path) -> list[Path]:
-    """Write both files and return their paths."""
+    """Write the tables and the plot, and return the paths."""
     text = directory / f"{result.experiment}.md"
     plot = directory / f"{result.experiment}.svg"
     text.write_text(make_markdown(result))
@@ -45,13 +45,13 @@
 
 
 def make_markdown(result: BenchResult) -> str:
-    """Return the tables of a result."""
+    """Return the tables of a result in Markdown."""
     return "\n".join([*_head(result), *_tables(result)]) + "\n"
 
 
 def make_plot(result: BenchResult) -> str:
-    """Return a plot of the main figures against the size."""
-    cells = gather(result.points)
+    """Return an SVG plot of the main figures by size."""
+    grouped = group_values(result.points)
     chart = _xy(
         title=result.settings.description,
         x_title="daemons",
@@ -61,9 +61,9 @@
     for series in _series(result):
         for figure in PLOTTED[kind_of(result)]:
             points = [
-                (cell.size, median(values))
-                for cell, values in sorted(cells.items())
-                if (cell.series, cell.figure) == (series, figure)
+                (key.size, median(values))
+                for key, values in sorted(grouped.items())
+                if (key.series, key.figure) == (series, figure)
             ]
             if points:
                 chart.add(f"{series}: {figure}", points)
@@ -72,7 +72,7 @@
 
 
 def kind_of(result: BenchResult) -> str:
-    """Return the name of the plan that the experiment has."""
+    """Return the kind of the experiment."""
     return next(kind for kind in PLOTTED if getattr(result.settings, kind) is not None)
 
 
@@ -88,7 +88,7 @@
     yield f"- commit: {result.commit}, started {result.started}"
     yield f"- repeats: {settings.repeat}, seed {settings.seed}"
     if not result.complete:
-        yield "- the run did not come to its end"
+        yield "- the run did not complete"
     yield (
         f"- machine: {machine.cores} cores, {machine.memory_bytes / MEBIBYTE:.0f} MiB,"
         f" kernel {machine.kernel}, Python {machine.python}"
@@ -98,37 +98,39 @@
 
 def _tables(result: BenchResult) -> Iterator[str]:
     # The size of a hop experiment is the length of a chain, not of a fleet.
-    cells = gather(result.points)
+    grouped = group_values(result.points)
     for series in _series(result):
-        own = {cell: values for cell, values in cells.items() if cell.series == series}
+        series_values = {
+            key: values for key, values in grouped.items() if key.series == series
+        }
         yield ""
         yield f"## {series}"
         yield ""
         yield "Median over the repeats, with the extremes where they differ."
         yield ""
-        yield from _value_table(own)
-        if kind_of(result) in FITTED:
-            yield from _fit_table(own)
+        yield from _value_table(series_values)
+        if kind_of(result) in FITTED_KINDS:
+            yield from _fit_table(series_values)
 
 
-def _value_table(cells: Mapping[Cell, Sequence[float]]) -> Iterator[str]:
-    sizes = sorted({cell.size for cell in cells})
+def _value_table(grouped: Mapping[FigureKey, Sequence[float]]) -> Iterator[str]:
+    sizes = sorted({key.size for key in grouped})
     yield _row(["figure", *(f"{size} daemons" for size in sizes)])
     yield _row(["---"] + ["---:"] * len(sizes))
-    for figure in _figures(cells):
-        values = [_values(cells, figure, size) for size in sizes]
+    for figure in _figures(grouped):
+        values = [_values(grouped, figure, size) for size in sizes]
         yield _row([figure, *(_summary(item) for item in values)])
 
 
-def _fit_table(cells: Mapping[Cell, Sequence[float]]) -> Iterator[str]:
+def _fit_table(grouped: Mapping[FigureKey, Sequence[float]]) -> Iterator[str]:
     rows = []
-    for figure in _figures(cells):
-        if figure in NOT_FITTED:
+    for figure in _figures(grouped):
+        if figure in UNFITTED_FIGURES:
             continue
         points = [
-            (cell.size, value)
-            for cell, values in cells.items()
-            if cell.figure == figure
+            (key.size, value)
+            for key, values in grouped.items()
+            if key.figure == figure
             for value in values
         ]
         if len({value for _, value in points}) == 1:
@@ -138,7 +140,7 @@
             rows.append(_row([figure, fit.scale, *map(_number, numbers)]))
     if rows:
         yield ""
-        yield f"Straight lines through the repeats, carried to N = {DESIGN_SIZE}:"
+        yield f"Linear fits of the repeats, extrapolated to N = {DESIGN_SIZE}:"
         yield ""
         yield _row(["figure", "scale", "slope", "intercept", "R²", f"at {DESIGN_SIZE}"])
         yield _row(["---", "---"] + ["---:"] * 4)
@@ -149,15 +151,15 @@
     return list(dict.fromkeys(point.series for point in result.points))
 
 
-def _figures(cells: Mapping[Cell, Sequence[float]]) -> list[str]:
-    return list(dict.fromkeys(cell.figure for cell in cells))
+def _figures(grouped: Mapping[FigureKey, Sequence[float]]) -> list[str]:
+    return list(dict.fromkeys(key.figure for key in grouped))
 
 
 def _values(
-    cells: Mapping[Cell, Sequence[float]], figure: str, size: int
+    grouped: Mapping[FigureKey, Sequence[float]], figure: str, size: int
 ) -> Sequence[float]:
-    for cell, values in cells.items():
-        if (cell.figure, cell.size) == (figure, size):
+    for key, values in grouped.items():
+        if (key.figure, key.size) == (figure, size):
             return values
     return []
 
--- a/catkinhollow/testbed/rest_bench.py
+++ b/catkinhollow/testbed/rest_bench.py
@@ -1,4 +1,4 @@
-"""Measure what daemons use while nothing changes."""
+"""Measure the resource use of daemons without calls or changes."""
 
 import trio
 
@@ -9,13 +9,13 @@
     open_deployment,
 )
 from catkinhollow.testbed.fleet_load import load_between, machine_load, take_sample
-from catkinhollow.testbed.measures import Recorder, read_usage, spread
+from catkinhollow.testbed.measures import Recorder, median_and_max, read_usage
 
 MEBIBYTE = 1024 * 1024
 
 
 class RestRunner:
-    """Observe fleets of several sizes at rest."""
+    """Measure idle fleets of several sizes."""
 
     def __init__(self, experiment: Experiment, plan: RestPlan) -> None:
         self._experiment = experiment
@@ -45,12 +45,16 @@
         messages = [daemon.messages / period_s for daemon in used.daemons]
         calls_per_s = used.store_calls / period_s
         return {
-            **spread("cpu", "percent", cpu),
-            **spread("rss", "mib", [usage.rss_bytes / MEBIBYTE for usage in usages]),
-            **spread("uss", "mib", [usage.uss_bytes / MEBIBYTE for usage in usages]),
-            **spread("threads", "count", [usage.threads for usage in usages]),
-            **spread("peer", "bytes_per_s", sent),
-            **spread("peer", "messages_per_s", messages),
+            **median_and_max("cpu", "percent", cpu),
+            **median_and_max(
+                "rss", "mib", [usage.rss_bytes / MEBIBYTE for usage in usages]
+            ),
+            **median_and_max(
+                "uss", "mib", [usage.uss_bytes / MEBIBYTE for usage in usages]
+            ),
+            **median_and_max("threads", "count", [usage.threads for usage in usages]),
+            **median_and_max("peer", "bytes_per_s", sent),
+            **median_and_max("peer", "messages_per_s", messages),
             "store_calls_per_s": calls_per_s,
             "store_calls_per_s_and_daemon": calls_per_s / size,
             **load,
--- a/catkinhollow/testbed/results.py
+++ b/catkinhollow/testbed/results.py
@@ -1,4 +1,4 @@
-"""Read the results of the bench and arrange their points."""
+"""Read benchmark results and group their points."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
@@ -14,8 +14,8 @@
 
 
 @frozen(kw_only=True, order=True)
-class Cell:
-    """Name one figure of one series at one size."""
+class FigureKey:
+    """Identify one figure of one series at one size."""
 
     series: str
     size: int
@@ -23,7 +23,10 @@
 
 
 def read_results(path: Path) -> Result[list[BenchResult], list[Problem]]:
-    """Return the results of a file or of all files in a directory."""
+    """Return the results of a file or of all files in a directory.
+
+    The errors name every file that cannot be read or decoded.
+    """
     files = sorted(path.glob("*.json")) if path.is_dir() else [path]
     results, problems = [], []
     for file in files:
@@ -42,19 +45,19 @@
     return Error(problems) if problems else Ok(results)
 
 
-def gather(points: Iterable[Point]) -> Mapping[Cell, list[float]]:
-    """Return the values of every repeat by figure."""
-    cells: dict[Cell, list[float]] = defaultdict(list)
+def group_values(points: Iterable[Point]) -> Mapping[FigureKey, list[float]]:
+    """Return the values of all repeats by figure."""
+    grouped: dict[FigureKey, list[float]] = defaultdict(list)
     for point in points:
         for figure, value in point.figures.items():
-            cell = Cell(series=point.series, size=point.size, figure=figure)
-            cells[cell].append(value)
-    return cells
+            key = FigureKey(series=point.series, size=point.size, figure=figure)
+            grouped[key].append(value)
+    return grouped
 
 
-def medians(points: Iterable[Point]) -> Mapping[Cell, float]:
+def compute_medians(points: Iterable[Point]) -> Mapping[FigureKey, float]:
     """Return the median over the repeats by figure."""
-    return {cell: median(values) for cell, values in gather(points).items()}
+    return {key: median(values) for key, values in group_values(points).items()}
 
 
 def _problem(path: Path, reason: str) -> Problem:
--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -1,4 +1,4 @@
-"""Inject random faults into running daemons and check the call guarantees.
+"""Inject random faults into running daemons and check the call invariants.
 
 Each daemon of the platform runs as a separate process. The targets, the store
 and the callers run in this process, so that it observes every request, run
--- a/catkinhollow/testbed/soak_ledger.py
+++ b/catkinhollow/testbed/soak_ledger.py
@@ -1,4 +1,4 @@
-"""Check what callers and targets observed against the call guarantees."""
+"""Check the observations of callers and targets against the invariants."""
 
 from collections import Counter, defaultdict
 from math import inf
@@ -33,7 +33,7 @@
 
 
 class SoakLedger:
-    """Record requests, runs and outages, and find violated guarantees."""
+    """Record requests, runs and outages, and find violated invariants."""
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
@@ -88,7 +88,7 @@
         self._stalls.append((begin_s, end_s))
 
     def find_violations(self, last_fault_s: float) -> list[str]:
-        """Return a line for each violated guarantee."""
+        """Return a line for each violated invariant."""
         found: list[str] = []
         for request in self._requests.values():
             found.extend(self._check(request))
--- a/catkinhollow/testbed/storm_bench.py
+++ b/catkinhollow/testbed/storm_bench.py
@@ -1,4 +1,4 @@
-"""Measure the restart of all daemons at once."""
+"""Measure the simultaneous restart of all daemons."""
 
 from collections.abc import Sequence
 
@@ -19,14 +19,14 @@
     open_deployment,
 )
 from catkinhollow.testbed.fleet_load import machine_load
-from catkinhollow.testbed.measures import Recorder, Times, read_cpu_s, spread
+from catkinhollow.testbed.measures import Recorder, Times, median_and_max, read_cpu_s
 
 TIMEOUT_MS = 1500
 MS_PER_S = 1000.0
 
 
 class StormRunner:
-    """Kill all daemons of a fleet and start them again at once."""
+    """Measure a fleet whose daemons are all killed and restarted at once."""
 
     def __init__(self, experiment: Experiment, plan: StormPlan) -> None:
         self._experiment = experiment
@@ -54,19 +54,19 @@
                 await nursery.start(calls.run)
                 for node in nodes:
                     deployment.cluster.start_daemon(node)
-                await self._wait(deployment, nodes, revision, killed_ms)
+                await self._wait_until_ready(deployment, nodes, revision, killed_ms)
                 nursery.cancel_scope.cancel()
             ready = _ready_times(deployment, nodes, revision, killed_ms)
             cpu_s = [read_cpu_s(deployment.pid(node)) for node in nodes]
         return {
             **ready.figures("ready"),
             "not_ready": size - ready.count,
-            **spread("start_cpu", "s", cpu_s),
+            **median_and_max("start_cpu", "s", cpu_s),
             **calls.figures(),
             **load,
         }
 
-    async def _wait(
+    async def _wait_until_ready(
         self,
         deployment: Deployment,
         nodes: Sequence[Node],
@@ -83,7 +83,7 @@
 def _ready_times(
     deployment: Deployment, nodes: Sequence[Node], revision: int, killed_ms: float
 ) -> Times:
-    """Return the time until each daemon was ready with the version."""
+    """Return the times until daemons were ready and enforced the revision."""
     times = Times()
     for node in nodes:
         events = read_events(deployment.log_path(node))
@@ -95,7 +95,7 @@
 
 
 class _CallRates:
-    """Read the counters of the store at an interval."""
+    """Measure the rate of store calls at an interval."""
 
     def __init__(self, deployment: Deployment, interval_s: float) -> None:
         self._deployment = deployment
@@ -107,21 +107,21 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Read the counters until cancelled."""
-        last_s, last = trio.current_time(), await self._read()
+        last_s, last = trio.current_time(), await self._read_count()
         task_status.started()
         while True:
             await trio.sleep(self._interval_s)
-            now_s, calls = trio.current_time(), await self._read()
+            now_s, calls = trio.current_time(), await self._read_count()
             self._peak_per_s = max(self._peak_per_s, (calls - last) / (now_s - last_s))
             self._total += calls - last
             last_s, last = now_s, calls
 
     def figures(self) -> dict[str, float]:
-        """Return the calls of the store."""
+        """Return the peak rate and the number of store calls."""
         return {
             "store_calls_peak_per_s": self._peak_per_s,
             "store_calls": self._total,
         }
 
-    async def _read(self) -> int:
+    async def _read_count(self) -> int:
         return sum((await self._deployment.store_calls()).values())
--- a/tests/testbed/test_bench.py
+++ b/tests/testbed/test_bench.py
@@ -1,4 +1,4 @@
-"""Tests of the decisions of the bench."""
+"""Tests of the computations of the benchmarks."""
 
 import pytest
 from attrs import evolve
@@ -45,7 +45,7 @@
 
 @pytest.mark.parametrize("name", list_experiments())
 def test_experiments_are_valid(name):
-    """Guards against a committed experiment that cannot be run."""
+    """Guards against experiment files that cannot be run."""
     experiment = load_experiment(name).ok.experiment
     assert not name.endswith("-quick") or experiment.limit_s <= 60
 
@@ -60,7 +60,7 @@
         (REST + "storm: {sizes: [3]}\n", 3, "storm"),
     ],
 )
-def test_faulty_experiments_are_refused(tmp_path, text, line, path):
+def test_invalid_experiments_are_rejected(tmp_path, text, line, path):
     """Guards against a mistyped key that silently leaves the default."""
     (tmp_path / "x.yaml").write_text(text)
     [problem] = load_experiment("x", tmp_path).error
@@ -68,8 +68,8 @@
     assert load_experiment("../x", tmp_path).is_error()
 
 
-def test_fits_carry_each_scale_to_the_design_size():
-    """Guards against a slope over the wrong scale."""
+def test_fits_extrapolate_each_scale_to_the_design_size():
+    """Guards against a fit over the wrong scale."""
     linear, _ = fit_all([(10, 21.0), (30, 61.0), (60, 121.0)])
     assert (round(linear.slope, 6), round(linear.intercept, 6)) == (2, 1)
     assert round(linear.at_design_size) == 2801
@@ -81,7 +81,7 @@
 
 
 def test_compare_divides_new_medians_by_old_ones():
-    """Guards against a ratio upside down, and a figure lost in silence."""
+    """Guards against an inverted ratio and a figure that is left out."""
     old = result_of((10, 1.0), (10, 2.0), (10, 9.0), (30, 0.0))
     new = result_of((10, 3.0), (30, 1.0), (60, 1.0))
     small, zero, unmatched = compare([old], [new])
@@ -92,7 +92,7 @@
 
 
 def test_report_shows_repeats_fits_and_an_early_end(tmp_path):
-    """Guards against a report that hides the spread or an incomplete run."""
+    """Guards against a report that omits the range or an incomplete run."""
     points = ((10, 1.0), (10, 2.0), (30, 3.0), (60, 6.0))
     result = result_of(*points, figure="peer_median_bytes_per_s", complete=False)
     (tmp_path / "e.json").write_bytes(encode_json(result))
@@ -100,16 +100,16 @@
     text = (tmp_path / "e.md").read_text()
     assert "| peer_median_bytes_per_s | 1.5 (1 to 2) | 3 | 6 |" in text
     assert "| peer_median_bytes_per_s | N | " in text
-    assert "did not come to its end" in text
+    assert "the run did not complete" in text
     assert "peer_median_bytes_per_s" in (tmp_path / "e.svg").read_text()
     complete = evolve(result, complete=True, points=result.points[:1])
     write_report(complete, tmp_path)
     text = (tmp_path / "e.md").read_text()
-    assert "did not come" not in text and "Straight lines" not in text
+    assert "did not complete" not in text and "Linear fits" not in text
 
 
 def test_compare_command_needs_readable_results(tmp_path, capfd):
-    """Guards against a comparison with an empty or foreign directory."""
+    """Guards against a comparison with no results or invalid ones."""
     (tmp_path / "e.json").write_text("{}")
     assert run(["", "bench", "compare", str(tmp_path), str(tmp_path)]) == 1
     assert run(["", "bench", "report", str(tmp_path / "none")]) == 1
@@ -121,8 +121,8 @@
     assert "1.000" in capfd.readouterr().out
 
 
-def test_delays_count_daemons_that_a_change_did_not_reach(tmp_path):
-    """Guards against a late daemon that is left out of the figures."""
+def test_delays_count_daemons_without_a_change_as_late(tmp_path):
+    """Guards against figures that leave out late daemons."""
     log = tmp_path / "daemon.log"
     log.write_text(
         '{"time_ms":90,"event":"ready","revision":1}\n'
@@ -142,7 +142,7 @@
 
 
 def test_load_leaves_out_daemons_that_restarted():
-    """Guards against counters that begin again and make a cost negative."""
+    """Guards against a negative cost from counters that start at zero."""
 
     def sample(taken_s, *daemons, calls):
         return FleetSample(
@@ -168,8 +168,8 @@
     assert figures["store_calls_per_change"] == 5
 
 
-def test_added_time_is_that_of_one_daemon():
-    """Guards against an added time of the whole chain given for a daemon."""
+def test_added_time_per_daemon_is_a_share_of_the_chain():
+    """Guards against the added time of a chain reported for one daemon."""
     times = PairTimes()
     for _ in range(100):
         times.add(0.001, 0.004)
@@ -179,7 +179,7 @@
 
 
 def test_chain_passes_the_remaining_steps_on():
-    """Guards against a chain that loops or leaves loopback."""
+    """Guards against a chain that repeats a step or leaves loopback."""
     steps = parse_then("127.0.0.1:1/a,127.0.0.1:2/b")
     assert chain_path("/a", steps[1:]) == ("/a", b"then=127.0.0.1:2/b")
     assert parse_then("") == () and chain_path("/a", ()) == ("/a", b"")
@@ -188,8 +188,8 @@
             parse_then(text)
 
 
-def test_metrics_and_results_are_read_back():
-    """Guards against samples whose labels hold spaces, and lost fields."""
+def test_metrics_and_results_are_parsed():
+    """Guards against misread labels with spaces, and lost fields."""
     text = '# HELP a b\na{direction="sent and more"} 3\nb 1.5\n'
     assert parse_metrics(text) == {'a{direction="sent and more"}': 3, "b": 1.5}
     result = result_of((10, 1.0))
--- a/tests/testbed/test_service_bench.py
+++ b/tests/testbed/test_service_bench.py
@@ -8,11 +8,11 @@
 from catkinhollow.generated.testbed import Execution
 from catkinhollow.testbed.callers import CallKind, CallRecord, CallResult
 from catkinhollow.testbed.domain_bench import (
-    Moments,
-    find_rates,
+    DomainTimes,
+    compute_call_rates,
+    compute_reached_figures,
     load_example,
-    make_kinds,
-    reached_figures,
+    make_call_kinds,
     served_percent,
 )
 from catkinhollow.testbed.move_bench import MoveTrace
@@ -40,23 +40,23 @@
 
 
 def test_served_share_is_weighted_by_worth():
-    """Guards against counting calls without their worth."""
+    """Guards against a served share that counts calls without weight."""
     records = [record_of(9, CallResult.OK), record_of(1, CallResult.NOT_RUN)]
     assert served_percent([*records, record_of(0, CallResult.FAILED)]) == 90.0
 
 
-def test_rates_leave_out_the_slots_of_the_leaving_domain():
-    """Guards against a load that leaves no spare capacity."""
+def test_call_rates_exclude_the_slots_of_the_domain_out_of_service():
+    """Guards against a load that the remaining domains cannot serve."""
     plan = DomainPlan(deployments=[], service_ms=500, use_percent=50)
-    assert find_rates(plan, {"a": 3, "b": 5}) == {"a": 20.0, "b": 30.0}
+    assert compute_call_rates(plan, {"a": 3, "b": 5}) == {"a": 20.0, "b": 30.0}
 
 
 @pytest.mark.parametrize("example", ["board", "consortium"])
 def test_kinds_share_the_rate_of_their_service(example):
-    """Guards against routes that take more than their service's rate."""
+    """Guards against routes that exceed the rate of their service."""
     fleet = load_example(example)
     service = fleet.services[0].name
-    kinds = make_kinds(fleet, {service: 20.0})
+    kinds = make_call_kinds(fleet, {service: 20.0})
     assert sum(kind.weight for kind in kinds) == pytest.approx(100 * 20.0)
     assert {kind.name for kind in kinds} == {
         route.name for route in fleet.routes if route.service == service
@@ -65,9 +65,9 @@
 
 def test_new_calls_in_a_domain_that_is_out_are_late_after_2_s():
     """Guards against late calls that are not counted."""
-    moments = Moments(began_ms=0, out_ms=1000, in_ms=9000, ended_ms=9900)
-    there = executions(900, 1500, 3000, 3001, 9000)
-    assert reached_figures(there, moments) == {
+    times = DomainTimes(began_ms=0, out_ms=1000, in_ms=9000, ended_ms=9900)
+    removed = executions(900, 1500, 3000, 3001, 9000)
+    assert compute_reached_figures(removed, times) == {
         "reached_later_than_2_s": 1,
         "last_new_call_ms": 2001,
         "reached_after_return": 1,
@@ -96,7 +96,7 @@
 
 
 def test_figures_of_a_withdrawn_move():
-    """Guards against calls after the evidence that are not counted."""
+    """Guards against late calls after the first fault that are not counted."""
     figures = make_trace().figures()
     assert figures["withdrawn"] and not figures["done"]
     assert figures["took_s"] == 8.0
@@ -108,8 +108,8 @@
     assert figures["later_than_2_s_after_evidence"] == 1
 
 
-def test_slow_calls_are_evidence():
-    """Guards against a slow version whose evidence is not seen."""
+def test_slow_calls_count_as_faulty():
+    """Guards against a slow version that does not count as faulty."""
     slow = executions(2000, taken_ms=300)
     figures = make_trace(new=slow, slow_ms=200).figures()
     assert figures["evidence_to_withdrawal_s"] == pytest.approx(1.7)
@@ -117,6 +117,6 @@
 
 
 def test_figures_are_numbers():
-    """Guards against truth values, which a result cannot be read with."""
+    """Guards against boolean figures, with which a result is not readable."""
     figures = make_trace().figures()
     assert not [name for name, value in figures.items() if isinstance(value, bool)]
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -26,7 +26,7 @@
 
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", CI_SEEDS)
-async def test_daemons_keep_the_call_guarantees_under_faults(seed, tmp_path):
+async def test_daemons_keep_the_call_invariants_under_faults(seed, tmp_path):
     """Guards against lost, duplicate or late requests when faults overlap."""
     soak = Soak(seed, daemons=4, seconds=10.0, directory=tmp_path)
     result = await soak.run()
