--- a/catkinhollow/commands/bench.py
+++ b/catkinhollow/commands/bench.py
@@ -113,8 +113,8 @@
 def _build_row(item: Comparison | Unmatched) -> list[str]:
     from catkinhollow.testbed.compare import Comparison
 
-    cell = item.cell
-    name = [item.experiment, cell.series, str(cell.size), cell.figure]
+    key = item.key
+    name = [item.experiment, key.series, str(key.size), key.figure]
     if not isinstance(item, Comparison):
         return [*name, "", "", "only one side"]
     ratio = "-" if item.ratio is None else f"{item.ratio:.3f}"
--- a/catkinhollow/testbed/compare.py
+++ b/catkinhollow/testbed/compare.py
@@ -16,7 +16,7 @@
     """
 
     experiment: str
-    cell: FigureKey
+    key: FigureKey
     old: float
     new: float
     ratio: float | None
@@ -27,7 +27,7 @@
     """Represent a figure that only one of the results has."""
 
     experiment: str
-    cell: FigureKey
+    key: FigureKey
 
 
 def compare(
@@ -45,14 +45,14 @@
     old: BenchResult, new: BenchResult
 ) -> Iterator[Comparison | Unmatched]:
     before, after = compute_medians(old.points), compute_medians(new.points)
-    for cell in sorted(before.keys() | after.keys()):
-        if cell not in before or cell not in after:
-            yield Unmatched(experiment=old.experiment, cell=cell)
+    for key in sorted(before.keys() | after.keys()):
+        if key not in before or key not in after:
+            yield Unmatched(experiment=old.experiment, key=key)
             continue
         yield Comparison(
             experiment=old.experiment,
-            cell=cell,
-            old=before[cell],
-            new=after[cell],
-            ratio=after[cell] / before[cell] if before[cell] else None,
+            key=key,
+            old=before[key],
+            new=after[key],
+            ratio=after[key] / before[key] if before[key] else None,
         )
