--- a/catkinhollow/testbed/__init__.py
+++ b/catkinhollow/testbed/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the stand-ins and the programs that start processes."""
+"""Provide stand-ins, and run daemons and stand-ins as processes."""
--- a/catkinhollow/testbed/convergence.py
+++ b/catkinhollow/testbed/convergence.py
@@ -45,9 +45,9 @@
     for line in path.read_bytes().splitlines():
         if b'"configuration enforced"' not in line:
             continue
-        entry = _decode(line)
-        if entry.get("revision", 0) >= revision:
-            return float(entry["time_ms"])
+        event = _decode(line)
+        if event.get("revision", 0) >= revision:
+            return float(event["time_ms"])
     return None
 
 
--- a/catkinhollow/testbed/convergence_bench.py
+++ b/catkinhollow/testbed/convergence_bench.py
@@ -115,12 +115,12 @@
             )
             await trio.sleep(plan.settle_s)
             fleet = _FleetMeasure(deployment, nodes, plan, random)
-            await fleet.measure_rest()
-            record_series("plain", await fleet.plain())
+            await fleet.measure_idle()
+            record_series("plain", await fleet.measure_plain())
             if plan.restart_percent:
-                record_series("restarts", await fleet.restarts())
+                record_series("restarts", await fleet.measure_restarts())
             if plan.outage_s:
-                record_series("store outage", await fleet.outage())
+                record_series("store outage", await fleet.measure_outage())
 
 
 class _FleetMeasure:
@@ -138,18 +138,18 @@
         self._plan = plan
         self._random = random
         self._timeout_ms = FIRST_TIMEOUT_MS
-        self._rest: FleetLoad | None = None
+        self._idle_load: FleetLoad | None = None
 
-    async def measure_rest(self) -> None:
+    async def measure_idle(self) -> None:
         """Measure the cost of the daemons without changes."""
         before = await take_sample(self._deployment, self._nodes)
         await trio.sleep(BASELINE_S)
         after = await take_sample(self._deployment, self._nodes)
-        self._rest = load_between(before, after)
+        self._idle_load = load_between(before, after)
 
-    async def plain(self) -> dict[str, float]:
+    async def measure_plain(self) -> dict[str, float]:
         """Measure changes without faults."""
-        assert self._rest is not None
+        assert self._idle_load is not None
         load = machine_load()
         before = await take_sample(self._deployment, self._nodes)
         changes = await self._make_changes()
@@ -158,11 +158,11 @@
         used = load_between(before, after)
         return {
             **self._delays(changes, self._nodes).figures(),
-            **cost_figures(used, self._rest, len(changes)),
+            **cost_figures(used, self._idle_load, len(changes)),
             **load,
         }
 
-    async def restarts(self) -> dict[str, float]:
+    async def measure_restarts(self) -> dict[str, float]:
         """Measure changes while some daemons are killed and restarted."""
         load = machine_load()
         share = self._plan.restart_percent / 100
@@ -192,7 +192,7 @@
             **load,
         }
 
-    async def outage(self) -> dict[str, float]:
+    async def measure_outage(self) -> dict[str, float]:
         """Measure a change just before a store outage, and one after it."""
         load = machine_load()
         before = await self._change()
--- a/catkinhollow/testbed/demo.py
+++ b/catkinhollow/testbed/demo.py
@@ -103,7 +103,7 @@
     async def run(self) -> int:
         """Run every step, print the report, and return the exit code.
 
-        The code is 1 for lost, duplicate or wrong responses.
+        The code is 1 for lost or duplicate calls and for wrong responses.
         """
         try:
             await self._start()
--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -174,10 +174,10 @@
         executions = await read_executions(self._cluster, self._nodes)
         report = audit(self._log, [item.request_id for item in executions])
         return {
-            **self._served(times),
+            **self._served_figures(times),
             **compute_reached_figures(removed, times),
             **_audit_figures(report),
-            **self._refusals(times),
+            **self._refusal_figures(times),
             "commands_failed": sum(code != 0 for code in self._codes),
             "calls_per_s": rate_per_s,
             "load_average": load,
@@ -227,14 +227,14 @@
                 await trio.sleep(self._plan.out_s - STORE_RECOVERY_S)
                 await self._deployment.set_store_faults(StoreFaults())
 
-    def _between(self, start_ms: float, end_ms: float) -> list[CallRecord]:
+    def _records_between(self, start_ms: float, end_ms: float) -> list[CallRecord]:
         # The records of callers have times of the trio clock.
         offset_ms = now_ms() - trio.current_time() * 1000
         return self._log.between(
             (start_ms - offset_ms) / 1000, (end_ms - offset_ms) / 1000
         )
 
-    def _served(self, times: DomainTimes) -> dict[str, float]:
+    def _served_figures(self, times: DomainTimes) -> dict[str, float]:
         spans = {
             "before": (times.began_ms, times.out_ms),
             "during": (times.out_ms, times.in_ms),
@@ -243,16 +243,16 @@
         }
         figures = {}
         for name, span in spans.items():
-            records = self._between(*span)
+            records = self._records_between(*span)
             figures[f"served_{name}_percent"] = served_percent(records)
             figures[f"calls_{name}"] = len(records)
         return figures
 
-    def _refusals(self, times: DomainTimes) -> dict[str, float]:
+    def _refusal_figures(self, times: DomainTimes) -> dict[str, float]:
         # Leave out calls before the measured time: cold targets refuse some.
         reasons = Counter(
             f"not run: {record.refusal}" if record.refusal else str(record.result)
-            for record in self._between(times.began_ms, times.ended_ms)
+            for record in self._records_between(times.began_ms, times.ended_ms)
             if record.result is not CallResult.OK
         )
         return {f"calls {reason}": count for reason, count in reasons.items()}
--- a/catkinhollow/testbed/hop_bench.py
+++ b/catkinhollow/testbed/hop_bench.py
@@ -98,7 +98,7 @@
                     make_fleet(_services(depth), in_flight=IN_FLIGHT), _specs(depth)
                 )
                 measure = _ChainMeasure(deployment, nodes, random)
-                await measure.wait_first()
+                await measure.wait_until_reachable()
                 idle_cpu_share = await measure.warm_up(self._plan)
                 for series in SERIES:
                     figures = await measure.run(chain, series, idle_cpu_share)
@@ -123,7 +123,7 @@
         self._direct = _chain([node.target for node in targets])
         self._through = _chain([node.traffic for node in nodes[:-1]])
 
-    async def wait_first(self) -> None:
+    async def wait_until_reachable(self) -> None:
         """Wait until a call through the daemons succeeds.
 
         Raise BenchError if none does in time.
@@ -136,7 +136,7 @@
 
     async def warm_up(self, plan: HopPlan) -> float:
         """Warm up, and return the CPU time per second of the idle daemons."""
-        await self._back_to_back(plan.warmup_pairs, PairTimes())
+        await self._run_back_to_back(plan.warmup_pairs, PairTimes())
         return await self._measure_idle_cpu_share(plan.rest_s)
 
     async def run(
@@ -147,9 +147,9 @@
         load = os.getloadavg()[0]
         cpu_s, start_s = self._cpu_s(), perf_counter()
         if series == STEADY:
-            await self._steady(plan, times)
+            await self._run_steady(plan, times)
         else:
-            await self._back_to_back(plan.back_to_back_pairs, times)
+            await self._run_back_to_back(plan.back_to_back_pairs, times)
         taken_s = perf_counter() - start_s
         cpu_s = self._cpu_s() - cpu_s
         calls = (times.added.count + times.failed) * self._depth
@@ -170,19 +170,19 @@
         await trio.sleep(rest_s)
         return (self._cpu_s() - cpu_s) / (perf_counter() - start_s)
 
-    async def _steady(self, plan: ChainPlan, times: PairTimes) -> None:
+    async def _run_steady(self, plan: ChainPlan, times: PairTimes) -> None:
         due_s = trio.current_time()
         async with trio.open_nursery() as nursery:
             for _ in range(plan.steady_pairs):
-                nursery.start_soon(self._pair, times)
+                nursery.start_soon(self._call_pair, times)
                 due_s += self._random.expovariate(plan.rate_per_s)
                 await trio.sleep_until(due_s)
 
-    async def _back_to_back(self, pairs: int, times: PairTimes) -> None:
+    async def _run_back_to_back(self, pairs: int, times: PairTimes) -> None:
         for _ in range(pairs):
-            await self._pair(times)
+            await self._call_pair(times)
 
-    async def _pair(self, times: PairTimes) -> None:
+    async def _call_pair(self, times: PairTimes) -> None:
         if self._random.random() < 0.5:
             direct_s = await self._call(self._direct)
             through_s = await self._call(self._through)
@@ -219,11 +219,11 @@
 
 
 def _specs(depth: int) -> list[NodeSpec]:
-    entry = NodeSpec(
+    ingress = NodeSpec(
         name="entry", service="", version="", failure_domain="a", has_target=False
     )
     return [
-        entry,
+        ingress,
         *(
             NodeSpec(
                 name=name,
--- a/catkinhollow/testbed/report.py
+++ b/catkinhollow/testbed/report.py
@@ -17,7 +17,7 @@
 MEBIBYTE = 1024 * 1024
 
 # The plotted figures of each kind of experiment; they share a unit.
-PLOTTED = {
+PLOTTED_FIGURES = {
     "hop": ("added_p50_per_daemon_ms", "added_p99_per_daemon_ms"),
     "convergence": ("delay_p50_ms", "delay_p99_ms", "last_daemon_median_ms"),
     "rest": ("peer_median_bytes_per_s", "peer_max_bytes_per_s"),
@@ -46,7 +46,7 @@
 
 def make_markdown(result: BenchResult) -> str:
     """Return the tables of a result in Markdown."""
-    return "\n".join([*_head(result), *_tables(result)]) + "\n"
+    return "\n".join([*_header_lines(result), *_table_lines(result)]) + "\n"
 
 
 def make_plot(result: BenchResult) -> str:
@@ -58,8 +58,8 @@
         js=[],
         disable_xml_declaration=True,
     )
-    for series in _series(result):
-        for figure in PLOTTED[kind_of(result)]:
+    for series in _list_series(result):
+        for figure in PLOTTED_FIGURES[kind_of(result)]:
             points = [
                 (key.size, median(values))
                 for key, values in sorted(grouped.items())
@@ -73,10 +73,12 @@
 
 def kind_of(result: BenchResult) -> str:
     """Return the kind of the experiment."""
-    return next(kind for kind in PLOTTED if getattr(result.settings, kind) is not None)
+    return next(
+        kind for kind in PLOTTED_FIGURES if getattr(result.settings, kind) is not None
+    )
 
 
-def _head(result: BenchResult) -> Iterator[str]:
+def _header_lines(result: BenchResult) -> Iterator[str]:
     machine = result.machine
     load = ", ".join(f"{value:.1f}" for value in machine.load_average)
     settings = result.settings
@@ -96,10 +98,10 @@
     yield f"- load average at the start: {load}"
 
 
-def _tables(result: BenchResult) -> Iterator[str]:
+def _table_lines(result: BenchResult) -> Iterator[str]:
     # The size of a hop experiment is the length of a chain, not of a fleet.
     grouped = group_values(result.points)
-    for series in _series(result):
+    for series in _list_series(result):
         series_values = {
             key: values for key, values in grouped.items() if key.series == series
         }
@@ -108,23 +110,23 @@
         yield ""
         yield "Median over the repeats, with the extremes where they differ."
         yield ""
-        yield from _value_table(series_values)
+        yield from _value_table_lines(series_values)
         if kind_of(result) in FITTED_KINDS:
-            yield from _fit_table(series_values)
+            yield from _fit_table_lines(series_values)
 
 
-def _value_table(grouped: Mapping[FigureKey, Sequence[float]]) -> Iterator[str]:
+def _value_table_lines(grouped: Mapping[FigureKey, Sequence[float]]) -> Iterator[str]:
     sizes = sorted({key.size for key in grouped})
-    yield _row(["figure", *(f"{size} daemons" for size in sizes)])
-    yield _row(["---"] + ["---:"] * len(sizes))
-    for figure in _figures(grouped):
-        values = [_values(grouped, figure, size) for size in sizes]
-        yield _row([figure, *(_summary(item) for item in values)])
+    yield _format_row(["figure", *(f"{size} daemons" for size in sizes)])
+    yield _format_row(["---"] + ["---:"] * len(sizes))
+    for figure in _list_figures(grouped):
+        values = [_find_values(grouped, figure, size) for size in sizes]
+        yield _format_row([figure, *(_format_values(item) for item in values)])
 
 
-def _fit_table(grouped: Mapping[FigureKey, Sequence[float]]) -> Iterator[str]:
+def _fit_table_lines(grouped: Mapping[FigureKey, Sequence[float]]) -> Iterator[str]:
     rows = []
-    for figure in _figures(grouped):
+    for figure in _list_figures(grouped):
         if figure in UNFITTED_FIGURES:
             continue
         points = [
@@ -137,25 +139,27 @@
             continue
         for fit in fit_all(points):
             numbers = (fit.slope, fit.intercept, fit.r_squared, fit.at_design_size)
-            rows.append(_row([figure, fit.scale, *map(_number, numbers)]))
+            rows.append(_format_row([figure, fit.scale, *map(_format_number, numbers)]))
     if rows:
         yield ""
         yield f"Linear fits of the repeats, extrapolated to N = {DESIGN_SIZE}:"
         yield ""
-        yield _row(["figure", "scale", "slope", "intercept", "R²", f"at {DESIGN_SIZE}"])
-        yield _row(["---", "---"] + ["---:"] * 4)
+        yield _format_row(
+            ["figure", "scale", "slope", "intercept", "R²", f"at {DESIGN_SIZE}"]
+        )
+        yield _format_row(["---", "---"] + ["---:"] * 4)
         yield from rows
 
 
-def _series(result: BenchResult) -> list[str]:
+def _list_series(result: BenchResult) -> list[str]:
     return list(dict.fromkeys(point.series for point in result.points))
 
 
-def _figures(grouped: Mapping[FigureKey, Sequence[float]]) -> list[str]:
+def _list_figures(grouped: Mapping[FigureKey, Sequence[float]]) -> list[str]:
     return list(dict.fromkeys(key.figure for key in grouped))
 
 
-def _values(
+def _find_values(
     grouped: Mapping[FigureKey, Sequence[float]], figure: str, size: int
 ) -> Sequence[float]:
     for key, values in grouped.items():
@@ -164,19 +168,19 @@
     return []
 
 
-def _summary(values: Sequence[float]) -> str:
+def _format_values(values: Sequence[float]) -> str:
     if not values:
         return "-"
-    middle = _number(median(values))
-    low, high = _number(min(values)), _number(max(values))
+    middle = _format_number(median(values))
+    low, high = _format_number(min(values)), _format_number(max(values))
     return middle if low == high else f"{middle} ({low} to {high})"
 
 
-def _number(value: float) -> str:
+def _format_number(value: float) -> str:
     if abs(value) >= 1000:
         return f"{value:.0f}"
     return f"{value:.4g}"
 
 
-def _row(cells: Sequence[str]) -> str:
+def _format_row(cells: Sequence[str]) -> str:
     return f"| {' | '.join(cells)} |"
--- a/catkinhollow/testbed/store_state.py
+++ b/catkinhollow/testbed/store_state.py
@@ -21,7 +21,7 @@
 
 @define
 class _Snapshot:
-    """Hold the objects and tombstones of one revision."""
+    """Represent the objects and tombstones at one revision."""
 
     objects: dict[tuple[str, str], StoredObject]
     revision: int = 0
--- a/tests/testbed/test_bench.py
+++ b/tests/testbed/test_bench.py
@@ -27,7 +27,7 @@
 REST = "description: x\nrest: {sizes: [3]}\n"
 
 
-def result_of(*values, figure="cpu_ms", series="rest", complete=True):
+def make_result(*values, figure="cpu_ms", series="rest", complete=True):
     machine = Machine(cores=1, memory_bytes=1, kernel="k", python="3", load_average=[1])
     return BenchResult(
         experiment="e",
@@ -82,8 +82,8 @@
 
 def test_compare_divides_new_medians_by_old_ones():
     """Guards against an inverted ratio and a figure that is left out."""
-    old = result_of((10, 1.0), (10, 2.0), (10, 9.0), (30, 0.0))
-    new = result_of((10, 3.0), (30, 1.0), (60, 1.0))
+    old = make_result((10, 1.0), (10, 2.0), (10, 9.0), (30, 0.0))
+    new = make_result((10, 3.0), (30, 1.0), (60, 1.0))
     small, zero, unmatched = compare([old], [new])
     assert (small.old, small.new, small.ratio) == (2.0, 3.0, 1.5)
     assert zero.ratio is None
@@ -94,7 +94,7 @@
 def test_report_shows_repeats_fits_and_an_early_end(tmp_path):
     """Guards against a report that omits the range or an incomplete run."""
     points = ((10, 1.0), (10, 2.0), (30, 3.0), (60, 6.0))
-    result = result_of(*points, figure="peer_median_bytes_per_s", complete=False)
+    result = make_result(*points, figure="peer_median_bytes_per_s", complete=False)
     (tmp_path / "e.json").write_bytes(encode_json(result))
     assert run(["", "bench", "report", str(tmp_path)]) == 0
     text = (tmp_path / "e.md").read_text()
@@ -115,7 +115,7 @@
     assert run(["", "bench", "report", str(tmp_path / "none")]) == 1
     (tmp_path / "empty").mkdir()
     assert run(["", "bench", "report", str(tmp_path / "empty")]) == 1
-    (tmp_path / "e.json").write_bytes(encode_json(result_of((10, 2.0))))
+    (tmp_path / "e.json").write_bytes(encode_json(make_result((10, 2.0))))
     capfd.readouterr()
     assert run(["", "bench", "compare", str(tmp_path), str(tmp_path)]) == 0
     assert "1.000" in capfd.readouterr().out
@@ -192,7 +192,7 @@
     """Guards against misread labels with spaces, and lost fields."""
     text = '# HELP a b\na{direction="sent and more"} 3\nb 1.5\n'
     assert parse_metrics(text) == {'a{direction="sent and more"}': 3, "b": 1.5}
-    result = result_of((10, 1.0))
+    result = make_result((10, 1.0))
     assert decode_json(encode_json(result), BenchResult).ok == result
     counters = LinkCounters()
     counters.count_sent(3)
--- a/tests/testbed/test_service_bench.py
+++ b/tests/testbed/test_service_bench.py
@@ -18,7 +18,7 @@
 from catkinhollow.testbed.move_bench import MoveTrace
 
 
-def executions(*starts_ms, status=200, taken_ms=10):
+def make_executions(*starts_ms, status=200, taken_ms=10):
     return [
         Execution(
             request_id=f"r{start_ms}",
@@ -32,7 +32,7 @@
     ]
 
 
-def record_of(worth, result):
+def make_record(worth, result):
     kind = CallKind(name="k", method="GET", path="/", weight=1, worth=worth)
     return CallRecord(
         request_id="r", kind=kind, result=result, status=0, started_s=0, taken_s=0
@@ -41,8 +41,8 @@
 
 def test_served_share_is_weighted_by_worth():
     """Guards against a served share that counts calls without weight."""
-    records = [record_of(9, CallResult.OK), record_of(1, CallResult.NOT_RUN)]
-    assert served_percent([*records, record_of(0, CallResult.FAILED)]) == 90.0
+    records = [make_record(9, CallResult.OK), make_record(1, CallResult.NOT_RUN)]
+    assert served_percent([*records, make_record(0, CallResult.FAILED)]) == 90.0
 
 
 def test_call_rates_exclude_the_slots_of_the_domain_out_of_service():
@@ -66,7 +66,7 @@
 def test_new_calls_in_a_domain_that_is_out_are_late_after_2_s():
     """Guards against late calls that are not counted."""
     times = DomainTimes(began_ms=0, out_ms=1000, in_ms=9000, ended_ms=9900)
-    removed = executions(900, 1500, 3000, 3001, 9000)
+    removed = make_executions(900, 1500, 3000, 3001, 9000)
     assert compute_reached_figures(removed, times) == {
         "reached_later_than_2_s": 1,
         "last_new_call_ms": 2001,
@@ -87,8 +87,11 @@
     )
     trace = MoveTrace(
         move=move,
-        old=executions(*range(1000, 4000, 100)),
-        new=[*executions(900, 2000), *executions(2500, 4000, 6001, status=500)],
+        old=make_executions(*range(1000, 4000, 100)),
+        new=[
+            *make_executions(900, 2000),
+            *make_executions(2500, 4000, 6001, status=500),
+        ],
         quarantined_ms=[4000, 4200],
         slow_ms=float("inf"),
     )
@@ -110,7 +113,7 @@
 
 def test_slow_calls_count_as_faulty():
     """Guards against a slow version that does not count as faulty."""
-    slow = executions(2000, taken_ms=300)
+    slow = make_executions(2000, taken_ms=300)
     figures = make_trace(new=slow, slow_ms=200).figures()
     assert figures["evidence_to_withdrawal_s"] == pytest.approx(1.7)
     assert "evidence_to_withdrawal_s" not in make_trace(new=slow).figures()
