Reword the I/O modules of calls

Dispatcher, egress, exchange, HTTP server, idempotency, ingress, policy and routing say response instead of answer and disconnect instead of gone away; texts that callers or logs get stay. The comment on closing a call now also names calls that their key decided.

--- a/catkinhollow/calls/dispatch.py
+++ b/catkinhollow/calls/dispatch.py
@@ -1,4 +1,4 @@
-"""Carry out what the call router decides."""
+"""Execute the decisions of the call router."""
 
 from collections.abc import Awaitable, Callable
 
@@ -41,14 +41,15 @@
 
 logger = get_logger(__name__)
 
-# Capacity that appears without a release is used at most this much later.
+# Waiting calls use capacity that appears without a release at most this much
+# later.
 WAKE_INTERVAL_S = 0.01
 
 Disconnected = Callable[[], Awaitable[None]]
 
 
 class Dispatcher:
-    """Answer calls: admit, attempt, retry."""
+    """Handle calls: admit them, make attempts and retries."""
 
     def __init__(
         self,
@@ -69,9 +70,9 @@
         self._wake_due = False
 
     async def dispatch(self, request: Request, disconnected: Disconnected) -> Response:
-        """Return the whole answer to the request.
+        """Return the whole response to the request.
 
-        `disconnected` returns when the caller has gone away.
+        `disconnected` returns when the caller has disconnected.
         """
         started_s = self._clock.monotonic()
         begun = self._router.begin(_read_attributes(request), started_s)
@@ -93,11 +94,12 @@
             if key is None or call.route.idempotent:
                 return await self._run(call, request, disconnected)
             backer = request.header(BACKER_HEADER) or b""
-            # No header value has a line break, so that no two pairs are alike.
+            # Header values have no line breaks, so the joined name is unique.
             name = (backer + b"\n" + key).decode("latin-1")
             return await self._run_keyed(call, request, name, disconnected)
         finally:
-            # Reached early only when the caller's task is cancelled.
+            # Ends a call whose task was cancelled or whose key already decided
+            # the response.
             call.close(self._clock.monotonic())
 
     async def _run_keyed(
@@ -174,7 +176,7 @@
                 )
 
     async def _wait(self, call: Call, step: Wait, disconnected: Disconnected) -> bool:
-        """Wait for the call's turn; return False if the caller went away."""
+        """Wait for capacity; return False if the caller disconnected."""
         changed = trio.Event()
         call.on_wait_end(changed.set)
         self._schedule_wake()
--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -1,4 +1,4 @@
-"""Send requests to targets over HTTP connections that are kept open."""
+"""Send requests to targets over persistent HTTP connections."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -45,12 +45,15 @@
     }
 )
 IDLE_EXPIRY_S = 30.0
-CLEAN_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
+REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
 
 
 @frozen(kw_only=True)
 class SendResult:
-    """Hold what one attempt at a target came to."""
+    """Represent the result of one attempt at a target.
+
+    The reason is for logs and empty when the target answered.
+    """
 
     kind: AttemptKind
     response: Response | None = None
@@ -58,12 +61,12 @@
 
     @property
     def status(self) -> int:
-        """Return the status of the answer, 0 when there is none."""
+        """Return the status of the response, 0 without one."""
         return self.response.status if self.response else 0
 
 
 class TargetClient(Protocol):
-    """Send one request to one target and report what is known of it."""
+    """Send single requests to targets."""
 
     async def send(
         self, address: str, request: Request, timeout_s: float
@@ -76,31 +79,31 @@
 
 @define
 class _Connections:
-    """Hold the connections to one target."""
+    """Represent the connections to one target, idle ones and their total."""
 
     idle: list[AsyncHTTP11Connection] = Factory(list)
     count: int = 0
 
 
-def classify_answer(request: Request, answer: Response) -> SendResult:
-    """Return what a whole response says about the request."""
+def classify_response(request: Request, response: Response) -> SendResult:
+    """Return the result of an attempt from a whole response."""
     sent_id = request.header(REQUEST_ID_HEADER)
-    answered_id = answer.header(REQUEST_ID_HEADER)
-    if answered_id is not None and answered_id != sent_id:
+    response_id = response.header(REQUEST_ID_HEADER)
+    if response_id is not None and response_id != sent_id:
         reason = "answer to another request"
         return SendResult(kind=AttemptKind.BROKEN, reason=reason)
-    if answer.header(NOT_RUN_HEADER) == b"1":
-        return SendResult(kind=AttemptKind.REFUSED, response=answer, reason="refused")
-    return SendResult(kind=AttemptKind.ANSWERED, response=answer)
+    if response.header(NOT_RUN_HEADER) == b"1":
+        return SendResult(kind=AttemptKind.REFUSED, response=response, reason="refused")
+    return SendResult(kind=AttemptKind.ANSWERED, response=response)
 
 
 class HttpTargetClient:
-    """Keep a plain list of connections per target, one exchange on each."""
+    """Keep connections per target, each for one request at a time."""
 
     def __init__(
         self,
         settings: HttpSettings,
-        classify: Classify = classify_answer,
+        classify: Classify = classify_response,
         idle_expiry_s: float = IDLE_EXPIRY_S,
     ) -> None:
         self._settings = settings
@@ -125,12 +128,12 @@
                 return SendResult(
                     kind=AttemptKind.NOT_CONNECTED, reason="connect failed"
                 )
-        clean = False
+        reusable = False
         try:
             attempt = await self._exchange(connection, address, request, timeout_s)
-            clean = attempt.kind in CLEAN_KINDS
+            reusable = attempt.kind in REUSABLE_KINDS
         finally:
-            await self._give_back(connections, connection, clean)
+            await self._give_back(connections, connection, reusable)
         return attempt
 
     async def aclose(self) -> None:
@@ -183,10 +186,10 @@
         request: Request,
         timeout_s: float,
     ) -> SendResult:
-        http_request = _to_http(address, request)
+        http_request = _to_http_request(address, request)
         with trio.move_on_after(timeout_s):
             try:
-                return await self._read_answer(connection, http_request, request)
+                return await self._read_response(connection, http_request, request)
             except ConnectionNotAvailable:
                 # httpcore refuses before it writes the first byte.
                 return SendResult(
@@ -197,37 +200,40 @@
                 return SendResult(kind=AttemptKind.BROKEN, reason=reason)
         return SendResult(kind=AttemptKind.TIMEOUT, reason="timeout")
 
-    async def _read_answer(
+    async def _read_response(
         self,
         connection: AsyncHTTP11Connection,
         http_request: HttpRequest,
         request: Request,
     ) -> SendResult:
-        response = await connection.handle_async_request(http_request)
+        http_response = await connection.handle_async_request(http_request)
         limit = self._settings.max_body_bytes
         body = bytearray()
         try:
-            async for part in response.aiter_stream():
+            async for part in http_response.aiter_stream():
                 body += part
                 if len(body) > limit:
                     reason = f"response is larger than {limit} bytes"
                     return SendResult(kind=AttemptKind.BROKEN, reason=reason)
         finally:
-            await response.aclose()
-        headers = [(name.lower(), value) for name, value in response.headers]
-        answer = Response(
-            status=response.status,
+            await http_response.aclose()
+        headers = [(name.lower(), value) for name, value in http_response.headers]
+        response = Response(
+            status=http_response.status,
             headers=end_to_end_headers(headers),
             body=bytes(body),
         )
-        return self._classify(request, answer)
+        return self._classify(request, response)
 
     async def _give_back(
-        self, connections: _Connections, connection: AsyncHTTP11Connection, clean: bool
+        self,
+        connections: _Connections,
+        connection: AsyncHTTP11Connection,
+        reusable: bool,
     ) -> None:
         # A connection whose exchange did not end cleanly may still carry the
-        # answer to the old request, so it is never used again.
-        keep = clean and connection.is_idle() and not _has_extra_data(connection)
+        # response to the old request, so it is never used again.
+        keep = reusable and connection.is_idle() and not _has_extra_data(connection)
         if keep and len(connections.idle) < self._settings.max_idle_connections:
             connections.idle.append(connection)
             return
@@ -237,18 +243,18 @@
 
 
 def _has_extra_data(connection: AsyncHTTP11Connection) -> bool:
-    # Bytes after a whole response would be read as the next one. httpcore
-    # offers no public way to see those that it has already received.
+    # Bytes after a whole response would be read as the next response. httpcore
+    # has no public way to detect those that it has already received.
     received, _ = connection._h11_state.trailing_data
     return bool(received)
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers without those that concern one connection."""
+    """Return the headers without the hop-by-hop headers."""
     return [header for header in headers if header[0] not in HOP_BY_HOP]
 
 
-def _to_http(address: str, request: Request) -> HttpRequest:
+def _to_http_request(address: str, request: Request) -> HttpRequest:
     host, _, port = address.rpartition(":")
     target = request.path.encode()
     if request.query:
--- a/catkinhollow/calls/exchange.py
+++ b/catkinhollow/calls/exchange.py
@@ -1,4 +1,4 @@
-"""Define the requests and responses that pass through a daemon."""
+"""Define the HTTP requests and responses that pass through a daemon."""
 
 from enum import StrEnum
 
@@ -17,7 +17,7 @@
 
 
 class Outcome(StrEnum):
-    """Classify what is known about one attempt."""
+    """Classify what is known about whether a request ran."""
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
@@ -26,7 +26,7 @@
 
 @frozen(kw_only=True)
 class Request:
-    """Hold one request; header names are in lower case."""
+    """Represent one request; header names are in lower case."""
 
     method: str
     path: str
@@ -41,7 +41,7 @@
 
 @frozen(kw_only=True)
 class Response:
-    """Hold one whole response; header names are in lower case."""
+    """Represent one whole response; header names are in lower case."""
 
     status: int
     headers: Headers
@@ -61,13 +61,13 @@
 
 
 def with_header(headers: Headers, name: bytes, value: bytes) -> Headers:
-    """Return the headers with one of them set."""
+    """Return the headers with one of them set or replaced."""
     return [(key, old) for key, old in headers if key != name] + [(name, value)]
 
 
 def request_with_headers(request: Request, headers: Headers) -> Request:
     """Return the request with other headers."""
-    # evolve() of attrs takes over twice as long, and each call needs two.
+    # attrs' evolve() takes over twice as long, and each call needs two copies.
     return Request(
         method=request.method,
         path=request.path,
@@ -85,7 +85,7 @@
 def plain_response(
     status: int, reason: str, headers: Headers | None = None
 ) -> Response:
-    """Return a one-line text response of the daemon itself."""
+    """Return a response with one line of text."""
     return Response(
         status=status,
         headers=[(b"content-type", b"text/plain"), *(headers or [])],
@@ -99,5 +99,5 @@
 
 
 def unknown_response(reason: str) -> Response:
-    """Return the answer to a request whose outcome is unknown."""
+    """Return the response to a request whose outcome is unknown."""
     return plain_response(504, reason, [(OUTCOME_HEADER, b"unknown")])
--- a/catkinhollow/calls/http_server.py
+++ b/catkinhollow/calls/http_server.py
@@ -22,7 +22,7 @@
 Send = Callable[[Message], Awaitable[None]]
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
 
-# Connections that wait to be accepted; a mass restart of callers overruns
+# Connections that wait to be accepted; a mass restart of callers exceeds
 # hypercorn's default of 100.
 BACKLOG = 1024
 DATE_HEADER = b"date"
@@ -38,10 +38,14 @@
     linger_s: float = 0.0,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until shutdown, then let requests finish for at most drain_s."""
+    """Serve until shutdown, then let requests finish for at most drain_s.
 
-    # While lingering, the listener still answers, and each answer closes its
-    # connection; later hypercorn closes idle connections without notice.
+    The listener accepts requests for linger_s after the shutdown began.
+    """
+
+    # While lingering, the listener still responds, and each response closes
+    # its connection; after that, hypercorn closes idle connections without
+    # notice.
     async def trigger() -> None:
         await shutdown.wait()
         await trio.sleep(linger_s)
@@ -58,7 +62,7 @@
 async def read_request(
     scope: Scope, receive: Receive, max_body_bytes: int
 ) -> Result[Request, Response]:
-    """Return the whole request, or the response that refuses it."""
+    """Return the whole request, or the response to an invalid one."""
     chunks: list[bytes] = []
     size = 0
     more = True
@@ -67,7 +71,7 @@
         if message["type"] == "http.disconnect":
             return Error(plain_response(400, "the request body is incomplete"))
         size += len(message.get("body", b""))
-        # Reads an oversized body to its end, because hypercorn stops reading
+        # An oversized body is read to its end, because hypercorn stops reading
         # the connection while the application leaves body parts queued.
         if size <= max_body_bytes:
             chunks.append(message.get("body", b""))
@@ -86,7 +90,7 @@
 
 
 async def send_response(send: Send, response: Response) -> None:
-    """Send a whole response with its length and a date."""
+    """Send a whole response with its length, and a date if it has none."""
     length = (b"content-length", str(len(response.body)).encode())
     headers = [*response.headers, length]
     if response.header(DATE_HEADER) is None:
@@ -102,7 +106,7 @@
 
 
 def json_response(status: int, value: Any) -> Response:
-    """Return a response with a JSON document."""
+    """Return a response with the value encoded as JSON."""
     return Response(
         status=status,
         headers=[(b"content-type", b"application/json")],
@@ -111,13 +115,13 @@
 
 
 async def wait_disconnect(receive: Receive) -> None:
-    """Wait until the client has closed the connection."""
+    """Wait until the client has disconnected."""
     while (await receive())["type"] != "http.disconnect":
         pass
 
 
 class _ServedApp:
-    """Handle what every served application has in common."""
+    """Wrap an application with lifespan and connection handling."""
 
     def __init__(self, app: App, shutdown: trio.Event) -> None:
         self._app = app
@@ -125,15 +129,15 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
+            await _handle_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._app(scope, receive, self._closing_send(send))
         else:
             await send({"type": "websocket.close"})
 
     def _closing_send(self, send: Send) -> Send:
-        # hypercorn closes the connection after a response during shutdown
-        # without saying so; a client that reuses it would lose a request.
+        # During shutdown, hypercorn closes the connection after a response
+        # without announcing it; a client that reuses it would lose a request.
         async def closing_send(message: Message) -> None:
             if message["type"] == "http.response.start" and self._shutdown.is_set():
                 headers = [*message["headers"], (b"connection", b"close")]
@@ -143,7 +147,7 @@
         return closing_send
 
 
-async def _answer_lifespan(receive: Receive, send: Send) -> None:
+async def _handle_lifespan(receive: Receive, send: Send) -> None:
     # Returning before the shutdown message makes hypercorn close its channel
     # while it still sends to it, which stops the server with an error.
     while True:
--- a/catkinhollow/calls/idempotency.py
+++ b/catkinhollow/calls/idempotency.py
@@ -1,4 +1,4 @@
-"""Keep the responses of keyed requests, so that no repeat runs again."""
+"""Store the responses to keyed requests, so that no repeat runs again."""
 
 from collections import OrderedDict
 from collections.abc import Callable
@@ -9,48 +9,48 @@
 from catkinhollow.calls.exchange import Outcome, Response
 
 RETENTION_S = 600.0
-# Bounds that keep the table within a quarter of a daemon's 32 MB.
+# These bounds keep the table within a quarter of a daemon's 32 MB.
 MAX_ENTRIES = 10_000
 MAX_BYTES = 4_000_000
 
 
 @frozen(kw_only=True)
 class Fresh:
-    """Tell the caller to send the request and to finish its key."""
+    """Represent a new key: send the request, then finish the key."""
 
 
 @frozen(kw_only=True)
 class InFlight:
-    """Tell the caller to wait for the request with the same key."""
+    """Represent a key in flight: wait for the request that has it."""
 
 
 @frozen(kw_only=True)
 class Replay:
-    """Give the stored response."""
+    """Represent a finished key whose response is stored."""
 
     response: Response
 
 
 @frozen(kw_only=True)
 class Unknown:
-    """Tell that the request may have run and is not sent again."""
+    """Represent a request that may have run and must not be sent again."""
 
 
 @frozen(kw_only=True)
 class Conflict:
-    """Tell that the key belongs to a different request."""
+    """Represent a key that belongs to a different request."""
 
 
 @frozen(kw_only=True)
 class TableFull:
-    """Tell that no key can be forgotten safely; the request did not run."""
+    """Represent a full table of keys that must be kept: do not send."""
 
 
 Step = Fresh | InFlight | Replay | Unknown | Conflict | TableFull
 
 
 def fingerprint(method: str, path: str, body: bytes) -> bytes:
-    """Return a hash that tells different requests apart; path with query."""
+    """Return a hash of a request; the path includes the query."""
     return xxh3_128_digest(f"{method} {path}\n".encode() + xxh3_128_digest(body))
 
 
@@ -65,7 +65,7 @@
 
 
 class IdempotencyTable:
-    """Hold keyed requests for the retention time, within its bounds."""
+    """Store keyed requests for the retention time, within bounds."""
 
     def __init__(
         self, max_entries: int = MAX_ENTRIES, max_bytes: int = MAX_BYTES
@@ -85,7 +85,7 @@
         return len(self._entries)
 
     def begin(self, key: str, fingerprint: bytes, now_s: float) -> Step:
-        """Decide about a keyed request; `Fresh` puts its key in flight."""
+        """Return how to handle a keyed request; `Fresh` puts it in flight."""
         self._expire(now_s)
         known = self._entries.get(key)
         if known is not None:
@@ -98,13 +98,13 @@
         return Fresh()
 
     def wait(self, key: str, waiter: Callable[[], None]) -> None:
-        """Call the waiter once when the key in flight is finished."""
+        """Register a function to call once when the key is finished."""
         self._entries[key].waiters.append(waiter)
 
     def finish(
         self, key: str, outcome: Outcome, response: Response | None, now_s: float
     ) -> None:
-        """Store what became of the request; forget it if it did not run."""
+        """Store the outcome of a request; remove its key if it did not run."""
         entry = self._entries[key]
         if outcome is Outcome.NOT_RUN:
             del self._entries[key]
@@ -136,8 +136,8 @@
         self._entries[key].response = None
 
     def _drop_oldest(self) -> bool:
-        # Keys whose request may still run, or may have run, are kept. A
-        # dropped one was answered, and the target still knows its key.
+        # Keys of requests that are running or have an unknown outcome are
+        # kept. A dropped key was answered, and the target still knows it.
         for key, entry in self._entries.items():
             if entry.outcome is Outcome.ANSWERED:
                 self._drop_response(key)
@@ -151,7 +151,7 @@
             if now_s - entry.retained_since_s < RETENTION_S:
                 return
             if entry.outcome is None:
-                # A request still in flight is looked at again later.
+                # A request in flight is checked again a retention time later.
                 entry.retained_since_s = now_s
                 self._entries.move_to_end(key)
                 continue
--- a/catkinhollow/calls/ingress.py
+++ b/catkinhollow/calls/ingress.py
@@ -1,4 +1,4 @@
-"""Accept calls over HTTP and answer them."""
+"""Receive calls over HTTP and send their responses."""
 
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -26,12 +26,12 @@
 
 
 class CallHandler(Protocol):
-    """Answer a call."""
+    """Handle a call."""
 
     async def dispatch(
         self, request: Request, disconnected: Callable[[], Awaitable[None]]
     ) -> Response:
-        """Return the whole answer, or any once the caller has gone away."""
+        """Return the whole response, or any after a disconnect."""
 
 
 class TrafficApplication:
@@ -57,7 +57,7 @@
 
 
 def with_request_id(request: Request) -> Request:
-    """Return the request to pass on, with an id of its own if it has none."""
+    """Return the request to forward, with a new id if it has none."""
     headers = end_to_end_headers(request.headers)
     if request.header(REQUEST_ID_HEADER) is None:
         headers.append((REQUEST_ID_HEADER, uuid4().hex.encode()))
--- a/catkinhollow/calls/policy.py
+++ b/catkinhollow/calls/policy.py
@@ -1,4 +1,4 @@
-"""Resolve the values in force for one service and route."""
+"""Resolve the effective settings of one service and route."""
 
 from typing import Any
 
@@ -6,8 +6,8 @@
 
 from catkinhollow.generated.fleet import ExceptionSetting, Fleet, FleetException
 
-# The bounds of the defaults in fleet.yaml. The schema does not bound the value
-# of an exception, because its range depends on the setting.
+# The same bounds as for the defaults in fleet.yaml. The schema does not bound
+# the value of an exception, because its range depends on the setting.
 _BOUNDS: dict[ExceptionSetting, tuple[float, float]] = {
     ExceptionSetting.TIMEOUT_MS: (10, 120_000),
     ExceptionSetting.MAX_ATTEMPTS: (1, 5),
@@ -25,7 +25,7 @@
 
 @frozen(kw_only=True)
 class Policy:
-    """Hold the values in force for the calls of one route."""
+    """Represent the effective settings of the calls of one route."""
 
     timeout_ms: int
     max_attempts: int
--- a/catkinhollow/calls/routing.py
+++ b/catkinhollow/calls/routing.py
@@ -1,4 +1,4 @@
-"""Find the route of a request."""
+"""Match requests to routes."""
 
 from collections import defaultdict
 
@@ -17,12 +17,12 @@
         self._longest = max(prefixes, default=0)
 
     def match(self, method: str, path: str) -> Route | None:
-        """Return the route of a request, if there is one."""
+        """Return the route of a request, or None."""
         routes = self._by_method.get(method)
         if not routes:
             return None
         found = routes.get(path)
-        # Skips the end of a path with many segments that no prefix reaches.
+        # No prefix reaches the part of the path beyond the longest one.
         end = min(len(path), self._longest + 1)
         while found is None:
             end = max(path.rfind("/", 0, end), path.rfind("?", 0, end))
