--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -133,7 +133,7 @@
             attempt = await self._exchange(connection, address, request, timeout_s)
             reusable = attempt.kind in REUSABLE_KINDS
         finally:
-            await self._give_back(connections, connection, reusable)
+            await self._release_connection(connections, connection, reusable)
         return attempt
 
     async def aclose(self) -> None:
@@ -225,7 +225,7 @@
         )
         return self._classify(request, response)
 
-    async def _give_back(
+    async def _release_connection(
         self,
         connections: _Connections,
         connection: AsyncHTTP11Connection,
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -157,7 +157,7 @@
 
     # A connection that has never been used counts as new and not as idle.
     connections.idle.clear()
-    await client._give_back(connections, await _use_once(connection), True)
+    await client._release_connection(connections, await _use_once(connection), True)
     await measure("client and httpcore", call)
 
 
