Rename the start of the suspect timeout in the member table

_confirmed_at_s was also set before a suspicion had enough reporters. It holds the time at which the timeout of a suspect started. A comment says how many reports are needed.

--- a/catkinhollow/mesh/membership.py
+++ b/catkinhollow/mesh/membership.py
@@ -24,6 +24,8 @@
 # watcher may have a broken link to a member that is alive.
 _MIN_REPORTERS = 2
 
+# Of two states at the same incarnation, the one that the schema lists later
+# takes precedence.
 _STATE_PRECEDENCE = {state: rank for rank, state in enumerate(MemberState)}
 _GONE_STATES = (MemberState.DEAD, MemberState.LEFT)
 
@@ -70,7 +72,7 @@
         self._digests = [0] * BUCKET_COUNT
         self._rings = Rings()
         self._enforced_revisions: dict[str, int] = {}
-        self._confirmed_at_s: dict[str, float] = {}
+        self._timeout_started_s: dict[str, float] = {}
         self._gone_at_s: dict[str, float] = {}
         self._store(own, 0.0)
 
@@ -195,7 +197,7 @@
                 self._drop(address)
         deaths = [
             address
-            for address in list(self._confirmed_at_s)
+            for address in list(self._timeout_started_s)
             if self._is_suspect_overdue(address, now_s)
         ]
         for address in deaths:
@@ -205,8 +207,8 @@
 
     def restart_timeouts(self, now_s: float) -> None:
         """Restart the timeout of every suspect after a pause."""
-        for address in self._confirmed_at_s:
-            self._confirmed_at_s[address] = now_s
+        for address in self._timeout_started_s:
+            self._timeout_started_s[address] = now_s
 
     def positions(self, buckets: Iterable[int]) -> list[MemberPosition]:
         """Return the address and hash of each record in the buckets."""
@@ -219,7 +221,11 @@
     def compare(
         self, buckets: Iterable[int], positions: Iterable[MemberPosition]
     ) -> tuple[list[MemberRecord], list[str]]:
-        """Return the records to send and the addresses to request."""
+        """Compare the table with the positions in a peer's table.
+
+        Return the records to send to the peer and the addresses whose records
+        to request from it.
+        """
         theirs = {position.address: position.hash for position in positions}
         ours = {p.address: p.hash for p in self.positions(buckets)}
         changed_records = [
@@ -266,9 +272,9 @@
             self._gone_at_s.pop(address, None)
             self._add_to_digest(record, 1)
         if record.state is MemberState.SUSPECT:
-            self._confirmed_at_s.setdefault(address, now_s)
+            self._timeout_started_s.setdefault(address, now_s)
         else:
-            self._confirmed_at_s.pop(address, None)
+            self._timeout_started_s.pop(address, None)
 
     def _add_to_digest(self, record: MemberRecord, sign: int) -> None:
         bucket = bucket_of(record.address)
@@ -290,8 +296,9 @@
             for watcher in self._rings.predecessors(address)
             if self.is_alive(watcher)
         ]
+        # With fewer than two live watchers, one report is enough.
         needed = min(_MIN_REPORTERS, max(1, len(watchers)))
         if len(self._records[address].suspected_by) < needed:
-            self._confirmed_at_s[address] = now_s
+            self._timeout_started_s[address] = now_s
             return False
-        return now_s - self._confirmed_at_s[address] >= self._suspect_timeout_s
+        return now_s - self._timeout_started_s[address] >= self._suspect_timeout_s
