State floors, retries and delays in the mesh's doc comments

The comments now say how the delay of a refresh follows from its two limits, what the floor is, which peers are skipped, and that absent members and seeds are pinged too. Tests of tests/mesh passed.

--- a/catkinhollow/mesh/dissemination.py
+++ b/catkinhollow/mesh/dissemination.py
@@ -39,6 +39,9 @@
 # other members from a refreshed record. Flooding one record costs each member
 # about 6.6 KB, so a large fleet refreshes one record every 4 s, at 1.6 KB/s. A
 # small fleet can refresh more often: 11 members are all refreshed within 5 s.
+# Each member refreshes its record after a random delay. Its upper limit is the
+# first value times the number of members, or the second value times the square
+# of that number, whichever is smaller.
 _MAX_REFRESH_S_PER_MEMBER = 4.0
 _REFRESH_S_PER_PAIR = 0.04
 
@@ -128,7 +131,7 @@
 
     @property
     def floor(self) -> int:
-        """Return the lowest revision to start serving with."""
+        """Return the lowest revision at which the daemon may become ready."""
         return self._joiner.floor
 
     @property
@@ -203,7 +206,11 @@
         enforced_revision: int | None = None,
         targets: list[TargetRecord] | None = None,
     ) -> list[Command]:
-        """Publish the enforced revision and the targets of this daemon."""
+        """Publish the enforced revision and the targets of this daemon.
+
+        Targets are published immediately, and a revision at the latest after
+        a random delay.
+        """
         if enforced_revision is not None:
             self._table.note_enforced_revision(self._own_address, enforced_revision)
             delay_s = self._random.uniform(0.0, self._max_refresh_delay_s())
--- a/catkinhollow/mesh/failure_detector.py
+++ b/catkinhollow/mesh/failure_detector.py
@@ -20,7 +20,11 @@
 
 
 class FailureDetector:
-    """Ping the successors on the rings and suspect those that are silent."""
+    """Ping the successors on the rings and suspect those that are silent.
+
+    Members that are gone and seeds that are not members are also pinged, one
+    of them at a time, to reach them again after an outage or a partition.
+    """
 
     def __init__(
         self,
@@ -64,7 +68,7 @@
         return list(dict.fromkeys([*successors, *retried]))
 
     def tick(self, now_s: float) -> None:
-        """Send due pings, suspect silent members and expire suspects."""
+        """Send due pings, suspect silent members and declare suspects dead."""
         self._resume_after_pause(now_s)
         if now_s >= self._ping_due_s:
             self._ping_due_s = now_s + self._peers.ping_interval_s
@@ -85,7 +89,11 @@
         self._commands.send(address, ping=ping)
 
     def on_ping(self, envelope: Envelope, ping: Ping, now_s: float) -> None:
-        """Answer a ping, including the floor if the peer is not ready."""
+        """Answer a ping.
+
+        A peer that is not ready also gets its floor: the newest revision that
+        is known to have been enforced at its address.
+        """
         sender = envelope.sender
         self._update_peer(envelope, ping.revision)
         ack = Ack(
--- a/catkinhollow/mesh/flooding.py
+++ b/catkinhollow/mesh/flooding.py
@@ -82,13 +82,16 @@
                     self._pending_for(neighbour, now_s).quarantines.append(quarantine)
 
     def flood_member(self, address: str, now_s: float, *, informed: str = "") -> None:
-        """Queue a changed record of the table for the neighbours."""
+        """Queue a changed record for the neighbours that do not have it."""
         self._table_changed = True
         for neighbour in self._receivers(informed):
             self._pending_for(neighbour, now_s).members.add(address)
 
     def announce(self, revision: int, informed: Iterable[str], now_s: float) -> None:
-        """Queue the revision that can be pulled here for the neighbours."""
+        """Queue the revision that can be pulled here for the neighbours.
+
+        The informed peers already know it and are skipped.
+        """
         for neighbour in self._receivers(*informed):
             self._pending_for(neighbour, now_s).revision = revision
 
@@ -114,7 +117,8 @@
 
     def _receivers(self, *informed: str) -> list[str]:
         # Links outside the rings carry only joins and evidence reports. A
-        # collector of reports has too many such links to flood over all.
+        # daemon that collects evidence reports has too many such links to
+        # flood over all of them.
         rings = self._table.rings
         own_address = self._table.own.address
         ring_neighbours = dict.fromkeys(
