--- a/catkinhollow/control/evidence.py
+++ b/catkinhollow/control/evidence.py
@@ -22,8 +22,10 @@
 FALSE_ALARM_RATE = 0.001
 HORIZON_WINDOWS = 7200
 MAX_ROUTES = 16
-METRICS = 2
-LOG_THRESHOLD = log(HORIZON_WINDOWS * METRICS * (MAX_ROUTES + 1) / FALSE_ALARM_RATE)
+METRIC_COUNT = 2  # failures and slow responses
+LOG_THRESHOLD = log(
+    HORIZON_WINDOWS * METRIC_COUNT * (MAX_ROUTES + 1) / FALSE_ALARM_RATE
+)
 # Upper limit of the evidence from one window. The requests of one second are
 # not independent, as a pause of one target delays all of them, so a single
 # window must not decide.
@@ -31,13 +33,14 @@
 
 # Fractions of the requests that succeed with the old version and fail (or are
 # slow) with the new one. A difference below half of the smallest value counts
-# as equal. Slow answers vary more, because new targets start cold.
+# as equal. The number of slow responses varies more, because new targets start
+# cold.
 FAILURE_EFFECT_SIZES = (0.05, 0.15, 0.4, 0.9)
 SLOW_EFFECT_SIZES = (0.15, 0.4, 0.8)
 
 # Requests of the new version, in total and per route, after which it counts as
 # good. In 1,000 trials each with this number of requests, no version with 10
-# percentage points more failures or 30 points more slow answers was missed,
+# percentage points more failures or 30 points more slow responses was missed,
 # but 5 % were missed with 40 points more failures on only one route that gets
 # 5 % of the traffic.
 MIN_REQUESTS = 400
@@ -87,7 +90,7 @@
         return 100.0 * self.events / self.requests if self.requests else 0.0
 
     def estimate(self) -> float:
-        """Return the rate, weighted with the prior for few requests."""
+        """Return the rate, which is close to the prior for few requests."""
         events = self.events + PRIOR_RATE * PRIOR_REQUESTS
         return min(0.99, events / (self.requests + PRIOR_REQUESTS))
 
@@ -145,6 +148,8 @@
         factory=lambda: _RateComparison(FAILURE_EFFECT_SIZES)
     )
     slow: _RateComparison = field(factory=lambda: _RateComparison(SLOW_EFFECT_SIZES))
+    # Requests of the new version in the current step, and of both versions in
+    # all windows.
     new_requests: int = 0
     requests: int = 0
 
@@ -159,6 +164,8 @@
         self._failures = _ChangeDetector(len(FAILURE_EFFECT_SIZES))
         self._slow = _ChangeDetector(len(SLOW_EFFECT_SIZES))
         self._bad: Verdict | None = None
+        # Here the requests are windows and the events are milliseconds of
+        # latency.
         self._demand = _DecayingCounts()
 
     @property
@@ -173,14 +180,18 @@
 
     @property
     def verdict(self) -> Verdict:
-        """Return the conclusion from all windows so far."""
+        """Return the conclusion from all windows so far.
+
+        A version that is bad stays bad. Any other is good once the current
+        step has had enough requests.
+        """
         if self._bad:
             return self._bad
         kind = VerdictKind.GOOD if self._has_enough_requests() else VerdictKind.CONTINUE
         return Verdict(kind=kind)
 
     def start_step(self) -> None:
-        """Count the required requests anew at a new share of the traffic."""
+        """Reset the new version's request counts for a new traffic share."""
         for route in self._routes.values():
             route.new_requests = 0
 
