--- a/catkinhollow/control/controller.py
+++ b/catkinhollow/control/controller.py
@@ -42,7 +42,11 @@
 
 
 class Controller:
-    """Acquire the lease while preferred, and drive moves while holding it."""
+    """Acquire the lease while preferred, and drive moves while holding it.
+
+    A daemon is preferred while it is ready and its member table elects it as
+    the controller.
+    """
 
     def __init__(
         self,
--- a/catkinhollow/control/lease.py
+++ b/catkinhollow/control/lease.py
@@ -38,6 +38,7 @@
 class _Term:
     epoch: int
     renewed_s: float
+    # Time at which each unconfirmed write was issued, by its renewals field.
     sent_s: dict[int, float] = field(factory=dict)
 
 
@@ -72,7 +73,11 @@
         return now_s - self._term.renewed_s < self._settings.stop_deciding_s
 
     def next_command(self, now_s: float, *, preferred: bool) -> LeaseCommand | None:
-        """Return the next store call, if one is due."""
+        """Return the next store call, if one is due.
+
+        A daemon that is not preferred for the lease ends its term immediately
+        and releases the lease.
+        """
         if self._term and not preferred:
             self._term = None
             self._releasing = True
@@ -85,10 +90,10 @@
             return None
         if self._must_read or self._observed is None:
             return ReadLease()
-        return self._write_or_wait(self._observed, now_s, preferred=preferred)
+        return self._choose_command(self._observed, now_s, preferred=preferred)
 
     def on_read(self, now_s: float, lease: Lease | None, revision: int) -> None:
-        """Handle a read of the lease, None if the store has none."""
+        """Handle a read of the lease, which is None if the store has none."""
         self._must_read = False
         observed = lease or Lease(holder=NO_HOLDER, epoch=0)
         if self._observed is None or self._observed.revision != revision:
@@ -120,7 +125,7 @@
         self._must_read = True
         self._next_call_s = now_s + RETRY_DELAY_S
 
-    def _write_or_wait(
+    def _choose_command(
         self, observed: _ObservedLease, now_s: float, *, preferred: bool
     ) -> LeaseCommand:
         if self._releasing and not preferred:
