--- a/catkinhollow/control/move_requests.py
+++ b/catkinhollow/control/move_requests.py
@@ -54,7 +54,9 @@
 ) -> Result[Move, UpdateError]:
     """Create the move unless one is running for the service.
 
-    The time is Unix time in milliseconds.
+    The time is Unix time in milliseconds. The error is a conflict if a move
+    is running, EditRefused if the request does not fit the stored split or
+    leaves less than MIN_MOVE_MS, or the error of the store.
     """
     if request.deadline_ms - now_ms < MIN_MOVE_MS:
         min_s = MIN_MOVE_MS // 1000
@@ -85,7 +87,11 @@
 
 
 async def cancel_move(store: StoreClient, service: str) -> Result[Move, UpdateError]:
-    """Request that the controller returns the traffic to the old version."""
+    """Request that the controller returns the traffic to the old version.
+
+    The error is EditRefused if there is no running move, or the error of the
+    store.
+    """
     for _ in range(CANCEL_ATTEMPTS):
         stored = await read_move(store, service)
         if stored.is_error():
@@ -109,7 +115,11 @@
 async def read_move(
     store: StoreClient, service: str
 ) -> Result[StoredMove, UpdateError]:
-    """Return the latest move of a service."""
+    """Return the latest move of a service.
+
+    The error is EditRefused if there is none or it is not valid, or the error
+    of the store.
+    """
     stored = await _read(store, service)
     if stored.is_error():
         return Error(stored.error)
@@ -119,7 +129,7 @@
 
 
 async def list_moves(store: StoreClient) -> Result[list[Move], UpdateError]:
-    """Return the latest move of each service."""
+    """Return the latest move of each service, sorted by service name."""
     listed = await store.list_objects(MOVES_KIND)
     if listed.is_error():
         return Error(listed.error)
@@ -135,7 +145,11 @@
 async def wait_for_end(
     store: StoreClient, service: str, on_change: Callable[[Move], None]
 ) -> Result[Move, UpdateError]:
-    """Wait for the end of the latest move of a service and return the move."""
+    """Wait for the end of the latest move of a service and return the move.
+
+    Pass each new state of the move to on_change. An unavailable store is an
+    error only after MAX_OUTAGE_S.
+    """
     last_read_s = trio.current_time()
     last: Move | None = None
     seen_revision = 0
--- a/catkinhollow/control/move_runner.py
+++ b/catkinhollow/control/move_runner.py
@@ -28,7 +28,7 @@
 
 logger = get_logger(__name__)
 
-# While there is no move, only one of this number of passes reads the store.
+# While there is no move, the store is read once in this number of passes.
 IDLE_PASSES = 3
 # Other writers of config/fleet are rare, so an immediate retry is likely to
 # succeed.
--- a/catkinhollow/control/moves.py
+++ b/catkinhollow/control/moves.py
@@ -30,8 +30,9 @@
     start_fraction: float
 
 
-# The share stays at 1 % until there is enough evidence, so that a version
-# that is bad from the start gets less than 2 % of the traffic.
+# The share stays at 1 % for 35 % of the schedule, and longer without enough
+# evidence, so that a version that is bad from the start gets less than 2 % of
+# the traffic.
 STEPS = (
     Step(0.0, 0.0),
     Step(1.0, 0.0),
@@ -74,7 +75,8 @@
     def supported_percent(self, demand_slots: float, utilization: float) -> float:
         """Return the percentage of the service's load that fits the targets.
 
-        The demand is the service's number of requests in flight.
+        The demand is the service's number of requests in flight. The
+        utilization is the fraction of the slots that may be in use.
         """
         slots = utilization * (self.ready_slots + COLD_SLOT_WEIGHT * self.cold_slots)
         if slots <= 0:
@@ -148,7 +150,11 @@
         self._epoch = epoch
 
     def observe(self, counts: Iterable[VersionCounts]) -> Quarantine | None:
-        """Add one window and return a quarantine if the version is bad."""
+        """Add the counts of one window.
+
+        Return a quarantine when they show for the first time that the version
+        is bad.
+        """
         if self._bad_reason or self._move.state != MoveState.RUNNING:
             return None
         self._evidence.observe(counts)
@@ -164,7 +170,10 @@
         )
 
     def withdraw(self, reason: str) -> None:
-        """Withdraw the version for the given reason."""
+        """Withdraw the version for a reason that another component found.
+
+        If the driver already has a reason, that one is kept.
+        """
         self._bad_reason = self._bad_reason or reason
 
     def next_command(self, now_ms: int, capacity: Capacity) -> MoveCommand | None:
@@ -199,7 +208,7 @@
             self._step_started_ms = now_ms
 
     def on_split_seen(self, split: list[VersionWeight], revision: int) -> None:
-        """Rewrite the split if a later configuration differs from it."""
+        """Write the split again if a later configuration differs from it."""
         if revision > self._split_revision and split != desired_split(self._move):
             self._split_confirmed = False
 
