--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -70,7 +70,7 @@
 
 
 def test_older_view_does_not_start_an_ended_move_again():
-    """Guards against a split derived from an outdated answer of the store."""
+    """Guards against a split derived from an outdated list of moves."""
     simulation = ControllerSimulation(count=1)
     simulation.start_move(60)
     while simulation.move.state != MoveState.DONE:
@@ -82,7 +82,7 @@
 
 
 def test_daemon_that_is_preferred_again_drives_the_same_move():
-    """Guards against a move that stalls after two elections in a row."""
+    """Guards against a move that stalls after its daemon is elected again."""
     simulation = ControllerSimulation(count=1)
     simulation.start_move(60)
     simulation.run_all(3)
@@ -114,7 +114,7 @@
 
 
 async def test_run_ends_a_move_and_logs_it_once(autojump_clock, nursery, caplog):
-    """Guards against tasks that do not wake, and lost or repeated events."""
+    """Guards against tasks that do not wake and an end not logged once."""
     caplog.set_level("INFO", "absl")
     simulation = ControllerSimulation(count=0)
     timer = Timer(TrioClock())
--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -193,8 +193,11 @@
         informed.mesh.table._enforced_revisions[ADDRESSES[4]] = 1
 
 
-def test_joins_are_admitted_at_a_bounded_rate_and_told_the_floor():
-    """Guards against a seed that sends its table to all daemons at once."""
+def test_join_replies_are_rate_limited_and_contain_the_floor():
+    """Guards against a seed that sends its table to all daemons at once.
+
+    Also guards against a joiner that does not learn its floor from the reply.
+    """
     network, (seed, *_) = make_small_fleet()
     seed.mesh.table.note_enforced_revision("joiner", 9)
     seed.mesh.link_up("joiner", network.now_s)
--- a/tests/mesh/test_membership.py
+++ b/tests/mesh/test_membership.py
@@ -47,7 +47,11 @@
 
 
 def test_death_needs_two_reporters_and_expires():
-    """Guards against deaths by one broken link, and dead that return."""
+    """Guards against a death declared because of a single broken link.
+
+    Also guards against a dead member that is added again after its record
+    has expired.
+    """
     table = make_table()
     assert table.suspect("m1", 0.0)
     assert not table.expire(100.0)
@@ -63,7 +67,10 @@
 
 
 def test_restart_with_equal_incarnation_replaces_the_predecessor():
-    """Guards against two processes with one incarnation from the clock."""
+    """Guards against successive processes with the same incarnation.
+
+    Both take it from the clock, which can give them the same value.
+    """
     table = make_table()
     assert table.merge(evolve(make_member("m0"), version=4), 0.0)
     assert (table.own.incarnation, table.own.state) == (2, MemberState.ALIVE)
