Clarify the shutdown and retry constants of the relay daemon

The comment on the retry budget did not say that a repeated run makes its calls again, and the one on ACCEPT_REQUESTS_S did not begin with what the constant limits.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -52,8 +52,8 @@
 logger = get_logger(__name__)
 
 # Share of the fleet's retry budget that is used for retries by the daemons.
-# The rest is left for the calls of repeated runs, which are made through
-# other ingress daemons.
+# The rest is left for the calls that a repeated run makes again, which go
+# through other ingress daemons.
 RETRY_BUDGET_SHARE = 0.4
 # Idle connections to the target are not reused after this time, well before
 # the target closes them.
@@ -61,9 +61,9 @@
 # Minimum time of a shutdown. The platform checks readiness once per second and
 # needs two failed checks.
 MIN_DRAIN_S = 2.2
-# Callers that still send requests after this time, although the instance is
-# not ready, are refused, so that no request is open at the end of the
-# shutdown; most requests take less than 2 s.
+# Time of a shutdown after which the requests of callers that keep sending,
+# although the instance is not ready, are refused. Most requests take less than
+# 2 s, so that none is open at the end of the shutdown.
 ACCEPT_REQUESTS_S = 3.0
 # Time of a shutdown during which the gate still accepts calls.
 GATE_DRAIN_DELAY_S = 1.9
@@ -74,7 +74,7 @@
 CONTROL_DRAIN_S = 0.2
 RELOAD_INTERVAL_S = 2.0
 CLEANUP_INTERVAL_S = 5.0
-# Minimum interval of statuses that report failures of a new version.
+# Minimum time between statuses that report failures of a new version.
 FAILURE_REPORT_INTERVAL_S = 0.15
 
 
