Name the difference limit across failure domains

OTHER_DOMAIN_LASTING_S did not say what lasts; it is now CROSS_DOMAIN_DIFFERENCE_S. It is used in this module only.

--- a/catkinhollow/relay/documents.py
+++ b/catkinhollow/relay/documents.py
@@ -18,9 +18,10 @@
 LASTING_DIFFERENCE_S = 0.5
 # The same limit for peers in another failure domain: traffic between failure
 # domains is expensive, and a nearby peer usually has the document as well.
-OTHER_DOMAIN_LASTING_S = 1.0
-# Differences observed further apart do not count as lasting. Peers send 12
-# statuses/s or, in a small fleet, one status per second each.
+CROSS_DOMAIN_DIFFERENCE_S = 1.0
+# Differences observed further apart than this do not count as one lasting
+# difference. Peers send 12 statuses/s or, in a small fleet, one status per
+# second each.
 MAX_OBSERVATION_GAP_S = 2.0
 # Minimum time between requests, so that not every peer sends the same change.
 MIN_REQUEST_INTERVAL_S = 0.25
@@ -48,7 +49,7 @@
         self._difference_seen_s = now_s
         self._differs_since_s = min(self._differs_since_s, now_s)
         min_difference_s = (
-            LASTING_DIFFERENCE_S if same_domain else OTHER_DOMAIN_LASTING_S
+            LASTING_DIFFERENCE_S if same_domain else CROSS_DOMAIN_DIFFERENCE_S
         )
         lasting = (
             own == EMPTY_DIGEST or now_s - self._differs_since_s >= min_difference_s
