Clarify the comments on links, peers and the store follower

The module comment of links said that a push socket blocks, but the code sends without blocking and gets TryAgain. Describe when disconnected_s is infinity, and that the follower also writes this daemon's record.

--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -1,9 +1,10 @@
 """Transport frames between daemons over nng.
 
 Each daemon has one pull socket for all incoming frames and one push socket per
-peer. A push socket keeps the order of frames and blocks instead of dropping
-them. The polyamorous pair socket of `catkinhollow.mesh.peers` has a queue of
-two messages per peer and drops frames in a burst of calls.
+peer. A push socket keeps the order of frames and drops none: if its queue is
+full, a send blocks, or raises TryAgain with `block=False`. The polyamorous
+pair socket of `catkinhollow.mesh.peers` has a queue of two messages per peer
+and drops frames in a burst of calls.
 """
 
 from collections import deque
@@ -22,7 +23,7 @@
 
 logger = get_logger(__name__)
 
-# pynng carries no type annotations.
+# pynng has no type annotations.
 _nng: Any = pynng
 
 # Frames that nng queues for a slow peer; further frames wait in the backlog.
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -22,7 +22,7 @@
     sent_since_report: int = 0
     """Calls sent after the report, which does not include them."""
     disconnected_s: float = inf
-    """When the last link to it went down, infinity before that."""
+    """When the last link to it went down, infinity if none has done so."""
     last_called_s: float = -inf
     """When this daemon last chose its target for a call."""
 
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -42,7 +42,7 @@
 
 
 class StoreFollower:
-    """Pass each change of the followed kinds to a callback."""
+    """Pass changes of the followed kinds on; maintain this daemon's record."""
 
     def __init__(
         self,
