Explain idle timeouts, split credits and accepted refusals

Say why empty data is passed to the parser, why initial credits are random, that status 421 is accepted without the not-run header, and that cancel also sets Submission.answered.

--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -42,6 +42,7 @@
     on_answer: Callable[[Answer], None]
     cancel_scope: trio.CancelScope = field(factory=trio.CancelScope)
     answered: bool = False
+    """Whether the call has been answered or no longer needs an answer."""
 
 
 class GateService:
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -240,7 +240,10 @@
                 reason = "the request did not arrive in time"
                 return _InvalidRequest(plain_response(408, reason))
             if self._exchanges:
+                # A connection with open requests is not idle.
                 return None
+        # Empty data, after an idle timeout or a disconnect, tells the parser
+        # that the connection has ended.
         self._parser.receive_data(data)
         return None
 
--- a/catkinhollow/relay/routes.py
+++ b/catkinhollow/relay/routes.py
@@ -77,8 +77,8 @@
             del self._states[name]
 
     def _create_state(self, parts: tuple[WeightedService, ...]) -> _SplitState:
-        # Random credits, so that daemons that start together do not choose
-        # the same sequence. Their shares over a short time would then deviate
-        # in the same direction.
+        # With equal initial credits, daemons that start together would choose
+        # the same sequence, and their shares over a short time would all
+        # deviate in the same direction.
         credits = [self._random.uniform(0.0, part.weight) for part in parts]
         return _SplitState(parts=parts, credits=credits)
--- a/catkinhollow/relay/target_responses.py
+++ b/catkinhollow/relay/target_responses.py
@@ -9,8 +9,9 @@
 from catkinhollow.relay.header_names import HeaderNames
 
 SUCCESS_STATUSES = range(200, 300)
-# Callers conclude from these that the request has not run, which only the
-# not-run header of the target can guarantee.
+# Callers conclude from these statuses that the request has not run. Except for
+# MISDIRECTED_STATUS, which is accepted without a header, only the not-run
+# header of the target can guarantee that.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
