Clarify the timeouts of the platform's store client

The keepalive comment could be read as a peer becoming silent within 3 s. The path suffix of a listing is a query string, so its variable is named query.

--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -22,11 +22,12 @@
 # The watch of each kind occupies one connection while it waits; writes use
 # others.
 MAX_CONNECTIONS = 10
-# The store answers within milliseconds, or some hundred when it is slow.
+# The store answers within milliseconds, a slow store within some hundred
+# milliseconds.
 CALL_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
-# TCP keepalive probes close a connection whose peer has become silent within
-# 3 s, although a watch may wait for half a minute.
+# TCP keepalive closes a connection within 3 s after its peer has become
+# silent, although a watch may wait for half a minute.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -70,9 +71,9 @@
     async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
         """Return all objects of a kind."""
         objects: list[StoredObject] = []
-        after = ""
+        query = ""
         while True:
-            path = f"/{STORE_KINDS[kind]}{after}"
+            path = f"/{STORE_KINDS[kind]}{query}"
             read = await self._call("GET", path, None, ObjectPage)
             if read.is_error():
                 return Error(read.error)
@@ -80,7 +81,7 @@
             objects.extend(_to_stored_object(kind, item) for item in page.items)
             if not page.has_more or not page.items:
                 break
-            after = f"?after={quote(page.items[-1].metadata.name, safe='')}"
+            query = f"?after={quote(page.items[-1].metadata.name, safe='')}"
         return Ok(ObjectList(revision=page.at_rev, objects=objects, complete=True))
 
     async def watch(
