Name variables of the relay tests after their values

Some local names were vague or left over from renamed classes. Doc strings that said 'ends on' say 'crashes on'. No assertion changes.

--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -93,7 +93,7 @@
 
 
 async def test_malformed_announcement_is_refused():
-    """Guards against a daemon that ends on bytes that cannot be decoded."""
+    """Guards against a daemon that crashes on bytes that cannot be decoded."""
     app = AnnouncementApplication(Listener(), "stock")
     assert await send_request(app, "PUT", "/instances/i-1", b"\xff\x00") == 400
 
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -94,7 +94,7 @@
 
 
 async def test_failed_responses_are_returned_as_errors(nursery):
-    """Guards against a daemon that ends on an error of the store."""
+    """Guards against a daemon that crashes on an error of the store."""
     _, store = make_store(nursery, (409, ORDER), (200, b"{broken"), (503, {}))
     kinds = [(await store.get("orders", "stock")) for _ in range(3)]
     assert all(isinstance(result, Result) and result.is_error() for result in kinds)
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -132,16 +132,16 @@
     """Guards against answers lost by a restart of the gate's daemon."""
     await start_pair(fleet, kind="unsafe")
     fleet.members["two"].target.run_time_s = 0.5
-    answers = []
+    statuses = []
 
-    async def order():
-        answers.append((await fleet.call("one", "c1", method="POST")).status)
+    async def send_post():
+        statuses.append((await fleet.call("one", "c1", method="POST")).status)
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(order)
+        nursery.start_soon(send_post)
         await fleet.wait_until(lambda: fleet.members["two"].target.runs)
         fleet.members["two"].stop.set()
-    assert answers == [200]
+    assert statuses == [200]
     # The target is healthy, so its gate is used until shortly before the end.
     assert (await fleet.call("one", "c2", method="POST")).status == 200
     gate = fleet.members["two"].daemon.gate
@@ -164,8 +164,10 @@
         directory.replace_all([*known, record])
         fleet.members[name].daemon.network.update_links()
     await fleet.wait_until(lambda: three.ready, 8.0)
-    two = fleet.members["two"].settings.peer
-    await fleet.wait_until(lambda: three.directory.by_address(two).accepts_calls)
+    two_address = fleet.members["two"].settings.peer
+    await fleet.wait_until(
+        lambda: three.directory.by_address(two_address).accepts_calls
+    )
     assert (await fleet.call("three", "c1")).status == 200
 
 
@@ -224,7 +226,7 @@
         while not one.stopped.is_set():
             request_id = f"{caller}-{len(statuses)}"
             try:
-                answer = await fleet.call("one", request_id)
+                response = await fleet.call("one", request_id)
             except ConnectError:
                 return
             except (NetworkError, RemoteProtocolError):
@@ -232,7 +234,7 @@
                 # no fault if no target has run it.
                 aborted.append(request_id)
                 return
-            statuses.append(answer.status)
+            statuses.append(response.status)
             await trio.sleep(0.01)
 
     async with trio.open_nursery() as nursery:
--- a/tests/relay/test_relay_moves.py
+++ b/tests/relay/test_relay_moves.py
@@ -147,8 +147,10 @@
     old, new = make_fleet()
     policy = VersionPolicy(Random(1))
     policy.set_orders([make_order(percent=15.0)])
-    taken = sum(policy.candidates("stock", old + new)[0] in new for _ in range(1000))
-    assert 140 <= taken <= 160
+    new_picks = sum(
+        policy.candidates("stock", old + new)[0] in new for _ in range(1000)
+    )
+    assert 140 <= new_picks <= 160
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/test_relay_parts.py
+++ b/tests/relay/test_relay_parts.py
@@ -109,15 +109,15 @@
     """Guards against transfers during a series of changes every 0.33 s."""
     comparison = DigestComparison()
     for change in range(1, 20):
-        late_s = 0.33 * change
+        changed_s = 0.33 * change
         assert not comparison.is_due(
-            own=change, other=change + 1, now_s=late_s, same_domain=True
+            own=change, other=change + 1, now_s=changed_s, same_domain=True
         )
         assert not comparison.is_due(
-            own=change, other=change + 1, now_s=late_s + 0.05, same_domain=True
+            own=change, other=change + 1, now_s=changed_s + 0.05, same_domain=True
         )
         assert not comparison.is_due(
-            own=change + 1, other=change + 1, now_s=late_s + 0.1, same_domain=True
+            own=change + 1, other=change + 1, now_s=changed_s + 0.1, same_domain=True
         )
 
 
@@ -179,21 +179,21 @@
     assert "older" in find_error(make_configuration(3), 4)
     unknown = make_configuration(routes=[make_route(service="none")])
     assert "unknown service" in find_error(unknown, -1)
-    bare = make_configuration(routes=[make_route(path_prefix="/a")])
-    assert "slash" in find_error(bare, -1)
+    without_slash = make_configuration(routes=[make_route(path_prefix="/a")])
+    assert "slash" in find_error(without_slash, -1)
 
 
 def test_document_that_cannot_be_decoded_is_refused():
     """Guards against a peer of another release that crashes this daemon."""
-    check = DocumentValidator()
+    validator = DocumentValidator()
     for kind in ("configuration", "daemons", "orders", "evacuations", "novel"):
         broken = Document(name=f"{kind}/x", revision=5, body=b"\xc1 nothing")
-        assert not check.accepts(broken), kind
+        assert not validator.accepts(broken), kind
     body = encode_message(make_configuration(3))
     configuration = Document(name="configuration/main", revision=6, body=body)
-    assert check.accepts(configuration)
-    check.set_version(4)
-    assert not check.accepts(configuration)
+    assert validator.accepts(configuration)
+    validator.set_version(4)
+    assert not validator.accepts(configuration)
 
 
 def test_retry_advice_fits_the_time_left_and_is_spread():
--- a/tests/relay/test_request_server.py
+++ b/tests/relay/test_request_server.py
@@ -18,16 +18,16 @@
         self.started = []
         self.disconnected_paths = []
 
-    async def __call__(self, request, disconnected):
+    async def __call__(self, request, wait_for_disconnect):
         self.started.append((trio.current_time(), request.method, request.path))
         with trio.move_on_after(float(request.path[1:])):
-            await disconnected()
+            await wait_for_disconnect()
             self.disconnected_paths.append(request.path)
         return plain_response(200, request.path)
 
 
-def head(path, method="GET", more=""):
-    return f"{method} {path} HTTP/1.1\r\nhost: x\r\n{more}\r\n".encode()
+def head(path, method="GET", header_lines=""):
+    return f"{method} {path} HTTP/1.1\r\nhost: x\r\n{header_lines}\r\n".encode()
 
 
 @pytest.fixture
@@ -101,7 +101,7 @@
     ("data", "status"),
     [
         (b"\x00\x01 nothing\r\n\r\n", b"400"),
-        (head("/0.1", more="x: " + "y" * 4000)[:-4], b"431"),
+        (head("/0.1", header_lines="x: " + "y" * 4000)[:-4], b"431"),
         (head("/0.1", "POST", "content-length: 9000\r\n") + b"x" * 9000, b"413"),
         (b"GET /0.1 HTTP/1.1\r\nhost: x\r\n", b"408"),
         (head("/0.1", "POST", "content-length: 9\r\n") + b"x", b"408"),
@@ -176,7 +176,9 @@
     """Guards against a run of a request that its caller will repeat."""
     handler, _, open_connection = connect
     client = open_connection()
-    await client.send_all(head("/0.5", more="connection: close\r\n") + head("/0.1"))
+    await client.send_all(
+        head("/0.5", header_lines="connection: close\r\n") + head("/0.1")
+    )
     response = await read_all(client)
     assert response.endswith(b"/0.5\n")
     assert [path for _, _, path in handler.started] == ["/0.5"]
--- a/tests/relay/test_target_responses.py
+++ b/tests/relay/test_target_responses.py
@@ -34,7 +34,7 @@
     ],
 )
 def test_response_is_classified_by_its_headers(status, headers, kind):
-    """Guards against the response to another request, and false refusals."""
+    """Guards against false refusals and responses to other requests."""
     request = Request(method="GET", path="/a", query=b"", headers=[ID], body=b"")
     response = Response(status=status, headers=headers, body=b"")
     assert make_classifier(NAMES)(request, response).kind is kind
