Clarify the conditions of store writes and fleet edits

State when a read is stale, when the outcome of a write is uncertain, which edits TakeDomainOut refuses and which versions the watcher reports. Restore the reason of MIN_LIVE_SEEDS: not every restart causes a store write. Reword the error after repeated conflicts.

--- a/catkinhollow/configuration/editing.py
+++ b/catkinhollow/configuration/editing.py
@@ -29,7 +29,8 @@
     def can_reapply(self, before: Fleet, now: Fleet) -> bool:
         """Return whether the edit may be repeated after a concurrent change.
 
-        The other writer changed the stored configuration from before to now.
+        before is the configuration read at the first attempt, now the one that
+        other writers have stored since then.
         """
 
 
@@ -41,7 +42,7 @@
     may_create: bool = True
 
     def edit(self, stored: Fleet) -> Result[Fleet, EditRefused]:
-        """Return the files' configuration with the stored runtime state."""
+        """Combine the files with the stored splits and failure_domains_out."""
         splits = {service.name: service.split for service in stored.services}
         edited = evolve(
             self.files,
@@ -60,7 +61,12 @@
 
 @frozen
 class TakeDomainOut:
-    """Take a failure domain out of service."""
+    """Take a failure domain out of service.
+
+    known_domains are the failure domains that have members. Without force, the
+    edit is refused if it would leave none of them in service; if no domain is
+    known, it is not refused.
+    """
 
     name: str
     known_domains: frozenset[str] = frozenset()
@@ -101,7 +107,10 @@
 
 
 def _without_runtime_state(fleet: Fleet) -> Fleet:
-    """Return the configuration without what moves and operators set."""
+    """Return the configuration without splits and failure_domains_out.
+
+    Moves and operators set these while the fleet runs.
+    """
     return evolve(
         fleet,
         services=[evolve(service, split=[]) for service in fleet.services],
--- a/catkinhollow/configuration/fleet_updates.py
+++ b/catkinhollow/configuration/fleet_updates.py
@@ -91,7 +91,7 @@
             return Ok(FleetUpdate(before=before, after=after))
         if written.error.kind is not StoreErrorKind.CONFLICT:
             return Error(written.error)
-    reason = f"lost {MAX_ATTEMPTS} conflicts with other changes in a row"
+    reason = f"the write conflicted with other changes {MAX_ATTEMPTS} times in a row"
     return Error(StoreError(kind=StoreErrorKind.CONFLICT, reason=reason))
 
 
--- a/catkinhollow/configuration/http_store.py
+++ b/catkinhollow/configuration/http_store.py
@@ -67,7 +67,7 @@
 class _CallFailed:
     """Report a call without a usable response.
 
-    request_sent tells whether the store may have received the request.
+    request_sent is true if the store may have received the request.
     """
 
     reason: str
@@ -158,6 +158,8 @@
         )
 
     async def _write(self, write: _Write) -> Result[StoredObject, StoreError]:
+        # True once an attempt may have taken effect. The error of a later
+        # attempt then does not show the outcome, so the object is read.
         uncertain = False
         for _ in range(MAX_WRITE_ATTEMPTS):
             result = await self._send_write(write)
--- a/catkinhollow/configuration/lost_write.py
+++ b/catkinhollow/configuration/lost_write.py
@@ -23,8 +23,9 @@
     """Return the outcome of the write, or None if it did not take effect.
 
     current is the object as read after the response was lost. newest_known
-    is the newest revision that the store has reported; a read that returns a
-    lower revision is stale and leaves the outcome unknown.
+    is the newest revision that the store has reported. A read is stale and
+    leaves the outcome unknown if its revision is lower than newest_known or
+    than the revision that the write expected.
     """
     if current.writer_id == intent.writer_id:
         return Ok(current)
--- a/catkinhollow/configuration/seeds.py
+++ b/catkinhollow/configuration/seeds.py
@@ -13,8 +13,8 @@
 # A joining daemon needs one address that answers. With 16 the list stays
 # usable through many minutes of restarts.
 MAX_SEEDS = 16
-# The list is rewritten only if fewer of its addresses are alive, so that a
-# single restart causes no store write.
+# The list is rewritten only if fewer of its addresses are alive, so that not
+# every restart causes a store write.
 MIN_LIVE_SEEDS = 8
 
 
--- a/catkinhollow/configuration/watcher.py
+++ b/catkinhollow/configuration/watcher.py
@@ -28,8 +28,8 @@
 class StoreWatcher:
     """Watch the fleet configuration and offer new versions while elected.
 
-    on_answer receives the revision of each version from the store that is not
-    invalid, or 0 if the store holds no configuration.
+    on_answer receives the revision of each version from the store that is
+    accepted or stale. read_once passes 0 to it if there is no configuration.
     """
 
     def __init__(
@@ -122,7 +122,8 @@
             return
         offered = self._offer(Snapshot(revision=stored.revision, fleet=decoded.ok))
         # An invalid version is not reported as an answer, so that joining
-        # daemons can serve the last valid version instead of waiting for it.
+        # daemons serve the last valid version instead of waiting for the
+        # invalid one.
         if offered.is_ok() or offered.error.kind is RejectionKind.STALE:
             self._on_answer(stored.revision)
 
--- a/tests/configuration/test_http_store.py
+++ b/tests/configuration/test_http_store.py
@@ -90,6 +90,7 @@
     state.set_faults(faults)
     state.writers.clear()
     async with trio.open_nursery() as nursery:
+        # Requests that the client has given up on may take effect later.
         nursery.start_soon(trio.sleep, 20)
         if has_other_writer:
             nursery.start_soon(call_later, 1.0, state.write_as_other)
