Clarify names and events of daemon and root modules

Rename HEALTHY_STATUS to HTTP_OK, as control requests are checked against it too, and the parameter service of a status row to service_state. Begin all event doc comments with 'Signal that'.

--- a/catkinhollow/daemon/supervisor.py
+++ b/catkinhollow/daemon/supervisor.py
@@ -19,7 +19,7 @@
 
 logger = get_logger(__name__)
 
-HEALTHY_STATUS = 200
+HTTP_OK = 200
 
 
 class ControlAction(StrEnum):
@@ -100,5 +100,5 @@
                 response = await self._pool.request(method, f"http://{address}{path}")
             except (NetworkError, ProtocolError, TimeoutException):
                 return False
-            return response.status == HEALTHY_STATUS
+            return response.status == HTTP_OK
         return False
--- a/catkinhollow/events.py
+++ b/catkinhollow/events.py
@@ -47,7 +47,7 @@
 
 @frozen(kw_only=True)
 class FloorRaised:
-    """Signal a new lower bound of the revisions that may be enforced."""
+    """Signal that the lowest revision that may be enforced has risen."""
 
     revision: int
 
@@ -64,7 +64,7 @@
 
 @frozen(kw_only=True)
 class EvidenceReported:
-    """Signal call outcome counts received from a peer."""
+    """Signal that a peer has sent counts of call outcomes."""
 
     sender: str
     report: EvidenceReport
--- a/catkinhollow/status_report.py
+++ b/catkinhollow/status_report.py
@@ -125,7 +125,7 @@
 
 
 def _build_domain_row(
-    domain: str, service: str, members: list[MemberStatus]
+    domain: str, service_state: str, members: list[MemberStatus]
 ) -> list[str]:
     running = [member for member in members if member.state in RUNNING_STATES]
     targets = Counter(target.state for member in running for target in member.targets)
@@ -136,7 +136,7 @@
     ]
     return [
         domain,
-        service,
+        service_state,
         f"{len(running)} of {len(members)}",
         str(sum(1 for member in members if member.lag_revisions)),
         str(targets["ready"]),
--- a/tests/daemon/test_target_health.py
+++ b/tests/daemon/test_target_health.py
@@ -26,7 +26,7 @@
 
 
 def test_repeated_announcement_does_not_hide_failed_probes():
-    """Guards against a failed port of a target that still announces itself."""
+    """Guards against missing a dead port while its target announces itself."""
     health = TargetHealth(failures_to_unhealthy=2)
     health.update_record(make_record())
     assert [health.add_probe_result(False), health.add_probe_result(False)] == [
