--- a/tests/configuration/test_documents.py
+++ b/tests/configuration/test_documents.py
@@ -46,7 +46,7 @@
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(SYNTAX | st.binary(max_size=20))
 def test_any_file_is_a_value_or_problems(text):
-    """Guards against a file that raises an exception instead of problems."""
+    """Guards against a file whose content makes the reader raise."""
     result = read(text)
     assert result.is_ok() or result.error
 
