--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.parent.name)
 def test_settings_survive_the_environment(path):
-    """Guards against a daemon whose settings differ from the validated ones."""
+    """Guards against a daemon with settings other than the validated ones."""
     loaded = load_settings(path).ok
     environment = settings_to_environment(loaded, {"PATH": "x"})
     assert settings_from_environment(environment).ok == loaded
