--- a/catkinhollow/calls/dispatch.py
+++ b/catkinhollow/calls/dispatch.py
@@ -81,12 +81,12 @@
             self._metrics.refusals.inc({"reason": refusal.reason})
             return not_run_response(refusal.reason, status=refusal.status)
         call = begun.ok
-        response = await self._answer(call, request, disconnected)
-        taken_s = self._clock.monotonic() - started_s
-        self._count(call, taken_s)
+        response = await self._handle(call, request, disconnected)
+        duration_s = self._clock.monotonic() - started_s
+        self._count(call, duration_s)
         return response
 
-    async def _answer(
+    async def _handle(
         self, call: Call, request: Request, disconnected: Disconnected
     ) -> Response:
         key = request.header(IDEMPOTENCY_HEADER)
@@ -113,7 +113,7 @@
                 case Fresh():
                     return await self._run_new_key(call, request, key, disconnected)
                 case InFlight():
-                    await self._wait_for(key)
+                    await self._wait_for_key(key)
                 case Replay(response=response):
                     return response
                 case Unknown():
@@ -135,7 +135,7 @@
         finally:
             self._keys.finish(key, outcome, response, self._clock.monotonic())
 
-    async def _wait_for(self, key: str) -> None:
+    async def _wait_for_key(self, key: str) -> None:
         finished = trio.Event()
         self._keys.wait(key, finished.set)
         await finished.wait()
@@ -154,25 +154,26 @@
     async def _attempt_until_done(
         self, call: Call, request: Request, span: HopSpan, disconnected: Disconnected
     ) -> Response:
-        last: Response | None = None
+        last_response: Response | None = None
         while True:
             step = call.next_step(self._clock.monotonic())
             if isinstance(step, GiveUp):
                 if not call.attempts:
                     self._metrics.refusals.inc({"reason": step.reason})
-                return _give_up(step, last)
+                return _build_response(step, last_response)
             if isinstance(step, Wait):
                 if not await self._wait(call, step, disconnected):
                     return not_run_response("the caller went away")
                 continue
-            answer = await self._attempt(call, step, request, span)
-            last = answer or last
+            response = await self._attempt(call, step, request, span)
+            last_response = response or last_response
             if call.done:
-                if call.outcome is Outcome.ANSWERED and answer is not None:
-                    return answer
+                if call.outcome is Outcome.ANSWERED and response is not None:
+                    return response
                 reason = "no answer from the target"
-                return _give_up(
-                    GiveUp(outcome=call.outcome or Outcome.UNKNOWN, reason=reason), last
+                return _build_response(
+                    GiveUp(outcome=call.outcome or Outcome.UNKNOWN, reason=reason),
+                    last_response,
                 )
 
     async def _wait(self, call: Call, step: Wait, disconnected: Disconnected) -> bool:
@@ -180,20 +181,20 @@
         changed = trio.Event()
         call.on_wait_end(changed.set)
         self._schedule_wake()
-        gone = trio.Event()
+        caller_disconnected = trio.Event()
 
         async def watch() -> None:
             await disconnected()
-            gone.set()
+            caller_disconnected.set()
             nursery.cancel_scope.cancel()
 
-        left_s = max(0.0, step.until_s - self._clock.monotonic())
-        with trio.move_on_after(left_s):
+        remaining_s = max(0.0, step.until_s - self._clock.monotonic())
+        with trio.move_on_after(remaining_s):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch)
                 await changed.wait()
                 nursery.cancel_scope.cancel()
-        return not gone.is_set()
+        return not caller_disconnected.is_set()
 
     def _schedule_wake(self) -> None:
         if not self._wake_due:
@@ -228,10 +229,10 @@
         )
         return None
 
-    def _count(self, call: Call, taken_s: float) -> None:
+    def _count(self, call: Call, duration_s: float) -> None:
         outcome = call.outcome.value if call.outcome else "cancelled"
         self._metrics.calls.inc({"route": call.route.name, "outcome": outcome})
-        self._metrics.call_seconds.observe({"route": call.route.name}, taken_s)
+        self._metrics.call_seconds.observe({"route": call.route.name}, duration_s)
 
 
 def _read_attributes(request: Request) -> RequestAttributes:
@@ -253,10 +254,10 @@
     return request_with_headers(request, headers)
 
 
-def _give_up(step: GiveUp, last: Response | None) -> Response:
+def _build_response(step: GiveUp, last_response: Response | None) -> Response:
     match step.outcome:
-        case Outcome.ANSWERED if last is not None:
-            return last
+        case Outcome.ANSWERED if last_response is not None:
+            return last_response
         case Outcome.NOT_RUN:
             return not_run_response(step.reason)
         case _:
--- a/catkinhollow/calls/waiting.py
+++ b/catkinhollow/calls/waiting.py
@@ -27,7 +27,7 @@
 
 
 class WaitingList(Generic[ItemT]):
-    """Hold a bounded number of items, first in first out in each class."""
+    """Queue a bounded number of items, first in first out in each class."""
 
     def __init__(self, max_waiting: int = MAX_WAITING) -> None:
         self._max_waiting = max_waiting
