--- a/catkinhollow/calls/call.py
+++ b/catkinhollow/calls/call.py
@@ -28,7 +28,10 @@
 
 @frozen(kw_only=True)
 class RequestAttributes:
-    """Represent what the decisions need of a request."""
+    """Describe the attributes of a request that the decisions depend on.
+
+    `deadline_ms` is the time that the caller still allows, in milliseconds.
+    """
 
     method: str
     path: str
@@ -54,7 +57,7 @@
 
 @frozen(kw_only=True)
 class Wait:
-    """Represent the decision to wait for a notification or this time."""
+    """Represent the decision to wait for a notification until `until_s`."""
 
     until_s: float
 
@@ -64,7 +67,7 @@
     """Represent the decision to end the call without another attempt.
 
     With the outcome "answered" the caller gets the last whole response that
-    the dispatcher received, a 5xx that is not retried.
+    the dispatcher received, a 5xx for which no further attempt is made.
     """
 
     outcome: Outcome
@@ -90,7 +93,7 @@
         """Return a target with free capacity, or None."""
 
     def admit(self, call: "Call", now_s: float) -> bool:
-        """Count the call in flight if there is room for it."""
+        """Count the call as in flight; return False if there is no room."""
 
     def is_outranked(self, call: "Call") -> bool:
         """Return whether a waiting call goes before this one."""
@@ -119,17 +122,18 @@
         """Record the result of an attempt that has ended."""
 
     def release(self, call: "Call", now_s: float) -> None:
-        """Count the end of the call and wake waiting ones."""
+        """Count the end of the call and grant targets to waiting calls."""
 
 
 @define(kw_only=True, eq=False)
 class Call:
     """Represent one call from its first decision to its outcome.
 
-    The dispatcher asks `next_step` and reports to `finish_attempt` until the
-    call is done. The host grants a target to a waiting call as soon as there
-    is room. `grant` reserves the target at once, so that the order of waiting
-    calls does not depend on the order in which the dispatcher's tasks run.
+    The dispatcher calls `next_step`, and `finish_attempt` after each attempt,
+    until the call is done. The host grants a target to a waiting call as soon
+    as there is room. `grant` reserves the target at once, so that the order of
+    waiting calls does not depend on the order in which the dispatcher's tasks
+    run.
     """
 
     route: Route
@@ -182,7 +186,10 @@
         self._notify = notify
 
     def grant(self, now_s: float) -> bool:
-        """Reserve a target if there is room; return whether the wait ended."""
+        """Reserve a target if there is room; return whether the wait ended.
+
+        The wait also ends if the retry budget is used up.
+        """
         self._granted = self._start(now_s)
         ended = self._granted or self._refusal is NO_BUDGET
         if ended:
