--- a/catkinhollow/calls/call_router.py
+++ b/catkinhollow/calls/call_router.py
@@ -1,4 +1,4 @@
-"""Decide about every call of an ingress daemon."""
+"""Route the calls of an ingress daemon and keep its services' state."""
 
 from collections.abc import Iterable
 from random import Random
@@ -19,6 +19,7 @@
 from catkinhollow.generated.fleet import Fleet, Route, Service
 from catkinhollow.generated.messages import MemberRecord, MemberState, VersionCounts
 
+# Above 0, because the pause of a cold target is divided by the share.
 MIN_INGRESS_SHARE = 1e-6
 
 
@@ -37,7 +38,7 @@
 
 
 class CallRouter:
-    """Admit calls, choose their targets and record their attempts."""
+    """Begin calls; apply configurations and member tables to all services."""
 
     def __init__(
         self, location: Location, random: Random, picker: Picker | None = None
@@ -81,8 +82,8 @@
     ) -> None:
         """Apply the whole member table.
 
-        A service for which no ingress share is set gets 1 / (number of alive
-        members).
+        A service for which `set_ingress_share` was not called gets the share
+        1 / (number of alive members).
         """
         table = list(members)
         changed = self._directory.update(table, now_s, unix_ms)
@@ -99,7 +100,10 @@
         self._configure_named({service}, now_s)
 
     def lift_quarantine(self, service: str, version: str, now_s: float) -> None:
-        """Allow attempts at a version again, when a new move to it starts."""
+        """Allow attempts at a version again.
+
+        Called when a new move to the version starts.
+        """
         self._quarantined.discard((service, version))
         self._configure_named({service}, now_s)
 
@@ -139,7 +143,8 @@
     def wake(self, now_s: float) -> bool:
         """Grant targets to waiting calls; return whether any still wait.
 
-        A release does so, too; this finds capacity that appears over time.
+        The end of a call does so as well, for its service. This method also
+        finds capacity that appears over time, such as after a pause.
         """
         waiting = [item for item in self._services.values() if item.waiting]
         for service in waiting:
@@ -147,7 +152,7 @@
         return any(service.waiting for service in waiting)
 
     def take_counts(self) -> list[VersionCounts]:
-        """Return the evidence by version and route since the last call."""
+        """Return the evidence by version and route, and reset it."""
         return self._evidence.take()
 
     def status(self, now_s: float) -> RouterStatus:
