--- a/catkinhollow/calls/service_calls.py
+++ b/catkinhollow/calls/service_calls.py
@@ -56,7 +56,7 @@
 
 @define(kw_only=True, eq=False)
 class ServiceCalls:
-    """Represent the state of one service; the host of its calls."""
+    """Represent the state of one service; implement `CallHost`."""
 
     name: str
     pool: ServicePool
@@ -76,7 +76,7 @@
         self.counters.calls += 1
 
     def admit(self, call: Call, now_s: float) -> bool:
-        """Count the call in flight if there is room for it."""
+        """Count the call as in flight; return False if there is no room."""
         capacity = self.pool.capacity
         priority = call_priority(call.route)
         return self.admission.admit(call.account, priority, capacity, now_s)
@@ -86,7 +86,10 @@
         return bool(self.waiting) and self.waiting.outranks(_wait_class(call))
 
     def enqueue(self, call: Call, now_s: float) -> bool:
-        """Count the call as no longer in flight and queue it."""
+        """Count the call as no longer in flight and queue it.
+
+        Return False if the waiting list is full.
+        """
         self._release_admission(call, now_s)
         dropped = self.waiting.add(_wait_class(call), call)
         if dropped is not None and dropped is not call:
@@ -98,11 +101,11 @@
         self.waiting.remove(_wait_class(call), call)
 
     def wake(self, now_s: float) -> None:
-        """Grant targets to the waiting calls in the order of priority."""
+        """Grant targets to the waiting calls, the highest priority first."""
         for calls in self.waiting.by_priority():
             for call in calls:
-                # Calls behind it in the same class would be refused for the
-                # same reason.
+                # Later calls of the same class would be refused for the same
+                # reason.
                 if not call.grant(now_s):
                     break
 
@@ -127,7 +130,10 @@
         return allowed
 
     def median_latency_s(self, call: Call) -> float:
-        """Return the median latency of the call's route, 0 if unknown."""
+        """Return the median latency of the call's route, 0 if unknown.
+
+        The median is that of the targets in this daemon's region.
+        """
         region = self.pool.location.region
         return self.latencies.find(call.route.name, region).median_s
 
@@ -150,7 +156,7 @@
         self.evidence.add(key, sample, duration_s, slow)
 
     def release(self, call: Call, now_s: float) -> None:
-        """Count the end of the call and wake waiting ones."""
+        """Count the end of the call and grant targets to waiting calls."""
         assert call.outcome is not None
         self._release_admission(call, now_s)
         self.counters.in_flight -= 1
@@ -184,7 +190,7 @@
         duration_s: float,
         now_s: float,
     ) -> bool:
-        # Targets of a good version are slow, too, while they are cold.
+        # Targets of a good version are slow as well while they are cold.
         warm = now_s - entry.started_s >= self.slow_start_s
         answered = sample in (Sample.CLEAN, Sample.SLOW)
         return warm and answered and duration_s > latency.slow_limit_s
