--- a/catkinhollow/calls/admission.py
+++ b/catkinhollow/calls/admission.py
@@ -7,13 +7,14 @@
 
 from catkinhollow.generated.fleet import RequestKind, Route, Service
 
-# Callers without a known backer exceed the share that no backer is guaranteed
-# only while the service stays below this fraction of its capacity.
+# Callers without a known backer use the share that is not guaranteed to any
+# backer, and more only while the service stays below this fraction of its
+# capacity.
 DEFAULT_ACCOUNT_CEILING = 0.7
-# Fraction of the capacity for a backer beyond its share and for calls below
-# the highest priority; the rest stays free for the first calls that go before
-# them. At 0.8, a simulation with 67 % of the slots in use and no call of
-# higher priority shed 2 % of the lookups.
+# A backer beyond its share, and calls below the highest priority, are admitted
+# only up to this fraction of the capacity. The rest stays free for the first
+# calls that go before them. At 0.8, a simulation with 67 % of the slots in use
+# and no call of higher priority shed 2 % of the lookups.
 LOWER_CEILING = 0.95
 # Recorded demand decays to 0 over this time, so an unused share stays reserved
 # about this long after its last use.
@@ -64,8 +65,9 @@
 class ServiceAdmission:
     """Admit the calls of one service by backer share and priority.
 
-    Calls in flight are counted per backer account and per priority. What a
-    backer or a higher priority used or was refused lately stays reserved.
+    Calls in flight are counted per backer account and per priority. Slots that
+    a backer or a higher priority recently used or was refused stay reserved
+    for it.
     """
 
     in_flight: int = 0
@@ -89,7 +91,7 @@
     def admit(
         self, account: str, priority: Priority, capacity: float, now_s: float
     ) -> bool:
-        """Count the call in flight if there is room for it.
+        """Count the call as in flight; return False if there is no room.
 
         The capacity is the sum of the targets' limits, in calls.
         """
