--- a/catkinhollow/calls/retries.py
+++ b/catkinhollow/calls/retries.py
@@ -37,7 +37,7 @@
     NOT_CONNECTED = auto()
     """No byte of the request was written."""
     BROKEN = auto()
-    """The connection failed later, or another request's response came."""
+    """The connection failed later, or the response has another id."""
     TIMEOUT = auto()
     """No whole response within the timeout of the attempt."""
     CANCELLED = auto()
@@ -91,7 +91,10 @@
 def attempt_timeout_s(
     policy: Policy, idempotent: bool, attempts: int, remaining_s: float, median_s: float
 ) -> float:
-    """Return the timeout in seconds of the attempt after the given number."""
+    """Return the timeout in seconds of the next attempt.
+
+    `attempts` is the number of attempts that the call has made so far.
+    """
     last = attempts + 1 >= policy.max_attempts
     half_s = remaining_s / 2
     if idempotent and not last and 0.0 < median_s * EARLY_TIMEOUT_RATIO < half_s:
@@ -112,7 +115,7 @@
         self.tokens = min(self.burst, self.tokens + self.percent / 100)
 
     def spend(self, cost: float) -> bool:
-        """Take the cost of a retry in tokens; return whether it was there."""
+        """Take the tokens for a retry; return False if none is allowed."""
         if not self.percent or self.tokens < cost:
             return False
         self.tokens -= cost
