--- a/catkinhollow/calls/targets.py
+++ b/catkinhollow/calls/targets.py
@@ -53,7 +53,12 @@
 
 @frozen(kw_only=True)
 class TargetLimits:
-    """Configure the bounds of one target; slow_start_s is in seconds."""
+    """Configure the bounds of one target.
+
+    Without bad samples, a cold target reaches its full limit in `slow_start_s`
+    seconds.
+    `ingress_share` is this daemon's fraction of all calls to the service.
+    """
 
     slow_start_s: float
     max_in_flight: int
@@ -65,7 +70,8 @@
     """Represent what this ingress daemon observed of one target.
 
     `limit`, `weight` and `paused_until_s` are precomputed, because the
-    balancer reads them for every target on every call. The limit of a cold
+    balancer reads them for every target on every call. The limit of a warm
+    target grows additively and shrinks multiplicatively. The limit of a cold
     target is divided among the ingress daemons; where the share of this one is
     below one call at a time, it pauses after each call so that the share holds
     on average.
@@ -121,7 +127,7 @@
         )
 
     def restart(self, started_s: float, now_s: float) -> None:
-        """Reset to a cold target of the age that it announced."""
+        """Mark the target as cold, ramping up since its announced start."""
         self._forget_failures()
         self._ejections = 0
         self.ejected_until_s = 0.0
@@ -140,7 +146,7 @@
         self.refresh(now_s)
 
     def refresh(self, now_s: float) -> None:
-        """Update the limit and the weight."""
+        """Update the values that the balancer reads."""
         self._advance_ramp(now_s)
         cap = self.cap
         if self._ramp < cap:
@@ -166,7 +172,11 @@
         bad_sample_rate: float,
         now_s: float,
     ) -> None:
-        """Count an attempt as ended and record its sample."""
+        """Count an attempt as ended and record its sample.
+
+        `ratio` is the duration as a multiple of the route's median latency,
+        and `bad_sample_rate` the fraction of bad samples in the service.
+        """
         self.in_flight -= 1
         if sample is not Sample.IGNORED:
             self._record_sample(sample, duration_s, ratio, bad_sample_rate, now_s)
@@ -178,7 +188,7 @@
         return ratio > SLOW_RATIO * max(1.0, self._baseline_ratio)
 
     def eject(self, now_s: float) -> None:
-        """Eject the target for a time that doubles with each ejection."""
+        """Eject the target for a time that doubles up to `MAX_EJECTION_S`."""
         if now_s - self.ejected_until_s > EJECTION_RESET_S:
             self._ejections = 0
         length_s = min(FIRST_EJECTION_S * 2.0**self._ejections, MAX_EJECTION_S)
