--- a/catkinhollow/calls/balancer.py
+++ b/catkinhollow/calls/balancer.py
@@ -24,7 +24,7 @@
 
 
 class Balancer:
-    """Pick by version split, then distance, then the less loaded of two."""
+    """Pick by version split, distance, and the less loaded of two draws."""
 
     def __init__(self, random: Random) -> None:
         self._random = random
