--- a/catkinhollow/calls/directory.py
+++ b/catkinhollow/calls/directory.py
@@ -21,7 +21,7 @@
 
 @frozen(kw_only=True)
 class _Placement:
-    """Represent one target as a member of the table lists it."""
+    """Represent one target and the member that announces it."""
 
     member: MemberRecord
     record: TargetRecord
@@ -78,8 +78,8 @@
         placements = _find_placements(self._members.values(), affected)
         changed = self._drop_missing(placements, affected)
         for (service, address), placement in placements.items():
-            # A target whose clock is ahead must not count as just started for
-            # ever; a clock that is behind cannot be told from a higher age.
+            # A target must not count as just started indefinitely because its
+            # clock is ahead. A clock that is behind looks like a higher age.
             age_s = max(0.0, (unix_ms - placement.record.started_ms) / 1000)
             entry = self._services[service].get(address)
             if entry is None:
