--- a/catkinhollow/calls/waiting.py
+++ b/catkinhollow/calls/waiting.py
@@ -22,7 +22,7 @@
 
 
 def wait_time_s(remaining_s: float) -> float:
-    """Return how long a call may wait, a fraction of the time that is left."""
+    """Return how long a call may wait in seconds, well under its deadline."""
     return min(MAX_WAIT_S, WAIT_FRACTION * remaining_s)
 
 
@@ -46,8 +46,8 @@
     def add(self, key: WaitClass, item: ItemT) -> ItemT | None:
         """Add an item and return the one that the full list drops, if any.
 
-        The newest item of the lowest class is dropped for one of a higher
-        priority; otherwise the new item itself.
+        The newest item of the lowest class is dropped in favour of an item of
+        a higher priority; otherwise the new item itself is dropped.
         """
         dropped = None
         if self._count >= self._max_waiting:
