--- a/catkinhollow/calls/idempotency.py
+++ b/catkinhollow/calls/idempotency.py
@@ -1,4 +1,4 @@
-"""Store the responses to keyed requests, so that no repeat runs again."""
+"""Store the responses to keyed requests, so that repeats do not run again."""
 
 from collections import OrderedDict
 from collections.abc import Callable
@@ -43,7 +43,10 @@
 
 @frozen(kw_only=True)
 class TableFull:
-    """Represent a full table of keys that must be kept: do not send."""
+    """Represent a full table of keys that must all be kept.
+
+    The request is not sent, so it did not run.
+    """
 
 
 Step = Fresh | InFlight | Replay | Unknown | Conflict | TableFull
@@ -127,7 +130,7 @@
         self._stored[key] = size
         self._bytes += size
         while self._bytes > self._max_bytes:
-            # The key stays, so that a repeat gets "unknown" and does not run.
+            # The key stays, so that a repeat gets `Unknown` and does not run.
             oldest = next(iter(self._stored))
             self._drop_response(oldest)
 
