--- a/catkinhollow/calls/latency.py
+++ b/catkinhollow/calls/latency.py
@@ -22,7 +22,7 @@
 
     @property
     def slow_limit_s(self) -> float:
-        """Return the latency above which a response counts as slow."""
+        """Return the latency above which evidence counts a response as slow."""
         if self.samples < MIN_SAMPLES:
             return float("inf")
         return max(EVIDENCE_SLOW_RATIO * self.median_s, self.median_s + SLOW_MARGIN_S)
@@ -38,7 +38,10 @@
             self.median_s *= 1.0 - MEDIAN_STEP
 
     def ratio(self, latency_s: float) -> float:
-        """Return the latency as a multiple of the median, 1 within noise."""
+        """Return the latency as a multiple of the median.
+
+        Return 1 for differences within noise and before `MIN_SAMPLES`.
+        """
         if self.samples < MIN_SAMPLES or latency_s < self.median_s + SLOW_MARGIN_S:
             return 1.0
         return latency_s / self.median_s
@@ -51,7 +54,7 @@
         self._routes: dict[tuple[str, str], RouteLatency] = {}
 
     def find(self, route: str, region: str) -> RouteLatency:
-        """Return the estimate of a route to a region; a new one is empty."""
+        """Return the estimate of a route to a region; create it if missing."""
         key = (route, region)
         found = self._routes.get(key)
         if found is None:
