--- a/catkinhollow/calls/service_calls.py
+++ b/catkinhollow/calls/service_calls.py
@@ -146,7 +146,7 @@
         latency = self.latencies.find(call.route.name, entry.region)
         ratio = latency.ratio(duration_s)
         sample = _classify(call, attempt, ratio)
-        slow = self._is_slow(entry, sample, latency, duration_s, now_s)
+        slow = self._is_slow_in_evidence(entry, sample, latency, duration_s, now_s)
         rate = self.pool.bad_sample_rate
         entry.stats.finish(sample, duration_s, ratio, rate, now_s)
         self.pool.record_sample(entry, sample, now_s)
@@ -182,7 +182,7 @@
             call.admitted = False
             self.admission.release(call.account, call_priority(call.route), now_s)
 
-    def _is_slow(
+    def _is_slow_in_evidence(
         self,
         entry: TargetEntry,
         sample: Sample,
