--- a/catkinhollow/calls/latency.py
+++ b/catkinhollow/calls/latency.py
@@ -22,7 +22,10 @@
 
     @property
     def slow_limit_s(self) -> float:
-        """Return the latency above which evidence counts a response as slow."""
+        """Return the latency above which a response counts as slow.
+
+        This limit is for the evidence; `TargetStats.is_slow` has another one.
+        """
         if self.samples < MIN_SAMPLES:
             return float("inf")
         return max(EVIDENCE_SLOW_RATIO * self.median_s, self.median_s + SLOW_MARGIN_S)
