Clarify the doc comments of the store state

Say which state stale reads return, when a watch gets a complete listing, and that a lost response belongs to a write that took effect.

Checked with ruff, mypy and the tests of tests/testbed without the process tests.

--- a/catkinhollow/testbed/store_state.py
+++ b/catkinhollow/testbed/store_state.py
@@ -60,7 +60,11 @@
         return self._current.revision
 
     def set_faults(self, faults: StoreFaults) -> None:
-        """Set the faults to inject; stale reads return the objects of now."""
+        """Set the faults to inject.
+
+        While stale reads are on, reads return the objects from the time when
+        stale reads were turned on.
+        """
         self._faults = faults
         if not faults.stale_reads:
             self._stale = None
@@ -95,7 +99,10 @@
         )
 
     def changes(self, kind: str, after: int) -> ObjectList | None:
-        """Return the changes after a revision, or None if there are none."""
+        """Return the changes after a revision, or None if there are none.
+
+        Return a complete listing if the changes are no longer known.
+        """
         snapshot = self._read_snapshot()
         # A client knows a later revision than the store if the store lost its
         # data: it gets a complete listing. A stale snapshot that is behind the
@@ -142,7 +149,11 @@
         return Ok(deleted)
 
     def consume_response_loss(self) -> ResponseLoss | None:
-        """Return how to lose the response to a write, and count it down."""
+        """Return how to lose the response to a write that took effect.
+
+        Each call uses up one of the `lose_writes` in the faults; return None
+        if none is left.
+        """
         remaining = self._faults.lose_writes
         if remaining == 0:
             return None
