--- a/catkinhollow/testbed/target_model.py
+++ b/catkinhollow/testbed/target_model.py
@@ -250,6 +250,10 @@
         return start_s + self._expected_duration_s(work.call, start_s) <= due_s
 
     def _check_overload(self, now_s: float) -> bool:
+        """Return whether more calls run than a cold target sustains.
+
+        This restarts the warm-up if the profile sets `collapse`.
+        """
         if len(self._running) <= self._actual_cold_start.sustained_calls(now_s):
             return False
         if self._profile.collapse:
