--- a/catkinhollow/testbed/audit.py
+++ b/catkinhollow/testbed/audit.py
@@ -14,15 +14,22 @@
 
     requests: int
     lost: int
+    """Calls that succeeded for the caller but were never executed."""
     duplicated: int
+    """Calls executed more than once that are not idempotent."""
     wrong_answer: int
     false_not_run: int
+    """Calls that were executed although the response says "not run"."""
     refusals: int
     unknown: int
 
 
 def audit(log: CallLog, executions: Iterable[str]) -> AuditReport:
-    """Compare call records with executions, one request id for each."""
+    """Compare call records with executions.
+
+    `executions` has one request id per execution, so the id of a call that was
+    executed twice is in it twice.
+    """
     execution_counts = Counter(executions)
     return AuditReport(
         requests=len(log.records),
