Clarify the doc comments of the benchmarks

Some figures of cost_figures include the cost of idle daemons, unlike its doc comment said. Explain the late count, the weight of a call and the call rates.

--- a/catkinhollow/testbed/callers.py
+++ b/catkinhollow/testbed/callers.py
@@ -51,7 +51,7 @@
     weight: float
     """Share of the calls that are of this kind, relative to other kinds."""
     worth: float
-    """Weight of a call in the share of the worth that was served."""
+    """Weight of a call of this kind in the served percentage."""
     idempotent: bool = True
     backer: str = ""
 
--- a/catkinhollow/testbed/convergence_bench.py
+++ b/catkinhollow/testbed/convergence_bench.py
@@ -51,6 +51,7 @@
     all: Times = Factory(Times)
     last_ms: list[float] = Factory(list)
     late: int = 0
+    """Daemons that did not enforce a change in time, summed over changes."""
 
     def add(self, change: Change, logs: Sequence[Sequence[LogEvent]]) -> None:
         """Add the delays of one change, with the log of each daemon."""
@@ -67,13 +68,16 @@
             self.last_ms.append(max(delays_ms))
 
     def figures(self) -> dict[str, float]:
-        """Return percentiles, and the median delay of the last daemon."""
+        """Return percentiles, and the median of the last daemon's delays."""
         last = {"last_daemon_median_ms": median(self.last_ms)} if self.last_ms else {}
         return {**self.all.figures("delay"), **last, "late": self.late}
 
 
 def cost_figures(load: FleetLoad, rest: FleetLoad, changes: int) -> dict[str, float]:
-    """Return the cost per change without the cost of idle daemons."""
+    """Return the cost per change without the cost of idle daemons.
+
+    `peer_bytes_per_s` and `cpu_percent` are totals that include this cost.
+    """
 
     def per_change(name: str) -> float:
         return (load.mean(name) - rest.rate(name) * load.period_s) / changes
--- a/catkinhollow/testbed/domain_bench.py
+++ b/catkinhollow/testbed/domain_bench.py
@@ -84,8 +84,8 @@
 def compute_call_rates(plan: DomainPlan, targets: dict[str, int]) -> dict[str, float]:
     """Return the calls per second of each service.
 
-    They use the planned share of the slots that remain while the domain is
-    out of service.
+    At these rates the calls use the planned percentage of the slots outside
+    REMOVED_DOMAIN.
     """
     per_target = SLOTS * plan.use_percent / 100 * 1000 / plan.service_ms
     return {
