--- a/tests/testbed/test_target.py
+++ b/tests/testbed/test_target.py
@@ -48,7 +48,10 @@
 
 
 async def test_refused_and_abandoned_calls_do_not_run(autojump_clock, nursery):
-    """Guards against false "not run" marks and runs cut by their caller."""
+    """Guards against a false "not run" and runs that end with their caller.
+
+    A run goes on after its caller has disconnected; a waiting call is dropped.
+    """
     caller = Caller(nursery)
     async with trio.open_nursery() as callers:
         for request_id, give_up_s in [("a", 0.5), ("b", 0.5), ("c", 9), ("d", 9)]:
