--- a/tests/testbed/test_service_bench.py
+++ b/tests/testbed/test_service_bench.py
@@ -46,7 +46,7 @@
 
 
 def test_call_rates_exclude_the_slots_of_the_domain_out_of_service():
-    """Guards against a load that the remaining domains cannot serve."""
+    """Guards against rates that leave no spare capacity with a domain out."""
     plan = DomainPlan(deployments=[], service_ms=500, use_percent=50)
     assert compute_call_rates(plan, {"a": 3, "b": 5}) == {"a": 20.0, "b": 30.0}
 
