--- a/catkinhollow/calls/routing.py
+++ b/catkinhollow/calls/routing.py
@@ -22,7 +22,7 @@
         if not routes:
             return None
         found = routes.get(path)
-        # No prefix reaches the part of the path beyond the longest one.
+        # Skips the end of a path with many segments, which no prefix reaches.
         end = min(len(path), self._longest + 1)
         while found is None:
             end = max(path.rfind("/", 0, end), path.rfind("?", 0, end))
