Correct the doc comments of joining

check_ready also marks the daemon ready, and the floor does not only come from the answers of seeds; say both, and state the conditions.

--- a/catkinhollow/mesh/joining.py
+++ b/catkinhollow/mesh/joining.py
@@ -26,7 +26,7 @@
         self._refused_count = 0
 
     def retry_delay_s(self, now_s: float) -> float:
-        """Return 0 to admit a daemon, or the time after which to ask again."""
+        """Return 0 to admit a daemon, or the delay before its retry."""
         if now_s - self._window_start_s >= 1.0:
             self._window_start_s = now_s
             self._admitted_count = self._refused_count = 0
@@ -40,7 +40,7 @@
 
 
 class Joiner:
-    """Ask the seeds in turn and track the floor from their answers.
+    """Ask the seeds in turn, track the floor and decide when to serve.
 
     The floor is the lowest revision that the daemon may start to serve with.
     """
@@ -131,14 +131,14 @@
         return True
 
     def raise_floor(self, revision: int) -> bool:
-        """Require a revision and return whether it raised the floor."""
+        """Raise the floor to a revision and return whether it changed."""
         if self._ready or revision <= self._floor:
             return False
         self._floor = revision
         return True
 
     def on_answer(self, now_s: float) -> None:
-        """Record that a ready peer or the store has answered."""
+        """Record when a ready peer or the store first answered."""
         self._first_answer_s = min(self._first_answer_s, now_s)
 
     def on_ack(self, neighbour: str) -> None:
@@ -149,7 +149,13 @@
     def check_ready(
         self, revision: int, neighbours: Iterable[str], now_s: float
     ) -> bool:
-        """Return whether the daemon becomes ready now."""
+        """Mark the daemon ready if it may serve; return whether it did so now.
+
+        The revision must reach the floor, and a ready peer or the store must
+        have answered. After the first answer the daemon waits, at most for
+        the grace period, for acks of all given neighbours and, if it has
+        seeds, until it has joined.
+        """
         if self._ready or revision <= 0 or revision < self._floor:
             return False
         if self._first_answer_s == inf:
