--- a/catkinhollow/mesh/pulling.py
+++ b/catkinhollow/mesh/pulling.py
@@ -60,7 +60,7 @@
             self._end_request()
 
     def on_received(self, address: str, revision: int) -> bool:
-        """End the request and return whether the revision is new."""
+        """End the request to a peer and return whether its revision is new."""
         if self._in_flight is not None and self._in_flight.address == address:
             self._end_request()
         self._newest_revisions[address] = revision
@@ -149,7 +149,7 @@
         self._commands.send(envelope.sender, snapshot_reply=reply)
 
     def on_reply(self, envelope: Envelope, reply: SnapshotReply, now_s: float) -> None:
-        """Emit a newer snapshot for the I/O layer."""
+        """Pass a newer snapshot to the I/O layer."""
         is_new = self._puller.on_received(envelope.sender, reply.revision)
         if is_new and reply.snapshot and reply.revision > self._revision:
             arrived = SnapshotArrived(revision=reply.revision, data=reply.snapshot)
