--- a/catkinhollow/mesh/anti_entropy.py
+++ b/catkinhollow/mesh/anti_entropy.py
@@ -24,8 +24,9 @@
 class TableComparison:
     """Decide when to compare tables, and send and answer each step.
 
-    The steps are the digests of all buckets, the positions of the buckets
-    that differ, and the records that differ.
+    The steps are the digests of all buckets, the positions in the buckets
+    that differ, and the records that differ. A position is the address and
+    the hash of one record.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
     def on_positions(
         self, envelope: Envelope, answer: MemberPositions, now_s: float
     ) -> None:
-        """Send the records that differ and request those of the peer."""
+        """Send the own records that differ and request the peer's."""
         sender = envelope.sender
         self._flooding.add_quarantines(answer.quarantines, sender, now_s)
         pause_s = len(answer.positions) / _MAX_POSITIONS_PER_S
