Clarify the doc comments of neighbours and rings

Say that the time of the last message is tracked, when a temporary link takes effect, and that one member may follow on several rings.

--- a/catkinhollow/mesh/neighbours.py
+++ b/catkinhollow/mesh/neighbours.py
@@ -4,7 +4,7 @@
 
 
 class Neighbours:
-    """Track wanted and open links, and the last message of watched peers."""
+    """Track wanted and open links, and when watched peers last sent."""
 
     def __init__(self, max_silence_s: float) -> None:
         self._max_silence_s = max_silence_s
@@ -45,7 +45,7 @@
         return sorted(removed), sorted(added)
 
     def keep_until(self, address: str, until_s: float) -> None:
-        """Want a temporary link, from the next call of set_wanted on."""
+        """Keep a link until a time, starting with the next set_wanted call."""
         self._temporary_until_s[address] = until_s
 
     def link_up(self, address: str) -> None:
--- a/catkinhollow/mesh/rings.py
+++ b/catkinhollow/mesh/rings.py
@@ -51,11 +51,11 @@
             del ring[bisect_left(ring, position)]
 
     def successors(self, address: str) -> list[str]:
-        """Return the distinct members after the address, one per ring."""
+        """Return the next member on each ring, without duplicates."""
         return self._neighbours(address, 1)
 
     def predecessors(self, address: str) -> list[str]:
-        """Return the distinct members before the address, one per ring."""
+        """Return the previous member on each ring, without duplicates."""
         return self._neighbours(address, -1)
 
     def _neighbours(self, address: str, step: int) -> list[str]:
