--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -221,8 +221,8 @@
         self._pipes.setdefault(address, {})[pipe.id] = pipe
         if not is_linked:
             self._emit(LinkUp(address=address))
-        # If both ends have dialed, the end with the lower address keeps its
-        # pipe.
+        # If both ends have dialed, only the pipe that the end with the lower
+        # address dialed is kept.
         is_accepted = _dialer_id(pipe) not in self._dialed_addresses
         if is_accepted and address < self._own_address:
             self._close_dialer(address)
