Correct the doc comments of the evidence reports

add() sums the counts of any daemon, take() returns own counts too, and end_window() drops the counts without a receiver; say so.

--- a/catkinhollow/control/evidence_service.py
+++ b/catkinhollow/control/evidence_service.py
@@ -21,7 +21,7 @@
         self._split_services: frozenset[str] = frozenset()
 
     def enforce(self, fleet: Fleet) -> None:
-        """Select the services whose traffic is split over two versions."""
+        """Select the services whose split has more than one version."""
         self._split_services = frozenset(
             service.name for service in fleet.services if len(service.split) > 1
         )
@@ -61,11 +61,11 @@
         timer.subscribe(WINDOW_S, self._end_window)
 
     def take(self) -> list[VersionCounts]:
-        """Return the counts received since the last call."""
+        """Return the own and received counts since the last call."""
         return self._forwarder.take()
 
     def capacity(self, service: str, version: str) -> Capacity:
-        """Return the slots of the targets of a version."""
+        """Return the slots of the ready and the cold targets of a version."""
         ready = cold = 0
         for member in self._mesh.table.present_members():
             for target in member.targets:
--- a/catkinhollow/control/reporting.py
+++ b/catkinhollow/control/reporting.py
@@ -76,7 +76,7 @@
         return True
 
     def add(self, counts: Iterable[VersionCounts]) -> None:
-        """Add counts of this daemon to the sums."""
+        """Add counts to the sums."""
         for entry in counts:
             key = (entry.service, entry.version, entry.route)
             totals = self._totals.setdefault(key, _Totals())
@@ -142,9 +142,9 @@
         is_controller: bool,
     ) -> bool:
         """Add the report of a peer and return whether it was accepted."""
-        # A collector only accepts reports from its own failure domain. A sum
-        # that arrives here by mistake is dropped, so that it cannot circulate
-        # between daemons that disagree about which one is the controller.
+        # Only the controller accepts reports from other failure domains. A sum
+        # that a collector sends here by mistake is dropped, so that it cannot
+        # circulate between daemons that disagree about who is the controller.
         if not is_controller and sender.failure_domain != self._sender.failure_domain:
             return False
         return self._aggregator.accept(sender, report, now_ms)
@@ -152,7 +152,10 @@
     def end_window(
         self, now_ms: int, *, collector: str, controller: str
     ) -> list[SendReport]:
-        """Return the reports to send; the controller sends none."""
+        """Return the reports to send; the controller sends none.
+
+        The counts are dropped while the address of the receiver is empty.
+        """
         self._aggregator.add(self._counter.take())
         if self._sender.address == controller:
             return []
@@ -164,7 +167,7 @@
         return [SendReport(receiver, report)]
 
     def take(self) -> list[VersionCounts]:
-        """Return the counts received since the last call."""
+        """Return the sums of own and received counts and reset them."""
         return self._aggregator.take()
 
     def retain_senders(self, addresses: Iterable[str]) -> None:
