--- a/catkinhollow/control/quarantine_policy.py
+++ b/catkinhollow/control/quarantine_policy.py
@@ -7,6 +7,7 @@
 from catkinhollow.generated.fleet import Fleet
 from catkinhollow.generated.messages import Quarantine
 
+# Service and version.
 VersionKey = tuple[str, str]
 
 
