Clarify comments of the tests of peers and pulling

Say which pipe is kept and which end dials again, and restore that an older revision comes after a newer one.

--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -61,8 +61,8 @@
 
 async def test_both_ends_dial_and_disconnect(nursery):
     """Guards against a lost link when only one end disconnects."""
-    # The end with the lower address keeps its pipe, so that the other end has
-    # to dial again when it disconnects.
+    # Only the pipe that the lower address dialed is kept. When that end
+    # disconnects, the other end has to dial again.
     one, other = map(Peer, sorted([free_address(), free_address()]))
     pairs = [(one, other), (other, one)]
     for peer, remote in pairs:
--- a/tests/mesh/test_pulling.py
+++ b/tests/mesh/test_pulling.py
@@ -21,7 +21,7 @@
 
 
 def test_older_snapshot_is_not_offered_to_peers():
-    """Guards against peers that pull an older revision."""
+    """Guards against peers that pull an older revision after a newer one."""
     exchange = SnapshotExchange(CommandQueue(None, None), 0.5)
     assert exchange.offer(7, b"new")
     assert not exchange.offer(6, b"old")
