Clarify the doc comments of the initial split

Use the wording of the other edits for can_reapply, and restore that the later version runs only for its move.

--- a/catkinhollow/control/initial_split.py
+++ b/catkinhollow/control/initial_split.py
@@ -36,7 +36,7 @@
 class SetInitialSplits:
     """Route all traffic of services without a split to their first version.
 
-    Without a split, a version that was started for a later move would get
+    Without a split, a version started only for a later move would get
     traffic as soon as the targets of the first version have been replaced.
     """
 
@@ -49,7 +49,7 @@
         return Ok(evolve(stored, services=services))
 
     def can_reapply(self, before: Fleet, now: Fleet) -> bool:
-        """Return True, as the edit keeps existing splits."""
+        """Accept every concurrent change; existing splits are kept."""
         return True
 
     def _with_split(self, service: Service) -> Service:
