--- a/catkinhollow/configuration/snapshot.py
+++ b/catkinhollow/configuration/snapshot.py
@@ -36,13 +36,9 @@
     def offer(self, snapshot: Snapshot) -> Result[Snapshot, SnapshotRejected]:
         """Accept the whole snapshot or refuse all of it."""
         if snapshot.revision < self._floor:
-            return _reject_stale(
-                snapshot, f"older than the lowest accepted revision {self._floor}"
-            )
+            return _reject_stale(snapshot, f"older than the floor {self._floor}")
         if snapshot.revision <= self.revision:
-            return _reject_stale(
-                snapshot, f"not newer than the enforced revision {self.revision}"
-            )
+            return _reject_stale(snapshot, f"not newer than {self.revision}")
         problems = find_fleet_problems(snapshot.fleet)
         if problems:
             return _reject(snapshot, RejectionKind.INVALID, str(problems[0]))
