--- a/catkinhollow/configuration/backoff.py
+++ b/catkinhollow/configuration/backoff.py
@@ -12,8 +12,8 @@
 ) -> float:
     """Return a random delay in seconds with exponential backoff.
 
-    The upper bound is base_s for attempt 0 and doubles with each attempt, up
-    to max_s.
+    The lower bound is 0. The upper bound is base_s for attempt 0 and doubles
+    with each attempt, up to max_s.
     """
     ceiling_s = min(max_s, base_s * 2 ** min(attempt, MAX_DOUBLINGS))
     return random.uniform(0.0, ceiling_s)
