Let health checks pass without opening a failing gate

Cause: since the classifier asked each success for the id of its request, and a health check has none. No check ever passed, so that a gate opened with the next announcement only, up to 1.5 s later.

Change: the id and the signature are required of answers to calls only. The gate now distinguishes a target that can't be reached, whose gate a check opens again, from one that breaks its runs, whose checks may lie.

Measured: tests/relay/test_gate.py and test_target_responses.py pass.

--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -96,7 +96,10 @@
     cold_calls_per_s: float = DEFAULT_COLD_CALLS_PER_S
     """Calls per second that the target can serve while it is cold."""
     _target: _Target | None = None
-    _down: bool = False
+    _unreachable: bool = False
+    """Whether the last connect to the target has failed."""
+    _failing: bool = False
+    """Whether the target has only broken runs."""
     _may_be_cold: bool = True
     """Whether the target may be cold without having announced it."""
     _probe_requested: bool = False
@@ -136,7 +139,7 @@
     @property
     def needs_probe(self) -> bool:
         """Return whether a health check would clarify the target's state."""
-        uncertain = self._down or self._may_be_cold or self._probe_requested
+        uncertain = self._unreachable or self._may_be_cold or self._probe_requested
         return self._target is not None and uncertain
 
     def state(self, now_s: float) -> GateState:
@@ -149,7 +152,7 @@
             return GateState.UNKNOWN
         if self._target.departed or self._target.announcement.draining:
             return GateState.DRAINING
-        if self._down:
+        if self._unreachable or self._failing:
             return GateState.DOWN
         if self._is_rate_limited(now_s):
             return GateState.COLD
@@ -247,17 +250,16 @@
             if status == MISDIRECTED_STATUS:
                 target.replaced = True
         if kind is AttemptKind.NOT_CONNECTED:
-            self._down = True
+            self._unreachable = True
         if kind is AttemptKind.BROKEN:
             # The target is not treated as cold: one that has exited refuses
             # the next connection, and a lost answer does not mean a restart.
             self._probe_requested = True
             self._consecutive_broken += 1
-            self._down = (
-                self._down or self._consecutive_broken >= MAX_CONSECUTIVE_BROKEN
-            )
+            self._failing = self._consecutive_broken >= MAX_CONSECUTIVE_BROKEN
         elif kind is AttemptKind.ANSWERED:
             self._consecutive_broken = 0
+            self._failing = False
         if kind is AttemptKind.ANSWERED and not failed or kind is AttemptKind.TIMEOUT:
             self._update_run_times(job, now_s - job.started_s)
 
@@ -278,7 +280,8 @@
             self._target.announcement = announcement
             self._target.replaced = False
         self._set_cold_time(announcement.cold_s, now_s)
-        self._mark_reachable()
+        self._unreachable = self._failing = False
+        self._consecutive_broken = 0
         return True
 
     def depart(self, lifetime: str, started_ms: int | None) -> None:
@@ -301,16 +304,17 @@
 
         It does not open a gate without an announcement: a target still passes
         health checks after the previous process of this daemon has
-        acknowledged its departure.
+        acknowledged its departure. Neither does it open the gate of a target
+        whose runs break, because health checks may pass all the same.
         """
         target = self._target
         if target is not None and target.announcement.lifetime == lifetime:
             self._set_cold_time(cold_s, now_s)
-            self._mark_reachable()
+            self._unreachable = False
 
     def probe_failed(self) -> None:
         """Handle a health check that could not connect."""
-        self._down = True
+        self._unreachable = True
 
     def set_evacuated(self, evacuated: bool) -> None:
         """Close or open the gate for an evacuation."""
@@ -336,10 +340,6 @@
         concurrency = int(self.cold_calls_per_s * self._run_time_s)
         return max(1, min(self._slots, concurrency))
 
-    def _mark_reachable(self) -> None:
-        self._down = False
-        self._consecutive_broken = 0
-
     def _set_cold_time(self, cold_s: float, now_s: float) -> None:
         self._may_be_cold = self._probe_requested = False
         self._cold_until_s = now_s + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
--- a/catkinhollow/relay/target_responses.py
+++ b/catkinhollow/relay/target_responses.py
@@ -41,7 +41,9 @@
             return broken(
                 f"status {response.status} without a mark that it has not run"
             )
-        if response.status in SUCCESS_STATUSES:
+        # Health checks carry no id, and a target does not sign its answers to
+        # them.
+        if request_id is not None and response.status in SUCCESS_STATUSES:
             error = _find_success_error(response, header_names)
             if error:
                 return broken(error)
