Keep calls in their failure domain while it has room

Cause: the estimate of a gate counted half a run for its utilization, and up to a third of a run at random. With runs of 550 ms a single running call cost more than another failure domain.

Change: the failure domain is chosen first, by the expected wait for a slot alone; the wait that is accepted nearby grows with the time that the call can spare. Utilization and the random part only choose among gates that are equally near.

On the old code a free target nearby gets no call as soon as it runs one (script over 0 to 8 running calls, 100 of 100 calls went away).

--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -29,7 +29,7 @@
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.peers import Peer
-from catkinhollow.relay.placement import Placer
+from catkinhollow.relay.placement import CallSize, Placer
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.retry_advice import retry_after_s
@@ -250,8 +250,11 @@
         network.refresh_own_report()
         peers = network.directory.for_service(service)
         candidates = self._versions.candidates(service, peers)
-        answer_kb = self._mean_answer_kb.get(route.name, 0.0)
-        return self._placer.choose(candidates, tried, answer_kb)
+        size = CallSize(
+            answer_kb=self._mean_answer_kb.get(route.name, 0.0),
+            target_latency_ms=route.target_latency_ms,
+        )
+        return self._placer.choose(candidates, tried, size)
 
     def _budget(self, service: str) -> RetryBudget:
         # The slack is a number of tokens for all daemons together, but each
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -52,33 +52,69 @@
 
 @frozen(kw_only=True)
 class Distances:
-    """Configure the cost of a call's distance as milliseconds of waiting.
+    """Configure how long a call waits nearby rather than go far away.
 
-    The cost of another failure domain includes the price of the transferred
-    bytes: a download of 90 KB should rather wait for a whole run at a target
-    nearby than be served from there.
+    Times are in milliseconds. The cost of another failure domain includes the
+    price of the transferred bytes: a download of 90 KB should rather wait for
+    a whole run at a target nearby than be served from there.
     """
 
-    same_domain_ms: float = 0.5
     other_domain_ms: float = 20.0
     other_domain_ms_per_kb: float = 1.0
     other_region_ms: float = 60.0
+    spare_time_share: float = 0.3
+    """Least cost as a share of the time that a call can wait."""
+
+
+@frozen(kw_only=True)
+class CallSize:
+    """Describe what is known about a call before it is placed."""
+
+    answer_kb: float = 1.0
+    """Expected size of the answer in KiB."""
+    target_latency_ms: float = 0.0
+    """Time from the request to its soft deadline."""
 
 
 class Placer(Protocol):
     """Choose a peer for a call."""
 
     def choose(
-        self, candidates: Sequence[Peer], excluded: Collection[str], answer_kb: float
+        self, candidates: Sequence[Peer], excluded: Collection[str], size: CallSize
     ) -> Peer | None:
-        """Return the peer that should run the call, None if none can.
+        """Return the peer that should run the call, None if none can."""
+
+
+@frozen
+class _Candidate:
+    """Represent a gate that can take a call."""
 
-        `answer_kb` is the expected size of the answer in KiB.
-        """
+    peer: Peer
+    report: TargetReport
+    load: float
+    """Estimated number of running and waiting calls."""
+    freshness: float
+
+    @property
+    def slots(self) -> int:
+        return max(1, self.report.slots)
+
+    @property
+    def service_ms(self) -> float:
+        return self.report.service_ms or DEFAULT_SERVICE_MS
+
+    @property
+    def wait_ms(self) -> float:
+        """Return the expected wait for a slot."""
+        return self.service_ms * max(0.0, self.load + 1 - self.slots) / self.slots
 
 
 class LeastWaitPlacer:
-    """Choose the gate with the shortest estimated wait."""
+    """Choose the gate with the shortest estimated wait.
+
+    A call stays in its failure domain while a target there has a free slot,
+    and after that until the wait costs more than the distance.
+    """
 
     def __init__(
         self, own: Peer, distances: Distances, clock: Clock, random: Random
@@ -89,12 +125,9 @@
         self._random = random
 
     def choose(
-        self, candidates: Sequence[Peer], excluded: Collection[str], answer_kb: float
+        self, candidates: Sequence[Peer], excluded: Collection[str], size: CallSize
     ) -> Peer | None:
-        """Return the peer that should run the call, None if none can.
-
-        `answer_kb` is the expected size of the answer in KiB.
-        """
+        """Return the peer that should run the call, None if none can."""
         now_s = self._clock.monotonic()
         available = [
             (peer, peer.report)
@@ -103,19 +136,55 @@
             and peer.accepts_calls
             and peer.record.address not in excluded
         ]
-        mean_utilization = _mean_utilization(available)
         best = self._choose_new(available, now_s)
-        best_ms = 0.0
-        for peer, report in available if best is None else ():
-            freshness = exp((peer.reported_s - now_s) / REPORT_MEMORY_S)
-            cost_ms = self._cost_ms(peer, report, freshness, mean_utilization)
-            cost_ms += self._distance_ms(peer, answer_kb)
-            if best is None or cost_ms < best_ms:
-                best, best_ms = peer, cost_ms
+        if best is None and available:
+            nearest = self._find_nearest(self._estimate(available, now_s), size)
+            best = min(nearest, key=self._cost_ms).peer
         if best is not None:
             best.last_called_s = now_s
         return best
 
+    def _estimate(
+        self, available: Sequence[tuple[Peer, TargetReport]], now_s: float
+    ) -> list[_Candidate]:
+        mean_utilization = _mean_utilization(available)
+        candidates = []
+        for peer, report in available:
+            freshness = exp((peer.reported_s - now_s) / REPORT_MEMORY_S)
+            load: float = freshness * (report.running + report.waiting)
+            load += (1.0 - freshness) * mean_utilization * max(1, report.slots)
+            load += UNREPORTED_WEIGHT * peer.sent_since_report
+            if report.state is GateState.COLD:
+                load = load * COLD_FACTOR + 1
+            candidates.append(_Candidate(peer, report, load, freshness))
+        return candidates
+
+    def _find_nearest(
+        self, candidates: list[_Candidate], size: CallSize
+    ) -> list[_Candidate]:
+        """Return the gates of the distance at which the call should run."""
+        tiers: dict[int, list[_Candidate]] = {}
+        for candidate in candidates:
+            tiers.setdefault(self._distance(candidate.peer), []).append(candidate)
+        return min(
+            (tiers[distance] for distance in sorted(tiers)),
+            key=lambda tier: self._tier_cost_ms(tier, size),
+        )
+
+    def _tier_cost_ms(self, tier: list[_Candidate], size: CallSize) -> float:
+        best = min(tier, key=lambda candidate: candidate.wait_ms)
+        distance = self._distance(best.peer)
+        if not distance:
+            return best.wait_ms
+        distances = self._distances
+        cost_ms = distances.other_domain_ms_per_kb * size.answer_kb
+        cost_ms += distances.other_domain_ms
+        spare_ms = size.target_latency_ms - best.service_ms
+        cost_ms = max(cost_ms, distances.spare_time_share * spare_ms)
+        if distance > 1:
+            cost_ms += distances.other_region_ms
+        return best.wait_ms + cost_ms
+
     def _choose_new(
         self, available: Sequence[tuple[Peer, TargetReport]], now_s: float
     ) -> Peer | None:
@@ -137,37 +206,20 @@
         new = report.runs < EXPLORE_RUNS and now_s - peer.last_called_s > EXPLORE_S
         return new and free and not report.waiting
 
-    def _cost_ms(
-        self,
-        peer: Peer,
-        report: TargetReport,
-        freshness: float,
-        mean_utilization: float,
-    ) -> float:
-        service_ms = report.service_ms or DEFAULT_SERVICE_MS
-        slots = max(1, report.slots)
-        load: float = freshness * (report.running + report.waiting)
-        load += (1.0 - freshness) * mean_utilization * slots
-        load += UNREPORTED_WEIGHT * peer.sent_since_report
-        if report.state is GateState.COLD:
-            load = load * COLD_FACTOR + 1
-        utilization = load / slots
-        waiting = max(0.0, load + 1 - slots)
-        cost_ms = service_ms * (waiting / slots + BUSY_SHARE * utilization)
-        uncertainty = max(min(1.0, utilization), 1.0 - freshness)
-        return cost_ms + JITTER_SHARE * service_ms * uncertainty * self._random.random()
-
-    def _distance_ms(self, peer: Peer, answer_kb: float) -> float:
+    def _cost_ms(self, candidate: _Candidate) -> float:
+        """Return the randomized cost of a gate among those equally near."""
+        utilization = candidate.load / candidate.slots
+        uncertainty = max(min(1.0, utilization), 1.0 - candidate.freshness)
+        share = BUSY_SHARE * utilization
+        share += JITTER_SHARE * uncertainty * self._random.random()
+        return candidate.wait_ms + candidate.service_ms * share
+
+    def _distance(self, peer: Peer) -> int:
+        """Return 0 in the failure domain, 1 in the region, 2 elsewhere."""
         own, other = self._own.record, peer.record
-        distances = self._distances
-        if peer is self._own:
-            return 0.0
         if own.failure_domain == other.failure_domain:
-            return distances.same_domain_ms
-        bytes_ms = distances.other_domain_ms_per_kb * answer_kb
-        if own.region == other.region:
-            return distances.other_domain_ms + bytes_ms
-        return distances.other_region_ms + bytes_ms
+            return 0
+        return 1 if own.region == other.region else 2
 
 
 def _mean_utilization(available: Sequence[tuple[Peer, TargetReport]]) -> float:
