Read the store's objects one by one and refuse odd ones

Cause: an entry of another writer could end every daemon that reads the store, or stop it from following. On the code before (script over both decoders): 100,000 nested lists or objects raised RecursionError past the handlers, a number of 10^30 raised OverflowError when it was encoded for the peers, and one number out of range, one missing field or one entry null made the whole listing unreadable, which counts as an outage of the store without end. A port of 70,000 and another daemon's name were accepted.

Change: a page holds its objects undecoded; each is decoded by itself and logged if it can't be read. Values nested deeper than 64 levels are replaced before a second attempt. The decoders return an error for whatever exceeds their limits. Numbers are bounded in the schema, daemon records need an address with a valid port and their own name.

--- a/catkinhollow/addresses.py
+++ b/catkinhollow/addresses.py
@@ -15,7 +15,8 @@
     # isdigit alone also accepts non-ASCII digits.
     if not host or not colon or not (port.isascii() and port.isdigit()):
         return Error(DecodeError(reason=f"'{text}' is not of the form HOST:PORT"))
-    if not 1 <= int(port) <= MAX_PORT:
+    # int refuses to convert thousands of digits.
+    if len(port) > len(str(MAX_PORT)) or not 1 <= int(port) <= MAX_PORT:
         return Error(DecodeError(reason=f"port {port} is not in 1 to {MAX_PORT}"))
     return Ok(Address(host=host, port=int(port)))
 
--- a/catkinhollow/codec.py
+++ b/catkinhollow/codec.py
@@ -1,5 +1,10 @@
-"""Encode and decode messages and stored values."""
+"""Encode and decode messages and stored values.
 
+Values that others have written may be malformed in any way. Decoding returns
+an error for all of them, also for those that exceed the decoder's limits.
+"""
+
+import re
 from functools import cache
 from typing import Any, TypeVar
 
@@ -11,12 +16,26 @@
 
 T = TypeVar("T")
 
+# Deeper values are not decoded; no message of any party nests as deeply.
+MAX_DEPTH = 64
+
+_DECODE_ERRORS = (MsgspecError, RecursionError, OverflowError, UnicodeError)
+_JSON_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
+
 
 def encode_message(message: Any) -> bytes:
     """Encode a message between daemons as MessagePack."""
     return msgpack.encode(message)
 
 
+def try_encode_message(message: Any) -> Result[bytes, DecodeError]:
+    """Encode a message that may hold numbers that MessagePack can't hold."""
+    try:
+        return Ok(msgpack.encode(message))
+    except OverflowError as error:
+        return Error(DecodeError(reason=str(error)))
+
+
 def encode_without_none(message: Any) -> bytes:
     """Encode a message as MessagePack without the fields that are None.
 
@@ -39,7 +58,7 @@
     """Decode a MessagePack message of the given class."""
     try:
         return Ok(msgpack.decode(data, type=message_class))
-    except MsgspecError as error:
+    except _DECODE_ERRORS as error:
         return Error(DecodeError(reason=str(error)))
 
 
@@ -52,15 +71,33 @@
     """Decode a JSON document of the given class."""
     try:
         return Ok(json.decode(data, type=result_class))
-    except MsgspecError as error:
+    except _DECODE_ERRORS as error:
         return Error(DecodeError(reason=str(error)))
 
 
+def replace_deep_values(data: bytes) -> bytes:
+    """Replace the values in a JSON document that are nested too deeply."""
+    parts: list[bytes] = []
+    copied = depth = 0
+    for token in _JSON_TOKENS.finditer(data):
+        if token.group() in b"[{":
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                parts += [data[copied : token.start()], b"null"]
+        elif token.group() in b"]}":
+            depth -= 1
+            if depth == MAX_DEPTH:
+                copied = token.end()
+    if depth > MAX_DEPTH:
+        return b"".join(parts)
+    return b"".join([*parts, data[copied:]])
+
+
 def from_plain(value: Any, result_class: type[T]) -> Result[T, DecodeError]:
     """Convert plain dicts and lists to the given class."""
     try:
         return Ok(convert(value, type=result_class))
-    except MsgspecError as error:
+    except _DECODE_ERRORS as error:
         return Error(DecodeError(reason=str(error)))
 
 
--- a/catkinhollow/platform/generated.py
+++ b/catkinhollow/platform/generated.py
@@ -4,7 +4,7 @@
 from typing import Annotated, Any, TypeAlias
 
 from attrs import frozen
-from msgspec import Meta
+from msgspec import Meta, Raw
 
 PlatformSchema: TypeAlias = Annotated[Any, Meta(title="PlatformSchema")]
 
@@ -15,10 +15,20 @@
 
     name: str
     revision: Annotated[
-        int, Meta(description="Store-wide revision of the object's last change.", ge=0)
+        int,
+        Meta(
+            description="Store-wide revision of the object's last change.",
+            ge=0,
+            le=9007199254740991,
+        ),
     ]
     created_rev: Annotated[
-        int, Meta(description="Store-wide revision of the object's creation.", ge=0)
+        int,
+        Meta(
+            description="Store-wide revision of the object's creation.",
+            ge=0,
+            le=9007199254740991,
+        ),
     ] = 0
     deletion_requested: bool = False
 
@@ -46,7 +56,12 @@
 class ObjectPage:
     """Represent one page of a listing."""
 
-    items: list[PlatformObject]
+    items: Annotated[
+        list[Raw],
+        Meta(
+            description="Objects that are decoded one by one, because any of them may be malformed."
+        ),
+    ]
     at_rev: Annotated[int, Meta(description="Revision of the store.", ge=0)]
     has_more: bool = False
 
@@ -63,7 +78,9 @@
 class EventPage:
     """Represent the changes after a revision."""
 
-    events: list[ObjectEvent]
+    events: Annotated[
+        list[Raw], Meta(description="Changes that are decoded one by one.")
+    ]
     at_rev: Annotated[int, Meta(description="Revision from which to watch next.", ge=0)]
 
 
@@ -115,22 +132,28 @@
     address: str
     failure_domain: str
     version: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=65535)]
     state: AnnouncedState
-    cold_remaining_ms: Annotated[float, Meta(ge=0.0)]
+    cold_remaining_ms: Annotated[float, Meta(ge=0.0, le=3600000.0)]
     seq: Annotated[
         int,
         Meta(
             description="Increasing sequence number of the announcements since the target's start.",
             ge=0,
+            le=9007199254740991,
         ),
     ]
     born: Annotated[
-        int, Meta(description="Unix time of the target's start in milliseconds.", ge=0)
+        int,
+        Meta(
+            description="Unix time of the target's start in milliseconds.",
+            ge=0,
+            le=9007199254740991,
+        ),
     ]
 
 
-Born: TypeAlias = Annotated[int, Meta(ge=0)]
+Born: TypeAlias = Annotated[int, Meta(ge=0, le=9007199254740991)]
 
 
 @frozen(kw_only=True)
--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -12,11 +12,18 @@
     Response,
     TimeoutException,
 )
+from msgspec import Raw
 
-from catkinhollow.codec import decode_json, encode_json
+from catkinhollow.codec import decode_json, encode_json, replace_deep_values
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.store import ObjectList, StoredObject
-from catkinhollow.platform.generated import EventPage, ObjectPage, PlatformObject
+from catkinhollow.logs import get_logger
+from catkinhollow.platform.generated import (
+    EventPage,
+    ObjectEvent,
+    ObjectPage,
+    PlatformObject,
+)
 from catkinhollow.platform.objects import STATUS_KINDS, STORE_KINDS, encode_status
 
 # The watch of each kind occupies one connection while it waits; writes use
@@ -46,6 +53,8 @@
     503: StoreErrorKind.UNAVAILABLE,
 }
 
+logger = get_logger(__name__)
+
 T = TypeVar("T")
 
 
@@ -70,23 +79,32 @@
 
     async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
         """Return all objects of a kind."""
+        return await self._list(kind, "")
+
+    async def list_cached(self, kind: str) -> Result[ObjectList, StoreError]:
+        """Return the objects of a kind as they were some seconds ago."""
+        return await self._list(kind, "serializable=1")
+
+    async def _list(self, kind: str, options: str) -> Result[ObjectList, StoreError]:
         objects: list[StoredObject] = []
         # Objects of the first page may change while the others are read, so
         # that only the revision of the first page holds for all.
         revision: int | None = None
-        query = ""
+        query = options
         while True:
-            path = f"/{STORE_KINDS[kind]}{query}"
+            path = f"/{STORE_KINDS[kind]}?{query}" if query else f"/{STORE_KINDS[kind]}"
             read = await self._call("GET", path, None, ObjectPage)
             if read.is_error():
                 return Error(read.error)
             page = read.ok
             if revision is None:
                 revision = page.at_rev
-            objects.extend(_to_stored_object(kind, item) for item in page.items)
-            if not page.has_more or not page.items:
+            items = _decode_items(kind, page.items, PlatformObject)
+            objects.extend(_to_stored_object(kind, item) for item in items)
+            if not page.has_more or not items:
                 break
-            query = f"?after={quote(page.items[-1].metadata.name, safe='')}"
+            after = f"after={quote(items[-1].metadata.name, safe='')}"
+            query = f"{options}&{after}" if options else after
         return Ok(ObjectList(revision=revision, objects=objects, complete=True))
 
     async def watch(
@@ -106,7 +124,7 @@
             _to_stored_object(
                 kind, event.object, page.at_rev if event.deleted else None
             )
-            for event in page.events
+            for event in _decode_items(kind, page.events, ObjectEvent)
         ]
         return Ok(ObjectList(revision=page.at_rev, objects=objects))
 
@@ -173,12 +191,28 @@
             error_kind = StoreErrorKind.UNAVAILABLE
         return Error(StoreError(kind=error_kind, reason=f"status {response.status}"))
     decoded = decode_json(response.content, result_class)
+    if decoded.is_error():
+        shallow = replace_deep_values(response.content)
+        decoded = decode_json(shallow, result_class)
     if decoded.is_error():
         reason = f"malformed response: {decoded.error.reason}"
         return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
     return Ok(decoded.ok)
 
 
+def _decode_items(kind: str, items: list[Raw], item_class: type[T]) -> list[T]:
+    """Return the objects that can be read; log the others."""
+    objects = []
+    for item in items:
+        decoded = decode_json(bytes(item), item_class)
+        if decoded.is_ok():
+            objects.append(decoded.ok)
+        else:
+            reason = decoded.error.reason
+            logger.warning("object not read", kind=kind, reason=reason)
+    return objects
+
+
 def _to_stored_object(
     kind: str, item: PlatformObject, deleted_revision: int | None = None
 ) -> StoredObject:
--- a/catkinhollow/relay/document_handler.py
+++ b/catkinhollow/relay/document_handler.py
@@ -2,6 +2,7 @@
 
 from typing import Any, TypeVar
 
+from catkinhollow.addresses import parse_address
 from catkinhollow.codec import decode_message
 from catkinhollow.generated.relay import (
     DaemonRecord,
@@ -79,6 +80,8 @@
             return str(decoded.error.reason)
         if kind == CONFIGURATION:
             return find_error(decoded.ok, self._version)
+        if kind == DAEMONS:
+            return _find_record_error(document, decoded.ok)
         return ""
 
 
@@ -169,6 +172,13 @@
             self._gate.set_evacuated(not document.deleted)
 
 
+def _find_record_error(document: Document, record: DaemonRecord) -> str:
+    if document.name != f"{DAEMONS}/{record.name}":
+        return "record of another daemon"
+    address = parse_address(record.address)
+    return "" if address.is_ok() else address.error.reason
+
+
 def _decode(document: Document, kind: type[T]) -> T:
     decoded = decode_message(document.body, kind)
     if decoded.is_error():
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -8,7 +8,7 @@
 import trio
 from expression import Result
 
-from catkinhollow.codec import encode_message, to_plain
+from catkinhollow.codec import encode_message, to_plain, try_encode_message
 from catkinhollow.configuration.backoff import Backoff
 from catkinhollow.configuration.store import StoreClient
 from catkinhollow.errors import DecodeError, StoreErrorKind
@@ -139,7 +139,7 @@
         name = f"{stored.kind}/{stored.name}"
         body = b""
         if not stored.deleted:
-            decoded = self._decode(stored)
+            decoded = self._decode(stored).bind(try_encode_message)
             if decoded.is_error():
                 logger.error(
                     "object refused",
@@ -148,7 +148,7 @@
                     reason=decoded.error.reason,
                 )
                 return
-            body = encode_message(decoded.ok)
+            body = decoded.ok
         document = Document(
             name=name, revision=stored.revision, deleted=stored.deleted, body=body
         )
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -81,6 +81,10 @@
         {"seq": "x"},
         {"born": None},
         {"slots": 0},
+        {"slots": 10**30},
+        {"seq": 10**40},
+        {"born": 2**70},
+        {"cold_remaining_ms": 1e300},
     ],
 )
 async def test_invalid_announcement_is_refused(change):
@@ -95,7 +99,12 @@
 async def test_malformed_announcement_is_refused():
     """Guards against a daemon that crashes on bytes that cannot be decoded."""
     app = AnnouncementApplication(Listener(), "stock")
-    assert await send_request(app, "PUT", "/instances/i-1", b"\xff\x00") == 400
+    deep = b"[" * 30_000 + b"]" * 30_000
+    nested = json.dumps(ANNOUNCEMENT).encode().replace(b'"stock"', deep)
+    extra = json.dumps(ANNOUNCEMENT).encode().replace(b"{", b'{"x":' + deep + b",")
+    for body in (b"\xff\x00", deep, nested, extra, b"1e999", b""):
+        assert await send_request(app, "PUT", "/instances/i-1", body) == 400
+        assert await send_request(app, "DELETE", "/instances/i-2", body) == 200
 
 
 def test_template_gives_complete_settings():
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -2,13 +2,16 @@
 
 import json
 
+import pytest
 from asgi_pool import AsgiPool
 from expression import Result
 
+from catkinhollow.codec import try_encode_message
 from catkinhollow.errors import StoreErrorKind
-from catkinhollow.generated.relay import OrderState
+from catkinhollow.generated.relay import Document, OrderState
 from catkinhollow.platform.object_store import PlatformStore
 from catkinhollow.platform.objects import decode_object
+from catkinhollow.relay.document_handler import DocumentValidator
 
 ORDER = {
     "metadata": {"name": "stock", "revision": 12, "created_rev": 9},
@@ -111,3 +114,76 @@
         StoreErrorKind.UNAVAILABLE,
         StoreErrorKind.UNAVAILABLE,
     ]
+
+
+RECORD = {
+    "name": "a",
+    "address": "10.0.0.1:7620",
+    "failure_domain": "z",
+    "region": "r",
+    "service": "stock",
+}
+DEEP = "[" * 100_000 + "]" * 100_000
+
+
+def make_item(name, spec):
+    return f'{{"metadata": {{"name": "{name}", "revision": 5}}, "spec": {spec}}}'
+
+
+ODD_ITEMS = {
+    "deeply nested list": make_item("odd", DEEP),
+    "deeply nested object": make_item("odd", '{"a":' * 50_000 + "1" + "}" * 50_000),
+    "unclosed string of brackets": make_item("odd", '"[[[{{{"'),
+    "number out of range": make_item("odd", "1e999"),
+    "number of 5000 digits": make_item("odd", "9" * 5000),
+    "revision beyond 64 bits": '{"metadata": {"name": "odd", "revision": 1e30}}',
+    "revision of 40 digits": f'{{"metadata": {{"name": "o", "revision": {10**40}}}}}',
+    "no metadata": '{"spec": {}}',
+    "not an object": "null",
+    "port out of range": make_item(
+        "odd", json.dumps({**RECORD, "name": "odd"})
+    ).replace("7620", "70000"),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS.values(), ids=ODD_ITEMS)
+@pytest.mark.parametrize("read", ["listing", "watch"])
+async def test_odd_object_hides_no_other(nursery, odd, read):
+    """Guards against one malformed entry that ends a daemon or its watch."""
+    good = make_item("a", json.dumps(RECORD))
+    if read == "listing":
+        page = f'{{"items": [{odd}, {good}], "at_rev": 9}}'
+    else:
+        odd_event, event = f'{{"object": {odd}}}', f'{{"object": {good}}}'
+        page = f'{{"events": [{odd_event}, {event}], "at_rev": 9}}'
+    _, store = make_store(nursery, (200, page.encode()))
+    if read == "listing":
+        listing = (await store.list_objects("daemons")).ok
+    else:
+        listing = (await store.watch("daemons", after=3, wait_s=20.0)).ok
+    assert listing.revision == 9
+    accepted = [
+        document.name
+        for stored in listing.objects
+        if (document := to_document(stored)) and DocumentValidator().accepts(document)
+    ]
+    assert accepted == ["daemons/a"]
+
+
+def to_document(stored):
+    body = decode_object(stored).bind(try_encode_message)
+    if body.is_error():
+        return None
+    return Document(name=f"daemons/{stored.name}", revision=5, body=body.ok)
+
+
+async def test_unreadable_last_object_of_a_page_does_not_end_the_listing(nursery):
+    """Guards against a listing that stops at an odd entry."""
+    good = make_item("a", json.dumps(RECORD))
+    later = make_item("b", json.dumps({**RECORD, "name": "b"}))
+    first = f'{{"items": [{good}, null], "has_more": true, "at_rev": 9}}'
+    last = f'{{"items": [null, {later}], "has_more": false, "at_rev": 9}}'
+    app, store = make_store(nursery, (200, first.encode()), (200, last.encode()))
+    listing = (await store.list_objects("daemons")).ok
+    assert [stored.name for stored in listing.objects] == ["a", "b"]
+    assert app.calls[1][1].endswith("?after=a")
