Accept no request that the end of a shutdown could cut off

Cause: whether requests are still accepted was decided at each poll of the drain, 3.0 to 3.1 s after SIGTERM.

Change: the times of a shutdown are a decision of their own (ShutdownPlan), set by the timer instead of the poll.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -44,6 +44,7 @@
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestServer
+from catkinhollow.relay.shutdown_plan import ShutdownPlan
 from catkinhollow.relay.store_follower import ObjectDecoder, StoreFollower
 from catkinhollow.relay.target_responses import make_classifier
 from catkinhollow.relay.versions import VersionPolicy
@@ -58,18 +59,6 @@
 # Idle connections to the target are not reused after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
-# Minimum time of a shutdown. The platform checks readiness once per second and
-# needs two failed checks.
-MIN_DRAIN_S = 2.2
-# Time of a shutdown after which the requests of callers that keep sending,
-# although the instance is not ready, are refused. Most requests take less than
-# 2 s, so that none is open at the end of the shutdown.
-ACCEPT_REQUESTS_S = 3.0
-# Time of a shutdown during which the gate still accepts calls.
-GATE_DRAIN_DELAY_S = 1.9
-# Part of the grace period that is reserved for the last responses and for the
-# exit of the process, which is killed at the end of the period.
-EXIT_MARGIN_S = 0.6
 # Time to send the responses to the requests that the shutdown has aborted.
 LAST_RESPONSES_S = 0.3
 LAST_RESPONSES_POLL_S = 0.02
@@ -307,20 +296,16 @@
     async def _drain(self) -> None:
         self._stopping = True
         self._server.begin_closing()
+        plan = ShutdownPlan(self._settings.grace_s)
         started_s = self._clock.monotonic()
-        # Callers on the instance need this time to stop in any case, and the
-        # target behind the gate may be healthy.
-        await trio.sleep(GATE_DRAIN_DELAY_S)
-        self._gate.stop()
-        max_drain_s = self._settings.grace_s - EXIT_MARGIN_S
+        self._timer.call_after(plan.refuse_calls_s, self._gate.stop)
+        self._timer.call_after(plan.refuse_requests_s, self._ingress.stop)
         was_idle = False
-        while self._clock.monotonic() - started_s < max_drain_s:
+        while (elapsed_s := self._clock.monotonic() - started_s) < plan.abort_s:
             idle = not self._gate.busy and not self._server.busy
-            if self._clock.monotonic() - started_s > ACCEPT_REQUESTS_S:
-                self._ingress.stop()
             # Only return after a second idle check, so that the links can send
             # the last answers.
-            if idle and was_idle and self._clock.monotonic() - started_s > MIN_DRAIN_S:
+            if idle and was_idle and elapsed_s > plan.min_end_s:
                 return
             was_idle = idle
             await trio.sleep(DRAIN_POLL_S)
