--- a/catkinhollow/mesh/rings.py
+++ b/catkinhollow/mesh/rings.py
@@ -1,7 +1,7 @@
 """Order members on hash rings and choose members by rendezvous hash."""
 
 from bisect import bisect_left, insort
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from functools import lru_cache
 from heapq import nlargest
 
@@ -23,11 +23,11 @@
 
 
 class Rings:
-    """Maintain the sorted positions of the members on every ring."""
+    """Maintain the sorted positions of the members on up to four rings."""
 
-    def __init__(self) -> None:
+    def __init__(self, count: int = RING_COUNT) -> None:
         self._members: set[str] = set()
-        self._rings: list[list[tuple[int, str]]] = [[] for _ in range(RING_COUNT)]
+        self._rings: list[list[tuple[int, str]]] = [[] for _ in range(count)]
 
     @property
     def members(self) -> frozenset[str]:
@@ -39,7 +39,7 @@
         if address in self._members:
             return
         self._members.add(address)
-        for ring, position in zip(self._rings, _positions(address), strict=True):
+        for ring, position in zip(self._rings, _positions(address), strict=False):
             insort(ring, position)
 
     def discard(self, address: str) -> None:
@@ -47,7 +47,7 @@
         if address not in self._members:
             return
         self._members.remove(address)
-        for ring, position in zip(self._rings, _positions(address), strict=True):
+        for ring, position in zip(self._rings, _positions(address), strict=False):
             del ring[bisect_left(ring, position)]
 
     def successors(self, address: str) -> list[str]:
@@ -60,17 +60,32 @@
 
     def _neighbours(self, address: str, step: int) -> list[str]:
         found: dict[str, None] = {}
-        for ring, position in zip(self._rings, _positions(address), strict=True):
-            if not ring:
-                continue
-            index = bisect_left(ring, position)
-            present = index < len(ring) and ring[index] == position
-            offset = step if present or step < 0 else 0
-            neighbour = ring[(index + offset) % len(ring)][1]
-            if neighbour != address:
+        for walk in self.walks(address, step):
+            neighbour = next(walk, None)
+            if neighbour is not None:
                 found[neighbour] = None
         return list(found)
 
+    def walks(self, address: str, step: int) -> list[Iterator[str]]:
+        """Return the other members on each ring, the nearest first.
+
+        The step is 1 for the members after the address, -1 for those before.
+        """
+        return [
+            self._walk(ring, position, step)
+            for ring, position in zip(self._rings, _positions(address), strict=False)
+        ]
+
+    def _walk(
+        self, ring: list[tuple[int, str]], position: tuple[int, str], step: int
+    ) -> Iterator[str]:
+        index = bisect_left(ring, position)
+        present = index < len(ring) and ring[index] == position
+        offset = step if present or step < 0 else 0
+        for _ in range(len(ring) - present):
+            yield ring[(index + offset) % len(ring)][1]
+            offset += step
+
 
 def choose_by_rendezvous_hash(
     members: Iterable[str], key: str, count: int
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -14,11 +14,11 @@
 from catkinhollow.calls.egress import HttpTargetClient
 from catkinhollow.calls.http_server import App, serve_app
 from catkinhollow.clock import TrioClock
-from catkinhollow.configuration.store import StoreClient
 from catkinhollow.errors import DecodeError
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
     DaemonRecord,
+    Frame,
     OrderState,
     RelaySettings,
 )
@@ -29,15 +29,19 @@
     ReadyApplication,
 )
 from catkinhollow.relay.document_handler import DocumentHandler, DocumentValidator
+from catkinhollow.relay.document_sync import DocumentChanged
 from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.follower_election import FollowerElection
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.ingress import Ingress
-from catkinhollow.relay.kinds import DAEMONS
-from catkinhollow.relay.links import NngFrameLink
+from catkinhollow.relay.kinds import CONFIGURATION, DAEMONS
+from catkinhollow.relay.link_plan import LinkPlan
+from catkinhollow.relay.links import NngFrameLink, message_kind
 from catkinhollow.relay.move_driver import STEP_INTERVAL_S, MoveDriver
-from catkinhollow.relay.network import DocumentChanged, PeerNetwork
+from catkinhollow.relay.network import PeerNetwork
+from catkinhollow.relay.own_record import OwnRecordKeeper
 from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.relay.placement import Distances, LeastWaitPlacer
 from catkinhollow.relay.record_cleanup import find_stale_peers
@@ -45,7 +49,11 @@
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestServer
 from catkinhollow.relay.shutdown_plan import ShutdownPlan
-from catkinhollow.relay.store_follower import ObjectDecoder, StoreFollower
+from catkinhollow.relay.store_follower import (
+    ObjectDecoder,
+    RelayStore,
+    StoreFollower,
+)
 from catkinhollow.relay.target_responses import make_classifier
 from catkinhollow.relay.versions import VersionPolicy
 from catkinhollow.timer import Timer
@@ -91,7 +99,7 @@
         self,
         *,
         settings: RelaySettings,
-        store: StoreClient,
+        store: RelayStore,
         decode: ObjectDecoder,
         header_names: HeaderNames,
         announcement_app: AnnouncementAppFactory,
@@ -124,10 +132,12 @@
             ingress=self._ingress,
             gate=self._gate,
             network=self._network,
+            plan=self._plan,
             versions=self._versions,
             moves=self._moves,
         )
         self._events.connect(DocumentChanged, handler.apply)
+        self._events.connect(DocumentChanged, self._on_document)
 
     def _own_record(self) -> DaemonRecord:
         settings = self._settings
@@ -155,17 +165,22 @@
             on_state_change=self._on_gate_state_change,
             on_run_failure=self._on_run_failure,
         )
-        self._link = NngFrameLink(settings.peer, self._timer)
+        self._link = NngFrameLink(settings.peer, self._timer, self._count_sent)
+        self._plan = LinkPlan(self._directory)
+        self._election = FollowerElection(self._directory, self._clock.monotonic())
         self._network = PeerNetwork(
             incarnation=self._clock.unix_ms(),
             directory=self._directory,
             documents=self._documents,
             gate=self._gate,
             link=self._link,
+            plan=self._plan,
+            election=self._election,
             timer=self._timer,
             events=self._events,
             accepts=self._validator.accepts,
-            is_store_lost=lambda: self._follower.lost,
+            is_configured=lambda: self._ingress.configured,
+            is_following=lambda: self._follower.following,
         )
         self._versions = VersionPolicy(self._random)
         self._ingress = Ingress(
@@ -191,11 +206,19 @@
             store=self._store,
             decode=decode,
             table=self._documents,
-            own_record=self._directory.own.record,
+            role=self._election,
             on_document=self._network.offer_document,
+            clock=self._clock,
             random=self._random,
             metrics=self._metrics,
         )
+        self._record_keeper = OwnRecordKeeper(
+            store=self._store,
+            follower=self._follower,
+            table=self._documents,
+            record=self._directory.own.record,
+            random=self._random,
+        )
         self._moves = MoveDriver(self._store, self._directory, self._clock)
 
     @property
@@ -232,6 +255,7 @@
             nursery.start_soon(self._network.run)
             await self._start_listeners(nursery)
             nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._record_keeper.run)
             nursery.start_soon(self._watch_settings)
             self._timer.subscribe(
                 STEP_INTERVAL_S, lambda: self._start_move_step(nursery)
@@ -330,10 +354,15 @@
 
     async def _delete_stale_records(self) -> None:
         """Delete the records of daemons that have long been disconnected."""
-        if not self._follower.reachable:
+        now_s = self._clock.monotonic()
+        if not self._election.is_followed(now_s):
             return
-        own = self._directory.own
-        for peer in find_stale_peers(self._directory, own, self._clock.monotonic()):
+        neighbours = [
+            peer
+            for address in self._plan.neighbours(now_s)
+            if (peer := self._directory.by_address(address)) is not None
+        ]
+        for peer in find_stale_peers(neighbours, self._directory.own, now_s):
             name = peer.record.name
             document = self._documents.get(f"{DAEMONS}/{name}")
             if document is None:
@@ -344,6 +373,18 @@
             reason = "" if result.is_ok() else result.error.reason
             logger.info("deletion of a stale daemon record", name=name, error=reason)
 
+    def _on_document(self, event: DocumentChanged) -> None:
+        kind, _, name = event.document.name.partition("/")
+        if kind == CONFIGURATION:
+            self._follower.set_configured()
+        elif kind == DAEMONS and name == self._settings.instance:
+            self._record_keeper.record_changed()
+
+    def _count_sent(self, address: str, frame: Frame, size_bytes: int) -> None:
+        place = "same" if self._network.is_nearby(address) else "other"
+        labels = {"message": message_kind(frame), "failure_domain": place}
+        self._metrics.sent_bytes.add(labels, size_bytes)
+
     def _on_gate_state_change(self) -> None:
         self._network.broadcast_status()
 
--- /dev/null
+++ b/catkinhollow/relay/document_flood.py
@@ -0,0 +1,145 @@
+"""Decide to which neighbours a changed document is passed on.
+
+Every daemon passes a change to its neighbours on the hash rings, once. Small
+documents are sent at once. Large ones are announced, so that each daemon
+transfers them once, from the first neighbour that has them.
+"""
+
+from collections.abc import Collection
+from math import inf
+
+from attrs import define, field
+
+from catkinhollow.generated.relay import Document, DocumentVersion
+
+# Documents up to this size are sent without being requested. An announcement
+# and a request take 150 bytes together.
+MAX_PUSHED_BYTES = 2048
+# Time without an answer after which the next neighbour is asked.
+REQUEST_TIMEOUT_S = 0.5
+# Time that a neighbour in the same failure domain has to announce a document
+# before it is requested from another failure domain, where traffic is
+# expensive.
+CROSS_DOMAIN_DELAY_S = 0.25
+
+
+@define(eq=False)
+class PendingChanges:
+    """Collect what one neighbour has to be told."""
+
+    pushed: set[str] = field(factory=set)
+    """Names of documents to send."""
+    announced: set[str] = field(factory=set)
+    """Names of documents to announce."""
+
+
+class DocumentFlood:
+    """Collect changes for the neighbours in batches."""
+
+    def __init__(self) -> None:
+        self._pending: dict[str, PendingChanges] = {}
+
+    @property
+    def pending(self) -> bool:
+        """Return whether there is something to send."""
+        return bool(self._pending)
+
+    def add(self, document: Document, neighbours: Collection[str], source: str) -> None:
+        """Queue a changed document for the neighbours except its source."""
+        for address in neighbours:
+            if address == source:
+                continue
+            changes = self._pending.setdefault(address, PendingChanges())
+            if len(document.body) <= MAX_PUSHED_BYTES:
+                changes.pushed.add(document.name)
+            else:
+                changes.announced.add(document.name)
+
+    def informed(self, address: str, name: str) -> None:
+        """Record that a neighbour has a document already."""
+        changes = self._pending.get(address)
+        if changes is not None:
+            changes.pushed.discard(name)
+            changes.announced.discard(name)
+
+    def take(self) -> dict[str, PendingChanges]:
+        """Return and clear the queued changes by neighbour."""
+        pending, self._pending = self._pending, {}
+        return pending
+
+
+@define(eq=False)
+class _Wanted:
+    """Represent a newer document that neighbours have announced."""
+
+    revision: int
+    sources: dict[str, float] = field(factory=dict)
+    """Earliest time of a request by the address of each neighbour."""
+    asked: str = ""
+    """Address of the neighbour that was asked last."""
+    requested_s: float = -inf
+
+
+class DocumentPulls:
+    """Choose the neighbour that an announced document is requested from."""
+
+    def __init__(self) -> None:
+        self._wanted: dict[str, _Wanted] = {}
+
+    @property
+    def pending(self) -> bool:
+        """Return whether documents are missing."""
+        return bool(self._wanted)
+
+    def announced(
+        self, version: DocumentVersion, source: str, now_s: float, *, same_domain: bool
+    ) -> None:
+        """Record that a neighbour has a newer document."""
+        wanted = self._wanted.get(version.name)
+        if wanted is None or wanted.revision < version.revision:
+            known = wanted or _Wanted(version.revision)
+            wanted = _Wanted(
+                version.revision, asked=known.asked, requested_s=known.requested_s
+            )
+            self._wanted[version.name] = wanted
+        if wanted.revision == version.revision:
+            delay_s = 0.0 if same_domain else CROSS_DOMAIN_DELAY_S
+            wanted.sources.setdefault(source, now_s + delay_s)
+
+    def received(self, name: str, revision: int) -> None:
+        """Record that a document has arrived."""
+        wanted = self._wanted.get(name)
+        if wanted is None:
+            return
+        if wanted.revision <= revision:
+            del self._wanted[name]
+        else:
+            wanted.requested_s = -inf
+
+    def lost(self, source: str) -> None:
+        """Forget a neighbour whose link is down."""
+        for wanted in self._wanted.values():
+            wanted.sources.pop(source, None)
+            if wanted.asked == source:
+                wanted.requested_s = -inf
+
+    def take_due(self, now_s: float) -> dict[str, list[str]]:
+        """Return the names to request now by the address of a neighbour.
+
+        A document without any remaining source is given up; the comparison of
+        digests finds it again.
+        """
+        due: dict[str, list[str]] = {}
+        for name, wanted in list(self._wanted.items()):
+            if now_s - wanted.requested_s < REQUEST_TIMEOUT_S:
+                continue
+            if not wanted.sources:
+                del self._wanted[name]
+                continue
+            source = min(wanted.sources, key=wanted.sources.__getitem__)
+            if wanted.sources[source] <= now_s:
+                del wanted.sources[source]
+                wanted.asked = source
+                wanted.requested_s = now_s
+                due.setdefault(source, []).append(name)
+        return due
--- a/catkinhollow/relay/document_handler.py
+++ b/catkinhollow/relay/document_handler.py
@@ -12,6 +12,7 @@
 )
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.configuration_check import find_error
+from catkinhollow.relay.document_sync import DocumentChanged
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.ingress import Ingress
@@ -21,8 +22,9 @@
     EVACUATIONS,
     ORDERS,
 )
+from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.move_driver import MoveDriver
-from catkinhollow.relay.network import DocumentChanged, PeerNetwork
+from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.versions import VersionPolicy
 
 logger = get_logger(__name__)
@@ -97,6 +99,7 @@
         ingress: Ingress,
         gate: GateService,
         network: PeerNetwork,
+        plan: LinkPlan,
         versions: VersionPolicy,
         moves: MoveDriver,
     ) -> None:
@@ -106,6 +109,7 @@
         self._ingress = ingress
         self._gate = gate
         self._network = network
+        self._plan = plan
         self._versions = versions
         self._moves = moves
 
@@ -127,6 +131,8 @@
         self._validator.set_version(configuration.version)
         self._ingress.configure(configuration)
         self._gate.configure(configuration)
+        self._plan.set_services(service.name for service in configuration.services)
+        self._network.schedule_link_update()
         logger.info(
             "configuration enforced",
             version=configuration.version,
@@ -146,6 +152,8 @@
     def _apply_order(self, document: Document, service: str) -> None:
         documents = self._table.of_kind(ORDERS)
         self._versions.set_orders(_decode(known, MoveOrder) for known in documents)
+        self._plan.set_orders(self._versions.orders)
+        self._network.schedule_link_update()
         if document.deleted:
             self._moves.remove_order(service)
             return
--- a/catkinhollow/relay/documents.py
+++ b/catkinhollow/relay/documents.py
@@ -48,11 +48,11 @@
         now_s: float,
         *,
         same_domain: bool,
-        store_lost: bool = False,
+        is_urgent: bool = False,
     ) -> bool:
         """Return whether to request documents from the digest's sender.
 
-        A daemon that starts without the store requests them at once.
+        A daemon without a configuration requests them at once.
         """
         if own != self._own_digest:
             self._own_digest = own
@@ -67,11 +67,10 @@
             LASTING_DIFFERENCE_S if same_domain else CROSS_DOMAIN_DIFFERENCE_S
         )
         lasting = now_s - self._differs_since_s >= min_difference_s
-        urgent = own == EMPTY_DIGEST and store_lost
         interval_s = (
             REQUEST_TIMEOUT_S if self._awaits_answer else MIN_REQUEST_INTERVAL_S
         )
-        if not (lasting or urgent) or now_s - self._requested_s < interval_s:
+        if not (lasting or is_urgent) or now_s - self._requested_s < interval_s:
             return False
         self._requested_s = now_s
         self._awaits_answer = True
@@ -112,6 +111,15 @@
         document = self._documents.get(name)
         return None if document is None or document.deleted else document
 
+    def revision(self, name: str) -> int:
+        """Return the revision of a document, -1 if it is unknown."""
+        document = self._documents.get(name)
+        return -1 if document is None else document.revision
+
+    def named(self, names: Iterable[str]) -> list[Document]:
+        """Return the documents with these names, deleted ones included."""
+        return [self._documents[name] for name in names if name in self._documents]
+
     def of_kind(self, kind: str) -> list[Document]:
         """Return the existing documents of a kind."""
         prefix = f"{kind}/"
--- a/catkinhollow/relay/exchange_table.py
+++ b/catkinhollow/relay/exchange_table.py
@@ -29,6 +29,10 @@
         """Return the addresses of peers with open calls."""
         return {call.address for call in self._open.values()}
 
+    def open_ids(self, address: str) -> list[int]:
+        """Return the ids of the open calls to a peer."""
+        return [call.call_id for call in self._open.values() if call.address == address]
+
     def __len__(self) -> int:
         return len(self._open)
 
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -248,6 +248,7 @@
             return None
         network = self._network
         network.refresh_own_report()
+        network.use_service(service)
         peers = network.directory.for_service(service)
         candidates = self._versions.candidates(service, peers)
         size = CallSize(
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -7,19 +7,20 @@
 and drops frames in a burst of calls.
 """
 
-from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import Any, Protocol, TypeAlias
 
 import pynng
 import trio
-from attrs import define, field
+from attrs import define, field, fields
 
-from catkinhollow.codec import decode_message, encode_without_none
+from catkinhollow.codec import decode_message
 from catkinhollow.generated.relay import Frame
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.links import LinkCounters, LinkDown, LinkUp, limit_nng_threads
 from catkinhollow.relay.dial_schedule import DialSchedule
+from catkinhollow.relay.frame_queue import FrameAssembler, FrameQueue, split_frame
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -27,20 +28,28 @@
 # pynng has no type annotations.
 _nng: Any = pynng
 
-# Frames that nng queues for a slow peer; further frames wait in the backlog.
-_SEND_QUEUE_FRAMES = 32
+# Messages that nng queues for a slow peer. Further ones wait in the link's own
+# queue, where statuses go first and progress can be observed.
+_SEND_QUEUE_MESSAGES = 4
 _RECEIVE_QUEUE_FRAMES = 256
 _MAX_FRAME_BYTES = 72 * 1024 * 1024
 # Interval of the checks for attempts to connect that have failed.
 _DIAL_CHECK_INTERVAL_S = 0.5
 _FLUSH_INTERVAL_S = 0.01
-# Backlog of one slow peer above which its link is reset.
-_MAX_BACKLOG_BYTES = 32 * 1024 * 1024
+# Queue of one slow peer above which its link is reset.
+_MAX_QUEUE_BYTES = 32 * 1024 * 1024
 # Frames received before other tasks run again.
 _RECEIVE_BATCH_FRAMES = 64
 
+_MESSAGE_FIELDS = tuple(
+    item.name for item in fields(Frame) if item.name not in ("sender", "incarnation")
+)
+
 LinkEvent: TypeAlias = LinkUp | LinkDown | Frame
 
+CountSent: TypeAlias = Callable[[str, Frame, int], None]
+"""Count the bytes of a frame that is sent to an address."""
+
 
 class FrameLink(Protocol):
     """Maintain connections to peers; never block on a slow or dead one."""
@@ -60,6 +69,10 @@
     def send(self, address: str, frame: Frame) -> bool:
         """Send a frame; return False if no byte of it will be sent."""
 
+    @property
+    def progress(self) -> dict[str, float]:
+        """Return when each link with queued frames last transferred data."""
+
     async def run(self, receiver: Callable[[LinkEvent], None]) -> None:
         """Call the receiver for each event until cancelled."""
 
@@ -72,18 +85,20 @@
     socket: Any = None
     up: bool = False
     schedule: DialSchedule = field(factory=DialSchedule)
-    backlog: deque[bytes] = field(factory=deque)
-    """Encoded frames that nng has not accepted yet."""
-    backlog_bytes: int = 0
+    queue: FrameQueue = field(factory=FrameQueue)
+    """Messages that nng has not accepted yet."""
+    progress_s: float = -inf
+    """When nng last accepted a message that had waited in the queue."""
 
 
 class NngFrameLink:
     """Push frames to each peer and pull the frames of all peers."""
 
-    def __init__(self, own_address: str, timer: Timer) -> None:
+    def __init__(self, own_address: str, timer: Timer, count_sent: CountSent) -> None:
         limit_nng_threads()
         self._own_address = own_address
         self._timer = timer
+        self._count_sent = count_sent
         self._clock = timer.clock
         self._counters = LinkCounters()
         self._pull = _nng.Pull0(
@@ -92,6 +107,9 @@
         self._pushes: dict[str, _PushLink] = {}
         self._receiver: Callable[[LinkEvent], None] | None = None
         self._token: trio.lowlevel.TrioToken | None = None
+        self._assembler = FrameAssembler()
+        self._queued: set[str] = set()
+        """Addresses of the peers with queued messages."""
         self._flushing = False
 
     @property
@@ -99,6 +117,12 @@
         """Return the counts since the start."""
         return self._counters
 
+    @property
+    def progress(self) -> dict[str, float]:
+        """Return when each link with queued frames last transferred data."""
+        pushes = (self._pushes[address] for address in self._queued)
+        return {push.address: push.progress_s for push in pushes}
+
     def connect(self, address: str) -> None:
         """Maintain a connection to a peer until `disconnect` is called."""
         if address not in self._pushes:
@@ -133,9 +157,12 @@
         push = self._pushes.get(address)
         if push is None or not push.up:
             return False
-        data = encode_without_none(frame)
-        if push.backlog or not self._try_send(push, data):
-            self._enqueue(push, data)
+        messages = split_frame(frame)
+        self._count_sent(address, frame, sum(map(len, messages)))
+        while messages and not push.queue and self._try_send(push, messages[0]):
+            messages.pop(0)
+        if messages:
+            self._enqueue(push, messages, is_status=frame.status is not None)
         return push.up
 
     async def run(self, receiver: Callable[[LinkEvent], None]) -> None:
@@ -172,7 +199,13 @@
         if decoded.is_error():
             logger.warning("frame dropped", reason=decoded.error.reason)
             return
-        self._emit(decoded.ok)
+        frame = decoded.ok
+        # The receiver gets the parts too, which show that the sender is alive.
+        self._emit(frame)
+        if frame.fragment is not None:
+            whole = self._assembler.add(frame.sender, frame.fragment)
+            if whole is not None:
+                self._decode_frame(whole)
 
     def _try_send(self, push: _PushLink, data: bytes) -> bool:
         try:
@@ -185,32 +218,40 @@
         self._counters.count_sent(len(data))
         return True
 
-    def _enqueue(self, push: _PushLink, data: bytes) -> None:
-        if push.backlog_bytes + len(data) > _MAX_BACKLOG_BYTES:
+    def _enqueue(
+        self, push: _PushLink, messages: list[bytes], *, is_status: bool
+    ) -> None:
+        if push.queue.size_bytes > _MAX_QUEUE_BYTES:
             logger.warning("link reset, peer reads too slowly", peer=push.address)
             self.reset(push.address)
             return
-        push.backlog.append(data)
-        push.backlog_bytes += len(data)
+        push.queue.append(messages, is_status=is_status)
+        self._queued.add(push.address)
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
         if not self._flushing:
             self._flushing = True
             self._timer.call_after(_FLUSH_INTERVAL_S, self._flush)
 
     def _flush(self) -> None:
         self._flushing = False
-        for push in self._pushes.values():
-            while push.backlog and self._try_send(push, push.backlog[0]):
-                push.backlog_bytes -= len(push.backlog.popleft())
-        if any(push.backlog for push in self._pushes.values()):
-            self._flushing = True
-            self._timer.call_after(_FLUSH_INTERVAL_S, self._flush)
+        for address in list(self._queued):
+            push = self._pushes[address]
+            while push.queue and self._try_send(push, push.queue.peek()):
+                push.queue.pop()
+                push.progress_s = self._clock.monotonic()
+            if not push.queue:
+                self._queued.discard(address)
+        if self._queued:
+            self._schedule_flush()
 
     def _dial(self, push: _PushLink) -> None:
         if self._token is None or push.socket is not None:
             return
         attempt = push.schedule.start(self._clock.monotonic())
         socket = _nng.Push0(
-            send_buffer_size=_SEND_QUEUE_FRAMES,
+            send_buffer_size=_SEND_QUEUE_MESSAGES,
             reconnect_time_min=int(attempt.min_reconnect_s * 1000),
             reconnect_time_max=int(attempt.max_reconnect_s * 1000),
         )
@@ -259,13 +300,19 @@
     def _close(self, push: _PushLink) -> None:
         socket, push.socket = push.socket, None
         was_up, push.up = push.up, False
-        push.backlog.clear()
-        push.backlog_bytes = 0
+        push.queue.clear()
+        self._queued.discard(push.address)
         if socket is not None:
             socket.close()
         if was_up:
+            self._assembler.remove(push.address)
             self._emit(LinkDown(address=push.address))
 
     def _emit(self, event: LinkEvent) -> None:
         if self._receiver is not None:
             self._receiver(event)
+
+
+def message_kind(frame: Frame) -> str:
+    """Return the name of the message that a frame carries."""
+    return next(name for name in _MESSAGE_FIELDS if getattr(frame, name) is not None)
--- a/catkinhollow/relay/move_driver.py
+++ b/catkinhollow/relay/move_driver.py
@@ -7,8 +7,8 @@
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.relay import MoveOrder, MoveProgress
 from catkinhollow.logs import get_logger
-from catkinhollow.mesh.rings import choose_by_rendezvous_hash
 from catkinhollow.relay.kinds import ORDERS
+from catkinhollow.relay.link_plan import choose_move_writers
 from catkinhollow.relay.move_plan import MovePlan
 from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.timer import Clock
@@ -16,9 +16,7 @@
 logger = get_logger(__name__)
 
 STEP_INTERVAL_S = 0.1
-# Number of daemons that may write a step.
-WRITER_COUNT = 3
-# Delay of each of them after the previous one, while the step is still due.
+# Delay of each writer after the previous one, while the step is still due.
 TAKEOVER_S = 1.0
 
 
@@ -100,8 +98,7 @@
         return due
 
     def _own_rank(self, service: str) -> int | None:
-        addresses = [peer.record.address for peer in self._directory if peer.linked]
-        writers = choose_by_rendezvous_hash(addresses, f"move/{service}", WRITER_COUNT)
+        writers = choose_move_writers(self._directory, service)
         own = self._directory.own.record.address
         return writers.index(own) if own in writers else None
 
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -1,51 +1,50 @@
-"""Exchange calls, statuses and documents with the other daemons."""
+"""Connect the calls and the documents of a daemon with its peers."""
 
-from collections.abc import Callable
-from typing import TypeAlias
-
-from attrs import frozen
+from collections.abc import Callable, Collection
+from math import inf
 
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
     Answer,
     Call,
-    CallOutcome,
     Cancel,
     Document,
+    DocumentAnnouncement,
     DocumentIndex,
+    DocumentRequest,
     Documents,
     Frame,
     Status,
 )
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.links import LinkDown, LinkUp
-from catkinhollow.relay.document_transfer import pack_documents, unpack_documents
-from catkinhollow.relay.documents import DigestComparison, DocumentTable
-from catkinhollow.relay.exchange_table import ExchangeTable, OpenCall
+from catkinhollow.relay.document_sync import DocumentSync
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.follower_election import FollowerElection
 from catkinhollow.relay.gate_service import GateService, Submission
+from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.links import FrameLink, LinkEvent
 from catkinhollow.relay.peer_watch import PeerWatch, SendStatus
 from catkinhollow.relay.peers import Peer, PeerDirectory
+from catkinhollow.relay.remote_calls import RemoteCalls, SentCall
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
 
 LINK_WATCH_INTERVAL_S = 0.2
-
-SentCall: TypeAlias = OpenCall | Submission
-
-
-@frozen(kw_only=True)
-class DocumentChanged:
-    """Signal that a document is new, changed or deleted."""
-
-    document: Document
-    source: str
-    """The store, or the address of the peer that has sent the document."""
+LINK_UPDATE_INTERVAL_S = 1.0
+# Links to peers that this daemon does not need, but that call it, are kept for
+# this long after the last frame. Callers send a status every few seconds.
+KEEP_CONTACTED_S = 20.0
+# Links that are not needed any more are closed after this time, because the
+# choice of peers may change back.
+KEEP_UNWANTED_S = 10.0
+# Interval of the reports about the own target to those who decide its move.
+MOVE_REPORT_INTERVAL_S = 0.5
 
 
 class PeerNetwork:
-    """Connect the gate, the ingress and the documents with the peers."""
+    """Maintain the links to peers and dispatch the frames on them."""
 
     def __init__(
         self,
@@ -55,33 +54,43 @@
         documents: DocumentTable,
         gate: GateService,
         link: FrameLink,
+        plan: LinkPlan,
+        election: FollowerElection,
         timer: Timer,
         events: EventManager,
         accepts: Callable[[Document], bool],
-        is_store_lost: Callable[[], bool],
+        is_configured: Callable[[], bool],
+        is_following: Callable[[], bool],
     ) -> None:
-        self._accepts = accepts
-        self._is_store_lost = is_store_lost
+        self._is_configured = is_configured
+        self._is_following = is_following
         self._address = directory.own.record.address
         self._incarnation = incarnation
         self._directory = directory
-        self._documents = documents
         self._gate = gate
         self._link = link
+        self._plan = plan
+        self._election = election
         self._timer = timer
         self._clock = timer.clock
-        self._events = events
         self._watch = PeerWatch()
-        self._exchanges = ExchangeTable()
-        self._last_call_id = 1
-        self._incoming_calls: dict[tuple[str, int], Submission] = {}
-        # Incarnation of each connected daemon by address, 0 until its first
-        # frame arrives.
+        self._calls = RemoteCalls(self, gate, timer, incarnation)
+        self._sync = DocumentSync(
+            link=self,
+            documents=documents,
+            timer=timer,
+            events=events,
+            accepts=accepts,
+            is_configured=is_configured,
+        )
+        # Incarnation of each daemon that has sent a frame.
         self._incarnations: dict[str, int] = {}
-        self._digest_comparison = DigestComparison()
-        # Peer that was last asked for documents.
-        self._index_address = ""
-        self._linked_addresses: set[str] = set()
+        self._contacted_s: dict[str, float] = {}
+        # When each connected peer was last wanted or needed for its calls.
+        self._needed_s: dict[str, float] = {}
+        self._wanted: set[str] = set()
+        self._neighbours: set[str] = set()
+        self._up: set[str] = set()
         self._link_update_due = False
 
     @property
@@ -89,10 +98,14 @@
         """Return the known daemons."""
         return self._directory
 
+    @property
+    def neighbours(self) -> Collection[str]:
+        """Return the addresses of the linked neighbours on the hash rings."""
+        return self._neighbours & self._up
+
     def next_call_id(self) -> int:
-        """Return an id that is unique among the calls of this daemon."""
-        self._last_call_id += 1
-        return self._last_call_id
+        """Return an id that no other call of any process has."""
+        return self._calls.next_call_id()
 
     def refresh_own_report(self) -> None:
         """Update the report of this daemon's own target."""
@@ -109,27 +122,26 @@
         """
         if peer is self._directory.own:
             return self._gate.submit(call, on_answer)
-        address = peer.record.address
-        opened = self._exchanges.open(call.call_id, address, on_answer)
+        if peer.is_full:
+            self._note_full_target(call.service)
         peer.sent_since_report += 1
-        if not self._send(address, call=call):
-            self._exchanges.remove(opened)
-            on_answer(
-                Answer(
-                    call_id=call.call_id,
-                    outcome=CallOutcome.NOT_RUN,
-                    body=b"",
-                    reason="no link to the gate",
-                )
-            )
-        return opened
+        return self._calls.call(peer.record.address, call, on_answer)
 
     def cancel(self, sent: SentCall) -> None:
         """Cancel a call whose answer is no longer needed."""
         if isinstance(sent, Submission):
             self._gate.cancel(sent)
-        elif self._exchanges.remove(sent):
-            self._send(sent.address, cancel=Cancel(call_id=sent.call_id))
+        else:
+            self._calls.cancel(sent)
+
+    def use_service(self, service: str) -> None:
+        """Link to targets of a service that callers on the instance use."""
+        if self._plan.use(service, self._clock.monotonic()):
+            self.update_links()
+
+    def offer_document(self, document: Document, source: str) -> None:
+        """Store a newer document, signal the change and pass it on."""
+        self._sync.offer(document, source)
 
     def schedule_link_update(self) -> None:
         """Update the links once after a series of changes in the directory."""
@@ -138,19 +150,22 @@
             self._timer.call_after(0.0, self.update_links)
 
     def update_links(self) -> None:
-        """Connect to all known daemons and disconnect from all others."""
+        """Connect to the planned peers and disconnect from unneeded ones."""
         self._link_update_due = False
-        wanted = self._directory.addresses
-        for address in self._incarnations.keys() - wanted:
-            self._link.disconnect(address)
-            del self._incarnations[address]
-        for address in wanted:
-            self._incarnations.setdefault(address, 0)
+        now_s = self._clock.monotonic()
+        self._wanted = self._plan.wanted(now_s)
+        self._neighbours = set(self._plan.neighbours(now_s))
+        for address in self._wanted:
+            self._needed_s[address] = now_s
+            peer = self._directory.by_address(address)
+            if peer is not None and address not in self._up:
+                peer.missing_since_s = min(peer.missing_since_s, now_s)
             self._link.connect(address)
+        self._disconnect_unneeded(now_s)
         for peer in self._directory:
             # The link may have come up before the peer's record arrived.
-            if peer.record.address in self._linked_addresses and not peer.linked:
-                peer.linked = True
+            if peer.record.address in self._up and not peer.linked:
+                self._mark_linked(peer)
                 self._send_status(peer.record.address, reply=False)
 
     def broadcast_status(self) -> None:
@@ -158,15 +173,74 @@
 
         It is marked as a reply, so that the peers do not reply to it.
         """
-        for peer in self._directory:
-            if peer.linked and peer is not self._directory.own:
-                self._send_status(peer.record.address, reply=True)
+        for address in list(self._up):
+            self._send_status(address, reply=True)
 
     async def run(self) -> None:
         """Process events of the links until cancelled."""
         self._timer.subscribe(LINK_WATCH_INTERVAL_S, self._watch_links)
+        self._timer.subscribe(LINK_UPDATE_INTERVAL_S, self.update_links)
+        self._timer.subscribe(MOVE_REPORT_INTERVAL_S, self._report_to_move_writers)
         await self._link.run(self._handle_event)
 
+    def is_up(self, address: str) -> bool:
+        """Return whether the link to a peer is up."""
+        return address in self._up
+
+    def is_nearby(self, address: str) -> bool:
+        """Return whether a peer is in the same failure domain."""
+        peer = self._directory.by_address(address)
+        own = self._directory.own.record
+        return peer is not None and peer.record.failure_domain == own.failure_domain
+
+    def send_call(self, address: str, call: Call) -> bool:
+        """Send a call; return False if no byte of it will be sent."""
+        return self._send(address, call=call)
+
+    def send_answer(self, address: str, answer: Answer) -> bool:
+        """Send an answer; return False if no byte of it will be sent."""
+        return self._send(address, answer=answer)
+
+    def send_cancel(self, address: str, cancel: Cancel) -> bool:
+        """Send a cancellation; return False if no byte of it will be sent."""
+        return self._send(address, cancel=cancel)
+
+    def send_documents(self, address: str, message: Documents) -> bool:
+        """Send documents; return False if no byte of them will be sent."""
+        return self._send(address, documents=message)
+
+    def send_index(self, address: str, message: DocumentIndex) -> bool:
+        """Send an index; return False if no byte of it will be sent."""
+        return self._send(address, document_index=message)
+
+    def send_announcement(self, address: str, message: DocumentAnnouncement) -> bool:
+        """Announce documents; return False if no byte of it will be sent."""
+        return self._send(address, announcement=message)
+
+    def send_request(self, address: str, message: DocumentRequest) -> bool:
+        """Request documents; return False if no byte of it will be sent."""
+        return self._send(address, document_request=message)
+
+    def _note_full_target(self, service: str) -> None:
+        if self._plan.target_full(service, self._clock.monotonic()):
+            self.schedule_link_update()
+
+    def _disconnect_unneeded(self, now_s: float) -> None:
+        for address, contacted_s in list(self._contacted_s.items()):
+            if now_s - contacted_s > KEEP_CONTACTED_S:
+                del self._contacted_s[address]
+        for address, needed_s in list(self._needed_s.items()):
+            if address in self._wanted or address in self._contacted_s:
+                continue
+            peer = self._directory.by_address(address)
+            if peer is not None:
+                if now_s - needed_s <= KEEP_UNWANTED_S:
+                    continue
+                peer.missing_since_s = inf
+            del self._needed_s[address]
+            self._incarnations.pop(address, None)
+            self._link.disconnect(address)
+
     def _handle_event(self, event: LinkEvent) -> None:
         match event:
             case LinkUp(address=address):
@@ -177,32 +251,40 @@
                 self._handle_frame(frame)
 
     def _on_link_up(self, address: str) -> None:
-        self._linked_addresses.add(address)
+        self._up.add(address)
         self._watch.link_up(address, self._clock.monotonic())
         peer = self._directory.by_address(address)
         if peer is not None:
-            peer.linked = True
+            self._mark_linked(peer)
             logger.info("link up", peer=peer.record.name, address=address)
-        self._send_status(address, reply=False)
+        self._send_status(address, reply=False, resumed=True)
+        self._calls.link_up(address)
+
+    def _mark_linked(self, peer: Peer) -> None:
+        peer.linked = True
+        peer.missing_since_s = inf
 
     def _on_link_down(self, address: str) -> None:
-        self._linked_addresses.discard(address)
+        self._up.discard(address)
         self._watch.link_down(address)
-        lost = self._exchanges.fail_calls(address)
-        if address == self._index_address:
-            self._digest_comparison.lost()
+        self._calls.link_down(address)
+        self._sync.link_down(address)
         peer = self._directory.by_address(address)
         if peer is not None:
             peer.linked = False
             peer.report = None
-            peer.disconnected_s = self._clock.monotonic()
-            logger.info(
-                "link down", peer=peer.record.name, address=address, calls_lost=lost
-            )
+            if address in self._wanted:
+                peer.missing_since_s = self._clock.monotonic()
+            logger.info("link down", peer=peer.record.name, address=address)
 
     def _watch_links(self) -> None:
         now_s = self._clock.monotonic()
-        for command in self._watch.check(self._exchanges.addresses, now_s):
+        for address, progress_s in self._link.progress.items():
+            self._watch.record_progress(address, progress_s)
+        near = {address for address in self._wanted if self.is_nearby(address)}
+        far = self._wanted - near
+        busy = self._calls.busy_addresses
+        for command in self._watch.check(near, far, busy, now_s):
             if isinstance(command, SendStatus):
                 self._send_status(command.address, reply=False)
             else:
@@ -213,121 +295,86 @@
             if peer.linked and peer is not self._directory.own:
                 peer.unresponsive = self._watch.is_unresponsive(address, now_s)
 
+    def _report_to_move_writers(self) -> None:
+        for address in self._plan.move_writers():
+            if address in self._up:
+                self._send_status(address, reply=True)
+
     def _handle_frame(self, frame: Frame) -> None:
         sender = frame.sender
         now_s = self._clock.monotonic()
         self._record_contact(sender, frame.incarnation, now_s)
         if frame.call is not None:
-            self._handle_call(sender, frame.call)
+            self._calls.handle_call(sender, frame.call)
         elif frame.answer is not None:
             self._handle_answer(sender, frame.answer, now_s)
         elif frame.cancel is not None:
-            submission = self._incoming_calls.pop((sender, frame.cancel.call_id), None)
-            if submission is not None:
-                self._gate.cancel(submission)
+            self._calls.handle_cancel(sender, frame.cancel)
         elif frame.status is not None:
             self._handle_status(sender, frame.status, now_s)
-        elif frame.document_index is not None:
-            self._send_documents(sender, frame.document_index)
-        elif frame.documents is not None:
-            self._handle_documents(sender, frame.documents)
-
-    def _send_documents(self, address: str, index: DocumentIndex) -> None:
-        newer = self._documents.newer_than(index.versions)
-        message = pack_documents(newer, compressed=index.accepts_compressed)
-        self._send(address, documents=message)
-
-    def _handle_documents(self, sender: str, message: Documents) -> None:
-        self._digest_comparison.answered()
-        unpacked = unpack_documents(message)
-        if unpacked.is_error():
-            reason = unpacked.error.reason
-            logger.warning("documents dropped", peer=sender, reason=reason)
-            return
-        for document in unpacked.ok:
-            self.offer_document(document, source=sender)
+        else:
+            self._handle_document_frame(sender, frame)
 
-    def offer_document(self, document: Document, source: str) -> None:
-        """Store a document and signal the change if it is newer and valid."""
-        if not self._documents.is_newer(document) or not self._accepts(document):
-            return
-        if self._documents.offer(document):
-            logger.debug(
-                "document changed",
-                name=document.name,
-                revision=document.revision,
-                deleted=document.deleted,
-                source=source,
-            )
-            self._events.emit(DocumentChanged(document=document, source=source))
+    def _handle_document_frame(self, sender: str, frame: Frame) -> None:
+        if frame.document_index is not None:
+            self._sync.handle_index(sender, frame.document_index)
+        elif frame.documents is not None:
+            self._sync.handle_documents(sender, frame.documents)
+        elif frame.announcement is not None:
+            self._sync.handle_announcement(sender, frame.announcement)
+        elif frame.document_request is not None:
+            self._sync.handle_request(sender, frame.document_request)
 
     def _record_contact(self, sender: str, incarnation: int, now_s: float) -> None:
         self._watch.record_contact(sender, now_s)
+        self._contacted_s[sender] = now_s
         peer = self._directory.by_address(sender)
         if peer is not None:
             peer.unresponsive = False
         known = self._incarnations.get(sender)
-        if known is None:
-            # This daemon has not received the peer's record yet, and therefore
-            # has no connection to it.
-            self._link.connect(sender)
-        elif known and known != incarnation:
+        if known is not None and known != incarnation:
             # The peer has restarted and will not answer the open calls to it.
-            self._exchanges.fail_calls(sender)
+            self._calls.peer_restarted(sender)
         self._incarnations[sender] = incarnation
-        if sender not in self._linked_addresses:
+        if sender not in self._needed_s:
+            self._needed_s[sender] = now_s
+            self._link.connect(sender)
+        if sender not in self._up:
             self._link.contacted(sender)
 
-    def _handle_call(self, sender: str, call: Call) -> None:
-        key = (sender, call.call_id)
-
-        def send_answer(answer: Answer) -> None:
-            self._incoming_calls.pop(key, None)
-            self._send(sender, answer=answer)
-
-        submission = self._gate.submit(call, send_answer)
-        if not submission.answered:
-            self._incoming_calls[key] = submission
-
     def _handle_answer(self, sender: str, answer: Answer, now_s: float) -> None:
         peer = self._directory.by_address(sender)
         if peer is not None and answer.report is not None:
             peer.update_report(answer.report, now_s)
-        self._exchanges.complete(sender, answer)
+        self._calls.handle_answer(sender, answer)
 
     def _handle_status(self, sender: str, status: Status, now_s: float) -> None:
         peer = self._directory.by_address(sender)
         if peer is not None and status.report is not None:
             peer.update_report(status.report, now_s)
+        if status.store_age_ms is not None:
+            self._election.hear(status.store_age_ms / 1000.0, now_s)
+        link_works = self._calls.handle_status(sender, status)
+        if not link_works and sender in self._up and sender not in self._link.progress:
+            logger.warning("link reset, an answer was lost", address=sender)
+            self._link.reset(sender)
         if not status.reply:
             self._send_status(sender, reply=True)
-        self._compare_documents(sender, status.digest)
+        self._sync.compare(sender, status.digest, configured=status.configured)
 
-    def _compare_documents(self, sender: str, digest: int) -> None:
+    def _send_status(self, address: str, *, reply: bool, resumed: bool = False) -> None:
         now_s = self._clock.monotonic()
-        peer = self._directory.by_address(sender)
-        same_domain = peer is not None and (
-            peer.record.failure_domain == self._directory.own.record.failure_domain
-        )
-        if self._digest_comparison.is_due(
-            self._documents.digest,
-            digest,
-            now_s,
-            same_domain=same_domain,
-            store_lost=self._is_store_lost(),
-        ):
-            index = DocumentIndex(
-                versions=self._documents.versions, accepts_compressed=True
-            )
-            self._index_address = sender
-            if not self._send(sender, document_index=index):
-                self._digest_comparison.lost()
-
-    def _send_status(self, address: str, *, reply: bool) -> None:
+        if self._is_following():
+            self._election.store_reached(now_s)
         status = Status(
             reply=reply,
-            digest=self._documents.digest,
-            report=self._gate.gate.report(self._clock.monotonic()),
+            resumed=resumed,
+            receiver=self._incarnations.get(address, 0),
+            digest=self._sync.digest,
+            configured=self._is_configured(),
+            store_age_ms=int(1000 * self._election.store_age_s(now_s)),
+            open_calls=self._calls.open_calls(address),
+            report=self._gate.gate.report(now_s),
         )
         self._send(address, status=status)
 
@@ -341,6 +388,8 @@
         status: Status | None = None,
         document_index: DocumentIndex | None = None,
         documents: Documents | None = None,
+        announcement: DocumentAnnouncement | None = None,
+        document_request: DocumentRequest | None = None,
     ) -> bool:
         frame = Frame(
             sender=self._address,
@@ -351,5 +400,7 @@
             status=status,
             document_index=document_index,
             documents=documents,
+            announcement=announcement,
+            document_request=document_request,
         )
         return self._link.send(address, frame)
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -9,8 +9,11 @@
 
 from attrs import define, frozen
 
-# Interval of statuses to a peer without open calls.
+# Interval of statuses to a planned peer without open calls.
 IDLE_INTERVAL_S = 1.0
+# Interval for a peer in another failure domain as a multiple of that for a
+# near one; traffic between failure domains is expensive.
+FAR_INTERVAL_RATIO = 3.0
 # Interval of statuses to a peer with open calls.
 BUSY_INTERVAL_S = 0.25
 # Limit of the statuses per second that one daemon sends to idle peers; with
@@ -24,6 +27,9 @@
 # A link is considered dead when a status has been unanswered for this long.
 # A daemon on a slow instance answers within 1 s.
 DEAD_LINK_S = 1.5
+# With a longer time between two checks this process has been paused, and the
+# answers that it lacks may have arrived meanwhile.
+PAUSE_S = 1.0
 
 
 @frozen
@@ -50,6 +56,11 @@
     last_contact_s: float
     status_sent_s: float = -inf
     unanswered_since_s: float = inf
+    progress_s: float = -inf
+
+    def silence_s(self, now_s: float) -> float:
+        """Return how long nothing has shown that the link works."""
+        return now_s - max(self.unanswered_since_s, self.progress_s)
 
 
 class PeerWatch:
@@ -57,6 +68,7 @@
 
     def __init__(self) -> None:
         self._peers: dict[str, _WatchedPeer] = {}
+        self._checked_s = inf
 
     def link_up(self, address: str, now_s: float) -> None:
         """Start watching a peer."""
@@ -73,21 +85,46 @@
             watched.last_contact_s = now_s
             watched.unanswered_since_s = inf
 
+    def record_progress(self, address: str, progress_s: float) -> None:
+        """Record when the full link to a peer last transferred data."""
+        watched = self._peers.get(address)
+        if watched is not None:
+            watched.progress_s = progress_s
+
     def is_unresponsive(self, address: str, now_s: float) -> bool:
         """Return whether a peer should get no new calls for now."""
         watched = self._peers.get(address)
-        return watched is None or now_s - watched.unanswered_since_s > UNRESPONSIVE_S
+        return watched is None or watched.silence_s(now_s) > UNRESPONSIVE_S
 
-    def check(self, busy: set[str], now_s: float) -> list[WatchCommand]:
-        """Return due commands; `busy` holds the peers with open calls."""
+    def check(
+        self, near: set[str], far: set[str], busy: set[str], now_s: float
+    ) -> list[WatchCommand]:
+        """Return due commands.
+
+        `near` and `far` hold the peers that this daemon needs in its own and
+        in other failure domains, `busy` those with open calls. Other peers ask
+        for a status if they need one.
+        """
         commands: list[WatchCommand] = []
-        idle_s = max(IDLE_INTERVAL_S, len(self._peers) / MAX_STATUSES_PER_S)
+        if now_s - self._checked_s > PAUSE_S:
+            self._restart_silence(now_s)
+        self._checked_s = now_s
+        idle_s = max(IDLE_INTERVAL_S, (len(near) + len(far)) / MAX_STATUSES_PER_S)
         for address, watched in list(self._peers.items()):
-            if now_s - watched.unanswered_since_s > DEAD_LINK_S:
+            if watched.silence_s(now_s) > DEAD_LINK_S:
                 del self._peers[address]
                 commands.append(ResetLink(address))
                 continue
-            interval_s = BUSY_INTERVAL_S if address in busy else idle_s
+            if address in busy:
+                interval_s = BUSY_INTERVAL_S
+            elif address in near:
+                interval_s = idle_s
+            elif address in far:
+                interval_s = FAR_INTERVAL_RATIO * idle_s
+            else:
+                # A peer that is not asked must not seem silent.
+                watched.unanswered_since_s = inf
+                continue
             last_activity_s = max(
                 watched.status_sent_s,
                 watched.last_contact_s if address in busy else -inf,
@@ -97,3 +134,8 @@
                 watched.unanswered_since_s = min(watched.unanswered_since_s, now_s)
                 commands.append(SendStatus(address))
         return commands
+
+    def _restart_silence(self, now_s: float) -> None:
+        for watched in self._peers.values():
+            if watched.unanswered_since_s < now_s:
+                watched.unanswered_since_s = now_s
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -48,6 +48,11 @@
             "Attempts to connect to other daemons since the start",
             registry=registry,
         )
+        self.sent_bytes = Counter(
+            "catkinhollow_relay_sent_bytes_total",
+            "Bytes sent to other daemons by message and place of the receiver",
+            registry=registry,
+        )
         self.store_failures = Counter(
             "catkinhollow_relay_store_failures_total",
             "Calls of the store without a usable answer, by kind of object",
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -8,16 +8,17 @@
 import trio
 from expression import Result
 
-from catkinhollow.codec import encode_message, to_plain, try_encode_message
+from catkinhollow.codec import try_encode_message
 from catkinhollow.configuration.backoff import Backoff
 from catkinhollow.configuration.store import StoreClient
-from catkinhollow.errors import DecodeError, StoreErrorKind
-from catkinhollow.generated.relay import DaemonRecord, Document
+from catkinhollow.errors import DecodeError, StoreError
+from catkinhollow.generated.relay import Document
 from catkinhollow.generated.store import ObjectList, StoredObject
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.kinds import DAEMONS, KINDS
 from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.timer import Clock
 
 logger = get_logger(__name__)
 
@@ -27,14 +28,29 @@
 # Pause after changes of daemon records, which come in bursts: without it the
 # start of 90 daemons cost each of them one call per other daemon.
 RECORDS_PAUSE_S = 0.3
-# Records must be written again within 2 s after the store's return, which
+# Changes are expected in force within 2 s after the store's return, which
 # limits the delay between retries.
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.2
 
+# A follower tries less often while others reach the store.
+QUIET_RETRY_S = 4.0
+# Interval of the checks whether this daemon should follow the store.
+ELECTION_INTERVAL_S = 0.5
+# Time after its start in which a daemon may get the configuration from a peer
+# before it reads the store itself.
+PEER_WAIT_S = 1.0
+
 OnDocument = Callable[[Document, str], None]
 
 
+class RelayStore(StoreClient, Protocol):
+    """Extend the store by listings that may be some seconds old."""
+
+    async def list_cached(self, kind: str) -> Result[ObjectList, StoreError]:
+        """Return the objects of a kind as they were some seconds ago."""
+
+
 class ObjectDecoder(Protocol):
     """Decode the value of a stored object to one of this package's types."""
 
@@ -42,47 +58,128 @@
         """Return the typed value of an object that is not deleted."""
 
 
+class FollowerRole(Protocol):
+    """Decide what this daemon reads from the store."""
+
+    def should_follow(self, now_s: float) -> bool:
+        """Return whether this daemon should follow the store."""
+
+    def is_followed(self, now_s: float) -> bool:
+        """Return whether another daemon is known to reach the store."""
+
+
 class StoreFollower:
-    """Pass changes of the followed kinds on; maintain this daemon's record."""
+    """Pass on the changes of the followed kinds while that is its role."""
 
     def __init__(
         self,
         *,
-        store: StoreClient,
+        store: RelayStore,
         decode: ObjectDecoder,
         table: DocumentTable,
-        own_record: DaemonRecord,
+        role: FollowerRole,
         on_document: OnDocument,
+        clock: Clock,
         random: Random,
         metrics: RelayMetrics,
     ) -> None:
         self._store = store
         self._decode = decode
         self._table = table
-        self._own_record = own_record
+        self._role = role
         self._on_document = on_document
+        self._clock = clock
         self._random = random
         self._metrics = metrics
         self._reachable: dict[str, bool] = {}
+        self._following = False
+        self._configured = trio.Event()
+        self._daemons_listed = trio.Event()
 
     @property
-    def reachable(self) -> bool:
-        """Return whether the store answered the last call of each kind."""
-        return all(self._reachable.get(kind, False) for kind in KINDS)
+    def daemons_listed(self) -> trio.Event:
+        """Return the event that is set once the other daemons are known."""
+        return self._daemons_listed
 
     @property
-    def lost(self) -> bool:
-        """Return whether the last call of a kind has failed."""
-        return not all(self._reachable.values())
+    def following(self) -> bool:
+        """Return whether the store answered the last call of each kind."""
+        return self._following and all(
+            self._reachable.get(kind, False) for kind in KINDS
+        )
+
+    def set_configured(self) -> None:
+        """Record that a configuration is in force."""
+        self._configured.set()
 
     async def run(self) -> None:
-        """Follow all kinds until cancelled."""
+        """Find the other daemons, then follow the store as long as needed."""
+        await self._find_daemons()
+        self._daemons_listed.set()
+        await self._wait_for_configuration()
+        while True:
+            if not self._is_needed():
+                await trio.sleep(ELECTION_INTERVAL_S)
+                continue
+            logger.info("store followed")
+            self._following = True
+            await self._follow_while_needed()
+            self._following = False
+            self._reachable.clear()
+            logger.info("store no longer followed")
+
+    def _is_needed(self) -> bool:
+        return self._role.should_follow(self._clock.monotonic())
+
+    async def _find_daemons(self) -> None:
+        """Read the records of the daemons, which may be some seconds old."""
+        backoff = self._new_backoff()
+        while not self._configured.is_set():
+            if await self._read_once(DAEMONS):
+                return
+            with trio.move_on_after(backoff.next_delay()):
+                await self._configured.wait()
+
+    async def _wait_for_configuration(self) -> None:
+        """Read the store if no peer sends the configuration in time."""
+        backoff = self._new_backoff()
+        delay_s = PEER_WAIT_S
+        while not self._configured.is_set() and not self._is_needed():
+            with trio.move_on_after(delay_s):
+                await self._configured.wait()
+                return
+            for kind in KINDS:
+                await self._read_once(kind)
+            delay_s = PEER_WAIT_S + backoff.next_delay()
+
+    async def _read_once(self, kind: str) -> bool:
+        """Read objects that may be some seconds old; return if it worked."""
+        result = await self._store.list_cached(kind)
+        if result.is_error():
+            logger.warning("store not read", kind=kind, reason=result.error.reason)
+            return False
+        self._apply_listing(kind, result.ok)
+        return True
+
+    async def _follow_while_needed(self) -> None:
         async with trio.open_nursery() as nursery:
             for kind in KINDS:
                 nursery.start_soon(self._follow, kind)
+            while self._is_needed():
+                await trio.sleep(ELECTION_INTERVAL_S)
+            nursery.cancel_scope.cancel()
+
+    def _new_backoff(self) -> Backoff:
+        return Backoff(base_s=RETRY_BASE_S, max_s=RETRY_MAX_S, random=self._random)
+
+    def _retry_delay_s(self, backoff: Backoff) -> float:
+        delay_s = backoff.next_delay()
+        if self._role.is_followed(self._clock.monotonic()):
+            return max(delay_s, self._random.uniform(0.5, 1.0) * QUIET_RETRY_S)
+        return delay_s
 
     async def _follow(self, kind: str) -> None:
-        backoff = Backoff(base_s=RETRY_BASE_S, max_s=RETRY_MAX_S, random=self._random)
+        backoff = self._new_backoff()
         revision: int | None = None
         # Objects that change faster than their versions arrive. A watch would
         # return each version, a listing returns the newest one only.
@@ -96,16 +193,14 @@
                 )
             if result.is_error():
                 self._record_failure(kind, result.error.reason)
-                await trio.sleep(backoff.next_delay())
+                await trio.sleep(self._retry_delay_s(backoff))
                 continue
             backoff.reset()
             self._record_success(kind)
             fast_changing = self._find_fast_changing(result.ok, fast_changing)
             revision = self._apply_listing(kind, result.ok)
-            if kind == DAEMONS:
-                await self._ensure_own_record()
-                if result.ok.objects:
-                    await trio.sleep(RECORDS_PAUSE_S)
+            if kind == DAEMONS and result.ok.objects:
+                await trio.sleep(RECORDS_PAUSE_S)
 
     def _find_fast_changing(
         self, listing: ObjectList, known: dict[str, int]
@@ -127,7 +222,7 @@
             # The revision of a deletion may be higher than that of a later
             # change in the same response.
             if not stored.deleted or stored is newest[stored.name]:
-                self._apply_object(stored)
+                self.apply_object(stored)
         if listing.complete:
             names = {f"{kind}/{stored.name}" for stored in listing.objects}
             deletions = self._table.find_deletions(kind, names, listing.revision)
@@ -135,7 +230,8 @@
                 self._on_document(document, "store")
         return listing.revision
 
-    def _apply_object(self, stored: StoredObject) -> None:
+    def apply_object(self, stored: StoredObject) -> None:
+        """Pass on one object of the store."""
         name = f"{stored.kind}/{stored.name}"
         body = b""
         if not stored.deleted:
@@ -154,26 +250,6 @@
         )
         self._on_document(document, "store")
 
-    async def _ensure_own_record(self) -> None:
-        """Write this daemon's record if it is missing or different."""
-        known = self._table.get(f"{DAEMONS}/{self._own_record.name}")
-        expected = encode_message(self._own_record)
-        if known is not None and known.body == expected:
-            return
-        revision = known.revision if known else 0
-        result = await self._store.put(
-            DAEMONS,
-            self._own_record.name,
-            to_plain(self._own_record),
-            if_revision=revision,
-        )
-        if result.is_ok():
-            logger.info("daemon record written", revision=result.ok.revision)
-        elif result.error.kind is not StoreErrorKind.CONFLICT:
-            # The next listing or change of this kind triggers a retry.
-            logger.warning("daemon record not written", reason=result.error.reason)
-            self._record_failure(DAEMONS, result.error.reason)
-
     def _record_failure(self, kind: str, reason: str) -> None:
         self._metrics.store_failures.inc({"kind": kind})
         if self._reachable.get(kind, True):
--- /dev/null
+++ b/tests/relay/test_document_flood.py
@@ -0,0 +1,287 @@
+"""Tests of passing documents on in fleets of up to 1,400 daemons."""
+
+from collections import Counter
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from relay_builders import make_peer
+
+from catkinhollow.events import EventManager
+from catkinhollow.generated.relay import Document
+from catkinhollow.relay.document_flood import (
+    CROSS_DOMAIN_DELAY_S,
+    MAX_PUSHED_BYTES,
+    REQUEST_TIMEOUT_S,
+    DocumentPulls,
+)
+from catkinhollow.relay.document_sync import DocumentSync
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.peers import PeerDirectory
+from catkinhollow.timer import Subscription
+
+STATUS_INTERVAL_S = 1.0
+
+
+class World:
+    """Deliver messages and callbacks in virtual time."""
+
+    def __init__(self, seed=1, loss=0.0, copies=0.0):
+        self.now_s = 0.0
+        self.random = Random(seed)
+        self.loss = loss
+        self.copies = copies
+        self.members = {}
+        self.sent = Counter()
+        self.bytes = Counter()
+        self._queue = []
+        self._sequence = count()
+
+    @property
+    def clock(self):
+        return self
+
+    def monotonic(self):
+        return self.now_s
+
+    def unix_ms(self):
+        return int(self.now_s * 1000)
+
+    def call_after(self, delay_s, callback):
+        subscription = Subscription(callback, None)
+        due = (self.now_s + delay_s, next(self._sequence), subscription)
+        heappush(self._queue, due)
+        return subscription
+
+    def deliver(self, address, handler, sender, message):
+        """Deliver a message once, not at all, or twice."""
+        if self.random.random() < self.loss:
+            return
+        times = 2 if self.random.random() < self.copies else 1
+        for _ in range(times):
+            delay_s = self.random.uniform(0.001, 0.02)
+            self.call_after(
+                delay_s, lambda: self.members[address].receive(handler, sender, message)
+            )
+
+    def run(self, duration_s):
+        end_s = self.now_s + duration_s
+        while self._queue and self._queue[0][0] <= end_s:
+            self.now_s, _, subscription = heappop(self._queue)
+            subscription.callback()
+        self.now_s = end_s
+
+
+class Member:
+    """Represent one daemon with links to its ring neighbours."""
+
+    def __init__(self, world, record):
+        self.world = world
+        self.record = record
+        self.directory = PeerDirectory(record)
+        self.table = DocumentTable()
+        self.sync = DocumentSync(
+            link=self,
+            documents=self.table,
+            timer=world,
+            events=EventManager(),
+            accepts=lambda _: True,
+            is_configured=lambda: True,
+        )
+        self.alive = True
+        self.neighbours = []
+
+    def link(self, records):
+        for record in records:
+            if record is not self.record:
+                self.directory.put(record)
+        walks = self.directory.ring_walks()
+        self.neighbours = list(dict.fromkeys(next(walk) for walk in walks))
+
+    def is_nearby(self, address):
+        own = self.record.failure_domain
+        return self.world.members[address].record.failure_domain == own
+
+    def send_documents(self, address, message):
+        return self._send(address, "handle_documents", message)
+
+    def send_index(self, address, message):
+        return self._send(address, "handle_index", message)
+
+    def send_announcement(self, address, message):
+        return self._send(address, "handle_announcement", message)
+
+    def send_request(self, address, message):
+        return self._send(address, "handle_request", message)
+
+    def _send(self, address, handler, message):
+        self.world.sent[handler] += 1
+        if handler == "handle_documents":
+            size = len(message.compressed or b"")
+            size += sum(len(document.body) for document in message.documents)
+            self.world.bytes[address] += size
+        self.world.deliver(address, handler, self.record.address, message)
+        return True
+
+    def receive(self, handler, sender, message):
+        if self.alive and handler == "status":
+            self.sync.compare(sender, message, configured=True)
+        elif self.alive:
+            getattr(self.sync, handler)(sender, message)
+
+    def send_statuses(self):
+        if self.alive:
+            for address in self.neighbours:
+                self.world.deliver(
+                    address, "status", self.record.address, self.table.digest
+                )
+        self.world.call_after(STATUS_INTERVAL_S, self.send_statuses)
+
+
+def make_world(size, **changes):
+    world = World(**changes)
+    records = [
+        make_peer(f"d{number}", failure_domain="abcde"[number % 5]).record
+        for number in range(size)
+    ]
+    for record in records:
+        world.members[record.address] = Member(world, record)
+    for member in world.members.values():
+        member.link(records)
+        world.call_after(world.random.random(), member.send_statuses)
+    return world
+
+
+def make_document(revision, size=100, name="configuration/main"):
+    # Random bytes, because documents are compressed.
+    body = Random(revision).randbytes(size)
+    return Document(name=name, revision=revision, body=body)
+
+
+def revisions(world, name="configuration/main"):
+    return [
+        member.table.revision(name) for member in world.members.values() if member.alive
+    ]
+
+
+@pytest.mark.parametrize("size", [300, 1400])
+def test_change_is_everywhere_soon_and_transferred_once(size):
+    """Guards against changes that are late, or cost more in larger fleets.
+
+    The large document reaches five followers of the store at once. Small ones
+    are passed on once by each daemon to at most eight neighbours.
+    """
+    world = make_world(size)
+    document = make_document(1, 60_000)
+    for address in list(world.members)[:5]:
+        world.members[address].sync.offer(document, "store")
+    world.run(1.0)
+    assert set(revisions(world)) == {1}
+    assert sum(world.bytes.values()) <= 1.05 * 60_000 * size
+    assert max(world.bytes.values()) <= 2 * 60_100
+    world.sent.clear()
+    evacuation = make_document(2, name="evacuations/a")
+    world.members["d0:1"].sync.offer(evacuation, "store")
+    world.run(0.5)
+    assert set(revisions(world, "evacuations/a")) == {2}
+    assert world.sent["handle_documents"] <= 8 * size
+
+
+def test_lost_messages_are_repaired():
+    """Guards against a daemon that misses a change for ever."""
+    world = make_world(300, loss=0.1, copies=0.1)
+    for revision in range(1, 6):
+        world.members["d0:1"].sync.offer(make_document(revision, 5_000), "store")
+        world.run(0.1)
+    world.run(8.0)
+    assert set(revisions(world)) == {5}
+
+
+def test_change_passes_daemons_that_have_ended():
+    """Guards against a fleet whose parts wait for dead neighbours."""
+    world = make_world(300)
+    members = list(world.members.values())
+    for member in members[1::5]:
+        # A whole failure domain.
+        member.alive = False
+    members[0].sync.offer(make_document(1, 60_000), "store")
+    world.run(3.0)
+    assert set(revisions(world)) == {1}
+
+
+def test_document_is_requested_from_one_neighbour_at_a_time():
+    """Guards against several transfers of the same version to one daemon."""
+    pulls = DocumentPulls()
+    version = make_document(5)
+    for address in ("near", "other"):
+        pulls.announced(version, address, 0.0, same_domain=True)
+    assert pulls.take_due(0.0) == {"near": ["configuration/main"]}
+    assert pulls.take_due(REQUEST_TIMEOUT_S - 0.01) == {}
+    assert pulls.take_due(REQUEST_TIMEOUT_S) == {"other": ["configuration/main"]}
+    pulls.received("configuration/main", 5)
+    assert not pulls.pending
+
+
+def test_neighbour_in_the_same_failure_domain_is_asked_first():
+    """Guards against transfers between failure domains."""
+    pulls = DocumentPulls()
+    pulls.announced(make_document(5), "far", 0.0, same_domain=False)
+    assert pulls.take_due(0.0) == {}
+    pulls.announced(make_document(5), "near", 0.1, same_domain=True)
+    assert list(pulls.take_due(0.1)) == ["near"]
+    pulls.lost("near")
+    assert list(pulls.take_due(CROSS_DOMAIN_DELAY_S)) == ["far"]
+
+
+class FloodMachine(RuleBasedStateMachine):
+    """Change documents while daemons end, restart and lose messages."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = make_world(25, loss=0.1, copies=0.1)
+        self.revision = 0
+        self.seen = {}
+
+    @rule(member=st.integers(0, 24), size=st.sampled_from([10, 2 * MAX_PUSHED_BYTES]))
+    def change(self, member, size):
+        self.revision += 1
+        document = make_document(self.revision, size)
+        source = list(self.world.members.values())[member]
+        if source.alive:
+            source.sync.offer(document, "store")
+
+    @rule(member=st.integers(0, 24))
+    def end_or_restart(self, member):
+        member = list(self.world.members.values())[member]
+        member.alive = not member.alive
+
+    @rule(duration_s=st.sampled_from([0.01, 0.1, 1.0]))
+    def wait(self, duration_s):
+        self.world.run(duration_s)
+
+    @rule()
+    def settle(self):
+        """Expect the same documents everywhere after a calm time."""
+        for member in self.world.members.values():
+            member.alive = True
+        self.world.loss = 0.0
+        self.world.run(10.0)
+        assert len(set(revisions(self.world))) == 1
+        self.world.loss = 0.1
+
+    @invariant()
+    def no_daemon_goes_back(self):
+        for address, member in self.world.members.items():
+            revision = member.table.revision("configuration/main")
+            assert revision >= self.seen.get(address, -1)
+            self.seen[address] = revision
+
+
+FloodMachine.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=20, stateful_step_count=30
+)
+TestFlood = FloodMachine.TestCase
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -60,6 +60,9 @@
         listing = await super().list_objects(kind)
         return listing.map(lambda found: evolve(found, complete=True))
 
+    async def list_cached(self, kind):
+        return await self.list_objects(kind)
+
     async def watch(self, kind, *, after, wait_s):
         while True:
             if self.down:
