--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -14,11 +14,11 @@
 from catkinhollow.calls.egress import HttpTargetClient
 from catkinhollow.calls.http_server import App, serve_app
 from catkinhollow.clock import TrioClock
-from catkinhollow.configuration.store import StoreClient
 from catkinhollow.errors import DecodeError
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
     DaemonRecord,
+    Frame,
     OrderState,
     RelaySettings,
 )
@@ -29,22 +29,31 @@
     ReadyApplication,
 )
 from catkinhollow.relay.document_handler import DocumentHandler, DocumentValidator
+from catkinhollow.relay.document_sync import DocumentChanged
 from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.follower_election import FollowerElection
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.ingress import Ingress
-from catkinhollow.relay.kinds import DAEMONS
-from catkinhollow.relay.links import NngFrameLink
+from catkinhollow.relay.kinds import CONFIGURATION, DAEMONS
+from catkinhollow.relay.link_plan import LinkPlan
+from catkinhollow.relay.links import NngFrameLink, message_kind
 from catkinhollow.relay.move_driver import STEP_INTERVAL_S, MoveDriver
-from catkinhollow.relay.network import DocumentChanged, PeerNetwork
+from catkinhollow.relay.network import PeerNetwork
+from catkinhollow.relay.own_record import OwnRecordKeeper
 from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.relay.placement import Distances, LeastWaitPlacer
 from catkinhollow.relay.record_cleanup import find_stale_peers
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestServer
-from catkinhollow.relay.store_follower import ObjectDecoder, StoreFollower
+from catkinhollow.relay.shutdown_plan import ShutdownPlan
+from catkinhollow.relay.store_follower import (
+    ObjectDecoder,
+    RelayStore,
+    StoreFollower,
+)
 from catkinhollow.relay.target_responses import make_classifier
 from catkinhollow.relay.versions import VersionPolicy
 from catkinhollow.timer import Timer
@@ -58,18 +67,6 @@
 # Idle connections to the target are not reused after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
-# Minimum time of a shutdown. The platform checks readiness once per second and
-# needs two failed checks.
-MIN_DRAIN_S = 2.2
-# Time of a shutdown after which the requests of callers that keep sending,
-# although the instance is not ready, are refused. Most requests take less than
-# 2 s, so that none is open at the end of the shutdown.
-ACCEPT_REQUESTS_S = 3.0
-# Time of a shutdown during which the gate still accepts calls.
-GATE_DRAIN_DELAY_S = 1.9
-# Part of the grace period that is reserved for the last responses and for the
-# exit of the process, which is killed at the end of the period.
-EXIT_MARGIN_S = 0.6
 # Time to send the responses to the requests that the shutdown has aborted.
 LAST_RESPONSES_S = 0.3
 LAST_RESPONSES_POLL_S = 0.02
@@ -102,7 +99,7 @@
         self,
         *,
         settings: RelaySettings,
-        store: StoreClient,
+        store: RelayStore,
         decode: ObjectDecoder,
         header_names: HeaderNames,
         announcement_app: AnnouncementAppFactory,
@@ -135,10 +132,12 @@
             ingress=self._ingress,
             gate=self._gate,
             network=self._network,
+            plan=self._plan,
             versions=self._versions,
             moves=self._moves,
         )
         self._events.connect(DocumentChanged, handler.apply)
+        self._events.connect(DocumentChanged, self._on_document)
 
     def _own_record(self) -> DaemonRecord:
         settings = self._settings
@@ -166,17 +165,22 @@
             on_state_change=self._on_gate_state_change,
             on_run_failure=self._on_run_failure,
         )
-        self._link = NngFrameLink(settings.peer, self._timer)
+        self._link = NngFrameLink(settings.peer, self._timer, self._count_sent)
+        self._plan = LinkPlan(self._directory)
+        self._election = FollowerElection(self._directory, self._clock.monotonic())
         self._network = PeerNetwork(
             incarnation=self._clock.unix_ms(),
             directory=self._directory,
             documents=self._documents,
             gate=self._gate,
             link=self._link,
+            plan=self._plan,
+            election=self._election,
             timer=self._timer,
             events=self._events,
             accepts=self._validator.accepts,
-            is_store_lost=lambda: self._follower.lost,
+            is_configured=lambda: self._ingress.configured,
+            is_following=lambda: self._follower.following,
         )
         self._versions = VersionPolicy(self._random)
         self._ingress = Ingress(
@@ -202,11 +206,19 @@
             store=self._store,
             decode=decode,
             table=self._documents,
-            own_record=self._directory.own.record,
+            role=self._election,
             on_document=self._network.offer_document,
+            clock=self._clock,
             random=self._random,
             metrics=self._metrics,
         )
+        self._record_keeper = OwnRecordKeeper(
+            store=self._store,
+            follower=self._follower,
+            table=self._documents,
+            record=self._directory.own.record,
+            random=self._random,
+        )
         self._moves = MoveDriver(self._store, self._directory, self._clock)
 
     @property
@@ -243,6 +255,7 @@
             nursery.start_soon(self._network.run)
             await self._start_listeners(nursery)
             nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._record_keeper.run)
             nursery.start_soon(self._watch_settings)
             self._timer.subscribe(
                 STEP_INTERVAL_S, lambda: self._start_move_step(nursery)
@@ -307,20 +320,16 @@
     async def _drain(self) -> None:
         self._stopping = True
         self._server.begin_closing()
+        plan = ShutdownPlan(self._settings.grace_s)
         started_s = self._clock.monotonic()
-        # Callers on the instance need this time to stop in any case, and the
-        # target behind the gate may be healthy.
-        await trio.sleep(GATE_DRAIN_DELAY_S)
-        self._gate.stop()
-        max_drain_s = self._settings.grace_s - EXIT_MARGIN_S
+        self._timer.call_after(plan.refuse_calls_s, self._gate.stop)
+        self._timer.call_after(plan.refuse_requests_s, self._ingress.stop)
         was_idle = False
-        while self._clock.monotonic() - started_s < max_drain_s:
+        while (elapsed_s := self._clock.monotonic() - started_s) < plan.abort_s:
             idle = not self._gate.busy and not self._server.busy
-            if self._clock.monotonic() - started_s > ACCEPT_REQUESTS_S:
-                self._ingress.stop()
             # Only return after a second idle check, so that the links can send
             # the last answers.
-            if idle and was_idle and self._clock.monotonic() - started_s > MIN_DRAIN_S:
+            if idle and was_idle and elapsed_s > plan.min_end_s:
                 return
             was_idle = idle
             await trio.sleep(DRAIN_POLL_S)
@@ -345,10 +354,15 @@
 
     async def _delete_stale_records(self) -> None:
         """Delete the records of daemons that have long been disconnected."""
-        if not self._follower.reachable:
+        now_s = self._clock.monotonic()
+        if not self._election.is_followed(now_s):
             return
-        own = self._directory.own
-        for peer in find_stale_peers(self._directory, own, self._clock.monotonic()):
+        neighbours = [
+            peer
+            for address in self._plan.neighbours(now_s)
+            if (peer := self._directory.by_address(address)) is not None
+        ]
+        for peer in find_stale_peers(neighbours, self._directory.own, now_s):
             name = peer.record.name
             document = self._documents.get(f"{DAEMONS}/{name}")
             if document is None:
@@ -359,6 +373,18 @@
             reason = "" if result.is_ok() else result.error.reason
             logger.info("deletion of a stale daemon record", name=name, error=reason)
 
+    def _on_document(self, event: DocumentChanged) -> None:
+        kind, _, name = event.document.name.partition("/")
+        if kind == CONFIGURATION:
+            self._follower.set_configured()
+        elif kind == DAEMONS and name == self._settings.instance:
+            self._record_keeper.record_changed()
+
+    def _count_sent(self, address: str, frame: Frame, size_bytes: int) -> None:
+        place = "same" if self._network.is_nearby(address) else "other"
+        labels = {"message": message_kind(frame), "failure_domain": place}
+        self._metrics.sent_bytes.add(labels, size_bytes)
+
     def _on_gate_state_change(self) -> None:
         self._network.broadcast_status()
 
