Tell a restarted daemon that its target has left

Cause: the acknowledgement of a departure was known only to the process that gave it. After a restart of the daemon an announcement that was delayed from before the departure opened the gate again, so that a target that had left got calls.

Change: reports name the departed lifetime with its start. Peers keep the latest one and return it in the first status on a new link. A later start under the same id is a new lifetime and opens the gate.

Result: the two new tests in tests/relay/test_peer_directory.py; before, no peer knew the start of a departed lifetime. If all daemons lose power at the same moment, nobody remembers; this case stays open.

--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -164,6 +164,9 @@
         return TargetReport(
             state=self.state(now_s),
             lifetime=self.lifetime,
+            started_ms=target.announcement.started_ms if target else 0,
+            departed=target is not None
+            and (target.departed or target.announcement.draining),
             version=target.announcement.version if target else "",
             slots=self._effective_slots(now_s),
             running=len(self._running),
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -354,6 +354,8 @@
             peer.update_report(status.report, now_s)
         if status.store_age_ms is not None:
             self._election.hear(status.store_age_ms / 1000.0, now_s)
+        for departure in status.departures:
+            self._gate.depart(departure.lifetime, departure.started_ms)
         link_works = self._calls.handle_status(sender, status)
         if not link_works and sender in self._up and sender not in self._link.progress:
             logger.warning("link reset, an answer was lost", address=sender)
@@ -366,7 +368,10 @@
         now_s = self._clock.monotonic()
         if self._is_following():
             self._election.store_reached(now_s)
+        peer = self._directory.by_address(address)
+        departure = peer.departure if peer is not None and resumed else None
         status = Status(
+            departures=[departure] if departure is not None else [],
             reply=reply,
             resumed=resumed,
             receiver=self._incarnations.get(address, 0),
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -6,7 +6,7 @@
 from attrs import define
 from xxhash import xxh3_64_intdigest
 
-from catkinhollow.generated.relay import DaemonRecord, TargetReport
+from catkinhollow.generated.relay import DaemonRecord, Departure, TargetReport
 from catkinhollow.mesh.rings import Rings
 from catkinhollow.relay.gate_jobs import OPEN_STATES
 
@@ -34,12 +34,18 @@
     """Since when a wanted link to it is down, infinity if none is."""
     last_called_s: float = -inf
     """When this daemon last chose its target for a call."""
+    departure: Departure | None = None
+    """Latest departure of its target, which it forgets if it is restarted."""
 
     def update_report(self, report: TargetReport, now_s: float) -> None:
         """Replace the report of the peer's gate about its target."""
         self.report = report
         self.reported_s = now_s
         self.sent_since_report = 0
+        if report.departed:
+            self.departure = Departure(
+                lifetime=report.lifetime, started_ms=report.started_ms
+            )
 
     @property
     def version(self) -> str:
--- a/tests/relay/test_peer_directory.py
+++ b/tests/relay/test_peer_directory.py
@@ -2,17 +2,24 @@
 
 import trio
 from attrs import evolve
-from relay_builders import make_answer, make_call, make_gate, make_peer
+from relay_builders import (
+    make_announcement,
+    make_answer,
+    make_call,
+    make_gate,
+    make_peer,
+)
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.codec import encode_message
 from catkinhollow.events import EventManager
-from catkinhollow.generated.relay import Document, Frame, Status
+from catkinhollow.generated.relay import Departure, Document, Frame, GateState, Status
 from catkinhollow.mesh.links import LinkDown, LinkUp
 from catkinhollow.relay.document_handler import DocumentHandler
 from catkinhollow.relay.document_sync import DocumentChanged
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.follower_election import FollowerElection
+from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import Submission
 from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.network import PeerNetwork
@@ -211,6 +218,10 @@
 
     def __init__(self):
         self.gate = make_gate()
+        self.departed = []
+
+    def depart(self, lifetime, started_ms):
+        self.departed.append((lifetime, started_ms))
 
     def submit(self, call, on_answer):
         on_answer(make_answer(call_id=call.call_id))
@@ -226,3 +237,43 @@
     await trio.sleep(1.0)
     answers = [frame.answer.call_id for _, frame in link.sent if frame.answer]
     assert answers == [7, 7]
+
+
+async def test_restarted_daemon_learns_that_its_target_has_left(
+    nursery, autojump_clock
+):
+    """Guards against a target that is used again after a restart.
+
+    A late announcement of the time before its departure reaches the new
+    process, which has never heard of the departure.
+    """
+    gate = make_gate(lifetime="t1", started_ms=1000)
+    gate.depart("t1", 1000)
+    link = RecordingLink()
+    network = make_network(link, Timer(TrioClock()), AnsweringGate())
+    network.directory.put(make_peer("peer").record)
+    nursery.start_soon(network.run)
+    await trio.sleep(0.1)
+    status = Status(reply=True, digest=0, report=gate.report(0.0))
+    link.receive(Frame(sender="peer:1", incarnation=1, status=status))
+    link.receive(LinkDown(address="peer:1"))
+    link.sent.clear()
+    link.receive(LinkUp(address="peer:1"))
+    departures = link.sent[0][1].status.departures
+    restarted = Gate()
+    for departure in departures:
+        restarted.depart(departure.lifetime, departure.started_ms)
+    restarted.announce(make_announcement("t1", started_ms=1000), 0.2)
+    assert restarted.state(0.2) is GateState.DRAINING
+    restarted.announce(make_announcement("t1", started_ms=2000), 0.3)
+    assert restarted.state(0.3) is GateState.SERVING
+
+
+async def test_departures_of_a_status_reach_the_gate(nursery, autojump_clock):
+    """Guards against departures that a peer reports in vain."""
+    gate = AnsweringGate()
+    link = await start_network(nursery, gate)
+    departure = Departure(lifetime="t9", started_ms=5)
+    status = Status(reply=True, digest=0, departures=[departure])
+    link.receive(Frame(sender="peer:1", incarnation=1, status=status))
+    assert gate.departed == [("t9", 5)]
