--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -409,9 +409,11 @@
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
         metrics.dials.set({}, self._link.counters.dials)
         linked = sum(peer.linked for peer in self._directory) - 1
-        known = len(self._directory.addresses)
-        metrics.peers.set({"linked": "yes"}, linked)
-        metrics.peers.set({"linked": "no"}, known - linked)
+        missing = sum(peer.missing_since_s < inf for peer in self._directory)
+        metrics.peers.set({"state": "linked"}, linked)
+        metrics.peers.set({"state": "missing"}, missing)
+        metrics.peers.set({"state": "known"}, len(self._directory.addresses))
+        metrics.follows_store.set({}, int(self._follower.following))
         return metrics
 
 
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -40,7 +40,12 @@
         )
         self.peers = Gauge(
             "catkinhollow_relay_peers",
-            "Other daemons by whether a link to them is open",
+            "Other daemons: known, linked, and those whose planned link is down",
+            registry=registry,
+        )
+        self.follows_store = Gauge(
+            "catkinhollow_relay_follows_store",
+            "Whether this daemon follows the store for others",
             registry=registry,
         )
         self.dials = Gauge(
