Separate sending to peers from dispatching their frames

PeerSender puts messages into frames and knows which links are up. No change of behaviour; a test shows that a link which has lost an answer is replaced, and one that is only slow is not.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -1,18 +1,13 @@
 """Connect the calls and the documents of a daemon with its peers."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from math import inf
 
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
     Answer,
     Call,
-    Cancel,
     Document,
-    DocumentAnnouncement,
-    DocumentIndex,
-    DocumentRequest,
-    Documents,
     Frame,
     Status,
 )
@@ -24,6 +19,7 @@
 from catkinhollow.relay.gate_service import GateService, Submission
 from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.links import FrameLink, LinkEvent
+from catkinhollow.relay.peer_sender import PeerSender
 from catkinhollow.relay.peer_watch import PeerWatch, SendStatus
 from catkinhollow.relay.peers import Peer, PeerDirectory
 from catkinhollow.relay.remote_calls import RemoteCalls, SentCall
@@ -64,8 +60,6 @@
     ) -> None:
         self._is_configured = is_configured
         self._is_following = is_following
-        self._address = directory.own.record.address
-        self._incarnation = incarnation
         self._directory = directory
         self._gate = gate
         self._link = link
@@ -74,9 +68,10 @@
         self._timer = timer
         self._clock = timer.clock
         self._watch = PeerWatch()
-        self._calls = RemoteCalls(self, gate, timer, incarnation)
+        self._sender = PeerSender(directory, link, incarnation)
+        self._calls = RemoteCalls(self._sender, gate, timer, incarnation)
         self._sync = DocumentSync(
-            link=self,
+            link=self._sender,
             documents=documents,
             timer=timer,
             events=events,
@@ -89,8 +84,6 @@
         # When each connected peer was last wanted or needed for its calls.
         self._needed_s: dict[str, float] = {}
         self._wanted: set[str] = set()
-        self._neighbours: set[str] = set()
-        self._up: set[str] = set()
         self._link_update_due = False
 
     @property
@@ -98,10 +91,9 @@
         """Return the known daemons."""
         return self._directory
 
-    @property
-    def neighbours(self) -> Collection[str]:
-        """Return the addresses of the linked neighbours on the hash rings."""
-        return self._neighbours & self._up
+    def is_nearby(self, address: str) -> bool:
+        """Return whether a peer is in the same failure domain."""
+        return self._sender.is_nearby(address)
 
     def next_call_id(self) -> int:
         """Return an id that no other call of any process has."""
@@ -154,17 +146,17 @@
         self._link_update_due = False
         now_s = self._clock.monotonic()
         self._wanted = self._plan.wanted(now_s)
-        self._neighbours = set(self._plan.neighbours(now_s))
+        self._sender.set_neighbours(self._plan.neighbours(now_s))
         for address in self._wanted:
             self._needed_s[address] = now_s
             peer = self._directory.by_address(address)
-            if peer is not None and address not in self._up:
+            if peer is not None and not self._sender.is_up(address):
                 peer.missing_since_s = min(peer.missing_since_s, now_s)
             self._link.connect(address)
         self._disconnect_unneeded(now_s)
         for peer in self._directory:
             # The link may have come up before the peer's record arrived.
-            if peer.record.address in self._up and not peer.linked:
+            if self._sender.is_up(peer.record.address) and not peer.linked:
                 self._mark_linked(peer)
                 self._send_status(peer.record.address, reply=False)
 
@@ -173,7 +165,7 @@
 
         It is marked as a reply, so that the peers do not reply to it.
         """
-        for address in list(self._up):
+        for address in self._sender.linked:
             self._send_status(address, reply=True)
 
     async def run(self) -> None:
@@ -183,44 +175,6 @@
         self._timer.subscribe(MOVE_REPORT_INTERVAL_S, self._report_to_move_writers)
         await self._link.run(self._handle_event)
 
-    def is_up(self, address: str) -> bool:
-        """Return whether the link to a peer is up."""
-        return address in self._up
-
-    def is_nearby(self, address: str) -> bool:
-        """Return whether a peer is in the same failure domain."""
-        peer = self._directory.by_address(address)
-        own = self._directory.own.record
-        return peer is not None and peer.record.failure_domain == own.failure_domain
-
-    def send_call(self, address: str, call: Call) -> bool:
-        """Send a call; return False if no byte of it will be sent."""
-        return self._send(address, call=call)
-
-    def send_answer(self, address: str, answer: Answer) -> bool:
-        """Send an answer; return False if no byte of it will be sent."""
-        return self._send(address, answer=answer)
-
-    def send_cancel(self, address: str, cancel: Cancel) -> bool:
-        """Send a cancellation; return False if no byte of it will be sent."""
-        return self._send(address, cancel=cancel)
-
-    def send_documents(self, address: str, message: Documents) -> bool:
-        """Send documents; return False if no byte of them will be sent."""
-        return self._send(address, documents=message)
-
-    def send_index(self, address: str, message: DocumentIndex) -> bool:
-        """Send an index; return False if no byte of it will be sent."""
-        return self._send(address, document_index=message)
-
-    def send_announcement(self, address: str, message: DocumentAnnouncement) -> bool:
-        """Announce documents; return False if no byte of it will be sent."""
-        return self._send(address, announcement=message)
-
-    def send_request(self, address: str, message: DocumentRequest) -> bool:
-        """Request documents; return False if no byte of it will be sent."""
-        return self._send(address, document_request=message)
-
     def _note_full_target(self, service: str) -> None:
         if self._plan.target_full(service, self._clock.monotonic()):
             self.schedule_link_update()
@@ -251,7 +205,7 @@
                 self._handle_frame(frame)
 
     def _on_link_up(self, address: str) -> None:
-        self._up.add(address)
+        self._sender.link_up(address)
         self._watch.link_up(address, self._clock.monotonic())
         peer = self._directory.by_address(address)
         if peer is not None:
@@ -265,7 +219,7 @@
         peer.missing_since_s = inf
 
     def _on_link_down(self, address: str) -> None:
-        self._up.discard(address)
+        self._sender.link_down(address)
         self._watch.link_down(address)
         self._calls.link_down(address)
         self._sync.link_down(address)
@@ -281,7 +235,7 @@
         now_s = self._clock.monotonic()
         for address, progress_s in self._link.progress.items():
             self._watch.record_progress(address, progress_s)
-        near = {address for address in self._wanted if self.is_nearby(address)}
+        near = {address for address in self._wanted if self._sender.is_nearby(address)}
         far = self._wanted - near
         busy = self._calls.busy_addresses
         for command in self._watch.check(near, far, busy, now_s):
@@ -297,7 +251,7 @@
 
     def _report_to_move_writers(self) -> None:
         for address in self._plan.move_writers():
-            if address in self._up:
+            if self._sender.is_up(address):
                 self._send_status(address, reply=True)
 
     def _handle_frame(self, frame: Frame) -> None:
@@ -339,7 +293,7 @@
         if sender not in self._needed_s:
             self._needed_s[sender] = now_s
             self._link.connect(sender)
-        if sender not in self._up:
+        if not self._sender.is_up(sender):
             self._link.contacted(sender)
 
     def _handle_answer(self, sender: str, answer: Answer, now_s: float) -> None:
@@ -357,13 +311,23 @@
         for departure in status.departures:
             self._gate.depart(departure.lifetime, departure.started_ms)
         link_works = self._calls.handle_status(sender, status)
-        if not link_works and sender in self._up and sender not in self._link.progress:
+        if (
+            not link_works
+            and self._sender.is_up(sender)
+            and sender not in self._link.progress
+        ):
             logger.warning("link reset, an answer was lost", address=sender)
             self._link.reset(sender)
         if not status.reply:
             self._send_status(sender, reply=True)
         self._sync.compare(sender, status.digest, configured=status.configured)
 
+    def _reset_if_idle(self, address: str) -> None:
+        """Replace a link that has lost an answer, unless it is only slow."""
+        if self._sender.is_up(address) and address not in self._link.progress:
+            logger.warning("link reset, an answer was lost", address=address)
+            self._link.reset(address)
+
     def _send_status(self, address: str, *, reply: bool, resumed: bool = False) -> None:
         now_s = self._clock.monotonic()
         if self._is_following():
@@ -381,31 +345,4 @@
             open_calls=self._calls.open_calls(address),
             report=self._gate.gate.report(now_s),
         )
-        self._send(address, status=status)
-
-    def _send(
-        self,
-        address: str,
-        *,
-        call: Call | None = None,
-        answer: Answer | None = None,
-        cancel: Cancel | None = None,
-        status: Status | None = None,
-        document_index: DocumentIndex | None = None,
-        documents: Documents | None = None,
-        announcement: DocumentAnnouncement | None = None,
-        document_request: DocumentRequest | None = None,
-    ) -> bool:
-        frame = Frame(
-            sender=self._address,
-            incarnation=self._incarnation,
-            call=call,
-            answer=answer,
-            cancel=cancel,
-            status=status,
-            document_index=document_index,
-            documents=documents,
-            announcement=announcement,
-            document_request=document_request,
-        )
-        return self._link.send(address, frame)
+        self._sender.send_status(address, status)
--- /dev/null
+++ b/catkinhollow/relay/peer_sender.py
@@ -0,0 +1,124 @@
+"""Send messages to the daemons that are linked."""
+
+from collections.abc import Collection, Iterable
+
+from catkinhollow.generated.relay import (
+    Answer,
+    Call,
+    Cancel,
+    DocumentAnnouncement,
+    DocumentIndex,
+    DocumentRequest,
+    Documents,
+    Frame,
+    Status,
+)
+from catkinhollow.relay.links import FrameLink
+from catkinhollow.relay.peers import PeerDirectory
+
+
+class PeerSender:
+    """Put messages into frames, and know which links carry them.
+
+    Each method that sends returns False if no byte of the message will be
+    sent.
+    """
+
+    def __init__(
+        self, directory: PeerDirectory, link: FrameLink, incarnation: int
+    ) -> None:
+        self._directory = directory
+        self._link = link
+        self._address = directory.own.record.address
+        self._incarnation = incarnation
+        self._up: set[str] = set()
+        self._neighbours: set[str] = set()
+
+    @property
+    def linked(self) -> list[str]:
+        """Return the addresses of the peers whose link is up."""
+        return list(self._up)
+
+    @property
+    def neighbours(self) -> Collection[str]:
+        """Return the addresses of the linked neighbours on the hash rings."""
+        return self._neighbours & self._up
+
+    def set_neighbours(self, addresses: Iterable[str]) -> None:
+        """Replace the neighbours on the hash rings."""
+        self._neighbours = set(addresses)
+
+    def link_up(self, address: str) -> None:
+        """Record that messages can be sent to a peer."""
+        self._up.add(address)
+
+    def link_down(self, address: str) -> None:
+        """Record that no message can be sent to a peer."""
+        self._up.discard(address)
+
+    def is_up(self, address: str) -> bool:
+        """Return whether the link to a peer is up."""
+        return address in self._up
+
+    def is_nearby(self, address: str) -> bool:
+        """Return whether a peer is in the same failure domain."""
+        peer = self._directory.by_address(address)
+        own = self._directory.own.record
+        return peer is not None and peer.record.failure_domain == own.failure_domain
+
+    def send_call(self, address: str, call: Call) -> bool:
+        """Send a call to a gate."""
+        return self._link.send(address, self._frame(call=call))
+
+    def send_answer(self, address: str, answer: Answer) -> bool:
+        """Send the answer to a call."""
+        return self._link.send(address, self._frame(answer=answer))
+
+    def send_cancel(self, address: str, cancel: Cancel) -> bool:
+        """Cancel a call."""
+        return self._link.send(address, self._frame(cancel=cancel))
+
+    def send_status(self, address: str, status: Status) -> bool:
+        """Send the status of this daemon."""
+        return self._link.send(address, self._frame(status=status))
+
+    def send_documents(self, address: str, message: Documents) -> bool:
+        """Send documents."""
+        return self._link.send(address, self._frame(documents=message))
+
+    def send_index(self, address: str, message: DocumentIndex) -> bool:
+        """Send the revisions of all documents, to get newer ones."""
+        return self._link.send(address, self._frame(document_index=message))
+
+    def send_announcement(self, address: str, message: DocumentAnnouncement) -> bool:
+        """Announce new revisions of documents."""
+        return self._link.send(address, self._frame(announcement=message))
+
+    def send_request(self, address: str, message: DocumentRequest) -> bool:
+        """Request documents by name."""
+        return self._link.send(address, self._frame(document_request=message))
+
+    def _frame(
+        self,
+        *,
+        call: Call | None = None,
+        answer: Answer | None = None,
+        cancel: Cancel | None = None,
+        status: Status | None = None,
+        document_index: DocumentIndex | None = None,
+        documents: Documents | None = None,
+        announcement: DocumentAnnouncement | None = None,
+        document_request: DocumentRequest | None = None,
+    ) -> Frame:
+        return Frame(
+            sender=self._address,
+            incarnation=self._incarnation,
+            call=call,
+            answer=answer,
+            cancel=cancel,
+            status=status,
+            document_index=document_index,
+            documents=documents,
+            announcement=announcement,
+            document_request=document_request,
+        )
--- a/tests/relay/test_peer_directory.py
+++ b/tests/relay/test_peer_directory.py
@@ -24,6 +24,7 @@
 from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.peers import PeerDirectory
+from catkinhollow.relay.remote_calls import ANSWER_TRANSFER_S
 from catkinhollow.timer import Timer
 
 FLEET = 40
@@ -277,3 +278,23 @@
     status = Status(reply=True, digest=0, departures=[departure])
     link.receive(Frame(sender="peer:1", incarnation=1, status=status))
     assert gate.departed == [("t9", 5)]
+
+
+async def test_link_that_lost_an_answer_is_replaced_unless_it_is_slow(
+    nursery, autojump_clock
+):
+    """Guards against answers on a connection that silently carries nothing."""
+    link = await start_network(nursery, AnsweringGate())
+    link.receive(LinkUp(address="peer:1"))
+    link.receive(Frame(sender="peer:1", incarnation=1, call=make_call(7)))
+    status = Status(reply=True, digest=0, open_calls=[7])
+    waiting = Frame(sender="peer:1", incarnation=1, status=status)
+    link.receive(waiting)
+    assert link.resets == []
+    await trio.sleep(ANSWER_TRANSFER_S)
+    link.progress = {"peer:1": 0.0}
+    link.receive(waiting)
+    assert link.resets == []
+    link.progress = {}
+    link.receive(waiting)
+    assert link.resets == ["peer:1"]
