Close no link while a call is open on it

Cause: a link that this daemon does not plan any more is closed 20 s after its last frame, and could be chosen for a call just before.

Change: links with open calls in either direction are kept.

Result: the new test in tests/relay/test_peer_directory.py, which fails on the code before.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -186,6 +186,8 @@
         for address, needed_s in list(self._needed_s.items()):
             if address in self._wanted or address in self._contacted_s:
                 continue
+            if self._calls.is_busy(address):
+                continue
             peer = self._directory.by_address(address)
             if peer is not None:
                 if now_s - needed_s <= KEEP_UNWANTED_S:
--- a/catkinhollow/relay/remote_calls.py
+++ b/catkinhollow/relay/remote_calls.py
@@ -75,6 +75,12 @@
         """Return the addresses of peers with open calls of this daemon."""
         return self._exchanges.addresses
 
+    def is_busy(self, address: str) -> bool:
+        """Return whether a call to or from a peer is open."""
+        return address in self.busy_addresses or any(
+            caller == address for caller, _ in self._incoming
+        )
+
     def next_call_id(self) -> int:
         """Return an id that no other call of any process has."""
         self._last_call_id += 1
--- a/tests/relay/test_peer_directory.py
+++ b/tests/relay/test_peer_directory.py
@@ -22,7 +22,7 @@
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import Submission
 from catkinhollow.relay.link_plan import LinkPlan
-from catkinhollow.relay.network import PeerNetwork
+from catkinhollow.relay.network import KEEP_CONTACTED_S, PeerNetwork
 from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.relay.remote_calls import ANSWER_TRANSFER_S
 from catkinhollow.timer import Timer
@@ -298,3 +298,40 @@
     link.progress = {}
     link.receive(waiting)
     assert link.resets == ["peer:1"]
+
+
+async def test_link_is_not_closed_under_an_open_call(nursery, autojump_clock):
+    """Guards against callers who lose an order to an idle link.
+
+    Links that were opened for an early view of the fleet are closed later. On
+    the calm large day one of them had just been chosen for a call.
+    """
+    link = RecordingLink()
+    timer = Timer(TrioClock())
+    network = make_network(link, timer, AnsweringGate())
+    nursery.start_soon(timer.run)
+    nursery.start_soon(network.run)
+    await trio.sleep(0.1)
+    # 40 daemons, of which this one does not need all.
+    for number in range(FLEET):
+        network.directory.put(make_peer(f"peer{number}", failure_domain="b").record)
+    network.update_links()
+    spare = next(
+        peer
+        for peer in network.directory
+        if peer.record.address not in [*link.connects, "own:1"]
+    )
+    address = spare.record.address
+    link.receive(make_status(address))
+    link.receive(LinkUp(address=address))
+    await trio.sleep(KEEP_CONTACTED_S - 1.5)
+    answers = []
+    network.call(spare, make_call(network.next_call_id()), answers.append)
+    await trio.sleep(2 * KEEP_CONTACTED_S)
+    assert address not in link.disconnects
+    call = next(frame.call for _, frame in reversed(link.sent) if frame.call)
+    answer = make_answer(call_id=call.call_id)
+    link.receive(Frame(sender=address, incarnation=1, answer=answer))
+    assert len(answers) == 1
+    await trio.sleep(2 * KEEP_CONTACTED_S)
+    assert address in link.disconnects
