--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -7,17 +7,24 @@
 import sys
 import time
 from collections import Counter
+from pathlib import Path
 
+from hypothesis import given, settings
 from hypothesis import seed as use_seed
-from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
-from tests.calls.test_call_router import CallRouterMachine
-from tests.configuration.test_fleet_updates import FleetUpdates
-from tests.control.test_controller_states import RacingControllers
-from tests.mesh.test_dissemination import MeshMachine
-from tests.testbed.test_store_state import StoreMachine
-from tests.testbed.test_target_model import SlotMachine
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tests" / "relay")]
+
+from tests.calls.test_call_router import CallRouterMachine  # noqa: E402
+from tests.configuration.test_fleet_updates import FleetUpdates  # noqa: E402
+from tests.control.test_controller_states import RacingControllers  # noqa: E402
+from tests.mesh.test_dissemination import MeshMachine  # noqa: E402
+from tests.relay.test_document_flood import FloodMachine  # noqa: E402
+from tests.relay.test_odd_frames import ODD_FRAMES, play_frame  # noqa: E402
+from tests.relay.test_remote_calls import CallMachine  # noqa: E402
+from tests.testbed.test_store_state import StoreMachine  # noqa: E402
+from tests.testbed.test_target_model import SlotMachine  # noqa: E402
 
 STATE_MACHINES = (
     CallRouterMachine,
@@ -26,7 +33,10 @@
     FleetUpdates,
     StoreMachine,
     SlotMachine,
+    FloodMachine,
+    CallMachine,
 )
+ODD_FRAMES_PER_ROUND = 500
 # Small enough that every state machine runs within a minute.
 EXAMPLES_PER_ROUND = 50
 STEPS_PER_EXAMPLE = 60
@@ -58,6 +68,19 @@
         )
 
 
+def run_odd_frames(round_seed: int, steps: Counter[str]) -> None:
+    """Let a daemon's network receive malformed frames."""
+
+    @use_seed(round_seed)
+    @settings(deadline=None, database=None, max_examples=ODD_FRAMES_PER_ROUND)
+    @given(ODD_FRAMES)
+    def receive_odd_frame(data: bytes) -> None:
+        steps["odd frames"] += 1
+        play_frame(data)
+
+    receive_odd_frame()
+
+
 def main() -> int:
     """Run rounds with increasing seeds until the time is over."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -70,6 +93,7 @@
     while time.monotonic() < end_s or round_seed == options.seed:
         print(f"seed {round_seed}", flush=True)
         run_round(round_seed, steps)
+        run_odd_frames(round_seed, steps)
         round_seed += 1
     for name, count in steps.items():
         print(f"{name}: {count} steps")
