Cancel the calls that a peer gave up while its link was down

Cause: the steady clock does not count a suspension of the instance. A gate that was suspended with waiting calls ran them afterwards, although their callers had lost the link and given them up long before.

Change: the first status on a new link lists the calls that the peer waits for; all others of this peer are cancelled. An order that is already running continues, as before.

Result: the new test in tests/relay/test_remote_calls.py; without the change nothing is cancelled in it.

--- a/catkinhollow/relay/remote_calls.py
+++ b/catkinhollow/relay/remote_calls.py
@@ -143,6 +143,7 @@
         """
         self._answers.confirm(sender, status.open_calls)
         if status.resumed:
+            self._cancel_abandoned_calls(sender, status)
             self._answer_unknown_calls(sender, status)
         sent_s = self._answers.oldest_s(sender)
         return sent_s is None or self._clock.monotonic() - sent_s < ANSWER_TRANSFER_S
@@ -176,6 +177,12 @@
         if count:
             logger.warning("calls lost with their link", peer=address, calls=count)
 
+    def _cancel_abandoned_calls(self, sender: str, status: Status) -> None:
+        """Cancel the calls that a peer gave up while its link was down."""
+        for key in [key for key in self._incoming if key[0] == sender]:
+            if key[1] not in status.open_calls:
+                self._gate.cancel(self._incoming.pop(key))
+
     def _answer_unknown_calls(self, sender: str, status: Status) -> None:
         now_s = self._clock.monotonic()
         self._expire_refused(now_s)
--- a/tests/relay/test_remote_calls.py
+++ b/tests/relay/test_remote_calls.py
@@ -211,6 +211,25 @@
     assert len(pair.gate.cancelled) == 1
 
 
+async def test_call_that_its_caller_gave_up_is_cancelled(timer):
+    """Guards against targets that work for a caller whose link was lost.
+
+    An instance that was suspended would otherwise run all calls that waited
+    at its gate, although their callers have got another answer.
+    """
+    pair = Pair(timer)
+    pair.call("given up")
+    pair.cut_request_link()
+    await trio.sleep(2 * LINK_LOSS_GRACE_S)
+    assert [answer.outcome for answer in pair.answers] == [CallOutcome.UNKNOWN]
+    pair.to_gate.up = True
+    pair.call("open")
+    pair.restore_request_link()
+    assert len(pair.gate.cancelled) == 1
+    pair.gate.finish("open")
+    assert pair.answers[-1].body == b"done"
+
+
 def test_answers_are_kept_within_the_limit_of_memory():
     """Guards against answers to unreachable callers that fill the memory."""
     answers = AnswerBuffer()
