--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -1,4 +1,7 @@
-"""Follow the objects of the store and maintain this daemon's record there."""
+"""Follow the objects of the store if this daemon passes changes on.
+
+All daemons read the records of the others once when they start.
+"""
 
 from collections import Counter
 from collections.abc import Callable
@@ -32,7 +35,6 @@
 # limits the delay between retries.
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.2
-
 # A follower tries less often while others reach the store.
 QUIET_RETRY_S = 4.0
 # Interval of the checks whether this daemon should follow the store.
