--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -29,7 +29,7 @@
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.peers import Peer
-from catkinhollow.relay.placement import CallSize, Placer
+from catkinhollow.relay.placement import CallProfile, Placer
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.retry_advice import retry_after_s
@@ -251,11 +251,11 @@
         network.use_service(service)
         peers = network.directory.for_service(service)
         candidates = self._versions.candidates(service, peers)
-        size = CallSize(
+        profile = CallProfile(
             answer_kb=self._mean_answer_kb.get(route.name, 0.0),
             target_latency_ms=route.target_latency_ms,
         )
-        return self._placer.choose(candidates, tried, size)
+        return self._placer.choose(candidates, tried, profile)
 
     def _budget(self, service: str) -> RetryBudget:
         # The slack is a number of tokens for all daemons together, but each
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -67,7 +67,7 @@
 
 
 @frozen(kw_only=True)
-class CallSize:
+class CallProfile:
     """Describe what is known about a call before it is placed."""
 
     answer_kb: float = 1.0
@@ -80,7 +80,10 @@
     """Choose a peer for a call."""
 
     def choose(
-        self, candidates: Sequence[Peer], excluded: Collection[str], size: CallSize
+        self,
+        candidates: Sequence[Peer],
+        excluded: Collection[str],
+        profile: CallProfile,
     ) -> Peer | None:
         """Return the peer that should run the call, None if none can."""
 
@@ -125,7 +128,10 @@
         self._random = random
 
     def choose(
-        self, candidates: Sequence[Peer], excluded: Collection[str], size: CallSize
+        self,
+        candidates: Sequence[Peer],
+        excluded: Collection[str],
+        profile: CallProfile,
     ) -> Peer | None:
         """Return the peer that should run the call, None if none can."""
         now_s = self._clock.monotonic()
@@ -138,7 +144,7 @@
         ]
         best = self._choose_new(available, now_s)
         if best is None and available:
-            nearest = self._find_nearest(self._estimate(available, now_s), size)
+            nearest = self._find_nearest(self._estimate(available, now_s), profile)
             best = min(nearest, key=self._cost_ms).peer
         if best is not None:
             best.last_called_s = now_s
@@ -160,7 +166,7 @@
         return candidates
 
     def _find_nearest(
-        self, candidates: list[_Candidate], size: CallSize
+        self, candidates: list[_Candidate], profile: CallProfile
     ) -> list[_Candidate]:
         """Return the gates of the distance at which the call should run."""
         tiers: dict[int, list[_Candidate]] = {}
@@ -168,18 +174,18 @@
             tiers.setdefault(self._distance(candidate.peer), []).append(candidate)
         return min(
             (tiers[distance] for distance in sorted(tiers)),
-            key=lambda tier: self._tier_cost_ms(tier, size),
+            key=lambda tier: self._tier_cost_ms(tier, profile),
         )
 
-    def _tier_cost_ms(self, tier: list[_Candidate], size: CallSize) -> float:
+    def _tier_cost_ms(self, tier: list[_Candidate], profile: CallProfile) -> float:
         best = min(tier, key=lambda candidate: candidate.wait_ms)
         distance = self._distance(best.peer)
         if not distance:
             return best.wait_ms
         distances = self._distances
-        cost_ms = distances.other_domain_ms_per_kb * size.answer_kb
+        cost_ms = distances.other_domain_ms_per_kb * profile.answer_kb
         cost_ms += distances.other_domain_ms
-        spare_ms = size.target_latency_ms - best.service_ms
+        spare_ms = profile.target_latency_ms - best.service_ms
         cost_ms = max(cost_ms, distances.spare_time_share * spare_ms)
         if distance > 1:
             cost_ms += distances.other_region_ms
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -7,7 +7,7 @@
 from relay_builders import make_peer, make_report
 
 from catkinhollow.generated.relay import GateState
-from catkinhollow.relay.placement import CallSize, Distances, LeastWaitPlacer
+from catkinhollow.relay.placement import CallProfile, Distances, LeastWaitPlacer
 
 
 class Clock:
@@ -32,7 +32,7 @@
     for peer in peers:
         if peer.last_called_s < 0.0:
             peer.last_called_s = 0.0
-    return placer.choose(peers, set(), CallSize(answer_kb=answer_kb))
+    return placer.choose(peers, set(), CallProfile(answer_kb=answer_kb))
 
 
 def test_free_target_of_the_same_failure_domain_is_preferred():
@@ -88,8 +88,8 @@
             peer.update_report(make_report(running=running, waiting=waiting), now_s)
         peer = peers[1]
         if random.random() < share_near:
-            size = CallSize(answer_kb=1.0, target_latency_ms=500.0)
-            peer = placer.choose(peers, set(), size)
+            profile = CallProfile(answer_kb=1.0, target_latency_ms=500.0)
+            peer = placer.choose(peers, set(), profile)
             places[peer.record.name] += 1
         slots = ends[peer]
         start_s = max(now_s, min(slots))
@@ -186,7 +186,7 @@
     peers += [make_peer(f"far{n}", failure_domain="b", report=report) for n in range(9)]
     placer = make_placer(own, clock=Clock(0.1))
     chosen = Counter(
-        placer.choose(peers, set(), CallSize()).record.name for _ in range(100)
+        placer.choose(peers, set(), CallProfile()).record.name for _ in range(100)
     )
     assert chosen["near"] == 100
 
@@ -202,7 +202,7 @@
         peers = [make_peer(f"t{n}", failure_domain="abcd"[n % 4]) for n in range(40)]
         placer = make_placer(own, seed, Clock(11.0))
         for _ in range(2):
-            arrivals[placer.choose(peers, set(), CallSize()).record.name] += 1
+            arrivals[placer.choose(peers, set(), CallProfile()).record.name] += 1
     assert max(arrivals.values()) <= 0.15 * 120
 
 
@@ -212,5 +212,5 @@
     near, new = make_peer("near"), make_peer("new", failure_domain="b")
     placer = make_placer(own)
     near.last_called_s = 0.0
-    assert placer.choose([near, new], set(), CallSize()) is new
-    assert placer.choose([near, new], set(), CallSize()) is near
+    assert placer.choose([near, new], set(), CallProfile()) is new
+    assert placer.choose([near, new], set(), CallProfile()) is near
