Announce configurations on all links, not only to ring neighbours

A survivor whose ring neighbours are all gone hears of a change only from the digests of statuses, because it takes 2.5 s until it passes over the dead.

Change: documents other than records of daemons are announced on all links.

--- a/catkinhollow/relay/document_flood.py
+++ b/catkinhollow/relay/document_flood.py
@@ -2,7 +2,9 @@
 
 Every daemon passes a change to its neighbours on the hash rings, once. Small
 documents are sent at once. Large ones are announced, so that each daemon
-transfers them once, from the first neighbour that has them.
+transfers them once, from the first neighbour that has them. Documents that
+must not be late are also announced on all other links: when most daemons have
+just ended, the neighbours of a daemon may all be among them.
 """
 
 from collections.abc import Collection
@@ -47,13 +49,18 @@
         """Return whether there is something to send."""
         return bool(self._pending)
 
-    def add(self, document: Document, neighbours: Collection[str], source: str) -> None:
-        """Queue a changed document for the neighbours except its source."""
-        for address in neighbours:
-            if address == source:
-                continue
+    def add(
+        self,
+        document: Document,
+        neighbours: Collection[str],
+        others: Collection[str],
+        source: str,
+    ) -> None:
+        """Queue a changed document for all these peers except its source."""
+        is_small = len(document.body) <= MAX_PUSHED_BYTES
+        for address in {*neighbours, *others} - {source}:
             changes = self._pending.setdefault(address, PendingChanges())
-            if len(document.body) <= MAX_PUSHED_BYTES:
+            if is_small and address in neighbours:
                 changes.pushed.add(document.name)
             else:
                 changes.announced.add(document.name)
--- a/catkinhollow/relay/document_sync.py
+++ b/catkinhollow/relay/document_sync.py
@@ -22,6 +22,7 @@
 )
 from catkinhollow.relay.document_transfer import pack_documents, unpack_documents
 from catkinhollow.relay.documents import DigestComparison, DocumentTable
+from catkinhollow.relay.kinds import DAEMONS
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -46,7 +47,11 @@
 
     @property
     def neighbours(self) -> Collection[str]:
-        """Return the addresses that changes are passed on to."""
+        """Return the addresses of the linked neighbours on the hash rings."""
+
+    @property
+    def linked(self) -> Collection[str]:
+        """Return the addresses of all linked peers."""
 
     def is_nearby(self, address: str) -> bool:
         """Return whether a peer is in the same failure domain."""
@@ -115,7 +120,10 @@
             deleted=document.deleted,
             source=source,
         )
-        self._flood.add(document, self._link.neighbours, source)
+        # Records of daemons come in bursts, and a late one does no harm.
+        is_record = document.name.startswith(f"{DAEMONS}/")
+        others = () if is_record else self._link.linked
+        self._flood.add(document, self._link.neighbours, others, source)
         self._schedule_flush()
         self._events.emit(DocumentChanged(document=document, source=source))
 
--- a/tests/relay/test_document_flood.py
+++ b/tests/relay/test_document_flood.py
@@ -27,6 +27,8 @@
 from catkinhollow.timer import Subscription
 
 STATUS_INTERVAL_S = 1.0
+# Links to targets, beside those to ring neighbours.
+OTHER_LINKS = 20
 
 
 class World:
@@ -96,6 +98,7 @@
         )
         self.alive = True
         self.neighbours = []
+        self.linked = []
 
     def link(self, records):
         for record in records:
@@ -103,6 +106,8 @@
                 self.directory.put(record)
         walks = self.directory.ring_walks()
         self.neighbours = list(dict.fromkeys(next(walk) for walk in walks))
+        others = self.world.random.sample(list(self.world.members), k=OTHER_LINKS)
+        self.linked = [*self.neighbours, *others]
 
     def is_nearby(self, address):
         own = self.record.failure_domain
@@ -246,6 +251,25 @@
     assert set(revisions(world)) == {1}
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_change_reaches_all_survivors_when_most_daemons_end(seed):
+    """Guards against configurations that are late after a mass loss of power.
+
+    No daemon knows yet which of its neighbours have ended.
+    """
+    world = make_world(80, seed=seed)
+    members = list(world.members.values())
+    for member in members:
+        member.alive = world.random.random() < 0.4
+    members[0].alive = True
+    members[0].sync.offer(make_document(1, 60_000), "store")
+    evacuation = make_document(2, name="evacuations/a")
+    members[0].sync.offer(evacuation, "store")
+    world.run(1.0)
+    assert set(revisions(world)) == {1}
+    assert set(revisions(world, "evacuations/a")) == {2}
+
+
 def test_document_is_requested_from_one_neighbour_at_a_time():
     """Guards against several transfers of the same version to one daemon."""
     pulls = DocumentPulls()
