Show that a killed daemon takes another one down

Cause: a gate starts calls whose deadline has passed, because it relies on the caller's daemon to cancel them; the negative timeout raises an error that ends the process.

--- a/review/standins.py
+++ b/review/standins.py
@@ -510,12 +510,11 @@
 
 async def start_site(
     system: System,
-    route: dict[str, Any],
-    *,
+    *routes: dict[str, Any],
     work_s: float,
     body: Callable[[str], bytes] | None = None,
 ) -> tuple[list[Upstream], list[asyncio.Task[None]]]:
-    """Start the machines of the site nrc-shared with one route.
+    """Start the machines of the site nrc-shared with these routes.
 
     Returns the upstreams and the tasks that announce them.
     """
@@ -532,7 +531,7 @@
             await upstream.start()
             upstreams.append(upstream)
     services = sorted({each.machine.service for each in upstreams})
-    await system.start(configuration(route, services=services))
+    await system.start(configuration(*routes, services=services))
     return upstreams, [asyncio.create_task(each.announce()) for each in upstreams]
 
 
