Start no call at a gate after its deadline

The gate relied on the caller's daemon to cancel the call at the deadline. After a kill nobody does, the run got a negative timeout, and trio.move_on_after raised in the nursery of the process. The log of the killed gate names the error and the line; a lost link or an odd frame, the other two ways to end a daemon around a kill, would have left other tracebacks.

Change: the latest start of a call is computed from the earlier of the two deadlines, so that a call is refused, as not run, before its deadline.

--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -427,12 +427,14 @@
         """Return the time after which a call must not start any more.
 
         A call whose run takes longer than the time to its soft deadline is
-        checked against its deadline only.
+        checked against its deadline only. The deadline may come first, and
+        the daemon that would cancel the call at it may have ended.
         """
         run_s = self._expected_run_s(job)
-        soft_budget_s = job.soft_deadline_s - job.arrived_s
+        soft_deadline_s = min(job.soft_deadline_s, job.deadline_s)
+        soft_budget_s = soft_deadline_s - job.arrived_s
         if run_s < soft_budget_s:
-            late_s = job.soft_deadline_s - run_s / LATE_START_FACTOR
+            late_s = soft_deadline_s - run_s / LATE_START_FACTOR
             return min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
         return min(
             job.deadline_s - run_s,
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -62,6 +62,20 @@
     assert gate.waiting <= 2
 
 
+def test_call_never_starts_after_its_deadline():
+    """Guards against a run for a caller whose daemon ended while it waited.
+
+    The target latency of a route may be longer than the caller waits.
+    """
+    gate = make_gate(slots=1)
+    first = fill_slots(gate)[0]
+    late = make_job(call_id=2, soft_deadline_s=1.5, deadline_s=0.5)
+    assert isinstance(gate.offer(late, 0.0), Queued)
+    assert gate.next_decision_s(0.0) < 0.5
+    gate.finish(first, AttemptKind.ANSWERED, 200, 0.55)
+    assert [type(decision) for decision in gate.decide(0.55)] == [Refused]
+
+
 def test_short_lookup_goes_before_new_long_work_of_its_rank():
     """Guards against lookups that miss their deadline behind new long work."""
     gate = make_gate(slots=9)
