Send no request to a target after its time is over

Cause: between the gate's decision and the run's task, and between the connect to the target and the first byte of the request, the process may stand still. The run then started late: with a negative timeout, which ended the process, or with a new timeout that began after the connect. An order could so run after its caller had been told that its fate is unknown, or had left.

Change: GateService checks the time that is left before it sends, and answers "not run" without it. HttpTargetClient fixes the deadline once, before the connect, and sends nothing after it.

Both tests failed before: the call was answered by a run, and the bytes of the request were written 4.5 s after its deadline.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -143,6 +143,7 @@
         self, address: str, request: Request, timeout_s: float
     ) -> SendResult:
         """Make one attempt; the timeout is in seconds."""
+        deadline_s = trio.current_time() + timeout_s
         connections = self._targets[address]
         connection = await self._take_idle(connections)
         if connection is None:
@@ -157,7 +158,7 @@
                 )
         reusable = False
         try:
-            attempt = await self._exchange(connection, address, request, timeout_s)
+            attempt = await self._exchange(connection, address, request, deadline_s)
             reusable = attempt.kind in REUSABLE_KINDS
         finally:
             await self._release_connection(connections, connection, reusable)
@@ -209,10 +210,16 @@
         connection: _Connection,
         address: str,
         request: Request,
-        timeout_s: float,
+        deadline_s: float,
     ) -> SendResult:
+        if trio.current_time() >= deadline_s:
+            # A request that is sent after a pause of this process could run
+            # although its caller has got another answer.
+            return SendResult(
+                kind=AttemptKind.NOT_CONNECTED, reason="no time left after the connect"
+            )
         http_request = _to_http_request(address, request)
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_at(deadline_s):
             try:
                 return await self._read_response(connection, http_request, request)
             except ConnectionNotAvailable:
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -226,17 +226,30 @@
 
     async def _run_job(self, submission: Submission) -> None:
         job = submission.job
+        left_s = job.deadline_s - self._clock.monotonic()
+        if left_s <= 0:
+            # The process was paused since the gate admitted the call.
+            self._drop_expired(submission)
+            return
         attempt = SendResult(kind=AttemptKind.CANCELLED, reason="cancelled")
         try:
             with submission.cancel_scope:
-                timeout_s = (
-                    job.deadline_s - self._clock.monotonic() + RUN_TIMEOUT_MARGIN_S
-                )
+                timeout_s = left_s + RUN_TIMEOUT_MARGIN_S
                 request = self._build_target_request(job)
                 attempt = await self._client.send(self._address, request, timeout_s)
         finally:
             self._finish(submission, attempt)
 
+    def _drop_expired(self, submission: Submission) -> None:
+        """Free the slot of a call that has never been sent to the target."""
+        job = submission.job
+        now_s = self._clock.monotonic()
+        self._gate.finish(job, AttemptKind.CANCELLED, 0, now_s)
+        self._submissions.pop(job, None)
+        if not submission.answered:
+            self._refuse(submission, Refused(job, "deadline passed at the gate", 0.0))
+        self.advance()
+
     def _finish(self, submission: Submission, attempt: SendResult) -> None:
         job = submission.job
         now_s = self._clock.monotonic()
--- a/tests/calls/test_egress.py
+++ b/tests/calls/test_egress.py
@@ -38,6 +38,24 @@
                 return
 
 
+class PausedBackend:
+    """Connect while the process stands still; record what is written."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.written = []
+
+    async def connect_tcp(self, host, port, timeout):
+        self.clock.jump(5.0)
+        return self
+
+    async def write(self, data, timeout=None):
+        self.written.append(data)
+
+    async def aclose(self):
+        pass
+
+
 @pytest.fixture
 async def start_target(nursery):
     async def start(answers):
@@ -85,6 +103,15 @@
     assert attempt.reason == "timeout"
 
 
+async def test_request_is_not_sent_after_a_pause_during_the_connect(autojump_clock):
+    """Guards against orders that run after their callers were answered."""
+    client = HttpTargetClient(HttpSettings())
+    client._backend = PausedBackend(autojump_clock)
+    attempt = await client.send("127.0.0.1:1", make_request(), 0.5)
+    assert attempt.kind is AttemptKind.NOT_CONNECTED
+    assert client._backend.written == []
+
+
 async def test_refusals_before_work_are_not_run(start_target):
     """Guards against treating a refusal that is safe to retry as unknown."""
     _, address = await start_target([REFUSED])
--- /dev/null
+++ b/tests/relay/test_gate_service.py
@@ -0,0 +1,74 @@
+"""Tests of the execution of a gate's decisions."""
+
+import pytest
+import trio
+from relay_builders import make_announcement, make_call
+
+from catkinhollow.calls.egress import SendResult
+from catkinhollow.calls.exchange import Response
+from catkinhollow.calls.retries import AttemptKind
+from catkinhollow.clock import TrioClock
+from catkinhollow.generated.relay import CallOutcome
+from catkinhollow.relay.gate import Gate
+from catkinhollow.relay.gate_service import GateService
+from catkinhollow.relay.header_names import HeaderNames
+from catkinhollow.relay.request_log import RequestLog
+from catkinhollow.timer import Timer
+
+
+class Client:
+    """Answer each request at once and record its timeout."""
+
+    def __init__(self):
+        self.timeouts_s = []
+
+    async def send(self, address, request, timeout_s):
+        self.timeouts_s.append(timeout_s)
+        await trio.lowlevel.checkpoint()
+        response = Response(status=200, headers=[], body=b"")
+        return SendResult(kind=AttemptKind.ANSWERED, response=response)
+
+
+@pytest.fixture
+async def service(nursery):
+    clock = TrioClock()
+    timer = Timer(clock)
+    service = GateService(
+        gate=Gate(),
+        address="target:1",
+        service="stock",
+        client=Client(),
+        header_names=HeaderNames(),
+        timer=timer,
+        log=RequestLog(clock),
+        on_state_change=lambda: None,
+        on_run_failure=lambda: None,
+    )
+    nursery.start_soon(timer.run)
+    nursery.start_soon(service.run)
+    await trio.testing.wait_all_tasks_blocked()
+    service.announce(make_announcement())
+    return service
+
+
+async def test_call_is_not_sent_after_its_deadline(service, autojump_clock):
+    """Guards against orders that run after a pause of their gate's process."""
+    answers = []
+    service.submit(make_call(budget_ms=300, idempotent=False), answers.append)
+    # The process stands still between the decision and the run.
+    autojump_clock.jump(2.0)
+    await trio.sleep(0.1)
+    assert [answer.outcome for answer in answers] == [CallOutcome.NOT_RUN]
+    assert not answers[0].reached_target
+    assert service._client.timeouts_s == []
+    assert not service.busy
+    assert service.gate.running == 0
+
+
+async def test_call_is_sent_with_the_time_that_is_left(service, autojump_clock):
+    """Guards against a run that outlives its caller."""
+    answers = []
+    service.submit(make_call(budget_ms=300), answers.append)
+    await trio.sleep(0.1)
+    assert [answer.outcome for answer in answers] == [CallOutcome.ANSWERED]
+    assert service._client.timeouts_s[0] <= 0.4
