Keep running when calls of a lost peer end each other

Cause: the cancellation of a call makes the gate decide about the others. One that it refuses then is answered at once, and its answer removes a key that the loop still has to visit. The same loop stood in _cancel_abandoned_calls, and ExchangeTable.fail_calls deletes calls whose callbacks may end others.

Change: each of the three takes a call only if it is still there.

The three tests failed before with the KeyError.

--- a/catkinhollow/relay/exchange_table.py
+++ b/catkinhollow/relay/exchange_table.py
@@ -58,8 +58,12 @@
     def fail_calls(self, address: str) -> int:
         """End calls to a peer with unknown outcome; return their number."""
         lost = [call for call in self._open.values() if call.address == address]
+        count = 0
         for call in lost:
-            del self._open[call.call_id]
+            # The callback of an earlier call may have ended it.
+            if not self.remove(call):
+                continue
+            count += 1
             call.on_answer(
                 Answer(
                     call_id=call.call_id,
@@ -69,4 +73,4 @@
                     reached_target=True,
                 )
             )
-        return len(lost)
+        return count
--- a/catkinhollow/relay/remote_calls.py
+++ b/catkinhollow/relay/remote_calls.py
@@ -165,8 +165,7 @@
         """Fail the calls to a peer that has restarted, and forget its own."""
         self._fail_calls(address)
         self._answers.remove_caller(address)
-        for key in [key for key in self._incoming if key[0] == address]:
-            self._gate.cancel(self._incoming.pop(key))
+        self._cancel_incoming([key for key in self._incoming if key[0] == address])
 
     def _fail_if_down(self, address: str) -> None:
         if not self._link.is_up(address):
@@ -179,9 +178,20 @@
 
     def _cancel_abandoned_calls(self, sender: str, status: Status) -> None:
         """Cancel the calls that a peer gave up while its link was down."""
-        for key in [key for key in self._incoming if key[0] == sender]:
-            if key[1] not in status.open_calls:
-                self._gate.cancel(self._incoming.pop(key))
+        self._cancel_incoming(
+            [
+                key
+                for key in self._incoming
+                if key[0] == sender and key[1] not in status.open_calls
+            ]
+        )
+
+    def _cancel_incoming(self, keys: list[tuple[str, int]]) -> None:
+        for key in keys:
+            # The gate may have answered it when an earlier one was cancelled.
+            submission = self._incoming.pop(key, None)
+            if submission is not None:
+                self._gate.cancel(submission)
 
     def _answer_unknown_calls(self, sender: str, status: Status) -> None:
         now_s = self._clock.monotonic()
--- a/tests/relay/test_remote_calls.py
+++ b/tests/relay/test_remote_calls.py
@@ -211,6 +211,60 @@
     assert len(pair.gate.cancelled) == 1
 
 
+def refuse_others(gate):
+    """Make the gate refuse all other calls when one is cancelled."""
+    cancelled = []
+
+    def cancel(submission):
+        cancelled.append(submission)
+        for request_id, (_, other) in list(gate.open.items()):
+            if other is not submission:
+                gate.finish(request_id)
+
+    gate.cancel = cancel
+    return cancelled
+
+
+async def test_restart_of_a_caller_cancels_calls_that_end_each_other(timer):
+    """Guards against a daemon that ends because another one was restarted.
+
+    The gate refuses calls that wait too long while it cancels another one.
+    """
+    pair = Pair(timer)
+    pair.call("a")
+    pair.call("b")
+    cancelled = refuse_others(pair.gate)
+    pair.server.peer_restarted("caller:1")
+    assert len(cancelled) == 1
+
+
+async def test_abandoned_calls_that_end_each_other_are_cancelled(timer):
+    """Guards against a daemon that ends when a link comes back."""
+    pair = Pair(timer)
+    pair.call("a")
+    pair.call("b")
+    cancelled = refuse_others(pair.gate)
+    status = Status(digest=0, resumed=True, receiver=7, open_calls=[])
+    pair.server.handle_status("caller:1", status)
+    assert len(cancelled) == 1
+
+
+async def test_calls_that_are_lost_together_may_end_each_other(timer):
+    """Guards against a daemon that ends because a link is lost."""
+    pair = Pair(timer)
+    opened = []
+
+    def on_answer(answer):
+        pair.answers.append(answer)
+        pair.caller.cancel(opened[1])
+
+    for request_id in ("a", "b"):
+        call = make_call(pair.caller.next_call_id(), request_id=request_id)
+        opened.append(pair.caller.call("gate:1", call, on_answer))
+    pair.caller.peer_restarted("gate:1")
+    assert [answer.outcome for answer in pair.answers] == [CallOutcome.UNKNOWN]
+
+
 async def test_call_that_its_caller_gave_up_is_cancelled(timer):
     """Guards against targets that work for a caller whose link was lost.
 
