Acknowledge a departure once the store remembers it

Cause: the departure was kept in the memory of the daemon and of its peers only. The logs show "target departs" in the old process, no status with departures in the new one, and "gate state serving" on the late announcement with the same start time.

Ruled out: copies at peers (they end too), health checks (they still pass), waiting for several announcements (late ones may come in a row).

Change: the record of a daemon in the store names the last four departures. The gate of a new process stays closed until its record has been read from the store itself, or for 1 s without an answer. A departure costs a write, the restart of an instance with a record one read.

--- a/catkinhollow/platform/announcements.py
+++ b/catkinhollow/platform/announcements.py
@@ -1,7 +1,6 @@
 """Receive the announcements of the target on the instance."""
 
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 from catkinhollow.calls.exchange import (
     Request,
@@ -17,25 +16,13 @@
     TargetDeparture,
 )
 from catkinhollow.relay.gate_jobs import Announcement
+from catkinhollow.relay.target_listener import Acknowledgement, TargetListener
 
 logger = get_logger(__name__)
 
 PATH_PREFIX = "/instances/"
 
 
-class TargetListener(Protocol):
-    """Handle announcements of the target."""
-
-    def announce(self, announcement: Announcement) -> bool:
-        """Handle an announcement; return False if it is outdated."""
-
-    def depart(self, lifetime: str, started_ms: int | None) -> None:
-        """Handle the departure of a target, which is about to end.
-
-        started_ms is the Unix time of the target's start, if it is known.
-        """
-
-
 class AnnouncementApplication:
     """Answer the announcements of the target."""
 
@@ -47,19 +34,19 @@
         self, request: Request, wait_for_disconnect: Callable[[], Awaitable[None]]
     ) -> Response:
         """Return the response to one announcement."""
-        return self._handle(request)
+        return await self._handle(request)
 
-    def _handle(self, request: Request) -> Response:
+    async def _handle(self, request: Request) -> Response:
         lifetime = request.path.removeprefix(PATH_PREFIX)
         if not request.path.startswith(PATH_PREFIX) or not lifetime:
             return plain_response(404, "no such resource")
         if request.method == "PUT":
-            return self._handle_announcement(lifetime, request.body)
+            return await self._handle_announcement(lifetime, request.body)
         if request.method == "DELETE":
-            return self._handle_departure(lifetime, request.body)
+            return await self._handle_departure(lifetime, request.body)
         return plain_response(405, "only PUT and DELETE")
 
-    def _handle_announcement(self, lifetime: str, body: bytes) -> Response:
+    async def _handle_announcement(self, lifetime: str, body: bytes) -> Response:
         decoded = decode_json(body, TargetAnnouncement)
         if decoded.is_error():
             logger.warning(
@@ -72,7 +59,7 @@
                 "announcement refused", lifetime=lifetime, service=message.service
             )
             return plain_response(400, "target of another service")
-        accepted = self._listener.announce(
+        acknowledgement = await self._listener.announce(
             Announcement(
                 lifetime=lifetime,
                 version=message.version,
@@ -83,15 +70,19 @@
                 started_ms=message.born,
             )
         )
-        if not accepted:
+        if acknowledgement is Acknowledgement.OUTDATED:
             logger.info(
                 "announcement outdated", lifetime=lifetime, sequence=message.seq
             )
-        return json_response(200, {})
+        return _to_response(acknowledgement)
 
-    def _handle_departure(self, lifetime: str, body: bytes) -> Response:
+    async def _handle_departure(self, lifetime: str, body: bytes) -> Response:
         decoded = decode_json(body or b"{}", TargetDeparture)
         started_ms = decoded.ok.born if decoded.is_ok() else None
-        logger.info("target departs", lifetime=lifetime)
-        self._listener.depart(lifetime, started_ms)
-        return json_response(200, {})
+        return _to_response(await self._listener.depart(lifetime, started_ms))
+
+
+def _to_response(acknowledgement: Acknowledgement) -> Response:
+    if acknowledgement is Acknowledgement.NOT_STORED:
+        return plain_response(503, "the store has not taken the departure")
+    return json_response(200, {})
--- a/catkinhollow/platform/process.py
+++ b/catkinhollow/platform/process.py
@@ -39,7 +39,9 @@
         store=store,
         decode=decode_object,
         header_names=PLATFORM_HEADERS,
-        announcement_app=lambda gate, service: AnnouncementApplication(gate, service),
+        announcement_app=lambda listener, service: AnnouncementApplication(
+            listener, service
+        ),
         reload_settings=file.read,
         random=Random(),
     )
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -53,6 +53,7 @@
     RelayStore,
     StoreFollower,
 )
+from catkinhollow.relay.target_listener import TargetListener
 from catkinhollow.relay.target_responses import make_classifier
 from catkinhollow.relay.versions import VersionPolicy
 from catkinhollow.timer import Timer
@@ -74,6 +75,9 @@
 CONTROL_LIMITS = RequestLimits(max_body_bytes=65536)
 RELOAD_INTERVAL_S = 2.0
 CLEANUP_INTERVAL_S = 5.0
+# Time after the start for which the gate waits for the departures in the
+# store. Without the store a target that is still there has to be used.
+HISTORY_WAIT_S = 1.0
 # Minimum time between statuses that report failures of a new version.
 FAILURE_REPORT_INTERVAL_S = 0.15
 
@@ -81,7 +85,7 @@
 class AnnouncementAppFactory(Protocol):
     """Build the application that receives the target's announcements."""
 
-    def __call__(self, gate: GateService, service: str, /) -> RequestHandler:
+    def __call__(self, listener: TargetListener, service: str, /) -> RequestHandler:
         """Return the handler of its requests."""
 
 
@@ -155,7 +159,7 @@
             HttpSettings(), make_classifier(self._header_names), IDLE_EXPIRY_S
         )
         self._gate = GateService(
-            gate=Gate(),
+            gate=Gate(awaits_history=True),
             address=settings.target,
             service=settings.service,
             client=client,
@@ -217,6 +221,7 @@
             follower=self._follower,
             table=self._documents,
             record=self._directory.own.record,
+            on_history=self._gate.set_history,
             random=self._random,
         )
         self._moves = MoveDriver(self._store, self._directory, self._clock)
@@ -251,6 +256,7 @@
         """Serve until the function returns, then finish open requests."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
+            self._timer.call_after(HISTORY_WAIT_S, self._stop_awaiting_history)
             nursery.start_soon(self._gate.run)
             nursery.start_soon(self._network.run)
             await self._start_listeners(nursery)
@@ -270,9 +276,16 @@
             nursery.cancel_scope.cancel()
         logger.info("stopped")
 
+    def _stop_awaiting_history(self) -> None:
+        """Let the gate open although the store has not been read."""
+        if self._gate.gate.awaits_history:
+            logger.warning("gate opens without the departures in the store")
+            self._gate.set_history([])
+
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         settings = self._settings
-        announcements = self._announcement_app(self._gate, settings.service)
+        listener = TargetListener(self._gate, self._record_keeper)
+        announcements = self._announcement_app(listener, settings.service)
         ready = ReadyApplication(lambda: self.ready)
         metrics = MetricsApplication(self._collect_metrics)
         await self._serve(nursery, announcements, settings.announcements)
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -15,7 +15,7 @@
 from attrs import define, field
 
 from catkinhollow.calls.retries import SERVER_ERROR, AttemptKind
-from catkinhollow.generated.relay import GateState, TargetReport
+from catkinhollow.generated.relay import Departure, GateState, TargetReport
 from catkinhollow.relay.gate_jobs import (
     OPEN_STATES,
     Admitted,
@@ -71,8 +71,11 @@
 # HTTP status with which a target other than the expected one responds.
 MISDIRECTED_STATUS = 421
 # Used for a departure without a start time; later than any real start, so that
-# a delayed announcement of the lifetime does not open the gate.
-UNKNOWN_START_MS = 2**63
+# a delayed announcement of the lifetime does not open the gate. Larger numbers
+# are not exact in every JSON reader.
+UNKNOWN_START_MS = 2**53 - 1
+# Departures that are remembered; targets at one address follow each other.
+MAX_DEPARTURES = 4
 # Limit of the queue; more waiting calls would only be refused later.
 MAX_WAITING_CALLS = 200
 
@@ -95,6 +98,8 @@
 
     cold_calls_per_s: float = DEFAULT_COLD_CALLS_PER_S
     """Calls per second that the target can serve while it is cold."""
+    awaits_history: bool = False
+    """Whether earlier departures at the address are still unknown."""
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -119,7 +124,7 @@
     _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
     """Arrival rate of each urgency: the rank and latency of the calls."""
     _departed_lifetimes: dict[str, int] = field(factory=dict)
-    """Start in Unix ms of each lifetime that departed before it announced."""
+    """Start in Unix ms of the lifetimes that departed last, oldest first."""
 
     @property
     def running(self) -> int:
@@ -148,7 +153,7 @@
             return GateState.STOPPING
         if self._evacuated:
             return GateState.EVACUATED
-        if self._target is None or self._target.replaced:
+        if self.awaits_history or self._target is None or self._target.replaced:
             return GateState.UNKNOWN
         if self._target.departed or self._target.announcement.draining:
             return GateState.DRAINING
@@ -275,7 +280,7 @@
         if restarted or self._target is None:
             if known is None or announcement.version != known.version:
                 self._run_time_samples = 0
-            departed = announcement.started_ms <= self._departed_lifetimes.pop(
+            departed = announcement.started_ms <= self._departed_lifetimes.get(
                 announcement.lifetime, -1
             )
             self._target = _Target(announcement=announcement, departed=departed)
@@ -287,20 +292,28 @@
         self._consecutive_broken = 0
         return True
 
-    def depart(self, lifetime: str, started_ms: int | None) -> None:
-        """Handle the departure of the target with this lifetime."""
+    def depart(self, lifetime: str, started_ms: int | None) -> Departure | None:
+        """Handle the departure of the target with this lifetime.
+
+        Returns what has to be remembered, None if a later start of the
+        lifetime is known.
+        """
         target = self._target
-        known = target is not None and target.announcement.lifetime == lifetime
-        if target is not None and known:
-            if started_ms is not None and started_ms < target.announcement.started_ms:
-                return
+        if target is not None and target.announcement.lifetime == lifetime:
+            known_ms = target.announcement.started_ms
+            last_start_ms = known_ms if started_ms is None else started_ms
+            if last_start_ms < known_ms:
+                return None
             target.departed = True
         else:
             # A restarted daemon may receive the departure before the first
             # announcement; a delayed one must not open the gate afterwards.
-            self._departed_lifetimes[lifetime] = (
-                UNKNOWN_START_MS if started_ms is None else started_ms
-            )
+            last_start_ms = UNKNOWN_START_MS if started_ms is None else started_ms
+        self._departed_lifetimes.pop(lifetime, None)
+        self._departed_lifetimes[lifetime] = last_start_ms
+        if len(self._departed_lifetimes) > MAX_DEPARTURES:
+            del self._departed_lifetimes[next(iter(self._departed_lifetimes))]
+        return Departure(lifetime=lifetime, started_ms=last_start_ms)
 
     def probe_passed(self, lifetime: str, cold_s: float, now_s: float) -> None:
         """Handle a successful health check.
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -1,6 +1,6 @@
 """Run admitted calls at the target of the instance and probe its health."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import inf
 
 import trio
@@ -9,7 +9,13 @@
 from catkinhollow.calls.egress import SendResult, TargetClient
 from catkinhollow.calls.exchange import Headers, Request
 from catkinhollow.calls.retries import SERVER_ERROR, AttemptKind
-from catkinhollow.generated.relay import Answer, Call, CallOutcome, RelayConfiguration
+from catkinhollow.generated.relay import (
+    Answer,
+    Call,
+    CallOutcome,
+    Departure,
+    RelayConfiguration,
+)
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.gate import MISDIRECTED_STATUS, Gate
 from catkinhollow.relay.gate_jobs import (
@@ -150,9 +156,20 @@
         self.advance()
         return accepted
 
-    def depart(self, lifetime: str, started_ms: int | None) -> None:
-        """Handle the departure of the target."""
-        self._gate.depart(lifetime, started_ms)
+    def depart(self, lifetime: str, started_ms: int | None) -> Departure | None:
+        """Handle the departure of the target; return what to remember."""
+        departure = self._gate.depart(lifetime, started_ms)
+        self.advance()
+        return departure
+
+    def set_history(self, departures: Iterable[Departure]) -> None:
+        """Apply the departures that earlier processes have acknowledged.
+
+        The gate stays closed until the first call of this method.
+        """
+        for departure in departures:
+            self._gate.depart(departure.lifetime, departure.started_ms)
+        self._gate.awaits_history = False
         self.advance()
 
     def set_evacuated(self, evacuated: bool) -> None:
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from math import inf
 
-from attrs import define
+from attrs import define, evolve
 from xxhash import xxh3_64_intdigest
 
 from catkinhollow.generated.relay import DaemonRecord, Departure, TargetReport
@@ -143,7 +143,8 @@
     def put(self, record: DaemonRecord) -> None:
         """Add or replace a daemon other than this one."""
         known = self._by_name.get(record.name)
-        if known is not None and known.record == record:
+        if known is not None and _is_same_daemon(known.record, record):
+            known.record = record
             return
         self.remove(record.name)
         if record.address != self._own.record.address:
@@ -182,3 +183,8 @@
         self._ranked.pop(record.service, None)
         self._fleet_rings.discard(record.address)
         self._domain_rings.discard(record.address)
+
+
+def _is_same_daemon(first: DaemonRecord, second: DaemonRecord) -> bool:
+    """Return whether two records differ in the departures at most."""
+    return evolve(first, departures=second.departures) == second
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -12,6 +12,7 @@
 from catkinhollow.platform.announcements import AnnouncementApplication
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.relay_settings import parse_relay_settings
+from catkinhollow.relay.target_listener import TargetListener
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 ANNOUNCEMENT = {
@@ -27,7 +28,7 @@
 }
 
 
-class Listener:
+class TimelessGate:
     """Pass announcements to a gate at time 0."""
 
     def __init__(self):
@@ -37,7 +38,22 @@
         return self.gate.announce(announcement, 0.0)
 
     def depart(self, lifetime, started_ms):
-        self.gate.depart(lifetime, started_ms)
+        return self.gate.depart(lifetime, started_ms)
+
+
+class Departures:
+    """Remember departures while the store is available."""
+
+    def __init__(self):
+        self.available = True
+
+    async def record_departure(self, departure):
+        return self.available
+
+
+def make_application():
+    listener = TargetListener(TimelessGate(), Departures())
+    return listener, AnnouncementApplication(listener, "stock")
 
 
 async def send_request(app, method, path, body=b""):
@@ -47,17 +63,32 @@
 
 async def test_announcement_opens_the_gate_and_departure_closes_it():
     """Guards against a departure that is acknowledged but has no effect."""
-    listener = Listener()
-    app = AnnouncementApplication(listener, "stock")
+    listener, app = make_application()
     assert (
         await send_request(
             app, "PUT", "/instances/i-1", json.dumps(ANNOUNCEMENT).encode()
         )
         == 200
     )
-    assert listener.gate.state(0.0) == "serving"
+    assert listener._gate.gate.state(0.0) == "serving"
+    assert await send_request(app, "DELETE", "/instances/i-1") == 200
+    assert listener._gate.gate.state(0.0) == "draining"
+
+
+@pytest.mark.parametrize(
+    ("method", "body"),
+    [
+        ("DELETE", b""),
+        ("PUT", json.dumps(ANNOUNCEMENT | {"state": "draining"}).encode()),
+    ],
+)
+async def test_departure_that_is_not_stored_is_not_acknowledged(method, body):
+    """Guards against departures that a restart of all daemons forgets."""
+    listener, app = make_application()
+    listener._store.available = False
+    assert await send_request(app, method, "/instances/i-1", body) == 503
+    listener._store.available = True
     assert await send_request(app, "DELETE", "/instances/i-1") == 200
-    assert listener.gate.state(0.0) == "draining"
 
 
 @pytest.mark.parametrize(
@@ -76,16 +107,15 @@
 )
 async def test_invalid_announcement_is_refused(change):
     """Guards against announcements of another service or with wrong fields."""
-    listener = Listener()
-    app = AnnouncementApplication(listener, "stock")
+    listener, app = make_application()
     body = json.dumps({**ANNOUNCEMENT, **change}).encode()
     assert await send_request(app, "PUT", "/instances/i-1", body) == 400
-    assert listener.gate.state(0.0) == "unknown"
+    assert listener._gate.gate.state(0.0) == "unknown"
 
 
 async def test_malformed_announcement_is_refused():
     """Guards against a daemon that crashes on bytes that cannot be decoded."""
-    app = AnnouncementApplication(Listener(), "stock")
+    app = make_application()[1]
     deep = b"[" * 30_000 + b"]" * 30_000
     nested = json.dumps(ANNOUNCEMENT).encode().replace(b'"stock"', deep)
     extra = json.dumps(ANNOUNCEMENT).encode().replace(b"{", b'{"x":' + deep + b",")
--- a/tests/relay/test_peer_directory.py
+++ b/tests/relay/test_peer_directory.py
@@ -101,6 +101,16 @@
     assert directory.by_address("one:1") is peer
 
 
+def test_changed_record_keeps_the_link_to_its_daemon():
+    """Guards against calls that fail because a target has departed."""
+    directory = make_directory("one")
+    peer = directory.by_address("one:1")
+    departure = Departure(lifetime="t1", started_ms=1)
+    directory.put(evolve(peer.record, departures=[departure]))
+    assert directory.by_address("one:1") is peer
+    assert peer.record.departures == [departure]
+
+
 def test_changed_record_moves_the_daemon():
     """Guards against calls to a daemon for the service that it had before."""
     directory = make_directory("one")
