Retry at once when all followers lose the store together

Each waited 2 to 4 s before it read again, because the news of the others, up to 6 s old, said that the store was reached. So nobody read it.

Change: a follower waits long between calls only if somebody has reached the store more than 1 s after its own loss. A machine that is turned away while others are served still falls back to rare calls, after about four of each kind.

The test failed before (the version was enforced after 2 to 4 s).

--- a/catkinhollow/relay/follower_election.py
+++ b/catkinhollow/relay/follower_election.py
@@ -46,6 +46,10 @@
         """Return whether a daemon is known to reach the store."""
         return self.store_age_s(now_s) <= MAX_STORE_AGE_S
 
+    def is_reached_since(self, time_s: float) -> bool:
+        """Return whether a daemon is known to have reached the store later."""
+        return self._reached_s > time_s
+
     def should_follow(self, now_s: float) -> bool:
         """Return whether this daemon should follow the store."""
         rank, count = self._rank(now_s), self._follower_count
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -5,6 +5,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from math import inf
 from random import Random
 from typing import Any, Protocol
 
@@ -35,8 +36,11 @@
 # limits the delay between retries.
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.2
-# A follower tries less often while others reach the store.
+# A follower that is turned away tries less often while others reach the store.
 QUIET_RETRY_S = 4.0
+# News of the store from this time after a failure show that others reach it;
+# earlier news may be older than they seem, as statuses wait on full links.
+FRESH_NEWS_S = 1.0
 # Interval of the checks whether this daemon should follow the store.
 ELECTION_INTERVAL_S = 0.5
 # Time after its start in which a daemon may get the configuration from a peer
@@ -66,8 +70,8 @@
     def should_follow(self, now_s: float) -> bool:
         """Return whether this daemon should follow the store."""
 
-    def is_followed(self, now_s: float) -> bool:
-        """Return whether another daemon is known to reach the store."""
+    def is_reached_since(self, time_s: float) -> bool:
+        """Return whether a daemon is known to have reached the store later."""
 
 
 class StoreFollower:
@@ -174,15 +178,21 @@
     def _new_backoff(self) -> Backoff:
         return Backoff(base_s=RETRY_BASE_S, max_s=RETRY_MAX_S, random=self._random)
 
-    def _retry_delay_s(self, backoff: Backoff) -> float:
+    def _retry_delay_s(self, backoff: Backoff, lost_s: float) -> float:
+        """Return the delay before the next call.
+
+        All followers may have lost the store at the same moment, so that only
+        news from the time after it justify a long delay.
+        """
         delay_s = backoff.next_delay()
-        if self._role.is_followed(self._clock.monotonic()):
+        if self._role.is_reached_since(lost_s + FRESH_NEWS_S):
             return max(delay_s, self._random.uniform(0.5, 1.0) * QUIET_RETRY_S)
         return delay_s
 
     async def _follow(self, kind: str) -> None:
         backoff = self._new_backoff()
         revision: int | None = None
+        lost_s = inf
         # Objects that change faster than their versions arrive. A watch would
         # return each version, a listing returns the newest one only.
         fast_changing: dict[str, int] = {}
@@ -195,8 +205,10 @@
                 )
             if result.is_error():
                 self._record_failure(kind, result.error.reason)
-                await trio.sleep(self._retry_delay_s(backoff))
+                lost_s = min(lost_s, self._clock.monotonic())
+                await trio.sleep(self._retry_delay_s(backoff, lost_s))
                 continue
+            lost_s = inf
             backoff.reset()
             self._record_success(kind)
             fast_changing = self._find_fast_changing(result.ok, fast_changing)
--- a/tests/relay/test_store_follower.py
+++ b/tests/relay/test_store_follower.py
@@ -5,16 +5,19 @@
 import pytest
 import trio
 from attrs import evolve
-from expression import Ok
+from expression import Error, Ok
 from memory_store import MemoryStore
 from relay_builders import make_configuration
 from relay_fleet import decode
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.codec import decode_message, encode_message, to_plain
+from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.relay import DaemonRecord, Document, RelayConfiguration
 from catkinhollow.generated.store import ObjectList
 from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.follower_election import FollowerElection
+from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.store_follower import StoreFollower
 
@@ -33,8 +36,8 @@
     def should_follow(self, now_s):
         return self.follows
 
-    def is_followed(self, now_s):
-        return self.followed
+    def is_reached_since(self, time_s):
+        return self.followed and time_s < trio.current_time()
 
 
 class SlowLinkStore(MemoryStore):
@@ -88,6 +91,31 @@
         return Ok(ObjectList(revision=revision, objects=objects))
 
 
+class CuttingStore(SlowLinkStore):
+    """Cut all waiting watches when it drops its history."""
+
+    def __init__(self):
+        super().__init__(transfer_s=0.0)
+        self.cut = trio.Event()
+
+    async def watch(self, kind, *, after, wait_s):
+        result = Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason="cut"))
+
+        async def wait_for_cut():
+            await self.cut.wait()
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait_for_cut)
+            result = await super().watch(kind, after=after, wait_s=wait_s)
+            nursery.cancel_scope.cancel()
+        return result
+
+    def drop_history(self):
+        self.cut.set()
+        self.cut = trio.Event()
+
+
 class RefusingTable(DocumentTable):
     """Refuse every document."""
 
@@ -186,6 +214,29 @@
     assert len(store.calls) <= 4 * 30.0 / 2.0 + 4
 
 
+async def test_change_is_in_force_in_time_after_all_watches_were_cut(
+    nursery, table, autojump_clock
+):
+    """Guards against followers that rely on each other after a common loss.
+
+    The statuses of the others still say that the store was reached shortly
+    before.
+    """
+    store = CuttingStore()
+    store.write("configuration", "main", to_plain(make_configuration(1)))
+    election = FollowerElection(PeerDirectory(RECORD), 0.0)
+    enforced = start_follower(nursery, store, table, autojump_clock, election)
+    for version in range(2, 12):
+        await trio.sleep(6.0)
+        now_s = trio.current_time()
+        election.hear(0.0, now_s)
+        store.drop_history()
+        await trio.sleep(0.0)
+        store.write("configuration", "main", to_plain(make_configuration(version)))
+        await trio.sleep(5.0)
+        assert enforced[version] - now_s <= 1.0, version
+
+
 async def test_newest_version_is_in_force_in_time_after_a_burst_on_a_slow_link(
     nursery, table, autojump_clock
 ):
