Log late documents and standstills of the loop

The logs could not tell whether announcements came late, requests or documents waited on the link, or the process had no processor time.

"document late" gives the time from the announcement to the arrival and the number of requests; "loop was blocked" the time without a turn of the loop.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -38,6 +38,7 @@
 from catkinhollow.relay.kinds import CONFIGURATION, DAEMONS
 from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.links import NngFrameLink, message_kind
+from catkinhollow.relay.loop_watch import LoopWatch
 from catkinhollow.relay.move_driver import STEP_INTERVAL_S, MoveDriver
 from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.own_record import OwnRecordKeeper
@@ -255,6 +256,7 @@
     ) -> None:
         """Serve until the function returns, then finish open requests."""
         async with trio.open_nursery() as nursery:
+            LoopWatch(self._timer)
             nursery.start_soon(self._timer.run)
             self._timer.call_after(HISTORY_WAIT_S, self._stop_awaiting_history)
             nursery.start_soon(self._gate.run)
--- a/catkinhollow/relay/document_flood.py
+++ b/catkinhollow/relay/document_flood.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from math import inf
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from catkinhollow.generated.relay import Document, DocumentVersion
 
@@ -78,13 +78,26 @@
         return pending
 
 
+@frozen
+class PullDelay:
+    """Describe how a document arrived that had been announced."""
+
+    waited_s: float
+    """Time since the first announcement of a newer revision."""
+    requests: int
+
+
 @define(eq=False)
 class _Wanted:
     """Represent a newer document that neighbours have announced."""
 
     revision: int
+    announced_s: float
+    """When the first revision was announced that has not arrived since."""
     sources: dict[str, float] = field(factory=dict)
     """Earliest time of a request by the address of each neighbour."""
+    requests: int = 0
+    """Requests since then."""
     asked: str = ""
     """Address of the neighbour that was asked last."""
     requested_s: float = -inf
@@ -147,27 +160,28 @@
     ) -> None:
         """Record that a neighbour has a newer document."""
         wanted = self._wanted.get(version.name)
-        if wanted is None or wanted.revision < version.revision:
-            known = wanted or _Wanted(version.revision)
-            wanted = _Wanted(
-                version.revision, asked=known.asked, requested_s=known.requested_s
-            )
+        if wanted is None:
+            wanted = _Wanted(version.revision, now_s)
             self._wanted[version.name] = wanted
+        elif wanted.revision < version.revision:
+            wanted.revision = version.revision
+            wanted.sources = {}
         if wanted.revision == version.revision:
             delay_s = 0.0 if same_domain else CROSS_DOMAIN_DELAY_S
             wanted.sources.setdefault(source, now_s + delay_s)
 
-    def received(self, name: str, revision: int, now_s: float) -> None:
-        """Record that a document has arrived."""
-        if name in self._wanted:
-            self._received_s[name] = now_s
+    def received(self, name: str, revision: int, now_s: float) -> PullDelay | None:
+        """Record that a document has arrived; return how long it took."""
         wanted = self._wanted.get(name)
         if wanted is None:
-            return
+            return None
+        self._received_s[name] = now_s
+        delay = PullDelay(now_s - wanted.announced_s, wanted.requests)
         if wanted.revision <= revision:
             del self._wanted[name]
         else:
             wanted.requested_s = -inf
+        return delay
 
     def lost(self, source: str) -> None:
         """Forget a neighbour whose link is down."""
@@ -197,5 +211,6 @@
                 del wanted.sources[source]
                 wanted.asked = source
                 wanted.requested_s = now_s
+                wanted.requests += 1
                 due.setdefault(source, []).append(name)
         return due
--- a/catkinhollow/relay/document_sync.py
+++ b/catkinhollow/relay/document_sync.py
@@ -31,6 +31,8 @@
 FLOOD_INTERVAL_S = 0.02
 PULL_INTERVAL_S = 0.1
 RELEASE_INTERVAL_S = 0.05
+# Time from the announcement of a document to its arrival that is logged.
+LATE_DOCUMENT_S = 0.5
 
 
 @frozen(kw_only=True)
@@ -105,7 +107,16 @@
     def offer(self, document: Document, source: str) -> None:
         """Store a newer document, signal the change and pass it on."""
         now_s = self._clock.monotonic()
-        self._pulls.received(document.name, document.revision, now_s)
+        delay = self._pulls.received(document.name, document.revision, now_s)
+        if delay is not None and delay.waited_s > LATE_DOCUMENT_S:
+            logger.info(
+                "document late",
+                name=document.name,
+                revision=document.revision,
+                waited_ms=int(delay.waited_s * 1000),
+                requests=delay.requests,
+                source=source,
+            )
         if not self._documents.is_newer(document) or not self._accepts(document):
             return
         if not self._damper.passes(document, source, now_s):
