Pace bulk data to the capacity of the instance's link

Cause: all connections of a daemon share one link. The gate of a target of downloads sent its answers as fast as each connection took them, so that up to megabytes waited on a link of 5.5 Mbit/s. The requests for a new version, the statuses and the answers to readiness checks waited behind them. Announcements arrive in time, since the link is full in one direction only.

Change: LinkPacer lets as much bulk data through as the link carries; the rest waits in the daemon, peer by peer. Small frames and documents go first and are not paced, a cancellation does not overtake its call. Responses to callers count against the link. The platform gives the capacity in an environment variable of the deploy file; without it nothing is paced.

--- a/catkinhollow/platform/process.py
+++ b/catkinhollow/platform/process.py
@@ -2,11 +2,16 @@
 
 import os
 import sys
+from collections.abc import Mapping
+from math import inf
 from pathlib import Path
 from random import Random
 
 import trio
+from attrs import evolve
+from expression import Result
 
+from catkinhollow.errors import DecodeError
 from catkinhollow.generated.relay import RelaySettings
 from catkinhollow.logs import configure_logging
 from catkinhollow.platform.announcements import AnnouncementApplication
@@ -17,22 +22,41 @@
 from catkinhollow.relay.relay_settings import SettingsFile
 
 SETTINGS_VARIABLE = "CATKINHOLLOW_SETTINGS"
+# The platform tells the capacity of the instance's link in this variable.
+LINK_VARIABLE = "CATKINHOLLOW_LINK_MBPS"
 INVALID_SETTINGS = 1
 
 
+class ProcessSettings:
+    """Read the settings file, and the link's capacity from the environment."""
+
+    def __init__(self, environment: Mapping[str, str]) -> None:
+        self._file = SettingsFile(Path(environment.get(SETTINGS_VARIABLE, "")))
+        self._link_mbps = _parse_link_mbps(environment.get(LINK_VARIABLE, ""))
+
+    def read(self) -> Result[RelaySettings, DecodeError]:
+        """Return the settings, or the first error in the file."""
+        return self._file.read().map(self._with_link)
+
+    def _with_link(self, settings: RelaySettings) -> RelaySettings:
+        if settings.link_mbps or not self._link_mbps:
+            return settings
+        return evolve(settings, link_mbps=self._link_mbps)
+
+
 def run_process() -> int:
     """Run the daemon until it is stopped and return its exit code."""
-    file = SettingsFile(Path(os.environ.get(SETTINGS_VARIABLE, "")))
-    settings = file.read()
+    process_settings = ProcessSettings(os.environ)
+    settings = process_settings.read()
     if settings.is_error():
         print(settings.error.reason, file=sys.stderr)
         return INVALID_SETTINGS
     configure_logging(settings.ok.log_level.value, sys.stdout)
-    trio.run(_run, settings.ok, file)
+    trio.run(_run, settings.ok, process_settings)
     return 0
 
 
-async def _run(settings: RelaySettings, file: SettingsFile) -> None:
+async def _run(settings: RelaySettings, process_settings: ProcessSettings) -> None:
     store = PlatformStore(settings.store)
     daemon = RelayDaemon(
         settings=settings,
@@ -42,7 +66,7 @@
         announcement_app=lambda listener, service: AnnouncementApplication(
             listener, service
         ),
-        reload_settings=file.read,
+        reload_settings=process_settings.read,
         random=Random(),
     )
     try:
@@ -50,3 +74,15 @@
     finally:
         with trio.CancelScope(shield=True):
             await store.aclose()
+
+
+def _parse_link_mbps(text: str) -> float:
+    """Return the capacity of the link in Mbit/s, 0 if it is unknown."""
+    try:
+        capacity = float(text or 0)
+    except ValueError:
+        capacity = -1.0
+    if not 0 <= capacity < inf:
+        print(f"{LINK_VARIABLE}: not a capacity: {text}", file=sys.stderr)
+        return 0.0
+    return capacity
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -36,6 +36,7 @@
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.ingress import Ingress
 from catkinhollow.relay.kinds import CONFIGURATION, DAEMONS
+from catkinhollow.relay.link_pacer import LinkPacer
 from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.links import NngFrameLink, message_kind
 from catkinhollow.relay.loop_watch import LoopWatch
@@ -170,7 +171,10 @@
             on_state_change=self._on_gate_state_change,
             on_run_failure=self._on_run_failure,
         )
-        self._link = NngFrameLink(settings.peer, self._timer, self._count_sent)
+        self._pacer = LinkPacer(settings.link_mbps)
+        self._link = NngFrameLink(
+            settings.peer, self._timer, self._pacer, self._count_sent
+        )
         self._plan = LinkPlan(self._directory)
         self._election = FollowerElection(self._directory, self._clock.monotonic())
         self._network = PeerNetwork(
@@ -204,7 +208,9 @@
             log=self._log,
         )
 
-        self._server = RequestServer(self._ingress.serve, lambda: self._ingress.limits)
+        self._server = RequestServer(
+            self._ingress.serve, lambda: self._ingress.limits, self._count_response
+        )
 
     def _build_control(self, decode: ObjectDecoder) -> None:
         self._follower = StoreFollower(
@@ -272,7 +278,11 @@
                 CLEANUP_INTERVAL_S,
                 lambda: nursery.start_soon(self._delete_stale_records),
             )
-            logger.info("started", instance=self._settings.instance)
+            logger.info(
+                "started",
+                instance=self._settings.instance,
+                link_mbps=self._settings.link_mbps,
+            )
             await wait_for_shutdown()
             await self._drain()
             nursery.cancel_scope.cancel()
@@ -395,6 +405,9 @@
         labels = {"message": message_kind(frame), "failure_domain": place}
         self._metrics.sent_bytes.add(labels, size_bytes)
 
+    def _count_response(self, size_bytes: int) -> None:
+        self._pacer.sent(size_bytes, self._clock.monotonic())
+
     def _on_gate_state_change(self) -> None:
         self._network.broadcast_status()
 
--- a/catkinhollow/relay/frame_queue.py
+++ b/catkinhollow/relay/frame_queue.py
@@ -1,12 +1,14 @@
-"""Order the frames that wait for a slow peer.
+"""Order the frames that wait for a slow peer or for the link.
 
 Statuses show that a daemon is alive, so they must not wait behind the bodies
-of calls and answers. Large frames are split, so that a status waits for one
-part of a body at most, and the transfer of each part shows that the link still
-carries data.
+of calls and answers; neither must documents, whose versions have to be in
+force everywhere within seconds. Large frames are split, so that a status waits
+for one part of a body at most, and the transfer of each part shows that the
+link still carries data.
 """
 
 from collections import deque
+from enum import IntEnum
 
 from attrs import define, field
 
@@ -16,6 +18,10 @@
 # A link of 5 Mbit/s transfers one part in 50 ms.
 MAX_PART_BYTES = 32 * 1024
 
+# Calls and answers above this size are bulk data. Smaller ones are few
+# milliseconds of a slow link.
+MIN_BULK_BYTES = 4096
+
 # Bounds the memory for one frame; bodies are limited to 8 MB.
 MAX_PARTS = 2048
 
@@ -42,12 +48,31 @@
     ]
 
 
+class Lane(IntEnum):
+    """Classify frames by urgency; lower values go first."""
+
+    STATUS = 0
+    CONTROL = 1
+    """Documents and all small frames."""
+    BULK = 2
+    """Calls and answers with large bodies, which wait for the link."""
+
+
+def choose_lane(frame: Frame, size_bytes: int) -> Lane:
+    """Return the lane of a frame by its message and its encoded size."""
+    if frame.status is not None:
+        return Lane.STATUS
+    has_body = frame.call is not None or frame.answer is not None
+    return Lane.BULK if has_body and size_bytes > MIN_BULK_BYTES else Lane.CONTROL
+
+
 @define(eq=False)
 class FrameQueue:
-    """Queue the encoded messages to one peer, statuses first."""
+    """Queue the encoded messages to one peer by lane."""
 
-    _statuses: deque[bytes] = field(factory=deque)
-    _others: deque[bytes] = field(factory=deque)
+    _lanes: tuple[deque[bytes], ...] = field(
+        factory=lambda: tuple(deque() for _ in Lane)
+    )
     _size_bytes: int = 0
 
     @property
@@ -56,27 +81,34 @@
         return self._size_bytes
 
     def __len__(self) -> int:
-        return len(self._statuses) + len(self._others)
+        return sum(map(len, self._lanes))
+
+    @property
+    def lane(self) -> Lane:
+        """Return the lane of the message to send next."""
+        return next(lane for lane in Lane if self._lanes[lane])
+
+    def has_before(self, lane: Lane) -> bool:
+        """Return whether a new message of a lane would have to wait."""
+        return any(self._lanes[: lane + 1])
 
-    def append(self, messages: list[bytes], *, is_status: bool) -> None:
+    def append(self, messages: list[bytes], lane: Lane) -> None:
         """Queue the messages of one frame."""
-        queue = self._statuses if is_status else self._others
-        queue.extend(messages)
+        self._lanes[lane].extend(messages)
         self._size_bytes += sum(map(len, messages))
 
     def peek(self) -> bytes:
         """Return the message to send next."""
-        return self._statuses[0] if self._statuses else self._others[0]
+        return self._lanes[self.lane][0]
 
     def pop(self) -> None:
         """Remove the message that `peek` returns."""
-        queue = self._statuses or self._others
-        self._size_bytes -= len(queue.popleft())
+        self._size_bytes -= len(self._lanes[self.lane].popleft())
 
     def clear(self) -> None:
         """Drop all messages."""
-        self._statuses.clear()
-        self._others.clear()
+        for messages in self._lanes:
+            messages.clear()
         self._size_bytes = 0
 
 
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -20,7 +20,14 @@
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.links import LinkCounters, LinkDown, LinkUp, limit_nng_threads
 from catkinhollow.relay.dial_schedule import DialSchedule
-from catkinhollow.relay.frame_queue import FrameAssembler, FrameQueue, split_frame
+from catkinhollow.relay.frame_queue import (
+    FrameAssembler,
+    FrameQueue,
+    Lane,
+    choose_lane,
+    split_frame,
+)
+from catkinhollow.relay.link_pacer import LinkPacer
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -94,10 +101,17 @@
 class NngFrameLink:
     """Push frames to each peer and pull the frames of all peers."""
 
-    def __init__(self, own_address: str, timer: Timer, count_sent: CountSent) -> None:
+    def __init__(
+        self,
+        own_address: str,
+        timer: Timer,
+        pacer: LinkPacer,
+        count_sent: CountSent,
+    ) -> None:
         limit_nng_threads()
         self._own_address = own_address
         self._timer = timer
+        self._pacer = pacer
         self._count_sent = count_sent
         self._clock = timer.clock
         self._counters = LinkCounters()
@@ -108,8 +122,9 @@
         self._receiver: Callable[[LinkEvent], None] | None = None
         self._token: trio.lowlevel.TrioToken | None = None
         self._assembler = FrameAssembler()
-        self._queued: set[str] = set()
-        """Addresses of the peers with queued messages."""
+        # Addresses of the peers with queued messages, in the order of their
+        # turns.
+        self._queued: dict[str, None] = {}
         self._flushing = False
 
     @property
@@ -158,11 +173,18 @@
         if push is None or not push.up:
             return False
         messages = split_frame(frame)
-        self._count_sent(address, frame, sum(map(len, messages)))
-        while messages and not push.queue and self._try_send(push, messages[0]):
+        size_bytes = sum(map(len, messages))
+        self._count_sent(address, frame, size_bytes)
+        lane = choose_lane(frame, size_bytes)
+        if frame.cancel is not None and push.queue.has_before(Lane.BULK):
+            # It must not arrive before its call.
+            lane = Lane.BULK
+        while messages and not push.queue.has_before(lane):
+            if not self._may_send(lane) or not self._try_send(push, messages[0]):
+                break
             messages.pop(0)
         if messages:
-            self._enqueue(push, messages, is_status=frame.status is not None)
+            self._enqueue(push, messages, lane)
         return push.up
 
     async def run(self, receiver: Callable[[LinkEvent], None]) -> None:
@@ -207,6 +229,10 @@
             if whole is not None:
                 self._decode_frame(whole)
 
+    def _may_send(self, lane: Lane) -> bool:
+        """Return whether the link takes a message of a lane now."""
+        return lane < Lane.BULK or self._pacer.wait_s(self._clock.monotonic()) <= 0
+
     def _try_send(self, push: _PushLink, data: bytes) -> bool:
         try:
             push.socket.send(data, block=False)
@@ -216,17 +242,16 @@
             logger.warning("send failed", peer=push.address, reason=str(error))
             return False
         self._counters.count_sent(len(data))
+        self._pacer.sent(len(data), self._clock.monotonic())
         return True
 
-    def _enqueue(
-        self, push: _PushLink, messages: list[bytes], *, is_status: bool
-    ) -> None:
+    def _enqueue(self, push: _PushLink, messages: list[bytes], lane: Lane) -> None:
         if push.queue.size_bytes > _MAX_QUEUE_BYTES:
             logger.warning("link reset, peer reads too slowly", peer=push.address)
             self.reset(push.address)
             return
-        push.queue.append(messages, is_status=is_status)
-        self._queued.add(push.address)
+        push.queue.append(messages, lane)
+        self._queued[push.address] = None
         self._schedule_flush()
 
     def _schedule_flush(self) -> None:
@@ -236,16 +261,29 @@
 
     def _flush(self) -> None:
         self._flushing = False
-        for address in list(self._queued):
-            push = self._pushes[address]
-            while push.queue and self._try_send(push, push.queue.peek()):
-                push.queue.pop()
-                push.progress_s = self._clock.monotonic()
-            if not push.queue:
-                self._queued.discard(address)
+        waiting = list(self._queued)
+        while waiting:
+            # One message each, so that all peers get a share of the link.
+            waiting = [address for address in waiting if self._flush_one(address)]
         if self._queued:
             self._schedule_flush()
 
+    def _flush_one(self, address: str) -> bool:
+        """Send one queued message; return whether another one may follow."""
+        push = self._pushes[address]
+        if not self._may_send(push.queue.lane):
+            return False
+        if not self._try_send(push, push.queue.peek()):
+            return False
+        push.queue.pop()
+        push.progress_s = self._clock.monotonic()
+        del self._queued[address]
+        if not push.queue:
+            return False
+        # The others have their turns first.
+        self._queued[address] = None
+        return True
+
     def _dial(self, push: _PushLink) -> None:
         if self._token is None or push.socket is not None:
             return
@@ -301,7 +339,7 @@
         socket, push.socket = push.socket, None
         was_up, push.up = push.up, False
         push.queue.clear()
-        self._queued.discard(push.address)
+        self._queued.pop(push.address, None)
         if socket is not None:
             socket.close()
         if was_up:
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -77,10 +77,14 @@
     """Accept connections of callers."""
 
     def __init__(
-        self, handler: RequestHandler, limits: Callable[[], RequestLimits]
+        self,
+        handler: RequestHandler,
+        limits: Callable[[], RequestLimits],
+        count_sent: Callable[[int], None] = lambda size_bytes: None,
     ) -> None:
         self._handler = handler
         self._limits = limits
+        self._count_sent = count_sent
         self._closing = False
         self._open_requests = 0
 
@@ -116,6 +120,10 @@
         task_status.started()
         await trio.serve_listeners(self.serve_stream, listeners)
 
+    def response_sent(self, size_bytes: int) -> None:
+        """Count the bytes of a response."""
+        self._count_sent(size_bytes)
+
     def request_started(self) -> None:
         """Count a request that has been read."""
         self._open_requests += 1
@@ -315,8 +323,10 @@
         async with self._send_lock:
             while self._exchanges and self._exchanges[0].response_bytes is not None:
                 exchange = self._exchanges[0]
+                data = exchange.response_bytes or b""
+                self._server.response_sent(len(data))
                 try:
-                    await self._stream.send_all(exchange.response_bytes or b"")
+                    await self._stream.send_all(data)
                 except NETWORK_ERRORS as error:
                     logger.debug("response not sent", reason=str(error))
                     self._on_disconnect()
--- a/tests/relay/test_frame_queue.py
+++ b/tests/relay/test_frame_queue.py
@@ -3,11 +3,13 @@
 from relay_builders import make_answer, make_report
 
 from catkinhollow.codec import decode_message
-from catkinhollow.generated.relay import Fragment, Frame, Status
+from catkinhollow.generated.relay import Documents, Fragment, Frame, Status
 from catkinhollow.relay.frame_queue import (
     MAX_PART_BYTES,
     FrameAssembler,
     FrameQueue,
+    Lane,
+    choose_lane,
     split_frame,
 )
 
@@ -47,14 +49,28 @@
 def test_status_goes_before_bodies_that_wait():
     """Guards against daemons that seem dead because their links are full."""
     queue = FrameQueue()
-    queue.append(split_frame(make_frame(500_000)), is_status=False)
-    queue.append(split_frame(make_status()), is_status=True)
+    queue.append(split_frame(make_frame(500_000)), Lane.BULK)
+    queue.append(split_frame(make_status()), Lane.STATUS)
     messages = drain(queue)
     assert decode_message(messages[0], Frame).ok.status is not None
     assert max(map(len, messages)) <= MAX_PART_BYTES + 200
     assert queue.size_bytes == 0
 
 
+def test_documents_and_small_frames_go_before_bodies():
+    """Guards against a configuration that waits behind downloads."""
+    documents = Frame(sender="p:1", incarnation=1, documents=Documents())
+    assert choose_lane(make_status(), 300) is Lane.STATUS
+    assert choose_lane(documents, 60_000) is Lane.CONTROL
+    assert choose_lane(make_frame(400), 500) is Lane.CONTROL
+    assert choose_lane(make_frame(90_000), 90_100) is Lane.BULK
+    queue = FrameQueue()
+    for lane in (Lane.BULK, Lane.CONTROL, Lane.STATUS):
+        assert not queue.has_before(lane)
+        queue.append([lane.name.encode()], lane)
+    assert drain(queue) == [b"STATUS", b"CONTROL", b"BULK"]
+
+
 def test_parts_around_a_status_form_the_whole_frame():
     """Guards against answers that a status in between damages."""
     frame = make_frame(100_000)
--- a/tests/relay/test_links.py
+++ b/tests/relay/test_links.py
@@ -2,11 +2,12 @@
 
 import trio
 import trio.testing
-from relay_builders import make_answer, make_report
+from relay_builders import make_answer, make_call, make_report
 
 from catkinhollow.clock import TrioClock
-from catkinhollow.generated.relay import Frame, Status
+from catkinhollow.generated.relay import Cancel, DocumentRequest, Frame, Status
 from catkinhollow.mesh.links import LinkUp
+from catkinhollow.relay.link_pacer import LinkPacer
 from catkinhollow.relay.links import NngFrameLink
 from catkinhollow.testbed.processes import free_ports
 from catkinhollow.timer import Timer
@@ -17,11 +18,14 @@
 class Peer:
     """Collect the frames that a daemon receives."""
 
-    def __init__(self, timer):
+    def __init__(self, timer, link_mbps=0.0):
         self.address = f"127.0.0.1:{free_ports(1)[0]}"
         self.sent = []
         self.link = NngFrameLink(
-            self.address, timer, lambda *counted: self.sent.append(counted)
+            self.address,
+            timer,
+            LinkPacer(link_mbps),
+            lambda *counted: self.sent.append(counted),
         )
         self.sender, self.events = trio.open_memory_channel(1000)
 
@@ -68,6 +72,56 @@
     nursery.cancel_scope.cancel()
 
 
+async def connect(nursery, timer, one, *others):
+    for peer in (one, *others):
+        nursery.start_soon(peer.run)
+    for other in others:
+        one.link.connect(other.address)
+    up = set()
+    with trio.fail_after(10):
+        while len(up) < len(others):
+            event = await one.events.receive()
+            if isinstance(event, LinkUp):
+                up.add(event.address)
+
+
+async def test_small_frames_pass_the_downloads_to_other_peers(nursery):
+    """Guards against a configuration that arrives seconds late.
+
+    A target of downloads fills the link of its instance. The request for a
+    new configuration goes to another peer, but over the same link.
+    """
+    timer = Timer(TrioClock())
+    nursery.start_soon(timer.run)
+    one, caller, neighbour = Peer(timer, link_mbps=40.0), Peer(timer), Peer(timer)
+    await connect(nursery, timer, one, caller, neighbour)
+    answers = [make_answer(call_id=n, body=BODY) for n in range(1, 5)]
+    for answer in answers:
+        assert one.link.send(caller.address, one.frame(answer=answer))
+    request = one.frame(document_request=DocumentRequest(names=["configuration/main"]))
+    assert one.link.send(neighbour.address, request)
+    assert await neighbour.receive(1) == [request]
+    # 4 MB take 0.8 s on the link, so that most of them are still here.
+    assert list(one.link.progress) == [caller.address]
+    frames = await caller.receive(4)
+    assert [frame.answer for frame in frames] == answers
+    nursery.cancel_scope.cancel()
+
+
+async def test_cancellation_does_not_overtake_its_call(nursery):
+    """Guards against runs for callers who have given up."""
+    timer = Timer(TrioClock())
+    nursery.start_soon(timer.run)
+    one, gate = Peer(timer, link_mbps=40.0), Peer(timer)
+    await connect(nursery, timer, one, gate)
+    call = make_call(1, body=BODY)
+    assert one.link.send(gate.address, one.frame(call=call))
+    assert one.link.send(gate.address, one.frame(cancel=Cancel(call_id=1)))
+    frames = await gate.receive(2)
+    assert [frame.call for frame in frames] == [call, None]
+    nursery.cancel_scope.cancel()
+
+
 async def test_bytes_that_are_no_frame_do_not_end_the_link(nursery):
     """Guards against one malformed message that takes a process down."""
     timer = Timer(TrioClock())
