End only the connection that an error belongs to

A caller that reset its connection after a head with "Expect: 100-continue" ended its daemon, and with it the requests of all other callers of the instance.

Cause: errors leave the nursery of a connection as a group, which "except NETWORK_ERRORS" does not catch. The send of 100 Continue, a body in a response to HEAD and a success for CONNECT had no handler of their own.

Change: each of the three is handled, and the server ends only the connection on groups of network and protocol errors; the latter are logged and counted. Errors of the handler still end the process, since they may leave shared state half changed. A failed connection no longer counts its requests as open, and its calls are cancelled.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -209,7 +209,10 @@
         )
 
         self._server = RequestServer(
-            self._ingress.serve, lambda: self._ingress.limits, self._count_response
+            self._ingress.serve,
+            lambda: self._ingress.limits,
+            count_sent=self._count_response,
+            on_failure=lambda: self._metrics.connection_failures.inc({}),
         )
 
     def _build_control(self, decode: ObjectDecoder) -> None:
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -230,9 +230,10 @@
                     await wait_for_disconnect()
             finally:
                 self._open_attempts.remove(scope)
+                if pending.answer is None:
+                    self._network.cancel(sent)
         if pending.answer is not None:
             return pending.answer
-        self._network.cancel(sent)
         if not scope.cancelled_caught:
             return None
         return Answer(
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -64,6 +64,12 @@
             registry=registry,
         )
 
+        self.connection_failures = Counter(
+            "catkinhollow_relay_connection_failures_total",
+            "Connections of callers that ended with an unexpected error",
+            registry=registry,
+        )
+
     def render(self) -> Response:
         """Return the metrics in text form."""
         return render_response(self._registry)
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -62,6 +62,8 @@
     """Represent an invalid request by the response to it."""
 
     response: Response
+    method: str = "GET"
+    """Method of the request, which decides whether a response has a body."""
 
 
 @define(eq=False)
@@ -72,6 +74,11 @@
     chunks: list[bytes] = field(factory=list)
     size: int = 0
 
+    def refuse(self, status: int, reason: str) -> _InvalidRequest:
+        """Return the refusal of a request that need not be complete."""
+        method = self.head.method.decode("ascii") if self.head else "GET"
+        return _InvalidRequest(plain_response(status, reason), method)
+
 
 class RequestServer:
     """Accept connections of callers."""
@@ -81,10 +88,12 @@
         handler: RequestHandler,
         limits: Callable[[], RequestLimits],
         count_sent: Callable[[int], None] = lambda size_bytes: None,
+        on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._count_sent = count_sent
+        self._on_failure = on_failure
         self._closing = False
         self._open_requests = 0
 
@@ -141,9 +150,14 @@
         connection = _Connection(self, stream)
         try:
             await connection.run()
-        except NETWORK_ERRORS as error:
-            logger.debug("connection lost", reason=str(error))
+        except* NETWORK_ERRORS as errors:
+            logger.debug("connection lost", reason=_describe(errors))
+        except* h11.ProtocolError as errors:
+            # The parser belongs to this connection alone.
+            logger.error("connection failed", reason=_describe(errors))
+            self._on_failure()
         finally:
+            connection.abandon()
             await trio.aclose_forcefully(stream)
 
 
@@ -174,6 +188,12 @@
         if not self._disconnected.is_set():
             await self._stream.send_eof()
 
+    def abandon(self) -> None:
+        """Forget the requests that a failed connection leaves unanswered."""
+        while self._exchanges:
+            self._exchanges.popleft()
+            self._server.request_ended()
+
     def _new_parser(self) -> h11.Connection:
         max_header_bytes = self._server.limits.max_header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
@@ -203,19 +223,21 @@
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
                 logger.info("malformed request", reason=str(error))
-                status = error.error_status_hint
-                return _InvalidRequest(plain_response(status, "malformed request"))
+                return incoming.refuse(error.error_status_hint, "malformed request")
             if event is h11.NEED_DATA:
                 failure = await self._read_more(incoming)
                 if failure is not None:
                     return failure
             elif isinstance(event, h11.Request):
                 incoming.head = event
+                if event.method == b"CONNECT":
+                    # A success would turn the connection into a tunnel.
+                    return incoming.refuse(501, "no tunnels")
             elif isinstance(event, h11.Data):
                 incoming.chunks.append(bytes(event.data))
                 incoming.size += len(event.data)
                 if incoming.size > self._server.limits.max_body_bytes:
-                    return _InvalidRequest(plain_response(413, "the body is too large"))
+                    return incoming.refuse(413, "the body is too large")
             elif isinstance(event, h11.EndOfMessage) and incoming.head is not None:
                 return self._make_exchange(incoming.head, incoming.chunks)
             else:
@@ -245,8 +267,7 @@
             data = await self._receive()
         if scope.cancelled_caught:
             if started:
-                reason = "the request did not arrive in time"
-                return _InvalidRequest(plain_response(408, reason))
+                return incoming.refuse(408, "the request did not arrive in time")
             if self._exchanges:
                 # A connection with open requests is not idle.
                 return None
@@ -264,7 +285,12 @@
 
     async def _send_continue(self) -> None:
         informational = h11.InformationalResponse(status_code=100, headers=[])
-        await self._stream.send_all(self._parser.send(informational) or b"")
+        data = self._parser.send(informational) or b""
+        try:
+            await self._stream.send_all(data)
+        except NETWORK_ERRORS as error:
+            # The next read finds the end of the connection.
+            logger.debug("continuation not sent", reason=str(error))
 
     async def _wait_for_turn(self, exchange: _Exchange) -> None:
         sequential = exchange.request.method not in PIPELINED_METHODS
@@ -287,7 +313,10 @@
             self._parser.receive_data(b"")
 
     def _start_invalid(self, invalid: _InvalidRequest) -> None:
-        exchange = _Exchange(self._parser, _EMPTY_REQUEST, closes_connection=True)
+        request = Request(
+            method=invalid.method, path="", query=b"", headers=[], body=b""
+        )
+        exchange = _Exchange(self._parser, request, closes_connection=True)
         exchange.response_bytes = _encode_response(exchange, invalid.response)
         self._closing = True
         self._append(exchange)
@@ -339,7 +368,12 @@
         self._state_changed = trio.Event()
 
 
-_EMPTY_REQUEST = Request(method="GET", path="", query=b"", headers=[], body=b"")
+def _describe(errors: BaseExceptionGroup[BaseException]) -> str:
+    """Return the first error of a group for the log."""
+    error = errors.exceptions[0]
+    if isinstance(error, BaseExceptionGroup):
+        return _describe(error)
+    return f"{type(error).__name__}: {error}"
 
 
 def _encode_response(exchange: _Exchange, response: Response) -> bytes:
--- a/tests/relay/test_request_server.py
+++ b/tests/relay/test_request_server.py
@@ -182,3 +182,58 @@
     response = await read_all(client)
     assert response.endswith(b"/0.5\n")
     assert [path for _, _, path in handler.started] == ["/0.5"]
+
+
+class ResetStream:
+    """Fail each send after the first bytes were received."""
+
+    def __init__(self, data):
+        self.parts = [data]
+        self.closed = False
+
+    async def receive_some(self, max_bytes):
+        if self.parts:
+            return self.parts.pop(0)
+        raise trio.BrokenResourceError
+
+    async def send_all(self, data):
+        raise trio.BrokenResourceError
+
+    async def send_eof(self):
+        raise trio.BrokenResourceError
+
+    async def aclose(self):
+        self.closed = True
+
+
+async def test_reset_after_an_expectation_ends_its_connection_only(connect):
+    """Guards against a daemon that one caller ends."""
+    handler, server, _ = connect
+    expecting = "content-length: 9\r\nexpect: 100-continue\r\n"
+    stream = ResetStream(head("/0.1", "POST", expecting))
+    await server.serve_stream(stream)
+    assert stream.closed
+    assert handler.started == []
+    assert not server.busy
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        head("/0.1", "CONNECT"),
+        head("/0.1", "HEAD", "content-length: 9\r\n") + b"x",
+        head("/0.1", header_lines="upgrade: h2c\r\nconnection: upgrade\r\n"),
+        head("/0.1", "HEAD"),
+    ],
+)
+async def test_odd_request_ends_its_connection_at_most(autojump_clock, connect, data):
+    """Guards against a daemon that ends because of an unusual request."""
+    _, server, open_connection = connect
+    client = open_connection()
+    await client.send_all(data)
+    with trio.move_on_after(30.0):
+        await read_all(client)
+    assert not server.busy
+    client = open_connection()
+    await client.send_all(head("/0.1"))
+    await read_until(client, b"/0.1\n")
