Never say "not run" to a caller that closed its sending side

A caller that closed only its sending side got "503 the caller has gone" while its order ran to its end.

Cause: the end of the input was taken for the end of the connection, and the response to it was a placeholder that nobody was thought to read.

Ruled out: to serve a half-closed connection to the end. It looks like one whose caller has left, whose requests must not be started any more.

Change: a handler returns no response for a caller that has disconnected, and the connection ends without one. Responses that were ready before are sent; none takes the place of a missing one. Safe runs are aborted as before, orders that have started run on.

--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -136,11 +136,8 @@
 
     async def serve(
         self, request: Request, wait_for_disconnect: WaitForDisconnect
-    ) -> Response:
-        """Return the response to a request.
-
-        The response is a placeholder if the caller has disconnected.
-        """
+    ) -> Response | None:
+        """Return the response to a request, None if the caller has gone."""
         if self._stopping:
             return plain_response(503, "the daemon ends")
         if self._routes is None:
@@ -156,7 +153,7 @@
         request: Request,
         route: RelayRoute,
         wait_for_disconnect: WaitForDisconnect,
-    ) -> Response:
+    ) -> Response | None:
         started_s = self._clock.monotonic()
         service = self._splits.pick(route)
         left_ms = _time_left_ms(request.header(self._header_names.deadline), route)
@@ -179,7 +176,7 @@
         call: Call,
         started_s: float,
         wait_for_disconnect: WaitForDisconnect,
-    ) -> Response:
+    ) -> Response | None:
         while True:
             step = plan.next_step(self._clock.monotonic())
             if isinstance(step, SendTo):
@@ -188,7 +185,7 @@
                 )
                 if answer is None:
                     self._count_request(plan.service, "gone")
-                    return plain_response(503, "the caller has gone")
+                    return None
                 self._count_attempt(call.service, answer.outcome.value)
                 final = plan.on_answer(answer)
                 if final is None:
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -40,10 +40,10 @@
 
     async def __call__(
         self, request: Request, wait_for_disconnect: Callable[[], Awaitable[None]]
-    ) -> Response:
-        """Return the whole response.
+    ) -> Response | None:
+        """Return the whole response, None if the caller has disconnected.
 
-        It is not used once the caller has disconnected.
+        What has become of the request is then unknown.
         """
 
 
@@ -342,17 +342,29 @@
 
     async def _respond(self, exchange: _Exchange) -> None:
         response = await self._server.handler(exchange.request, self._disconnected.wait)
-        if self._server.closing and exchange is self._exchanges[-1]:
-            exchange.closes_connection = self._closing = True
-        exchange.response_bytes = _encode_response(exchange, response)
+        if response is None:
+            self._on_disconnect()
+            exchange.response_bytes = _NO_RESPONSE
+        else:
+            if self._server.closing and self._is_last(exchange):
+                exchange.closes_connection = self._closing = True
+            exchange.response_bytes = _encode_response(exchange, response)
         await self._send_finished()
 
+    def _is_last(self, exchange: _Exchange) -> bool:
+        return bool(self._exchanges) and exchange is self._exchanges[-1]
+
     async def _send_finished(self) -> None:
         """Send finished responses in the order of their requests."""
         async with self._send_lock:
             while self._exchanges and self._exchanges[0].response_bytes is not None:
-                exchange = self._exchanges[0]
-                data = exchange.response_bytes or b""
+                data = self._exchanges[0].response_bytes or _NO_RESPONSE
+                if data == _NO_RESPONSE:
+                    # A caller that has closed only its sending side would take
+                    # the next response for the missing one.
+                    self.abandon()
+                    self._notify_state_change()
+                    return
                 self._server.response_sent(len(data))
                 try:
                     await self._stream.send_all(data)
@@ -368,6 +380,10 @@
         self._state_changed = trio.Event()
 
 
+# Replaces the response to a request whose caller has disconnected.
+_NO_RESPONSE = b""
+
+
 def _describe(errors: BaseExceptionGroup[BaseException]) -> str:
     """Return the first error of a group for the log."""
     error = errors.exceptions[0]
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -4,7 +4,7 @@
 import trio
 from httpcore import ConnectError, NetworkError, RemoteProtocolError
 from relay_builders import make_announcement, make_route
-from relay_fleet import RelayFleet
+from relay_fleet import NAMES, RelayFleet
 
 from catkinhollow.codec import to_plain
 from catkinhollow.generated.relay import MoveOrder, OrderState
@@ -117,6 +117,56 @@
     await fleet.wait_until(lambda: not gate.busy, 1.0)
 
 
+async def send_and_close(fleet, request_id, *, method, close):
+    """Send a request on a connection of its own and close its sending side."""
+    host, _, port = fleet.members["one"].settings.requests.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    head = f"{method} /a/b HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 0\r\n"
+    name = NAMES.request_id.decode()
+    await stream.send_all(f"{head}{name}: {request_id}\r\n\r\n".encode())
+    await close()
+    await stream.send_eof()
+    response = b""
+    with trio.fail_after(5.0):
+        while part := await stream.receive_some(65536):
+            response += part
+    await stream.aclose()
+    return response
+
+
+@pytest.mark.parametrize("kind", ["safe", "download", "unsafe"])
+@pytest.mark.parametrize("running", [False, True])
+async def test_half_closed_caller_is_never_told_that_its_run_has_not_run(
+    fleet, kind, running
+):
+    """Guards against an order that is placed twice after a false refusal."""
+    await start_pair(fleet, kind=kind)
+    target = fleet.members["two"].target
+    target.run_time_s = 0.3
+
+    async def close():
+        if running:
+            await fleet.wait_until(lambda: target.runs)
+
+    response = await send_and_close(fleet, "c1", method="POST", close=close)
+    await fleet.wait_until(lambda: not fleet.members["two"].daemon.gate.busy)
+    assert response == b""
+    if running:
+        assert target.runs == {"c1": 1}
+
+
+async def test_caller_that_half_closes_after_the_answer_has_it(fleet):
+    """Guards against answers that are dropped because a caller closes."""
+    await start_pair(fleet, kind="unsafe")
+
+    async def close():
+        await trio.sleep(0.5)
+
+    response = await send_and_close(fleet, "c1", method="POST", close=close)
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(b"two /a/b\n")
+
+
 async def test_request_ends_at_the_timeout_of_its_route(fleet):
     """Guards against callers that wait longer than the route's timeout."""
     fleet.configure(routes=[make_route(timeout_ms=300.0)])
--- a/tests/relay/test_request_server.py
+++ b/tests/relay/test_request_server.py
@@ -23,6 +23,7 @@
         with trio.move_on_after(float(request.path[1:])):
             await wait_for_disconnect()
             self.disconnected_paths.append(request.path)
+            return None
         return plain_response(200, request.path)
 
 
@@ -97,6 +98,38 @@
     assert handler.disconnected_paths == ["/60.0"]
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_half_closed_connection_ends_without_a_false_refusal(
+    autojump_clock, connect, method
+):
+    """Guards against "not run" for an order that runs.
+
+    The responses that were ready before are still delivered.
+    """
+    handler, server, open_connection = connect
+    client = open_connection()
+    length = "content-length: 0\r\n" if method == "POST" else ""
+    await client.send_all(head("/0.1", method, length) + head("/60.0", method, length))
+    await trio.sleep(1.0)
+    await client.send_eof()
+    data = await read_all(client)
+    assert data.count(b"HTTP/1.1 ") == 1
+    assert data.endswith(b"/0.1\n")
+    assert handler.disconnected_paths == ["/60.0"]
+    assert not server.busy
+
+
+async def test_no_response_takes_the_place_of_a_missing_one(autojump_clock, connect):
+    """Guards against a caller that gets the response to another request."""
+    handler, server, open_connection = connect
+    client = open_connection()
+    await client.send_all(head("/60.0") + head("/0.5"))
+    await trio.sleep(1.0)
+    await client.send_eof()
+    assert await read_all(client) == b""
+    assert not server.busy
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
