Join only parts of the same frame

Cause: the receiver joined the parts of large frames by the address of their sender. After the sender has replaced a link, the old and the new connection are read in turns, and the parts of two frames of the same length alternate.

Change: each part names its frame by a number that is unique in its process; a frame is delivered from its own parts in their order, or not at all. It costs some bytes in each part of 32 KB and nothing for smaller frames. Incomplete frames are bounded by 4 a sender and 24 MB. The closing of the link to a peer no longer drops the parts that come from it.

--- a/catkinhollow/relay/frame_queue.py
+++ b/catkinhollow/relay/frame_queue.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from enum import IntEnum
+from typing import TypeAlias
 
 from attrs import define, field
 
@@ -24,10 +25,19 @@
 
 # Bounds the memory for one frame; bodies are limited to 8 MB.
 MAX_PARTS = 2048
+# Frames of one sender that may be incomplete at the same time. A connection
+# carries the parts of one large frame at a time, and an old connection may
+# still be read beside the new one.
+MAX_PARTIAL_FRAMES = 4
+# Bounds the memory for the incomplete frames of all senders.
+MAX_PARTIAL_BYTES = 24 * 1024 * 1024
 
 
-def split_frame(frame: Frame) -> list[bytes]:
-    """Encode a frame as one or more messages of limited size."""
+def split_frame(frame: Frame, number: int) -> list[bytes]:
+    """Encode a frame as one or more messages of limited size.
+
+    The number tells its parts from those of other frames of this process.
+    """
     data = encode_without_none(frame)
     if len(data) <= MAX_PART_BYTES:
         return [data]
@@ -38,6 +48,7 @@
                 sender=frame.sender,
                 incarnation=frame.incarnation,
                 fragment=Fragment(
+                    frame=number,
                     index=index,
                     last=index == len(starts) - 1,
                     data=data[start : start + MAX_PART_BYTES],
@@ -112,31 +123,66 @@
         self._size_bytes = 0
 
 
+@define(eq=False)
+class _PartialFrame:
+    """Collect the parts of one frame."""
+
+    parts: list[bytes] = field(factory=list)
+    size_bytes: int = 0
+
+
+_FrameKey: TypeAlias = tuple[str, int, int]
+"""Sender, its incarnation, and the number of the frame."""
+
+
 class FrameAssembler:
-    """Join the parts of each sender's frames."""
+    """Join the parts of large frames.
+
+    Parts of several frames of a sender may come in turns: after a link was
+    replaced, the receiver reads its old and its new connection. A frame is
+    delivered whole, from its own parts in their order, or not at all.
+    """
 
     def __init__(self) -> None:
-        self._parts: dict[str, list[bytes]] = {}
+        # The frame whose last part came first is the first one.
+        self._frames: dict[_FrameKey, _PartialFrame] = {}
+        self._size_bytes = 0
 
-    def add(self, sender: str, fragment: Fragment) -> bytes | None:
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the parts of incomplete frames."""
+        return self._size_bytes
+
+    def add(self, sender: str, incarnation: int, fragment: Fragment) -> bytes | None:
         """Return the encoded frame if this part completes it.
 
         Parts of a frame whose beginning was lost with an earlier link are
         dropped.
         """
-        if fragment.index == 0:
-            self._parts[sender] = []
-        parts = self._parts.get(sender)
-        too_large = fragment.index >= MAX_PARTS
-        if parts is None or len(parts) != fragment.index or too_large:
-            self._parts.pop(sender, None)
-            return None
-        parts.append(fragment.data)
-        if not fragment.last:
+        key = (sender, incarnation, fragment.frame)
+        frame = self._frames.pop(key, None)
+        if frame is None:
+            frame = _PartialFrame()
+        if len(frame.parts) != fragment.index or fragment.index >= MAX_PARTS:
+            self._size_bytes -= frame.size_bytes
             return None
-        del self._parts[sender]
-        return b"".join(parts)
-
-    def remove(self, sender: str) -> None:
-        """Drop the parts of a peer whose link is closed."""
-        self._parts.pop(sender, None)
+        frame.parts.append(fragment.data)
+        frame.size_bytes += len(fragment.data)
+        self._size_bytes += len(fragment.data)
+        if fragment.last:
+            self._size_bytes -= frame.size_bytes
+            return b"".join(frame.parts)
+        self._frames[key] = frame
+        self._drop_oldest(sender)
+        return None
+
+    def _drop_oldest(self, sender: str) -> None:
+        """Drop incomplete frames above the limits."""
+        own = [key for key in self._frames if key[0] == sender]
+        for key in own[:-MAX_PARTIAL_FRAMES]:
+            self._drop(key)
+        while self._size_bytes > MAX_PARTIAL_BYTES and len(self._frames) > 1:
+            self._drop(next(iter(self._frames)))
+
+    def _drop(self, key: _FrameKey) -> None:
+        self._size_bytes -= self._frames.pop(key).size_bytes
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from itertools import count
 from math import inf
 from typing import Any, Protocol, TypeAlias
 
@@ -122,6 +123,7 @@
         self._receiver: Callable[[LinkEvent], None] | None = None
         self._token: trio.lowlevel.TrioToken | None = None
         self._assembler = FrameAssembler()
+        self._frame_numbers = count()
         # Addresses of the peers with queued messages, in the order of their
         # turns.
         self._queued: dict[str, None] = {}
@@ -172,7 +174,7 @@
         push = self._pushes.get(address)
         if push is None or not push.up:
             return False
-        messages = split_frame(frame)
+        messages = split_frame(frame, next(self._frame_numbers))
         size_bytes = sum(map(len, messages))
         self._count_sent(address, frame, size_bytes)
         lane = choose_lane(frame, size_bytes)
@@ -225,7 +227,7 @@
         # The receiver gets the parts too, which show that the sender is alive.
         self._emit(frame)
         if frame.fragment is not None:
-            whole = self._assembler.add(frame.sender, frame.fragment)
+            whole = self._assembler.add(frame.sender, frame.incarnation, frame.fragment)
             if whole is not None:
                 self._decode_frame(whole)
 
@@ -343,7 +345,6 @@
         if socket is not None:
             socket.close()
         if was_up:
-            self._assembler.remove(push.address)
             self._emit(LinkDown(address=push.address))
 
     def _emit(self, event: LinkEvent) -> None:
--- a/tests/relay/test_odd_frames.py
+++ b/tests/relay/test_odd_frames.py
@@ -54,7 +54,7 @@
     {"documents": Documents(documents=[DOCUMENT], compressed=b"x")},
     {"announcement": DocumentAnnouncement(versions=[VERSION])},
     {"document_request": DocumentRequest(names=["configuration/main"])},
-    {"fragment": Fragment(index=0, last=True, data=b"\x80")},
+    {"fragment": Fragment(frame=1, index=0, last=True, data=b"\x80")},
 ]
 ODD_VALUES = [
     None,
@@ -130,7 +130,7 @@
         if decoded.is_ok():
             frame = decoded.ok
             if frame.fragment is not None:
-                assembler.add(frame.sender, frame.fragment)
+                assembler.add(frame.sender, frame.incarnation, frame.fragment)
             link.receive(frame)
         await trio.sleep(3.0)
         for _, frame in link.sent:
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -21,6 +21,7 @@
 from tests.control.test_controller_states import RacingControllers  # noqa: E402
 from tests.mesh.test_dissemination import MeshMachine  # noqa: E402
 from tests.relay.test_document_flood import FloodMachine  # noqa: E402
+from tests.relay.test_frame_queue import LinkMachine  # noqa: E402
 from tests.relay.test_odd_frames import ODD_FRAMES, play_frame  # noqa: E402
 from tests.relay.test_remote_calls import CallMachine  # noqa: E402
 from tests.testbed.test_store_state import StoreMachine  # noqa: E402
@@ -35,6 +36,7 @@
     SlotMachine,
     FloodMachine,
     CallMachine,
+    LinkMachine,
 )
 ODD_FRAMES_PER_ROUND = 500
 # Small enough that every state machine runs within a minute.
