Place downloads by the wait for the link of the gate

Load: downloads of 90 KB at targets whose instances have links of 5.5 Mbit/s, seven a second each.

Change: a gate reports how long a body waits for its link. The placer counts this wait for calls with large answers, and the gate refuses a call at once whose answer would come too late. A body that waits beyond the deadline of its call is not sent. Reports in answers that waited no longer replace newer ones.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -160,8 +160,12 @@
         client = HttpTargetClient(
             HttpSettings(), make_classifier(self._header_names), IDLE_EXPIRY_S
         )
+        self._pacer = LinkPacer(settings.link_mbps)
+        self._link = NngFrameLink(
+            settings.peer, self._timer, self._pacer, self._count_sent
+        )
         self._gate = GateService(
-            gate=Gate(awaits_history=True),
+            gate=Gate(awaits_history=True, link_wait_s=lambda: self._link.backlog_s),
             address=settings.target,
             service=settings.service,
             client=client,
@@ -171,10 +175,6 @@
             on_state_change=self._on_gate_state_change,
             on_run_failure=self._on_run_failure,
         )
-        self._pacer = LinkPacer(settings.link_mbps)
-        self._link = NngFrameLink(
-            settings.peer, self._timer, self._pacer, self._count_sent
-        )
         self._plan = LinkPlan(self._directory)
         self._election = FollowerElection(self._directory, self._clock.monotonic())
         self._network = PeerNetwork(
@@ -434,6 +434,7 @@
         metrics.gate_calls.set({"state": "running"}, gate.running)
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
         metrics.dials.set({}, self._link.counters.dials)
+        metrics.link_wait_seconds.set({}, self._link.backlog_s)
         linked = sum(peer.linked for peer in self._directory) - 1
         missing = sum(peer.missing_since_s < inf for peer in self._directory)
         metrics.peers.set({"state": "linked"}, linked)
--- a/catkinhollow/relay/frame_queue.py
+++ b/catkinhollow/relay/frame_queue.py
@@ -9,20 +9,18 @@
 
 from collections import deque
 from enum import IntEnum
+from math import inf
 from typing import TypeAlias
 
 from attrs import define, field
 
 from catkinhollow.codec import encode_without_none
 from catkinhollow.generated.relay import Fragment, Frame
+from catkinhollow.relay.link_pacer import MIN_BULK_BYTES
 
 # A link of 5 Mbit/s transfers one part in 50 ms.
 MAX_PART_BYTES = 32 * 1024
 
-# Calls and answers above this size are bulk data. Smaller ones are few
-# milliseconds of a slow link.
-MIN_BULK_BYTES = 4096
-
 # Bounds the memory for one frame; bodies are limited to 8 MB.
 MAX_PARTS = 2048
 # Frames of one sender that may be incomplete at the same time. A connection
@@ -77,11 +75,25 @@
     return Lane.BULK if has_body and size_bytes > MIN_BULK_BYTES else Lane.CONTROL
 
 
+@define(eq=False)
+class _QueuedFrame:
+    """Hold the messages of one frame that were not sent yet."""
+
+    messages: deque[bytes]
+    expires_s: float
+    started: bool
+    """Whether some of its messages were sent."""
+
+    @property
+    def size_bytes(self) -> int:
+        return sum(map(len, self.messages))
+
+
 @define(eq=False)
 class FrameQueue:
     """Queue the encoded messages to one peer by lane."""
 
-    _lanes: tuple[deque[bytes], ...] = field(
+    _lanes: tuple[deque[_QueuedFrame], ...] = field(
         factory=lambda: tuple(deque() for _ in Lane)
     )
     _size_bytes: int = 0
@@ -103,23 +115,50 @@
         """Return whether a new message of a lane would have to wait."""
         return any(self._lanes[: lane + 1])
 
-    def append(self, messages: list[bytes], lane: Lane) -> None:
-        """Queue the messages of one frame."""
-        self._lanes[lane].extend(messages)
-        self._size_bytes += sum(map(len, messages))
+    def append(
+        self,
+        messages: list[bytes],
+        lane: Lane,
+        *,
+        expires_s: float = inf,
+        started: bool = False,
+    ) -> None:
+        """Queue the messages of one frame, some of which may have been sent.
+
+        A frame that has not been started at the given time is not sent.
+        """
+        frame = _QueuedFrame(deque(messages), expires_s, started)
+        self._lanes[lane].append(frame)
+        self._size_bytes += frame.size_bytes
 
     def peek(self) -> bytes:
         """Return the message to send next."""
-        return self._lanes[self.lane][0]
+        return self._lanes[self.lane][0].messages[0]
 
     def pop(self) -> None:
         """Remove the message that `peek` returns."""
-        self._size_bytes -= len(self._lanes[self.lane].popleft())
+        frames = self._lanes[self.lane]
+        frame = frames[0]
+        self._size_bytes -= len(frame.messages.popleft())
+        frame.started = True
+        if not frame.messages:
+            frames.popleft()
+
+    def drop_expired(self, now_s: float) -> int:
+        """Drop the frames that nobody waits for; return their number."""
+        dropped = 0
+        for frames in self._lanes:
+            for frame in [one for one in frames if one.expires_s <= now_s]:
+                if not frame.started:
+                    frames.remove(frame)
+                    self._size_bytes -= frame.size_bytes
+                    dropped += 1
+        return dropped
 
     def clear(self) -> None:
         """Drop all messages."""
-        for messages in self._lanes:
-            messages.clear()
+        for frames in self._lanes:
+            frames.clear()
         self._size_bytes = 0
 
 
--- a/catkinhollow/relay/gate.py
+++ b/catkinhollow/relay/gate.py
@@ -10,6 +10,7 @@
 that is known.
 """
 
+from collections.abc import Callable
 from math import inf
 
 from attrs import define, field
@@ -26,6 +27,7 @@
     Refused,
 )
 from catkinhollow.relay.gate_rates import ArrivalRate, estimate_overtaken_wait_s
+from catkinhollow.relay.link_pacer import MIN_BULK_BYTES
 from catkinhollow.relay.token_bucket import TokenBucket
 
 # Run time that is assumed until the first run has ended.
@@ -100,6 +102,8 @@
     """Calls per second that the target can serve while it is cold."""
     awaits_history: bool = False
     """Whether earlier departures at the address are still unknown."""
+    link_wait_s: Callable[[], float] = lambda: 0.0
+    """Return how long the body of an answer waits for the link."""
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -121,6 +125,8 @@
     """Number of runs of the target's version in the average run time."""
     _route_run_time_s: dict[str, float] = field(factory=dict)
     """Average run time of each route."""
+    _route_answer_bytes: dict[str, float] = field(factory=dict)
+    """Average size of the answers of each route."""
     _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
     """Arrival rate of each urgency: the rank and latency of the calls."""
     _departed_lifetimes: dict[str, int] = field(factory=dict)
@@ -177,6 +183,8 @@
             running=len(self._running),
             waiting=len(self._waiting),
             service_ms=self._run_time_s * 1000.0,
+            transfer_ms=self.link_wait_s() * 1000.0,
+            taken_ms=int(now_s * 1000),
             runs=target.runs if target else 0,
             failures=target.failures if target else 0,
         )
@@ -243,6 +251,14 @@
         self._waiting.remove(job)
         return True
 
+    def record_answer(self, job: GateJob, size_bytes: int) -> None:
+        """Learn the size of the answers of a route."""
+        route = job.call.route
+        mean_bytes = self._route_answer_bytes.get(route, size_bytes)
+        self._route_answer_bytes[route] = mean_bytes + MIN_RUN_WEIGHT * (
+            size_bytes - mean_bytes
+        )
+
     def finish(
         self, job: GateJob, kind: AttemptKind, status: int, now_s: float
     ) -> None:
@@ -396,6 +412,10 @@
     def _expected_run_s(self, job: GateJob) -> float:
         return self._route_run_time_s.get(job.call.route, self._run_time_s)
 
+    def _expected_transfer_s(self, job: GateJob) -> float:
+        answer_bytes = self._route_answer_bytes.get(job.call.route, 0.0)
+        return self.link_wait_s() if answer_bytes > MIN_BULK_BYTES else 0.0
+
     def _mean_running_s(self) -> float:
         """Return the mean expected run time of the calls at the target."""
         total_s = sum(self._expected_run_s(job) for job in self._running)
@@ -441,9 +461,10 @@
 
         A call whose run takes longer than the time to its soft deadline is
         checked against its deadline only. The deadline may come first, and
-        the daemon that would cancel the call at it may have ended.
+        the daemon that would cancel the call at it may have ended. An answer
+        with a large body also waits for the link.
         """
-        run_s = self._expected_run_s(job)
+        run_s = self._expected_run_s(job) + self._expected_transfer_s(job)
         soft_deadline_s = min(job.soft_deadline_s, job.deadline_s)
         soft_budget_s = soft_deadline_s - job.arrived_s
         if run_s < soft_budget_s:
--- a/catkinhollow/relay/gate_service.py
+++ b/catkinhollow/relay/gate_service.py
@@ -272,6 +272,8 @@
         now_s = self._clock.monotonic()
         self._gate.finish(job, attempt.kind, attempt.status, now_s)
         self._submissions.pop(job, None)
+        if attempt.response is not None:
+            self._gate.record_answer(job, len(attempt.response.body))
         if attempt.kind is not AttemptKind.ANSWERED:
             self._log.run_failed(job.call, attempt, job.lifetime)
         self._answer(submission, self._build_answer(job.call, attempt, now_s))
--- a/catkinhollow/relay/link_pacer.py
+++ b/catkinhollow/relay/link_pacer.py
@@ -12,6 +12,9 @@
 
 from attrs import define, field
 
+# Calls and answers above this size are bulk data. Smaller ones take a few
+# milliseconds of a slow link.
+MIN_BULK_BYTES = 4096
 # Share of the link that paced data may use; the rest is left for headers, and
 # for the link to empty its queue.
 PACED_SHARE = 0.9
@@ -48,6 +51,10 @@
         self._update(now_s)
         return max(0.0, -self._credit / self._bytes_per_s)
 
+    def transfer_s(self, size_bytes: int, now_s: float) -> float:
+        """Return the time until this much queued data has been sent."""
+        return self.wait_s(now_s) + size_bytes / self._bytes_per_s
+
     def sent(self, size_bytes: int, now_s: float) -> None:
         """Record data of any kind that was sent."""
         if self._bytes_per_s == inf:
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -74,8 +74,11 @@
     def contacted(self, address: str) -> None:
         """Connect to a peer again soon, because it has sent a frame."""
 
-    def send(self, address: str, frame: Frame) -> bool:
-        """Send a frame; return False if no byte of it will be sent."""
+    def send(self, address: str, frame: Frame, expires_s: float = inf) -> bool:
+        """Send a frame; return False if no byte of it will be sent.
+
+        A frame that still waits at the given time is dropped.
+        """
 
     @property
     def progress(self) -> dict[str, float]:
@@ -140,6 +143,14 @@
         pushes = (self._pushes[address] for address in self._queued)
         return {push.address: push.progress_s for push in pushes}
 
+    @property
+    def backlog_s(self) -> float:
+        """Return how long a further body waits for the link, in seconds."""
+        size_bytes = sum(
+            self._pushes[address].queue.size_bytes for address in self._queued
+        )
+        return self._pacer.transfer_s(size_bytes, self._clock.monotonic())
+
     def connect(self, address: str) -> None:
         """Maintain a connection to a peer until `disconnect` is called."""
         if address not in self._pushes:
@@ -169,8 +180,11 @@
             self._close(push)
             self._dial(push)
 
-    def send(self, address: str, frame: Frame) -> bool:
-        """Send a frame; return False if no byte of it will be sent."""
+    def send(self, address: str, frame: Frame, expires_s: float = inf) -> bool:
+        """Send a frame; return False if no byte of it will be sent.
+
+        A frame that still waits at the given time is dropped.
+        """
         push = self._pushes.get(address)
         if push is None or not push.up:
             return False
@@ -181,12 +195,18 @@
         if frame.cancel is not None and push.queue.has_before(Lane.BULK):
             # It must not arrive before its call.
             lane = Lane.BULK
-        while messages and not push.queue.has_before(lane):
-            if not self._may_send(lane) or not self._try_send(push, messages[0]):
+        count_sent = 0
+        while count_sent < len(messages) and not push.queue.has_before(lane):
+            if not self._may_send(lane):
                 break
-            messages.pop(0)
-        if messages:
-            self._enqueue(push, messages, lane)
+            if not self._try_send(push, messages[count_sent]):
+                break
+            count_sent += 1
+        if count_sent < len(messages) and self._make_room(push):
+            rest = messages[count_sent:]
+            push.queue.append(rest, lane, expires_s=expires_s, started=count_sent > 0)
+            self._queued[push.address] = None
+            self._schedule_flush()
         return push.up
 
     async def run(self, receiver: Callable[[LinkEvent], None]) -> None:
@@ -247,14 +267,13 @@
         self._pacer.sent(len(data), self._clock.monotonic())
         return True
 
-    def _enqueue(self, push: _PushLink, messages: list[bytes], lane: Lane) -> None:
-        if push.queue.size_bytes > _MAX_QUEUE_BYTES:
-            logger.warning("link reset, peer reads too slowly", peer=push.address)
-            self.reset(push.address)
-            return
-        push.queue.append(messages, lane)
-        self._queued[push.address] = None
-        self._schedule_flush()
+    def _make_room(self, push: _PushLink) -> bool:
+        """Reset the link if its queue is full; return whether it is not."""
+        if push.queue.size_bytes <= _MAX_QUEUE_BYTES:
+            return True
+        logger.warning("link reset, peer reads too slowly", peer=push.address)
+        self.reset(push.address)
+        return False
 
     def _schedule_flush(self) -> None:
         if not self._flushing:
@@ -273,6 +292,10 @@
     def _flush_one(self, address: str) -> bool:
         """Send one queued message; return whether another one may follow."""
         push = self._pushes[address]
+        push.queue.drop_expired(self._clock.monotonic())
+        if not push.queue:
+            del self._queued[address]
+            return False
         if not self._may_send(push.queue.lane):
             return False
         if not self._try_send(push, push.queue.peek()):
--- a/catkinhollow/relay/peer_sender.py
+++ b/catkinhollow/relay/peer_sender.py
@@ -66,13 +66,13 @@
         own = self._directory.own.record
         return peer is not None and peer.record.failure_domain == own.failure_domain
 
-    def send_call(self, address: str, call: Call) -> bool:
-        """Send a call to a gate."""
-        return self._link.send(address, self._frame(call=call))
+    def send_call(self, address: str, call: Call, expires_s: float) -> bool:
+        """Send a call to a gate, unless it waits beyond the given time."""
+        return self._link.send(address, self._frame(call=call), expires_s)
 
-    def send_answer(self, address: str, answer: Answer) -> bool:
-        """Send the answer to a call."""
-        return self._link.send(address, self._frame(answer=answer))
+    def send_answer(self, address: str, answer: Answer, expires_s: float) -> bool:
+        """Send the answer to a call, unless it waits beyond the given time."""
+        return self._link.send(address, self._frame(answer=answer), expires_s)
 
     def send_cancel(self, address: str, cancel: Cancel) -> bool:
         """Cancel a call."""
--- a/catkinhollow/relay/peers.py
+++ b/catkinhollow/relay/peers.py
@@ -38,7 +38,13 @@
     """Latest departure of its target, which it forgets if it is restarted."""
 
     def update_report(self, report: TargetReport, now_s: float) -> None:
-        """Replace the report of the peer's gate about its target."""
+        """Replace the report of the peer's gate about its target.
+
+        The report in an answer whose body waited for the link may be older
+        than that of a status.
+        """
+        if self.report is not None and 0 < report.taken_ms < self.report.taken_ms:
+            return
         self.report = report
         self.reported_s = now_s
         self.sent_since_report = 0
--- a/catkinhollow/relay/placement.py
+++ b/catkinhollow/relay/placement.py
@@ -16,6 +16,7 @@
 from attrs import frozen
 
 from catkinhollow.generated.relay import GateState, TargetReport
+from catkinhollow.relay.link_pacer import MIN_BULK_BYTES
 from catkinhollow.relay.peers import Peer
 from catkinhollow.timer import Clock
 
@@ -97,6 +98,8 @@
     load: float
     """Estimated number of running and waiting calls."""
     freshness: float
+    transfer_ms: float
+    """Expected wait of the answer for the link of the gate's instance."""
 
     @property
     def slots(self) -> int:
@@ -108,8 +111,9 @@
 
     @property
     def wait_ms(self) -> float:
-        """Return the expected wait for a slot."""
-        return self.service_ms * max(0.0, self.load + 1 - self.slots) / self.slots
+        """Return the expected wait for a slot, and of the answer."""
+        excess = max(0.0, self.load + 1 - self.slots)
+        return self.service_ms * excess / self.slots + self.transfer_ms
 
 
 class LeastWaitPlacer:
@@ -144,16 +148,21 @@
         ]
         best = self._choose_new(available, now_s)
         if best is None and available:
-            nearest = self._find_nearest(self._estimate(available, now_s), profile)
+            estimated = self._estimate(available, profile, now_s)
+            nearest = self._find_nearest(estimated, profile)
             best = min(nearest, key=self._cost_ms).peer
         if best is not None:
             best.last_called_s = now_s
         return best
 
     def _estimate(
-        self, available: Sequence[tuple[Peer, TargetReport]], now_s: float
+        self,
+        available: Sequence[tuple[Peer, TargetReport]],
+        profile: CallProfile,
+        now_s: float,
     ) -> list[_Candidate]:
         mean_utilization = _mean_utilization(available)
+        has_body = profile.answer_kb * 1024 > MIN_BULK_BYTES
         candidates = []
         for peer, report in available:
             freshness = exp((peer.reported_s - now_s) / REPORT_MEMORY_S)
@@ -162,7 +171,8 @@
             load += UNREPORTED_WEIGHT * peer.sent_since_report
             if report.state is GateState.COLD:
                 load = load * COLD_FACTOR + 1
-            candidates.append(_Candidate(peer, report, load, freshness))
+            transfer_ms = freshness * report.transfer_ms if has_body else 0.0
+            candidates.append(_Candidate(peer, report, load, freshness, transfer_ms))
         return candidates
 
     def _find_nearest(
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -64,6 +64,11 @@
             registry=registry,
         )
 
+        self.link_wait_seconds = Gauge(
+            "catkinhollow_relay_link_wait_seconds",
+            "Time that the body of a further answer waits for the link",
+            registry=registry,
+        )
         self.connection_failures = Counter(
             "catkinhollow_relay_connection_failures_total",
             "Connections of callers that ended with an unexpected error",
--- a/catkinhollow/relay/remote_calls.py
+++ b/catkinhollow/relay/remote_calls.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from math import inf
 from typing import Protocol, TypeAlias
 
 from catkinhollow.generated.relay import Answer, Call, CallOutcome, Cancel, Status
@@ -36,11 +37,17 @@
 class CallLink(Protocol):
     """Send the messages that calls need."""
 
-    def send_call(self, address: str, call: Call) -> bool:
-        """Send a call; return False if no byte of it will be sent."""
+    def send_call(self, address: str, call: Call, expires_s: float) -> bool:
+        """Send a call; return False if no byte of it will be sent.
 
-    def send_answer(self, address: str, answer: Answer) -> bool:
-        """Send an answer; return False if no byte of it will be sent."""
+        A call that still waits at the given time is dropped.
+        """
+
+    def send_answer(self, address: str, answer: Answer, expires_s: float) -> bool:
+        """Send an answer; return False if no byte of it will be sent.
+
+        An answer that still waits at the given time is dropped.
+        """
 
     def send_cancel(self, address: str, cancel: Cancel) -> bool:
         """Send a cancellation; return False if no byte of it will be sent."""
@@ -99,7 +106,8 @@
         none after `cancel`.
         """
         opened = self._exchanges.open(call.call_id, address, on_answer)
-        if not self._link.send_call(address, call):
+        expires_s = self._clock.monotonic() + call.budget_ms / 1000.0
+        if not self._link.send_call(address, call, expires_s):
             self._exchanges.remove(opened)
             on_answer(_not_run(call.call_id, "no link to the gate"))
         return opened
@@ -120,7 +128,7 @@
         def send_answer(answer: Answer) -> None:
             self._incoming.pop(key, None)
             self._answers.add(sender, answer, self._clock.monotonic(), deadline_s)
-            self._link.send_answer(sender, answer)
+            self._link.send_answer(sender, answer, deadline_s)
 
         submission = self._gate.submit(call, send_answer)
         if not submission.answered:
@@ -152,7 +160,7 @@
         """Send the answers again that may have been lost with the old link."""
         now_s = self._clock.monotonic()
         for answer in self._answers.take_unconfirmed(address, now_s):
-            self._link.send_answer(address, answer)
+            self._link.send_answer(address, answer, inf)
 
     def link_down(self, address: str) -> None:
         """Give the peer a moment to come back before its calls are lost."""
@@ -206,7 +214,7 @@
             else:
                 self._refused_s[key] = now_s
                 answer = _not_run(call_id, "lost with its link")
-            self._link.send_answer(sender, answer)
+            self._link.send_answer(sender, answer, inf)
 
     def _expire_refused(self, now_s: float) -> None:
         self._refused_s = {
--- a/tests/relay/test_frame_queue.py
+++ b/tests/relay/test_frame_queue.py
@@ -72,6 +72,22 @@
     assert queue.size_bytes == 0
 
 
+def test_answer_that_nobody_waits_for_is_not_sent():
+    """Guards against a full link that carries answers to closed requests.
+
+    A frame whose transfer has begun is completed.
+    """
+    queue = FrameQueue()
+    begun, late, open_ = (split(make_frame(100_000, n)) for n in (1, 2, 3))
+    queue.append(begun[1:], Lane.BULK, expires_s=1.0, started=True)
+    queue.append(late, Lane.BULK, expires_s=1.0)
+    queue.append(open_, Lane.BULK, expires_s=5.0)
+    assert queue.drop_expired(0.9) == 0
+    assert queue.drop_expired(1.0) == 1
+    assert drain(queue) == [*begun[1:], *open_]
+    assert queue.size_bytes == 0
+
+
 def test_documents_and_small_frames_go_before_bodies():
     """Guards against a configuration that waits behind downloads."""
     documents = Frame(sender="p:1", incarnation=1, documents=Documents())
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -76,6 +76,19 @@
     assert [type(decision) for decision in gate.decide(0.55)] == [Refused]
 
 
+def test_call_whose_answer_would_wait_too_long_for_the_link_is_refused():
+    """Guards against downloads that run and miss the deadline on the link."""
+    gate = make_gate(slots=1, link_wait_s=lambda: 0.8)
+    download = make_job(call_id=1, route="download", deadline_s=0.9)
+    gate.record_answer(download, 90_000)
+    fill_slots(gate)
+    assert isinstance(gate.offer(download, 0.0), Refused)
+    lookup = make_job(call_id=2, route="lookup", deadline_s=0.9)
+    gate.record_answer(lookup, 400)
+    assert isinstance(gate.offer(lookup, 0.0), Queued)
+    assert gate.report(0.0).transfer_ms == 800.0
+
+
 def test_short_lookup_goes_before_new_long_work_of_its_rank():
     """Guards against lookups that miss their deadline behind new long work."""
     gate = make_gate(slots=9)
--- a/tests/relay/test_peer_directory.py
+++ b/tests/relay/test_peer_directory.py
@@ -1,5 +1,7 @@
 """Tests of the directory of daemons and of the network between them."""
 
+from math import inf
+
 import trio
 from attrs import evolve
 from relay_builders import (
@@ -8,6 +10,7 @@
     make_call,
     make_gate,
     make_peer,
+    make_report,
 )
 
 from catkinhollow.clock import TrioClock
@@ -54,7 +57,7 @@
     def reset(self, address):
         self.resets.append(address)
 
-    def send(self, address, frame):
+    def send(self, address, frame, expires_s=inf):
         if address in self.unreachable:
             return False
         self.sent.append((address, frame))
@@ -101,6 +104,16 @@
     assert directory.by_address("one:1") is peer
 
 
+def test_report_that_waited_for_the_link_does_not_replace_a_newer_one():
+    """Guards against calls that are placed by the load of a second ago."""
+    peer = make_peer("one")
+    peer.update_report(make_report(running=1, taken_ms=2000), 2.1)
+    peer.update_report(make_report(running=9, taken_ms=1000), 2.2)
+    assert peer.report.running == 1
+    peer.update_report(make_report(running=2, taken_ms=2100), 2.3)
+    assert peer.report.running == 2
+
+
 def test_changed_record_keeps_the_link_to_its_daemon():
     """Guards against calls that fail because a target has departed."""
     directory = make_directory("one")
--- a/tests/relay/test_remote_calls.py
+++ b/tests/relay/test_remote_calls.py
@@ -68,10 +68,10 @@
         self.up = True
         self.lossy = False
 
-    def send_call(self, address, call):
+    def send_call(self, address, call, expires_s):
         return self._send("handle_call", call)
 
-    def send_answer(self, address, answer):
+    def send_answer(self, address, answer, expires_s):
         return self._send("handle_answer", answer)
 
     def send_cancel(self, address, cancel):
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -60,8 +60,10 @@
     return Announcement(**values)
 
 
-def make_gate(now_s=0.0, *, slots=2, cold_calls_per_s=10.0, **changes):
-    gate = Gate(cold_calls_per_s=cold_calls_per_s)
+def make_gate(
+    now_s=0.0, *, slots=2, cold_calls_per_s=10.0, link_wait_s=lambda: 0.0, **changes
+):
+    gate = Gate(cold_calls_per_s=cold_calls_per_s, link_wait_s=link_wait_s)
     gate.announce(make_announcement(slots=slots, **changes), now_s)
     return gate
 
