Replace a watch of the store that has lost its answer

A follower learnt of it after 28 s, when the wait of the watch and the timeout of the call were over.

Change: a change that a peer sends is expected from the own watch as well. After 2 s without it the call is ended and the watch starts again from its last revision. Followers make no more calls at rest, nor when peers are faster by less than that; if the watches of all followers lose an answer at the same time, the limit is still 28 s.

The test needs the new call and could not pass before.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -29,7 +29,7 @@
 )
 from catkinhollow.relay.document_handler import DocumentHandler, DocumentValidator
 from catkinhollow.relay.document_sync import DocumentChanged
-from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.documents import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.follower_election import FollowerElection
 from catkinhollow.relay.gate import Gate
 from catkinhollow.relay.gate_service import GateService
@@ -398,6 +398,8 @@
 
     def _on_document(self, event: DocumentChanged) -> None:
         kind, _, name = event.document.name.partition("/")
+        if event.source != STORE_SOURCE and not event.document.deleted:
+            self._follower.expect(kind, event.document.revision)
         if kind == CONFIGURATION:
             self._follower.set_configured()
         elif kind == DAEMONS and name == self._settings.instance:
--- a/catkinhollow/relay/documents.py
+++ b/catkinhollow/relay/documents.py
@@ -29,6 +29,8 @@
 # 1 s for all documents; more requests at the same time would delay them.
 REQUEST_TIMEOUT_S = 2.0
 EMPTY_DIGEST = 0
+# Source of a document that comes from the store, not from a peer.
+STORE_SOURCE = "store"
 
 
 @define
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -10,16 +10,17 @@
 from typing import Any, Protocol
 
 import trio
-from expression import Result
+from attrs import define, field
+from expression import Error, Result
 
 from catkinhollow.codec import try_encode_message
 from catkinhollow.configuration.backoff import Backoff
 from catkinhollow.configuration.store import StoreClient
-from catkinhollow.errors import DecodeError, StoreError
+from catkinhollow.errors import DecodeError, StoreError, StoreErrorKind
 from catkinhollow.generated.relay import Document
 from catkinhollow.generated.store import ObjectList, StoredObject
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.documents import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.kinds import DAEMONS, KINDS
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.timer import Clock
@@ -41,6 +42,10 @@
 # News of the store from this time after a failure show that others reach it;
 # earlier news may be older than they seem, as statuses wait on full links.
 FRESH_NEWS_S = 1.0
+# A watch is dead if a peer had a change for this long that the watch has not
+# returned. The store may lose an answer without closing its connection, and a
+# large object on a slow link takes about 1 s.
+DEAD_WATCH_S = 2.0
 # Interval of the checks whether this daemon should follow the store.
 ELECTION_INTERVAL_S = 0.5
 # Time after its start in which a daemon may get the configuration from a peer
@@ -74,6 +79,31 @@
         """Return whether a daemon is known to have reached the store later."""
 
 
+@define(eq=False)
+class _FollowedKind:
+    """Track what the own calls and the peers have told about a kind."""
+
+    revision: int | None = None
+    """Revision up to which the store has told all changes."""
+    missing_revision: int = 0
+    """Newest revision that a peer has sent."""
+    missing_since_s: float = inf
+    """When a peer sent the first change that the store has not told."""
+    call: trio.CancelScope = field(factory=trio.CancelScope)
+
+    def set_revision(self, revision: int) -> None:
+        """Record the answer to a call."""
+        self.revision = revision
+        if revision >= self.missing_revision:
+            self.missing_since_s = inf
+
+    def expect(self, revision: int, now_s: float) -> None:
+        """Record a change that a peer has sent."""
+        if self.revision is not None and revision > self.revision:
+            self.missing_revision = max(self.missing_revision, revision)
+            self.missing_since_s = min(self.missing_since_s, now_s)
+
+
 class StoreFollower:
     """Pass on the changes of the followed kinds while that is its role."""
 
@@ -98,6 +128,7 @@
         self._random = random
         self._metrics = metrics
         self._reachable: dict[str, bool] = {}
+        self._followed: dict[str, _FollowedKind] = {}
         self._following = False
         self._configured = trio.Event()
         self._daemons_listed = trio.Event()
@@ -118,6 +149,12 @@
         """Record that a configuration is in force."""
         self._configured.set()
 
+    def expect(self, kind: str, revision: int) -> None:
+        """Expect a change that a peer has sent from the own watch as well."""
+        followed = self._followed.get(kind)
+        if followed is not None:
+            followed.expect(revision, self._clock.monotonic())
+
     async def run(self) -> None:
         """Find the other daemons, then follow the store as long as needed."""
         await self._find_daemons()
@@ -168,12 +205,23 @@
         return True
 
     async def _follow_while_needed(self) -> None:
+        self._followed = {kind: _FollowedKind() for kind in KINDS}
         async with trio.open_nursery() as nursery:
-            for kind in KINDS:
-                nursery.start_soon(self._follow, kind)
+            for kind, followed in self._followed.items():
+                nursery.start_soon(self._follow, kind, followed)
             while self._is_needed():
                 await trio.sleep(ELECTION_INTERVAL_S)
+                self._end_dead_watches()
             nursery.cancel_scope.cancel()
+        self._followed.clear()
+
+    def _end_dead_watches(self) -> None:
+        now_s = self._clock.monotonic()
+        for kind, followed in self._followed.items():
+            if now_s - followed.missing_since_s > DEAD_WATCH_S:
+                logger.warning("dead watch ended", kind=kind)
+                followed.missing_since_s = inf
+                followed.call.cancel()
 
     def _new_backoff(self) -> Backoff:
         return Backoff(base_s=RETRY_BASE_S, max_s=RETRY_MAX_S, random=self._random)
@@ -189,20 +237,16 @@
             return max(delay_s, self._random.uniform(0.5, 1.0) * QUIET_RETRY_S)
         return delay_s
 
-    async def _follow(self, kind: str) -> None:
+    async def _follow(self, kind: str, followed: _FollowedKind) -> None:
         backoff = self._new_backoff()
-        revision: int | None = None
         lost_s = inf
         # Objects that change faster than their versions arrive. A watch would
         # return each version, a listing returns the newest one only.
         fast_changing: dict[str, int] = {}
         while True:
-            if revision is None or fast_changing:
-                result = await self._store.list_objects(kind)
-            else:
-                result = await self._store.watch(
-                    kind, after=revision, wait_s=WATCH_TIMEOUT_S
-                )
+            result = await self._call_store(
+                kind, followed, is_listing=bool(fast_changing)
+            )
             if result.is_error():
                 self._record_failure(kind, result.error.reason)
                 lost_s = min(lost_s, self._clock.monotonic())
@@ -212,10 +256,23 @@
             backoff.reset()
             self._record_success(kind)
             fast_changing = self._find_fast_changing(result.ok, fast_changing)
-            revision = self._apply_listing(kind, result.ok)
+            followed.set_revision(self._apply_listing(kind, result.ok))
             if kind == DAEMONS and result.ok.objects:
                 await trio.sleep(RECORDS_PAUSE_S)
 
+    async def _call_store(
+        self, kind: str, followed: _FollowedKind, *, is_listing: bool
+    ) -> Result[ObjectList, StoreError]:
+        """Watch a kind, or list it if changes may have been missed."""
+        with trio.CancelScope() as followed.call:
+            if followed.revision is None or is_listing:
+                return await self._store.list_objects(kind)
+            return await self._store.watch(
+                kind, after=followed.revision, wait_s=WATCH_TIMEOUT_S
+            )
+        error = StoreError(kind=StoreErrorKind.UNAVAILABLE, reason="no answer")
+        return Error(error)
+
     def _find_fast_changing(
         self, listing: ObjectList, known: dict[str, int]
     ) -> dict[str, int]:
@@ -241,7 +298,7 @@
             names = {f"{kind}/{stored.name}" for stored in listing.objects}
             deletions = self._table.find_deletions(kind, names, listing.revision)
             for document in deletions:
-                self._on_document(document, "store")
+                self._on_document(document, STORE_SOURCE)
         return listing.revision
 
     def apply_object(self, stored: StoredObject) -> None:
@@ -262,7 +319,7 @@
         document = Document(
             name=name, revision=stored.revision, deleted=stored.deleted, body=body
         )
-        self._on_document(document, "store")
+        self._on_document(document, STORE_SOURCE)
 
     def _record_failure(self, kind: str, reason: str) -> None:
         self._metrics.store_failures.inc({"kind": kind})
--- a/tests/relay/test_store_follower.py
+++ b/tests/relay/test_store_follower.py
@@ -19,7 +19,7 @@
 from catkinhollow.relay.follower_election import FollowerElection
 from catkinhollow.relay.peers import PeerDirectory
 from catkinhollow.relay.relay_metrics import RelayMetrics
-from catkinhollow.relay.store_follower import StoreFollower
+from catkinhollow.relay.store_follower import DEAD_WATCH_S, StoreFollower
 
 RECORD = DaemonRecord(
     name="other", address="other:1", failure_domain="a", region="r", service="stock"
@@ -138,6 +138,7 @@
             follower.set_configured()
 
     store.on_document = on_document
+    store.expect = lambda kind, revision: follower.expect(kind, revision)
     follower = StoreFollower(
         store=store,
         decode=decode,
@@ -237,6 +238,61 @@
         assert enforced[version] - now_s <= 1.0, version
 
 
+class SilentStore(SlowLinkStore):
+    """Lose the answers to the watches that wait while it is silent."""
+
+    def __init__(self):
+        super().__init__(transfer_s=0.0)
+        self.silent = False
+
+    async def watch(self, kind, *, after, wait_s):
+        result = await super().watch(kind, after=after, wait_s=wait_s)
+        if self.silent:
+            await trio.sleep_forever()
+        return result
+
+
+async def test_watch_whose_answer_was_lost_is_replaced_soon(
+    nursery, table, autojump_clock
+):
+    """Guards against a follower that the next change does not reach either.
+
+    The store keeps the connection open, so that only a peer that has the
+    change shows that an answer was lost.
+    """
+    store = SilentStore()
+    store.write("configuration", "main", to_plain(make_configuration(1)))
+    enforced = start_follower(nursery, store, table, autojump_clock)
+    await trio.sleep(1.0)
+    store.silent = True
+    lost = store.write("configuration", "main", to_plain(make_configuration(2)))
+    await trio.sleep(0.1)
+    store.silent = False
+    store.expect("configuration", lost.revision)
+    await trio.sleep(DEAD_WATCH_S + 1.0)
+    assert 2 in enforced
+    written_s = trio.current_time()
+    store.write("configuration", "main", to_plain(make_configuration(3)))
+    await trio.sleep(1.0)
+    assert enforced[3] - written_s <= 0.1
+
+
+async def test_changes_that_peers_send_first_cost_no_call(
+    nursery, table, autojump_clock
+):
+    """Guards against calls of the store for each change."""
+    store = SlowLinkStore(transfer_s=0.5)
+    store.write("configuration", "main", to_plain(make_configuration(1)))
+    start_follower(nursery, store, table, autojump_clock)
+    await trio.sleep(3.0)
+    calls = len(store.calls)
+    for version in range(2, 12):
+        stored = store.write("configuration", "main", to_plain(make_configuration(2)))
+        store.expect("configuration", stored.revision)
+        await trio.sleep(3.0)
+        assert len(store.calls) == calls + version - 1
+
+
 async def test_newest_version_is_in_force_in_time_after_a_burst_on_a_slow_link(
     nursery, table, autojump_clock
 ):
