Write a record again whose revision is gone from the store

The store answers 404, which was not taken for a conflict, so that the record, and with it each departure, was never stored again.

Change: 404 leads to a read like a conflict, and the read forgets the revision. The test failed before.

--- a/catkinhollow/relay/own_record.py
+++ b/catkinhollow/relay/own_record.py
@@ -113,10 +113,9 @@
             self._set_history([])
             self._follower.apply_object(result.ok)
             return True
-        if result.error.kind is StoreErrorKind.CONFLICT:
-            await self._read_record()
-            return False
         logger.warning("daemon record not written", reason=result.error.reason)
+        if result.error.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.NOT_FOUND):
+            await self._read_record()
         return False
 
     async def _read_record(self) -> bool:
--- a/tests/relay/test_own_record.py
+++ b/tests/relay/test_own_record.py
@@ -36,6 +36,8 @@
     async def put(self, kind, name, value, *, if_revision):
         if self.read_only:
             return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason="down"))
+        if if_revision and (kind, name) not in self.objects:
+            return Error(StoreError(kind=StoreErrorKind.NOT_FOUND, reason="gone"))
         return await super().put(kind, name, value, if_revision=if_revision)
 
 
@@ -145,6 +147,23 @@
     assert await process.keeper.record_departure(DEPARTURE)
 
 
+async def test_deleted_record_is_written_again(store, nursery, autojump_clock):
+    """Guards against a daemon that insists on a revision that is gone."""
+    process = Process(store, nursery)
+    await trio.sleep(1.0)
+    assert await process.keeper.record_departure(DEPARTURE)
+    second = Process(store, nursery)
+    await trio.sleep(1.0)
+    revision = store.objects.pop(("daemons", "one")).revision
+    second.table.offer(
+        Document(name="daemons/one", revision=revision + 1, deleted=True, body=b"")
+    )
+    second.keeper.record_changed()
+    await trio.sleep(5.0)
+    stored = from_plain(store.objects["daemons", "one"].value, DaemonRecord).ok
+    assert stored.departures == [DEPARTURE]
+
+
 async def test_odd_record_of_another_writer_is_replaced(store, nursery, autojump_clock):
     """Guards against departures that an odd record keeps from the store."""
     store.write("daemons", "one", {"name": 7})
