Let a shutdown send the answers that wait for the link

The shutdown looked at open runs and requests only, so that a daemon ended with answers that were ready; their callers got 502 for runs that had succeeded.

Change: queued frames count as open work, until the end of the grace period. The test, an answer of 4 s at a daemon that is stopped, failed before.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -349,7 +349,7 @@
         self._timer.call_after(plan.refuse_requests_s, self._ingress.stop)
         was_idle = False
         while (elapsed_s := self._clock.monotonic() - started_s) < plan.abort_s:
-            idle = not self._gate.busy and not self._server.busy
+            idle = not (self._gate.busy or self._server.busy or self._link.busy)
             # Only return after a second idle check, so that the links can send
             # the last answers.
             if idle and was_idle and elapsed_s > plan.min_end_s:
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -143,6 +143,11 @@
         pushes = (self._pushes[address] for address in self._queued)
         return {push.address: push.progress_s for push in pushes}
 
+    @property
+    def busy(self) -> bool:
+        """Return whether frames wait to be sent."""
+        return bool(self._queued)
+
     @property
     def backlog_s(self) -> float:
         """Return how long a further body waits for the link, in seconds."""
--- a/tests/relay/test_relay_daemon.py
+++ b/tests/relay/test_relay_daemon.py
@@ -6,6 +6,7 @@
 from relay_builders import make_announcement, make_route
 from relay_fleet import NAMES, RelayFleet
 
+from catkinhollow.calls.exchange import plain_response
 from catkinhollow.codec import to_plain
 from catkinhollow.generated.relay import MoveOrder, OrderState
 
@@ -200,6 +201,27 @@
     await fleet.members["two"].stopped.wait()
 
 
+async def test_shutdown_sends_the_answers_that_wait_for_the_link(fleet):
+    """Guards against answers that are ready and end with their daemon."""
+    fleet.configure(routes=[make_route(kind="unsafe", timeout_ms=10_000.0)])
+    await fleet.start("one", service="shop")
+    two = await fleet.start("two", link_mbps=4.0)
+    await fleet.wait_linked()
+    # It takes 4 s on the link.
+    two.target.answer = plain_response(200, "x" * 1_800_000)
+    responses = []
+
+    async def send_post():
+        responses.append(await fleet.call("one", "c1", method="POST"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_post)
+        await fleet.wait_until(lambda: two.target.runs and not two.daemon.gate.busy)
+        two.stop.set()
+    assert [response.status for response in responses] == [200]
+    assert len(responses[0].content) > 1_800_000
+
+
 @pytest.mark.parametrize("kind", ["safe", "unsafe"])
 async def test_request_open_at_the_end_of_a_shutdown_gets_an_answer(fleet, kind):
     """Guards against connections that a shutdown closes without an answer."""
