--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -7,7 +7,9 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import seed as use_seed
@@ -22,6 +24,12 @@
 from tests.mesh.test_dissemination import MeshMachine  # noqa: E402
 from tests.relay.test_document_flood import FloodMachine  # noqa: E402
 from tests.relay.test_frame_queue import LinkMachine  # noqa: E402
+from tests.relay.test_odd_connections import (  # noqa: E402
+    CALLER_STEPS,
+    TARGET_ANSWERS,
+    play_caller,
+    play_target,
+)
 from tests.relay.test_odd_frames import ODD_FRAMES, play_frame  # noqa: E402
 from tests.relay.test_remote_calls import CallMachine  # noqa: E402
 from tests.testbed.test_store_state import StoreMachine  # noqa: E402
@@ -38,7 +46,13 @@
     CallMachine,
     LinkMachine,
 )
-ODD_FRAMES_PER_ROUND = 500
+# Name, strategy and player of each kind of odd input.
+ODD_INPUTS = (
+    ("odd frames", ODD_FRAMES, play_frame),
+    ("odd callers", CALLER_STEPS, play_caller),
+    ("odd targets", TARGET_ANSWERS, play_target),
+)
+ODD_INPUTS_PER_ROUND = 500
 # Small enough that every state machine runs within a minute.
 EXAMPLES_PER_ROUND = 50
 STEPS_PER_EXAMPLE = 60
@@ -70,17 +84,20 @@
         )
 
 
-def run_odd_frames(round_seed: int, steps: Counter[str]) -> None:
-    """Let a daemon's network receive malformed frames."""
+def run_odd_inputs(round_seed: int, steps: Counter[str]) -> None:
+    """Send odd frames, requests and answers to the parts that read them."""
+    for name, inputs, play in ODD_INPUTS:
 
-    @use_seed(round_seed)
-    @settings(deadline=None, database=None, max_examples=ODD_FRAMES_PER_ROUND)
-    @given(ODD_FRAMES)
-    def receive_odd_frame(data: bytes) -> None:
-        steps["odd frames"] += 1
-        play_frame(data)
+        @use_seed(round_seed)
+        @settings(deadline=None, database=None, max_examples=ODD_INPUTS_PER_ROUND)
+        @given(inputs)
+        def play_input(
+            value: Any, name: str = name, play: Callable[[Any], None] = play
+        ) -> None:
+            steps[name] += 1
+            play(value)
 
-    receive_odd_frame()
+        play_input()
 
 
 def main() -> int:
@@ -95,7 +112,7 @@
     while time.monotonic() < end_s or round_seed == options.seed:
         print(f"seed {round_seed}", flush=True)
         run_round(round_seed, steps)
-        run_odd_frames(round_seed, steps)
+        run_odd_inputs(round_seed, steps)
         round_seed += 1
     for name, count in steps.items():
         print(f"{name}: {count} steps")
