--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -14,6 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import seed as use_seed
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+from hypothesis.strategies import SearchStrategy
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tests" / "relay")]
@@ -87,17 +88,26 @@
 def run_odd_inputs(round_seed: int, steps: Counter[str]) -> None:
     """Send odd frames, requests and answers to the parts that read them."""
     for name, inputs, play in ODD_INPUTS:
-
-        @use_seed(round_seed)
-        @settings(deadline=None, database=None, max_examples=ODD_INPUTS_PER_ROUND)
-        @given(inputs)
-        def play_input(
-            value: Any, name: str = name, play: Callable[[Any], None] = play
-        ) -> None:
-            steps[name] += 1
-            play(value)
-
-        play_input()
+        run_inputs(round_seed, name, inputs, play, steps)
+
+
+def run_inputs(
+    round_seed: int,
+    name: str,
+    inputs: SearchStrategy[Any],
+    play: Callable[[Any], None],
+    steps: Counter[str],
+) -> None:
+    """Play one kind of odd input."""
+
+    @use_seed(round_seed)
+    @settings(deadline=None, database=None, max_examples=ODD_INPUTS_PER_ROUND)
+    @given(inputs)
+    def play_input(value: Any) -> None:
+        steps[name] += 1
+        play(value)
+
+    play_input()
 
 
 def main() -> int:
