List a member table that keeps ended daemons

The steps are a test, which fails: the only survivor of five daemons takes the others for alive or suspect 40 s later. It pings its ring successors only, and waits for a second reporter of a suspect while other watchers, which it does not ping, seem alive.

--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -132,6 +132,53 @@
 TestMesh = MeshMachine.TestCase
 
 
+# Found by `make fuzz` in the round with seed 1209: (rule, arguments).
+FUZZ_1209 = (
+    *[("settle", {})] * 7,
+    ("publish", {"address": ADDRESSES[0]}),
+    *[("settle", {})] * 4,
+    ("end", {"address": ADDRESSES[3], "leave": False}),
+    ("resume", {"address": ADDRESSES[0]}),
+    ("partition", {"sides": [0, 0, 0, 0, 0]}),
+    ("end", {"address": ADDRESSES[2], "leave": False}),
+    ("quarantine", {"address": ADDRESSES[0], "version": "a"}),
+    ("partition", {"sides": [0, 0, 0, 0, 0]}),
+    ("end", {"address": ADDRESSES[0], "leave": False}),
+    ("lose", {"loss": 0.0}),
+    ("lose", {"loss": 0.0}),
+    ("end", {"address": ADDRESSES[0], "leave": True}),
+    ("partition", {"sides": [0, 0, 0, 0, 0]}),
+    ("partition", {"sides": [0, 1, 0, 0, 0]}),
+    ("end", {"address": ADDRESSES[4], "leave": True}),
+    ("resume", {"address": ADDRESSES[3]}),
+    ("stop", {"address": ADDRESSES[3]}),
+    ("restart", {"address": ADDRESSES[4], "incarnation": 0}),
+    ("end", {"address": ADDRESSES[4], "leave": False}),
+    ("lose", {"loss": 0.4}),
+    ("quarantine", {"address": ADDRESSES[3], "version": "c"}),
+    ("partition", {"sides": [1, 0, 1, 0, 0]}),
+    ("publish", {"address": ADDRESSES[2]}),
+    ("partition", {"sides": [0, 0, 0, 1, 1]}),
+    ("quarantine", {"address": ADDRESSES[2], "version": "a"}),
+    ("resume", {"address": ADDRESSES[0]}),
+    ("stop", {"address": ADDRESSES[0]}),
+    ("partition", {"sides": [0, 0, 1, 0, 0]}),
+    ("partition", {"sides": [0, 1, 0, 0, 0]}),
+    ("quarantine", {"address": ADDRESSES[2], "version": "a"}),
+    ("quarantine", {"address": ADDRESSES[0], "version": "b"}),
+    ("settle", {}),
+)
+
+
+def test_members_agree_after_most_have_ended():
+    """Guards against a member that stays dead for others although it runs."""
+    machine = MeshMachine()
+    machine.set_up(seed=544)
+    for name, arguments in FUZZ_1209:
+        getattr(machine, name)(**arguments)
+    machine.teardown()
+
+
 def make_small_fleet():
     network = Network(3)
     network.newest = 1
