Declare members dead that ended with those who watch them

The only survivor of five mesh daemons took the others for alive or suspect 40 s later.

Cause: a suspect needs two reporters while two of its watchers seem alive. A daemon pings its ring successors only, so that watchers which ended at the same time seemed alive for ever, and their reports were awaited for ever.

Change: watchers that have not confirmed a suspect for a whole suspect timeout are pinged as well and suspected if they are silent. A single failure causes no more pings than before.

--- a/catkinhollow/mesh/failure_detector.py
+++ b/catkinhollow/mesh/failure_detector.py
@@ -63,9 +63,15 @@
     @property
     def pinged_peers(self) -> list[str]:
         """Return the addresses of the peers to ping."""
-        successors = self._table.rings.successors(self._own_address)
         retried = [self._retried_address] if self._retried_address else []
-        return list(dict.fromkeys([*successors, *retried]))
+        return list(dict.fromkeys([*self._watched_peers, *retried]))
+
+    @property
+    def _watched_peers(self) -> list[str]:
+        """Return the peers that are suspected if they are silent."""
+        successors = self._table.rings.successors(self._own_address)
+        watchers = self._table.silent_watchers(self._last_tick_s)
+        return list(dict.fromkeys([*successors, *watchers]))
 
     def tick(self, now_s: float) -> None:
         """Send due pings, suspect silent members and declare suspects dead."""
@@ -132,7 +138,7 @@
         self._last_tick_s = now_s
 
     def _check_members(self, now_s: float) -> None:
-        watched = self._table.rings.successors(self._own_address)
+        watched = self._watched_peers
         for address in self._neighbours.update_watched(watched, now_s):
             if self._table.suspect(address, now_s):
                 self._flooding.flood_member(address, now_s)
--- a/catkinhollow/mesh/membership.py
+++ b/catkinhollow/mesh/membership.py
@@ -73,6 +73,8 @@
         self._rings = Rings()
         self._enforced_revisions: dict[str, int] = {}
         self._timeout_started_s: dict[str, float] = {}
+        # Since when each suspect lacks reporters.
+        self._unconfirmed_since_s: dict[str, float] = {}
         self._gone_at_s: dict[str, float] = {}
         self._store(own, 0.0)
 
@@ -205,10 +207,28 @@
             self._store(evolve(current, state=MemberState.DEAD), now_s)
         return deaths
 
+    def silent_watchers(self, now_s: float) -> list[str]:
+        """Return the watchers that should have confirmed a suspect by now.
+
+        They may have ended themselves, together with the members that watch
+        them. A suspect that waits for their reports would never be declared
+        dead.
+        """
+        watchers: dict[str, None] = {}
+        for address, since_s in self._unconfirmed_since_s.items():
+            reporters = self._records[address].suspected_by
+            if now_s - since_s < self._suspect_timeout_s:
+                continue
+            for watcher in self._live_watchers(address):
+                if watcher != self._own_address and watcher not in reporters:
+                    watchers[watcher] = None
+        return list(watchers)
+
     def restart_timeouts(self, now_s: float) -> None:
         """Restart the timeout of every suspect after a pause."""
-        for address in self._timeout_started_s:
-            self._timeout_started_s[address] = now_s
+        for started_s in (self._timeout_started_s, self._unconfirmed_since_s):
+            for address in started_s:
+                started_s[address] = now_s
 
     def positions(self, buckets: Iterable[int]) -> list[MemberPosition]:
         """Return the address and hash of each record in the buckets."""
@@ -275,6 +295,7 @@
             self._timeout_started_s.setdefault(address, now_s)
         else:
             self._timeout_started_s.pop(address, None)
+            self._unconfirmed_since_s.pop(address, None)
 
     def _add_to_digest(self, record: MemberRecord, sign: int) -> None:
         bucket = bucket_of(record.address)
@@ -290,15 +311,19 @@
     def _is_retention_over(self, gone_at_s: float, now_s: float) -> bool:
         return now_s - gone_at_s >= self._dead_retention_s
 
-    def _is_suspect_overdue(self, address: str, now_s: float) -> bool:
-        watchers = [
+    def _live_watchers(self, address: str) -> list[str]:
+        return [
             watcher
             for watcher in self._rings.predecessors(address)
             if self.is_alive(watcher)
         ]
+
+    def _is_suspect_overdue(self, address: str, now_s: float) -> bool:
         # With fewer than two live watchers, one report is enough.
-        needed = min(_MIN_REPORTERS, max(1, len(watchers)))
+        needed = min(_MIN_REPORTERS, max(1, len(self._live_watchers(address))))
         if len(self._records[address].suspected_by) < needed:
             self._timeout_started_s[address] = now_s
+            self._unconfirmed_since_s.setdefault(address, now_s)
             return False
+        self._unconfirmed_since_s.pop(address, None)
         return now_s - self._timeout_started_s[address] >= self._suspect_timeout_s
