Log silence and age of a link that is reset as dead

`dead link reset` named the address only, so that a link that is reset again and again could not be told from links that die one after another. The age of the link separates the two: below 2 s the link before it was reset as well.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -244,7 +244,12 @@
             if isinstance(command, SendStatus):
                 self._send_status(command.address, reply=False)
             else:
-                logger.warning("dead link reset", address=command.address)
+                logger.warning(
+                    "dead link reset",
+                    address=command.address,
+                    silent_ms=int(command.silent_s * 1000),
+                    link_age_ms=int(command.link_age_s * 1000),
+                )
                 self._link.reset(command.address)
         for peer in self._directory:
             address = peer.record.address
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -7,7 +7,7 @@
 
 from math import inf
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 # Interval of statuses to a planned peer without open calls.
 IDLE_INTERVAL_S = 1.0
@@ -44,6 +44,9 @@
     """Request a new connection to a peer; its open calls are lost."""
 
     address: str
+    silent_s: float = field(default=0.0, eq=False)
+    """How long a status has been unanswered."""
+    link_age_s: float = field(default=0.0, eq=False)
 
 
 WatchCommand = SendStatus | ResetLink
@@ -53,6 +56,8 @@
 class _WatchedPeer:
     """Represent the latest contacts with a peer."""
 
+    up_s: float
+    """When the link to the peer came up."""
     last_contact_s: float
     status_sent_s: float = -inf
     unanswered_since_s: float = inf
@@ -72,7 +77,7 @@
 
     def link_up(self, address: str, now_s: float) -> None:
         """Start watching a peer."""
-        self._peers[address] = _WatchedPeer(last_contact_s=now_s)
+        self._peers[address] = _WatchedPeer(up_s=now_s, last_contact_s=now_s)
 
     def link_down(self, address: str) -> None:
         """Stop watching a peer."""
@@ -113,7 +118,13 @@
         for address, watched in list(self._peers.items()):
             if watched.silence_s(now_s) > DEAD_LINK_S:
                 del self._peers[address]
-                commands.append(ResetLink(address))
+                commands.append(
+                    ResetLink(
+                        address,
+                        silent_s=watched.silence_s(now_s),
+                        link_age_s=now_s - watched.up_s,
+                    )
+                )
                 continue
             if address in busy:
                 interval_s = BUSY_INTERVAL_S
