Request documents first over links that are known to work

A daemon requested a version from peers whose own links to it were fine while its links to them were dead, one after another, half a second each: the last of 60 daemons had a version 2.3 s after it was written.

Sources whose link has delivered something in the last 2 s now go first.

--- a/catkinhollow/relay/document_flood.py
+++ b/catkinhollow/relay/document_flood.py
@@ -7,7 +7,7 @@
 just ended, the neighbours of a daemon may all be among them.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from math import inf
 
 from attrs import define, field, frozen
@@ -144,9 +144,13 @@
 
 
 class DocumentPulls:
-    """Choose the neighbour that an announced document is requested from."""
+    """Choose the neighbour that an announced document is requested from.
 
-    def __init__(self) -> None:
+    The link to a neighbour may be dead although its announcement arrived.
+    """
+
+    def __init__(self, is_confirmed: Callable[[str], bool]) -> None:
+        self._is_confirmed = is_confirmed
         self._wanted: dict[str, _Wanted] = {}
         self._received_s: dict[str, float] = {}
 
@@ -206,11 +210,19 @@
             if not wanted.sources:
                 del self._wanted[name]
                 continue
-            source = min(wanted.sources, key=wanted.sources.__getitem__)
-            if wanted.sources[source] <= now_s:
+            source = self._choose_source(wanted.sources, now_s)
+            if source is not None:
                 del wanted.sources[source]
                 wanted.asked = source
                 wanted.requested_s = now_s
                 wanted.requests += 1
                 due.setdefault(source, []).append(name)
         return due
+
+    def _choose_source(self, sources: dict[str, float], now_s: float) -> str | None:
+        ready = [address for address, at_s in sources.items() if at_s <= now_s]
+        return min(
+            ready,
+            key=lambda address: (not self._is_confirmed(address), sources[address]),
+            default=None,
+        )
--- a/catkinhollow/relay/document_sync.py
+++ b/catkinhollow/relay/document_sync.py
@@ -83,6 +83,7 @@
         events: EventManager,
         accepts: Callable[[Document], bool],
         is_configured: Callable[[], bool],
+        is_confirmed: Callable[[str], bool],
     ) -> None:
         self._link = link
         self._documents = documents
@@ -95,7 +96,7 @@
         # Peer that was last asked for all newer documents.
         self._index_address = ""
         self._flood = DocumentFlood()
-        self._pulls = DocumentPulls()
+        self._pulls = DocumentPulls(is_confirmed)
         self._damper = ChangeDamper()
         self._flush_due = self._pull_due = self._release_due = False
 
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -95,6 +95,9 @@
             events=events,
             accepts=accepts,
             is_configured=is_configured,
+            is_confirmed=lambda address: self._watch.is_confirmed(
+                address, self._clock.monotonic()
+            ),
         )
         # Of each daemon that has sent a frame.
         self._arrivals: dict[str, _Arrivals] = {}
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -38,6 +38,8 @@
 # A status to a peer that sends other frames, but does not answer it, may wait
 # behind the bodies of answers.
 UNCONFIRMED_LINK_S = 4.0
+# A link is known to work for this long after a message that has arrived.
+CONFIRMED_S = 2.0
 # Many links may go silent at once. When one peer is unresponsive all others
 # are asked, at most once in this time.
 ALARM_INTERVAL_S = 3.0
@@ -242,6 +244,11 @@
         watched = self._peers.get(address)
         return watched is None or watched.silence_s(now_s) > UNRESPONSIVE_S
 
+    def is_confirmed(self, address: str, now_s: float) -> bool:
+        """Return whether a message is known to have reached a peer lately."""
+        watched = self._peers.get(address)
+        return watched is not None and now_s - watched.last_delivery_s <= CONFIRMED_S
+
     def check_report(
         self, address: str, silent_s: float, now_s: float
     ) -> ResetLink | None:
--- a/tests/relay/test_document_flood.py
+++ b/tests/relay/test_document_flood.py
@@ -95,6 +95,7 @@
             events=EventManager(),
             accepts=lambda _: True,
             is_configured=lambda: True,
+            is_confirmed=lambda _: True,
         )
         self.alive = True
         self.neighbours = []
@@ -272,7 +273,7 @@
 
 def test_document_is_requested_from_one_neighbour_at_a_time():
     """Guards against several transfers of the same version to one daemon."""
-    pulls = DocumentPulls()
+    pulls = DocumentPulls(lambda _: True)
     version = make_document(5)
     for address in ("near", "other"):
         pulls.announced(version, address, 0.0, same_domain=True)
@@ -285,7 +286,7 @@
 
 def test_neighbour_in_the_same_failure_domain_is_asked_first():
     """Guards against transfers between failure domains."""
-    pulls = DocumentPulls()
+    pulls = DocumentPulls(lambda _: True)
     pulls.announced(make_document(5), "far", 0.0, same_domain=False)
     assert pulls.take_due(0.0) == {}
     pulls.announced(make_document(5), "near", 0.1, same_domain=True)
@@ -294,6 +295,15 @@
     assert list(pulls.take_due(CROSS_DOMAIN_DELAY_S)) == ["far"]
 
 
+def test_neighbour_whose_link_is_known_to_work_is_asked_first():
+    """Guards against requests that are lost one after another."""
+    pulls = DocumentPulls({"works"}.__contains__)
+    for address in ("dead", "dead too", "works"):
+        pulls.announced(make_document(5), address, 0.0, same_domain=True)
+    assert list(pulls.take_due(0.0)) == ["works"]
+    assert list(pulls.take_due(REQUEST_TIMEOUT_S)) == ["dead"]
+
+
 class FloodMachine(RuleBasedStateMachine):
     """Change documents while daemons end, restart and lose messages."""
 
