--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -162,7 +162,10 @@
         )
         self._pacer = LinkPacer(settings.link_mbps)
         self._link = NngFrameLink(
-            settings.peer, self._timer, self._pacer, self._count_sent
+            settings.peer_listen or settings.peer,
+            self._timer,
+            self._pacer,
+            self._count_sent,
         )
         self._gate = GateService(
             gate=Gate(awaits_history=True, link_wait_s=lambda: self._link.backlog_s),
--- a/catkinhollow/relay/links.py
+++ b/catkinhollow/relay/links.py
@@ -107,13 +107,13 @@
 
     def __init__(
         self,
-        own_address: str,
+        listen_address: str,
         timer: Timer,
         pacer: LinkPacer,
         count_sent: CountSent,
     ) -> None:
         limit_nng_threads()
-        self._own_address = own_address
+        self._listen_address = listen_address
         self._timer = timer
         self._pacer = pacer
         self._count_sent = count_sent
@@ -218,7 +218,7 @@
         """Call the receiver for each event until cancelled."""
         self._receiver = receiver
         self._token = trio.lowlevel.current_trio_token()
-        self._pull.listen(f"tcp://{self._own_address}")
+        self._pull.listen(f"tcp://{self._listen_address}")
         redial = self._timer.subscribe(_DIAL_CHECK_INTERVAL_S, self._redial_failed)
         try:
             for push in self._pushes.values():
--- a/catkinhollow/relay/relay_settings.py
+++ b/catkinhollow/relay/relay_settings.py
@@ -71,7 +71,10 @@
     decoded = from_plain(value, RelaySettings)
     if decoded.is_error():
         return decoded
-    for name in ADDRESS_SETTINGS:
+    names = [*ADDRESS_SETTINGS]
+    if decoded.ok.peer_listen:
+        names.append("peer_listen")
+    for name in names:
         address = parse_address(getattr(decoded.ok, name))
         if address.is_error():
             return Error(DecodeError(reason=f"{name}: {address.error.reason}"))
--- a/tests/relay/test_relay_settings.py
+++ b/tests/relay/test_relay_settings.py
@@ -55,3 +55,14 @@
     assert "target" in file.read().error.reason
     write(path)
     assert file.read().ok.instance == "sidecar-1"
+
+
+def test_listening_address_behind_a_translation_is_checked_if_set(tmp_path):
+    """Guards against a daemon that starts and is not reachable for others."""
+    path = tmp_path / "settings.yaml"
+    write(path)
+    assert SettingsFile(path).read().ok.peer_listen == ""
+    write(path, peer_listen="0.0.0.0:7621")
+    assert SettingsFile(path).read().ok.peer_listen == "0.0.0.0:7621"
+    write(path, peer_listen="7621")
+    assert "peer_listen" in SettingsFile(path).read().error.reason
