Let the test bed's proxy delay bytes and silence open connections for good

The proxy could hold back the bytes of all connections and reset them. It now also delays each chunk, and cuts the connections that are open at a moment in one or both directions: it reads nothing more from them, so that the sender's window fills, and passes on neither an end nor a reset. A reset by one end, which was only noticed with the next bytes, now reaches the other end at once.

--- a/catkinhollow/testbed/loopback_proxy.py
+++ b/catkinhollow/testbed/loopback_proxy.py
@@ -1,24 +1,67 @@
 """Inject faults into the connections to one server on loopback."""
 
 import socket
+from collections.abc import Iterable
+from enum import Enum
+from typing import TypeAlias
 
 import trio
+from attrs import define, field
 
 from catkinhollow.logs import get_logger
 
 logger = get_logger(__name__)
 
 CHUNK_BYTES = 65536
+# Chunks of one direction that wait for the end of their delay.
+MAX_DELAYED_CHUNKS = 64
+
+
+class Direction(Enum):
+    """List the directions of a connection."""
+
+    TO_SERVER = "to server"
+    TO_CLIENT = "to client"
+
+    @property
+    def reverse(self) -> "Direction":
+        """Return the other direction."""
+        if self is Direction.TO_SERVER:
+            return Direction.TO_CLIENT
+        return Direction.TO_SERVER
+
+
+_Chunk: TypeAlias = tuple[float, bytes]
+"""Time from which bytes are forwarded; no bytes mean the end of the stream."""
+
+
+@define(eq=False)
+class _Connection:
+    """Represent one open connection."""
+
+    client: trio.SocketStream
+    server: trio.SocketStream
+    scope: trio.CancelScope
+    cut: set[Direction] = field(factory=set)
+    """Directions in which nothing is forwarded any more."""
+
+    def source(self, direction: Direction) -> trio.SocketStream:
+        return self.client if direction is Direction.TO_SERVER else self.server
+
+    def sink(self, direction: Direction) -> trio.SocketStream:
+        return self.source(direction.reverse)
 
 
 class LoopbackProxy:
-    """Forward bytes, hold them back, or reset the connections."""
+    """Forward bytes, delay them, hold them back, or reset the connections."""
 
     def __init__(self, server_port: int) -> None:
+        self.delay_s = 0.0
+        """Time for which each chunk is held back, in seconds."""
         self._server_port = server_port
         self._silent = False
         self._changed = trio.Event()
-        self._scopes: set[trio.CancelScope] = set()
+        self._connections: set[_Connection] = set()
 
     @property
     def silent(self) -> bool:
@@ -32,9 +75,18 @@
         self._changed = trio.Event()
 
     def reset(self) -> None:
-        """Reset every open connection."""
-        for scope in self._scopes:
-            scope.cancel()
+        """Reset every open connection that still forwards bytes both ways."""
+        for connection in self._connections:
+            if not connection.cut:
+                connection.scope.cancel()
+
+    def cut_open(self, directions: Iterable[Direction] = Direction) -> None:
+        """Forward nothing more on the open connections in these directions.
+
+        Neither end learns of it. Connections that are opened later work.
+        """
+        for connection in self._connections:
+            connection.cut.update(directions)
 
     async def serve(
         self,
@@ -56,25 +108,66 @@
             _abort(client)
             return
         with trio.CancelScope() as scope:
-            self._scopes.add(scope)
+            connection = _Connection(client, server, scope)
+            self._connections.add(connection)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._forward, client, server)
-                nursery.start_soon(self._forward, server, client)
-        self._scopes.discard(scope)
+                for direction in Direction:
+                    sender, receiver = trio.open_memory_channel[_Chunk](
+                        MAX_DELAYED_CHUNKS
+                    )
+                    nursery.start_soon(self._read, connection, direction, sender)
+                    nursery.start_soon(self._write, connection, direction, receiver)
+        self._connections.discard(connection)
         _abort(client)
         _abort(server)
 
-    async def _forward(
-        self, source: trio.SocketStream, sink: trio.SocketStream
+    async def _read(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        chunks: trio.MemorySendChannel[_Chunk],
     ) -> None:
-        try:
-            while data := await source.receive_some(CHUNK_BYTES):
-                while self._silent:
-                    await self._changed.wait()
+        data = b"..."
+        while data:
+            # Nothing is read while nothing is forwarded, so that the sender
+            # sees a full window.
+            await self._wait_until_open(connection, direction)
+            try:
+                data = await connection.source(direction).receive_some(CHUNK_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                await self._wait_until_open(connection, direction)
+                logger.debug("connection ended", reason=repr(error))
+                connection.scope.cancel()
+                return
+            await chunks.send((trio.current_time() + self.delay_s, data))
+
+    async def _write(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        chunks: trio.MemoryReceiveChannel[_Chunk],
+    ) -> None:
+        sink = connection.sink(direction)
+        async for due_s, data in chunks:
+            await trio.sleep_until(due_s)
+            await self._wait_until_open(connection, direction)
+            try:
+                if not data:
+                    await sink.send_eof()
+                    return
                 await sink.send_all(data)
-            await sink.send_eof()
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            logger.debug("connection ended", reason=repr(error))
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                # The source learns of the end through the other direction.
+                await self._wait_until_open(connection, direction.reverse)
+                logger.debug("connection ended", reason=repr(error))
+                connection.scope.cancel()
+
+    async def _wait_until_open(
+        self, connection: _Connection, direction: Direction
+    ) -> None:
+        """Wait while a direction is blocked, forever if it is cut."""
+        while self._silent or direction in connection.cut:
+            await self._changed.wait()
 
 
 def _abort(stream: trio.SocketStream) -> None:
