--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -35,8 +35,10 @@
 
 FAILURE_DOMAINS = 2
 CALLERS_PER_DAEMON = 2
-# Mean pause of a caller between two requests.
+# Mean pause of a caller between two requests, and the limit of all requests per
+# second, as one process runs the callers, targets and proxies of all daemons.
 MEAN_PAUSE_S = 0.1
+MAX_CALLS_PER_S = 120.0
 # Time after the recovery time in which the callers go on, for the check that
 # calls succeed again.
 AFTER_RECOVERY_S = 2.0
@@ -164,8 +166,10 @@
     async def _run_caller(self, name: str, random: Random) -> None:
         """Call one daemon over a persistent connection."""
         pool = AsyncConnectionPool(max_connections=1)
+        callers = CALLERS_PER_DAEMON * len(self._names)
+        mean_pause_s = max(MEAN_PAUSE_S, callers / MAX_CALLS_PER_S)
         while self._is_calling:
-            await trio.sleep(random.expovariate(1.0 / MEAN_PAUSE_S))
+            await trio.sleep(random.expovariate(1.0 / mean_pause_s))
             await self._call(pool, name, unsafe=random.random() < 0.5)
 
     async def _call(
--- a/catkinhollow/testbed/soak_version_checker.py
+++ b/catkinhollow/testbed/soak_version_checker.py
@@ -17,8 +17,10 @@
 
 logger = get_logger(__name__)
 
-# Pause between two requests to one daemon.
-CHECK_INTERVAL_S = 0.15
+# Pause between two requests to one daemon, and the limit of all requests per
+# second.
+MIN_CHECK_INTERVAL_S = 0.15
+MAX_CHECKS_PER_S = 60.0
 
 
 class VersionChecker:
@@ -45,7 +47,9 @@
     async def _ask(
         self, pool: AsyncConnectionPool, name: str, version: int, *, dropped: bool
     ) -> None:
-        await trio.sleep(CHECK_INTERVAL_S)
+        await trio.sleep(
+            max(MIN_CHECK_INTERVAL_S, len(self._fleet.members) / MAX_CHECKS_PER_S)
+        )
         child = self._fleet.members[name].child
         if version < 1 or child is None:
             return
--- a/catkinhollow/testbed/soak_versions.py
+++ b/catkinhollow/testbed/soak_versions.py
@@ -102,18 +102,6 @@
         """Return the number of answers that had to follow a version."""
         return sum(self._is_due(answer) for answer in self._answers)
 
-    @property
-    def worst_delay_s(self) -> float:
-        """Return the longest time until a daemon served a version."""
-        first: dict[tuple[str, int], float] = {}
-        for answer in self._answers:
-            if answer.status == 200 and not answer.dropped:
-                first.setdefault((answer.instance, answer.version), answer.answered_s)
-        return max(
-            (at_s - self._confirmed_s[version] for (_, version), at_s in first.items()),
-            default=0.0,
-        )
-
     def newest_due(self, now_s: float) -> int:
         """Return the newest version that has to be enforced, 0 without any."""
         return max(
