Tell when the store last answered

"store lost" now gives the age of the last answer, and a gauge has it all the time. No behaviour is changed.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -447,6 +447,7 @@
         metrics.peers.set({"state": "missing"}, missing)
         metrics.peers.set({"state": "known"}, len(self._directory.addresses))
         metrics.follows_store.set({}, int(self._follower.following))
+        metrics.store_answer_age_seconds.set({}, self._follower.answer_age_s)
         return metrics
 
 
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -48,6 +48,11 @@
             "Whether this daemon follows the store for others",
             registry=registry,
         )
+        self.store_answer_age_seconds = Gauge(
+            "catkinhollow_relay_store_answer_age_seconds",
+            "Time since the store's last answer, 0 if this daemon does not follow it",
+            registry=registry,
+        )
         self.dials = Gauge(
             "catkinhollow_relay_dials",
             "Attempts to connect to other daemons since the start",
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -130,6 +130,7 @@
         self._reachable: dict[str, bool] = {}
         self._followed: dict[str, _FollowedKind] = {}
         self._following = False
+        self._answered_s = clock.monotonic()
         self._configured = trio.Event()
         self._daemons_listed = trio.Event()
 
@@ -145,6 +146,13 @@
             self._reachable.get(kind, False) for kind in KINDS
         )
 
+    @property
+    def answer_age_s(self) -> float:
+        """Return the seconds since the last answer, 0 if not following."""
+        if not self._following:
+            return 0.0
+        return self._clock.monotonic() - self._answered_s
+
     def set_configured(self) -> None:
         """Record that a configuration is in force."""
         self._configured.set()
@@ -166,6 +174,7 @@
                 continue
             logger.info("store followed")
             self._following = True
+            self._answered_s = self._clock.monotonic()
             await self._follow_while_needed()
             self._following = False
             self._reachable.clear()
@@ -325,10 +334,12 @@
     def _record_failure(self, kind: str, reason: str) -> None:
         self._metrics.store_failures.inc({"kind": kind})
         if self._reachable.get(kind, True):
-            logger.warning("store lost", kind=kind, reason=reason)
+            age_ms = int(1000 * self.answer_age_s)
+            logger.warning("store lost", kind=kind, reason=reason, answer_age_ms=age_ms)
         self._reachable[kind] = False
 
     def _record_success(self, kind: str) -> None:
+        self._answered_s = self._clock.monotonic()
         if not self._reachable.get(kind, False):
             logger.info("store answers", kind=kind)
         self._reachable[kind] = True
