Replace connections to the store that have fallen silent

What callers saw: after all open connections fell silent without a reset, while new ones worked, no daemon had a new version for up to 28 s; requests were handled as only an older version allows (CONFIG, DENIED).

Cause: a watch waits 25 s and 3 s more for its answer, and nothing else tells a follower that its connections are dead. TCP keep-alive does not if a kernel in between acknowledges its probes, and DEAD_WATCH_S needs a peer that knows more, but all followers are blind together.

Change: a follower lists a short kind with serializable=1 every 0.8 s on a connection that it keeps open. If the answer takes 0.7 s, a second probe uses a new connection. If that one is answered first, all connections are replaced; waiting reads are repeated from their revisions, which is no failure. A slow store answers the older probe first. Renewals are at least 2 s apart, more if they follow each other.

--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -1,12 +1,11 @@
 """Access the platform's object store over HTTP."""
 
-import socket
 from typing import Any, TypeVar
 from urllib.parse import quote
 
+import trio
 from expression import Error, Ok, Result
 from httpcore import (
-    AsyncConnectionPool,
     NetworkError,
     ProtocolError,
     Response,
@@ -25,27 +24,19 @@
     PlatformObject,
 )
 from catkinhollow.platform.objects import STATUS_KINDS, STORE_KINDS, encode_status
+from catkinhollow.platform.store_connections import (
+    PoolFactory,
+    StoreConnections,
+    make_pool,
+)
+from catkinhollow.relay.probe_plan import ProbeOutcome
 
-# The watch of each kind occupies one connection while it waits; writes use
-# others.
-MAX_CONNECTIONS = 10
 # The store answers within milliseconds, a slow store within some hundred
 # milliseconds.
 CALL_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
-# TCP keepalive closes a connection within 3 s after its peer has become
-# silent, although a watch may wait for half a minute.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 GONE = 410
 
-_SOCKET_OPTIONS = [
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-]
 _ERROR_KINDS = {
     404: StoreErrorKind.NOT_FOUND,
     409: StoreErrorKind.CONFLICT,
@@ -61,15 +52,47 @@
 class PlatformStore:
     """Read, write and watch the platform's objects by this project's kinds."""
 
-    def __init__(self, address: str, pool: AsyncConnectionPool | None = None) -> None:
+    def __init__(self, address: str, make: PoolFactory = make_pool) -> None:
         self._base_url = f"http://{address}/objects"
-        self._pool = pool or AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
-        )
+        self._make_pool = make
+        self._connections = StoreConnections(make)
+        self._probe_connections = StoreConnections(make, repeats_reads=False)
 
     async def aclose(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        await self._connections.aclose()
+        await self._probe_connections.aclose()
+
+    async def renew_connections(self) -> int:
+        """Use new connections from now on; return the number of moved calls.
+
+        Reads that wait on the earlier connections are repeated, writes end
+        with an unknown outcome.
+        """
+        await self._probe_connections.renew()
+        return await self._connections.renew()
+
+    async def probe(self, kind: str, *, fresh: bool) -> ProbeOutcome:
+        """List a kind cheaply on the kept connection or on a new one."""
+        path = f"/{STORE_KINDS[kind]}?serializable=1"
+        if not fresh:
+            return await self._probe(self._probe_connections, path)
+        connections = StoreConnections(self._make_pool)
+        try:
+            return await self._probe(connections, path)
+        finally:
+            with trio.CancelScope(shield=True):
+                await connections.aclose()
+
+    async def _probe(self, connections: StoreConnections, path: str) -> ProbeOutcome:
+        try:
+            response = await connections.request(
+                "GET", self._base_url + path, extensions={"timeout": _timeouts()}
+            )
+        except (NetworkError, ProtocolError, TimeoutException):
+            return ProbeOutcome.FAILED
+        usable = response.status == 200
+        return ProbeOutcome.ANSWERED if usable else ProbeOutcome.REFUSED
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreError]:
         """Return one object."""
@@ -164,19 +187,13 @@
         result_class: type[T],
         wait_s: float = 0.0,
     ) -> Result[T, StoreError]:
-        timeouts = {
-            "connect": CONNECT_TIMEOUT_S,
-            "pool": CALL_TIMEOUT_S,
-            "read": wait_s + CALL_TIMEOUT_S,
-            "write": CALL_TIMEOUT_S,
-        }
         try:
-            response = await self._pool.request(
+            response = await self._connections.request(
                 method,
                 self._base_url + path,
                 headers=[(b"content-type", b"application/json")] if body else None,
                 content=encode_json(body) if body else None,
-                extensions={"timeout": timeouts},
+                extensions={"timeout": _timeouts(wait_s)},
             )
         except (NetworkError, ProtocolError, TimeoutException) as error:
             reason = f"{type(error).__name__}: {error}"
@@ -184,6 +201,15 @@
         return _decode(response, result_class)
 
 
+def _timeouts(wait_s: float = 0.0) -> dict[str, float]:
+    return {
+        "connect": CONNECT_TIMEOUT_S,
+        "pool": CALL_TIMEOUT_S,
+        "read": wait_s + CALL_TIMEOUT_S,
+        "write": CALL_TIMEOUT_S,
+    }
+
+
 def _decode(response: Response, result_class: type[T]) -> Result[T, StoreError]:
     if response.status not in (200, 201):
         error_kind = _ERROR_KINDS.get(response.status, StoreErrorKind.REFUSED)
--- /dev/null
+++ b/catkinhollow/platform/store_connections.py
@@ -0,0 +1,99 @@
+"""Keep the connections to the platform's store, and replace them."""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from attrs import define
+from httpcore import (
+    AsyncConnectionPool,
+    NetworkError,
+    ProtocolError,
+    Response,
+    TimeoutException,
+)
+
+# The watch of each kind occupies one connection while it waits; writes use
+# others.
+MAX_CONNECTIONS = 10
+# TCP keepalive closes a connection within 3 s after its peer has become
+# silent, although a watch may wait for half a minute.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+_SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+]
+
+PoolFactory = Callable[[], AsyncConnectionPool]
+
+
+def make_pool() -> AsyncConnectionPool:
+    """Return connections to the store that the kernel watches."""
+    return AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
+    )
+
+
+@define(eq=False)
+class _Pool:
+    """Track the calls on connections that may be replaced."""
+
+    connections: AsyncConnectionPool
+    calls: int = 0
+    renewed: bool = False
+
+
+class StoreConnections:
+    """Send requests through a pool of connections that can be replaced."""
+
+    def __init__(self, make: PoolFactory, *, repeats_reads: bool = True) -> None:
+        self._make = make
+        self._repeats_reads = repeats_reads
+        self._pool = _Pool(make())
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._pool.connections.aclose()
+
+    async def renew(self) -> int:
+        """Close all connections; return the number of calls that waited.
+
+        Waiting GET requests may be repeated on new connections, the others
+        raise NetworkError.
+        """
+        pool, self._pool = self._pool, _Pool(self._make())
+        pool.renewed = True
+        calls = pool.calls
+        await _close(pool)
+        return calls
+
+    async def request(self, method: str, url: str, **options: Any) -> Response:
+        """Send a request and return its response.
+
+        Raises NetworkError, ProtocolError or TimeoutException.
+        """
+        while True:
+            pool = self._pool
+            pool.calls += 1
+            try:
+                return await pool.connections.request(method, url, **options)
+            except (NetworkError, ProtocolError, TimeoutException):
+                is_repeated = self._repeats_reads and method == "GET"
+                if not (is_repeated and pool.renewed):
+                    raise
+            finally:
+                pool.calls -= 1
+                if pool.renewed and not pool.calls:
+                    # A connect in progress outlives the first close.
+                    await _close(pool)
+
+
+async def _close(pool: _Pool) -> None:
+    with trio.CancelScope(shield=True):
+        await pool.connections.aclose()
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -23,6 +23,7 @@
 from catkinhollow.relay.documents import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.kinds import DAEMONS, KINDS
 from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.relay.store_monitor import ProbedStore, StoreMonitor
 from catkinhollow.timer import Clock
 
 logger = get_logger(__name__)
@@ -55,7 +56,7 @@
 OnDocument = Callable[[Document, str], None]
 
 
-class RelayStore(StoreClient, Protocol):
+class RelayStore(StoreClient, ProbedStore, Protocol):
     """Extend the store by listings that may be some seconds old."""
 
     async def list_cached(self, kind: str) -> Result[ObjectList, StoreError]:
@@ -127,6 +128,7 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
+        self._monitor = StoreMonitor(store, clock)
         self._reachable: dict[str, bool] = {}
         self._followed: dict[str, _FollowedKind] = {}
         self._following = False
@@ -151,7 +153,8 @@
         """Return the seconds since the last answer, 0 if not following."""
         if not self._following:
             return 0.0
-        return self._clock.monotonic() - self._answered_s
+        answered_s = max(self._answered_s, self._monitor.answered_s)
+        return self._clock.monotonic() - answered_s
 
     def set_configured(self) -> None:
         """Record that a configuration is in force."""
@@ -216,6 +219,7 @@
     async def _follow_while_needed(self) -> None:
         self._followed = {kind: _FollowedKind() for kind in KINDS}
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._monitor.run)
             for kind, followed in self._followed.items():
                 nursery.start_soon(self._follow, kind, followed)
             while self._is_needed():
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -6,6 +6,7 @@
 
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.store import ObjectList, StoredObject
+from catkinhollow.relay.probe_plan import ProbeOutcome
 
 
 class MemoryStore:
@@ -29,6 +30,12 @@
         self.objects[kind, name] = stored
         return stored
 
+    async def probe(self, kind, *, fresh):
+        return ProbeOutcome.REFUSED if self.down else ProbeOutcome.ANSWERED
+
+    async def renew_connections(self):
+        return 0
+
     async def get(self, kind, name):
         if self.down:
             return _error(StoreErrorKind.UNAVAILABLE)
--- /dev/null
+++ b/tests/platform/test_silent_store.py
@@ -0,0 +1,172 @@
+"""Tests of a store whose open connections go silent while new ones work."""
+
+from math import inf
+from random import Random
+
+import pytest
+import trio
+from asgi_pool import AsgiPool
+from relay_builders import make_configuration
+
+from catkinhollow.clock import TrioClock
+from catkinhollow.codec import decode_message
+from catkinhollow.generated.relay import RelayConfiguration
+from catkinhollow.platform.object_store import PlatformStore
+from catkinhollow.platform.objects import decode_object
+from catkinhollow.platform.standin_store import StandInStore
+from catkinhollow.relay.documents import DocumentTable
+from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.relay.store_follower import StoreFollower
+from catkinhollow.testbed.loopback_server import serve_on_loopback
+from catkinhollow.testbed.processes import free_ports
+
+CONFIG_APPLY_S = 2.0
+
+
+class SilencingProxy:
+    """Forward bytes until the open connections are silenced for good."""
+
+    def __init__(self, server_port):
+        self.server_port = server_port
+        self.era = 0
+
+    def silence(self):
+        self.era += 1
+
+    async def serve(self, port, task_status=trio.TASK_STATUS_IGNORED):
+        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        task_status.started()
+        await trio.serve_listeners(self.handle, listeners)
+
+    async def handle(self, client):
+        era = self.era
+        server = await trio.open_tcp_stream("127.0.0.1", self.server_port)
+        async with client, server, trio.open_nursery() as nursery:
+            nursery.start_soon(self.forward, client, server, era)
+            await self.forward(server, client, era)
+            nursery.cancel_scope.cancel()
+
+    async def forward(self, source, sink, era):
+        try:
+            while data := await source.receive_some(65536):
+                if era != self.era:
+                    # No kernel tells the other side of the end either.
+                    await trio.sleep_forever()
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+
+class Role:
+    """Let the daemon follow the store."""
+
+    def should_follow(self, now_s):
+        return True
+
+    def is_reached_since(self, time_s):
+        return False
+
+
+class Fleet:
+    """Record when each version is passed on."""
+
+    def __init__(self):
+        self.table = DocumentTable()
+        self.passed_on = {}
+        self.changed = trio.Event()
+        self.metrics = RelayMetrics()
+
+    def on_document(self, document, source):
+        if self.table.offer(document) and document.name == "configuration/main":
+            configuration = decode_message(document.body, RelayConfiguration).ok
+            self.passed_on[configuration.version] = trio.current_time()
+            self.changed.set()
+            self.changed = trio.Event()
+
+    async def wait_for(self, version):
+        while version not in self.passed_on:
+            await self.changed.wait()
+
+
+@pytest.fixture
+async def served(nursery):
+    """Return the store and a proxy before it, with its port."""
+    app = StandInStore()
+    server_port, proxy_port = free_ports(2)
+    await nursery.start(serve_on_loopback, app, server_port)
+    proxy = SilencingProxy(server_port)
+    await nursery.start(proxy.serve, proxy_port)
+    return app, proxy, proxy_port
+
+
+def write_version(app, version):
+    app.write("configuration", "main", make_configuration(version))
+
+
+def start_follower(nursery, store):
+    fleet = Fleet()
+    follower = StoreFollower(
+        store=store,
+        decode=decode_object,
+        table=fleet.table,
+        role=Role(),
+        on_document=fleet.on_document,
+        clock=TrioClock(),
+        random=Random(1),
+        metrics=fleet.metrics,
+    )
+    nursery.start_soon(follower.run)
+    return fleet
+
+
+async def test_version_is_passed_on_in_time_after_all_connections_fell_silent(
+    nursery, served
+):
+    """Guards against followers that are all blind until their watches end."""
+    app, proxy, port = served
+    write_version(app, 1)
+    fleet = start_follower(nursery, PlatformStore(f"127.0.0.1:{port}"))
+    with trio.fail_after(10.0):
+        await fleet.wait_for(1)
+    for version in (2, 3):
+        await trio.sleep(2.5)
+        proxy.silence()
+        await trio.sleep(1.0)
+        write_version(app, version)
+        written_s = trio.current_time()
+        with trio.move_on_after(10.0):
+            await fleet.wait_for(version)
+        assert fleet.passed_on.get(version, inf) - written_s <= CONFIG_APPLY_S
+    # The renewal is no loss of the store.
+    assert b"store_failures_total{" not in fleet.metrics.render().body
+
+
+class CountingApp:
+    """Count the calls of the store by their price."""
+
+    def __init__(self, app):
+        self.app = app
+        self.full = 0
+        self.cached = 0
+
+    async def __call__(self, scope, receive, send):
+        if b"serializable=1" in scope["query_string"]:
+            self.cached += 1
+        else:
+            self.full += 1
+        await self.app(scope, receive, send)
+
+
+async def test_probes_cost_less_than_watches_at_rest(nursery, autojump_clock):
+    """Guards against a price of calls that grows unnoticed."""
+    app = StandInStore()
+    write_version(app, 1)
+    counting = CountingApp(app)
+    store = PlatformStore("127.0.0.1:1", lambda: AsgiPool(counting, nursery))
+    start_follower(nursery, store)
+    await trio.sleep(5.0)
+    counting.full = counting.cached = 0
+    await trio.sleep(1000.0)
+    # Four kinds, each watched for 25 s.
+    assert counting.full <= 161
+    assert 0.1 * counting.cached <= 126
