Tell peers when the store last answered a follower

What callers saw: the daemons that could have read the store did not, as the statuses of blind followers told them that it had been reached just now.

Cause: StoreFollower.following was true as long as no call had failed, also while all watches waited on dead connections, and each status set the age of the news to zero by it.

Evidence: the new test on, 6 s after the last answer: assert not store.is_followed() -> assert not True

Change: the time of the last answer to a probe or a call decides. Statuses carry its age, and a follower without an answer for 4 s is not counted as one. Other daemons follow 6 s after the last answer, as after a loss that shows.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -189,7 +189,7 @@
             events=self._events,
             accepts=self._validator.accepts,
             is_configured=lambda: self._ingress.configured,
-            is_following=lambda: self._follower.following,
+            store_reached_s=lambda: self._follower.reached_s,
         )
         self._versions = VersionPolicy(self._random)
         self._ingress = Ingress(
--- a/catkinhollow/relay/follower_election.py
+++ b/catkinhollow/relay/follower_election.py
@@ -34,9 +34,9 @@
         """Return how long ago a follower was known to reach the store."""
         return now_s - self._reached_s
 
-    def store_reached(self, now_s: float) -> None:
-        """Record that this daemon's own calls of the store succeed."""
-        self._reached_s = now_s
+    def store_reached(self, reached_s: float) -> None:
+        """Record when the store last answered this daemon."""
+        self._reached_s = max(self._reached_s, reached_s)
 
     def hear(self, age_s: float, now_s: float) -> None:
         """Record the news of a peer about the store."""
--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -56,10 +56,10 @@
         events: EventManager,
         accepts: Callable[[Document], bool],
         is_configured: Callable[[], bool],
-        is_following: Callable[[], bool],
+        store_reached_s: Callable[[], float],
     ) -> None:
         self._is_configured = is_configured
-        self._is_following = is_following
+        self._store_reached_s = store_reached_s
         self._directory = directory
         self._gate = gate
         self._link = link
@@ -332,8 +332,7 @@
 
     def _send_status(self, address: str, *, reply: bool, resumed: bool = False) -> None:
         now_s = self._clock.monotonic()
-        if self._is_following():
-            self._election.store_reached(now_s)
+        self._election.store_reached(self._store_reached_s())
         peer = self._directory.by_address(address)
         departure = peer.departure if peer is not None and resumed else None
         status = Status(
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -47,6 +47,8 @@
 # returned. The store may lose an answer without closing its connection, and a
 # large object on a slow link takes about 1 s.
 DEAD_WATCH_S = 2.0
+# Longest time between answers of a store that is slow, but answers.
+MAX_ANSWER_AGE_S = 4.0
 # Interval of the checks whether this daemon should follow the store.
 ELECTION_INTERVAL_S = 0.5
 # Time after its start in which a daemon may get the configuration from a peer
@@ -143,10 +145,17 @@
 
     @property
     def following(self) -> bool:
-        """Return whether the store answered the last call of each kind."""
-        return self._following and all(
+        """Return whether the store answers this daemon."""
+        return self._clock.monotonic() - self.reached_s <= MAX_ANSWER_AGE_S
+
+    @property
+    def reached_s(self) -> float:
+        """Return when the store last answered, -inf if a kind is not read."""
+        if not self._following or not all(
             self._reachable.get(kind, False) for kind in KINDS
-        )
+        ):
+            return -inf
+        return max(self._answered_s, self._monitor.answered_s)
 
     @property
     def answer_age_s(self) -> float:
--- a/tests/relay/test_follower_election.py
+++ b/tests/relay/test_follower_election.py
@@ -77,6 +77,16 @@
     assert election.store_age_s(5.0) == pytest.approx(0.1)
 
 
+def test_blind_follower_is_replaced_after_its_last_answer():
+    """Guards against statuses that renew the news of a silent store."""
+    election, _ = next(iter(make_fleet(10).values()))
+    election.store_reached(5.0)
+    for now_s in (6.0, 8.0, 11.5):
+        election.store_reached(5.0)
+        assert election.store_age_s(now_s) == pytest.approx(now_s - 5.0)
+    assert not election.is_followed(5.0 + MAX_STORE_AGE_S + 0.1)
+
+
 def test_follower_that_cannot_be_reached_is_replaced_at_once():
     """Guards against a failure domain that waits for a daemon that ended."""
     elections = make_fleet(40)
--- a/tests/relay/test_peer_directory.py
+++ b/tests/relay/test_peer_directory.py
@@ -161,7 +161,7 @@
         events=EventManager(),
         accepts=lambda _: True,
         is_configured=lambda: False,
-        is_following=lambda: False,
+        store_reached_s=lambda: -inf,
     )
 
 
--- a/tests/relay/test_store_follower.py
+++ b/tests/relay/test_store_follower.py
@@ -16,8 +16,9 @@
 from catkinhollow.generated.relay import DaemonRecord, Document, RelayConfiguration
 from catkinhollow.generated.store import ObjectList
 from catkinhollow.relay.documents import DocumentTable
-from catkinhollow.relay.follower_election import FollowerElection
+from catkinhollow.relay.follower_election import MAX_STORE_AGE_S, FollowerElection
 from catkinhollow.relay.peers import PeerDirectory
+from catkinhollow.relay.probe_plan import PROBE_INTERVAL_S, ProbeOutcome
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.store_follower import DEAD_WATCH_S, StoreFollower
 
@@ -139,6 +140,8 @@
 
     store.on_document = on_document
     store.expect = lambda kind, revision: follower.expect(kind, revision)
+    store.reached_s = lambda: follower.reached_s
+    store.is_followed = lambda: follower.following
     follower = StoreFollower(
         store=store,
         decode=decode,
@@ -356,3 +359,37 @@
     store.list_objects = lambda kind: calls.append(kind) or list_objects(kind)
     await trio.sleep(5.0)
     assert calls == []
+
+
+class UnreachableStore(SlowLinkStore):
+    """Answer nothing any more once it is cut off."""
+
+    def __init__(self):
+        super().__init__(transfer_s=0.0)
+        self.cut_off = False
+
+    async def probe(self, kind, *, fresh):
+        if self.cut_off:
+            await trio.sleep(3.0)
+            return ProbeOutcome.FAILED
+        return await super().probe(kind, fresh=fresh)
+
+
+async def test_follower_without_answers_does_not_claim_to_reach_the_store(
+    nursery, table, autojump_clock
+):
+    """Guards against a blind follower that keeps others from following."""
+    store = UnreachableStore()
+    store.write("configuration", "main", to_plain(make_configuration(1)))
+    start_follower(nursery, store, table, autojump_clock)
+    await trio.sleep(20.0)
+    assert store.is_followed()
+    assert trio.current_time() - store.reached_s() <= PROBE_INTERVAL_S
+    store.cut_off = True
+    cut_off_s = trio.current_time()
+    await trio.sleep(MAX_STORE_AGE_S)
+    assert not store.is_followed()
+    assert store.reached_s() <= cut_off_s
+    store.cut_off = False
+    await trio.sleep(2.0)
+    assert store.is_followed()
