Make no call of the store on a connection that was idle for long

What callers saw: after connections had fallen silent, a write of a daemon that does not follow the store (a record, the departure of a target, a step of a move) waited 3 s for each idle connection in its pool, one after the other.

Cause: idle connections were used for ever, and nothing shows on a connection without traffic that it is silent.

Evidence: the new test on, a write 1 s after the silence with three idle connections: assert written.is_ok() -> UNAVAILABLE, reason='ReadTimeout: '

Change: idle connections are not used again after 0.5 s, except the one for the probes. A call in progress at the moment of the silence still ends after 3 s at a daemon that does not follow the store; at a follower the renewal ends it.

Measured: the write succeeds within 1 s (the same test).

--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -56,7 +56,10 @@
         self._base_url = f"http://{address}/objects"
         self._make_pool = make
         self._connections = StoreConnections(make)
-        self._probe_connections = StoreConnections(make, repeats_reads=False)
+        # Shares the fate of the waiting watches, however long it is idle.
+        self._probe_connections = StoreConnections(
+            make, repeats_reads=False, idle_expiry_s=None
+        )
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/catkinhollow/platform/store_connections.py
+++ b/catkinhollow/platform/store_connections.py
@@ -30,13 +30,23 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
 
-PoolFactory = Callable[[], AsyncConnectionPool]
+# A connection that has been idle for longer may have fallen silent, and the
+# next call on it would end with a time-out.
+IDLE_EXPIRY_S = 0.5
 
+PoolFactory = Callable[[float | None], AsyncConnectionPool]
 
-def make_pool() -> AsyncConnectionPool:
-    """Return connections to the store that the kernel watches."""
+
+def make_pool(idle_expiry_s: float | None) -> AsyncConnectionPool:
+    """Return connections that the kernel watches.
+
+    Idle ones are not used again after the given time in seconds, or always
+    used if it is None.
+    """
     return AsyncConnectionPool(
-        max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
+        max_connections=MAX_CONNECTIONS,
+        keepalive_expiry=idle_expiry_s,
+        socket_options=_SOCKET_OPTIONS,
     )
 
 
@@ -52,10 +62,17 @@
 class StoreConnections:
     """Send requests through a pool of connections that can be replaced."""
 
-    def __init__(self, make: PoolFactory, *, repeats_reads: bool = True) -> None:
+    def __init__(
+        self,
+        make: PoolFactory,
+        *,
+        repeats_reads: bool = True,
+        idle_expiry_s: float | None = IDLE_EXPIRY_S,
+    ) -> None:
         self._make = make
         self._repeats_reads = repeats_reads
-        self._pool = _Pool(make())
+        self._idle_expiry_s = idle_expiry_s
+        self._pool = _Pool(make(idle_expiry_s))
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -67,7 +84,7 @@
         Waiting GET requests may be repeated on new connections, the others
         raise NetworkError.
         """
-        pool, self._pool = self._pool, _Pool(self._make())
+        pool, self._pool = self._pool, _Pool(self._make(self._idle_expiry_s))
         pool.renewed = True
         calls = pool.calls
         await _close(pool)
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -41,7 +41,7 @@
 
 def make_store(nursery, *responses):
     app = ScriptedApp(list(responses))
-    return app, PlatformStore("127.0.0.1:1", lambda: AsgiPool(app, nursery))
+    return app, PlatformStore("127.0.0.1:1", lambda expiry_s: AsgiPool(app, nursery))
 
 
 async def test_listing_reads_all_pages(nursery):
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -10,6 +10,7 @@
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.codec import decode_message
+from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.relay import RelayConfiguration
 from catkinhollow.platform.object_store import PlatformStore
 from catkinhollow.platform.objects import decode_object
@@ -141,6 +142,50 @@
     assert b"store_failures_total{" not in fleet.metrics.render().body
 
 
+async def test_write_after_the_silence_uses_a_new_connection(served):
+    """Guards against a time-out for each idle connection that is silent."""
+    app, proxy, port = served
+    store = PlatformStore(f"127.0.0.1:{port}")
+    async with trio.open_nursery() as nursery:
+        for _ in range(3):
+            nursery.start_soon(store.list_cached, "daemons")
+    proxy.silence()
+    await trio.sleep(1.0)
+    started_s = trio.current_time()
+    written = await store.put("daemons", "d", {"name": "d"}, if_revision=0)
+    assert written.is_ok(), written.error
+    assert trio.current_time() - started_s <= 1.0
+
+
+async def test_renewal_ends_a_write_and_repeats_a_read(nursery, served):
+    """Guards against calls that wait on connections known to be silent."""
+    app, proxy, port = served
+    store = PlatformStore(f"127.0.0.1:{port}")
+    write_version(app, 1)
+    revision = (await store.list_objects("configuration")).ok.revision
+    ended = {}
+
+    async def run(name, call):
+        ended[name] = await call
+
+    watch = store.watch("configuration", after=revision, wait_s=20.0)
+    nursery.start_soon(run, "watch", watch)
+    await trio.sleep(0.1)
+    assert (await store.list_objects("daemons")).is_ok()
+    proxy.silence()
+    put = store.put("daemons", "d", {"name": "d"}, if_revision=0)
+    nursery.start_soon(run, "put", put)
+    await trio.sleep(0.1)
+    assert ended == {}
+    assert await store.renew_connections() == 2
+    await trio.sleep(0.2)
+    assert ended["put"].error.kind is StoreErrorKind.UNAVAILABLE
+    assert "watch" not in ended
+    write_version(app, 2)
+    await trio.sleep(0.5)
+    assert [stored.name for stored in ended["watch"].ok.objects] == ["main"]
+
+
 class CountingApp:
     """Count the calls of the store by their price."""
 
@@ -162,7 +207,7 @@
     app = StandInStore()
     write_version(app, 1)
     counting = CountingApp(app)
-    store = PlatformStore("127.0.0.1:1", lambda: AsgiPool(counting, nursery))
+    store = PlatformStore("127.0.0.1:1", lambda expiry_s: AsgiPool(counting, nursery))
     start_follower(nursery, store)
     await trio.sleep(5.0)
     counting.full = counting.cached = 0
