--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -1,5 +1,6 @@
 """Tests of a store whose open connections go silent while new ones work."""
 
+import socket
 from math import inf
 from random import Random
 
@@ -15,6 +16,7 @@
 from catkinhollow.platform.object_store import PlatformStore
 from catkinhollow.platform.objects import decode_object
 from catkinhollow.platform.standin_store import StandInStore
+from catkinhollow.platform.store_connections import make_pool
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.store_follower import StoreFollower
@@ -186,6 +188,24 @@
     assert [stored.name for stored in ended["watch"].ok.objects] == ["main"]
 
 
+async def test_kernel_watches_idle_connections_and_unacknowledged_bytes(served):
+    """Guards against a watch whose request was never acknowledged."""
+    _, _, port = served
+    async with make_pool(None) as pool:
+        url = f"http://127.0.0.1:{port}/objects/config"
+        async with pool.stream("GET", url) as response:
+            stream = response.extensions["network_stream"]
+            connection = stream.get_extra_info("socket")
+            for name, value in {
+                "TCP_KEEPIDLE": 1,
+                "TCP_KEEPINTVL": 1,
+                "TCP_KEEPCNT": 2,
+                "TCP_USER_TIMEOUT": 3000,
+            }.items():
+                option = getattr(socket, name)
+                assert connection.getsockopt(socket.IPPROTO_TCP, option) == value
+
+
 class CountingApp:
     """Count the calls of the store by their price."""
 
