Renew connections again soon after a renewal that helped

The pause between renewals doubled with each one within a minute, so that the fifth of several silences 6 s apart was detected after 16 s. It now returns to 2 s once four answers in a row on the new kept connection are in time, which a slow store does not give.

Evidence: the test of repeated silences, with ten of them 6 s apart in place of three, failed before: assert 6 == 10.

--- a/catkinhollow/relay/probe_plan.py
+++ b/catkinhollow/relay/probe_plan.py
@@ -7,6 +7,7 @@
 """
 
 from enum import Enum
+from math import inf
 from typing import Protocol, TypeAlias
 
 from attrs import define, field, frozen
@@ -18,10 +19,11 @@
 LATE_S = 0.7
 # Interval of the probes on new connections while none is answered.
 RETRY_INTERVAL_S = 1.0
-# Minimum time between renewals; it doubles with each one that follows soon
-# after another, as a store may only be slow.
+# Minimum time between renewals. It doubles with each one, as the store may
+# only be slow, until so many answers on the kept connection are in time.
 MIN_RENEWAL_INTERVAL_S = 2.0
 MAX_RENEWAL_INTERVAL_S = 32.0
+STEADY_ANSWERS = 4
 
 
 class ProbeOutcome(Enum):
@@ -90,7 +92,8 @@
     _unanswered: bool = False
     """Whether a new connection was tried and none has answered."""
     _reported: bool = False
-    _renewed_s: float | None = None
+    _steady_answers: int = 0
+    _renewed_s: float = -inf
     _renewal_interval_s: float = MIN_RENEWAL_INTERVAL_S
 
     @property
@@ -124,14 +127,21 @@
         if outcome is ProbeOutcome.FAILED:
             self._record_failure(number, now_s)
         elif number == self._kept:
+            self._record_kept_answer(now_s)
             self._end_probe(self._sent_s + PROBE_INTERVAL_S)
         elif number in self._fresh:
             return self._record_fresh_answer(now_s)
         return []
 
+    def _record_kept_answer(self, now_s: float) -> None:
+        in_time = now_s - self._sent_s < LATE_S
+        self._steady_answers = self._steady_answers + 1 if in_time else 0
+        if self._steady_answers >= STEADY_ANSWERS:
+            self._renewal_interval_s = MIN_RENEWAL_INTERVAL_S
+
     def _record_fresh_answer(self, now_s: float) -> list[ProbeCommand]:
         self._unanswered = self._reported = False
-        if not self._may_renew(now_s):
+        if now_s - self._renewed_s < self._renewal_interval_s:
             return []
         silent_s = now_s - self._sent_s
         self._record_renewal(now_s)
@@ -152,22 +162,12 @@
         self._unanswered = self._reported = False
         self._due_s = next_s
 
-    def _may_renew(self, now_s: float) -> bool:
-        return (
-            self._renewed_s is None
-            or now_s - self._renewed_s >= self._renewal_interval_s
-        )
-
     def _record_renewal(self, now_s: float) -> None:
-        if (
-            self._renewed_s is not None
-            and now_s - self._renewed_s < 2 * MAX_RENEWAL_INTERVAL_S
-        ):
+        if self._renewed_s > -inf:
             doubled_s = 2 * self._renewal_interval_s
             self._renewal_interval_s = min(doubled_s, MAX_RENEWAL_INTERVAL_S)
-        else:
-            self._renewal_interval_s = MIN_RENEWAL_INTERVAL_S
         self._renewed_s = now_s
+        self._steady_answers = 0
 
     def _next_number(self) -> int:
         self._number += 1
--- a/tests/relay/test_probe_plan.py
+++ b/tests/relay/test_probe_plan.py
@@ -90,7 +90,7 @@
 
 def test_repeated_silence_is_detected_each_time():
     """Guards against a plan that works once."""
-    times_s = [20.0, 50.0, 80.0]
+    times_s = [20.0 + 6.0 * n for n in range(10)]
     path = Path(silent_at(*times_s))
     path.run(120.0)
     assert len(path.renewals) == len(times_s)
