Notice dead connections to the store in the plain daemon

Cause: its store client had neither keep-alive nor a user timeout, so that a watch on a dead connection waited for watch_s and timeout_ms (32 s), and it used idle connections again for 20 s.

Change: both clients use the same socket options and the same expiry of idle connections. What remains: if a kernel in between acknowledges the probes of keep-alive, a watch of this daemon is blind for watch_s + timeout_ms; shorten watch_s there. Its calls have no cheap form for probes.

The effect of the kernel's timeouts was not run (needs dropped packets).

--- a/catkinhollow/configuration/http_store.py
+++ b/catkinhollow/configuration/http_store.py
@@ -20,6 +20,7 @@
     resolve_lost_write,
     unknown_outcome,
 )
+from catkinhollow.configuration.store_sockets import IDLE_EXPIRY_S, SOCKET_OPTIONS
 from catkinhollow.errors import StoreError, StoreErrorKind
 from catkinhollow.generated.settings import StoreSettings
 from catkinhollow.generated.store import (
@@ -35,10 +36,6 @@
 # writes.
 MAX_CONNECTIONS = 8
 
-# Shorter than the keep-alive timeout of common servers, so that the client
-# does not send on a connection that the server is about to close.
-KEEPALIVE_S = 20.0
-
 # A further attempt is made only after a read has shown that the previous one
 # did not take effect.
 MAX_WRITE_ATTEMPTS = 3
@@ -106,7 +103,9 @@
         self._base_url = f"http://{address.host}:{address.port}/v1"
         self._timeout_s = settings.timeout_ms / 1000
         self._pool = pool or AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=IDLE_EXPIRY_S,
+            socket_options=SOCKET_OPTIONS,
         )
 
     async def aclose(self) -> None:
--- a/catkinhollow/platform/store_connections.py
+++ b/catkinhollow/platform/store_connections.py
@@ -1,6 +1,5 @@
 """Keep the connections to the platform's store, and replace them."""
 
-import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -14,37 +13,11 @@
     TimeoutException,
 )
 
+from catkinhollow.configuration.store_sockets import IDLE_EXPIRY_S, SOCKET_OPTIONS
+
 # The watch of each kind occupies one connection while it waits; writes use
 # others.
 MAX_CONNECTIONS = 10
-# Keepalive covers a connection on which a watch waits: it ends within 3 s
-# after the kernel of its peer has become silent.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-# The user timeout covers bytes that are not acknowledged, such as a request
-# into a dead connection, for which the kernel sends no keepalive probes.
-USER_TIMEOUT_MS = 3000
-
-# Platforms lack some of the TCP options.
-_TCP_OPTIONS = {
-    "TCP_KEEPIDLE": KEEPALIVE_IDLE_S,
-    "TCP_KEEPINTVL": KEEPALIVE_INTERVAL_S,
-    "TCP_KEEPCNT": KEEPALIVE_PROBES,
-    "TCP_USER_TIMEOUT": USER_TIMEOUT_MS,
-}
-_SOCKET_OPTIONS = [
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    *(
-        (socket.IPPROTO_TCP, getattr(socket, name), value)
-        for name, value in _TCP_OPTIONS.items()
-        if hasattr(socket, name)
-    ),
-]
-
-# A connection that has been idle for longer may have fallen silent, and the
-# next call on it would end with a time-out.
-IDLE_EXPIRY_S = 0.5
 
 PoolFactory = Callable[[float | None], AsyncConnectionPool]
 
@@ -58,7 +31,7 @@
     return AsyncConnectionPool(
         max_connections=MAX_CONNECTIONS,
         keepalive_expiry=idle_expiry_s,
-        socket_options=_SOCKET_OPTIONS,
+        socket_options=SOCKET_OPTIONS,
     )
 
 
