--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -155,6 +155,33 @@
     assert [stored.name for stored in ended["watch"].ok.objects] == ["main"]
 
 
+async def test_renewals_at_any_moment_end_no_read_with_an_error(served):
+    """Guards against exceptions of connections that are closed in use."""
+    app, _, port = served
+    store = PlatformStore(f"127.0.0.1:{port}")
+    write_version(app, 1)
+    results = []
+
+    async def read():
+        for _ in range(40):
+            results.append(await store.list_objects("configuration"))
+
+    async def renew():
+        while True:
+            await trio.sleep(random.uniform(0.0, 0.01))
+            await store.renew_connections()
+
+    random = Random(3)
+    async with trio.open_nursery() as renewals:
+        renewals.start_soon(renew)
+        async with trio.open_nursery() as readers:
+            for _ in range(8):
+                readers.start_soon(read)
+        renewals.cancel_scope.cancel()
+    assert len(results) == 320
+    assert [result.error for result in results if result.is_error()] == []
+
+
 async def test_kernel_watches_idle_connections_and_unacknowledged_bytes(served):
     """Guards against a watch whose request was never acknowledged."""
     _, _, port = served
