--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -28,8 +28,8 @@
 
 logger = get_logger(__name__)
 
-# A longer wait needs fewer calls; a dead connection is detected by TCP
-# keep-alive, not by the end of the wait.
+# A longer wait needs fewer calls; silent connections are detected by probes,
+# not by the end of the wait.
 WATCH_TIMEOUT_S = 25.0
 # Pause after changes of daemon records, which come in bursts: without it the
 # start of 90 daemons cost each of them one call per other daemon.
