--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -134,7 +134,7 @@
         self._reachable: dict[str, bool] = {}
         self._followed: dict[str, _FollowedKind] = {}
         self._following = False
-        self._answered_s = clock.monotonic()
+        self._answered_s = -inf
         self._configured = trio.Event()
         self._daemons_listed = trio.Event()
 
@@ -155,15 +155,18 @@
             self._reachable.get(kind, False) for kind in KINDS
         ):
             return -inf
-        return max(self._answered_s, self._monitor.answered_s)
+        return self._last_answer_s
 
     @property
     def answer_age_s(self) -> float:
         """Return the seconds since the last answer, 0 if not following."""
         if not self._following:
             return 0.0
-        answered_s = max(self._answered_s, self._monitor.answered_s)
-        return self._clock.monotonic() - answered_s
+        return self._clock.monotonic() - self._last_answer_s
+
+    @property
+    def _last_answer_s(self) -> float:
+        return max(self._answered_s, self._monitor.answered_s)
 
     def set_configured(self) -> None:
         """Record that a configuration is in force."""
