Test the return of a store that was silent on all connections

New connections hang as well for 5 s; then a version is written. It is passed on within 2 s of the return, and the follower counts as one again.

--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -20,7 +20,7 @@
 from catkinhollow.platform.store_connections import make_pool
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.relay_metrics import RelayMetrics
-from catkinhollow.relay.store_follower import StoreFollower
+from catkinhollow.relay.store_follower import MAX_ANSWER_AGE_S, StoreFollower
 from catkinhollow.testbed.loopback_server import serve_on_loopback
 from catkinhollow.testbed.processes import free_ports
 
@@ -85,6 +85,7 @@
         random=Random(1),
         metrics=fleet.metrics,
     )
+    fleet.follower = follower
     nursery.start_soon(follower.run)
     return fleet
 
@@ -111,6 +112,29 @@
     assert b"store_failures_total{" not in fleet.metrics.render().body
 
 
+async def test_version_is_passed_on_soon_after_a_silent_outage(nursery, served):
+    """Guards against watches that wait on after the path works again."""
+    app, proxy, port = served
+    write_version(app, 1)
+    fleet = start_follower(nursery, PlatformStore(f"127.0.0.1:{port}"))
+    with trio.fail_after(10.0):
+        await fleet.wait_for(1)
+    await trio.sleep(1.0)
+    assert fleet.follower.following
+    proxy.holds_new = True
+    proxy.silence()
+    await trio.sleep(MAX_ANSWER_AGE_S + 1.0)
+    assert not fleet.follower.following
+    write_version(app, 2)
+    proxy.holds_new = False
+    returned_s = trio.current_time()
+    with trio.move_on_after(10.0):
+        await fleet.wait_for(2)
+    assert fleet.passed_on.get(2, inf) - returned_s <= CONFIG_APPLY_S
+    await trio.sleep(0.5)
+    assert fleet.follower.following
+
+
 async def test_write_after_the_silence_uses_a_new_connection(served):
     """Guards against a time-out for each idle connection that is silent."""
     app, proxy, port = served
--- a/tests/silencing_proxy.py
+++ b/tests/silencing_proxy.py
@@ -9,6 +9,7 @@
     def __init__(self, server_port):
         self.server_port = server_port
         self.era = 0
+        self.holds_new = False
 
     def silence(self):
         self.era += 1
@@ -20,6 +21,8 @@
 
     async def handle(self, client):
         era = self.era
+        if self.holds_new:
+            await trio.sleep_forever()
         server = await trio.open_tcp_stream("127.0.0.1", self.server_port)
         async with client, server, trio.open_nursery() as nursery:
             nursery.start_soon(self.forward, client, server, era)
