--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -192,7 +192,7 @@
             events=self._events,
             accepts=self._validator.accepts,
             is_configured=lambda: self._ingress.configured,
-            is_following=lambda: self._follower.following,
+            store_reached_s=lambda: self._follower.reached_s,
         )
         self._versions = VersionPolicy(self._random)
         self._ingress = Ingress(
@@ -450,6 +450,7 @@
         metrics.peers.set({"state": "missing"}, missing)
         metrics.peers.set({"state": "known"}, len(self._directory.addresses))
         metrics.follows_store.set({}, int(self._follower.following))
+        metrics.store_answer_age_seconds.set({}, self._follower.answer_age_s)
         return metrics
 
 
--- a/catkinhollow/relay/store_follower.py
+++ b/catkinhollow/relay/store_follower.py
@@ -23,12 +23,13 @@
 from catkinhollow.relay.documents import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.kinds import DAEMONS, KINDS
 from catkinhollow.relay.relay_metrics import RelayMetrics
+from catkinhollow.relay.store_monitor import ProbedStore, StoreMonitor
 from catkinhollow.timer import Clock
 
 logger = get_logger(__name__)
 
-# A longer wait needs fewer calls; a dead connection is detected by TCP
-# keep-alive, not by the end of the wait.
+# A longer wait needs fewer calls; silent connections are detected by probes,
+# not by the end of the wait.
 WATCH_TIMEOUT_S = 25.0
 # Pause after changes of daemon records, which come in bursts: without it the
 # start of 90 daemons cost each of them one call per other daemon.
@@ -46,6 +47,8 @@
 # returned. The store may lose an answer without closing its connection, and a
 # large object on a slow link takes about 1 s.
 DEAD_WATCH_S = 2.0
+# Longest time between answers of a store that is slow, but answers.
+MAX_ANSWER_AGE_S = 4.0
 # Interval of the checks whether this daemon should follow the store.
 ELECTION_INTERVAL_S = 0.5
 # Time after its start in which a daemon may get the configuration from a peer
@@ -55,7 +58,7 @@
 OnDocument = Callable[[Document, str], None]
 
 
-class RelayStore(StoreClient, Protocol):
+class RelayStore(StoreClient, ProbedStore, Protocol):
     """Extend the store by listings that may be some seconds old."""
 
     async def list_cached(self, kind: str) -> Result[ObjectList, StoreError]:
@@ -127,9 +130,11 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
+        self._monitor = StoreMonitor(store, clock)
         self._reachable: dict[str, bool] = {}
         self._followed: dict[str, _FollowedKind] = {}
         self._following = False
+        self._answered_s = -inf
         self._configured = trio.Event()
         self._daemons_listed = trio.Event()
 
@@ -140,10 +145,28 @@
 
     @property
     def following(self) -> bool:
-        """Return whether the store answered the last call of each kind."""
-        return self._following and all(
+        """Return whether the store answers this daemon."""
+        return self._clock.monotonic() - self.reached_s <= MAX_ANSWER_AGE_S
+
+    @property
+    def reached_s(self) -> float:
+        """Return when the store last answered, -inf if a kind is not read."""
+        if not self._following or not all(
             self._reachable.get(kind, False) for kind in KINDS
-        )
+        ):
+            return -inf
+        return self._last_answer_s
+
+    @property
+    def answer_age_s(self) -> float:
+        """Return the seconds since the last answer, 0 if not following."""
+        if not self._following:
+            return 0.0
+        return self._clock.monotonic() - self._last_answer_s
+
+    @property
+    def _last_answer_s(self) -> float:
+        return max(self._answered_s, self._monitor.answered_s)
 
     def set_configured(self) -> None:
         """Record that a configuration is in force."""
@@ -166,6 +189,7 @@
                 continue
             logger.info("store followed")
             self._following = True
+            self._answered_s = self._clock.monotonic()
             await self._follow_while_needed()
             self._following = False
             self._reachable.clear()
@@ -207,6 +231,7 @@
     async def _follow_while_needed(self) -> None:
         self._followed = {kind: _FollowedKind() for kind in KINDS}
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._monitor.run)
             for kind, followed in self._followed.items():
                 nursery.start_soon(self._follow, kind, followed)
             while self._is_needed():
@@ -325,10 +350,12 @@
     def _record_failure(self, kind: str, reason: str) -> None:
         self._metrics.store_failures.inc({"kind": kind})
         if self._reachable.get(kind, True):
-            logger.warning("store lost", kind=kind, reason=reason)
+            age_ms = int(1000 * self.answer_age_s)
+            logger.warning("store lost", kind=kind, reason=reason, answer_age_ms=age_ms)
         self._reachable[kind] = False
 
     def _record_success(self, kind: str) -> None:
+        self._answered_s = self._clock.monotonic()
         if not self._reachable.get(kind, False):
             logger.info("store answers", kind=kind)
         self._reachable[kind] = True
