End connections to targets that have gone silent

Connections that were open at one moment may forward nothing any more, without a reset, while new ones work. Callers then got 502 or 504 from one request after the other: each took the next of the idle connections to the target and waited for its whole time, for up to 16 connections or until they expired (30 s).

Cause: the end of an exchange closed its own connection only, and no option of the socket let the kernel find silence.

Change: the kernel probes connections without traffic, and ends one that acknowledges nothing for 1 s (LOCAL_LIMITS; 3.5 s between machines). Such an attempt is SILENT: the outcome is unknown, idempotent calls are retried as before, and it is neither a failure of the target nor a run time. Where something in between acknowledges, a request that ends without a byte of a response (a timeout, or a cancellation after 0.5 s) closes the idle connections that have not answered since it was sent. These were not needed for that time, so that a slow target costs few new connections. Bodies above 4 KiB are sent without the limit, because a target may read them late.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -1,10 +1,11 @@
 """Send requests to targets over persistent HTTP connections."""
 
 from collections import defaultdict
+from errno import ETIMEDOUT
 from typing import Protocol
 
 import trio
-from attrs import Factory, define, frozen
+from attrs import Factory, define, field, frozen
 from httpcore import (
     URL,
     AsyncHTTP11Connection,
@@ -28,7 +29,16 @@
 )
 from catkinhollow.calls.limited_stream import LimitedStream
 from catkinhollow.calls.retries import AttemptKind
+from catkinhollow.calls.silence import (
+    REMOTE_LIMITS,
+    SilenceLimits,
+    limit_silence,
+    limit_unacknowledged,
+)
 from catkinhollow.generated.settings import HttpSettings
+from catkinhollow.logs import get_logger
+
+logger = get_logger(__name__)
 
 HOP_BY_HOP = frozenset(
     {
@@ -49,6 +59,12 @@
 # daemon busy long before the limit of its size.
 MAX_BODY_PARTS = 16_384
 REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
+# A request that its caller gave up earlier without a byte of a response does
+# not show that its connection is silent.
+MIN_SILENCE_S = 0.5
+# A target may read a longer body only when a slot is free. Its connection is
+# then alive, although the written bytes stay unacknowledged.
+MAX_UNREAD_BODY_BYTES = 4096
 
 
 @frozen(kw_only=True)
@@ -89,13 +105,17 @@
         """
 
 
-@frozen(eq=False)
+@define(eq=False)
 class _Connection:
     """Represent a connection with the stream below it."""
 
     http: AsyncHTTP11Connection
     stream: LimitedStream
     reused: bool = False
+    answered_s: float = field(factory=trio.current_time)
+    """When it was opened or carried the last whole response."""
+    unacknowledged_ms: int = 0
+    """The limit that is set for written bytes, 0 for none."""
 
 
 @define
@@ -132,10 +152,12 @@
         settings: HttpSettings,
         classify: Classify = classify_response,
         idle_expiry_s: float = IDLE_EXPIRY_S,
+        silence: SilenceLimits = REMOTE_LIMITS,
     ) -> None:
         self._settings = settings
         self._classify = classify
         self._idle_expiry_s = idle_expiry_s
+        self._silence = silence
         self._backend = TrioBackend()
         self._targets: dict[str, _Connections] = defaultdict(_Connections)
 
@@ -156,12 +178,15 @@
                 return SendResult(
                     kind=AttemptKind.NOT_CONNECTED, reason="connect failed"
                 )
-        reusable = False
+        started_s = trio.current_time()
+        attempt = SendResult(kind=AttemptKind.CANCELLED)
         try:
             attempt = await self._exchange(connection, address, request, deadline_s)
-            reusable = attempt.kind in REUSABLE_KINDS
         finally:
+            reusable = attempt.kind in REUSABLE_KINDS
             await self._release_connection(connections, connection, reusable)
+            if _shows_silence(connection, attempt.kind, started_s):
+                await self._close_unproven(connections, address, started_s)
         return attempt
 
     async def aclose(self) -> None:
@@ -174,7 +199,8 @@
         while connections.idle:
             connection = connections.idle.pop()
             if connection.http.is_idle() and not connection.http.has_expired():
-                return _Connection(connection.http, connection.stream, reused=True)
+                connection.reused = True
+                return connection
             connections.count -= 1
             await connection.http.aclose()
         return None
@@ -199,11 +225,15 @@
         except (ConnectError, ConnectTimeout):
             return None
         stream = LimitedStream(tcp, self._settings.max_header_bytes)
+        sock = stream.get_extra_info("socket")
+        if sock is not None:
+            limit_silence(sock, self._silence)
         origin = Origin(b"http", host.encode(), int(port))
         http = AsyncHTTP11Connection(
             origin, stream, keepalive_expiry=self._idle_expiry_s
         )
-        return _Connection(http, stream)
+        unacknowledged_ms = self._silence.unacknowledged_ms
+        return _Connection(http, stream, unacknowledged_ms=unacknowledged_ms)
 
     async def _exchange(
         self,
@@ -219,6 +249,7 @@
                 kind=AttemptKind.NOT_CONNECTED, reason="no time left after the connect"
             )
         http_request = _to_http_request(address, request)
+        self._limit_unacknowledged(connection, len(request.body))
         with trio.move_on_at(deadline_s):
             try:
                 return await self._read_response(connection, http_request, request)
@@ -229,9 +260,20 @@
                 )
             except (NetworkError, ProtocolError, TimeoutException) as error:
                 reason = f"{type(error).__name__}: {error}"
-                return SendResult(kind=AttemptKind.BROKEN, reason=reason)
+                silent = _is_kernel_timeout(error)
+                kind = AttemptKind.SILENT if silent else AttemptKind.BROKEN
+                return SendResult(kind=kind, reason=reason)
         return SendResult(kind=AttemptKind.TIMEOUT, reason="timeout")
 
+    def _limit_unacknowledged(self, connection: _Connection, body_bytes: int) -> None:
+        limit_ms = self._silence.unacknowledged_ms
+        if body_bytes > MAX_UNREAD_BODY_BYTES:
+            limit_ms = 0
+        sock = connection.stream.get_extra_info("socket")
+        if sock is not None and limit_ms != connection.unacknowledged_ms:
+            connection.unacknowledged_ms = limit_ms
+            limit_unacknowledged(sock, limit_ms)
+
     async def _read_response(
         self,
         connection: _Connection,
@@ -272,12 +314,57 @@
         http = connection.http
         keep = reusable and http.is_idle() and not _has_extra_data(http)
         if keep and len(connections.idle) < self._settings.max_idle_connections:
+            connection.answered_s = trio.current_time()
             connections.idle.append(connection)
             return
         connections.count -= 1
         with trio.CancelScope(shield=True):
             await http.aclose()
 
+    async def _close_unproven(
+        self, connections: _Connections, address: str, since_s: float
+    ) -> None:
+        """Close the idle connections that have not answered since a time.
+
+        Open connections may all go silent at the same moment, and each would
+        cost the request that finds out.
+        """
+        unproven = [item for item in connections.idle if item.answered_s <= since_s]
+        connections.idle = [item for item in connections.idle if item not in unproven]
+        connections.count -= len(unproven)
+        logger.info(
+            "target connection silent",
+            address=address,
+            silent_ms=int((trio.current_time() - since_s) * 1000),
+            closed=len(unproven),
+        )
+        with trio.CancelScope(shield=True):
+            for connection in unproven:
+                await connection.http.aclose()
+
+
+def _shows_silence(
+    connection: _Connection, kind: AttemptKind, started_s: float
+) -> bool:
+    """Return whether an attempt shows that its connection may be silent."""
+    if kind is AttemptKind.SILENT:
+        return True
+    if not connection.stream.silent:
+        return False
+    if kind is AttemptKind.CANCELLED:
+        return trio.current_time() - started_s >= MIN_SILENCE_S
+    return kind is AttemptKind.TIMEOUT
+
+
+def _is_kernel_timeout(error: BaseException) -> bool:
+    """Return whether the kernel has ended a connection because of silence."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, OSError) and cause.errno == ETIMEDOUT:
+            return True
+        cause = cause.__cause__ or cause.__context__
+    return False
+
 
 def _has_extra_data(connection: AsyncHTTP11Connection) -> bool:
     # Bytes after a whole response would be read as the next response. httpcore
--- a/catkinhollow/calls/limited_stream.py
+++ b/catkinhollow/calls/limited_stream.py
@@ -21,9 +21,16 @@
         self._stream = stream
         self._max_head_bytes = max_head_bytes
         self._head_bytes_left: int | None = None
+        self._silent = False
+
+    @property
+    def silent(self) -> bool:
+        """Return whether nothing has arrived since the last `begin_head`."""
+        return self._silent
 
     def begin_head(self) -> None:
         """Limit the reads from now on."""
+        self._silent = True
         self._head_bytes_left = self._max_head_bytes + READ_BYTES
 
     def end_head(self) -> None:
@@ -35,6 +42,7 @@
         if self._head_bytes_left is not None and self._head_bytes_left <= 0:
             raise ReadError(f"no response in {self._max_head_bytes} bytes")
         data = await self._stream.read(max_bytes, timeout)
+        self._silent = self._silent and not data
         if self._head_bytes_left is not None:
             self._head_bytes_left -= len(data)
         return data
--- a/catkinhollow/calls/retries.py
+++ b/catkinhollow/calls/retries.py
@@ -40,6 +40,8 @@
     """The connection failed later, or the response has another id."""
     TIMEOUT = auto()
     """No whole response within the timeout of the attempt."""
+    SILENT = auto()
+    """The peer has acknowledged nothing any more; the request may have run."""
     CANCELLED = auto()
     """The caller disconnected."""
 
--- a/catkinhollow/calls/service_calls.py
+++ b/catkinhollow/calls/service_calls.py
@@ -24,6 +24,7 @@
     AttemptKind.REFUSED: Sample.REFUSED,
     AttemptKind.NOT_CONNECTED: Sample.UNREACHABLE,
     AttemptKind.BROKEN: Sample.FAILED,
+    AttemptKind.SILENT: Sample.IGNORED,
     AttemptKind.CANCELLED: Sample.IGNORED,
 }
 
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -11,6 +11,7 @@
 
 from catkinhollow.addresses import parse_address
 from catkinhollow.calls.egress import HttpTargetClient
+from catkinhollow.calls.silence import LOCAL_LIMITS
 from catkinhollow.clock import TrioClock
 from catkinhollow.errors import DecodeError
 from catkinhollow.events import EventManager
@@ -158,7 +159,10 @@
     def _build_call_path(self) -> None:
         settings = self._settings
         client = HttpTargetClient(
-            HttpSettings(), make_classifier(self._header_names), IDLE_EXPIRY_S
+            HttpSettings(),
+            make_classifier(self._header_names),
+            IDLE_EXPIRY_S,
+            LOCAL_LIMITS,
         )
         self._pacer = LinkPacer(settings.link_mbps)
         self._link = NngFrameLink(
--- a/tests/calls/test_egress.py
+++ b/tests/calls/test_egress.py
@@ -55,6 +55,9 @@
     async def aclose(self):
         pass
 
+    def get_extra_info(self, info):
+        return None
+
 
 @pytest.fixture
 async def start_target(nursery):
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -289,6 +289,18 @@
     assert gate.state(0.1) is GateState.SERVING
 
 
+def test_silent_connections_do_not_mark_the_target_down():
+    """Guards against a gate that closes when kept connections go silent."""
+    gate = make_gate()
+    run_time_ms = gate.report(0.0).service_ms
+    for _ in range(2 * MAX_CONSECUTIVE_BROKEN):
+        gate.finish(start_call(gate), AttemptKind.SILENT, 0, 1.1)
+    assert gate.state(1.1) is GateState.SERVING
+    assert not gate.needs_probe
+    assert gate.report(1.1).service_ms == run_time_ms
+    assert gate.report(1.1).failures == 0
+
+
 def test_lost_answers_do_not_slow_the_target_down():
     """Guards against rate limiting a warm target that resets some answers."""
     gate = make_gate(slots=9, cold_calls_per_s=10.0)
