--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -269,9 +269,11 @@
         limit_ms = self._silence.unacknowledged_ms
         if body_bytes > MAX_UNREAD_BODY_BYTES:
             limit_ms = 0
+        if limit_ms == connection.unacknowledged_ms:
+            return
+        connection.unacknowledged_ms = limit_ms
         sock = connection.stream.get_extra_info("socket")
-        if sock is not None and limit_ms != connection.unacknowledged_ms:
-            connection.unacknowledged_ms = limit_ms
+        if sock is not None:
             limit_unacknowledged(sock, limit_ms)
 
     async def _read_response(
@@ -330,6 +332,8 @@
         cost the request that finds out.
         """
         unproven = [item for item in connections.idle if item.answered_s <= since_s]
+        if not unproven:
+            return
         connections.idle = [item for item in connections.idle if item not in unproven]
         connections.count -= len(unproven)
         logger.info(
