End the connections of callers that do not read

A response was written without a time limit. A caller whose connection went silent, or that stopped reading, held its connection, its descriptor and the responses for ever; RequestServer bounds only the reads. This holds for all its listeners: requests, ready, announcements and metrics.

The write of a 100-continue gets header_timeout_ms in the same way.

--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -18,6 +18,7 @@
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
+from catkinhollow.relay.timed_write import send_in_time
 
 logger = get_logger(__name__)
 
@@ -261,9 +262,9 @@
         started = incoming.head is not None or bool(self._parser.trailing_data[0])
         limit_ms = limits.header_timeout_ms if started else limits.idle_timeout_ms
         data = b""
+        if self._parser.they_are_waiting_for_100_continue and not self._exchanges:
+            await self._send_continue(limit_ms / 1000.0)
         with trio.move_on_after(limit_ms / 1000.0) as scope:
-            if self._parser.they_are_waiting_for_100_continue and not self._exchanges:
-                await self._send_continue()
             data = await self._receive()
         if scope.cancelled_caught:
             if started:
@@ -283,11 +284,11 @@
             logger.debug("connection lost", reason=str(error))
             return b""
 
-    async def _send_continue(self) -> None:
+    async def _send_continue(self, limit_s: float) -> None:
         informational = h11.InformationalResponse(status_code=100, headers=[])
         data = self._parser.send(informational) or b""
         try:
-            await self._stream.send_all(data)
+            await send_in_time(self._stream, data, limit_s)
         except NETWORK_ERRORS as error:
             # The next read finds the end of the connection.
             logger.debug("continuation not sent", reason=str(error))
@@ -366,8 +367,9 @@
                     self._notify_state_change()
                     return
                 self._server.response_sent(len(data))
+                limit_s = self._server.limits.idle_timeout_ms / 1000.0
                 try:
-                    await self._stream.send_all(data)
+                    await send_in_time(self._stream, data, limit_s)
                 except NETWORK_ERRORS as error:
                     logger.debug("response not sent", reason=str(error))
                     self._on_disconnect()
