Replace links of the mesh that have gone silent

Nothing replaced a connection between two daemons of the mesh that stayed open and carried nothing. Their floods, digests and pings were lost for good, and each declared the other dead: a dead member is pinged again, but over the same link.

A link that has carried no answer to a ping for more than two intervals is now closed and dialed again. Only an answer counts: a peer whose messages arrive may receive nothing itself. A new link, and a pause of the own process, start the time again.

--- a/catkinhollow/mesh/dissemination.py
+++ b/catkinhollow/mesh/dissemination.py
@@ -184,7 +184,7 @@
 
     def link_up(self, address: str, now_s: float) -> list[Command]:
         """Handle a new link, over which messages can be sent to a peer."""
-        self._neighbours.link_up(address)
+        self._neighbours.link_up(address, now_s)
         if address == self._joiner.asked_seed:
             self._send_join(address)
         if self._neighbours.is_wanted(address):
--- a/catkinhollow/mesh/failure_detector.py
+++ b/catkinhollow/mesh/failure_detector.py
@@ -14,10 +14,14 @@
 from catkinhollow.mesh.flooding import Flooding
 from catkinhollow.mesh.joining import Joiner
 from catkinhollow.mesh.membership import MemberTable
-from catkinhollow.mesh.mesh_commands import CommandQueue
+from catkinhollow.mesh.mesh_commands import CommandQueue, Reconnect
 from catkinhollow.mesh.neighbours import Neighbours
 from catkinhollow.mesh.pulling import SnapshotExchange
 
+# Unanswered pings after which an open link is replaced. It is below the number
+# after which the peer is suspected by default.
+MAX_UNANSWERED_PINGS = 2
+
 
 class FailureDetector:
     """Ping the successors on the rings and suspect those that are silent.
@@ -79,6 +83,7 @@
         if now_s >= self._ping_due_s:
             self._ping_due_s = now_s + self._peers.ping_interval_s
             self._check_members(now_s)
+            self._replace_silent_links(now_s)
             self._ping_peers()
         if now_s >= self._retry_due_s:
             self._retry_due_s = now_s + self._peers.rejoin_interval_s
@@ -115,6 +120,7 @@
 
     def on_ack(self, envelope: Envelope, ack: Ack, now_s: float) -> None:
         """Record the state of a peer and compare tables if they differ."""
+        self._neighbours.confirm_link(envelope.sender, now_s)
         self._update_peer(envelope, ack.revision)
         self._comparison.on_digest(envelope.sender, ack.digest, now_s)
 
@@ -145,6 +151,17 @@
         for address in self._table.expire(now_s):
             self._flooding.flood_member(address, now_s)
 
+    def _replace_silent_links(self, now_s: float) -> None:
+        # A connection may go silent for good, also in one direction, while a
+        # new one would work. Other messages of the peer do not show that it
+        # receives anything.
+        limit_s = MAX_UNANSWERED_PINGS * self._peers.ping_interval_s
+        for address in self.pinged_peers:
+            silent_s = self._neighbours.link_silence_s(address, now_s)
+            if silent_s > limit_s:
+                self._neighbours.confirm_link(address, now_s)
+                self._commands.add(Reconnect(address=address, silent_s=silent_s))
+
     def _ping_peers(self) -> None:
         self._sequence += 1
         for address in self.pinged_peers:
--- a/catkinhollow/mesh/mesh_commands.py
+++ b/catkinhollow/mesh/mesh_commands.py
@@ -39,6 +39,15 @@
     address: str
 
 
+@frozen(kw_only=True)
+class Reconnect:
+    """Request that the open link to a peer is replaced by a new one."""
+
+    address: str
+    silent_s: float
+    """Time for which the peer has not answered over the link."""
+
+
 @frozen(kw_only=True)
 class SnapshotArrived:
     """Offer an encoded snapshot that a peer sent."""
@@ -53,6 +62,7 @@
     Send
     | Connect
     | Disconnect
+    | Reconnect
     | SnapshotArrived
     | FloorRaised
     | MembersChanged
--- a/catkinhollow/mesh/mesh_service.py
+++ b/catkinhollow/mesh/mesh_service.py
@@ -19,6 +19,7 @@
     Command,
     Connect,
     Disconnect,
+    Reconnect,
     Send,
     SnapshotArrived,
 )
@@ -139,6 +140,13 @@
                     self._link.connect(address)
                 case Disconnect(address=address):
                     self._link.disconnect(address)
+                case Reconnect(address=address, silent_s=silent_s):
+                    logger.info(
+                        "silent link replaced",
+                        peer=address,
+                        silent_ms=int(silent_s * 1000),
+                    )
+                    self._link.reconnect(address)
                 case SnapshotArrived(data=data):
                     self._offer_snapshot(data)
                 case event:
--- a/catkinhollow/mesh/neighbours.py
+++ b/catkinhollow/mesh/neighbours.py
@@ -11,6 +11,8 @@
         self._wanted: set[str] = set()
         self._up: set[str] = set()
         self._last_heard_s: dict[str, float] = {}
+        # When each open link was opened or last carried a ping and its answer.
+        self._confirmed_s: dict[str, float] = {}
         self._temporary_until_s: dict[str, float] = {}
 
     @property
@@ -48,13 +50,24 @@
         """Keep a link until a time, starting with the next set_wanted call."""
         self._temporary_until_s[address] = until_s
 
-    def link_up(self, address: str) -> None:
+    def link_up(self, address: str, now_s: float) -> None:
         """Record that a link can carry messages."""
         self._up.add(address)
+        self._confirmed_s[address] = now_s
 
     def link_down(self, address: str) -> None:
         """Record that a link is closed."""
         self._up.discard(address)
+        self._confirmed_s.pop(address, None)
+
+    def confirm_link(self, address: str, now_s: float) -> None:
+        """Record that a link has carried a ping and its answer."""
+        if address in self._confirmed_s:
+            self._confirmed_s[address] = now_s
+
+    def link_silence_s(self, address: str, now_s: float) -> float:
+        """Return how long an open link has carried no answer, in seconds."""
+        return now_s - self._confirmed_s.get(address, now_s)
 
     def note_message(self, address: str, now_s: float) -> None:
         """Record a message if its sender is watched."""
@@ -73,5 +86,6 @@
         ]
 
     def restart_silence_timers(self, now_s: float) -> None:
-        """Restart the silence timeout of every watched peer after a pause."""
+        """Restart the silence timeouts of peers and links after a pause."""
         self._last_heard_s = dict.fromkeys(self._last_heard_s, now_s)
+        self._confirmed_s = dict.fromkeys(self._confirmed_s, now_s)
--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -38,6 +38,9 @@
     id: int
     pipe: Any
 
+    def close(self) -> None:
+        """Close the connection."""
+
 
 class _Dialer(Protocol):
     """Connect to one address repeatedly until closed."""
@@ -67,6 +70,9 @@
     def disconnect(self, address: str) -> None:
         """Close this end's connection to a peer."""
 
+    def reconnect(self, address: str) -> None:
+        """Replace every open connection to a peer by a new one."""
+
     def send(self, address: str, envelope: Envelope) -> bool:
         """Send a message, or return False if it is dropped here."""
 
@@ -118,6 +124,12 @@
         self._wanted.discard(address)
         self._close_dialer(address)
 
+    def reconnect(self, address: str) -> None:
+        """Replace every open connection to a peer by a new one."""
+        # A dialer connects again by itself once its pipe has closed.
+        for pipe in self._pipes.get(address, {}).values():
+            pipe.close()
+
     def send(self, address: str, envelope: Envelope) -> bool:
         """Send a message, or return False if it is dropped here."""
         pipes = self._pipes.get(address)
--- a/tests/calls/test_silent_targets.py
+++ b/tests/calls/test_silent_targets.py
@@ -76,7 +76,7 @@
     kinds = await send_kinds(client, address, IDLE_CONNECTIONS)
     assert kinds == [AttemptKind.TIMEOUT] + [AttemptKind.ANSWERED] * 5
     assert proxy.connections == IDLE_CONNECTIONS + 1
-    assert proxy.open == 1
+    assert proxy.open_clients == 1
 
 
 async def test_caller_that_gives_up_replaces_silent_connections(client, proxy, address):
--- a/tests/mesh/test_dissemination.py
+++ b/tests/mesh/test_dissemination.py
@@ -1,5 +1,6 @@
 """Tests of membership and dissemination among many daemons."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -206,6 +207,45 @@
     assert all(present_states(other) == [MemberState.ALIVE] * 5 for other in others)
 
 
+@pytest.mark.parametrize(
+    "direction",
+    [
+        pytest.param(lambda sender, receiver: True, id="both ways"),
+        pytest.param(lambda sender, receiver: sender < receiver, id="up"),
+        pytest.param(lambda sender, receiver: sender > receiver, id="down"),
+    ],
+)
+def test_links_that_go_silent_are_replaced(direction):
+    """Guards against members that are lost for good with their links."""
+    network = Network(4)
+    network.newest = 1
+    for address in ADDRESSES:
+        network.start(address, ADDRESSES)
+    network.answer_from_store(network.nodes[ADDRESSES[0]])
+    network.advance(10.0)
+    network.silence_links(direction=direction)
+    network.newest = 2
+    network.answer_from_store(network.nodes[ADDRESSES[0]])
+    network.advance(6.0)
+    nodes = network.nodes.values()
+    assert [node.enforced for node in nodes] == [2] * len(ADDRESSES)
+    network.advance(10.0)
+    for node in nodes:
+        states = {record.state for record in node.mesh.table.records.values()}
+        assert states == {MemberState.ALIVE}
+    assert sum(network.reconnects.values()) <= len(ADDRESSES) * len(ADDRESSES)
+
+
+def test_links_at_rest_are_not_replaced():
+    """Guards against new connections that no silence calls for."""
+    network = Network(5)
+    for address in ADDRESSES:
+        network.start(address, ADDRESSES)
+    network.answer_from_store(network.nodes[ADDRESSES[0]])
+    network.advance(300.0)
+    assert not network.reconnects
+
+
 def test_leaving_daemon_tells_its_neighbours_at_once():
     """Guards against a leave message that waits for a tick after the exit."""
     network, (node, *others) = make_small_fleet()
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of the links between daemons on real loopback sockets."""
 
 import trio
+from silent_proxy import SilentProxy
 
 from catkinhollow.generated.messages import Envelope, Ping
 from catkinhollow.mesh.links import LinkDown, LinkUp
@@ -82,3 +83,34 @@
     await one.expect(LinkDown(address=other.address))
     one.scope.cancel()
     other.scope.cancel()
+
+
+async def exchange(one, other):
+    for sender, receiver in ((one, other), (other, one)):
+        with trio.fail_after(10):
+            while not sender.send(receiver.address, ping=make_ping("", 0).ping):
+                await trio.sleep(0.01)
+        await receiver.expect(make_ping(sender.address, 0))
+
+
+async def test_reconnect_replaces_a_silent_connection(nursery):
+    """Guards against a peer that is lost, and connections that pile up."""
+    one, other = Peer(free_address()), Peer(free_address())
+    proxy = SilentProxy(int(other.address.rpartition(":")[2]))
+    other.address = f"127.0.0.1:{await proxy.start(nursery)}"
+    nursery.start_soon(other.run)
+    nursery.start_soon(one.run)
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    one.link.connect(other.address)
+    await exchange(one, other)
+    for _ in range(3):
+        proxy.silence()
+        one.link.reconnect(other.address)
+        await one.expect(LinkDown(address=other.address))
+        await one.expect(LinkUp(address=other.address))
+        await exchange(one, other)
+    await trio.sleep(0.2)
+    assert proxy.connections == 4
+    assert proxy.open_clients == 1
+    one.scope.cancel()
+    other.scope.cancel()
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -15,6 +15,7 @@
 from catkinhollow.mesh.mesh_commands import (
     Connect,
     Disconnect,
+    Reconnect,
     Send,
     SnapshotArrived,
 )
@@ -59,9 +60,11 @@
         self.newest = 0
         self.snapshots = Counter()
         self.announcements = 0
+        self.reconnects = Counter()
         self.bytes = Counter()
         self._count_bytes = count_bytes
         self._links = set()
+        self._silent_directions = set()
         self._events = []
         self._order = count()
 
@@ -101,6 +104,13 @@
     def is_reachable(self, one, other):
         return self.partition_of.get(one, 0) == self.partition_of.get(other, 0)
 
+    def silence_links(self, *, direction=lambda sender, receiver: True):
+        """Let open links carry nothing any more; new ones work."""
+        for one, other in map(sorted, self._links):
+            for pair in ((one, other), (other, one)):
+                if direction(*pair):
+                    self._silent_directions.add(pair)
+
     def enforce(self, node, revision, size=100):
         if revision <= node.enforced or revision < node.floor:
             return
@@ -142,6 +152,9 @@
                 case Disconnect(address=address):
                     node.wanted.discard(address)
                     self._drop_unwanted(node, address)
+                case Reconnect(address=address):
+                    self.reconnects[node.address] += 1
+                    self._close(frozenset((node.address, address)))
                 case SnapshotArrived(revision=revision, data=data):
                     assert int(data) == revision
                     self.enforce(node, revision, len(data))
@@ -179,6 +192,7 @@
 
     def _close(self, link):
         self._links.discard(link)
+        self._silent_directions -= {tuple(link), tuple(link)[::-1]}
         for address in sorted(link):
             node = self.nodes.get(address)
             (other,) = link - {address}
@@ -214,6 +228,8 @@
         link = frozenset((sender.address, address))
         if node is None or link not in self._links or not self.is_reachable(*link):
             return
+        if (sender.address, address) in self._silent_directions:
+            return
         if node.stopped:
             node.inbox.append((sender.address, envelope))
             return
--- a/tests/silent_proxy.py
+++ b/tests/silent_proxy.py
@@ -17,8 +17,10 @@
         self._generation = 0
         self.connections = 0
         """Number of connections accepted."""
-        self.open = 0
-        """Number of connections that neither end has closed."""
+        self.open_clients = 0
+        """Number of connections that the client has not closed."""
+        self.open_servers = 0
+        """Number of connections that the server has not closed."""
 
     def silence(self):
         """Let the open connections forward nothing any more."""
@@ -32,19 +34,30 @@
 
     async def _handle(self, client):
         self.connections += 1
-        self.open += 1
         generation = self._generation
         server = await trio.open_tcp_stream("127.0.0.1", self._server_port)
         async with client, server, trio.open_nursery() as nursery:
-            for source, sink in ((client, server), (server, client)):
-                nursery.start_soon(self._forward, source, sink, generation, nursery)
-        self.open -= 1
+            nursery.start_soon(self._forward_requests, client, server, generation)
+            nursery.start_soon(self._forward_responses, server, client, generation)
 
-    async def _forward(self, source, sink, generation, nursery):
+    async def _forward_requests(self, client, server, generation):
+        self.open_clients += 1
+        await self._forward(client, server, generation)
+        self.open_clients -= 1
+
+    async def _forward_responses(self, server, client, generation):
+        self.open_servers += 1
+        await self._forward(server, client, generation)
+        self.open_servers -= 1
+
+    async def _forward(self, source, sink, generation):
         try:
             while data := await source.receive_some(CHUNK_BYTES):
                 if generation == self._generation:
                     await sink.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        nursery.cancel_scope.cancel()
+        if generation == self._generation:
+            # The other end of a silent connection does not learn of the end.
+            await trio.aclose_forcefully(source)
+            await trio.aclose_forcefully(sink)
