Close accepted connections of the mesh that a newer one has replaced

The end of a connection that has gone silent does not arrive at the other end. The daemon that had accepted it kept it for ever, one more with each replacement: a descriptor and the buffers of nng each.

A peer dials one connection at a time, so that an accepted one that opened before another accepted one of the same peer is no longer in use; it is closed.

test_reconnect_replaces_a_silent_connection, on the old code: assert proxy.open_servers == 1 AssertionError: assert 4 == 1 (three silent connections replaced, over a proxy on loopback).

--- a/catkinhollow/mesh/peers.py
+++ b/catkinhollow/mesh/peers.py
@@ -1,6 +1,7 @@
 """Exchange messages with other daemons over nng."""
 
 from collections.abc import Callable
+from itertools import count
 from typing import Any, Protocol, TypeAlias
 
 import pynng
@@ -107,7 +108,9 @@
         self._dialed_addresses: dict[int, str] = {}
         self._pipes: dict[str, dict[int, _Pipe]] = {}
         self._pipe_addresses: dict[int, str] = {}
-        self._open_pipes: set[int] = set()
+        # Numbers of the open pipes in the order in which they opened.
+        self._open_pipes: dict[int, int] = {}
+        self._pipe_numbers = count()
 
     @property
     def counters(self) -> LinkCounters:
@@ -164,7 +167,7 @@
         # nng calls these functions on its own threads, but all state is only
         # accessed from the event loop.
         def on_opening(pipe: _Pipe) -> None:
-            self._run_on_loop(token, self._open_pipes.add, pipe.id)
+            self._run_on_loop(token, self._pipe_opening, pipe.id)
 
         def on_added(pipe: _Pipe) -> None:
             self._run_on_loop(token, self._pipe_added, pipe, _dialer_id(pipe))
@@ -187,13 +190,16 @@
         except trio.RunFinishedError:
             logger.debug("pipe event after loop shutdown")
 
+    def _pipe_opening(self, pipe_id: int) -> None:
+        self._open_pipes[pipe_id] = next(self._pipe_numbers)
+
     def _pipe_added(self, pipe: _Pipe, dialer_id: int) -> None:
         address = self._dialed_addresses.get(dialer_id)
         if address is not None:
             self._assign_pipe(address, pipe)
 
     def _pipe_removed(self, pipe_id: int) -> None:
-        self._open_pipes.discard(pipe_id)
+        self._open_pipes.pop(pipe_id, None)
         self._release_pipe(pipe_id)
 
     def _release_pipe(self, pipe_id: int) -> None:
@@ -235,9 +241,25 @@
             self._emit(LinkUp(address=address))
         # If both ends have dialed, only the pipe that the end with the lower
         # address dialed is kept.
-        is_accepted = _dialer_id(pipe) not in self._dialed_addresses
-        if is_accepted and address < self._own_address:
-            self._close_dialer(address)
+        if self._is_accepted(pipe):
+            self._close_former_pipes(address, pipe)
+            if address < self._own_address:
+                self._close_dialer(address)
+
+    def _is_accepted(self, pipe: _Pipe) -> bool:
+        return _dialer_id(pipe) not in self._dialed_addresses
+
+    def _close_former_pipes(self, address: str, accepted: _Pipe) -> None:
+        """Close the accepted pipes that an accepted one has replaced.
+
+        A peer dials one pipe at a time, but the end of a silent one does not
+        arrive here.
+        """
+        number = self._open_pipes[accepted.id]
+        for pipe in self._pipes[address].values():
+            is_former = self._open_pipes.get(pipe.id, number) < number
+            if is_former and self._is_accepted(pipe):
+                pipe.close()
 
     def _dial_if_needed(self, address: str) -> None:
         is_running = self._receiver is not None
--- a/tests/mesh/test_peers.py
+++ b/tests/mesh/test_peers.py
@@ -112,5 +112,6 @@
     await trio.sleep(0.2)
     assert proxy.connections == 4
     assert proxy.open_clients == 1
+    assert proxy.open_servers == 1
     one.scope.cancel()
     other.scope.cancel()
