End silent connections of callers of plain daemons

hypercorn closes idle connections only. A caller that went silent inside a body, or before it had read a response, held its connection, its request and the response for ever: hypercorn sets no time limit for reads by default, and shields its writes from cancellation, so that not even the shutdown could end them.

The next part of a body must now arrive in 15 s (408, not run). The listener sets keep-alive probes and TCP_USER_TIMEOUT (CALLER_LIMITS, 15 s), which accepted connections inherit, so that the kernel ends a connection whose caller neither acknowledges nor reads.

--- a/catkinhollow/calls/http_server.py
+++ b/catkinhollow/calls/http_server.py
@@ -8,11 +8,12 @@
 
 import trio
 from expression import Error, Ok, Result
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 from hypercorn.trio import serve
 from hypercorn.typing import Framework
 
 from catkinhollow.calls.exchange import Request, Response, plain_response
+from catkinhollow.calls.silence import CALLER_LIMITS, limit_silence
 from catkinhollow.generated.settings import Address, HttpSettings
 
 Message = MutableMapping[str, Any]
@@ -24,6 +25,8 @@
 # Connections that wait to be accepted; a mass restart of callers exceeds
 # hypercorn's default of 100.
 BACKLOG = 1024
+# Time for the next part of a body to arrive.
+BODY_TIMEOUT_S = 15.0
 DATE_HEADER = b"date"
 
 
@@ -66,7 +69,10 @@
     size = 0
     more = True
     while more:
-        message = await receive()
+        with trio.move_on_after(BODY_TIMEOUT_S) as timeout:
+            message = await receive()
+        if timeout.cancelled_caught:
+            return Error(plain_response(408, "the body did not arrive in time"))
         if message["type"] == "http.disconnect":
             return Error(plain_response(400, "the request body is incomplete"))
         size += len(message.get("body", b""))
@@ -147,8 +153,22 @@
             return
 
 
+class _SilenceConfig(Config):
+    """Let the kernel end connections of callers that have gone silent.
+
+    hypercorn shields its writes from cancellation, so that it cannot time out.
+    """
+
+    def create_sockets(self) -> Sockets:
+        sockets = super().create_sockets()
+        # Accepted connections inherit the options of their listener.
+        for sock in sockets.insecure_sockets:
+            limit_silence(sock, CALLER_LIMITS)
+        return sockets
+
+
 def _config(address: Address, http: HttpSettings, drain_s: float) -> Config:
-    config = Config()
+    config = _SilenceConfig()
     config.bind = [f"{address.host}:{address.port}"]
     config.backlog = BACKLOG
     config.accesslog = None
--- a/catkinhollow/calls/silence.py
+++ b/catkinhollow/calls/silence.py
@@ -40,6 +40,10 @@
 LOCAL_LIMITS = SilenceLimits(probe_interval_s=1, lost_probes=2, unacknowledged_ms=1000)
 # A lost packet must not end a connection.
 REMOTE_LIMITS = SilenceLimits(probe_interval_s=1, lost_probes=3, unacknowledged_ms=3500)
+# A caller may read the body of its answer with pauses.
+CALLER_LIMITS = SilenceLimits(
+    probe_interval_s=5, lost_probes=3, unacknowledged_ms=15_000
+)
 
 
 def limit_silence(sock: OptionSocket, limits: SilenceLimits) -> None:
--- a/tests/calls/test_http_server.py
+++ b/tests/calls/test_http_server.py
@@ -2,10 +2,17 @@
 
 import trio
 import trio.testing
+from attrs import evolve
 from httpcore import AsyncConnectionPool
 
 from catkinhollow.calls.exchange import plain_response
-from catkinhollow.calls.http_server import read_request, send_response, serve_app
+from catkinhollow.calls.http_server import (
+    BODY_TIMEOUT_S,
+    read_request,
+    send_response,
+    serve_app,
+)
+from catkinhollow.calls.silence import CALLER_LIMITS
 from catkinhollow.generated.settings import Address, HttpSettings
 from catkinhollow.testbed.processes import free_ports
 
@@ -113,3 +120,39 @@
     assert len(dates) == 1
     assert [item for item in passed_on.headers if item[0] == b"date"] == [target_date]
     served.shutdown.set()
+
+
+async def test_body_that_stops_arriving_is_refused(autojump_clock):
+    """Guards against requests of silent callers that stay open for ever."""
+
+    async def receive():
+        if not parts:
+            await trio.sleep_forever()
+        return parts.pop()
+
+    parts = [{"type": "http.request", "body": b"a", "more_body": True}]
+    scope = {"method": "POST", "raw_path": b"/", "query_string": b"", "headers": []}
+    with trio.fail_after(BODY_TIMEOUT_S + 1.0):
+        read = await read_request(scope, receive, 1000)
+    assert read.error.status == 408
+
+
+async def test_caller_that_reads_nothing_is_disconnected(nursery, monkeypatch):
+    """Guards against connections that silent callers hold for ever."""
+    limits = evolve(CALLER_LIMITS, unacknowledged_ms=500)
+    monkeypatch.setattr("catkinhollow.calls.http_server.CALLER_LIMITS", limits)
+    ended = trio.Event()
+
+    async def app(scope, receive, send):
+        await read_request(scope, receive, 1000)
+        await send_response(send, plain_response(200, "x" * 2**25))
+        ended.set()
+
+    served = ServedApp(app)
+    [url] = await nursery.start(served.run)
+    port = int(url.rpartition(":")[2])
+    client = await trio.open_tcp_stream("127.0.0.1", port)
+    await client.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    with trio.fail_after(10):
+        await ended.wait()
+    served.shutdown.set()
