Test silent connections to targets with segments that the kernel drops

A socket filter that accepts no byte lets a real connection on loopback go silent: nothing that is sent to it is acknowledged. The tests no longer depend on the queue of a deferred listener.

A machine that is gone may also be reported as unreachable; this is SILENT too.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -1,7 +1,7 @@
 """Send requests to targets over persistent HTTP connections."""
 
 from collections import defaultdict
-from errno import ETIMEDOUT
+from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 from typing import Protocol
 
 import trio
@@ -58,6 +58,8 @@
 # Each part costs processor time, so that a body of tiny parts would keep the
 # daemon busy long before the limit of its size.
 MAX_BODY_PARTS = 16_384
+# Errors with which the kernel ends a connection that has gone silent.
+SILENCE_ERRORS = (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
 REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
 # A request that its caller gave up earlier without a byte of a response does
 # not show that its connection is silent.
@@ -364,7 +366,7 @@
     """Return whether the kernel has ended a connection because of silence."""
     cause: BaseException | None = error
     while cause is not None:
-        if isinstance(cause, OSError) and cause.errno == ETIMEDOUT:
+        if isinstance(cause, OSError) and cause.errno in SILENCE_ERRORS:
             return True
         cause = cause.__cause__ or cause.__context__
     return False
--- a/tests/calls/test_silent_targets.py
+++ b/tests/calls/test_silent_targets.py
@@ -1,11 +1,11 @@
 """Tests of connections to targets that go silent without a reset."""
 
-import socket
 from functools import partial
 
 import pytest
 import trio
 from silent_proxy import SilentProxy
+from silent_sockets import drop_input
 
 from catkinhollow.calls.egress import HttpTargetClient
 from catkinhollow.calls.exchange import Request
@@ -116,52 +116,80 @@
     assert proxy.connections == IDLE_CONNECTIONS
 
 
-class UnacknowledgingListener:
-    """Accept a connection in the client's view, and acknowledge no data.
-
-    Linux drops the first data of a deferred connection while the queue of
-    connections to accept is full.
-    """
+class SilentTarget:
+    """Answer requests until the kernel drops what arrives."""
 
     def __init__(self):
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 60)
-        self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(0)
-        self._filler = socket.socket()
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.streams = []
 
-    def fill_queue(self):
-        self._filler.connect(self._listener.getsockname())
-        self._filler.sendall(b"x")
+    async def serve(self, stream):
+        self.streams.append(stream)
+        await answer_requests(stream)
 
-    def close(self):
-        self._filler.close()
-        self._listener.close()
+    def silence(self):
+        """Let the open connections go silent; new ones work."""
+        for stream in self.streams:
+            drop_input(stream.socket)
 
 
-class FilledBackend:
-    """Connect, then fill the queue of the listener."""
+@pytest.fixture
+async def silent_target():
+    return SilentTarget()
 
-    def __init__(self, backend, listener):
-        self._backend = backend
-        self._listener = listener
 
-    async def connect_tcp(self, *args, **kwargs):
-        stream = await self._backend.connect_tcp(*args, **kwargs)
-        self._listener.fill_queue()
-        return stream
+@pytest.fixture
+async def silent_address(nursery, silent_target):
+    listeners = await nursery.start(
+        partial(trio.serve_tcp, silent_target.serve, 0, host="127.0.0.1")
+    )
+    return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
 
-async def test_unacknowledged_request_ends_before_its_deadline(client):
+async def test_unacknowledged_request_ends_before_its_deadline(
+    client, silent_target, silent_address
+):
     """Guards against requests that dead connections hold to their end."""
-    listener = UnacknowledgingListener()
-    client._backend = FilledBackend(client._backend, listener)
+    await open_idle_connections(client, silent_address)
+    silent_target.silence()
+    started_s = trio.current_time()
+    first = await client.send(silent_address, make_request(), 8.0)
+    assert first.kind is AttemptKind.SILENT
+    assert trio.current_time() - started_s < 2.0
+    kinds = await send_kinds(client, silent_address, IDLE_CONNECTIONS)
+    assert kinds == [AttemptKind.ANSWERED] * IDLE_CONNECTIONS
+    assert len(silent_target.streams) == IDLE_CONNECTIONS + 1
+
+
+async def test_idle_silent_connection_costs_no_request(
+    client, silent_target, silent_address
+):
+    """Guards against silence that only the next request finds out."""
+    await open_idle_connections(client, silent_address)
+    silent_target.silence()
+    await trio.sleep(3.0)
+    assert await send_kinds(client, silent_address, 1) == [AttemptKind.ANSWERED]
+
+
+async def test_silence_during_a_run_ends_the_request(
+    client, silent_target, silent_address, nursery
+):
+    """Guards against requests that wait for answers that cannot arrive."""
+
+    async def silence_soon():
+        await trio.sleep(0.2)
+        silent_target.silence()
+
+    nursery.start_soon(silence_soon)
     started_s = trio.current_time()
-    attempt = await client.send(listener.address, make_request(), 8.0)
-    listener.close()
+    attempt = await client.send(silent_address, make_request("/30"), 20.0)
     assert attempt.kind is AttemptKind.SILENT
-    assert trio.current_time() - started_s < 3.0
+    assert trio.current_time() - started_s < 4.0
+
+
+async def test_long_run_on_a_sound_connection_is_waited_for(client, silent_address):
+    """Guards against taking a target at work for a silent connection."""
+    attempt = await client.send(silent_address, make_request("/5"), 8.0)
+    assert attempt.kind is AttemptKind.ANSWERED
 
 
 async def test_target_may_read_a_large_body_late(client, nursery):
