Bound the memory for all responses that arrive together

Another operator's report: a target sends bytes without end, the machine keeps them and runs out of memory, and its other callers lose their requests.

Seen here: each response is bounded (8 MB, its head, the number of its parts), but 120 connections to a target may each hold 8 MB. A client with targets that send 8,257,536 bytes and then stall reached 134 MB with 12 requests at once, 536 MB with 60 and 631 MB with 120 (VmHWM of client and target in one process, 34 MB at its start), within a timeout of 3 s.

Ruled out: a smaller limit for each response, which refuses large downloads, and a limit of connections, which the slots of the target set.

Change: all bodies that are still arriving take 32 MB at most. Above it the largest one is given up, so that usual responses pass beside those without end. Its outcome is unknown, as that of each broken response.

The new test failed before: TooSlowError, all 12 requests were kept until their timeout.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -27,6 +27,7 @@
     Response,
 )
 from catkinhollow.calls.limited_stream import LimitedStream
+from catkinhollow.calls.response_bodies import ResponseBodies
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.generated.settings import HttpSettings
 
@@ -48,6 +49,8 @@
 # Each part costs processor time, so that a body of tiny parts would keep the
 # daemon busy long before the limit of its size.
 MAX_BODY_PARTS = 16_384
+# Bounds the memory for the responses that arrive at the same time.
+MAX_BODIES_BYTES = 32 * 1024 * 1024
 REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
 
 
@@ -138,6 +141,7 @@
         self._idle_expiry_s = idle_expiry_s
         self._backend = TrioBackend()
         self._targets: dict[str, _Connections] = defaultdict(_Connections)
+        self._bodies = ResponseBodies(max(MAX_BODIES_BYTES, settings.max_body_bytes))
 
     async def send(
         self, address: str, request: Request, timeout_s: float
@@ -242,22 +246,23 @@
         http_response = await connection.http.handle_async_request(http_request)
         connection.stream.end_head()
         limit = self._settings.max_body_bytes
-        body = bytearray()
-        parts = 0
         try:
-            async for part in http_response.aiter_stream():
-                body += part
-                parts += 1
-                if len(body) > limit or parts > MAX_BODY_PARTS:
-                    reason = f"response is larger than {limit} bytes or in tiny parts"
-                    return SendResult(kind=AttemptKind.BROKEN, reason=reason)
+            with self._bodies.collect() as body:
+                async for part in http_response.aiter_stream():
+                    self._bodies.append(body, part)
+                    if body.dropped:
+                        break
+                    if len(body.data) > limit or body.parts > MAX_BODY_PARTS:
+                        return _broken(f"larger than {limit} bytes or in tiny parts")
         finally:
             await http_response.aclose()
+        if body.dropped:
+            return _broken("the largest of too many")
         headers = [(name.lower(), value) for name, value in http_response.headers]
         response = Response(
             status=http_response.status,
             headers=end_to_end_headers(headers),
-            body=bytes(body),
+            body=bytes(body.data),
         )
         return self._classify(request, response, reused=connection.reused)
 
@@ -279,6 +284,10 @@
             await http.aclose()
 
 
+def _broken(reason: str) -> SendResult:
+    return SendResult(kind=AttemptKind.BROKEN, reason=f"response is {reason}")
+
+
 def _has_extra_data(connection: AsyncHTTP11Connection) -> bool:
     # Bytes after a whole response would be read as the next response. httpcore
     # has no public way to detect those that it has already received.
--- a/tests/calls/test_faulty_targets.py
+++ b/tests/calls/test_faulty_targets.py
@@ -1,11 +1,13 @@
 """Tests of targets whose responses never end or end in the middle."""
 
+import tracemalloc
 from functools import partial
 
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
-from catkinhollow.calls.egress import HttpTargetClient
+from catkinhollow.calls.egress import MAX_BODIES_BYTES, HttpTargetClient
 from catkinhollow.calls.exchange import Request
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.generated.settings import HttpSettings
@@ -18,9 +20,9 @@
 SETTINGS = HttpSettings()
 
 
-def make_request(request_id=b"c1"):
+def make_request(request_id=b"c1", path="/a"):
     headers = [(b"host", b"target"), (NAMES.request_id, request_id)]
-    return Request(method="GET", path="/a", query=b"", headers=headers, body=b"")
+    return Request(method="GET", path=path, query=b"", headers=headers, body=b"")
 
 
 class EndlessTarget:
@@ -44,6 +46,24 @@
             self.closed.set()
 
 
+class StallingTarget:
+    """Send half of a large body and no more, but answer small requests."""
+
+    half = bytes(4 * 1024 * 1024)
+
+    async def serve(self, stream):
+        request = await stream.receive_some(65536)
+        if b"/small" in request:
+            await stream.send_all(HEAD + b"content-length: 2\r\n\r\nok")
+            return
+        await stream.send_all(HEAD + b"content-length: 8000000\r\n\r\n")
+        try:
+            await stream.send_all(self.half)
+            await stream.receive_some(1)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
 class CutTarget:
     """Send some bytes and close the connection."""
 
@@ -103,6 +123,31 @@
     assert target.sent_bytes < SETTINGS.max_body_bytes + 8_000_000
 
 
+async def test_responses_that_arrive_together_take_limited_memory(nursery):
+    """Guards against a target that fills the memory of its instance."""
+    target = StallingTarget()
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    count_kept = MAX_BODIES_BYTES // len(target.half)
+    attempts = []
+
+    async def send_large():
+        attempts.append(await client.send(address, make_request(), 60.0))
+
+    tracemalloc.start()
+    with trio.fail_after(10.0):
+        for _ in range(count_kept + 4):
+            nursery.start_soon(send_large)
+        while len(attempts) < 4:
+            await wait_all_tasks_blocked(0.01)
+        small = await client.send(address, make_request(path="/small"), 5.0)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert [attempt.kind for attempt in attempts] == [AttemptKind.BROKEN] * 4
+    assert small.kind is AttemptKind.ANSWERED
+    assert peak_bytes < MAX_BODIES_BYTES + 2 * len(target.half)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
