Number the requests of odd callers by their order on the connection

Cause: the test, not the server. Its handler numbered requests by the order in which their tasks ran first, and trio runs the tasks that are ready at the same time in random order.

Change: the path of each request is its number on the connection. The check is at least as strict: responses have to be in the order of the requests, each to its own request, once, and no request may run twice. The sequence is a fixed example now.

--- a/tests/relay/test_odd_connections.py
+++ b/tests/relay/test_odd_connections.py
@@ -4,6 +4,9 @@
 and plays them against the real server or client in virtual time.
 """
 
+import re
+from itertools import count
+
 import trio
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -64,19 +67,29 @@
 )
 
 
+def number_requests(steps):
+    """Return the steps with the number of each request as its path."""
+    numbers = count(1)
+    return [
+        re.sub(rb" /a ", lambda _: b" /%d " % next(numbers), step)
+        if isinstance(step, bytes)
+        else step
+        for step in steps
+    ]
+
+
 class Handler:
     """Answer after a run, as an ingress does; None for callers that left."""
 
     def __init__(self):
-        self.runs = 0
+        self.runs = []
 
     async def __call__(self, request, wait_for_disconnect):
-        self.runs += 1
-        number = self.runs
+        self.runs.append(int(request.path.removeprefix("/")))
         with trio.move_on_after(RUN_S):
             await wait_for_disconnect()
             return None
-        return Response(status=200, headers=[], body=f"answer {number};".encode())
+        return Response(status=200, headers=[], body=f"ran {request.path};".encode())
 
 
 async def read_to_end(client, received):
@@ -114,15 +127,15 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(server.serve_stream, stream)
         nursery.start_soon(read_to_end, client, received)
-        await take_steps(client, steps)
+        await take_steps(client, number_requests(steps))
         await trio.sleep(60.0)
         nursery.cancel_scope.cancel()
     data = b"".join(received)
-    answers = [b"answer %d;" % number for number in range(1, handler.runs + 1)]
-    positions = [data.find(answer) for answer in answers]
-    delivered = [position for position in positions if position >= 0]
-    assert delivered == sorted(delivered), "responses out of order"
-    assert data.count(b"HTTP/1.1 200") <= handler.runs, "a response without request"
+    answered = [int(number) for number in re.findall(rb"ran /(\d+);", data)]
+    assert answered == sorted(set(answered)), "responses doubled or out of order"
+    assert set(answered) <= set(handler.runs), "a response to another request"
+    assert len(handler.runs) == len(set(handler.runs)), "a request runs twice"
+    assert data.count(b"HTTP/1.1 200") <= len(handler.runs), "too many responses"
     assert not server.busy, "a request is left open"
 
 
@@ -136,6 +149,7 @@
 @example([encode_head("CONNECT", [])])
 @example([encode_head("HEAD", ["content-length: 5"]), b"a"])
 @example([encode_head("GET", []) * 3, "half close"])
+@example([encode_head("GET", []), encode_head("POST", []), encode_head("GET", []) * 2])
 @settings(derandomize=True, deadline=None, max_examples=400)
 def test_odd_caller_ends_its_connection_at_most(steps):
     """Guards against a caller who ends a daemon or confuses responses."""
