Limit whole heads of responses, by size and number of headers

Another path of the report that a target fills the memory of a machine: heads.

Cause: httpcore limits only what is missing of a head, and the stream below allowed 64 KB more than max_header_bytes, since a read may contain a part of the body. A whole head of 96 KB with 24,000 headers was accepted. Parsed, it takes 2.8 MB (tracemalloc), and the response holds it until its body has arrived. 120 responses with such heads and bodies that stall: 34 -> 256 MB (VmHWM of client and target in one process).

Change: until the head is whole, no more is read than max_header_bytes, so that the limit is exact whatever the body; more than 512 headers are refused.

The three tests of too large heads failed before: ANSWERED in place of BROKEN. test_head_up_to_the_limit_is_accepted held before as well.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -49,6 +49,8 @@
 # Each part costs processor time, so that a body of tiny parts would keep the
 # daemon busy long before the limit of its size.
 MAX_BODY_PARTS = 16_384
+# A parsed header takes far more memory than its bytes.
+MAX_RESPONSE_HEADERS = 512
 # Bounds the memory for the responses that arrive at the same time.
 MAX_BODIES_BYTES = 32 * 1024 * 1024
 REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
@@ -247,6 +249,8 @@
         connection.stream.end_head()
         limit = self._settings.max_body_bytes
         try:
+            if len(http_response.headers) > MAX_RESPONSE_HEADERS:
+                return _broken(f"with more than {MAX_RESPONSE_HEADERS} headers")
             with self._bodies.collect() as body:
                 async for part in http_response.aiter_stream():
                     self._bodies.append(body, part)
--- a/catkinhollow/calls/limited_stream.py
+++ b/catkinhollow/calls/limited_stream.py
@@ -5,16 +5,12 @@
 
 from httpcore import AsyncNetworkStream, ReadError
 
-# httpcore reads this much at once, so that a read may contain a part of the
-# body beside the head.
-READ_BYTES = 64 * 1024
-
 
 class LimitedStream(AsyncNetworkStream):
     """Fail reads of a head that is too long, whatever it consists of.
 
-    httpcore limits each head, but not the number of informational responses
-    before the final one.
+    httpcore limits what is missing of a head, but neither whole heads nor the
+    number of informational responses before the final one.
     """
 
     def __init__(self, stream: AsyncNetworkStream, max_head_bytes: int) -> None:
@@ -24,7 +20,7 @@
 
     def begin_head(self) -> None:
         """Limit the reads from now on."""
-        self._head_bytes_left = self._max_head_bytes + READ_BYTES
+        self._head_bytes_left = self._max_head_bytes
 
     def end_head(self) -> None:
         """End the limit, because the head is whole."""
@@ -32,11 +28,13 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes, none at the end; raise ReadError."""
-        if self._head_bytes_left is not None and self._head_bytes_left <= 0:
+        if self._head_bytes_left is None:
+            return await self._stream.read(max_bytes, timeout)
+        if self._head_bytes_left <= 0:
             raise ReadError(f"no response in {self._max_head_bytes} bytes")
+        max_bytes = min(max_bytes, self._head_bytes_left)
         data = await self._stream.read(max_bytes, timeout)
-        if self._head_bytes_left is not None:
-            self._head_bytes_left -= len(data)
+        self._head_bytes_left -= len(data)
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
--- a/tests/calls/test_faulty_targets.py
+++ b/tests/calls/test_faulty_targets.py
@@ -123,6 +123,37 @@
     assert target.sent_bytes < SETTINGS.max_body_bytes + 8_000_000
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        HEAD + b"x-more: %s\r\n" % (b"x" * SETTINGS.max_header_bytes),
+        HEAD + b"a:\r\n" * 1000,
+        b"HTTP/1.1 103 Hints\r\n\r\n" * 2000 + HEAD,
+    ],
+    ids=["one header", "headers", "early hints"],
+)
+async def test_whole_head_that_is_too_large_is_refused(nursery, head):
+    """Guards against heads that take many times their size in memory."""
+    target = CutTarget(head + b"content-length: 2\r\n\r\nok")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    with trio.fail_after(5.0):
+        attempt = await client.send(address, make_request(), 2.0)
+    assert (attempt.kind, attempt.response) == (AttemptKind.BROKEN, None)
+
+
+async def test_head_up_to_the_limit_is_accepted(nursery):
+    """Guards against a limit that counts parts of the body."""
+    end = b"content-length: 40000\r\n\r\n"
+    filler = b"x" * (SETTINGS.max_header_bytes - len(HEAD + end) - len("x-more: \r\n"))
+    target = CutTarget(HEAD + b"x-more: %s\r\n" % filler + end + bytes(40000))
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    attempt = await client.send(address, make_request(), 2.0)
+    assert attempt.kind is AttemptKind.ANSWERED
+    assert len(attempt.response.body) == 40000
+
+
 async def test_responses_that_arrive_together_take_limited_memory(nursery):
     """Guards against a target that fills the memory of its instance."""
     target = StallingTarget()
