Test bytes after a response and health checks without end

Both are bounded already; no test showed it. Bytes after a whole response end its connection, either when it is given back or before its next use, and health checks go through the same client as calls.

--- a/tests/calls/test_faulty_targets.py
+++ b/tests/calls/test_faulty_targets.py
@@ -154,6 +154,23 @@
     assert len(attempt.response.body) == 40000
 
 
+async def test_bytes_after_a_response_are_not_kept(nursery):
+    """Guards against memory for bytes that belong to no response."""
+    answer = HEAD + b"content-length: 2\r\n\r\nok"
+    target = EndlessTarget(answer, b"HTTP/1.1 100 Continue\r\n\r\n")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    with trio.fail_after(10.0):
+        for _ in range(3):
+            attempt = await client.send(address, make_request(), 2.0)
+            assert attempt.kind is AttemptKind.ANSWERED
+            assert attempt.response.body == b"ok"
+            await wait_all_tasks_blocked(0.01)
+        await target.closed.wait()
+    # The kernel's buffers hold more bytes than the client has read.
+    assert target.sent_bytes < 3 * 8_000_000
+
+
 async def test_responses_that_arrive_together_take_limited_memory(nursery):
     """Guards against a target that fills the memory of its instance."""
     target = StallingTarget()
@@ -179,6 +196,22 @@
     assert peak_bytes < MAX_BODIES_BYTES + 2 * len(target.half)
 
 
+@pytest.mark.parametrize("beginning", [b"", b"HTTP/1.1 200 OK\r\n\r\n"])
+async def test_health_check_without_end_is_cut_off(nursery, beginning):
+    """Guards against a health check that no limit bounds."""
+    target = EndlessTarget(beginning, b"x")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    headers = [(b"host", b"target")]
+    request = Request(
+        method="GET", path="/health", query=b"", headers=headers, body=b""
+    )
+    with trio.fail_after(10.0):
+        attempt = await client.send(address, request, 30.0)
+        await target.closed.wait()
+    assert (attempt.kind, attempt.response) == (AttemptKind.BROKEN, None)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
