--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -46,13 +46,13 @@
     }
 )
 IDLE_EXPIRY_S = 30.0
-# Each part costs processor time, so that a body of tiny parts would keep the
-# daemon busy long before the limit of its size.
-MAX_BODY_PARTS = 16_384
 # A parsed header takes far more memory than its bytes.
 MAX_RESPONSE_HEADERS = 512
 # Bounds the memory for the responses that arrive at the same time.
 MAX_BODIES_BYTES = 32 * 1024 * 1024
+# Each part costs processor time, so that a body of tiny parts would keep the
+# daemon busy long before the limit of its size.
+MAX_BODY_PARTS = 16_384
 REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
 
 
