--- a/tests/calls/test_faulty_targets.py
+++ b/tests/calls/test_faulty_targets.py
@@ -1,11 +1,13 @@
 """Tests of targets whose responses never end or end in the middle."""
 
+import tracemalloc
 from functools import partial
 
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
-from catkinhollow.calls.egress import HttpTargetClient
+from catkinhollow.calls.egress import MAX_BODIES_BYTES, HttpTargetClient
 from catkinhollow.calls.exchange import Request
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.generated.settings import HttpSettings
@@ -18,9 +20,9 @@
 SETTINGS = HttpSettings()
 
 
-def make_request(request_id=b"c1"):
+def make_request(request_id=b"c1", path="/a"):
     headers = [(b"host", b"target"), (NAMES.request_id, request_id)]
-    return Request(method="GET", path="/a", query=b"", headers=headers, body=b"")
+    return Request(method="GET", path=path, query=b"", headers=headers, body=b"")
 
 
 class EndlessTarget:
@@ -44,6 +46,24 @@
             self.closed.set()
 
 
+class StallingTarget:
+    """Send half of a large body and no more, but answer small requests."""
+
+    half = bytes(4 * 1024 * 1024)
+
+    async def serve(self, stream):
+        request = await stream.receive_some(65536)
+        if b"/small" in request:
+            await stream.send_all(HEAD + b"content-length: 2\r\n\r\nok")
+            return
+        await stream.send_all(HEAD + b"content-length: 8000000\r\n\r\n")
+        try:
+            await stream.send_all(self.half)
+            await stream.receive_some(1)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
 class CutTarget:
     """Send some bytes and close the connection."""
 
@@ -103,6 +123,95 @@
     assert target.sent_bytes < SETTINGS.max_body_bytes + 8_000_000
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        HEAD + b"x-more: %s\r\n" % (b"x" * SETTINGS.max_header_bytes),
+        HEAD + b"a:\r\n" * 1000,
+        b"HTTP/1.1 103 Hints\r\n\r\n" * 2000 + HEAD,
+    ],
+    ids=["one header", "headers", "early hints"],
+)
+async def test_whole_head_that_is_too_large_is_refused(nursery, head):
+    """Guards against heads that take many times their size in memory."""
+    target = CutTarget(head + b"content-length: 2\r\n\r\nok")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    with trio.fail_after(5.0):
+        attempt = await client.send(address, make_request(), 2.0)
+    assert (attempt.kind, attempt.response) == (AttemptKind.BROKEN, None)
+
+
+async def test_head_up_to_the_limit_is_accepted(nursery):
+    """Guards against a limit that counts parts of the body."""
+    end = b"content-length: 40000\r\n\r\n"
+    filler = b"x" * (SETTINGS.max_header_bytes - len(HEAD + end) - len("x-more: \r\n"))
+    target = CutTarget(HEAD + b"x-more: %s\r\n" % filler + end + bytes(40000))
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    attempt = await client.send(address, make_request(), 2.0)
+    assert attempt.kind is AttemptKind.ANSWERED
+    assert len(attempt.response.body) == 40000
+
+
+async def test_bytes_after_a_response_are_not_kept(nursery):
+    """Guards against memory for bytes that belong to no response."""
+    answer = HEAD + b"content-length: 2\r\n\r\nok"
+    target = EndlessTarget(answer, b"HTTP/1.1 100 Continue\r\n\r\n")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    with trio.fail_after(10.0):
+        for _ in range(3):
+            attempt = await client.send(address, make_request(), 2.0)
+            assert attempt.kind is AttemptKind.ANSWERED
+            assert attempt.response.body == b"ok"
+            await wait_all_tasks_blocked(0.01)
+        await target.closed.wait()
+    # The kernel's buffers hold more bytes than the client has read.
+    assert target.sent_bytes < 3 * 8_000_000
+
+
+async def test_responses_that_arrive_together_take_limited_memory(nursery):
+    """Guards against a target that fills the memory of its instance."""
+    target = StallingTarget()
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    count_kept = MAX_BODIES_BYTES // len(target.half)
+    attempts = []
+
+    async def send_large():
+        attempts.append(await client.send(address, make_request(), 60.0))
+
+    tracemalloc.start()
+    with trio.fail_after(10.0):
+        for _ in range(count_kept + 4):
+            nursery.start_soon(send_large)
+        while len(attempts) < 4:
+            await wait_all_tasks_blocked(0.01)
+        small = await client.send(address, make_request(path="/small"), 5.0)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert [attempt.kind for attempt in attempts] == [AttemptKind.BROKEN] * 4
+    assert small.kind is AttemptKind.ANSWERED
+    assert peak_bytes < MAX_BODIES_BYTES + 2 * len(target.half)
+
+
+@pytest.mark.parametrize("beginning", [b"", b"HTTP/1.1 200 OK\r\n\r\n"])
+async def test_health_check_without_end_is_cut_off(nursery, beginning):
+    """Guards against a health check that no limit bounds."""
+    target = EndlessTarget(beginning, b"x")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    headers = [(b"host", b"target")]
+    request = Request(
+        method="GET", path="/health", query=b"", headers=headers, body=b""
+    )
+    with trio.fail_after(10.0):
+        attempt = await client.send(address, request, 30.0)
+        await target.closed.wait()
+    assert (attempt.kind, attempt.response) == (AttemptKind.BROKEN, None)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
--- a/tests/relay/test_silent_links.py
+++ b/tests/relay/test_silent_links.py
@@ -145,7 +145,7 @@
             events=EventManager(),
             accepts=lambda _: True,
             is_configured=lambda: True,
-            is_following=lambda: True,
+            store_reached_s=lambda: trio.current_time(),
         )
 
     def write(self, revision):
