--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -35,7 +35,7 @@
 
 FAILURE_DOMAINS = 2
 CALLERS_PER_DAEMON = 2
-# Mean pause of a caller between two requests, and the limit of all requests per
+# Mean pause of a caller between two requests, and limit of the requests per
 # second, as one process runs the callers, targets and proxies of all daemons.
 MEAN_PAUSE_S = 0.1
 MAX_CALLS_PER_S = 120.0
