Let watches of the stand-in store miss no write while it is down

Cause: a watch that was open when the store went down ended with the write. It answered 200 without events, but with the revision of the write, so that the follower took it for known. The soak asked for the newest version only once, at the end, and could not see it.

The watch now fails while the store is down, and its revision belongs to the same moment as its events. The test failed before: assert seen[0].is_error() or seen[0].ok.objects: assert (False or [])

--- a/catkinhollow/platform/standin_store.py
+++ b/catkinhollow/platform/standin_store.py
@@ -80,20 +80,21 @@
         )
 
     async def _watch(self, kind: str, after: int, wait_s: float) -> Response:
-        events: list[dict[str, Any]] = []
         with trio.move_on_after(wait_s):
-            while not events and not self.down:
-                changed = self._changed
-                events = [
-                    event
-                    for event_kind, event in self._history
-                    if event_kind == kind
-                    and event["object"]["metadata"]["revision"] > after
-                ]
-                if not events:
-                    await changed.wait()
+            while not self.down and not self._find_events(kind, after):
+                await self._changed.wait()
+        if self.down:
+            return plain_response(503, "the store is down")
+        events = self._find_events(kind, after)
         return json_response(200, {"events": events, "at_rev": self._revision})
 
+    def _find_events(self, kind: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event_kind, event in self._history
+            if event_kind == kind and event["object"]["metadata"]["revision"] > after
+        ]
+
     def _write(
         self,
         method: str,
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+import trio
 
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.generated.relay import MoveProgress, OrderState
@@ -257,3 +258,26 @@
     assert gone.ok.objects[0].deleted
     app.down = True
     assert (await store.list_objects("orders")).is_error()
+
+
+async def test_watch_misses_no_write_that_is_made_while_the_store_is_down(nursery):
+    """Guards against a stand-in whose watch skips a revision."""
+    app = StandInStore()
+    store = PlatformStore(f"127.0.0.1:{await serve(nursery, app)}")
+    spec = {"service": "stock", "target_version": "v2", "duration_s": 9}
+    after = (await store.list_objects("orders")).ok.revision
+    seen = []
+
+    async def watch():
+        seen.append(await store.watch("orders", after=after, wait_s=5.0))
+
+    async with trio.open_nursery() as watching:
+        watching.start_soon(watch)
+        await trio.sleep(0.2)
+        app.down = True
+        app.write("orders", "stock", spec)
+    app.down = False
+    # The watch fails or returns the write.
+    assert seen[0].is_error() or seen[0].ok.objects
+    again = await store.watch("orders", after=after, wait_s=1.0)
+    assert [item.name for item in again.ok.objects] == ["stock"]
