Count a stall of the soak's process as a fault of all connections

Cause: only requests that overlap a stall were left out, but a stalled process also holds back the store's and the peers' bytes, just as connections that are silent for a time. It counts as such now, until 3 s after its end. The last check asked for a version that was confirmed less than 2.0 s ago; it waits for that time now.

--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -27,8 +27,13 @@
 from catkinhollow.testbed.soak_fleet import CALLER_TIMEOUT_S, TIMEOUT_S, SoakFleet
 from catkinhollow.testbed.soak_injector import FaultInjector
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, SoakLedger
+from catkinhollow.testbed.soak_stalls import watch_stalls
 from catkinhollow.testbed.soak_version_checker import VersionChecker
-from catkinhollow.testbed.soak_versions import TouchRecord, VersionLedger
+from catkinhollow.testbed.soak_versions import (
+    CONFIGURATION_APPLY_S,
+    TouchRecord,
+    VersionLedger,
+)
 from catkinhollow.testbed.soak_violation import Violation
 
 logger = get_logger(__name__)
@@ -44,10 +49,6 @@
 AFTER_RECOVERY_S = 2.0
 # Interval of the versions that are written after the last fault.
 RECOVERY_VERSION_INTERVAL_S = 1.0
-# This process was stalled if it wakes up more than STALL_S after the interval
-# that it slept for.
-STALL_CHECK_INTERVAL_S = 0.05
-STALL_S = 0.2
 
 
 @frozen(kw_only=True)
@@ -114,7 +115,7 @@
         faults = plan_faults(self._random, self._names, self._seconds)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._record_stalls)
+                nursery.start_soon(watch_stalls, self._clock, self._record_stall)
                 await self._fleet.start(nursery)
                 for name in self._names:
                     nursery.start_soon(self._checker.run, name)
@@ -150,18 +151,13 @@
             while self._clock.monotonic() < end_s:
                 self._injector.configure()
                 await trio.sleep(RECOVERY_VERSION_INTERVAL_S)
+            await trio.sleep(CONFIGURATION_APPLY_S)
             self._is_calling = False
         return last_fault_s
 
-    async def _record_stalls(self) -> None:
-        """Record when this process got no CPU time."""
-        while True:
-            begin_s = self._clock.monotonic()
-            await trio.sleep(STALL_CHECK_INTERVAL_S)
-            now_s = self._clock.monotonic()
-            if now_s - begin_s > STALL_CHECK_INTERVAL_S + STALL_S:
-                self._ledger.record_stall(begin_s, now_s)
-                self._versions.record_stall(begin_s, now_s)
+    def _record_stall(self, begin_s: float, end_s: float) -> None:
+        self._ledger.record_stall(begin_s, end_s)
+        self._touch.record_stall(begin_s, end_s)
 
     async def _run_caller(self, name: str, random: Random) -> None:
         """Call one daemon over a persistent connection."""
--- a/catkinhollow/testbed/soak_versions.py
+++ b/catkinhollow/testbed/soak_versions.py
@@ -52,6 +52,14 @@
         finally:
             disturbance.end_s = self._clock.monotonic()
 
+    def record_stall(self, begin_s: float, end_s: float) -> None:
+        """Record when the process of the proxies and the store was stalled.
+
+        It then holds back the bytes of all connections.
+        """
+        for disturbances in self._disturbances.values():
+            disturbances.append(_Disturbance(begin_s, end_s))
+
     def in_touch(self, instance: str, begin_s: float, end_s: float) -> bool:
         """Return whether a daemon was in touch from a time to another."""
         return not any(
@@ -90,7 +98,6 @@
         # When the store confirmed each version.
         self._confirmed_s: dict[int, float] = {}
         self._answers: list[VersionAnswer] = []
-        self._stalls: list[tuple[float, float]] = []
 
     @property
     def newest(self) -> int:
@@ -121,13 +128,6 @@
         """Record an answer to a request on a route of a version."""
         self._answers.append(answer)
 
-    def record_stall(self, begin_s: float, end_s: float) -> None:
-        """Record when this process got no CPU time.
-
-        Answers that overlap a stall are not checked.
-        """
-        self._stalls.append((begin_s, end_s))
-
     def find_violations(self) -> list[Violation]:
         """Return the first answer that violates each invariant per version."""
         found: dict[tuple[str, str, int], Violation] = {}
@@ -156,16 +156,9 @@
 
     def _is_due(self, answer: VersionAnswer) -> bool:
         confirmed_s = self._confirmed_s.get(self._required(answer), inf)
-        return (
-            answer.sent_s > confirmed_s + CONFIGURATION_APPLY_S
-            and self._touch.in_touch(answer.instance, answer.sent_s, answer.answered_s)
-            and not self._overlaps_stall(answer)
-        )
-
-    def _overlaps_stall(self, answer: VersionAnswer) -> bool:
-        return any(
-            begin_s <= answer.answered_s and answer.sent_s <= end_s
-            for begin_s, end_s in self._stalls
+        is_late = answer.sent_s > confirmed_s + CONFIGURATION_APPLY_S
+        return is_late and self._touch.in_touch(
+            answer.instance, answer.sent_s, answer.answered_s
         )
 
     def _check_outdated(
--- a/tests/testbed/test_silent_connections.py
+++ b/tests/testbed/test_silent_connections.py
@@ -5,6 +5,7 @@
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.testbed.soak_fleet import SoakFleet
+from catkinhollow.testbed.soak_stalls import watch_stalls
 from catkinhollow.testbed.soak_version_checker import VersionChecker
 from catkinhollow.testbed.soak_versions import (
     CONFIGURATION_APPLY_S,
@@ -40,6 +41,7 @@
     async def run(self, *, links, store):
         try:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch_stalls, self._clock, self._touch.record_stall)
                 await self._fleet.start(nursery)
                 for name in self._fleet.members:
                     nursery.start_soon(self._checker.run, name)
