--- a/tests/relay/test_peer_watch.py
+++ b/tests/relay/test_peer_watch.py
@@ -4,6 +4,7 @@
 
 from catkinhollow.relay.peer_watch import (
     DEAD_LINK_S,
+    MAX_STATUSES_PER_S,
     UNRESPONSIVE_S,
     PeerWatch,
     ResetLink,
@@ -205,3 +206,52 @@
         watch.record_delivery("p", now_s - 0.3)
         sent += watch.check(set(), set(), {"p"}, now_s)
     assert sent == []
+
+
+def test_peer_that_always_reports_silence_is_not_obeyed_at_once():
+    """Guards against a faulty peer that makes others replace their links."""
+    watch = make_watch()
+    resets = 0
+    for step in range(1, 131):
+        now_s = step * 0.1
+        watch.check(set(), set(), set(), now_s)
+        if watch.check_report("p", 0.001, now_s) is not None:
+            resets += 1
+            watch.link_up("p", now_s)
+    assert resets <= 10
+
+
+def test_delay_of_the_statuses_of_a_peer_is_not_a_lack_of_delivery():
+    """Guards against resets because the other direction has become slow."""
+    watch = make_watch()
+    for step in range(1, 200):
+        now_s = step * 0.1
+        delay_s = 0.0 if step < 20 else 2.0
+        watch.record_status_sent("p", int(now_s * 1000))
+        watch.record_contact("p", now_s)
+        heard_s = now_s - delay_s
+        # The peer has received all that was sent before its status left.
+        watch.record_heard("p", int(heard_s * 1000) - 1, 1, now_s, heard_s)
+        assert not watch.is_unresponsive("p", now_s)
+
+
+def test_one_slow_peer_does_not_raise_the_rate_of_statuses():
+    """Guards against a fleet that one slow instance loads."""
+    watch = PeerWatch()
+    peers = {f"p{number}" for number in range(60)}
+    for address in sorted(peers):
+        watch.link_up(address, 0.0)
+        watch.record_contact(address, 0.0)
+    sent, late_s = 0, None
+    for step in range(1, 601):
+        now_s = step * 0.1
+        if late_s is not None and now_s >= late_s:
+            watch.record_contact("p0", now_s)
+            late_s = None
+        for command in watch.check(peers, set(), set(), now_s):
+            sent += 1
+            if command.address != "p0":
+                watch.record_contact(command.address, now_s)
+            elif late_s is None:
+                late_s = now_s + 0.75
+    assert sent / 60.0 <= MAX_STATUSES_PER_S
--- a/tests/relay/test_silent_links.py
+++ b/tests/relay/test_silent_links.py
@@ -9,12 +9,12 @@
 
 import pytest
 import trio
-from attrs import define
-from relay_builders import make_gate, make_peer
+from attrs import define, evolve
+from relay_builders import make_call, make_gate, make_peer
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.events import EventManager
-from catkinhollow.generated.relay import Document
+from catkinhollow.generated.relay import CallOutcome, Document
 from catkinhollow.mesh.links import LinkDown, LinkUp
 from catkinhollow.relay.documents import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.follower_election import FollowerElection
@@ -52,6 +52,8 @@
         self.receiver = None
         self.resets = []
         self.progress = {}
+        # What an earlier release would send in place of a status.
+        self.release = lambda status: status
 
     def connect(self, address):
         if address not in self.connections:
@@ -78,6 +80,8 @@
         connection = self.connections.get(address)
         if connection is None or not connection.up:
             return False
+        if frame.status is not None:
+            frame = evolve(frame, status=self.release(frame.status))
         if not connection.silent:
             other = self.network.links[address]
             self.timer.call_after(DELAY_S, lambda: other.receiver(frame))
@@ -216,3 +220,57 @@
     assert late == []
     assert fleet.most_resets() <= 1
     nursery.cancel_scope.cancel()
+
+
+def find_pair(fleet):
+    """Return a daemon and a peer that it needs and that does not need it."""
+    wanted = {address: network._wanted for address, network in fleet.daemons.items()}
+    return next(
+        (one, other)
+        for one, peers in wanted.items()
+        for other in peers
+        if one not in wanted[other] and one in fleet.links[other].connections
+    )
+
+
+async def test_call_lost_on_a_silent_link_is_reported_as_not_run(
+    nursery, autojump_clock
+):
+    """Guards against orders of unknown outcome that never reached a gate."""
+    fleet = Fleet(nursery, [f"d{number}" for number in range(60)])
+    await trio.sleep(8.0)
+    one, other = find_pair(fleet)
+    fleet.silence(lambda sender, receiver: (sender, receiver) == (one, other))
+    network, answers = fleet.daemons[one], []
+    call = make_call(call_id=network.next_call_id(), budget_ms=5000)
+    network.call(network.directory.by_address(other), call, answers.append)
+    await trio.sleep(UNSTABLE_S)
+    assert [answer.outcome for answer in answers] == [CallOutcome.NOT_RUN]
+    nursery.cancel_scope.cancel()
+
+
+async def test_announcements_of_a_peer_do_not_hide_a_dead_link(nursery, autojump_clock):
+    """Guards against calls into a dead link while versions are written."""
+    fleet = Fleet(nursery, [f"d{number}" for number in range(60)])
+    await trio.sleep(8.0)
+    one, other = find_pair(fleet)
+    for revision in range(1, 20):
+        if revision == 5:
+            fleet.silence(lambda sender, receiver: (sender, receiver) == (one, other))
+            fault_s = trio.current_time()
+        fleet.write(revision)
+        await trio.sleep(0.6)
+    resets = [at_s for at_s, address in fleet.links[one].resets if address == other]
+    assert resets and resets[0] - fault_s <= UNSTABLE_S
+    nursery.cancel_scope.cancel()
+
+
+async def test_link_to_a_daemon_of_an_earlier_release_is_kept(nursery, autojump_clock):
+    """Guards against resets without end while a release is rolled out."""
+    fleet = Fleet(nursery, [f"d{number}" for number in range(9)])
+    old = fleet.links[FIRST]
+    old.release = lambda status: evolve(status, sent_ms=0, heard_ms=0, received=0)
+    await trio.sleep(30.0)
+    others = [link for link in fleet.links.values() if link is not old]
+    assert not any(address == FIRST for link in others for _, address in link.resets)
+    nursery.cancel_scope.cancel()
