Keep the answers about unknown calls until they are confirmed

What callers see: an order whose call was lost on a silent link ended with unknown outcome at its time-out, although its gate had never received it.

Cause: the first status on the caller's new link makes the peer replace its own link, and the answer "not run" was dropped with it; unlike other answers it was not kept to be sent again. Fails before, passes now: test_call_lost_on_a_silent_link_is_reported_as_not_run (no answer in 3 s; now not_run).

--- a/catkinhollow/relay/remote_calls.py
+++ b/catkinhollow/relay/remote_calls.py
@@ -219,6 +219,8 @@
             else:
                 self._refused_s[key] = now_s
                 answer = _not_run(call_id, "lost with its link")
+            # The own link may be down, or may have gone silent as well.
+            self._answers.add(sender, answer, now_s, now_s + REFUSE_LOST_CALLS_S)
             self._link.send_answer(sender, answer, inf)
 
     def _expire_refused(self, now_s: float) -> None:
