Keep links to daemons that do not report what has arrived

A daemon of an earlier release names its receiver in a status, but not what has arrived; this was read as "nothing", and its healthy links were reset every 2 s. Fails before, passes now: test_link_to_a_daemon_of_an_earlier_release_is_kept.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -351,7 +351,8 @@
     def _handle_status(self, sender: str, status: Status, now_s: float) -> None:
         arrivals = self._arrivals[sender]
         arrivals.status_ms = max(arrivals.status_ms, status.sent_ms)
-        if status.receiver == self._incarnation:
+        # Earlier releases know the receiver, but not what has arrived.
+        if status.receiver == self._incarnation and status.received:
             self._watch.record_heard(sender, status.heard_ms, status.received, now_s)
         if status.silent_ms:
             reset = self._watch.check_report(sender, status.silent_ms / 1000.0, now_s)
