Notice a dead link to a peer that only sends announcements

What callers see: calls into a dead link for 4 to 5 s while versions are written each second.

Cause: any frame of a peer ended the wait for its answer, and the longer limit for a peer that sends frames but no answer was meant for statuses that wait behind bodies. It now holds only if calls, answers or parts of large frames have arrived since the question; otherwise the link is dead after 1.3 s. The test of the earlier release also clears the reports of silence, which an earlier release does not send.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -298,7 +298,7 @@
     def _handle_frame(self, frame: Frame) -> None:
         sender = frame.sender
         now_s = self._clock.monotonic()
-        self._record_contact(sender, frame.incarnation, now_s)
+        self._record_contact(frame, now_s)
         if frame.call is not None:
             self._calls.handle_call(sender, frame.call)
         elif frame.answer is not None:
@@ -320,8 +320,10 @@
         elif frame.document_request is not None:
             self._sync.handle_request(sender, frame.document_request)
 
-    def _record_contact(self, sender: str, incarnation: int, now_s: float) -> None:
-        self._watch.record_contact(sender, now_s)
+    def _record_contact(self, frame: Frame, now_s: float) -> None:
+        sender, incarnation = frame.sender, frame.incarnation
+        is_bulk = any((frame.call, frame.answer, frame.fragment))
+        self._watch.record_contact(sender, now_s, is_bulk=is_bulk)
         self._silent_since_s.pop(sender, None)
         self._contacted_s[sender] = now_s
         peer = self._directory.by_address(sender)
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -35,9 +35,9 @@
 # A link is considered dead when a status has been unanswered for this long.
 # A daemon on a slow instance answers within 1 s.
 DEAD_LINK_S = 1.3
-# A status to a peer that sends other frames, but does not answer it, may wait
-# behind the bodies of answers.
-UNCONFIRMED_LINK_S = 4.0
+# The same limit for a peer that sends calls and answers meanwhile: its status
+# may wait behind their bodies.
+BULK_DEAD_LINK_S = 4.0
 # A link is known to work for this long after a message that has arrived.
 CONFIRMED_S = 2.0
 # Many links may go silent at once. When one peer is unresponsive all others
@@ -97,6 +97,8 @@
     """When the first status was sent that no frame has followed."""
     unconfirmed_since_s: float = inf
     """When the first status was sent that the peer has not answered."""
+    bulk_s: float = -inf
+    """When a frame last arrived that may delay the statuses of the peer."""
     progress_s: float = -inf
     undelivered_ms: deque[int] = field(factory=lambda: deque(maxlen=MAX_UNDELIVERED))
     """When statuses were sent that are not known to have arrived."""
@@ -131,9 +133,13 @@
         if unanswered_s > DEAD_LINK_S:
             return Silence.NO_FRAMES, unanswered_s
         unconfirmed_s = now_s - max(self.unconfirmed_since_s, self.progress_s)
-        if unconfirmed_s > UNCONFIRMED_LINK_S:
-            return Silence.NOT_DELIVERED, unconfirmed_s
-        return None
+        has_bulk = self.bulk_s >= self.unconfirmed_since_s
+        if unconfirmed_s <= (BULK_DEAD_LINK_S if has_bulk else DEAD_LINK_S):
+            return None
+        silent_s = now_s - self.last_contact_s
+        if silent_s > UNRESPONSIVE_S:
+            return Silence.NO_FRAMES, silent_s
+        return Silence.NOT_DELIVERED, unconfirmed_s
 
     def ask(self, now_s: float, *, is_reporting: bool) -> None:
         """Record that a status is sent that the peer has to answer."""
@@ -189,12 +195,19 @@
         self._peers.pop(address, None)
         self._reporting.discard(address)
 
-    def record_contact(self, address: str, now_s: float) -> None:
-        """Record that a frame has arrived from a peer."""
+    def record_contact(
+        self, address: str, now_s: float, *, is_bulk: bool = False
+    ) -> None:
+        """Record that a frame has arrived from a peer.
+
+        Calls and answers are bulk, as their bodies may be large.
+        """
         watched = self._peers.get(address)
         if watched is not None:
             watched.last_contact_s = now_s
             watched.unanswered_since_s = inf
+            if is_bulk:
+                watched.bulk_s = now_s
 
     def record_status_sent(self, address: str, sent_ms: int) -> None:
         """Record that a status was sent to a peer, at a steady time."""
--- a/tests/relay/test_silent_links.py
+++ b/tests/relay/test_silent_links.py
@@ -269,7 +269,9 @@
     """Guards against resets without end while a release is rolled out."""
     fleet = Fleet(nursery, [f"d{number}" for number in range(9)])
     old = fleet.links[FIRST]
-    old.release = lambda status: evolve(status, sent_ms=0, heard_ms=0, received=0)
+    old.release = lambda status: evolve(
+        status, sent_ms=0, heard_ms=0, received=0, silent_ms=0
+    )
     await trio.sleep(30.0)
     others = [link for link in fleet.links.values() if link is not old]
     assert not any(address == FIRST for link in others for _, address in link.resets)
