Ignore reports of silence that no question can have led to

One faulty peer that always reported a silence of 1 ms made each daemon replace its link to it 10 times a second. A proper report follows 1.3 s without a frame, so a younger link is never replaced for one. Fails before, passes now: test_peer_that_always_reports_silence_is_not_obeyed_at_once (130 resets, now at most 10 in 13 s).

--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -273,7 +273,8 @@
         if watched is None:
             return None
         self._detect_pause(now_s)
-        silent_since_s = now_s - silent_s
+        # A peer reports no shorter silence of a link that it has asked over.
+        silent_since_s = now_s - max(silent_s, DEAD_LINK_S)
         explained_s = max(watched.up_s, watched.progress_s, self._paused_s)
         if explained_s >= silent_since_s:
             return None
