Do not count the delay of a peer's status as lack of delivery

A status that arrived late because the other direction was slow showed an old state of the peer, and the own link seemed dead. The time that a status took beyond the fastest one on the link is subtracted now.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -355,7 +355,13 @@
         arrivals.status_ms = max(arrivals.status_ms, status.sent_ms)
         # Earlier releases know the receiver, but not what has arrived.
         if status.receiver == self._incarnation and status.received:
-            self._watch.record_heard(sender, status.heard_ms, status.received, now_s)
+            self._watch.record_heard(
+                sender,
+                status.heard_ms,
+                status.received,
+                now_s,
+                status.sent_ms / 1000.0,
+            )
         if status.silent_ms:
             reset = self._watch.check_report(sender, status.silent_ms / 1000.0, now_s)
             if reset is not None:
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -106,6 +106,8 @@
     """When a status of the peer last showed that it lacks the oldest one."""
     heard_s: float = -inf
     """When the last status of the peer arrived."""
+    least_offset_s: float = inf
+    """Least difference of the own time to that in a status of the peer."""
     received: int = -1
     """Messages that the peer had received according to its last status."""
 
@@ -216,12 +218,18 @@
             watched.undelivered_ms.append(sent_ms)
 
     def record_heard(
-        self, address: str, heard_ms: int, received: int, now_s: float
+        self,
+        address: str,
+        heard_ms: int,
+        received: int,
+        now_s: float,
+        sent_s: float,
     ) -> None:
         """Record what a status of a peer tells about the link to it.
 
         `heard_ms` is when the last status was sent that has arrived there,
-        `received` the number of all messages that have arrived.
+        `received` the number of all messages that have arrived, and `sent_s`
+        when the peer sent its status, by its own clock.
         """
         self._reporting.add(address)
         watched = self._peers.get(address)
@@ -230,7 +238,11 @@
         undelivered = watched.undelivered_ms
         while undelivered and undelivered[0] <= heard_ms:
             undelivered.popleft()
-        watched.lacking_s = now_s if undelivered else -inf
+        # The status may have been delayed on its way.
+        offset_s = now_s - sent_s
+        watched.least_offset_s = min(watched.least_offset_s, offset_s)
+        delay_s = offset_s - watched.least_offset_s
+        watched.lacking_s = now_s - delay_s if undelivered else -inf
         if watched.received not in (-1, received):
             # They may have arrived just after the status before.
             watched.progress_s = max(watched.progress_s, watched.heard_s)
--- a/tests/relay/test_peer_watch.py
+++ b/tests/relay/test_peer_watch.py
@@ -114,7 +114,7 @@
         now_s = step * 0.1
         # The peer asks, and has received nothing over this link.
         watch.record_contact("p", now_s)
-        watch.record_heard("p", -1, 7, now_s)
+        watch.record_heard("p", -1, 7, now_s, now_s)
         resets += find_resets(watch.check(set(), set(), set(), now_s))
         if resets:
             break
@@ -125,7 +125,7 @@
 def test_link_is_reset_if_no_status_of_the_peer_follows():
     """Guards against a dead link to a peer that sends documents only."""
     watch = make_watch()
-    watch.record_heard("p", 0, 1, 0.0)
+    watch.record_heard("p", 0, 1, 0.0, 0.0)
     resets = []
     for step in range(1, 80):
         watch.record_contact("p", step * 0.1)
@@ -140,7 +140,7 @@
     for step in range(1, 60):
         now_s = step * 0.2
         watch.record_contact("p", now_s)
-        watch.record_heard("p", -1, step, now_s)
+        watch.record_heard("p", -1, step, now_s, now_s)
         assert not find_resets(watch.check({"p"}, set(), set(), now_s))
 
 
--- a/tests/relay/test_silent_links.py
+++ b/tests/relay/test_silent_links.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 from attrs import define, evolve
-from relay_builders import make_call, make_gate, make_peer
+from relay_builders import make_answer, make_call, make_gate, make_peer
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.events import EventManager
@@ -18,6 +18,7 @@
 from catkinhollow.mesh.links import LinkDown, LinkUp
 from catkinhollow.relay.documents import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.follower_election import FollowerElection
+from catkinhollow.relay.gate_service import Submission
 from catkinhollow.relay.link_plan import LinkPlan
 from catkinhollow.relay.network import PeerNetwork
 from catkinhollow.relay.peers import PeerDirectory
@@ -98,11 +99,15 @@
 
 
 class Gate:
-    """Report about a target without calls."""
+    """Report about a target, and answer each call at once."""
 
     def __init__(self):
         self.gate = make_gate()
 
+    def submit(self, call, on_answer):
+        on_answer(make_answer(call_id=call.call_id))
+        return Submission(job=None, on_answer=on_answer, answered=True)
+
     def depart(self, lifetime, started_ms):
         raise AssertionError("no target departs")
 
