Count a daemon without a core of the machine as disturbed in the soak

The daemons' logs show loops that were blocked for up to 4.9 s, several of them until the same moment.

A daemon that waited for a core for over 0.5 s is out of touch until 3 s later, and its answers meanwhile are not late, as it was for the process of the soak already. Time in which a daemon blocks itself does not count, and all other checks stay as they are. The sum of these times is printed with the result.

--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -27,7 +27,7 @@
 from catkinhollow.testbed.soak_fleet import CALLER_TIMEOUT_S, TIMEOUT_S, SoakFleet
 from catkinhollow.testbed.soak_injector import FaultInjector
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, SoakLedger
-from catkinhollow.testbed.soak_stalls import watch_stalls
+from catkinhollow.testbed.soak_stalls import watch_stalls, watch_starvation
 from catkinhollow.testbed.soak_version_checker import VersionChecker
 from catkinhollow.testbed.soak_versions import (
     CONFIGURATION_APPLY_S,
@@ -62,6 +62,8 @@
     statuses: Counter[int]
     faults: list[Fault]
     stalled_s: float
+    starved_s: float
+    """Sum of the times in which daemons had no core of the machine."""
     judged_answers: int
     """Answers that had to follow a certain version."""
     quiet_windows: int
@@ -117,6 +119,9 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch_stalls, self._clock, self._record_stall)
                 await self._fleet.start(nursery)
+                nursery.start_soon(
+                    watch_starvation, self._fleet, self._clock, self._record_starvation
+                )
                 for name in self._names:
                     nursery.start_soon(self._checker.run, name)
                 started_s = self._clock.monotonic()
@@ -134,6 +139,7 @@
             statuses=self._ledger.statuses,
             faults=faults,
             stalled_s=self._ledger.stalled_s,
+            starved_s=self._ledger.starved_s,
             judged_answers=self._versions.judged,
             quiet_windows=len(self._ledger.quiet_windows()),
         )
@@ -159,6 +165,10 @@
         self._ledger.record_stall(begin_s, end_s)
         self._touch.record_stall(begin_s, end_s)
 
+    def _record_starvation(self, name: str, begin_s: float, end_s: float) -> None:
+        self._ledger.record_starvation(name, begin_s, end_s)
+        self._touch.record_starvation(name, begin_s, end_s)
+
     async def _run_caller(self, name: str, random: Random) -> None:
         """Call one daemon over a persistent connection."""
         pool = AsyncConnectionPool(max_connections=1)
--- a/catkinhollow/testbed/soak_ledger.py
+++ b/catkinhollow/testbed/soak_ledger.py
@@ -55,12 +55,22 @@
         self._shutdowns: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self._target_faults: list[tuple[float, float]] = []
         self._stalls: list[tuple[float, float]] = []
+        self._starvations: dict[str, list[tuple[float, float]]] = defaultdict(list)
 
     @property
     def stalled_s(self) -> float:
         """Return for how long the test process was stalled, in seconds."""
         return sum(end_s - begin_s for begin_s, end_s in self._stalls)
 
+    @property
+    def starved_s(self) -> float:
+        """Return for how long daemons were starved in all, in seconds."""
+        return sum(
+            end_s - begin_s
+            for starvations in self._starvations.values()
+            for begin_s, end_s in starvations
+        )
+
     @property
     def statuses(self) -> Counter[int]:
         """Return the number of requests by response status."""
@@ -104,6 +114,13 @@
         """
         self._stalls.append((begin_s, end_s))
 
+    def record_starvation(self, instance: str, begin_s: float, end_s: float) -> None:
+        """Record when a daemon could run but had no core of the machine.
+
+        Requests to it that overlap this time may be late.
+        """
+        self._starvations[instance].append((begin_s, end_s))
+
     def find_violations(self, last_fault_s: float) -> list[Violation]:
         """Return the violated invariants."""
         found: list[Violation] = []
@@ -202,7 +219,8 @@
         if request.status == 0 and not self._raced_close(request, runs):
             yield "lost", "got no response"
         late_s = request.ended_s - request.started_s - self._timeout_s
-        is_timed = not any(_overlaps(request, stall) for stall in self._stalls)
+        delays = self._stalls + self._starvations[request.instance]
+        is_timed = not any(_overlaps(request, delay) for delay in delays)
         if late_s > LATE_TOLERANCE_S and is_timed:
             yield "late", f"ended {late_s:.1f} s after the timeout"
 
--- a/catkinhollow/testbed/soak_versions.py
+++ b/catkinhollow/testbed/soak_versions.py
@@ -60,6 +60,10 @@
         for disturbances in self._disturbances.values():
             disturbances.append(_Disturbance(begin_s, end_s))
 
+    def record_starvation(self, instance: str, begin_s: float, end_s: float) -> None:
+        """Record when a daemon could run but had no core of the machine."""
+        self._disturbances[instance].append(_Disturbance(begin_s, end_s))
+
     def in_touch(self, instance: str, begin_s: float, end_s: float) -> bool:
         """Return whether a daemon was in touch from a time to another."""
         return not any(
--- a/tests/testbed/test_silent_connections.py
+++ b/tests/testbed/test_silent_connections.py
@@ -5,7 +5,7 @@
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.testbed.soak_fleet import SoakFleet
-from catkinhollow.testbed.soak_stalls import watch_stalls
+from catkinhollow.testbed.soak_stalls import watch_stalls, watch_starvation
 from catkinhollow.testbed.soak_version_checker import VersionChecker
 from catkinhollow.testbed.soak_versions import (
     CONFIGURATION_APPLY_S,
@@ -43,6 +43,12 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch_stalls, self._clock, self._touch.record_stall)
                 await self._fleet.start(nursery)
+                nursery.start_soon(
+                    watch_starvation,
+                    self._fleet,
+                    self._clock,
+                    self._touch.record_starvation,
+                )
                 for name in self._fleet.members:
                     nursery.start_soon(self._checker.run, name)
                 await self._write_versions(links=links, store=store)
--- a/tests/testbed/test_soak_versions.py
+++ b/tests/testbed/test_soak_versions.py
@@ -147,6 +147,15 @@
     assert site.kinds == (["configuration"] if is_judged else [])
 
 
+def test_version_is_not_judged_at_a_daemon_without_a_core(site):
+    """Guards against reported delays that the machine caused."""
+    site.touch.record_starvation("d1", 10.0, 12.5)
+    site.answer(15.0, 404)
+    assert site.kinds == ["configuration"]
+    site.touch.record_starvation("d0", 10.0, 12.5)
+    assert site.kinds == []
+
+
 def test_checker_asks_for_the_newest_version_that_is_due(site):
     """Guards against checks that only ask for versions without a bound."""
     site.ledger.record_version(2, 11.0)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -39,7 +39,8 @@
             f" {result.judged_answers} answers judged by version,"
             f" {result.quiet_windows} windows by share,"
             f" {len(result.violations)} violations,"
-            f" test process stalled for {result.stalled_s:.1f} s",
+            f" test process stalled for {result.stalled_s:.1f} s,"
+            f" daemons starved for {result.starved_s:.1f} s",
             flush=True,
         )
         if not result.violations:
