Limit the size of the store's responses

Another path of the report that a faulty upstream fills the memory of a machine: the store. It would do so on all instances at the same time.

Cause: httpcore limits neither the body of a response nor the number of informational responses, and its timeouts apply to single reads. A store that sent 400 MB without end took a process from 34 to 485 MB (VmHWM of store and client in one process); with 103 responses the call never ended.

Change: a connection to the store fails once 32 MB came in response to one request.

--- a/catkinhollow/platform/store_connections.py
+++ b/catkinhollow/platform/store_connections.py
@@ -14,6 +14,7 @@
 )
 
 from catkinhollow.configuration.store_sockets import IDLE_EXPIRY_S, SOCKET_OPTIONS
+from catkinhollow.platform.bounded_backend import BoundedBackend
 
 # The watch of each kind occupies one connection while it waits; writes use
 # others.
@@ -32,6 +33,7 @@
         max_connections=MAX_CONNECTIONS,
         keepalive_expiry=idle_expiry_s,
         socket_options=SOCKET_OPTIONS,
+        network_backend=BoundedBackend(),
     )
 
 
