--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -8,7 +8,6 @@
 import trio
 from asgi_pool import AsgiPool
 from relay_builders import make_configuration
-from silencing_proxy import SilencingProxy
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.codec import decode_message
@@ -21,6 +20,7 @@
 from catkinhollow.relay.documents import DocumentTable
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.store_follower import MAX_ANSWER_AGE_S, StoreFollower
+from catkinhollow.testbed.loopback_proxy import LoopbackProxy
 from catkinhollow.testbed.loopback_server import serve_on_loopback
 from catkinhollow.testbed.processes import free_ports
 
@@ -64,7 +64,7 @@
     app = StandInStore()
     server_port, proxy_port = free_ports(2)
     await nursery.start(serve_on_loopback, app, server_port)
-    proxy = SilencingProxy(server_port)
+    proxy = LoopbackProxy(server_port)
     await nursery.start(proxy.serve, proxy_port)
     return app, proxy, proxy_port
 
@@ -101,7 +101,7 @@
         await fleet.wait_for(1)
     for version in (2, 3):
         await trio.sleep(2.5)
-        proxy.silence()
+        proxy.cut_open()
         await trio.sleep(1.0)
         write_version(app, version)
         written_s = trio.current_time()
@@ -121,12 +121,12 @@
         await fleet.wait_for(1)
     await trio.sleep(1.0)
     assert fleet.follower.following
-    proxy.holds_new = True
-    proxy.silence()
+    proxy.silent = True
+    proxy.cut_open()
     await trio.sleep(MAX_ANSWER_AGE_S + 1.0)
     assert not fleet.follower.following
     write_version(app, 2)
-    proxy.holds_new = False
+    proxy.silent = False
     returned_s = trio.current_time()
     with trio.move_on_after(10.0):
         await fleet.wait_for(2)
@@ -142,7 +142,7 @@
     async with trio.open_nursery() as nursery:
         for _ in range(3):
             nursery.start_soon(store.list_cached, "daemons")
-    proxy.silence()
+    proxy.cut_open()
     await trio.sleep(1.0)
     started_s = trio.current_time()
     written = await store.put("daemons", "d", {"name": "d"}, if_revision=0)
@@ -165,7 +165,7 @@
     nursery.start_soon(run, "watch", watch)
     await trio.sleep(0.1)
     assert (await store.list_objects("daemons")).is_ok()
-    proxy.silence()
+    proxy.cut_open()
     put = store.put("daemons", "d", {"name": "d"}, if_revision=0)
     nursery.start_soon(run, "put", put)
     await trio.sleep(0.1)
