Judge only linked peers by the state of their link

A frame that came before the own link was up marked the peer as unresponsive until the next check of the links, 0.1 s after the link came up.

--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -327,7 +327,7 @@
         self._silent_since_s.pop(sender, None)
         self._contacted_s[sender] = now_s
         peer = self._directory.by_address(sender)
-        if peer is not None:
+        if peer is not None and peer.linked:
             peer.unresponsive = self._watch.is_unresponsive(sender, now_s)
         arrivals = self._arrivals.get(sender)
         if arrivals is None or arrivals.incarnation != incarnation:
