--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -26,7 +26,7 @@
 BUSY_INTERVAL_S = 0.25
 # Limit of the statuses per second that one daemon sends to idle peers; with
 # more peers the interval grows. Together with the answers to the peers'
-# statuses this takes 5 KB/s of the 11 KB/s that a daemon may use for control
+# statuses this takes 9 KB/s of the 11 KB/s that a daemon may use for control
 # traffic.
 MAX_STATUSES_PER_S = 12.0
 # A peer gets no new calls while a status has been unanswered for this long.
