--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -35,6 +35,8 @@
 logger = get_logger(__name__)
 
 LINK_WATCH_INTERVAL_S = 0.1
+# Interval of the checks while no peer is late with an answer.
+CALM_WATCH_INTERVAL_S = 0.2
 LINK_UPDATE_INTERVAL_S = 1.0
 # Links to peers that this daemon does not need, but that call it, are kept for
 # this long after the last frame. Callers send a status every few seconds.
@@ -263,6 +265,8 @@
 
     def _watch_links(self) -> None:
         now_s = self._clock.monotonic()
+        if not self._watch.is_due(CALM_WATCH_INTERVAL_S, now_s):
+            return
         for address, progress_s in self._link.progress.items():
             self._watch.record_progress(address, progress_s)
         near = {address for address in self._wanted if self._sender.is_nearby(address)}
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -32,6 +32,8 @@
 # A peer gets no new calls while a status has been unanswered for this long.
 # Any frame from it ends this state.
 UNRESPONSIVE_S = 0.4
+# Answers arrive within this time unless a link or an instance is slow.
+LATE_ANSWER_S = 0.25
 # A link is considered dead when a status has been unanswered for this long.
 # A daemon on a slow instance answers within 1 s.
 DEAD_LINK_S = 1.3
@@ -296,6 +298,16 @@
             return None
         return self._reset(address, Silence.REPORTED, silent_s, now_s)
 
+    def is_due(self, calm_interval_s: float, now_s: float) -> bool:
+        """Return whether a check is due, at once if a peer is late."""
+        age_s = now_s - self._checked_s
+        # Intervals of the timer vary slightly.
+        if self._checked_s == inf or age_s >= 0.9 * calm_interval_s:
+            return True
+        return any(
+            watched.silence_s(now_s) > LATE_ANSWER_S for watched in self._peers.values()
+        )
+
     def check(
         self, near: set[str], far: set[str], busy: set[str], now_s: float
     ) -> list[WatchCommand]:
