--- a/catkinhollow/relay/network.py
+++ b/catkinhollow/relay/network.py
@@ -277,10 +277,11 @@
                 self._send_status(command.address, reply=False)
             else:
                 self._reset_dead_link(command, now_s)
-        for peer in self._directory:
-            address = peer.record.address
-            if peer.linked and peer is not self._directory.own:
-                peer.unresponsive = self._watch.is_unresponsive(address, now_s)
+        unresponsive = self._watch.find_unresponsive(now_s)
+        for address in self._sender.linked:
+            peer = self._directory.by_address(address)
+            if peer is not None:
+                peer.unresponsive = address in unresponsive
 
     def _reset_dead_link(self, command: ResetLink, now_s: float) -> None:
         logger.warning(
--- a/catkinhollow/relay/peer_watch.py
+++ b/catkinhollow/relay/peer_watch.py
@@ -115,6 +115,15 @@
     received: int = -1
     """Messages that the peer had received according to its last status."""
 
+    @property
+    def is_calm(self) -> bool:
+        """Return whether nothing is expected from the peer."""
+        return (
+            self.unanswered_since_s == inf
+            and self.unconfirmed_since_s == inf
+            and self.lacking_s == -inf
+        )
+
     def unanswered_s(self, now_s: float) -> float:
         """Return how long the peer has sent nothing although it was asked."""
         return now_s - max(self.unanswered_since_s, self.progress_s)
@@ -298,6 +307,14 @@
             return None
         return self._reset(address, Silence.REPORTED, silent_s, now_s)
 
+    def find_unresponsive(self, now_s: float) -> set[str]:
+        """Return the watched peers that should get no new calls for now."""
+        return {
+            address
+            for address, watched in self._peers.items()
+            if not watched.is_calm and watched.silence_s(now_s) > UNRESPONSIVE_S
+        }
+
     def is_due(self, calm_interval_s: float, now_s: float) -> bool:
         """Return whether a check is due, at once if a peer is late."""
         age_s = now_s - self._checked_s
@@ -305,7 +322,9 @@
         if self._checked_s == inf or age_s >= 0.9 * calm_interval_s:
             return True
         return any(
-            watched.silence_s(now_s) > LATE_ANSWER_S for watched in self._peers.values()
+            watched.silence_s(now_s) > LATE_ANSWER_S
+            for watched in self._peers.values()
+            if not watched.is_calm
         )
 
     def check(
@@ -328,7 +347,8 @@
             if address not in needed:
                 watched.expect_nothing()
         resets = self._reset_dead_links(now_s)
-        is_alarm = self._starts_alarm(now_s)
+        silent = self.find_unresponsive(now_s)
+        is_alarm = self._starts_alarm(len(silent), now_s)
         idle_s = max(IDLE_INTERVAL_S, (len(near) + len(far)) / MAX_STATUSES_PER_S)
         due: list[WatchCommand] = []
         for address in needed:
@@ -338,7 +358,7 @@
             interval_s = idle_s if address in near else FAR_INTERVAL_RATIO * idle_s
             if address in busy:
                 interval_s = _busy_interval_s(peer, now_s)
-            if is_alarm or peer.silence_s(now_s) > UNRESPONSIVE_S:
+            if is_alarm or address in silent:
                 interval_s = min(interval_s, BUSY_INTERVAL_S)
             if now_s - peer.asked_s >= interval_s:
                 peer.ask(now_s, is_reporting=address in self._reporting)
@@ -358,7 +378,7 @@
         return [
             self._reset(address, *fault, now_s)
             for address, watched in list(self._peers.items())
-            if (fault := watched.find_fault(now_s)) is not None
+            if not watched.is_calm and (fault := watched.find_fault(now_s)) is not None
         ]
 
     def _reset(
@@ -372,12 +392,8 @@
             link_age_s=now_s - watched.up_s,
         )
 
-    def _starts_alarm(self, now_s: float) -> bool:
-        """Return whether to ask all peers because one is unresponsive."""
-        silent = sum(
-            watched.silence_s(now_s) > UNRESPONSIVE_S
-            for watched in self._peers.values()
-        )
+    def _starts_alarm(self, silent: int, now_s: float) -> bool:
+        """Return whether to ask all peers because some are unresponsive."""
         age_s = now_s - self._alarm_s
         if silent > 1 or age_s > MAX_ALARM_INTERVAL_S:
             self._alarm_interval_s = ALARM_INTERVAL_S
