Give the names ingress and header_names one module each

calls/ingress and relay/ingress, platform/header_names and relay/header_names had the same names for different things. The ASGI application of the plain daemon is calls/traffic_application now, the platform's header names are platform/headers.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -13,8 +13,8 @@
 from catkinhollow.calls.dispatch import Dispatcher
 from catkinhollow.calls.egress import HttpTargetClient
 from catkinhollow.calls.http_server import App, serve_app
-from catkinhollow.calls.ingress import TrafficApplication
 from catkinhollow.calls.pool import Location
+from catkinhollow.calls.traffic_application import TrafficApplication
 from catkinhollow.clock import TrioClock
 from catkinhollow.configuration.bootstrap import Bootstrap
 from catkinhollow.configuration.fleet_updates import update_fleet
--- a/catkinhollow/platform/process.py
+++ b/catkinhollow/platform/process.py
@@ -15,7 +15,7 @@
 from catkinhollow.generated.relay import RelaySettings
 from catkinhollow.logs import configure_logging
 from catkinhollow.platform.announcements import AnnouncementApplication
-from catkinhollow.platform.header_names import PLATFORM_HEADERS
+from catkinhollow.platform.headers import PLATFORM_HEADERS
 from catkinhollow.platform.object_store import PlatformStore
 from catkinhollow.platform.objects import decode_object
 from catkinhollow.relay.application import RelayDaemon
--- a/catkinhollow/testbed/soak_fleet.py
+++ b/catkinhollow/testbed/soak_fleet.py
@@ -22,7 +22,7 @@
     RelaySettings,
 )
 from catkinhollow.logs import get_logger
-from catkinhollow.platform.header_names import PLATFORM_HEADERS as NAMES
+from catkinhollow.platform.headers import PLATFORM_HEADERS as NAMES
 from catkinhollow.platform.process import SETTINGS_VARIABLE
 from catkinhollow.platform.standin_store import StandInStore
 from catkinhollow.relay.documents.kinds import CONFIGURATION, CONFIGURATION_NAME
--- a/catkinhollow/testbed/soak_target.py
+++ b/catkinhollow/testbed/soak_target.py
@@ -17,7 +17,7 @@
 from catkinhollow.codec import encode_json
 from catkinhollow.generated.relay import RelaySettings
 from catkinhollow.logs import get_logger
-from catkinhollow.platform.header_names import PLATFORM_HEADERS as NAMES
+from catkinhollow.platform.headers import PLATFORM_HEADERS as NAMES
 from catkinhollow.testbed.loopback_server import serve_on_loopback
 from catkinhollow.timer import Clock
 
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -19,20 +19,21 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tests" / "relay")]
 
+from tests.relay.test_document_flood import FloodMachine  # noqa: E402
+from tests.relay.test_frame_queue import LinkMachine  # noqa: E402
+from tests.relay.test_odd_frames import ODD_FRAMES, play_frame  # noqa: E402
+from tests.relay.test_remote_calls import CallMachine  # noqa: E402
+
 from tests.calls.test_call_router import CallRouterMachine  # noqa: E402
 from tests.configuration.test_fleet_updates import FleetUpdates  # noqa: E402
 from tests.control.test_controller_states import RacingControllers  # noqa: E402
 from tests.mesh.test_dissemination import MeshMachine  # noqa: E402
-from tests.relay.test_document_flood import FloodMachine  # noqa: E402
-from tests.relay.test_frame_queue import LinkMachine  # noqa: E402
 from tests.relay.test_odd_connections import (  # noqa: E402
     CALLER_STEPS,
     TARGET_ANSWERS,
     play_caller,
     play_target,
 )
-from tests.relay.test_odd_frames import ODD_FRAMES, play_frame  # noqa: E402
-from tests.relay.test_remote_calls import CallMachine  # noqa: E402
 from tests.testbed.test_store_state import StoreMachine  # noqa: E402
 from tests.testbed.test_target_model import SlotMachine  # noqa: E402
 
--- a/tools/measure_bodies.py
+++ b/tools/measure_bodies.py
@@ -33,7 +33,7 @@
     RelayService,
     RelaySettings,
 )
-from catkinhollow.platform.header_names import PLATFORM_HEADERS as NAMES  # noqa: E402
+from catkinhollow.platform.headers import PLATFORM_HEADERS as NAMES  # noqa: E402
 from catkinhollow.platform.process import SETTINGS_VARIABLE  # noqa: E402
 from catkinhollow.platform.standin_store import StandInStore  # noqa: E402
 from catkinhollow.relay.documents.kinds import CONFIGURATION, CONFIGURATION_NAME  # noqa: E402
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -17,9 +17,9 @@
 from catkinhollow.calls.dispatch import Dispatcher  # noqa: E402
 from catkinhollow.calls.egress import HttpTargetClient, SendResult  # noqa: E402
 from catkinhollow.calls.exchange import Request, Response  # noqa: E402
-from catkinhollow.calls.ingress import TrafficApplication  # noqa: E402
 from catkinhollow.calls.pool import Location  # noqa: E402
 from catkinhollow.calls.retries import AttemptKind  # noqa: E402
+from catkinhollow.calls.traffic_application import TrafficApplication  # noqa: E402
 from catkinhollow.clock import TrioClock  # noqa: E402
 from catkinhollow.daemon.metrics import Metrics  # noqa: E402
 from catkinhollow.daemon.tracing import PropagatingTracer  # noqa: E402
