Add make bench-processor

The daemons' processor time was measured by hand only. The command runs fleets of this code and of an earlier commit in turn on loopback, with the same store, targets and requests, and prints the processor time of a start, of an idle second, of a call through two daemons, of a configuration version and of a storm of thirty versions, as ratio of the smallest cost of each.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed-catkinhollow
 
-.PHONY: setup demo test check format generate fuzz soak
+.PHONY: setup demo test check format generate fuzz soak bench-processor
 
 setup: $(STAMP)
 
@@ -25,6 +25,9 @@
 soak: setup
 	$(BIN)/python -m tools.soak --seed $${SEED:-1} --seeds $${SEEDS:-5}
 
+bench-processor: setup
+	$(BIN)/python -m tools.bench_processor $(if $(BASE),--base $(BASE))
+
 check: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/catkinhollow/testbed/processes.py
+++ b/catkinhollow/testbed/processes.py
@@ -80,8 +80,9 @@
 class ProcessGroup:
     """Start a group of child processes and stop all of them."""
 
-    def __init__(self, log_dir: Path) -> None:
+    def __init__(self, log_dir: Path, root: Path = ROOT) -> None:
         self._log_dir = log_dir
+        self._root = root
         self._children: dict[str, Child] = {}
 
     @property
@@ -101,7 +102,7 @@
         with log_path.open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
-                cwd=ROOT,
+                cwd=self._root,
                 env={**os.environ, **environment},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
