--- a/tools/bench_processor.py
+++ b/tools/bench_processor.py
@@ -229,7 +229,7 @@
 
 
 def print_costs(base: Sequence[Costs], this: Sequence[Costs]) -> None:
-    """Print the smallest cost of each cause, as other work disturbs the rest."""
+    """Print the smallest cost of each cause, as other work disturbs it."""
     best: defaultdict[str, list[float]] = defaultdict(lambda: [inf, inf])
     for index, rounds in enumerate((base, this)):
         for costs in rounds:
