Import only those parts of the libraries that a daemon uses

expression, httpcore and aioprometheus import all their modules with the first name that is used of them, among them asyncio (also through pynng), the synchronous client of httpcore and h2. trio runs ldconfig in a process of its own to find the threads' library. The process of the daemon now installs a finder before its first import: the listed packages provide single names from the modules that define them, and run their own code for any other name.

--- a/catkinhollow/platform/sidecar.py
+++ b/catkinhollow/platform/sidecar.py
@@ -11,6 +11,10 @@
     # and later full collections that visit their objects would stop all calls
     # for tens of milliseconds.
     gc.disable()
+    # Before all libraries, so that none of them is imported as a whole.
+    from catkinhollow.platform.partial_imports import install_partial_imports
+
+    install_partial_imports()
     from catkinhollow.platform.process import run_process
 
     gc.freeze()
