Generate methods of attrs classes when they are first called

A start creates about 190 attrs classes. attrs writes and compiles the source of __init__, __repr__, __eq__ and __hash__ of each when it is created, which took a quarter of the start. The process of the daemon replaces the builder of attrs by one that adds methods which generate themselves at their first call.

--- a/catkinhollow/platform/sidecar.py
+++ b/catkinhollow/platform/sidecar.py
@@ -15,6 +15,9 @@
     from catkinhollow.platform.partial_imports import install_partial_imports
 
     install_partial_imports()
+    from catkinhollow.platform.deferred_methods import install_deferred_methods
+
+    install_deferred_methods()
     from catkinhollow.platform.process import run_process
 
     gc.freeze()
