Wake up an idle daemon less often

The timer of a daemon woke it up for each periodic callback on its own: the check for moves ten times a second although there was no order, the check of the links ten times a second of which every second one did nothing while no peer was late, and the others at their own phases.

Periodic callbacks that are due within a tenth of their interval now run together; one-shot callbacks are never early. Moves are stepped only while there are orders. Links are checked every 0.2 s, and 0.1 s after a check or after a status that shows that a peer may be late by then, which are the times at which the checks before had an effect.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -39,7 +39,7 @@
 from catkinhollow.relay.documents.document_sync import DocumentChanged
 from catkinhollow.relay.documents.document_table import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.documents.follower_election import FollowerElection
-from catkinhollow.relay.documents.kinds import CONFIGURATION, DAEMONS
+from catkinhollow.relay.documents.kinds import CONFIGURATION, DAEMONS, ORDERS
 from catkinhollow.relay.documents.own_record import OwnRecordKeeper
 from catkinhollow.relay.documents.record_cleanup import find_stale_peers
 from catkinhollow.relay.documents.store_follower import (
@@ -62,7 +62,7 @@
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestHandler, RequestServer
 from catkinhollow.relay.shutdown_plan import ShutdownPlan
-from catkinhollow.timer import Timer
+from catkinhollow.timer import Subscription, Timer
 
 logger = get_logger(__name__)
 
@@ -130,6 +130,8 @@
         self._documents = DocumentTable()
         self._validator = DocumentValidator()
         self._failure_reported_s = -inf
+        self._nursery: trio.Nursery | None = None
+        self._move_steps: Subscription | None = None
         self._listening = False
         self._stopping = False
         self._directory = PeerDirectory(self._own_record())
@@ -284,9 +286,8 @@
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._record_keeper.run)
             nursery.start_soon(self._watch_settings)
-            self._timer.subscribe(
-                STEP_INTERVAL_S, lambda: self._start_move_step(nursery)
-            )
+            self._nursery = nursery
+            self._schedule_move_steps()
             self._timer.subscribe(
                 CLEANUP_INTERVAL_S,
                 lambda: nursery.start_soon(self._delete_stale_records),
@@ -380,10 +381,18 @@
             while self._server.busy:
                 await trio.sleep(LAST_RESPONSES_POLL_S)
 
-    def _start_move_step(self, nursery: trio.Nursery) -> None:
-        # Avoid a task per interval while there is no move.
-        if self._moves.has_orders:
-            nursery.start_soon(self._step_moves)
+    def _schedule_move_steps(self) -> None:
+        """Step the moves at intervals while there are orders."""
+        nursery = self._nursery
+        if nursery is None:
+            return
+        if self._move_steps is not None and not self._moves.has_orders:
+            self._move_steps.cancel()
+            self._move_steps = None
+        elif self._move_steps is None and self._moves.has_orders:
+            self._move_steps = self._timer.subscribe(
+                STEP_INTERVAL_S, lambda: nursery.start_soon(self._step_moves)
+            )
 
     async def _step_moves(self) -> None:
         self._network.refresh_own_report()
@@ -418,6 +427,8 @@
             self._follower.set_configured()
         elif kind == DAEMONS and name == self._settings.instance:
             self._record_keeper.record_changed()
+        elif kind == ORDERS:
+            self._schedule_move_steps()
 
     def _count_sent(self, address: str, frame: Frame, size_bytes: int) -> None:
         place = "same" if self._network.is_nearby(address) else "other"
--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -34,8 +34,10 @@
 
 logger = get_logger(__name__)
 
+# Interval of the checks while a peer is late with an answer.
 LINK_WATCH_INTERVAL_S = 0.1
-# Interval of the checks while no peer is late with an answer.
+# Interval of the checks while no peer is late. A check in between would only
+# take processor time: no status is due and no limit can have passed.
 CALM_WATCH_INTERVAL_S = 0.2
 LINK_UPDATE_INTERVAL_S = 1.0
 # Links to peers that this daemon does not need, but that call it, are kept for
@@ -111,6 +113,7 @@
         self._needed_s: dict[str, float] = {}
         self._wanted: set[str] = set()
         self._link_update_due = False
+        self._early_watch_due = False
 
     @property
     def directory(self) -> PeerDirectory:
@@ -196,7 +199,7 @@
 
     async def run(self) -> None:
         """Process events of the links until cancelled."""
-        self._timer.subscribe(LINK_WATCH_INTERVAL_S, self._watch_links)
+        self._timer.subscribe(CALM_WATCH_INTERVAL_S, self._watch_links)
         self._timer.subscribe(LINK_UPDATE_INTERVAL_S, self.update_links)
         self._timer.subscribe(MOVE_REPORT_INTERVAL_S, self._report_to_move_writers)
         await self._link.run(self._handle_event)
@@ -265,6 +268,21 @@
 
     def _watch_links(self) -> None:
         now_s = self._clock.monotonic()
+        self._check_links(now_s)
+        if self._watch.may_be_late(CALM_WATCH_INTERVAL_S, now_s):
+            self._schedule_early_watch()
+
+    def _schedule_early_watch(self) -> None:
+        """Check a late peer before the next check at the calm interval."""
+        if not self._early_watch_due:
+            self._early_watch_due = True
+            self._timer.call_after(LINK_WATCH_INTERVAL_S, self._watch_early)
+
+    def _watch_early(self) -> None:
+        self._early_watch_due = False
+        self._check_links(self._clock.monotonic())
+
+    def _check_links(self, now_s: float) -> None:
         if not self._watch.is_due(CALM_WATCH_INTERVAL_S, now_s):
             return
         for address, progress_s in self._link.progress.items():
@@ -358,15 +376,8 @@
     def _handle_status(self, sender: str, status: Status, now_s: float) -> None:
         arrivals = self._arrivals[sender]
         arrivals.status_ms = max(arrivals.status_ms, status.sent_ms)
-        # Earlier releases know the receiver, but not what has arrived.
-        if status.receiver == self._incarnation and status.received:
-            self._watch.record_heard(
-                sender,
-                status.heard_ms,
-                status.received,
-                now_s,
-                status.sent_ms / 1000.0,
-            )
+        if status.receiver == self._incarnation:
+            self._record_heard(sender, status, now_s)
         if status.silent_ms:
             reset = self._watch.check_report(sender, status.silent_ms / 1000.0, now_s)
             if reset is not None:
@@ -393,6 +404,21 @@
             self._sync.announce_all(sender)
         self._sync.compare(sender, status.digest, configured=status.configured)
 
+    def _record_heard(self, sender: str, status: Status, now_s: float) -> None:
+        """Record what a peer tells about the link to it."""
+        # Earlier releases know the receiver, but not what has arrived.
+        if not status.received:
+            return
+        self._watch.record_heard(
+            sender,
+            status.heard_ms,
+            status.received,
+            now_s,
+            status.sent_ms / 1000.0,
+        )
+        if self._watch.is_unresponsive(sender, now_s):
+            self._schedule_early_watch()
+
     def _send_status(self, address: str, *, reply: bool, resumed: bool = False) -> None:
         now_s = self._clock.monotonic()
         self._election.store_reached(self._store_reached_s())
--- a/catkinhollow/relay/links/peer_watch.py
+++ b/catkinhollow/relay/links/peer_watch.py
@@ -327,6 +327,14 @@
             if not watched.is_calm
         )
 
+    def may_be_late(self, delay_s: float, now_s: float) -> bool:
+        """Return whether a peer may be late with an answer after a delay."""
+        return any(
+            watched.silence_s(now_s) + delay_s > LATE_ANSWER_S
+            for watched in self._peers.values()
+            if not watched.is_calm
+        )
+
     def check(
         self, near: set[str], far: set[str], busy: set[str], now_s: float
     ) -> list[WatchCommand]:
--- a/catkinhollow/timer.py
+++ b/catkinhollow/timer.py
@@ -20,12 +20,19 @@
         """Return the Unix time in milliseconds."""
 
 
+# A periodic callback that is due within this share of its interval runs with
+# another one that is due, so that both need one wake-up of the process.
+COALESCED_SHARE = 0.1
+
+
 @define(eq=False)
 class Subscription:
     """Represent a scheduled callback, one-shot if interval_s is None."""
 
     callback: Callable[[], None]
     interval_s: float | None
+    due_s: float = field(default=inf, init=False)
+    """When the callback is due, for a periodic one."""
     _cancelled: bool = field(default=False, init=False)
 
     @property
@@ -46,6 +53,9 @@
         # Keeps callbacks with equal due times in scheduling order in the heap.
         self._sequence = count()
         self._due: list[tuple[float, int, Subscription]] = []
+        self._periodic: list[Subscription] = []
+        # When the task wakes up; an earlier callback wakes it at once.
+        self._wakeup_s = -inf
         self._changed = trio.Event()
 
     @property
@@ -62,17 +72,22 @@
     ) -> Subscription:
         """Call the callback at intervals given in seconds.
 
-        The first call comes after first_delay_s, by default one interval.
+        The first call comes after first_delay_s, by default one interval. A
+        call may come earlier by a tenth of the interval.
         """
         subscription = Subscription(callback, interval_s)
         delay_s = interval_s if first_delay_s is None else first_delay_s
-        self._schedule(subscription, delay_s)
+        subscription.due_s = self._clock.monotonic() + delay_s
+        self._periodic.append(subscription)
+        self._wake_before(subscription.due_s)
         return subscription
 
     def call_after(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
         """Call the callback once after a delay in seconds."""
         subscription = Subscription(callback, None)
-        self._schedule(subscription, delay_s)
+        due_s = self._clock.monotonic() + delay_s
+        heappush(self._due, (due_s, next(self._sequence), subscription))
+        self._wake_before(due_s)
         return subscription
 
     async def run(self) -> None:
@@ -80,21 +95,38 @@
         while True:
             self._run_due()
             self._changed = trio.Event()
-            next_due = self._due[0][0] if self._due else inf
-            with trio.move_on_after(max(0.0, next_due - self._clock.monotonic())):
+            self._wakeup_s = self._next_due_s()
+            delay_s = max(0.0, self._wakeup_s - self._clock.monotonic())
+            with trio.move_on_after(delay_s):
                 await self._changed.wait()
 
-    def _schedule(self, subscription: Subscription, delay_s: float) -> None:
-        due = self._clock.monotonic() + delay_s
-        heappush(self._due, (due, next(self._sequence), subscription))
-        self._changed.set()
+    def _wake_before(self, due_s: float) -> None:
+        if due_s < self._wakeup_s:
+            self._changed.set()
+
+    def _next_due_s(self) -> float:
+        while self._due and self._due[0][2].cancelled:
+            heappop(self._due)
+        next_s = self._due[0][0] if self._due else inf
+        return min([next_s, *(item.due_s for item in self._periodic)])
 
     def _run_due(self) -> None:
-        now = self._clock.monotonic()
-        while self._due and self._due[0][0] <= now:
+        # Callbacks that are added meanwhile wake the task up again.
+        self._wakeup_s = inf
+        now_s = self._clock.monotonic()
+        self._run_periodic(now_s)
+        while self._due and self._due[0][0] <= now_s:
             subscription = heappop(self._due)[2]
-            if subscription.cancelled:
-                continue
-            subscription.callback()
-            if subscription.interval_s is not None and not subscription.cancelled:
-                self._schedule(subscription, subscription.interval_s)
+            if not subscription.cancelled:
+                subscription.callback()
+
+    def _run_periodic(self, now_s: float) -> None:
+        self._periodic = [item for item in self._periodic if not item.cancelled]
+        if all(item.due_s > now_s for item in self._periodic):
+            return
+        for item in list(self._periodic):
+            interval_s = item.interval_s or 0.0
+            is_due = item.due_s - now_s <= COALESCED_SHARE * interval_s
+            if is_due and not item.cancelled:
+                item.callback()
+                item.due_s = self._clock.monotonic() + interval_s
