Decode a configuration version once, and only what has changed

The validator and the handler each decoded every version as a whole, and each version of a storm was decoded before it was held back. The validator now keeps the value that it has decoded. Routes with the same encoded form as in the last version are kept, and not checked again while their services exist. Versions that follow too soon are held back before they are decoded; if the newest is refused, the next older one is taken. Beyond eight held versions the newest valid one replaces the others, so that memory stays bounded.

DocumentHandler needs a validator for every document, so that the test that built it without one passes one now.

--- a/catkinhollow/relay/documents/configuration_check.py
+++ b/catkinhollow/relay/documents/configuration_check.py
@@ -3,13 +3,24 @@
 from catkinhollow.generated.relay import RelayConfiguration, RelayRoute
 
 
-def find_error(configuration: RelayConfiguration, known_version: int) -> str:
-    """Return why a version must not be applied, "" if it is valid."""
+def find_error(
+    configuration: RelayConfiguration,
+    known_version: int,
+    valid: RelayConfiguration | None = None,
+) -> str:
+    """Return why a version must not be applied, "" if it is valid.
+
+    Routes that are the same objects as in a version that is known to be valid
+    are not checked again if their services still exist.
+    """
     if configuration.version < known_version:
         return f"version {configuration.version} is older than {known_version}"
     services = {service.name for service in configuration.services}
+    checked: set[int] = set()
+    if valid is not None and services.issuperset(item.name for item in valid.services):
+        checked = {id(route) for route in valid.routes}
     for route in configuration.routes:
-        error = _find_route_error(route, services)
+        error = "" if id(route) in checked else _find_route_error(route, services)
         if error:
             return f"route {route.name}: {error}"
     return ""
--- a/catkinhollow/relay/documents/document_flood.py
+++ b/catkinhollow/relay/documents/document_flood.py
@@ -22,6 +22,9 @@
 # Minimum time between two revisions of a large document. In a series of
 # changes some are skipped, because each one costs every daemon milliseconds.
 MIN_REVISION_INTERVAL_S = 0.5
+# Held revisions of a document beyond this number are decoded to find those
+# that may be forgotten.
+MAX_HELD_REVISIONS = 8
 # Time that a neighbour in the same failure domain has to announce a document
 # before it is requested from another failure domain, where traffic is
 # expensive.
@@ -107,40 +110,62 @@
     """Hold back revisions of large documents that follow too soon.
 
     The first revision after a calm time passes at once. Of those that follow
-    only the newest one passes, when it is due.
+    the newest one passes when it is due, or an older one if it is refused.
     """
 
     def __init__(self) -> None:
         self._passed_s: dict[str, float] = {}
-        self._held: dict[str, tuple[Document, str]] = {}
+        # Of each document, with the newest revision first.
+        self._held: dict[str, list[tuple[Document, str]]] = {}
 
     @property
     def pending(self) -> bool:
         """Return whether documents are held back."""
         return bool(self._held)
 
-    def passes(self, document: Document, source: str, now_s: float) -> bool:
-        """Return whether a document passes now; hold it back otherwise."""
+    def is_too_soon(self, document: Document, now_s: float) -> bool:
+        """Return whether a document would be held back now."""
         held = self._held.get(document.name)
-        if held is not None and held[0].revision >= document.revision:
-            return False
+        if held and held[0][0].revision >= document.revision:
+            return True
         passed_s = self._passed_s.get(document.name, -inf)
         is_large = len(document.body) > MAX_PUSHED_BYTES
-        if is_large and now_s - passed_s < MIN_REVISION_INTERVAL_S:
-            self._held[document.name] = (document, source)
+        return is_large and now_s - passed_s < MIN_REVISION_INTERVAL_S
+
+    def passes(self, document: Document, source: str, now_s: float) -> bool:
+        """Return whether a document passes now; hold it back otherwise."""
+        if self.is_too_soon(document, now_s):
+            held = self._held.setdefault(document.name, [])
+            if all(known.revision != document.revision for known, _ in held):
+                held.append((document, source))
+                held.sort(key=lambda item: -item[0].revision)
             return False
         self._held.pop(document.name, None)
         self._passed_s[document.name] = now_s
         return True
 
+    def held(self, name: str) -> list[tuple[Document, str]]:
+        """Return the revisions held back of a document, newest first."""
+        return list(self._held.get(name, []))
+
+    def drop(self, document: Document) -> None:
+        """Forget a revision that was held back."""
+        held = self._held[document.name]
+        held[:] = [item for item in held if item[0] is not document]
+
     def take_due(self, now_s: float) -> list[tuple[Document, str]]:
-        """Return the documents, with their sources, that may pass now."""
+        """Return the newest revisions, with their sources, that may pass now.
+
+        The next older ones are due at once, if the newer ones do not pass.
+        """
         due = [
             name
             for name in self._held
             if now_s - self._passed_s[name] >= MIN_REVISION_INTERVAL_S
         ]
-        return [self._held.pop(name) for name in due]
+        taken = [self._held[name].pop(0) for name in due]
+        self._held = {name: held for name, held in self._held.items() if held}
+        return taken
 
 
 class DocumentPulls:
--- a/catkinhollow/relay/documents/document_handler.py
+++ b/catkinhollow/relay/documents/document_handler.py
@@ -1,9 +1,12 @@
 """Validate documents and apply those that are accepted."""
 
-from typing import Any, TypeVar
+from typing import Any
+
+from expression import Ok, Result
 
 from catkinhollow.addresses import parse_address
 from catkinhollow.codec import decode_message
+from catkinhollow.errors import DecodeError
 from catkinhollow.generated.relay import (
     DaemonRecord,
     Document,
@@ -13,6 +16,7 @@
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.admission.gate_service import GateService
 from catkinhollow.relay.documents.configuration_check import find_error
+from catkinhollow.relay.documents.configuration_decoder import ConfigurationDecoder
 from catkinhollow.relay.documents.document_sync import DocumentChanged
 from catkinhollow.relay.documents.document_table import DocumentTable
 from catkinhollow.relay.documents.kinds import (
@@ -29,8 +33,6 @@
 
 logger = get_logger(__name__)
 
-T = TypeVar("T")
-
 # Type of the body of each kind. The failure domain of an evacuation is taken
 # from the document's name.
 BODY_TYPES: dict[str, Any] = {
@@ -46,6 +48,11 @@
 
     def __init__(self) -> None:
         self._version = -1
+        self._decoder = ConfigurationDecoder()
+        # The last configuration that was accepted.
+        self._valid: RelayConfiguration | None = None
+        # The document that was decoded last, and its value.
+        self._last: tuple[Document, Any] | None = None
 
     @property
     def version(self) -> int:
@@ -64,6 +71,20 @@
             )
         return not error
 
+    def decode(self, document: Document) -> Result[Any, DecodeError]:
+        """Return the value of a document; the last one is kept."""
+        if self._last is not None and self._last[0] is document:
+            return Ok(self._last[1])
+        kind = document.name.partition("/")[0]
+        decoded: Result[Any, DecodeError]
+        if kind == CONFIGURATION:
+            decoded = self._decoder.decode(document.body)
+        else:
+            decoded = decode_message(document.body, BODY_TYPES[kind])
+        if decoded.is_ok():
+            self._last = (document, decoded.ok)
+        return decoded
+
     def set_version(self, version: int) -> None:
         """Set the configuration version in force."""
         self._version = version
@@ -77,11 +98,14 @@
                 "a configuration must not be deleted" if kind == CONFIGURATION else ""
             )
         # Peers of another release may send bodies that this one cannot decode.
-        decoded = decode_message(document.body, BODY_TYPES[kind])
+        decoded = self.decode(document)
         if decoded.is_error():
             return str(decoded.error.reason)
         if kind == CONFIGURATION:
-            return find_error(decoded.ok, self._version)
+            error = find_error(decoded.ok, self._version, self._valid)
+            if not error:
+                self._valid = decoded.ok
+            return error
         if kind == DAEMONS:
             return _find_record_error(document, decoded.ok)
         return ""
@@ -127,7 +151,7 @@
             self._apply_evacuation(document, name)
 
     def _apply_configuration(self, document: Document, source: str) -> None:
-        configuration = _decode(document, RelayConfiguration)
+        configuration: RelayConfiguration = self._decode(document)
         self._validator.set_version(configuration.version)
         self._ingress.configure(configuration)
         self._gate.configure(configuration)
@@ -146,18 +170,18 @@
         if document.deleted:
             directory.remove(name)
         else:
-            directory.put(_decode(document, DaemonRecord))
+            directory.put(self._decode(document))
         self._network.schedule_link_update()
 
     def _apply_order(self, document: Document, service: str) -> None:
         documents = self._table.of_kind(ORDERS)
-        self._versions.set_orders(_decode(known, MoveOrder) for known in documents)
+        self._versions.set_orders(self._decode(known) for known in documents)
         self._plan.set_orders(self._versions.orders)
         self._network.schedule_link_update()
         if document.deleted:
             self._moves.remove_order(service)
             return
-        order = _decode(document, MoveOrder)
+        order: MoveOrder = self._decode(document)
         self._moves.update_order(order, document.revision)
         progress = order.progress
         logger.info(
@@ -179,17 +203,16 @@
         if failure_domain == self._failure_domain:
             self._gate.set_evacuated(not document.deleted)
 
+    def _decode(self, document: Document) -> Any:
+        decoded = self._validator.decode(document)
+        if decoded.is_error():
+            # The validator has decoded it before.
+            raise ValueError(f"{document.name}: {decoded.error.reason}")
+        return decoded.ok
+
 
 def _find_record_error(document: Document, record: DaemonRecord) -> str:
     if document.name != f"{DAEMONS}/{record.name}":
         return "record of another daemon"
     address = parse_address(record.address)
     return "" if address.is_ok() else address.error.reason
-
-
-def _decode(document: Document, kind: type[T]) -> T:
-    decoded = decode_message(document.body, kind)
-    if decoded.is_error():
-        # The validator has decoded it before.
-        raise ValueError(f"{document.name}: {decoded.error.reason}")
-    return decoded.ok
--- a/catkinhollow/relay/documents/document_sync.py
+++ b/catkinhollow/relay/documents/document_sync.py
@@ -16,6 +16,7 @@
 )
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.documents.document_flood import (
+    MAX_HELD_REVISIONS,
     ChangeDamper,
     DocumentFlood,
     DocumentPulls,
@@ -121,11 +122,14 @@
                 requests=delay.requests,
                 source=source,
             )
-        if not self._documents.is_newer(document) or not self._accepts(document):
+        if not self._documents.is_newer(document):
             return
-        if not self._damper.passes(document, source, now_s):
-            self._schedule_release()
+        if self._damper.is_too_soon(document, now_s):
+            self._hold_back(document, source, now_s)
             return
+        if not self._accepts(document):
+            return
+        self._damper.passes(document, source, now_s)
         if not self._documents.offer(document):
             return
         logger.debug(
@@ -231,6 +235,20 @@
                 announcement = DocumentAnnouncement(versions=versions)
                 self._link.send_announcement(address, announcement)
 
+    def _hold_back(self, document: Document, source: str, now_s: float) -> None:
+        """Keep a document until it is due, without decoding it."""
+        self._damper.passes(document, source, now_s)
+        held = self._damper.held(document.name)
+        if len(held) > MAX_HELD_REVISIONS:
+            # The newest one that is valid replaces all others.
+            has_valid = False
+            for known, _ in held:
+                if has_valid or not self._accepts(known):
+                    self._damper.drop(known)
+                else:
+                    has_valid = True
+        self._schedule_release()
+
     def _schedule_release(self) -> None:
         if self._damper.pending and not self._release_due:
             self._release_due = True
@@ -238,8 +256,10 @@
 
     def _release(self) -> None:
         self._release_due = False
-        for document, source in self._damper.take_due(self._clock.monotonic()):
-            self.offer(document, source)
+        # A document that is refused leaves the next older one due.
+        while due := self._damper.take_due(self._clock.monotonic()):
+            for document, source in due:
+                self.offer(document, source)
         self._schedule_release()
 
     def _pull(self) -> None:
--- a/tests/relay/documents/test_document_flood.py
+++ b/tests/relay/documents/test_document_flood.py
@@ -15,6 +15,7 @@
 from catkinhollow.generated.relay import Document
 from catkinhollow.relay.documents.document_flood import (
     CROSS_DOMAIN_DELAY_S,
+    MAX_HELD_REVISIONS,
     MAX_PUSHED_BYTES,
     MIN_REVISION_INTERVAL_S,
     REQUEST_TIMEOUT_S,
@@ -230,6 +231,48 @@
     assert all(damper.passes(small, "store", 9.0 + n / 10) for n in range(3))
 
 
+def offer_storm(versions, invalid=()):
+    """Offer versions in 0.4 s; return those checked, and the one in force."""
+    world = make_world(25)
+    member = next(iter(world.members.values()))
+    checked = []
+
+    def accepts(document):
+        checked.append(document.revision)
+        return document.revision not in invalid
+
+    member.sync._accepts = accepts
+    for revision in versions:
+        member.sync.offer(make_document(revision, 60_000), "store")
+        world.run(0.4 / len(versions))
+    world.run(1.0)
+    return checked, member.table.revision("configuration/main")
+
+
+def test_versions_that_are_passed_over_are_not_decoded():
+    """Guards against a storm whose versions are all decoded and checked."""
+    checked, newest = offer_storm(range(1, 31))
+    assert newest == 30
+    # The first and the last one, and one each time that too many are held.
+    assert len(checked) <= 2 + 29 // MAX_HELD_REVISIONS
+
+
+@pytest.mark.parametrize(
+    ("versions", "invalid", "expected"),
+    [
+        ([1, 2, 3], {3}, 2),
+        ([1, 2, 3], {2, 3}, 1),
+        ([1, 3, 2], {3}, 2),
+        (range(1, 31), set(range(5, 31)), 4),
+        (range(1, 31), set(range(2, 31)) - {11}, 11),
+    ],
+)
+def test_invalid_version_does_not_hide_an_older_one(versions, invalid, expected):
+    """Guards against a valid version that is lost to a later invalid one."""
+    _, newest = offer_storm(versions, invalid)
+    assert newest == expected
+
+
 def test_lost_messages_are_repaired():
     """Guards against a daemon that misses a change for ever."""
     world = make_world(300, loss=0.1, copies=0.1)
--- a/tests/relay/links/test_peer_directory.py
+++ b/tests/relay/links/test_peer_directory.py
@@ -20,7 +20,10 @@
 from catkinhollow.mesh.links import LinkDown, LinkUp
 from catkinhollow.relay.admission.gate import Gate
 from catkinhollow.relay.admission.gate_service import Submission
-from catkinhollow.relay.documents.document_handler import DocumentHandler
+from catkinhollow.relay.documents.document_handler import (
+    DocumentHandler,
+    DocumentValidator,
+)
 from catkinhollow.relay.documents.document_sync import DocumentChanged
 from catkinhollow.relay.documents.document_table import DocumentTable
 from catkinhollow.relay.documents.follower_election import FollowerElection
@@ -172,7 +175,7 @@
     network = make_network(link, timer)
     handler = DocumentHandler(
         failure_domain="a",
-        validator=None,
+        validator=DocumentValidator(),
         table=DocumentTable(),
         ingress=None,
         gate=None,
