Send fewer messages for a configuration version

Each daemon passed each small version on to its ring neighbours and announced it on all other links.

Announcements to peers that are no neighbours now wait 40 to 120 ms, and those to neighbours 10 to 30 ms instead of 20; a peer that has announced the document meanwhile gets none. A peer that has announced an older revision than the known one no longer counts as informed. Small versions of the configuration that follow within 0.1 s are held back like large ones within 0.5 s.

A pause of 0.1 s of the followers of the store after each version was tried and left out: on a slow link a version was in force after 2.6 s instead of at most 2.5 s (test_store_follower).

--- a/catkinhollow/relay/documents/document_flood.py
+++ b/catkinhollow/relay/documents/document_flood.py
@@ -4,7 +4,9 @@
 documents are sent at once. Large ones are announced, so that each daemon
 transfers them once, from the first neighbour that has them. Documents that
 must not be late are also announced on all other links: when most daemons have
-just ended, the neighbours of a daemon may all be among them.
+just ended, the neighbours of a daemon may all be among them. These
+announcements wait a little, and none is sent to a peer that has announced the
+document meanwhile: usually all peers have it by then.
 """
 
 from collections.abc import Callable, Collection
@@ -13,6 +15,7 @@
 from attrs import define, field, frozen
 
 from catkinhollow.generated.relay import Document, DocumentVersion
+from catkinhollow.relay.documents.kinds import CONFIGURATION
 
 # Documents up to this size are sent without being requested. An announcement
 # and a request take 150 bytes together.
@@ -22,6 +25,8 @@
 # Minimum time between two revisions of a large document. In a series of
 # changes some are skipped, because each one costs every daemon milliseconds.
 MIN_REVISION_INTERVAL_S = 0.5
+# The same for a small version of the configuration, which all daemons get.
+MIN_VERSION_INTERVAL_S = 0.1
 # Held revisions of a document beyond this number are decoded to find those
 # that may be forgotten.
 MAX_HELD_REVISIONS = 8
@@ -42,16 +47,23 @@
 
 
 class DocumentFlood:
-    """Collect changes for the neighbours in batches."""
+    """Collect changes for the neighbours and for other peers in batches."""
 
     def __init__(self) -> None:
         self._pending: dict[str, PendingChanges] = {}
+        # Names of the documents to announce to peers that are no neighbours.
+        self._others: dict[str, set[str]] = {}
 
     @property
     def pending(self) -> bool:
-        """Return whether there is something to send."""
+        """Return whether there is something to send to neighbours."""
         return bool(self._pending)
 
+    @property
+    def others_pending(self) -> bool:
+        """Return whether there is something to announce to other peers."""
+        return bool(self._others)
+
     def add(
         self,
         document: Document,
@@ -61,25 +73,37 @@
     ) -> None:
         """Queue a changed document for all these peers except its source."""
         is_small = len(document.body) <= MAX_PUSHED_BYTES
-        for address in {*neighbours, *others} - {source}:
+        for address in {*neighbours} - {source}:
             changes = self._pending.setdefault(address, PendingChanges())
-            if is_small and address in neighbours:
+            if is_small:
                 changes.pushed.add(document.name)
             else:
                 changes.announced.add(document.name)
+        for address in {*others} - {*neighbours, source}:
+            self._others.setdefault(address, set()).add(document.name)
 
     def informed(self, address: str, name: str) -> None:
-        """Record that a neighbour has a document already."""
+        """Record that a peer has the newest known revision already."""
         changes = self._pending.get(address)
         if changes is not None:
             changes.pushed.discard(name)
             changes.announced.discard(name)
+        names = self._others.get(address)
+        if names is not None:
+            names.discard(name)
+            if not names:
+                del self._others[address]
 
     def take(self) -> dict[str, PendingChanges]:
         """Return and clear the queued changes by neighbour."""
         pending, self._pending = self._pending, {}
         return pending
 
+    def take_others(self) -> dict[str, set[str]]:
+        """Return and clear what is to be announced to other peers."""
+        others, self._others = self._others, {}
+        return others
+
 
 @frozen
 class PullDelay:
@@ -107,7 +131,7 @@
 
 
 class ChangeDamper:
-    """Hold back revisions of large documents that follow too soon.
+    """Hold back versions and large documents that follow too soon.
 
     The first revision after a calm time passes at once. Of those that follow
     the newest one passes when it is due, or an older one if it is refused.
@@ -129,8 +153,7 @@
         if held and held[0][0].revision >= document.revision:
             return True
         passed_s = self._passed_s.get(document.name, -inf)
-        is_large = len(document.body) > MAX_PUSHED_BYTES
-        return is_large and now_s - passed_s < MIN_REVISION_INTERVAL_S
+        return now_s - passed_s < _min_interval_s(document)
 
     def passes(self, document: Document, source: str, now_s: float) -> bool:
         """Return whether a document passes now; hold it back otherwise."""
@@ -160,14 +183,22 @@
         """
         due = [
             name
-            for name in self._held
-            if now_s - self._passed_s[name] >= MIN_REVISION_INTERVAL_S
+            for name, held in self._held.items()
+            if now_s - self._passed_s[name] >= _min_interval_s(held[0][0])
         ]
         taken = [self._held[name].pop(0) for name in due]
         self._held = {name: held for name, held in self._held.items() if held}
         return taken
 
 
+def _min_interval_s(document: Document) -> float:
+    """Return the minimum time between a revision and the one before."""
+    if len(document.body) > MAX_PUSHED_BYTES:
+        return MIN_REVISION_INTERVAL_S
+    is_version = document.name.startswith(f"{CONFIGURATION}/")
+    return MIN_VERSION_INTERVAL_S if is_version else 0.0
+
+
 class DocumentPulls:
     """Choose the neighbour that an announced document is requested from.
 
--- a/catkinhollow/relay/documents/document_sync.py
+++ b/catkinhollow/relay/documents/document_sync.py
@@ -1,6 +1,7 @@
 """Exchange documents with the other daemons."""
 
 from collections.abc import Callable, Collection
+from random import Random
 from typing import Protocol
 
 from attrs import frozen
@@ -31,8 +32,14 @@
 
 logger = get_logger(__name__)
 
-# Changes within this time are passed on together.
-FLOOD_INTERVAL_S = 0.02
+# Time until a change is passed on to neighbours, at least and at most; further
+# changes until then are passed on together. Of two daemons the one whose time
+# is over first spares the other one its announcement.
+MIN_FLOOD_DELAY_S = 0.01
+MAX_FLOOD_DELAY_S = 0.03
+# The same until a change is announced to peers that are no neighbours.
+MIN_ANNOUNCE_DELAY_S = 0.04
+MAX_ANNOUNCE_DELAY_S = 0.12
 PULL_INTERVAL_S = 0.1
 RELEASE_INTERVAL_S = 0.05
 # Time from the announcement of a document to its arrival that is logged.
@@ -88,8 +95,10 @@
         accepts: Callable[[Document], bool],
         is_configured: Callable[[], bool],
         is_confirmed: Callable[[str], bool],
+        random: Random,
     ) -> None:
         self._link = link
+        self._random = random
         self._documents = documents
         self._timer = timer
         self._clock = timer.clock
@@ -103,6 +112,7 @@
         self._pulls = DocumentPulls(is_confirmed)
         self._damper = ChangeDamper()
         self._flush_due = self._pull_due = self._release_due = False
+        self._announce_due = False
 
     @property
     def digest(self) -> int:
@@ -144,6 +154,7 @@
         others = () if is_record else self._link.linked
         self._flood.add(document, self._link.neighbours, others, source)
         self._schedule_flush()
+        self._schedule_announcements()
         self._events.emit(DocumentChanged(document=document, source=source))
 
     def compare(self, sender: str, digest: int, *, configured: bool) -> None:
@@ -178,8 +189,9 @@
             logger.warning("documents dropped", peer=sender, reason=reason)
             return
         for document in unpacked.ok:
-            self._flood.informed(sender, document.name)
             self.offer(document, sender)
+            if document.revision >= self._documents.revision(document.name):
+                self._flood.informed(sender, document.name)
 
     def handle_announcement(self, sender: str, message: DocumentAnnouncement) -> None:
         """Request the announced documents that are newer."""
@@ -187,9 +199,9 @@
         near = self._link.is_nearby(sender)
         for version in message.versions:
             known = self._documents.revision(version.name)
-            if known >= version.revision:
+            if known <= version.revision:
                 self._flood.informed(sender, version.name)
-            else:
+            if known < version.revision:
                 self._pulls.announced(version, sender, now_s, same_domain=near)
         self._pull()
 
@@ -218,7 +230,8 @@
     def _schedule_flush(self) -> None:
         if self._flood.pending and not self._flush_due:
             self._flush_due = True
-            self._timer.call_after(FLOOD_INTERVAL_S, self._flush)
+            delay_s = self._random.uniform(MIN_FLOOD_DELAY_S, MAX_FLOOD_DELAY_S)
+            self._timer.call_after(delay_s, self._flush)
 
     def _flush(self) -> None:
         self._flush_due = False
@@ -228,12 +241,25 @@
                 message = pack_documents(documents, compressed=len(documents) > 1)
                 self._link.send_documents(address, message)
             if changes.announced:
-                versions = [
-                    DocumentVersion(name=document.name, revision=document.revision)
-                    for document in self._documents.named(changes.announced)
-                ]
-                announcement = DocumentAnnouncement(versions=versions)
-                self._link.send_announcement(address, announcement)
+                self._send_announcement(address, changes.announced)
+
+    def _schedule_announcements(self) -> None:
+        if self._flood.others_pending and not self._announce_due:
+            self._announce_due = True
+            delay_s = self._random.uniform(MIN_ANNOUNCE_DELAY_S, MAX_ANNOUNCE_DELAY_S)
+            self._timer.call_after(delay_s, self._announce)
+
+    def _announce(self) -> None:
+        self._announce_due = False
+        for address, names in self._flood.take_others().items():
+            self._send_announcement(address, names)
+
+    def _send_announcement(self, address: str, names: Collection[str]) -> None:
+        versions = [
+            DocumentVersion(name=document.name, revision=document.revision)
+            for document in self._documents.named(names)
+        ]
+        self._link.send_announcement(address, DocumentAnnouncement(versions=versions))
 
     def _hold_back(self, document: Document, source: str, now_s: float) -> None:
         """Keep a document until it is due, without decoding it."""
--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from math import inf
+from random import Random
 
 from attrs import define
 
@@ -102,6 +103,8 @@
             is_confirmed=lambda address: self._watch.is_confirmed(
                 address, self._clock.monotonic()
             ),
+            # Differs between daemons, also if they start together.
+            random=Random(directory.own.record.address),
         )
         # Of each daemon that has sent a frame.
         self._arrivals: dict[str, _Arrivals] = {}
--- a/tests/relay/documents/test_document_flood.py
+++ b/tests/relay/documents/test_document_flood.py
@@ -97,6 +97,7 @@
             accepts=lambda _: True,
             is_configured=lambda: True,
             is_confirmed=lambda _: True,
+            random=Random(record.address),
         )
         self.alive = True
         self.neighbours = []
@@ -231,6 +232,26 @@
     assert all(damper.passes(small, "store", 9.0 + n / 10) for n in range(3))
 
 
+@pytest.mark.parametrize("size", [25, 80])
+def test_storm_of_small_versions_costs_few_messages(size):
+    """Guards against small versions that are all passed on by each daemon.
+
+    Thirty versions in a second; the last one is in force everywhere within
+    half a second.
+    """
+    world = make_world(size)
+    world.run(3.0)
+    world.sent.clear()
+    for revision in range(1, 31):
+        world.members["d0:1"].sync.offer(make_document(revision, 500), "store")
+        world.run(1.0 / 30)
+    world.run(0.5)
+    assert set(revisions(world)) == {30}
+    world.run(2.0)
+    assert world.sent["handle_documents"] <= 30 * 1.5 * size
+    assert world.sent["handle_announcement"] <= 30 * 6 * size
+
+
 def offer_storm(versions, invalid=()):
     """Offer versions in 0.4 s; return those checked, and the one in force."""
     world = make_world(25)
--- a/tools/bench_processor.py
+++ b/tools/bench_processor.py
@@ -40,6 +40,8 @@
 MODULE = "catkinhollow.platform.sidecar"
 SERVICES = ("stock", "orders")
 HOST = b"shop.example"
+# A version with few routes is passed on without being requested.
+FEW_ROUTES = 4
 ROUTES = 200
 ADDED_ROUTES = 1600
 START_LIMIT_S = 60.0
@@ -157,7 +159,7 @@
                 raise RuntimeError(f"a call got the status {response.status}")
 
     async def _measure_versions(self, idle: float, costs: Costs) -> None:
-        for routes in (ROUTES, ROUTES + ADDED_ROUTES):
+        for routes in (FEW_ROUTES, ROUTES, ROUTES + ADDED_ROUTES):
             await self._measure_writes(routes, 1, 1.0, idle)
             used_s = await self._measure_writes(
                 routes, VERSIONS, VERSION_INTERVAL_S, idle
