Call targets over an own connection with httptools

httpcore's AsyncHTTP11Connection with h11 takes locks, traces, several scopes and two parses of each head per request. TargetConnection writes a request at once, reads the response with llhttp behind the Protocol ResponseParser, and keeps all limits of LimitedStream, httpcore and h11. HttpTargetClient keeps its interface, and both kinds of daemons use it.

A status outside 200 to 599 is no response any more, nor is one with two lengths, folded lines or lines that end with LF alone.

tools/measure_call_path.py gets the new connection.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -1,33 +1,19 @@
 """Send requests to targets over persistent HTTP connections."""
 
 from collections import defaultdict
-from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 from typing import Protocol
 
 import trio
 from attrs import Factory, define, field, frozen
-from httpcore import (
-    URL,
-    AsyncHTTP11Connection,
-    ConnectError,
-    ConnectionNotAvailable,
-    ConnectTimeout,
-    NetworkError,
-    Origin,
-    ProtocolError,
-    TimeoutException,
-    TrioBackend,
-)
-from httpcore import Request as HttpRequest
 
 from catkinhollow.calls.exchange import (
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
-    Headers,
     Request,
     Response,
 )
-from catkinhollow.calls.limited_stream import LimitedStream
+from catkinhollow.calls.http_encoding import EncodingError
+from catkinhollow.calls.http_parser import InvalidResponseError
 from catkinhollow.calls.response_bodies import ResponseBodies
 from catkinhollow.calls.retries import AttemptKind
 from catkinhollow.calls.silence import (
@@ -36,35 +22,20 @@
     limit_silence,
     limit_unacknowledged,
 )
+from catkinhollow.calls.socket_stream import SocketBackend, StreamBackend
+from catkinhollow.calls.target_connection import (
+    NETWORK_ERRORS,
+    TargetConnection,
+    is_silence,
+)
 from catkinhollow.generated.settings import HttpSettings
 from catkinhollow.logs import get_logger
 
 logger = get_logger(__name__)
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
 IDLE_EXPIRY_S = 30.0
-# A parsed header takes far more memory than its bytes.
-MAX_RESPONSE_HEADERS = 512
 # Bounds the memory for the responses that arrive at the same time.
 MAX_BODIES_BYTES = 32 * 1024 * 1024
-# Each part costs processor time, so that a body of tiny parts would keep the
-# daemon busy long before the limit of its size.
-MAX_BODY_PARTS = 16_384
-# Errors with which the kernel ends a connection that has gone silent.
-SILENCE_ERRORS = (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
 REUSABLE_KINDS = (AttemptKind.ANSWERED, AttemptKind.REFUSED)
 # A request that its caller gave up earlier without a byte of a response does
 # not show that its connection is silent.
@@ -114,10 +85,9 @@
 
 @define(eq=False)
 class _Connection:
-    """Represent a connection with the stream below it."""
+    """Represent a connection with what is known of its use."""
 
-    http: AsyncHTTP11Connection
-    stream: LimitedStream
+    http: TargetConnection
     reused: bool = False
     answered_s: float = field(factory=trio.current_time)
     """When it was opened or carried the last whole response."""
@@ -165,7 +135,7 @@
         self._classify = classify
         self._idle_expiry_s = idle_expiry_s
         self._silence = silence
-        self._backend = TrioBackend()
+        self._backend: StreamBackend = SocketBackend()
         self._targets: dict[str, _Connections] = defaultdict(_Connections)
         self._bodies = ResponseBodies(max(MAX_BODIES_BYTES, settings.max_body_bytes))
 
@@ -189,7 +159,7 @@
         started_s = trio.current_time()
         attempt = SendResult(kind=AttemptKind.CANCELLED)
         try:
-            attempt = await self._exchange(connection, address, request, deadline_s)
+            attempt = await self._exchange(connection, request, deadline_s)
         finally:
             reusable = attempt.kind in REUSABLE_KINDS
             await self._release_connection(connections, connection, reusable)
@@ -206,7 +176,8 @@
     async def _take_idle(self, connections: _Connections) -> _Connection | None:
         while connections.idle:
             connection = connections.idle.pop()
-            if connection.http.is_idle() and not connection.http.has_expired():
+            expires_s = connection.answered_s + self._idle_expiry_s
+            if trio.current_time() <= expires_s and not connection.http.has_input:
                 connection.reused = True
                 return connection
             connections.count -= 1
@@ -229,26 +200,22 @@
         host, _, port = address.rpartition(":")
         limit_s = min(timeout_s, self._settings.connect_timeout_ms / 1000)
         try:
-            tcp = await self._backend.connect_tcp(host, int(port), timeout=limit_s)
-        except (ConnectError, ConnectTimeout):
+            stream = await self._backend.connect_tcp(host, int(port), timeout=limit_s)
+        except (OSError, trio.TooSlowError):
             return None
-        stream = LimitedStream(tcp, self._settings.max_header_bytes)
         sock = stream.get_extra_info("socket")
         if sock is not None:
             limit_silence(sock, self._silence)
-        origin = Origin(b"http", host.encode(), int(port))
-        http = AsyncHTTP11Connection(
-            origin, stream, keepalive_expiry=self._idle_expiry_s
+        http = TargetConnection(
+            stream,
+            self._bodies,
+            max_head_bytes=self._settings.max_header_bytes,
+            max_body_bytes=self._settings.max_body_bytes,
         )
-        unacknowledged_ms = self._silence.unacknowledged_ms
-        return _Connection(http, stream, unacknowledged_ms=unacknowledged_ms)
+        return _Connection(http, unacknowledged_ms=self._silence.unacknowledged_ms)
 
     async def _exchange(
-        self,
-        connection: _Connection,
-        address: str,
-        request: Request,
-        deadline_s: float,
+        self, connection: _Connection, request: Request, deadline_s: float
     ) -> SendResult:
         if trio.current_time() >= deadline_s:
             # A request that is sent after a pause of this process could run
@@ -256,21 +223,18 @@
             return SendResult(
                 kind=AttemptKind.NOT_CONNECTED, reason="no time left after the connect"
             )
-        http_request = _to_http_request(address, request)
-        self._limit_unacknowledged(connection, _size_bytes(http_request, request))
+        self._limit_unacknowledged(connection, _size_bytes(request))
         with trio.move_on_at(deadline_s):
             try:
-                return await self._read_response(connection, http_request, request)
-            except ConnectionNotAvailable:
-                # httpcore refuses before it writes the first byte.
-                return SendResult(
-                    kind=AttemptKind.NOT_CONNECTED, reason="connection closed"
-                )
-            except (NetworkError, ProtocolError, TimeoutException) as error:
+                response = await connection.http.exchange(request)
+            except (EncodingError, InvalidResponseError) as error:
+                return SendResult(kind=AttemptKind.BROKEN, reason=str(error))
+            except NETWORK_ERRORS as error:
                 reason = f"{type(error).__name__}: {error}"
-                silent = _is_kernel_timeout(error)
+                silent = is_silence(error)
                 kind = AttemptKind.SILENT if silent else AttemptKind.BROKEN
                 return SendResult(kind=kind, reason=reason)
+            return self._classify(request, response, reused=connection.reused)
         return SendResult(kind=AttemptKind.TIMEOUT, reason="timeout")
 
     def _limit_unacknowledged(self, connection: _Connection, size_bytes: int) -> None:
@@ -280,42 +244,10 @@
         if limit_ms == connection.unacknowledged_ms:
             return
         connection.unacknowledged_ms = limit_ms
-        sock = connection.stream.get_extra_info("socket")
+        sock = connection.http.stream.get_extra_info("socket")
         if sock is not None:
             limit_unacknowledged(sock, limit_ms)
 
-    async def _read_response(
-        self,
-        connection: _Connection,
-        http_request: HttpRequest,
-        request: Request,
-    ) -> SendResult:
-        connection.stream.begin_head()
-        http_response = await connection.http.handle_async_request(http_request)
-        connection.stream.end_head()
-        limit = self._settings.max_body_bytes
-        try:
-            if len(http_response.headers) > MAX_RESPONSE_HEADERS:
-                return _broken(f"with more than {MAX_RESPONSE_HEADERS} headers")
-            with self._bodies.collect() as body:
-                async for part in http_response.aiter_stream():
-                    self._bodies.append(body, part)
-                    if body.dropped:
-                        break
-                    if len(body.data) > limit or body.parts > MAX_BODY_PARTS:
-                        return _broken(f"larger than {limit} bytes or in tiny parts")
-        finally:
-            await http_response.aclose()
-        if body.dropped:
-            return _broken("the largest of too many")
-        headers = [(name.lower(), value) for name, value in http_response.headers]
-        response = Response(
-            status=http_response.status,
-            headers=end_to_end_headers(headers),
-            body=bytes(body.data),
-        )
-        return self._classify(request, response, reused=connection.reused)
-
     async def _release_connection(
         self,
         connections: _Connections,
@@ -325,8 +257,8 @@
         # A connection whose exchange did not end cleanly may still carry the
         # response to the old request, so it is never used again.
         http = connection.http
-        keep = reusable and http.is_idle() and not _has_extra_data(http)
-        if keep and len(connections.idle) < self._settings.max_idle_connections:
+        has_room = len(connections.idle) < self._settings.max_idle_connections
+        if reusable and http.reusable and has_room:
             connection.answered_s = trio.current_time()
             connections.idle.append(connection)
             return
@@ -364,52 +296,15 @@
     """Return whether an attempt shows that its connection may be silent."""
     if kind is AttemptKind.SILENT:
         return True
-    if not connection.stream.silent:
+    if not connection.http.silent:
         return False
     if kind is AttemptKind.CANCELLED:
         return trio.current_time() - started_s >= MIN_SILENCE_S
     return kind is AttemptKind.TIMEOUT
 
 
-def _is_kernel_timeout(error: BaseException) -> bool:
-    """Return whether the kernel has ended a connection because of silence."""
-    cause: BaseException | None = error
-    while cause is not None:
-        if isinstance(cause, OSError) and cause.errno in SILENCE_ERRORS:
-            return True
-        cause = cause.__cause__ or cause.__context__
-    return False
-
-
-def _broken(reason: str) -> SendResult:
-    return SendResult(kind=AttemptKind.BROKEN, reason=f"response is {reason}")
-
-
-def _has_extra_data(connection: AsyncHTTP11Connection) -> bool:
-    # Bytes after a whole response would be read as the next response. httpcore
-    # has no public way to detect those that it has already received.
-    received, _ = connection._h11_state.trailing_data
-    return bool(received)
-
-
-def _size_bytes(http_request: HttpRequest, request: Request) -> int:
+def _size_bytes(request: Request) -> int:
     """Return the size of a request without its separators."""
-    headers = sum(len(name) + len(value) for name, value in http_request.headers)
-    return len(http_request.url.target) + headers + len(request.body)
-
-
-def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers without the hop-by-hop headers."""
-    return [header for header in headers if header[0] not in HOP_BY_HOP]
-
-
-def _to_http_request(address: str, request: Request) -> HttpRequest:
-    host, _, port = address.rpartition(":")
-    target = request.path.encode()
-    if request.query:
-        target += b"?" + request.query
-    headers = end_to_end_headers(request.headers)
-    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
-        headers = [*headers, (b"content-length", str(len(request.body)).encode())]
-    url = URL(scheme=b"http", host=host.encode(), port=int(port), target=target)
-    return HttpRequest(request.method, url, headers=headers, content=request.body)
+    headers = sum(len(name) + len(value) for name, value in request.headers)
+    target = len(request.path) + len(request.query)
+    return target + headers + len(request.body)
--- /dev/null
+++ b/catkinhollow/calls/socket_stream.py
@@ -0,0 +1,100 @@
+"""Read and write TCP connections with few steps.
+
+trio.SocketStream guards against concurrent use and yields to other tasks with
+each call. The connections here have one reader and one writer each, and other
+tasks run whenever one of them has to wait.
+"""
+
+import select
+import socket
+from typing import Any, Protocol
+
+import trio
+
+
+class ByteStream(Protocol):
+    """Transport bytes; each method may raise OSError or a trio error."""
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return the next bytes, none at the end."""
+
+    async def write(self, data: bytes, timeout: float | None = None) -> None:
+        """Send all bytes."""
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return a property of the connection, None if it is unknown."""
+
+
+class StreamBackend(Protocol):
+    """Open connections."""
+
+    async def connect_tcp(self, host: str, port: int, timeout: float) -> ByteStream:
+        """Return a connection; raise OSError or trio.TooSlowError."""
+
+
+class SocketStream:
+    """Transport bytes over a socket of the standard library.
+
+    Methods yield to other tasks only where they wait.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self._socket = sock
+        self._poll = select.poll()
+        self._poll.register(sock, select.POLLIN)
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return the next bytes, none at the end."""
+        while True:
+            # What is read here was mostly asked for just before.
+            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                return self._socket.recv(max_bytes)
+            except BlockingIOError:
+                continue
+
+    async def write(self, data: bytes, timeout: float | None = None) -> None:
+        """Send all bytes."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        sent = self._try_send(data)
+        if sent == len(data):
+            return
+        view = memoryview(data)
+        while sent < len(data):
+            await trio.lowlevel.wait_writable(self._socket)
+            sent += self._try_send(view[sent:])
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return a property of the connection, None if it is unknown."""
+        if info == "socket":
+            return self._socket
+        if info == "is_readable":
+            return bool(self._poll.poll(0))
+        return None
+
+    def _try_send(self, data: bytes | memoryview) -> int:
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return 0
+
+
+class SocketBackend:
+    """Open TCP connections."""
+
+    async def connect_tcp(self, host: str, port: int, timeout: float) -> SocketStream:
+        """Return a connection; raise OSError or trio.TooSlowError."""
+        with trio.fail_after(timeout):
+            stream = await trio.open_tcp_stream(host, port)
+        opened = stream.socket
+        return SocketStream(socket.socket(fileno=opened.detach()))
--- a/catkinhollow/calls/traffic_application.py
+++ b/catkinhollow/calls/traffic_application.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 from uuid import uuid4
 
-from catkinhollow.calls.egress import end_to_end_headers
 from catkinhollow.calls.exchange import (
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
@@ -15,6 +14,7 @@
     response_with_headers,
     with_header,
 )
+from catkinhollow.calls.http_encoding import end_to_end_headers
 from catkinhollow.calls.http_server import (
     Receive,
     Scope,
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -6,8 +6,8 @@
 import trio
 from attrs import define
 
-from catkinhollow.calls.egress import end_to_end_headers
 from catkinhollow.calls.exchange import Headers, Request, Response, plain_response
+from catkinhollow.calls.http_encoding import end_to_end_headers
 from catkinhollow.calls.retries import RetryBudget
 from catkinhollow.generated.relay import (
     Answer,
--- a/tests/calls/test_faulty_targets.py
+++ b/tests/calls/test_faulty_targets.py
@@ -1,5 +1,7 @@
 """Tests of targets whose responses never end or end in the middle."""
 
+import socket
+import struct
 import tracemalloc
 from functools import partial
 
@@ -287,3 +289,123 @@
     first, second = await send_twice(nursery, failure + b"content-length: 0\r\n\r\n")
     assert first.kind is AttemptKind.ANSWERED
     assert (second.kind, second.response) == (AttemptKind.BROKEN, None)
+
+
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"101", b"199", b"600", b"999", b"abc"]
+)
+async def test_status_that_is_none_is_no_answer(nursery, status):
+    """Guards against a status that a caller can't understand."""
+    target = CutTarget(
+        HEAD.replace(b"200", status) + b"content-length: 2\r\n\r\nok",
+    )
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    attempt = await client.send(address, make_request(), 2.0)
+    assert (attempt.kind, attempt.response) == (AttemptKind.BROKEN, None)
+
+
+async def test_final_response_follows_informational_ones(nursery):
+    """Guards against a hint that is taken for the answer."""
+    hints = b"HTTP/1.1 103 Hints\r\nlink: x\r\n\r\nHTTP/1.1 100 Go\r\n\r\n"
+    target = CutTarget(hints + HEAD + b"content-length: 2\r\n\r\nok")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    attempt = await client.send(address, make_request(), 2.0)
+    assert attempt.kind is AttemptKind.ANSWERED
+    assert (attempt.response.status, attempt.response.body) == (200, b"ok")
+
+
+class LateTarget:
+    """Answer each request, and send more a little later."""
+
+    def __init__(self, late):
+        self.late = late
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        try:
+            while await stream.receive_some(65536):
+                await stream.send_all(HEAD + b"content-length: 2\r\n\r\nok")
+                await trio.sleep(0.05)
+                await stream.send_all(self.late)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+@pytest.mark.parametrize("late", [b"\r\n", b"x", HEAD + b"content-length: 0\r\n\r\n"])
+async def test_bytes_on_an_idle_connection_end_it(nursery, late):
+    """Guards against late bytes that are read as the next response."""
+    target = LateTarget(late)
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    for _ in range(2):
+        attempt = await client.send(address, make_request(), 2.0)
+        assert attempt.kind is AttemptKind.ANSWERED
+        await trio.sleep(0.1)
+    assert target.connections == 2
+
+
+class ResettingTarget:
+    """Send some bytes and reset the connection."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def serve(self, stream):
+        await stream.receive_some(65536)
+        await stream.send_all(self.answer)
+        await trio.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+async def test_body_that_ends_with_a_reset_is_not_whole(nursery):
+    """Guards against a body without a length that a crash has cut off."""
+    address = await serve(nursery, ResettingTarget(HEAD + b"\r\nabc"))
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    attempt = await client.send(address, make_request(), 2.0)
+    assert (attempt.kind, attempt.response) == (AttemptKind.BROKEN, None)
+
+
+async def test_body_that_ends_with_the_connection_is_whole(nursery):
+    """Guards against refusing responses of targets without lengths."""
+    address = await serve(nursery, CutTarget(HEAD + b"\r\nabc"))
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    attempt = await client.send(address, make_request(), 2.0)
+    assert attempt.kind is AttemptKind.ANSWERED
+    assert attempt.response.body == b"abc"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [],
+        [(b"host", b"target"), (b"a", b"b\r\nc: d")],
+        [(b"host", b"target"), (b"a b", b"c")],
+    ],
+)
+async def test_request_that_is_none_is_not_sent(nursery, headers):
+    """Guards against a header that the target reads as two."""
+    target = EndlessTarget(b"", b"x")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    request = Request(method="GET", path="/", query=b"", headers=headers, body=b"")
+    attempt = await client.send(address, request, 2.0)
+    assert attempt.kind is AttemptKind.BROKEN
+    assert target.sent_bytes == 0
+
+
+async def test_request_that_was_cancelled_before_is_not_sent(nursery):
+    """Guards against runs of requests whose callers have left."""
+    target = RepeatingTarget(HEAD + b"content-length: 2\r\n\r\nok")
+    address = await serve(nursery, target)
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    await client.send(address, make_request(), 2.0)
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        await client.send(address, make_request(), 2.0)
+    assert scope.cancelled_caught
+    await wait_all_tasks_blocked(0.05)
+    assert target.requests == 1
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import trio
-from httpcore import AsyncHTTP11Connection, AsyncMockStream, Origin
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -140,32 +139,42 @@
     await measure_client()
 
 
+class MockStream:
+    """Answer each request of a connection with the same bytes."""
+
+    async def write(self, data: bytes, timeout: float | None = None) -> None:
+        """Take a request."""
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return a whole response."""
+        return RAW_RESPONSE
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return None, as for every unknown property."""
+
+
+class MockBackend:
+    """Open connections in memory."""
+
+    async def connect_tcp(self, host: str, port: int, timeout: float) -> MockStream:
+        """Return a new connection."""
+        return MockStream()
+
+
 async def measure_client() -> None:
-    """Measure HttpTargetClient with httpcore on an in-memory stream."""
+    """Measure HttpTargetClient on an in-memory stream."""
     client = HttpTargetClient(HttpSettings())
-    stream = AsyncMockStream([RAW_RESPONSE] * (CALLS * ROUNDS + 1))
-    origin = Origin(b"http", b"127.0.0.1", 1)
-    connection = AsyncHTTP11Connection(origin, stream)
-    connections = client._targets["127.0.0.1:1"]
-    connections.idle.append(connection)
-    connections.count = 1
+    client._backend = MockBackend()
     request = Request(method="GET", path="/s/x", query=b"", headers=HEADERS, body=b"")
 
     async def call() -> None:
         attempt = await client.send("127.0.0.1:1", request, 1.0)
         assert attempt.kind is AttemptKind.ANSWERED, attempt
 
-    # A connection that has never been used counts as new and not as idle.
-    connections.idle.clear()
-    await client._release_connection(connections, await _use_once(connection), True)
-    await measure("client and httpcore", call)
-
-
-async def _use_once(connection: AsyncHTTP11Connection) -> AsyncHTTP11Connection:
-    response = await connection.request("GET", "http://127.0.0.1:1/s/x")
-    await response.aread()
-    await response.aclose()
-    return connection
+    await measure("client", call)
 
 
 if __name__ == "__main__":
