Bound the time for which a revoked key still works

A daemon keeps the latest time at which the configuration that it enforces was known to be the newest one, on the clock that advances during a suspension. It is the time at which the store was asked, or what a peer's knowledge is worth in the own clock, so a message that is held back makes nothing younger.

The store of the test fleet ends a watch after its wait, as stores do; a watch that never ends would hide calls with a short wait.

--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -17,7 +17,11 @@
     RelayConfiguration,
 )
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.admission.gate import MISDIRECTED_STATUS, Gate
+from catkinhollow.relay.admission.gate import (
+    MISDIRECTED_STATUS,
+    UNAVAILABLE_RETRY_S,
+    Gate,
+)
 from catkinhollow.relay.admission.gate_jobs import (
     Admitted,
     Announcement,
@@ -66,6 +70,7 @@
         log: RequestLog,
         on_state_change: Callable[[], None],
         on_run_failure: Callable[[], None],
+        find_run_refusal: Callable[[Call], str] = lambda call: "",
     ) -> None:
         self._gate = gate
         self._address = address
@@ -77,6 +82,7 @@
         self._log = log
         self._on_state_change = on_state_change
         self._on_run_failure = on_run_failure
+        self._find_run_refusal = find_run_refusal
         self._submissions: dict[GateJob, Submission] = {}
         self._nursery: trio.Nursery | None = None
         self._wakeup: Subscription | None = None
@@ -246,7 +252,10 @@
         left_s = job.deadline_s - self._clock.monotonic()
         if left_s <= 0:
             # The process was paused since the gate admitted the call.
-            self._drop_expired(submission)
+            self._drop_unsent(submission, "deadline passed at the gate", 0.0)
+            return
+        if refusal := self._find_run_refusal(job.call):
+            self._drop_unsent(submission, refusal, UNAVAILABLE_RETRY_S)
             return
         attempt = SendResult(kind=AttemptKind.CANCELLED, reason="cancelled")
         try:
@@ -257,14 +266,16 @@
         finally:
             self._finish(submission, attempt)
 
-    def _drop_expired(self, submission: Submission) -> None:
+    def _drop_unsent(
+        self, submission: Submission, reason: str, retry_after_s: float
+    ) -> None:
         """Free the slot of a call that has never been sent to the target."""
         job = submission.job
         now_s = self._clock.monotonic()
         self._gate.finish(job, AttemptKind.CANCELLED, 0, now_s)
         self._submissions.pop(job, None)
         if not submission.answered:
-            self._refuse(submission, Refused(job, "deadline passed at the gate", 0.0))
+            self._refuse(submission, Refused(job, reason, retry_after_s))
         self.advance()
 
     def _finish(self, submission: Submission, attempt: SendResult) -> None:
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -16,7 +16,9 @@
 from catkinhollow.errors import DecodeError
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
+    Call,
     DaemonRecord,
+    Document,
     Frame,
     OrderState,
     RelaySettings,
@@ -51,12 +53,20 @@
 from catkinhollow.relay.ingress import Ingress
 from catkinhollow.relay.links.link_pacer import LinkPacer
 from catkinhollow.relay.links.link_plan import LinkPlan
-from catkinhollow.relay.links.network import PeerNetwork
+from catkinhollow.relay.links.network import (
+    KnowledgeReceived,
+    PeerLinked,
+    PeerNetwork,
+    PeerUnlinked,
+)
 from catkinhollow.relay.links.nng_link import NngFrameLink, message_kind
 from catkinhollow.relay.loop_watch import LoopWatch
 from catkinhollow.relay.moves.move_driver import STEP_INTERVAL_S, MoveDriver
 from catkinhollow.relay.moves.versions import VersionPolicy
 from catkinhollow.relay.organisations.access import AccessPolicy
+from catkinhollow.relay.organisations.freshness import Freshness
+from catkinhollow.relay.organisations.knowledge_plan import KnowledgePlan
+from catkinhollow.relay.organisations.knowledge_service import KnowledgeService
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.relay.placement.placer import Distances, LeastWaitPlacer
 from catkinhollow.relay.relay_metrics import RelayMetrics
@@ -124,13 +134,15 @@
         self._reload_settings = reload_settings
         self._random = random
         self._clock = TrioClock()
+        self._incarnation = self._clock.unix_ms()
         self._timer = Timer(self._clock)
         self._events = EventManager()
         self._metrics = RelayMetrics()
         self._log = RequestLog(self._clock)
         self._documents = DocumentTable()
         self._validator = DocumentValidator()
-        self._access = AccessPolicy()
+        self._freshness = self._make_freshness()
+        self._access = AccessPolicy(self._freshness)
         self._failure_reported_s = -inf
         self._listening = False
         self._stopping = False
@@ -151,6 +163,15 @@
         )
         self._events.connect(DocumentChanged, handler.apply)
         self._events.connect(DocumentChanged, self._on_document)
+        if self._knowledge is not None:
+            # The version has to be in force before its revision counts.
+            self._events.connect(DocumentChanged, self._knowledge.on_document)
+
+    def _make_freshness(self) -> Freshness | None:
+        """Return the bound of revocations if the settings have one."""
+        if not self._settings.strict_revoke:
+            return None
+        return Freshness(bound_s=self._settings.revoke_ms / 1000.0)
 
     def _own_record(self) -> DaemonRecord:
         settings = self._settings
@@ -187,11 +208,12 @@
             log=self._log,
             on_state_change=self._on_gate_state_change,
             on_run_failure=self._on_run_failure,
+            find_run_refusal=self._find_run_refusal,
         )
         self._plan = LinkPlan(self._directory)
         self._election = FollowerElection(self._directory, self._clock.monotonic())
         self._network = PeerNetwork(
-            incarnation=self._clock.unix_ms(),
+            incarnation=self._incarnation,
             directory=self._directory,
             documents=self._documents,
             gate=self._gate,
@@ -200,7 +222,7 @@
             election=self._election,
             timer=self._timer,
             events=self._events,
-            accepts=self._validator.accepts,
+            accepts=self._accepts,
             is_configured=lambda: self._ingress.configured,
             store_reached_s=lambda: self._follower.reached_s,
         )
@@ -249,6 +271,31 @@
             random=self._random,
         )
         self._moves = MoveDriver(self._store, self._directory, self._clock)
+        self._knowledge = self._build_knowledge(self._freshness)
+
+    def _build_knowledge(self, freshness: Freshness | None) -> KnowledgeService | None:
+        if freshness is None:
+            return None
+        plan = KnowledgePlan(
+            freshness=freshness,
+            incarnation=self._incarnation,
+            random=self._random,
+            started_s=self._clock.boottime(),
+        )
+        service = KnowledgeService(
+            plan=plan,
+            store=self._store,
+            network=self._network,
+            table=self._documents,
+            apply_object=self._follower.apply_object,
+            is_follower=lambda: self._follower.following,
+            has_organisations=lambda: self._access.has_organisations,
+            clock=self._clock,
+        )
+        self._events.connect(PeerLinked, service.on_link_up)
+        self._events.connect(PeerUnlinked, service.on_link_down)
+        self._events.connect(KnowledgeReceived, service.on_knowledge)
+        return service
 
     @property
     def gate(self) -> GateService:
@@ -287,6 +334,8 @@
             await self._start_listeners(nursery)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._record_keeper.run)
+            if self._knowledge is not None:
+                nursery.start_soon(self._knowledge.run)
             nursery.start_soon(self._watch_settings)
             self._timer.subscribe(
                 STEP_INTERVAL_S, lambda: self._start_move_step(nursery)
@@ -423,6 +472,21 @@
         elif kind == DAEMONS and name == self._settings.instance:
             self._record_keeper.record_changed()
 
+    def _accepts(self, document: Document) -> bool:
+        accepted = self._validator.accepts(document)
+        if not accepted and self._knowledge is not None:
+            self._knowledge.on_refused(document)
+        return accepted
+
+    def _find_run_refusal(self, call: Call) -> str:
+        """Return why the gate must not start a run, "" if it may."""
+        refusal = self._access.find_run_refusal(call, self._clock.boottime())
+        if refusal is None:
+            return ""
+        labels = {"place": "gate", "reason": refusal.reason}
+        self._metrics.access_refusals.inc(labels)
+        return refusal.reason
+
     def _count_sent(self, address: str, frame: Frame, size_bytes: int) -> None:
         place = "same" if self._network.is_nearby(address) else "other"
         labels = {"message": message_kind(frame), "failure_domain": place}
@@ -460,6 +524,9 @@
         metrics.peers.set({"state": "linked"}, linked)
         metrics.peers.set({"state": "missing"}, missing)
         metrics.peers.set({"state": "known"}, len(self._directory.addresses))
+        if self._freshness is not None:
+            age_s = self._freshness.age_s(self._clock.boottime())
+            metrics.configuration_age_seconds.set({}, -1.0 if age_s == inf else age_s)
         metrics.follows_store.set({}, int(self._follower.following))
         metrics.store_answer_age_seconds.set({}, self._follower.answer_age_s)
         return metrics
--- a/catkinhollow/relay/documents/store_follower.py
+++ b/catkinhollow/relay/documents/store_follower.py
@@ -327,8 +327,8 @@
                 self._on_document(document, STORE_SOURCE)
         return listing.revision
 
-    def apply_object(self, stored: StoredObject) -> None:
-        """Pass on one object of the store."""
+    def apply_object(self, stored: StoredObject) -> bool:
+        """Pass on one object of the store; return False if it is malformed."""
         name = f"{stored.kind}/{stored.name}"
         body = b""
         if not stored.deleted:
@@ -340,12 +340,13 @@
                     revision=stored.revision,
                     reason=decoded.error.reason,
                 )
-                return
+                return False
             body = decoded.ok
         document = Document(
             name=name, revision=stored.revision, deleted=stored.deleted, body=body
         )
         self._on_document(document, STORE_SOURCE)
+        return True
 
     def _record_failure(self, kind: str, reason: str) -> None:
         self._metrics.store_failures.inc({"kind": kind})
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -22,7 +22,7 @@
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.links.network import PeerNetwork
 from catkinhollow.relay.moves.versions import VersionPolicy
-from catkinhollow.relay.organisations.access import AccessPolicy
+from catkinhollow.relay.organisations.access import AccessPolicy, Granted, Refusal
 from catkinhollow.relay.organisations.keys import (
     AUTHORIZATION_HEADER,
     Caller,
@@ -47,6 +47,8 @@
 logger = get_logger(__name__)
 
 RETRY_AFTER_HEADER = b"retry-after"
+# Retry hint while it is unknown whether keys are still valid.
+STALE_RETRY_S = 0.5
 # Tells a caller without a valid key which kind is expected.
 CHALLENGE = (b"www-authenticate", b"Token")
 # Time reserved for returning an answer to the caller before its deadline.
@@ -164,17 +166,28 @@
         if route is None:
             return plain_response(404, "no route")
         access = self._access.admit(
-            request.headers, allow_anonymous=route.allow_anonymous
+            request.headers,
+            self._clock.boottime(),
+            allow_anonymous=route.allow_anonymous,
         )
-        if isinstance(access, Unauthorized):
-            return self._refuse_access(access)
+        if not isinstance(access, Granted):
+            left_ms = _time_left_ms(request.header(self._header_names.deadline), route)
+            return self._refuse_access(access, left_ms / 1000.0)
         return await self._serve_route(
             request, route, access.caller, wait_for_disconnect
         )
 
-    def _refuse_access(self, access: Unauthorized) -> Response:
-        self._metrics.access_refusals.inc({"reason": access.reason})
-        return plain_response(401, access.reason, [CHALLENGE])
+    def _refuse_access(self, refusal: Refusal, left_s: float) -> Response:
+        labels = {"place": "ingress", "reason": refusal.reason}
+        self._metrics.access_refusals.inc(labels)
+        if isinstance(refusal, Unauthorized):
+            return plain_response(401, refusal.reason, [CHALLENGE])
+        return self._not_run_response(refusal.reason, STALE_RETRY_S, left_s)
+
+    def _not_run_response(self, reason: str, hint_s: float, left_s: float) -> Response:
+        delay_s = retry_after_s(hint_s, left_s, self._random.random())
+        value = f"{delay_s:.3f}".encode()
+        return plain_response(503, reason, [(RETRY_AFTER_HEADER, value)])
 
     async def _serve_route(
         self,
@@ -209,6 +222,10 @@
         while True:
             step = plan.next_step(self._clock.monotonic())
             if isinstance(step, SendTo):
+                refusal = self._find_refusal(plan, call)
+                if refusal is not None:
+                    left_s = plan.deadline_s - self._clock.monotonic()
+                    return self._refuse_access(refusal, left_s)
                 answer = await self._attempt(
                     plan, step.peer, call, started_s, wait_for_disconnect
                 )
@@ -228,6 +245,12 @@
                 return self._build_response(step.answer)
             return self._give_up(plan, step, call)
 
+    def _find_refusal(self, plan: CallPlan, call: Call) -> Refusal | None:
+        """Return why a call that has surely not run must not be sent."""
+        if call.key_digest is None or plan.outcome_unknown:
+            return None
+        return self._access.find_refusal(call.key_digest, self._clock.boottime())
+
     async def _attempt(
         self,
         plan: CallPlan,
@@ -310,10 +333,10 @@
             for name, value in end_to_end_headers(request.headers)
             if name not in removed
         ]
-        organisation = ""
+        organisation, key_digest = "", None
         rank = route.priority
         if isinstance(caller, KeyHolder):
-            organisation = caller.organisation
+            organisation, key_digest = caller.organisation, caller.key_digest
             headers.append([self._header_names.organisation, organisation.encode()])
             if caller.priority is not None:
                 rank = caller.priority
@@ -332,6 +355,8 @@
             rank=rank,
             latency_ms=int(route.target_latency_ms),
             organisation=organisation,
+            key_digest=key_digest,
+            configuration_revision=self._access.revision if key_digest else 0,
         )
 
     def _update_answer_size(self, route: RelayRoute, answer: Answer) -> None:
@@ -363,9 +388,7 @@
         if step.outcome is CallOutcome.UNKNOWN:
             timed_out = left_s <= RETURN_MARGIN_S
             return plain_response(504 if timed_out else 502, step.reason)
-        delay_s = retry_after_s(step.retry_after_s, left_s, self._random.random())
-        value = f"{delay_s:.3f}".encode()
-        return plain_response(503, step.reason, [(RETRY_AFTER_HEADER, value)])
+        return self._not_run_response(step.reason, step.retry_after_s, left_s)
 
     def _log_attempt(self, call: Call, peer: Peer, answer: Answer) -> None:
         self._log.attempt_failed(
@@ -408,6 +431,8 @@
         rank=call.rank,
         latency_ms=call.latency_ms,
         organisation=call.organisation,
+        key_digest=call.key_digest,
+        configuration_revision=call.configuration_revision,
         budget_ms=max(0, int(left_s * 1000)),
         target_ms=int(soft_left_s * 1000),
     )
--- a/catkinhollow/relay/links/frame_queue.py
+++ b/catkinhollow/relay/links/frame_queue.py
@@ -69,7 +69,7 @@
 
 def choose_lane(frame: Frame, size_bytes: int) -> Lane:
     """Return the lane of a frame by its message and its encoded size."""
-    if frame.status is not None:
+    if frame.status is not None or frame.knowledge is not None:
         return Lane.STATUS
     has_body = frame.call is not None or frame.answer is not None
     return Lane.BULK if has_body and size_bytes > MIN_BULK_BYTES else Lane.CONTROL
--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -1,9 +1,9 @@
 """Connect the calls and the documents of a daemon with its peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from math import inf
 
-from attrs import define
+from attrs import define, frozen
 
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
@@ -11,6 +11,7 @@
     Call,
     Document,
     Frame,
+    Knowledge,
     Status,
 )
 from catkinhollow.logs import get_logger
@@ -48,6 +49,29 @@
 MOVE_REPORT_INTERVAL_S = 0.5
 
 
+@frozen(kw_only=True)
+class PeerLinked:
+    """Signal that messages can be sent to a peer."""
+
+    address: str
+
+
+@frozen(kw_only=True)
+class PeerUnlinked:
+    """Signal that no message can be sent to a peer."""
+
+    address: str
+
+
+@frozen(kw_only=True)
+class KnowledgeReceived:
+    """Signal that a peer has told how old its knowledge is."""
+
+    sender: str
+    incarnation: int
+    message: Knowledge
+
+
 @define
 class _Arrivals:
     """Count what has arrived from one process of a peer."""
@@ -86,6 +110,7 @@
         self._plan = plan
         self._election = election
         self._timer = timer
+        self._events = events
         self._clock = timer.clock
         self._watch = PeerWatch()
         self._sender = PeerSender(directory, link, incarnation)
@@ -117,6 +142,20 @@
         """Return the known daemons."""
         return self._directory
 
+    @property
+    def linked_addresses(self) -> Collection[str]:
+        """Return the addresses of all linked peers."""
+        return self._sender.linked
+
+    @property
+    def linked_neighbours(self) -> Collection[str]:
+        """Return the addresses of the linked neighbours on the hash rings."""
+        return self._sender.neighbours
+
+    def send_knowledge(self, address: str, message: Knowledge) -> None:
+        """Send a message about the newest configuration to a linked peer."""
+        self._sender.send_knowledge(address, message)
+
     def is_nearby(self, address: str) -> bool:
         """Return whether a peer is in the same failure domain."""
         return self._sender.is_nearby(address)
@@ -245,6 +284,7 @@
         self._calls.link_up(address)
         # The last link may have lost what was announced.
         self._sync.announce_all(address)
+        self._events.emit(PeerLinked(address=address))
 
     def _mark_linked(self, peer: Peer) -> None:
         peer.linked = True
@@ -255,6 +295,7 @@
         self._watch.link_down(address)
         self._calls.link_down(address)
         self._sync.link_down(address)
+        self._events.emit(PeerUnlinked(address=address))
         peer = self._directory.by_address(address)
         if peer is not None:
             peer.linked = False
@@ -312,6 +353,11 @@
             self._calls.handle_cancel(sender, frame.cancel)
         elif frame.status is not None:
             self._handle_status(sender, frame.status, now_s)
+        elif frame.knowledge is not None:
+            received = KnowledgeReceived(
+                sender=sender, incarnation=frame.incarnation, message=frame.knowledge
+            )
+            self._events.emit(received)
         else:
             self._handle_document_frame(sender, frame)
 
--- a/catkinhollow/relay/links/peer_sender.py
+++ b/catkinhollow/relay/links/peer_sender.py
@@ -11,6 +11,7 @@
     DocumentRequest,
     Documents,
     Frame,
+    Knowledge,
     Status,
 )
 from catkinhollow.relay.links.nng_link import FrameLink
@@ -98,6 +99,10 @@
         """Request documents by name."""
         return self._link.send(address, self._frame(document_request=message))
 
+    def send_knowledge(self, address: str, message: Knowledge) -> bool:
+        """Tell how old the knowledge of the newest configuration is."""
+        return self._link.send(address, self._frame(knowledge=message))
+
     def _frame(
         self,
         *,
@@ -109,6 +114,7 @@
         documents: Documents | None = None,
         announcement: DocumentAnnouncement | None = None,
         document_request: DocumentRequest | None = None,
+        knowledge: Knowledge | None = None,
     ) -> Frame:
         return Frame(
             sender=self._address,
@@ -121,4 +127,5 @@
             documents=documents,
             announcement=announcement,
             document_request=document_request,
+            knowledge=knowledge,
         )
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -25,7 +25,12 @@
         )
         self.access_refusals = Counter(
             "catkinhollow_relay_access_refusals_total",
-            "Requests of callers on the instance that were refused by their key",
+            "Requests that were refused by their key, by place and reason",
+            registry=registry,
+        )
+        self.configuration_age_seconds = Gauge(
+            "catkinhollow_relay_configuration_age_seconds",
+            "Time since the configuration was known to be the newest, -1 if never",
             registry=registry,
         )
         self.attempts = Counter(
--- a/catkinhollow/timer.py
+++ b/catkinhollow/timer.py
@@ -16,6 +16,9 @@
     def monotonic(self) -> float:
         """Return a time in seconds that never decreases."""
 
+    def boottime(self) -> float:
+        """Return a time in seconds that advances during a suspension."""
+
     def unix_ms(self) -> int:
         """Return the Unix time in milliseconds."""
 
--- a/tests/relay/admission/test_gate_service.py
+++ b/tests/relay/admission/test_gate_service.py
@@ -65,6 +65,20 @@
     assert service.gate.running == 0
 
 
+async def test_key_is_checked_again_when_the_run_starts(service, autojump_clock):
+    """Guards against runs for a key that was revoked during the wait."""
+    answers = []
+    service._find_run_refusal = lambda call: "stale knowledge"
+    service.submit(make_call(), answers.append)
+    await trio.sleep(0.1)
+    assert answers[0].outcome is CallOutcome.NOT_RUN
+    assert answers[0].reason == "stale knowledge"
+    assert answers[0].retry_after_ms > 0
+    assert not answers[0].reached_target
+    assert service._client.timeouts_s == []
+    assert service.gate.running == 0
+
+
 async def test_call_is_sent_with_the_time_that_is_left(service, autojump_clock):
     """Guards against a run that outlives its caller."""
     answers = []
--- a/tests/relay/organisations/test_keys.py
+++ b/tests/relay/organisations/test_keys.py
@@ -71,7 +71,7 @@
     policy = AccessPolicy()
     policy.configure(make_configuration())
     headers = [(b"authorization", b"Basic abc")]
-    assert policy.admit(headers, allow_anonymous=False) == Granted(ANONYMOUS)
+    assert policy.admit(headers, 0.0, allow_anonymous=False) == Granted(ANONYMOUS)
     assert not policy.has_organisations
 
 
@@ -80,9 +80,9 @@
     policy = AccessPolicy()
     headers = [(b"authorization", b"Token dock-key")]
     policy.configure(make_configuration(organisations=ORGANISATIONS))
-    assert isinstance(policy.admit(headers, allow_anonymous=False), Granted)
+    assert isinstance(policy.admit(headers, 0.0, allow_anonymous=False), Granted)
     policy.configure(make_configuration(organisations=ORGANISATIONS[:1]))
-    assert policy.admit(headers, allow_anonymous=False) is UNKNOWN_KEY
+    assert policy.admit(headers, 0.0, allow_anonymous=False) is UNKNOWN_KEY
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/organisations/test_organisation_requests.py
+++ b/tests/relay/organisations/test_organisation_requests.py
@@ -65,7 +65,7 @@
     assert not fleet.members["two"].target.runs
     metrics = await fleet.metrics("one")
     refused = "catkinhollow_relay_access_refusals_total"
-    assert f'{refused}{{reason="unknown key"}} 1' in metrics
+    assert f'{refused}{{place="ingress",reason="unknown key"}} 1' in metrics
 
 
 async def test_request_without_a_key_is_refused(fleet):
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -64,17 +64,19 @@
         return await self.list_objects(kind)
 
     async def watch(self, kind, *, after, wait_s):
-        while True:
-            if self.down:
-                return await super().list_objects(kind)
-            found = [
-                stored
-                for stored in self.history
-                if stored.kind == kind and stored.revision > after
-            ]
-            if found:
-                return Ok(ObjectList(revision=self.revision, objects=found))
-            await self.changed.wait()
+        with trio.move_on_after(wait_s):
+            while True:
+                if self.down:
+                    return await super().list_objects(kind)
+                found = [
+                    stored
+                    for stored in self.history
+                    if stored.kind == kind and stored.revision > after
+                ]
+                if found:
+                    return Ok(ObjectList(revision=self.revision, objects=found))
+                await self.changed.wait()
+        return Ok(ObjectList(revision=self.revision))
 
     async def put(self, kind, name, value, *, if_revision):
         if kind == "orders":
