--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -6,7 +6,8 @@
 has not run. Waiting calls are ordered by rank (0 first), then by their arrival
 plus a share of the time to their soft deadline: short lookups that a running
 request waits for start before new long work, but not before work that has
-waited for a long time. A call that cannot start in time is refused as soon as
+waited for a long time. Calls of organisations that are ahead of their share
+wait for their turn. A call that cannot start in time is refused as soon as
 that is known.
 """
 
@@ -32,6 +33,7 @@
 )
 from catkinhollow.relay.admission.token_bucket import TokenBucket
 from catkinhollow.relay.links.link_pacer import MIN_BULK_BYTES
+from catkinhollow.relay.organisations.fair_order import FairOrder
 
 # Run time that is assumed until the first run has ended.
 INITIAL_RUN_TIME_S = 0.1
@@ -132,6 +134,8 @@
     """Average size of the answers of each route."""
     _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
     """Arrival rate of each urgency: the rank and latency of the calls."""
+    _fair_order: FairOrder = field(factory=FairOrder)
+    """Turns of the organisations whose calls wait."""
     _departed_lifetimes: dict[str, int] = field(factory=dict)
     """Start in Unix ms of the lifetimes that departed last, oldest first."""
 
@@ -199,7 +203,10 @@
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
         urgency = (job.call.rank, job.call.latency_ms)
         self._arrival_rates.setdefault(urgency, ArrivalRate()).add(now_s)
+        self._set_turn(job, now_s)
         if not self._waiting and self._can_start(now_s):
+            if job.turn is not None:
+                self._fair_order.take(job.turn)
             return self._start(job, now_s)
         if len(self._waiting) >= MAX_WAITING_CALLS:
             return Refused(job, "too many calls wait", self._queue_drain_s(now_s))
@@ -210,6 +217,8 @@
         if now_s + wait_s > self._latest_start_s(job):
             return Refused(job, "cannot start in time", self._queue_drain_s(now_s))
         self._waiting.insert(position, job)
+        if job.turn is not None:
+            self._fair_order.take(job.turn)
         return Queued()
 
     def decide(self, now_s: float) -> list[Decision]:
@@ -221,11 +230,14 @@
                 Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
                 for job in self._waiting
             ]
+            for job in self._waiting:
+                self._give_back_turn(job)
             self._waiting.clear()
             return list(refused)
         while self._waiting and self._can_start(now_s):
             job = self._waiting.pop(0)
             if now_s > self._latest_start_s(job):
+                self._give_back_turn(job)
                 decisions.append(
                     Refused(job, "waited too long", self._queue_drain_s(now_s))
                 )
@@ -252,6 +264,7 @@
         if job not in self._waiting:
             return False
         self._waiting.remove(job)
+        self._give_back_turn(job)
         return True
 
     def record_answer(self, job: GateJob, size_bytes: int) -> None:
@@ -397,9 +410,25 @@
         self._cold_bucket.refill(self.cold_calls_per_s, now_s)
         return self._cold_bucket.has_token
 
+    def _set_turn(self, job: GateJob, now_s: float) -> None:
+        """Find the turn of a call, if it belongs to an organisation."""
+        call = job.call
+        if call.organisation:
+            work_s = self._expected_run_s(job)
+            job.turn = self._fair_order.next_turn(
+                call.organisation, call.rank, work_s, now_s
+            )
+            job.lag_s = self._fair_order.lag_s(job.turn, self._slots)
+
+    def _give_back_turn(self, job: GateJob) -> None:
+        if job.turn is not None:
+            self._fair_order.give_back(job.turn)
+
     def _start(self, job: GateJob, now_s: float) -> Admitted:
         if self._is_rate_limited(now_s):
             self._cold_bucket.take()
+        if job.turn is not None:
+            self._fair_order.start(job.turn)
         job.started_s = now_s
         job.lifetime = self.lifetime
         self._running.add(job)
@@ -490,6 +519,7 @@
             wait_s = self._rate_limited_wait_s(ahead_s, len(kept), now_s)
             if now_s + wait_s / LATE_START_FACTOR > self._latest_start_s(job):
                 retry_s = self._queue_drain_s(now_s)
+                self._give_back_turn(job)
                 refused.append(Refused(job, "cannot start in time", retry_s))
             else:
                 kept.append(job)
@@ -505,7 +535,7 @@
 def _queue_key(job: GateJob) -> tuple[int, float]:
     """Return the sort key of a waiting call."""
     urgent_s = URGENCY_SHARE * (job.soft_deadline_s - job.arrived_s)
-    return job.call.rank, job.arrived_s + urgent_s
+    return job.call.rank, job.arrived_s + urgent_s + job.lag_s
 
 
 def _lifetime_key(announcement: Announcement) -> tuple[str, int]:
--- a/catkinhollow/relay/admission/gate_jobs.py
+++ b/catkinhollow/relay/admission/gate_jobs.py
@@ -3,6 +3,7 @@
 from attrs import define, frozen
 
 from catkinhollow.generated.relay import Call, GateState
+from catkinhollow.relay.organisations.fair_order import Turn
 
 # States in which a gate admits calls.
 OPEN_STATES = (GateState.SERVING, GateState.COLD)
@@ -37,6 +38,10 @@
     deadline_s: float
     """Time at which the ingress daemon gives up."""
     started_s: float = 0.0
+    turn: Turn | None = None
+    """Turn of the organisation that the call belongs to, if any."""
+    lag_s: float = 0.0
+    """How long the turn was ahead when the call arrived."""
     lifetime: str = ""
     """Lifetime of the target when the run started."""
 
