--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -1,10 +1,12 @@
 """Assemble and run the parts of a relay daemon."""
 
+from __future__ import annotations
+
 import signal
 from collections.abc import Awaitable, Callable
 from math import inf
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 from expression import Result
@@ -65,8 +67,6 @@
 from catkinhollow.relay.moves.versions import VersionPolicy
 from catkinhollow.relay.organisations.access import AccessPolicy
 from catkinhollow.relay.organisations.freshness import Freshness
-from catkinhollow.relay.organisations.knowledge_plan import KnowledgePlan
-from catkinhollow.relay.organisations.knowledge_service import KnowledgeService
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.relay.placement.placer import Distances, LeastWaitPlacer
 from catkinhollow.relay.relay_metrics import RelayMetrics
@@ -75,6 +75,9 @@
 from catkinhollow.relay.shutdown_plan import ShutdownPlan
 from catkinhollow.timer import Timer
 
+if TYPE_CHECKING:
+    from catkinhollow.relay.organisations.knowledge_service import KnowledgeService
+
 logger = get_logger(__name__)
 
 # Share of the fleet's retry budget that is used for retries by the daemons.
@@ -276,6 +279,10 @@
     def _build_knowledge(self, freshness: Freshness | None) -> KnowledgeService | None:
         if freshness is None:
             return None
+        # Few deployments bound revocations; the imports lengthen a start.
+        from catkinhollow.relay.organisations.knowledge_plan import KnowledgePlan
+        from catkinhollow.relay.organisations.knowledge_service import KnowledgeService
+
         plan = KnowledgePlan(
             freshness=freshness,
             incarnation=self._incarnation,
