Ask a peer for the time once in ten seconds only

A question was repeated until its answer gave a better bound for the peer's clock. Over a link that had become slower no answer did, and two daemons answered each other's questions without end.

--- a/catkinhollow/relay/organisations/knowledge_plan.py
+++ b/catkinhollow/relay/organisations/knowledge_plan.py
@@ -38,8 +38,9 @@
 # News that are younger by less than this are not passed on. News of one source
 # are further apart, so that each of them reaches all daemons at once.
 STEP_SHARE = 0.05
-# Bounds of the clocks are measured again after this time; by then they have
-# lost 10 ms.
+# Each peer is asked after this time, which measures the bound of its clock
+# again; by then that has lost 10 ms. What counts is the last question: its
+# answer may give no better bound and must not cause the next one.
 MEASURE_INTERVAL_S = 10.0
 
 
@@ -73,6 +74,8 @@
     _clocks: PeerClocks = field(factory=PeerClocks)
     _told_s: dict[str, float] = field(factory=dict)
     """Own time of the latest knowledge that each peer has told or was told."""
+    _questioned_s: dict[str, float] = field(factory=dict)
+    """When each peer was last asked to answer at once."""
     _poll_due_s: float = field(default=-inf)
     """No call of the store before this time."""
     _failures: int = 0
@@ -128,6 +131,7 @@
     def forget(self, address: str) -> None:
         """Forget a peer whose link is down."""
         self._told_s.pop(address, None)
+        self._questioned_s.pop(address, None)
         self._clocks.forget(address)
 
     def heard(
@@ -177,7 +181,10 @@
         incarnation, heard_ms = self._clocks.heard_ms(address)
         if known_s > -inf:
             self._told_s[address] = max(self._told_s.get(address, -inf), known_s)
-        measured_s = self._clocks.measured_s(address)
+        questioned_s = self._questioned_s.get(address, -inf)
+        asks = asks or now_s - questioned_s > MEASURE_INTERVAL_S
+        if asks:
+            self._questioned_s[address] = now_s
         return Tell(
             address,
             Knowledge(
@@ -187,7 +194,7 @@
                 revision=self.freshness.enforced_revision,
                 receiver=incarnation,
                 heard_ms=heard_ms,
-                asks=asks or now_s - measured_s > MEASURE_INTERVAL_S,
+                asks=asks,
             ),
         )
 
--- a/catkinhollow/relay/organisations/peer_clocks.py
+++ b/catkinhollow/relay/organisations/peer_clocks.py
@@ -47,11 +47,6 @@
         clock = self._clocks.get(address)
         return (0, 0) if clock is None else (clock.incarnation, clock.heard_ms)
 
-    def measured_s(self, address: str) -> float:
-        """Return when the bound was found, -inf if there is none."""
-        clock = self._clocks.get(address)
-        return -inf if clock is None else clock.measured_s
-
     def record(
         self,
         address: str,
--- a/tests/relay/organisations/test_freshness.py
+++ b/tests/relay/organisations/test_freshness.py
@@ -167,6 +167,25 @@
     assert rates[1] < 20.0
 
 
+def test_daemons_on_slower_links_do_not_answer_each_other_forever():
+    """Guards against questions that each answer repeats.
+
+    The first exchange is fast, and no later one gives a better bound.
+    """
+    fleet = Fleet(size=2, followers=1)
+    fleet.run_connected(1.0)
+    sent = fleet.sent
+    for _ in range(200):
+        fleet.now_s += 0.1
+        for daemon in fleet.daemons:
+            daemon.check()
+        for _ in range(len(fleet.messages)):
+            fleet.deliver(0)
+        while fleet.open_polls:
+            fleet.answer_poll(0)
+    assert fleet.sent - sent < 200
+
+
 def test_daemon_that_alone_reaches_the_store_asks_it():
     """Guards against refusals where a direct path to the store is left."""
     fleet = Fleet(size=3, followers=1)
