Bound the open calls that ask the store for the configuration

They share the connections of the daemon with its watches and writes. Digests of the keys are computed again only if a version changes the organisations.

--- a/catkinhollow/relay/organisations/access.py
+++ b/catkinhollow/relay/organisations/access.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from catkinhollow.calls.exchange import Headers
-from catkinhollow.generated.relay import Call, RelayConfiguration
+from catkinhollow.generated.relay import Call, Organisation, RelayConfiguration
 from catkinhollow.relay.organisations.freshness import Freshness, may_run
 from catkinhollow.relay.organisations.keys import (
     AUTHORIZATION_HEADER,
@@ -50,6 +50,7 @@
 
     def __init__(self, freshness: Freshness | None = None) -> None:
         self._freshness = freshness
+        self._organisations: list[Organisation] = []
         self._keys = KeyTable()
 
     @property
@@ -64,7 +65,10 @@
 
     def configure(self, configuration: RelayConfiguration) -> None:
         """Apply a configuration version to all later requests."""
-        self._keys = KeyTable(configuration.organisations)
+        # Most versions change no key; the digests of 10,000 take some 20 ms.
+        if configuration.organisations != self._organisations:
+            self._organisations = configuration.organisations
+            self._keys = KeyTable(self._organisations)
 
     def admit(self, headers: Headers, now_s: float, *, allow_anonymous: bool) -> Access:
         """Decide about a request with these headers."""
--- a/catkinhollow/relay/organisations/knowledge_service.py
+++ b/catkinhollow/relay/organisations/knowledge_service.py
@@ -34,6 +34,9 @@
 # Share of the bound after which a call of the store is given up. Later calls
 # are sent meanwhile, as the connection may be silent.
 POLL_TIMEOUT_SHARE = 0.5
+# Calls of the store that may be open at the same time. The watches and writes
+# of the daemon share the connections with them.
+MAX_OPEN_POLLS = 3
 # Longest time between two checks, as a share of the bound, because the role of
 # a follower may change.
 CHECK_SHARE = 0.1
@@ -88,6 +91,7 @@
         self._clock = clock
         self._nursery: trio.Nursery | None = None
         self._admits = False
+        self._open_polls = 0
         self._polled_revision = 0
         # Newest revision that the store has told.
         self._newest = 0
@@ -164,10 +168,17 @@
         for command in commands:
             if not isinstance(command, PollStore):
                 self._network.send_knowledge(command.address, command.message)
-            elif self._nursery is not None:
+            elif self._nursery is not None and self._open_polls < MAX_OPEN_POLLS:
+                self._open_polls += 1
                 self._nursery.start_soon(self._poll)
 
     async def _poll(self) -> None:
+        try:
+            await self._ask_store()
+        finally:
+            self._open_polls -= 1
+
+    async def _ask_store(self) -> None:
         asked_s = self._clock.boottime()
         after = max(self._polled_revision, self._table.revision(DOCUMENT_NAME))
         timeout_s = POLL_TIMEOUT_SHARE * self._plan.freshness.bound_s
--- a/tests/relay/organisations/test_revocation_bound.py
+++ b/tests/relay/organisations/test_revocation_bound.py
@@ -20,7 +20,10 @@
 from catkinhollow.relay.organisations.freshness import Freshness
 from catkinhollow.relay.organisations.keys import UNKNOWN_KEY
 from catkinhollow.relay.organisations.knowledge_plan import KnowledgePlan
-from catkinhollow.relay.organisations.knowledge_service import KnowledgeService
+from catkinhollow.relay.organisations.knowledge_service import (
+    MAX_OPEN_POLLS,
+    KnowledgeService,
+)
 
 BOUND_S = 2.0
 ORGANISATIONS = [Organisation(name="mill", keys=["mill-s3cret"])]
@@ -40,9 +43,16 @@
 
     def __init__(self, delay_s):
         self.delay_s = delay_s
+        self.calls = self.open = self.most_open = 0
 
     async def watch(self, kind, *, after, wait_s):
-        await trio.sleep(self.delay_s)
+        self.calls += 1
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        try:
+            await trio.sleep(self.delay_s)
+        finally:
+            self.open -= 1
         return Ok(ObjectList(revision=after))
 
 
@@ -51,16 +61,17 @@
         return trio.current_time()
 
 
-async def test_answer_is_worth_the_time_of_the_question(nursery, autojump_clock):
-    """Guards against a slow store that makes old knowledge young."""
-    freshness = Freshness(bound_s=5.0)
+def make_service(delay_s):
     plan = KnowledgePlan(
-        freshness=freshness, incarnation=1, random=Random(1), started_s=0.0
+        freshness=Freshness(bound_s=5.0),
+        incarnation=1,
+        random=Random(1),
+        started_s=0.0,
     )
     plan.settled(3, 0.0, (), enforced=True)
-    knowledge = KnowledgeService(
+    return KnowledgeService(
         plan=plan,
-        store=SlowStore(2.0),
+        store=SlowStore(delay_s),
         network=Network(),
         table=DocumentTable(),
         apply_object=lambda stored: True,
@@ -68,6 +79,12 @@
         has_organisations=lambda: True,
         clock=VirtualClock(),
     )
+
+
+async def test_answer_is_worth_the_time_of_the_question(nursery, autojump_clock):
+    """Guards against a slow store that makes old knowledge young."""
+    knowledge = make_service(delay_s=2.0)
+    freshness = knowledge._plan.freshness
     nursery.start_soon(knowledge.run)
     asked_s = trio.current_time()
     await trio.sleep(2.05)
@@ -104,6 +121,16 @@
     assert policy.find_run_refusal(call, 11.0) is UNKNOWN_KEY
 
 
+async def test_silent_store_leaves_connections_for_others(nursery, autojump_clock):
+    """Guards against calls without an answer that take all connections."""
+    knowledge = make_service(delay_s=1000.0)
+    store = knowledge._store
+    nursery.start_soon(knowledge.run)
+    await trio.sleep(20.0)
+    assert 1 <= store.most_open <= MAX_OPEN_POLLS
+    assert store.calls > MAX_OPEN_POLLS
+
+
 @pytest.mark.processes
 async def test_requests_with_keys_stop_without_the_store_and_return(nursery):
     """Guards against keys that outlive the bound, and against an outage."""
