--- a/catkinhollow/relay/organisations/knowledge_service.py
+++ b/catkinhollow/relay/organisations/knowledge_service.py
@@ -1,6 +1,7 @@
 """Keep the knowledge of the newest configuration young."""
 
 from collections.abc import Callable, Collection, Iterable
+from math import inf
 from typing import Protocol
 
 import trio
@@ -40,6 +41,8 @@
 # Longest time between two checks, as a share of the bound, because the role of
 # a follower may change.
 CHECK_SHARE = 0.1
+# The same while nothing is known, as all requests with keys are refused.
+FIRST_CHECK_SHARE = 0.01
 
 
 class WatchedStore(Protocol):
@@ -92,22 +95,27 @@
         self._nursery: trio.Nursery | None = None
         self._admits = False
         self._open_polls = 0
+        self._configured = trio.Event()
         self._polled_revision = 0
         # Newest revision that the store has told.
         self._newest = 0
 
     async def run(self) -> None:
         """Ask the store and the peers until cancelled."""
-        interval_s = CHECK_SHARE * self._plan.freshness.bound_s
+        freshness = self._plan.freshness
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                delay_s = interval_s
+                self._configured = trio.Event()
+                delay_s = CHECK_SHARE * freshness.bound_s
                 if self._has_organisations():
                     self._check()
+                    if freshness.known_s == -inf:
+                        delay_s = FIRST_CHECK_SHARE * freshness.bound_s
                     due_s = self._plan.next_check_s(is_follower=self._is_follower())
                     delay_s = min(delay_s, due_s - self._clock.boottime())
-                await trio.sleep(max(0.01, delay_s))
+                with trio.move_on_after(max(0.01, delay_s)):
+                    await self._configured.wait()
 
     def on_link_up(self, event: PeerLinked) -> None:
         """Exchange the knowledge with a peer that was not linked."""
@@ -139,6 +147,7 @@
     def _settle(self, document: Document, *, enforced: bool) -> None:
         if document.name == DOCUMENT_NAME:
             self._settle_revision(document.revision, enforced=enforced)
+            self._configured.set()
 
     def _settle_revision(self, revision: int, *, enforced: bool) -> None:
         now_s = self._clock.boottime()
--- a/tests/relay/organisations/test_revocation_bound.py
+++ b/tests/relay/organisations/test_revocation_bound.py
@@ -9,8 +9,9 @@
 from relay_fleet import RelayFleet
 
 from catkinhollow.clock import TrioClock
-from catkinhollow.generated.relay import Organisation
+from catkinhollow.generated.relay import Document, Organisation
 from catkinhollow.generated.store import ObjectList
+from catkinhollow.relay.documents.document_sync import DocumentChanged
 from catkinhollow.relay.documents.document_table import DocumentTable
 from catkinhollow.relay.organisations.access import (
     STALE,
@@ -61,7 +62,7 @@
         return trio.current_time()
 
 
-def make_service(delay_s):
+def make_service(delay_s, has_organisations=lambda: True):
     plan = KnowledgePlan(
         freshness=Freshness(bound_s=5.0),
         incarnation=1,
@@ -76,7 +77,7 @@
         table=DocumentTable(),
         apply_object=lambda stored: True,
         is_follower=lambda: True,
-        has_organisations=lambda: True,
+        has_organisations=has_organisations,
         clock=VirtualClock(),
     )
 
@@ -121,6 +122,20 @@
     assert policy.find_run_refusal(call, 11.0) is UNKNOWN_KEY
 
 
+async def test_first_organisations_are_served_at_once(nursery, autojump_clock):
+    """Guards against refusals after a start until the next regular check."""
+    organisations = []
+    knowledge = make_service(0.01, has_organisations=lambda: bool(organisations))
+    nursery.start_soon(knowledge.run)
+    await trio.sleep(0.6)
+    assert knowledge._store.calls == 0
+    organisations.append("mill")
+    document = Document(name="configuration/main", revision=4, body=b"")
+    knowledge.on_document(DocumentChanged(document=document, source="store"))
+    await trio.sleep(0.05)
+    assert knowledge._plan.freshness.admits(trio.current_time())
+
+
 async def test_silent_store_leaves_connections_for_others(nursery, autojump_clock):
     """Guards against calls without an answer that take all connections."""
     knowledge = make_service(delay_s=1000.0)
