--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -22,6 +22,13 @@
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.links.network import PeerNetwork
 from catkinhollow.relay.moves.versions import VersionPolicy
+from catkinhollow.relay.organisations.access import AccessPolicy, Granted, Refusal
+from catkinhollow.relay.organisations.keys import (
+    AUTHORIZATION_HEADER,
+    Caller,
+    KeyHolder,
+    Unauthorized,
+)
 from catkinhollow.relay.placement.call_plan import (
     RUN_RETRY_COST,
     CallPlan,
@@ -40,6 +47,10 @@
 logger = get_logger(__name__)
 
 RETRY_AFTER_HEADER = b"retry-after"
+# Retry hint while it is unknown whether keys are still valid.
+STALE_RETRY_S = 0.5
+# Tells a caller without a valid key which kind is expected.
+CHALLENGE = (b"www-authenticate", b"Token")
 # Time reserved for returning an answer to the caller before its deadline.
 RETURN_MARGIN_S = 0.01
 # Weight of one answer in the moving average of a route's answer sizes.
@@ -70,6 +81,7 @@
         network: PeerNetwork,
         placer: Placer,
         versions: VersionPolicy,
+        access: AccessPolicy,
         header_names: HeaderNames,
         retry_percent: float,
         retry_slack: float,
@@ -82,6 +94,7 @@
         self._network = network
         self._placer = placer
         self._versions = versions
+        self._access = access
         self._header_names = header_names
         self._retry_percent = retry_percent
         self._retry_slack = retry_slack
@@ -103,6 +116,12 @@
             header_names.expected_lifetime,
             b"expect",
         }
+        # Removed where the configuration holds organisations: a target sees no
+        # key, and no organisation that a caller has made up.
+        self._organisation_headers = self._internal_headers | {
+            AUTHORIZATION_HEADER,
+            header_names.organisation,
+        }
 
     @property
     def limits(self) -> RequestLimits:
@@ -146,12 +165,35 @@
         route = self._routes.match(host, request.path)
         if route is None:
             return plain_response(404, "no route")
-        return await self._serve_route(request, route, wait_for_disconnect)
+        access = self._access.admit(
+            request.headers,
+            self._clock.boottime(),
+            allow_anonymous=route.allow_anonymous,
+        )
+        if not isinstance(access, Granted):
+            left_ms = _time_left_ms(request.header(self._header_names.deadline), route)
+            return self._refuse_access(access, left_ms / 1000.0)
+        return await self._serve_route(
+            request, route, access.caller, wait_for_disconnect
+        )
+
+    def _refuse_access(self, refusal: Refusal, left_s: float) -> Response:
+        labels = {"place": "ingress", "reason": refusal.reason}
+        self._metrics.access_refusals.inc(labels)
+        if isinstance(refusal, Unauthorized):
+            return plain_response(401, refusal.reason, [CHALLENGE])
+        return self._not_run_response(refusal.reason, STALE_RETRY_S, left_s)
+
+    def _not_run_response(self, reason: str, hint_s: float, left_s: float) -> Response:
+        delay_s = retry_after_s(hint_s, left_s, self._random.random())
+        value = f"{delay_s:.3f}".encode()
+        return plain_response(503, reason, [(RETRY_AFTER_HEADER, value)])
 
     async def _serve_route(
         self,
         request: Request,
         route: RelayRoute,
+        caller: Caller,
         wait_for_disconnect: WaitForDisconnect,
     ) -> Response | None:
         started_s = self._clock.monotonic()
@@ -164,7 +206,7 @@
             choose_peer=lambda tried: self._choose(route, service, tried),
             budget=self._budget(service),
         )
-        call = self._make_call(request, route, service)
+        call = self._make_call(request, route, service, caller)
         response = await self._run_plan(plan, call, started_s, wait_for_disconnect)
         taken_s = self._clock.monotonic() - started_s
         self._metrics.request_seconds.observe({"service": service}, taken_s)
@@ -180,6 +222,10 @@
         while True:
             step = plan.next_step(self._clock.monotonic())
             if isinstance(step, SendTo):
+                refusal = self._find_refusal(plan, call)
+                if refusal is not None:
+                    left_s = plan.deadline_s - self._clock.monotonic()
+                    return self._refuse_access(refusal, left_s)
                 answer = await self._attempt(
                     plan, step.peer, call, started_s, wait_for_disconnect
                 )
@@ -199,6 +245,12 @@
                 return self._build_response(step.answer)
             return self._give_up(plan, step, call)
 
+    def _find_refusal(self, plan: CallPlan, call: Call) -> Refusal | None:
+        """Return why a call that has surely not run must not be sent."""
+        if call.key_digest is None or plan.outcome_unknown:
+            return None
+        return self._access.find_refusal(call.key_digest, self._clock.boottime())
+
     async def _attempt(
         self,
         plan: CallPlan,
@@ -267,15 +319,27 @@
         budget.earn()
         return budget
 
-    def _make_call(self, request: Request, route: RelayRoute, service: str) -> Call:
+    def _make_call(
+        self, request: Request, route: RelayRoute, service: str, caller: Caller
+    ) -> Call:
         request_target = request.path.encode("latin-1")
         if request.query:
             request_target += b"?" + request.query
+        removed = self._internal_headers
+        if self._access.has_organisations:
+            removed = self._organisation_headers
         headers = [
             [name, value]
             for name, value in end_to_end_headers(request.headers)
-            if name not in self._internal_headers
+            if name not in removed
         ]
+        organisation, key_digest = "", None
+        rank = route.priority
+        if isinstance(caller, KeyHolder):
+            organisation, key_digest = caller.organisation, caller.key_digest
+            headers.append([self._header_names.organisation, organisation.encode()])
+            if caller.priority is not None:
+                rank = caller.priority
         request_id = request.header(self._header_names.request_id) or b""
         return Call(
             call_id=0,
@@ -288,8 +352,11 @@
             service=service,
             caller_service=self._service,
             idempotent=is_idempotent(route),
-            rank=route.priority,
+            rank=rank,
             latency_ms=int(route.target_latency_ms),
+            organisation=organisation,
+            key_digest=key_digest,
+            configuration_revision=self._access.revision if key_digest else 0,
         )
 
     def _update_answer_size(self, route: RelayRoute, answer: Answer) -> None:
@@ -321,9 +388,7 @@
         if step.outcome is CallOutcome.UNKNOWN:
             timed_out = left_s <= RETURN_MARGIN_S
             return plain_response(504 if timed_out else 502, step.reason)
-        delay_s = retry_after_s(step.retry_after_s, left_s, self._random.random())
-        value = f"{delay_s:.3f}".encode()
-        return plain_response(503, step.reason, [(RETRY_AFTER_HEADER, value)])
+        return self._not_run_response(step.reason, step.retry_after_s, left_s)
 
     def _log_attempt(self, call: Call, peer: Peer, answer: Answer) -> None:
         self._log.attempt_failed(
@@ -365,6 +430,9 @@
         idempotent=call.idempotent,
         rank=call.rank,
         latency_ms=call.latency_ms,
+        organisation=call.organisation,
+        key_digest=call.key_digest,
+        configuration_revision=call.configuration_revision,
         budget_ms=max(0, int(left_s * 1000)),
         target_ms=int(soft_left_s * 1000),
     )
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -23,6 +23,16 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.access_refusals = Counter(
+            "catkinhollow_relay_access_refusals_total",
+            "Requests that were refused by their key, by place and reason",
+            registry=registry,
+        )
+        self.configuration_age_seconds = Gauge(
+            "catkinhollow_relay_configuration_age_seconds",
+            "Time since the configuration was known to be the newest, -1 if never",
+            registry=registry,
+        )
         self.attempts = Counter(
             "catkinhollow_relay_attempts_total",
             "Calls sent to gates by service and outcome",
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -64,17 +64,19 @@
         return await self.list_objects(kind)
 
     async def watch(self, kind, *, after, wait_s):
-        while True:
-            if self.down:
-                return await super().list_objects(kind)
-            found = [
-                stored
-                for stored in self.history
-                if stored.kind == kind and stored.revision > after
-            ]
-            if found:
-                return Ok(ObjectList(revision=self.revision, objects=found))
-            await self.changed.wait()
+        with trio.move_on_after(wait_s):
+            while True:
+                if self.down:
+                    return await super().list_objects(kind)
+                found = [
+                    stored
+                    for stored in self.history
+                    if stored.kind == kind and stored.revision > after
+                ]
+                if found:
+                    return Ok(ObjectList(revision=self.revision, objects=found))
+                await self.changed.wait()
+        return Ok(ObjectList(revision=self.revision))
 
     async def put(self, kind, name, value, *, if_revision):
         if kind == "orders":
@@ -217,12 +219,36 @@
             )
         )
 
-    async def call(self, name, request_id, *, path="/a/b", method="GET", content=None):
+    async def call(
+        self,
+        name,
+        request_id,
+        *,
+        path="/a/b",
+        method="GET",
+        content=None,
+        more_headers=(),
+    ):
         address = self.members[name].settings.requests
-        headers = [(b"host", b"shop.example"), (NAMES.request_id, request_id.encode())]
+        headers = [
+            (b"host", b"shop.example"),
+            (NAMES.request_id, request_id.encode()),
+            *more_headers,
+        ]
         return await self.pool.request(
             method, f"http://{address}{path}", headers=headers, content=content
         )
 
+    async def metrics(self, name):
+        address = self.members[name].settings.metrics
+        response = await self.pool.request("GET", f"http://{address}/metrics")
+        return response.content.decode()
+
+    async def wait_for_version(self, name, version):
+        line = f"catkinhollow_relay_configuration_version {version}\n"
+        with trio.fail_after(5.0):
+            while line not in await self.metrics(name):
+                await trio.sleep(0.05)
+
     async def stop(self):
         self.nursery.cancel_scope.cancel()
