Order the store's objects by era and revision

Cause: a store that comes back from a copy assigns its revisions again. Numbers of two eras were compared as if they were of one, a watch of a lost revision waited for ever in the stand-in, and late answers of the era before counted.

Change: the store client reads Store-Era and joins it to the revisions that it returns (era * 10^14 + number; unchanged in era 0). It drops answers of an older era, sends no condition of an older era, and lists after 410 and after a watch whose answer is of another era. The stand-in takes a copy, comes back from it with the next era, and answers 410 to revisions that it lacks.

--- a/catkinhollow/platform/headers.py
+++ b/catkinhollow/platform/headers.py
@@ -12,3 +12,6 @@
     cold_remaining=b"x-cold-ms",
     caller_service=b"x-caller-service",
 )
+
+# Rises by one each time the store comes back from a copy; 0 if it is missing.
+STORE_ERA_HEADER = b"store-era"
--- a/catkinhollow/platform/object_store.py
+++ b/catkinhollow/platform/object_store.py
@@ -1,9 +1,10 @@
 """Access the platform's object store over HTTP."""
 
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
 import trio
+from attrs import frozen
 from expression import Error, Ok, Result
 from httpcore import (
     NetworkError,
@@ -23,6 +24,7 @@
     ObjectPage,
     PlatformObject,
 )
+from catkinhollow.platform.headers import STORE_ERA_HEADER
 from catkinhollow.platform.objects import STATUS_KINDS, STORE_KINDS, encode_status
 from catkinhollow.platform.store_connections import (
     PoolFactory,
@@ -30,6 +32,12 @@
     make_pool,
 )
 from catkinhollow.relay.documents.probe_plan import ProbeOutcome
+from catkinhollow.relay.documents.store_revision import (
+    MAX_ERA,
+    era_of,
+    join_revision,
+    own_number,
+)
 
 # The store answers within milliseconds, a slow store within some hundred
 # milliseconds.
@@ -49,8 +57,20 @@
 T = TypeVar("T")
 
 
+@frozen
+class _Answer(Generic[T]):
+    """Represent the decoded answer to a call and the era of the store."""
+
+    value: T
+    era: int
+
+
 class PlatformStore:
-    """Read, write and watch the platform's objects by this project's kinds."""
+    """Read, write and watch the platform's objects by this project's kinds.
+
+    Revisions hold the era of the store, which each answer tells. An answer of
+    an older era than one already seen counts as none.
+    """
 
     def __init__(self, address: str, make: PoolFactory = make_pool) -> None:
         self._base_url = f"http://{address}/objects"
@@ -60,6 +80,8 @@
         self._probe_connections = StoreConnections(
             make, repeats_reads=False, idle_expiry_s=None
         )
+        # Newest era that an answer or a caller has shown.
+        self._era = 0
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -94,14 +116,14 @@
             )
         except (NetworkError, ProtocolError, TimeoutException):
             return ProbeOutcome.FAILED
-        usable = response.status == 200
+        usable = response.status == 200 and self._find_era(response) is not None
         return ProbeOutcome.ANSWERED if usable else ProbeOutcome.REFUSED
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreError]:
         """Return one object."""
         path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}"
         read = await self._call("GET", path, None, PlatformObject)
-        return read.map(lambda item: _to_stored_object(kind, item))
+        return read.map(lambda answer: _to_stored_object(kind, answer))
 
     async def list_objects(self, kind: str) -> Result[ObjectList, StoreError]:
         """Return all objects of a kind."""
@@ -122,11 +144,13 @@
             read = await self._call("GET", path, None, ObjectPage)
             if read.is_error():
                 return Error(read.error)
-            page = read.ok
+            page, era = read.ok.value, read.ok.era
             if revision is None:
-                revision = page.at_rev
+                revision = join_revision(era, page.at_rev)
+            elif era != era_of(revision):
+                return Error(_unavailable("the era changed between two pages"))
             items = _decode_items(kind, page.items, PlatformObject)
-            objects.extend(_to_stored_object(kind, item) for item in items)
+            objects.extend(_to_stored_object(kind, _Answer(it, era)) for it in items)
             if not page.has_more or not items:
                 break
             after = f"after={quote(items[-1].metadata.name, safe='')}"
@@ -137,7 +161,11 @@
         self, kind: str, *, after: int, wait_s: float
     ) -> Result[ObjectList, StoreError]:
         """Return the objects changed after a revision; wait for the first."""
-        path = f"/{STORE_KINDS[kind]}?watch={after}&wait_ms={int(wait_s * 1000)}"
+        self._era = max(self._era, era_of(after))
+        if era_of(after) < self._era:
+            return await self.list_objects(kind)
+        query = f"watch={own_number(after)}&wait_ms={int(wait_s * 1000)}"
+        path = f"/{STORE_KINDS[kind]}?{query}"
         read = await self._call("GET", path, None, EventPage, wait_s)
         if read.is_error():
             if read.error.kind is StoreErrorKind.REFUSED:
@@ -145,23 +173,30 @@
                 # the changes after the revision.
                 return await self.list_objects(kind)
             return Error(read.error)
-        page = read.ok
+        page, era = read.ok.value, read.ok.era
+        if era != era_of(after):
+            # The number has been assigned again, so that changes are missing.
+            return await self.list_objects(kind)
         objects = [
             _to_stored_object(
-                kind, event.object, page.at_rev if event.deleted else None
+                kind,
+                _Answer(event.object, era),
+                page.at_rev if event.deleted else None,
             )
             for event in _decode_items(kind, page.events, ObjectEvent)
         ]
-        return Ok(ObjectList(revision=page.at_rev, objects=objects))
+        return Ok(ObjectList(revision=join_revision(era, page.at_rev), objects=objects))
 
     async def put(
         self, kind: str, name: str, value: Any, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
         """Write an object if it still has the given revision, 0 if new."""
+        if self._is_of_older_era(if_revision):
+            return Error(_older_condition())
         path = f"/{STORE_KINDS[kind]}"
         metadata: dict[str, Any] = {"name": name}
         if if_revision:
-            metadata["revision"] = if_revision
+            metadata["revision"] = own_number(if_revision)
         body: dict[str, Any] = {"metadata": metadata}
         if kind in STATUS_KINDS:
             body["status"] = encode_status(value)
@@ -172,15 +207,18 @@
                 path = f"{path}/{quote(name, safe='')}"
         method = "PUT" if if_revision else "POST"
         written = await self._call(method, path, body, PlatformObject)
-        return written.map(lambda item: _to_stored_object(kind, item))
+        return written.map(lambda answer: _to_stored_object(kind, answer))
 
     async def delete(
         self, kind: str, name: str, *, if_revision: int
     ) -> Result[StoredObject, StoreError]:
         """Delete an object if it still has the given revision."""
-        path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}?revision={if_revision}"
+        if self._is_of_older_era(if_revision):
+            return Error(_older_condition())
+        condition = f"revision={own_number(if_revision)}"
+        path = f"/{STORE_KINDS[kind]}/{quote(name, safe='')}?{condition}"
         deleted = await self._call("DELETE", path, None, PlatformObject)
-        return deleted.map(lambda item: _to_stored_object(kind, item))
+        return deleted.map(lambda answer: _to_stored_object(kind, answer))
 
     async def _call(
         self,
@@ -189,7 +227,7 @@
         body: Any,
         result_class: type[T],
         wait_s: float = 0.0,
-    ) -> Result[T, StoreError]:
+    ) -> Result[_Answer[T], StoreError]:
         try:
             response = await self._connections.request(
                 method,
@@ -200,8 +238,48 @@
             )
         except (NetworkError, ProtocolError, TimeoutException) as error:
             reason = f"{type(error).__name__}: {error}"
-            return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
-        return _decode(response, result_class)
+            return Error(_unavailable(reason))
+        era = self._find_era(response)
+        if era is None:
+            return Error(_unavailable("answer of an older era"))
+        return _decode(response, result_class).map(lambda value: _Answer(value, era))
+
+    def _find_era(self, response: Response) -> int | None:
+        """Return the era of an answer, None if a newer era is known."""
+        era = _read_era(response)
+        if era < self._era:
+            return None
+        self._era = era
+        return era
+
+    def _is_of_older_era(self, revision: int) -> bool:
+        """Return whether a condition names a revision that exists no more.
+
+        The store may have assigned its number to another object since.
+        """
+        if not revision:
+            return False
+        self._era = max(self._era, era_of(revision))
+        return era_of(revision) < self._era
+
+
+def _read_era(response: Response) -> int:
+    for name, value in response.headers:
+        if name.lower() == STORE_ERA_HEADER:
+            text = value.strip()
+            if text.isdigit() and len(text) <= len(str(MAX_ERA)):
+                return min(int(text), MAX_ERA)
+            logger.warning("store era not read", value=repr(value))
+    return 0
+
+
+def _unavailable(reason: str) -> StoreError:
+    return StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason)
+
+
+def _older_condition() -> StoreError:
+    reason = "the revision is of an older era"
+    return StoreError(kind=StoreErrorKind.CONFLICT, reason=reason)
 
 
 def _timeouts(wait_s: float = 0.0) -> dict[str, float]:
@@ -224,8 +302,7 @@
         shallow = replace_deep_values(response.content)
         decoded = decode_json(shallow, result_class)
     if decoded.is_error():
-        reason = f"malformed response: {decoded.error.reason}"
-        return Error(StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=reason))
+        return Error(_unavailable(f"malformed response: {decoded.error.reason}"))
     return Ok(decoded.ok)
 
 
@@ -243,15 +320,16 @@
 
 
 def _to_stored_object(
-    kind: str, item: PlatformObject, deleted_revision: int | None = None
+    kind: str, answer: _Answer[PlatformObject], deleted_number: int | None = None
 ) -> StoredObject:
-    revision = item.metadata.revision
-    if deleted_revision is not None:
-        revision = max(revision, deleted_revision)
+    item = answer.value
+    number = item.metadata.revision
+    if deleted_number is not None:
+        number = max(number, deleted_number)
     return StoredObject(
         kind=kind,
         name=item.metadata.name,
-        revision=revision,
+        revision=join_revision(answer.era, number),
         value=item,
-        deleted=deleted_revision is not None,
+        deleted=deleted_number is not None,
     )
--- a/catkinhollow/platform/standin_store.py
+++ b/catkinhollow/platform/standin_store.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qs, unquote
 
 import trio
+from attrs import evolve, frozen
 
 from catkinhollow.calls.exchange import Request, Response, json_response, plain_response
 from catkinhollow.calls.http_server import (
@@ -17,17 +18,32 @@
     send_response,
 )
 from catkinhollow.codec import decode_json, to_plain
+from catkinhollow.platform.headers import STORE_ERA_HEADER
 from catkinhollow.platform.objects import STORE_KINDS
 
 MAX_BODY_BYTES = 1_000_000
 PATH_PREFIX = "/objects/"
 
 
+@frozen(kw_only=True)
+class StoreCopy:
+    """Represent all that the store held at one time."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: list[tuple[str, dict[str, Any]]]
+
+
 class StandInStore:
-    """Serve objects, conditional writes and watches as an ASGI application."""
+    """Serve objects, conditional writes and watches as an ASGI application.
+
+    It may come back from a copy that was taken earlier, which begins a new
+    era. In era 0 it sends no era.
+    """
 
     def __init__(self) -> None:
         self.down = False
+        self._era = 0
         self._revision = 1
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._history: list[tuple[str, dict[str, Any]]] = []
@@ -44,10 +60,37 @@
         """Remove an object as an operator does."""
         self._delete(STORE_KINDS[kind], name)
 
+    @property
+    def era(self) -> int:
+        """Return how often the store has come back from a copy."""
+        return self._era
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all objects and of the history."""
+        return StoreCopy(
+            revision=self._revision,
+            objects=dict(self._objects),
+            history=list(self._history),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy and forget what was written since."""
+        self._era += 1
+        self._revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._history = list(copy.history)
+        # Watches of the era before end with the answer of this one.
+        self._signal_change()
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         read = await read_request(scope, receive, MAX_BODY_BYTES)
         response = await self._handle(read.ok) if read.is_ok() else read.error
+        if self._era:
+            era = str(self._era).encode()
+            response = evolve(
+                response, headers=[*response.headers, (STORE_ERA_HEADER, era)]
+            )
         await send_response(send, response)
 
     async def _handle(self, request: Request) -> Response:
@@ -80,14 +123,22 @@
         )
 
     async def _watch(self, kind: str, after: int, wait_s: float) -> Response:
+        era = self._era
         with trio.move_on_after(wait_s):
-            while not self.down and not self._find_events(kind, after):
+            while self._waits(era, kind, after):
                 await self._changed.wait()
         if self.down:
             return plain_response(503, "the store is down")
+        if era != self._era or after > self._revision:
+            return plain_response(410, "no such revision")
         events = self._find_events(kind, after)
         return json_response(200, {"events": events, "at_rev": self._revision})
 
+    def _waits(self, era: int, kind: str, after: int) -> bool:
+        if self.down or era != self._era or after > self._revision:
+            return False
+        return not self._find_events(kind, after)
+
     def _find_events(self, kind: str, after: int) -> list[dict[str, Any]]:
         return [
             event
@@ -144,5 +195,8 @@
 
     def _record_event(self, kind: str, event: dict[str, Any]) -> None:
         self._history.append((kind, event))
+        self._signal_change()
+
+    def _signal_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/tests/platform/test_object_store.py
+++ b/tests/platform/test_object_store.py
@@ -11,7 +11,9 @@
 from catkinhollow.generated.relay import Document, OrderState
 from catkinhollow.platform.object_store import PlatformStore
 from catkinhollow.platform.objects import decode_object
+from catkinhollow.platform.standin_store import StandInStore
 from catkinhollow.relay.documents.document_handler import DocumentValidator
+from catkinhollow.relay.documents.store_revision import join_revision
 
 ORDER = {
     "metadata": {"name": "stock", "revision": 12, "created_rev": 9},
@@ -187,3 +189,85 @@
     listing = (await store.list_objects("daemons")).ok
     assert [stored.name for stored in listing.objects] == ["a", "b"]
     assert app.calls[1][1].endswith("?after=a")
+
+
+class EraApp(ScriptedApp):
+    """Add a scripted era to each answer."""
+
+    def __init__(self, responses, eras):
+        super().__init__(responses)
+        self.eras = eras
+
+    async def __call__(self, scope, receive, send):
+        era = self.eras.pop(0)
+
+        async def send_with_era(message):
+            if "headers" in message and era is not None:
+                message = {**message, "headers": [(b"Store-Era", era)]}
+            await send(message)
+
+        await super().__call__(scope, receive, send_with_era)
+
+
+def make_era_store(nursery, *answers):
+    """Return a store whose answers are pairs of an era and a body."""
+    app = EraApp([(200, body) for _, body in answers], [era for era, _ in answers])
+    return app, PlatformStore("127.0.0.1:1", lambda expiry_s: AsgiPool(app, nursery))
+
+
+async def test_revisions_hold_the_era_of_the_store(nursery):
+    """Guards against numbers that are compared across a return from a copy."""
+    page = {"items": [ORDER], "has_more": False, "at_rev": 20}
+    app, store = make_era_store(nursery, (None, page), (b"2", page), (b"2", ORDER))
+    assert (await store.list_objects("orders")).ok.revision == 20
+    listing = (await store.list_objects("orders")).ok
+    assert listing.revision == join_revision(2, 20)
+    revision = listing.objects[0].revision
+    assert revision == join_revision(2, 12)
+    progress = {"version": "v2", "state": "done", "percent": 100.0, "order": 9}
+    await store.put("orders", "stock", progress, if_revision=revision)
+    assert app.calls[2][2]["metadata"]["revision"] == 12
+
+
+async def test_watch_of_an_assigned_revision_is_followed_by_a_listing(nursery):
+    """Guards against changes between the copy and the number of the watch."""
+    events = {"events": [], "at_rev": 30}
+    page = {"items": [ORDER], "has_more": False, "at_rev": 30}
+    app, store = make_era_store(nursery, (b"1", events), (b"1", page))
+    listing = (await store.watch("orders", after=20, wait_s=1.0)).ok
+    assert listing.complete
+    assert listing.revision == join_revision(1, 30)
+    assert app.calls[1][1] == "/objects/rollouts"
+
+
+async def test_era_that_changes_between_two_pages_spoils_the_listing(nursery):
+    """Guards against a listing of which one half is lost."""
+    first = {"items": [ORDER], "has_more": True, "at_rev": 20}
+    last = {"items": [], "has_more": False, "at_rev": 15}
+    _, store = make_era_store(nursery, (b"1", first), (b"2", last))
+    assert (await store.list_objects("orders")).is_error()
+
+
+@pytest.mark.parametrize("era", [b"", b"-1", b"x", b"1" * 30, "٣".encode()])
+async def test_era_that_cannot_be_read_counts_as_none(nursery, era):
+    """Guards against a daemon that a malformed header ends or blinds."""
+    page = {"items": [], "has_more": False, "at_rev": 20}
+    _, store = make_era_store(nursery, (era, page), (None, page))
+    assert (await store.list_objects("orders")).ok.revision == 20
+    assert (await store.list_objects("orders")).ok.revision == 20
+
+
+async def test_stand_in_refuses_a_watch_of_a_revision_that_it_lacks(nursery):
+    """Guards against a stand-in that hides what the platform's store does."""
+    app = StandInStore()
+    copy = app.take_copy()
+    app.write("evacuations", "a", {})
+    pool = AsgiPool(app, nursery)
+    url = "http://127.0.0.1:1/objects/evacuations?watch=2&wait_ms=100"
+    response = await pool.request("GET", url)
+    assert response.status == 200
+    assert all(name != b"store-era" for name, _ in response.headers)
+    app.restore(copy)
+    response = await pool.request("GET", url)
+    assert response.status == 410
+    assert (b"store-era", b"1") in response.headers
