Keep what is enforced when the store comes back from a copy

Cause: a listing of the copy deleted records, orders and evacuations that it lacked, brought back evacuations whose removal was lost, showed done moves as running, and its older configuration was refused with digests that differ.

Followers drop listings of an older era than any document.

--- a/catkinhollow/relay/documents/document_flood.py
+++ b/catkinhollow/relay/documents/document_flood.py
@@ -13,6 +13,7 @@
 from attrs import define, field, frozen
 
 from catkinhollow.generated.relay import Document, DocumentVersion
+from catkinhollow.relay.documents.document_table import position
 
 # Documents up to this size are sent without being requested. An announcement
 # and a request take 150 bytes together.
@@ -122,7 +123,7 @@
     def passes(self, document: Document, source: str, now_s: float) -> bool:
         """Return whether a document passes now; hold it back otherwise."""
         held = self._held.get(document.name)
-        if held is not None and held[0].revision >= document.revision:
+        if held is not None and position(held[0]) >= position(document):
             return False
         passed_s = self._passed_s.get(document.name, -inf)
         is_large = len(document.body) > MAX_PUSHED_BYTES
--- a/catkinhollow/relay/documents/document_sync.py
+++ b/catkinhollow/relay/documents/document_sync.py
@@ -25,6 +25,7 @@
     pack_documents,
     unpack_documents,
 )
+from catkinhollow.relay.documents.kept_documents import DocumentKeeper
 from catkinhollow.relay.documents.kinds import DAEMONS
 from catkinhollow.timer import Timer
 
@@ -101,6 +102,7 @@
         self._flood = DocumentFlood()
         self._pulls = DocumentPulls(is_confirmed)
         self._damper = ChangeDamper()
+        self._keeper = DocumentKeeper()
         self._flush_due = self._pull_due = self._release_due = False
 
     @property
@@ -121,18 +123,33 @@
                 requests=delay.requests,
                 source=source,
             )
-        if not self._documents.is_newer(document) or not self._accepts(document):
+        if not self._documents.is_newer(document):
+            return
+        known = self._documents.find(document.name)
+        document = self._keeper.choose(known, document)
+        if not self._accepts(document):
             return
         if not self._damper.passes(document, source, now_s):
             self._schedule_release()
             return
+        era = self._documents.era
         if not self._documents.offer(document):
             return
+        if known is not None:
+            self._keeper.record_replaced(known, document)
+        if self._documents.era > era:
+            logger.warning(
+                "store came back from a copy",
+                era=self._documents.era,
+                name=document.name,
+                source=source,
+            )
         logger.debug(
             "document changed",
             name=document.name,
             revision=document.revision,
             deleted=document.deleted,
+            kept=document.kept is not None,
             source=source,
         )
         # Records of daemons come in bursts, and a late one does no harm.
--- a/catkinhollow/relay/documents/document_table.py
+++ b/catkinhollow/relay/documents/document_table.py
@@ -3,15 +3,20 @@
 The store revision of an object increases with every change. A daemon therefore
 never returns to an older revision, whether a document comes from the store or
 from a peer.
+
+When the store has come back from a copy, a document may keep its content under
+a revision of the new era. Among documents of one revision, the one whose
+content is newer counts as newer, so that all daemons end with the same one.
 """
 
 from collections.abc import Iterable
 from math import inf
 
-from attrs import define
+from attrs import define, evolve
 from xxhash import xxh3_64_intdigest
 
-from catkinhollow.generated.relay import Document, DocumentVersion
+from catkinhollow.generated.relay import Document, DocumentVersion, KeptContent
+from catkinhollow.relay.documents.store_revision import era_of
 
 # The store delivers a change to all daemons within milliseconds; documents are
 # only requested from a peer if a difference lasts longer than this.
@@ -94,12 +99,18 @@
     def __init__(self) -> None:
         self._documents: dict[str, Document] = {}
         self._digest = EMPTY_DIGEST
+        self._era = 0
 
     @property
     def digest(self) -> int:
         """Return a hash of all revisions."""
         return self._digest
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that a document has shown."""
+        return self._era
+
     @property
     def versions(self) -> list[DocumentVersion]:
         """Return the revision of each document."""
@@ -113,6 +124,10 @@
         document = self._documents.get(name)
         return None if document is None or document.deleted else document
 
+    def find(self, name: str) -> Document | None:
+        """Return a document or its deletion, None if it is unknown."""
+        return self._documents.get(name)
+
     def revision(self, name: str) -> int:
         """Return the revision of a document, -1 if it is unknown."""
         document = self._documents.get(name)
@@ -134,7 +149,7 @@
     def is_newer(self, document: Document) -> bool:
         """Return whether a document is newer than the known one."""
         known = self._documents.get(document.name)
-        return known is None or known.revision < document.revision
+        return known is None or position(known) < position(document)
 
     def offer(self, document: Document) -> bool:
         """Store a document if it is newer; return whether it was stored."""
@@ -145,30 +160,75 @@
             self._digest ^= _hash(known)
         self._documents[document.name] = document
         self._digest ^= _hash(document)
+        self._era = max(self._era, era_of(document.revision))
         return True
 
     def find_deletions(
         self, kind: str, names: set[str], revision: int
     ) -> list[Document]:
-        """Return deletions of documents missing from a complete listing.
+        """Return the changes of documents that a complete listing lacks.
 
-        Documents newer than the listing's revision are kept.
+        Documents newer than the listing's revision are kept. A document of an
+        older era may be missing because the store has lost it: it keeps its
+        content until its writer writes it again.
         """
-        return [
-            Document(name=document.name, revision=revision, deleted=True, body=b"")
-            for document in self.of_kind(kind)
-            if document.name not in names and document.revision < revision
-        ]
+        changes = []
+        for document in self.of_kind(kind):
+            if document.name in names or document.revision >= revision:
+                continue
+            if era_of(document.revision) < era_of(revision):
+                changes.append(keep_content(document, revision, unstored=True))
+            elif not is_unstored(document):
+                changes.append(
+                    Document(
+                        name=document.name, revision=revision, deleted=True, body=b""
+                    )
+                )
+        return changes
 
     def newer_than(self, versions: Iterable[DocumentVersion]) -> list[Document]:
-        """Return the documents that a peer with these versions lacks."""
+        """Return the documents that a peer with these versions lacks.
+
+        The versions do not tell which content they stand for, so that kept
+        content is always returned.
+        """
         known = {version.name: version.revision for version in versions}
         return [
             document
             for document in self._documents.values()
-            if document.revision > known.get(document.name, -1)
+            if document.kept is not None
+            or document.revision > known.get(document.name, -1)
         ]
 
 
+def content_revision(document: Document) -> int:
+    """Return the revision at which the store held a document's content."""
+    return document.revision if document.kept is None else document.kept.revision
+
+
+def keep_content(document: Document, revision: int, *, unstored: bool) -> Document:
+    """Return a document with the same content under a later revision."""
+    kept = KeptContent(revision=content_revision(document), unstored=unstored)
+    return evolve(document, revision=revision, kept=kept)
+
+
+def is_unstored(document: Document) -> bool:
+    """Return whether the store shows no object that the content belongs to."""
+    return document.kept is not None and document.kept.unstored
+
+
+def delete_kept(document: Document) -> Document:
+    """Return the deletion of a document that only the daemons hold."""
+    kept = KeptContent(revision=content_revision(document) + 1, unstored=True)
+    return evolve(document, deleted=True, body=b"", kept=kept)
+
+
+def position(document: Document) -> tuple[int, int]:
+    """Return by what documents of one name are ordered."""
+    kept = document.kept
+    return document.revision, 0 if kept is None else kept.revision
+
+
 def _hash(document: Document) -> int:
-    return xxh3_64_intdigest(f"{document.name} {document.revision}".encode())
+    kept = "" if document.kept is None else f" {document.kept.revision}"
+    return xxh3_64_intdigest(f"{document.name} {document.revision}{kept}".encode())
--- a/catkinhollow/relay/documents/store_follower.py
+++ b/catkinhollow/relay/documents/store_follower.py
@@ -23,6 +23,7 @@
 from catkinhollow.relay.documents.document_table import STORE_SOURCE, DocumentTable
 from catkinhollow.relay.documents.kinds import DAEMONS, KINDS
 from catkinhollow.relay.documents.store_monitor import ProbedStore, StoreMonitor
+from catkinhollow.relay.documents.store_revision import era_of, join_revision
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.timer import Clock
 
@@ -55,6 +56,8 @@
 # before it reads the store itself.
 PEER_WAIT_S = 1.0
 
+OLDER_ERA = "answer of an older era"
+
 OnDocument = Callable[[Document, str], None]
 
 
@@ -225,6 +228,9 @@
         if result.is_error():
             logger.warning("store not read", kind=kind, reason=result.error.reason)
             return False
+        if self._is_of_older_era(result.ok):
+            logger.warning("store not read", kind=kind, reason=OLDER_ERA)
+            return False
         self._apply_listing(kind, result.ok)
         return True
 
@@ -281,6 +287,7 @@
             lost_s = inf
             backoff.reset()
             self._record_success(kind)
+            self._expect_era(followed, result.ok.revision)
             fast_changing = self._find_fast_changing(result.ok, fast_changing)
             followed.set_revision(self._apply_listing(kind, result.ok))
             if kind == DAEMONS and result.ok.objects:
@@ -290,6 +297,15 @@
         self, kind: str, followed: _FollowedKind, *, is_listing: bool
     ) -> Result[ObjectList, StoreError]:
         """Watch a kind, or list it if changes may have been missed."""
+        result = await self._read_changes(kind, followed, is_listing=is_listing)
+        if result.is_ok() and self._is_of_older_era(result.ok):
+            error = StoreError(kind=StoreErrorKind.UNAVAILABLE, reason=OLDER_ERA)
+            return Error(error)
+        return result
+
+    async def _read_changes(
+        self, kind: str, followed: _FollowedKind, *, is_listing: bool
+    ) -> Result[ObjectList, StoreError]:
         with trio.CancelScope() as followed.call:
             if followed.revision is None or is_listing:
                 return await self._store.list_objects(kind)
@@ -299,6 +315,23 @@
         error = StoreError(kind=StoreErrorKind.UNAVAILABLE, reason="no answer")
         return Error(error)
 
+    def _is_of_older_era(self, listing: ObjectList) -> bool:
+        """Return whether a document has shown a newer era of the store."""
+        return era_of(listing.revision) < self._table.era
+
+    def _expect_era(self, answered: _FollowedKind, revision: int) -> None:
+        """Expect the other kinds to show the era of an answer as well.
+
+        Their watches may wait on connections that the store has lost.
+        """
+        if era_of(revision) <= era_of(answered.revision or 0):
+            return
+        now_s = self._clock.monotonic()
+        for followed in self._followed.values():
+            is_older = era_of(followed.revision or 0) < era_of(revision)
+            if followed is not answered and is_older:
+                followed.expect(join_revision(era_of(revision), 0), now_s)
+
     def _find_fast_changing(
         self, listing: ObjectList, known: dict[str, int]
     ) -> dict[str, int]:
