--- a/catkinhollow/platform/headers.py
+++ b/catkinhollow/platform/headers.py
@@ -13,3 +13,6 @@
     caller_service=b"x-caller-service",
     organisation=b"x-tenant",
 )
+
+# Rises by one each time the store comes back from a copy; 0 if it is missing.
+STORE_ERA_HEADER = b"store-era"
--- a/catkinhollow/relay/documents/document_flood.py
+++ b/catkinhollow/relay/documents/document_flood.py
@@ -15,6 +15,7 @@
 from attrs import define, field, frozen
 
 from catkinhollow.generated.relay import Document, DocumentVersion
+from catkinhollow.relay.documents.document_table import position
 from catkinhollow.relay.documents.kinds import CONFIGURATION
 
 # Documents up to this size are sent without being requested. An announcement
@@ -150,7 +151,7 @@
     def is_too_soon(self, document: Document, now_s: float) -> bool:
         """Return whether a document would be held back now."""
         held = self._held.get(document.name)
-        if held and held[0][0].revision >= document.revision:
+        if held and position(held[0][0]) >= position(document):
             return True
         passed_s = self._passed_s.get(document.name, -inf)
         return now_s - passed_s < _min_interval_s(document)
@@ -159,9 +160,9 @@
         """Return whether a document passes now; hold it back otherwise."""
         if self.is_too_soon(document, now_s):
             held = self._held.setdefault(document.name, [])
-            if all(known.revision != document.revision for known, _ in held):
+            if all(position(known) != position(document) for known, _ in held):
                 held.append((document, source))
-                held.sort(key=lambda item: -item[0].revision)
+                held.sort(key=lambda item: position(item[0]), reverse=True)
             return False
         self._held.pop(document.name, None)
         self._passed_s[document.name] = now_s
--- a/catkinhollow/relay/documents/document_handler.py
+++ b/catkinhollow/relay/documents/document_handler.py
@@ -18,7 +18,7 @@
 from catkinhollow.relay.documents.configuration_check import find_error
 from catkinhollow.relay.documents.configuration_decoder import ConfigurationDecoder
 from catkinhollow.relay.documents.document_sync import DocumentChanged
-from catkinhollow.relay.documents.document_table import DocumentTable
+from catkinhollow.relay.documents.document_table import DocumentTable, is_unstored
 from catkinhollow.relay.documents.kinds import (
     CONFIGURATION,
     DAEMONS,
@@ -187,7 +187,12 @@
             self._moves.remove_order(service)
             return
         order: MoveOrder = self._decode(document)
-        self._moves.update_order(order, document.revision)
+        self._moves.update_order(
+            order,
+            document.revision,
+            kept=document.kept is not None,
+            unstored=is_unstored(document),
+        )
         progress = order.progress
         logger.info(
             "move order",
--- a/catkinhollow/relay/documents/document_sync.py
+++ b/catkinhollow/relay/documents/document_sync.py
@@ -27,6 +27,7 @@
     pack_documents,
     unpack_documents,
 )
+from catkinhollow.relay.documents.kept_documents import DocumentKeeper
 from catkinhollow.relay.documents.kinds import DAEMONS
 from catkinhollow.timer import Timer
 
@@ -111,6 +112,7 @@
         self._flood = DocumentFlood()
         self._pulls = DocumentPulls(is_confirmed)
         self._damper = ChangeDamper()
+        self._keeper = DocumentKeeper()
         self._flush_due = self._pull_due = self._release_due = False
         self._announce_due = False
 
@@ -137,16 +139,29 @@
         if self._damper.is_too_soon(document, now_s):
             self._hold_back(document, source, now_s)
             return
+        known = self._documents.find(document.name)
+        document = self._keeper.choose(known, document)
         if not self._accepts(document):
             return
         self._damper.passes(document, source, now_s)
+        era = self._documents.era
         if not self._documents.offer(document):
             return
+        if known is not None:
+            self._keeper.record_replaced(known, document)
+        if self._documents.era > era:
+            logger.warning(
+                "store came back from a copy",
+                era=self._documents.era,
+                name=document.name,
+                source=source,
+            )
         logger.debug(
             "document changed",
             name=document.name,
             revision=document.revision,
             deleted=document.deleted,
+            kept=document.kept is not None,
             source=source,
         )
         # Records of daemons come in bursts, and a late one does no harm.
@@ -268,8 +283,10 @@
         if len(held) > MAX_HELD_REVISIONS:
             # The newest one that is valid replaces all others.
             has_valid = False
+            in_force = self._documents.find(document.name)
             for known, _ in held:
-                if has_valid or not self._accepts(known):
+                chosen = self._keeper.choose(in_force, known)
+                if has_valid or not self._accepts(chosen):
                     self._damper.drop(known)
                 else:
                     has_valid = True
