--- a/catkinhollow/relay/organisations/access.py
+++ b/catkinhollow/relay/organisations/access.py
@@ -12,6 +12,7 @@
 from catkinhollow.generated.relay import Call, Organisation, RelayConfiguration
 from catkinhollow.relay.organisations.freshness import Freshness, may_run
 from catkinhollow.relay.organisations.keys import (
+    ANONYMOUS,
     AUTHORIZATION_HEADER,
     UNKNOWN_KEY,
     Caller,
@@ -38,6 +39,7 @@
 Refusal: TypeAlias = Unauthorized | Stale
 Access: TypeAlias = Granted | Refusal
 
+GRANTED = Granted(ANONYMOUS)
 STALE = Stale()
 
 
@@ -72,6 +74,8 @@
 
     def admit(self, headers: Headers, now_s: float, *, allow_anonymous: bool) -> Access:
         """Decide about a request with these headers."""
+        if not self.has_organisations:
+            return GRANTED
         values = [value for name, value in headers if name == AUTHORIZATION_HEADER]
         caller = self._keys.identify(values, allow_anonymous=allow_anonymous)
         if isinstance(caller, Unauthorized):
