Place calls by the speed of targets

The gate learns the speed of its target from the load header and from the runs, apart from the mix of its calls, and corrects its expected run times by it. Ingress daemons choose by the expected end where targets differ.

--- a/catkinhollow/platform/headers.py
+++ b/catkinhollow/platform/headers.py
@@ -11,4 +11,5 @@
     lifetime=b"x-instance-id",
     cold_remaining=b"x-cold-ms",
     caller_service=b"x-caller-service",
+    load=b"x-server-load",
 )
--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -30,6 +30,8 @@
     ArrivalRate,
     estimate_overtaken_wait_s,
 )
+from catkinhollow.relay.admission.target_load import LoadFigures
+from catkinhollow.relay.admission.target_speed import TargetSpeed
 from catkinhollow.relay.admission.token_bucket import TokenBucket
 from catkinhollow.relay.links.link_pacer import MIN_BULK_BYTES
 
@@ -132,6 +134,11 @@
     """Average size of the answers of each route."""
     _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
     """Arrival rate of each urgency: the rank and latency of the calls."""
+    _speed: TargetSpeed = field(factory=TargetSpeed)
+    _slowness: float = 0.0
+    """Slowness at the last event, 0 while no speed is in force."""
+    _in_target_queue: GateJob | None = None
+    """The call at the target that last had no slot there."""
     _departed_lifetimes: dict[str, int] = field(factory=dict)
     """Start in Unix ms of the lifetimes that departed last, oldest first."""
 
@@ -172,9 +179,20 @@
             return GateState.COLD
         return GateState.SERVING
 
-    def report(self, now_s: float) -> TargetReport:
-        """Return the report from which peers choose a target for a call."""
+    def speed(self, now_s: float) -> float:
+        """Return the speed of the target relative to its usual one.
+
+        It is 0 if none is known.
+        """
+        return self._speed.speed(now_s)
+
+    def report(self, now_s: float, *, routes: bool = False) -> TargetReport:
+        """Return the report from which peers choose a target for a call.
+
+        The run times of the routes change slowly and are added on request.
+        """
         target = self._target
+        self._update_slowness(now_s)
         return TargetReport(
             state=self.state(now_s),
             lifetime=self.lifetime,
@@ -190,6 +208,9 @@
             taken_ms=int(now_s * 1000),
             runs=target.runs if target else 0,
             failures=target.failures if target else 0,
+            speed=self._speed.speed(now_s),
+            held_ms=self._held_ms() if self._slowness else 0.0,
+            route_ms=self._speed.route_times_ms() if routes else {},
         )
 
     def offer(self, job: GateJob, now_s: float) -> Admitted | Queued | Refused:
@@ -197,6 +218,7 @@
         state = self.state(now_s)
         if state not in OPEN_STATES:
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
+        self._update_slowness(now_s)
         urgency = (job.call.rank, job.call.latency_ms)
         self._arrival_rates.setdefault(urgency, ArrivalRate()).add(now_s)
         if not self._waiting and self._can_start(now_s):
@@ -223,6 +245,7 @@
             ]
             self._waiting.clear()
             return list(refused)
+        self._update_slowness(now_s)
         while self._waiting and self._can_start(now_s):
             job = self._waiting.pop(0)
             if now_s > self._latest_start_s(job):
@@ -254,6 +277,11 @@
         self._waiting.remove(job)
         return True
 
+    def record_load(self, figures: LoadFigures, now_s: float) -> None:
+        """Handle a report of the target about its load."""
+        if figures.slowness:
+            self._speed.report_figure(figures.slowness, now_s)
+
     def record_answer(self, job: GateJob, size_bytes: int) -> None:
         """Learn the size of the answers of a route."""
         route = job.call.route
@@ -267,6 +295,7 @@
     ) -> None:
         """Free the slot of a run and update the target's state from it."""
         self._running.discard(job)
+        self._pass_slot(job, now_s)
         broken = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT)
         failed = broken or status >= SERVER_ERROR
         target = self._target
@@ -289,6 +318,9 @@
             self._failing = False
         if kind is AttemptKind.ANSWERED and not failed or kind is AttemptKind.TIMEOUT:
             self._update_run_times(job, now_s - job.started_s)
+            if job.slot_s < now_s:
+                taken_s = max(MIN_RUN_TIME_S, now_s - job.slot_s)
+                self._speed.record_run(job.call.route, taken_s, job.slowness, now_s)
 
     def announce(self, announcement: Announcement, now_s: float) -> bool:
         """Handle an announcement; return False if a newer one is known."""
@@ -299,6 +331,8 @@
         if restarted or self._target is None:
             if known is None or announcement.version != known.version:
                 self._run_time_samples = 0
+                self._speed.forget_routes()
+            self._speed.restart()
             departed = announcement.started_ms <= self._departed_lifetimes.get(
                 announcement.lifetime, -1
             )
@@ -400,7 +434,11 @@
     def _start(self, job: GateJob, now_s: float) -> Admitted:
         if self._is_rate_limited(now_s):
             self._cold_bucket.take()
-        job.started_s = now_s
+        job.started_s = job.slot_s = now_s
+        if len(self._running) >= self._slots:
+            job.slot_s = inf
+            self._in_target_queue = job
+        job.slowness = self._speed.figure(now_s)
         job.lifetime = self.lifetime
         self._running.add(job)
         return Admitted(job)
@@ -412,7 +450,32 @@
                 return index
         return len(self._waiting)
 
+    def _pass_slot(self, job: GateJob, now_s: float) -> None:
+        """Let the call in the target's queue take the slot of a run."""
+        queued = self._in_target_queue
+        if queued is None:
+            return
+        if queued is not job and len(self._running) <= self._slots:
+            queued.slot_s = now_s
+            self._in_target_queue = None
+        elif queued is job:
+            self._in_target_queue = None
+
+    def _update_slowness(self, now_s: float) -> None:
+        speed = self._speed
+        self._slowness = speed.slowness(now_s) if speed.in_force else 0.0
+
+    def _held_ms(self) -> float:
+        """Return the usual run time of all calls together, in milliseconds."""
+        held_s = sum(map(self._expected_run_s, self._running))
+        held_s += sum(map(self._expected_run_s, self._waiting))
+        return round(1000.0 * held_s * self._speed.usual_figure / self._slowness, 1)
+
     def _expected_run_s(self, job: GateJob) -> float:
+        if self._slowness:
+            run_s = self._speed.expected_s(job.call.route, self._slowness)
+            if run_s is not None:
+                return run_s
         return self._route_run_time_s.get(job.call.route, self._run_time_s)
 
     def _expected_transfer_s(self, job: GateJob) -> float:
--- a/catkinhollow/relay/admission/gate_jobs.py
+++ b/catkinhollow/relay/admission/gate_jobs.py
@@ -39,6 +39,10 @@
     started_s: float = 0.0
     lifetime: str = ""
     """Lifetime of the target when the run started."""
+    slot_s: float = 0.0
+    """When the run got a slot of the target, infinity while it waits there."""
+    slowness: float = 1.0
+    """Slowness that the target reported when the run started."""
 
 
 @frozen
--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from catkinhollow.calls.egress import SendResult, TargetClient
-from catkinhollow.calls.exchange import Headers, Request
+from catkinhollow.calls.exchange import Headers, Request, Response
 from catkinhollow.calls.retries import SERVER_ERROR, AttemptKind
 from catkinhollow.generated.relay import (
     Answer,
@@ -25,6 +25,7 @@
     GateJob,
     Refused,
 )
+from catkinhollow.relay.admission.load_header import parse_load_header
 from catkinhollow.relay.header_names import HeaderNames
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.timer import Subscription, Timer
@@ -38,6 +39,13 @@
 # A run may last this much longer than the ingress daemon waits, so that a
 # late answer still completes the HTTP exchange with the target.
 RUN_TIMEOUT_MARGIN_S = 0.1
+# Interval of the checks for lines about the load of the target, and the speeds
+# below and above which a slow-down begins and ends in the log.
+LOAD_LOG_INTERVAL_S = 1.0
+SLOW_LOG_START = 0.5
+SLOW_LOG_END = 0.8
+# Bytes of a malformed header in its log line.
+MAX_LOGGED_BYTES = 64
 
 
 @define(eq=False, kw_only=True)
@@ -83,6 +91,8 @@
         self._wakeup_due_s = inf
         self._probed_s = -inf
         self._health_path = "/health"
+        self._refused_load = b""
+        self._slow_logged = False
         self._state = gate.state(self._clock.monotonic())
 
     @property
@@ -100,6 +110,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._timer.subscribe(PROBE_INTERVAL_S, self._probe_if_due)
+            self._timer.subscribe(LOAD_LOG_INTERVAL_S, self._log_load)
             self._probe_if_due()
             await trio.sleep_forever()
 
@@ -270,6 +281,8 @@
     def _finish(self, submission: Submission, attempt: SendResult) -> None:
         job = submission.job
         now_s = self._clock.monotonic()
+        if attempt.response is not None:
+            self._read_load(attempt.response, now_s)
         self._gate.finish(job, attempt.kind, attempt.status, now_s)
         self._submissions.pop(job, None)
         if attempt.response is not None:
@@ -310,6 +323,19 @@
             report=report,
         )
 
+    def _read_load(self, response: Response, now_s: float) -> None:
+        value = response.header(self._header_names.load)
+        if value is None:
+            return
+        figures = parse_load_header(value)
+        if figures is not None:
+            self._gate.record_load(figures, now_s)
+        elif value != self._refused_load:
+            # A target repeats a malformed value with each answer.
+            self._refused_load = value
+            text = value[:MAX_LOGGED_BYTES].decode("latin-1")
+            logger.warning("load header ignored", value=text)
+
     def _build_target_request(self, job: GateJob) -> Request:
         call = job.call
         left_ms = max(1, int((job.deadline_s - self._clock.monotonic()) * 1000))
@@ -328,6 +354,13 @@
             body=call.body,
         )
 
+    def _log_load(self) -> None:
+        speed = self._gate.speed(self._clock.monotonic())
+        slow = 0.0 < speed < (SLOW_LOG_END if self._slow_logged else SLOW_LOG_START)
+        if slow is not self._slow_logged:
+            self._slow_logged = slow
+            logger.info("target speed", speed=speed, lifetime=self._gate.lifetime)
+
     def _probe_if_due(self) -> None:
         now_s = self._clock.monotonic()
         due = now_s - self._probed_s >= PROBE_INTERVAL_S
@@ -355,6 +388,7 @@
             )
             cold_ms = _parse_number(response.header(self._header_names.cold_remaining))
             now_s = self._clock.monotonic()
+            self._read_load(response, now_s)
             self._gate.probe_passed(lifetime, cold_ms / 1000.0, now_s)
         self.advance()
 
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -449,6 +449,7 @@
         metrics.version.set({}, max(0, self._validator.version))
         metrics.gate_calls.set({"state": "running"}, gate.running)
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
+        metrics.target_speed.set({}, gate.speed(self._clock.monotonic()))
         metrics.dials.set({}, self._link.counters.dials)
         metrics.link_wait_seconds.set({}, self._link.backlog_s)
         linked = sum(peer.linked for peer in self._directory) - 1
--- a/catkinhollow/relay/header_names.py
+++ b/catkinhollow/relay/header_names.py
@@ -21,3 +21,4 @@
     lifetime: bytes = b"x-target-lifetime"
     cold_remaining: bytes = b"x-target-cold-ms"
     caller_service: bytes = b"x-caller-service"
+    load: bytes = b"x-target-load"
--- a/catkinhollow/relay/ingress.py
+++ b/catkinhollow/relay/ingress.py
@@ -252,6 +252,7 @@
         profile = CallProfile(
             answer_kb=self._mean_answer_kb.get(route.name, 0.0),
             target_latency_ms=route.target_latency_ms,
+            route=route.name,
         )
         return self._placer.choose(candidates, tried, profile)
 
--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -128,7 +128,8 @@
     def refresh_own_report(self) -> None:
         """Update the report of this daemon's own target."""
         now_s = self._clock.monotonic()
-        self._directory.own.update_report(self._gate.gate.report(now_s), now_s)
+        report = self._gate.gate.report(now_s, routes=True)
+        self._directory.own.update_report(report, now_s)
 
     def call(
         self, peer: Peer, call: Call, on_answer: Callable[[Answer], None]
@@ -414,7 +415,7 @@
             configured=self._is_configured(),
             store_age_ms=int(1000 * self._election.store_age_s(now_s)),
             open_calls=self._calls.open_calls(address),
-            report=self._gate.gate.report(now_s),
+            report=self._gate.gate.report(now_s, routes=True),
         )
         if self._sender.send_status(address, status):
             self._watch.record_status_sent(address, sent_ms)
--- a/catkinhollow/relay/placement/peers.py
+++ b/catkinhollow/relay/placement/peers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from math import inf
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 from xxhash import xxh3_64_intdigest
 
 from catkinhollow.generated.relay import DaemonRecord, Departure, TargetReport
@@ -34,6 +34,8 @@
     """Since when a wanted link to it is down, infinity if none is."""
     last_called_s: float = -inf
     """When this daemon last chose its target for a call."""
+    route_ms: dict[str, int] = field(factory=dict)
+    """Last reported run times of the routes, which only statuses carry."""
     departure: Departure | None = None
     """Latest departure of its target, which it forgets if it is restarted."""
 
@@ -45,6 +47,10 @@
         """
         if self.report is not None and 0 < report.taken_ms < self.report.taken_ms:
             return
+        if report.route_ms:
+            self.route_ms = report.route_ms
+        elif report.version != self.version:
+            self.route_ms = {}
         self.report = report
         self.reported_s = now_s
         self.sent_since_report = 0
--- a/catkinhollow/relay/placement/placer.py
+++ b/catkinhollow/relay/placement/placer.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Collection, Sequence
-from math import exp
+from math import ceil, exp
 from random import Random
 from typing import Protocol
 
@@ -17,6 +17,12 @@
 
 from catkinhollow.generated.relay import GateState, TargetReport
 from catkinhollow.relay.links.link_pacer import MIN_BULK_BYTES
+from catkinhollow.relay.placement.expected_end import (
+    RunEstimate,
+    estimate_run,
+    mean_run_ms,
+    targets_differ,
+)
 from catkinhollow.relay.placement.peers import Peer
 from catkinhollow.timer import Clock
 
@@ -30,6 +36,20 @@
 # targets when these are busy, while a target in the same failure domain that
 # has just reported free slots is always a good choice.
 JITTER_SHARE = 0.3
+# Random part of the expected end where targets differ in speed: at least, and
+# for a target that is full or whose report is old. With half of it a burst of
+# 78 daemons fills the fast targets first, and 0.02 more of the calls are late.
+MIN_SPREAD = 0.1
+SPREAD = 0.8
+# Cost of full utilization where targets differ in speed. Free slots are then
+# filled at all targets instead of those of the fastest first, so that a
+# target that slows down holds fewer runs.
+SPEED_BUSY_SHARE = 1.0
+# Share of the targets at the best distance among which a call is placed, a
+# random one for each call, where targets differ in speed. It bounds the share
+# of all daemons that choose the one target that looks best in all reports.
+SAMPLE_SHARE = 0.34
+MIN_SAMPLE = 4
 # Time constant with which the load in a report loses weight, several run
 # times long.
 REPORT_MEMORY_S = 1.0
@@ -75,6 +95,7 @@
     """Expected size of the answer in KiB."""
     target_latency_ms: float = 0.0
     """Time from the request to its soft deadline."""
+    route: str = ""
 
 
 class Placer(Protocol):
@@ -100,6 +121,8 @@
     freshness: float
     transfer_ms: float
     """Expected wait of the answer for the link of the gate's instance."""
+    run: RunEstimate | None = None
+    """Expected run times, None if the targets are equally fast."""
 
     @property
     def slots(self) -> int:
@@ -107,13 +130,23 @@
 
     @property
     def service_ms(self) -> float:
+        if self.run is not None:
+            return self.run.run_ms or DEFAULT_SERVICE_MS
         return self.report.service_ms or DEFAULT_SERVICE_MS
 
     @property
     def wait_ms(self) -> float:
         """Return the expected wait for a slot, and of the answer."""
         excess = max(0.0, self.load + 1 - self.slots)
-        return self.service_ms * excess / self.slots + self.transfer_ms
+        held_ms = self.service_ms
+        if self.run is not None:
+            held_ms = self.run.held_run_ms or DEFAULT_SERVICE_MS
+        return held_ms * excess / self.slots + self.transfer_ms
+
+    @property
+    def end_ms(self) -> float:
+        """Return the time by which targets of different speed are compared."""
+        return self.wait_ms + self.service_ms if self.run else self.wait_ms
 
 
 class LeastWaitPlacer:
@@ -150,6 +183,9 @@
         if best is None and available:
             estimated = self._estimate(available, profile, now_s)
             nearest = self._find_nearest(estimated, profile)
+            if nearest[0].run is not None:
+                count = max(MIN_SAMPLE, ceil(SAMPLE_SHARE * len(nearest)))
+                nearest = self._random.sample(nearest, min(len(nearest), count))
             best = min(nearest, key=self._cost_ms).peer
         if best is not None:
             best.last_called_s = now_s
@@ -164,6 +200,10 @@
         mean_utilization = _mean_utilization(available)
         has_body = profile.answer_kb * 1024 > MIN_BULK_BYTES
         candidates = []
+        differ = targets_differ(available, profile.route)
+        run_ms = 0.0
+        if differ:
+            run_ms = mean_run_ms((peer for peer, _ in available), profile.route)
         for peer, report in available:
             freshness = exp((peer.reported_s - now_s) / REPORT_MEMORY_S)
             load: float = freshness * (report.running + report.waiting)
@@ -172,7 +212,12 @@
             if report.state is GateState.COLD:
                 load = load * COLD_FACTOR + 1
             transfer_ms = freshness * report.transfer_ms if has_body else 0.0
-            candidates.append(_Candidate(peer, report, load, freshness, transfer_ms))
+            run = None
+            if differ:
+                run = estimate_run(peer, report, profile.route, run_ms, freshness)
+            candidates.append(
+                _Candidate(peer, report, load, freshness, transfer_ms, run)
+            )
         return candidates
 
     def _find_nearest(
@@ -188,10 +233,10 @@
         )
 
     def _tier_cost_ms(self, tier: list[_Candidate], profile: CallProfile) -> float:
-        best = min(tier, key=lambda candidate: candidate.wait_ms)
+        best = min(tier, key=lambda candidate: candidate.end_ms)
         distance = self._distance(best.peer)
         if not distance:
-            return best.wait_ms
+            return best.end_ms
         distances = self._distances
         cost_ms = distances.other_domain_ms_per_kb * profile.answer_kb
         cost_ms += distances.other_domain_ms
@@ -199,7 +244,7 @@
         cost_ms = max(cost_ms, distances.spare_time_share * spare_ms)
         if distance > 1:
             cost_ms += distances.other_region_ms
-        return best.wait_ms + cost_ms
+        return best.end_ms + cost_ms
 
     def _choose_new(
         self, available: Sequence[tuple[Peer, TargetReport]], now_s: float
@@ -226,10 +271,26 @@
         """Return the randomized cost of a gate among those equally near."""
         utilization = candidate.load / candidate.slots
         uncertainty = max(min(1.0, utilization), 1.0 - candidate.freshness)
+        if candidate.run is not None:
+            return self._random_end_ms(candidate, utilization, uncertainty)
         share = BUSY_SHARE * utilization
         share += JITTER_SHARE * uncertainty * self._random.random()
         return candidate.wait_ms + candidate.service_ms * share
 
+    def _random_end_ms(
+        self, candidate: _Candidate, utilization: float, uncertainty: float
+    ) -> float:
+        """Return the randomized cost of a gate where targets differ in speed.
+
+        The least of exponentially distributed costs falls on each target in
+        inverse proportion to its mean, so that fast targets get more of a
+        burst and none gets all of it.
+        """
+        end_ms = candidate.end_ms
+        end_ms += candidate.service_ms * SPEED_BUSY_SHARE * utilization
+        spread = max(MIN_SPREAD, SPREAD * uncertainty)
+        return end_ms * (1.0 - spread + spread * self._random.expovariate(1.0))
+
     def _distance(self, peer: Peer) -> int:
         """Return 0 in the failure domain, 1 in the region, 2 elsewhere."""
         own, other = self._own.record, peer.record
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -33,6 +33,11 @@
             "Calls at the gate of this instance by state",
             registry=registry,
         )
+        self.target_speed = Gauge(
+            "catkinhollow_relay_target_speed",
+            "Speed of the target relative to its usual one, 0 if none is known",
+            registry=registry,
+        )
         self.version = Gauge(
             "catkinhollow_relay_configuration_version",
             "Version of the configuration in force",
--- a/tests/relay/admission/test_gate_service.py
+++ b/tests/relay/admission/test_gate_service.py
@@ -21,11 +21,12 @@
 
     def __init__(self):
         self.timeouts_s = []
+        self.headers = []
 
     async def send(self, address, request, timeout_s):
         self.timeouts_s.append(timeout_s)
         await trio.lowlevel.checkpoint()
-        response = Response(status=200, headers=[], body=b"")
+        response = Response(status=200, headers=self.headers, body=b"")
         return SendResult(kind=AttemptKind.ANSWERED, response=response)
 
 
@@ -72,3 +73,28 @@
     await trio.sleep(0.1)
     assert [answer.outcome for answer in answers] == [CallOutcome.ANSWERED]
     assert service._client.timeouts_s[0] <= 0.4
+
+
+async def test_load_header_of_an_answer_reaches_the_gate(service, autojump_clock):
+    """Guards against a load that is read, but not used."""
+    service._client.headers = [(b"x-target-load", b"0,0,2,400")]
+    service.submit(make_call(), lambda answer: None)
+    await trio.sleep(0.1)
+    assert service.gate.speed(trio.current_time()) == 1.0
+    service._client.headers = [(b"x-target-load", b"0,0,2,100")]
+    service.submit(make_call(2), lambda answer: None)
+    await trio.sleep(0.1)
+    assert service.gate.speed(trio.current_time()) > 2.0
+
+
+async def test_malformed_load_header_is_logged_once(service, autojump_clock, caplog):
+    """Guards against a log line per call, and against a lost answer."""
+    service._client.headers = [(b"x-target-load", b"many")]
+    answers = []
+    for number in range(5):
+        service.submit(make_call(number), answers.append)
+        await trio.sleep(0.1)
+    assert [answer.outcome for answer in answers] == [CallOutcome.ANSWERED] * 5
+    assert service.gate.speed(trio.current_time()) == 0.0
+    lines = [line for line in caplog.messages if "load header ignored" in line]
+    assert len(lines) == 1
