--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -30,7 +30,7 @@
     ArrivalRate,
     estimate_overtaken_wait_s,
 )
-from catkinhollow.relay.admission.target_load import LoadFigures
+from catkinhollow.relay.admission.target_load import LoadFigures, UnknownLoad
 from catkinhollow.relay.admission.target_speed import TargetSpeed
 from catkinhollow.relay.admission.token_bucket import TokenBucket
 from catkinhollow.relay.links.link_pacer import MIN_BULK_BYTES
@@ -135,6 +135,7 @@
     _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
     """Arrival rate of each urgency: the rank and latency of the calls."""
     _speed: TargetSpeed = field(factory=TargetSpeed)
+    _unknown_load: UnknownLoad = field(factory=UnknownLoad)
     _slowness: float = 0.0
     """Slowness at the last event, 0 while no speed is in force."""
     _in_target_queue: GateJob | None = None
@@ -186,6 +187,18 @@
         """
         return self._speed.speed(now_s)
 
+    def occupied(self, now_s: float) -> int:
+        """Return how many calls the target holds beyond those of the gate."""
+        return self._unknown_load.count(now_s)
+
+    def needs_load(self, now_s: float) -> bool:
+        """Return whether a health check would clarify the target's load."""
+        if not self._unknown_load.seen:
+            return False
+        if self._unknown_load.count(now_s):
+            return True
+        return bool(self._running) and self._unknown_load.is_old(now_s)
+
     def report(self, now_s: float, *, routes: bool = False) -> TargetReport:
         """Return the report from which peers choose a target for a call.
 
@@ -201,7 +214,7 @@
             and (target.departed or target.announcement.draining),
             version=target.announcement.version if target else "",
             slots=self._effective_slots(now_s),
-            running=len(self._running),
+            running=len(self._running) + self.occupied(now_s),
             waiting=len(self._waiting),
             service_ms=self._run_time_s * 1000.0,
             transfer_ms=self.link_wait_s() * 1000.0,
@@ -262,6 +275,7 @@
         if not self._waiting:
             return inf
         due_s = min(self._latest_start_s(job) for job in self._waiting)
+        due_s = min(due_s, self._unknown_load.changes_s(now_s))
         if (
             self._is_rate_limited(now_s)
             and len(self._running) < self._slots + PREFETCHED_CALLS
@@ -278,7 +292,11 @@
         return True
 
     def record_load(self, figures: LoadFigures, now_s: float) -> None:
-        """Handle a report of the target about its load."""
+        """Handle a report of the target about its load.
+
+        The call whose answer carries the report still counts as running.
+        """
+        self._unknown_load.record(figures, len(self._running), now_s)
         if figures.slowness:
             self._speed.report_figure(figures.slowness, now_s)
 
@@ -294,6 +312,10 @@
         self, job: GateJob, kind: AttemptKind, status: int, now_s: float
     ) -> None:
         """Free the slot of a run and update the target's state from it."""
+        if kind in (AttemptKind.CANCELLED, AttemptKind.TIMEOUT):
+            self._unknown_load.abandon(now_s)
+        else:
+            self._unknown_load.record_end(len(self._running), now_s)
         self._running.discard(job)
         self._pass_slot(job, now_s)
         broken = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT)
@@ -333,6 +355,7 @@
                 self._run_time_samples = 0
                 self._speed.forget_routes()
             self._speed.restart()
+            self._unknown_load.restart()
             departed = announcement.started_ms <= self._departed_lifetimes.get(
                 announcement.lifetime, -1
             )
@@ -424,7 +447,8 @@
         )
 
     def _can_start(self, now_s: float) -> bool:
-        if len(self._running) >= self._slots + PREFETCHED_CALLS:
+        held = len(self._running) + self.occupied(now_s)
+        if held >= self._slots + PREFETCHED_CALLS:
             return False
         if not self._is_rate_limited(now_s):
             return True
@@ -493,6 +517,10 @@
         # On average a slot becomes free after one run time divided by the
         # number of slots.
         work_s += self._mean_running_s()
+        occupied = self.occupied(now_s)
+        if occupied:
+            excess = len(self._running) + occupied - self._slots
+            work_s += max(0, excess) * self._run_time_s
         return self._rate_limited_wait_s(work_s, position, now_s)
 
     def _rate_limited_wait_s(self, work_s: float, position: int, now_s: float) -> float:
--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -93,6 +93,7 @@
         self._health_path = "/health"
         self._refused_load = b""
         self._slow_logged = False
+        self._occupied_logged = False
         self._state = gate.state(self._clock.monotonic())
 
     @property
@@ -360,11 +361,21 @@
         if slow is not self._slow_logged:
             self._slow_logged = slow
             logger.info("target speed", speed=speed, lifetime=self._gate.lifetime)
+        occupied = self._gate.occupied(self._clock.monotonic())
+        if bool(occupied) is not self._occupied_logged:
+            self._occupied_logged = bool(occupied)
+            logger.info(
+                "target occupied by unknown calls",
+                calls=occupied,
+                running=self._gate.running,
+                lifetime=self._gate.lifetime,
+            )
 
     def _probe_if_due(self) -> None:
         now_s = self._clock.monotonic()
         due = now_s - self._probed_s >= PROBE_INTERVAL_S
-        if self._nursery is not None and self._gate.needs_probe and due:
+        needed = self._gate.needs_probe or self._gate.needs_load(now_s)
+        if self._nursery is not None and needed and due:
             self._probed_s = now_s
             self._nursery.start_soon(self._probe)
 
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -449,7 +449,9 @@
         metrics.version.set({}, max(0, self._validator.version))
         metrics.gate_calls.set({"state": "running"}, gate.running)
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
-        metrics.target_speed.set({}, gate.speed(self._clock.monotonic()))
+        now_s = self._clock.monotonic()
+        metrics.target_speed.set({}, gate.speed(now_s))
+        metrics.target_occupied.set({}, gate.occupied(now_s))
         metrics.dials.set({}, self._link.counters.dials)
         metrics.link_wait_seconds.set({}, self._link.backlog_s)
         linked = sum(peer.linked for peer in self._directory) - 1
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -33,6 +33,11 @@
             "Calls at the gate of this instance by state",
             registry=registry,
         )
+        self.target_occupied = Gauge(
+            "catkinhollow_relay_target_occupied",
+            "Calls that the target holds beyond those that its gate knows",
+            registry=registry,
+        )
         self.target_speed = Gauge(
             "catkinhollow_relay_target_speed",
             "Speed of the target relative to its usual one, 0 if none is known",
--- a/tests/relay/admission/test_gate_service.py
+++ b/tests/relay/admission/test_gate_service.py
@@ -22,10 +22,13 @@
     def __init__(self):
         self.timeouts_s = []
         self.headers = []
+        self.kind = AttemptKind.ANSWERED
 
     async def send(self, address, request, timeout_s):
         self.timeouts_s.append(timeout_s)
         await trio.lowlevel.checkpoint()
+        if self.kind is not AttemptKind.ANSWERED:
+            return SendResult(kind=self.kind)
         response = Response(status=200, headers=self.headers, body=b"")
         return SendResult(kind=AttemptKind.ANSWERED, response=response)
 
@@ -98,3 +101,13 @@
     assert service.gate.speed(trio.current_time()) == 0.0
     lines = [line for line in caplog.messages if "load header ignored" in line]
     assert len(lines) == 1
+
+
+async def test_run_without_an_answer_has_an_unknown_outcome(service, autojump_clock):
+    """Guards against the promise that an order at a hung target has not run."""
+    service._client.kind = AttemptKind.TIMEOUT
+    answers = []
+    service.submit(make_call(idempotent=False), answers.append)
+    await trio.sleep(0.1)
+    assert [answer.outcome for answer in answers] == [CallOutcome.UNKNOWN]
+    assert answers[0].reached_target
