Find the pace of targets that have just started or recovered

The gate raises and lowers the number of calls by the target's answers, and starts calls at a cold target one by one: with a burst of two, the first second had two calls more than the rate.

--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -30,6 +30,14 @@
     ArrivalRate,
     estimate_overtaken_wait_s,
 )
+from catkinhollow.relay.admission.pace import (
+    INITIAL_SHARE,
+    SHORT_DOWN_S,
+    SHORT_DOWN_SHARE,
+    NoPeers,
+    Pace,
+    ServicePeers,
+)
 from catkinhollow.relay.admission.target_load import LoadFigures, UnknownLoad
 from catkinhollow.relay.admission.target_speed import TargetSpeed
 from catkinhollow.relay.admission.token_bucket import TokenBucket
@@ -56,8 +64,16 @@
 # Added to the announced cold time, because the announcement is sent some time
 # before it arrives.
 COLD_MARGIN_S = 0.3
-# Calls that may start at once on a cold target, beyond its rate.
-COLD_BURST_CALLS = 2.0
+# Capacity of the rate limit of a cold target: calls start one by one. With
+# more, a second may contain more calls than the rate.
+COLD_BURST_CALLS = 1.0
+# Share of its rate at which calls start on a cold target, because the time
+# that they take to reach it varies.
+COLD_RATE_SHARE = 0.98
+# Announcements after which a target that a new daemon finds has not just
+# started, and the time for which the daemon waits for reports of its peers.
+MAX_START_SEQUENCE = 5
+PEER_WAIT_S = 2.0
 # Rate limit of a cold target until the first configuration arrives.
 DEFAULT_COLD_CALLS_PER_S = 10.0
 # Retry hint while it is unknown when the target will accept calls again.
@@ -109,6 +125,9 @@
     """Whether earlier departures at the address are still unknown."""
     link_wait_s: Callable[[], float] = lambda: 0.0
     """Return how long the body of an answer waits for the link."""
+    peers: ServicePeers = field(factory=NoPeers)
+    """The other targets of the service."""
+    pace: Pace = field(factory=Pace)
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -136,6 +155,14 @@
     """Arrival rate of each urgency: the rank and latency of the calls."""
     _speed: TargetSpeed = field(factory=TargetSpeed)
     _unknown_load: UnknownLoad = field(factory=UnknownLoad)
+    _pace_reason: str = ""
+    """Why a pace begins as soon as the target is not rate limited."""
+    _pace_share: float = INITIAL_SHARE
+    _was_cold: bool = False
+    """Whether the target was rate limited when the pace was requested."""
+    _start_unclear_until_s: float = -inf
+    """Until when the peers' reports tell whether the target is new."""
+    _down_since_s: float = inf
     _slowness: float = 0.0
     """Slowness at the last event, 0 while no speed is in force."""
     _in_target_queue: GateJob | None = None
@@ -206,6 +233,7 @@
         """
         target = self._target
         self._update_slowness(now_s)
+        self._begin_pace_if_due(now_s)
         return TargetReport(
             state=self.state(now_s),
             lifetime=self.lifetime,
@@ -214,7 +242,7 @@
             and (target.departed or target.announcement.draining),
             version=target.announcement.version if target else "",
             slots=self._effective_slots(now_s),
-            running=len(self._running) + self.occupied(now_s),
+            running=self._reported_running(now_s),
             waiting=len(self._waiting),
             service_ms=self._run_time_s * 1000.0,
             transfer_ms=self.link_wait_s() * 1000.0,
@@ -232,6 +260,7 @@
         if state not in OPEN_STATES:
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
         self._update_slowness(now_s)
+        self._begin_pace_if_due(now_s)
         urgency = (job.call.rank, job.call.latency_ms)
         self._arrival_rates.setdefault(urgency, ArrivalRate()).add(now_s)
         if not self._waiting and self._can_start(now_s):
@@ -250,6 +279,7 @@
     def decide(self, now_s: float) -> list[Decision]:
         """Decide which waiting calls start now and which are refused."""
         decisions: list[Decision] = []
+        self._begin_pace_if_due(now_s)
         state = self.state(now_s)
         if state not in OPEN_STATES:
             refused = [
@@ -276,12 +306,14 @@
             return inf
         due_s = min(self._latest_start_s(job) for job in self._waiting)
         due_s = min(due_s, self._unknown_load.changes_s(now_s))
+        due_s = min(due_s, self.pace.held_until_s(now_s) or inf)
         if (
             self._is_rate_limited(now_s)
             and len(self._running) < self._slots + PREFETCHED_CALLS
         ):
-            self._cold_bucket.refill(self.cold_calls_per_s, now_s)
-            due_s = min(due_s, now_s + self._cold_bucket.wait_s(self.cold_calls_per_s))
+            rate = COLD_RATE_SHARE * self.cold_calls_per_s
+            self._cold_bucket.refill(rate, now_s)
+            due_s = min(due_s, now_s + self._cold_bucket.wait_s(rate))
         return due_s
 
     def remove_waiting(self, job: GateJob) -> bool:
@@ -320,21 +352,20 @@
         self._pass_slot(job, now_s)
         broken = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT)
         failed = broken or status >= SERVER_ERROR
-        target = self._target
-        if target is not None and job.lifetime == target.announcement.lifetime:
-            if kind in _RUN_KINDS:
-                target.runs += 1
-                target.failures += failed
-            if status == MISDIRECTED_STATUS:
-                target.replaced = True
+        if self.pace.in_force and job.lifetime == self.lifetime:
+            self._record_pace(job, kind, failed=failed, now_s=now_s)
+        self._count_run(job, kind, status, failed=failed)
         if kind is AttemptKind.NOT_CONNECTED:
             self._unreachable = True
+            self._down_since_s = min(self._down_since_s, now_s)
         if kind is AttemptKind.BROKEN:
             # The target is not treated as cold: one that has exited refuses
             # the next connection, and a lost answer does not mean a restart.
             self._probe_requested = True
             self._consecutive_broken += 1
             self._failing = self._consecutive_broken >= MAX_CONSECUTIVE_BROKEN
+            if self._failing:
+                self._down_since_s = min(self._down_since_s, now_s)
         elif kind is AttemptKind.ANSWERED:
             self._consecutive_broken = 0
             self._failing = False
@@ -344,6 +375,18 @@
                 taken_s = max(MIN_RUN_TIME_S, now_s - job.slot_s)
                 self._speed.record_run(job.call.route, taken_s, job.slowness, now_s)
 
+    def _count_run(
+        self, job: GateJob, kind: AttemptKind, status: int, *, failed: bool
+    ) -> None:
+        target = self._target
+        if target is None or job.lifetime != target.announcement.lifetime:
+            return
+        if kind in _RUN_KINDS:
+            target.runs += 1
+            target.failures += failed
+        if status == MISDIRECTED_STATUS:
+            target.replaced = True
+
     def announce(self, announcement: Announcement, now_s: float) -> bool:
         """Handle an announcement; return False if a newer one is known."""
         known = self._target.announcement if self._target else None
@@ -356,6 +399,7 @@
                 self._speed.forget_routes()
             self._speed.restart()
             self._unknown_load.restart()
+            self._request_start_pace(announcement, now_s)
             departed = announcement.started_ms <= self._departed_lifetimes.get(
                 announcement.lifetime, -1
             )
@@ -364,6 +408,9 @@
             self._target.announcement = announcement
             self._target.replaced = False
         self._set_cold_time(announcement.cold_s, now_s)
+        if not restarted:
+            self._request_recovery_pace(now_s)
+        self._down_since_s = inf
         self._unreachable = self._failing = False
         self._consecutive_broken = 0
         return True
@@ -402,6 +449,8 @@
         target = self._target
         if target is not None and target.announcement.lifetime == lifetime:
             self._set_cold_time(cold_s, now_s)
+            if not self._failing:
+                self._request_recovery_pace(now_s)
             self._unreachable = False
 
     def probe_failed(self) -> None:
@@ -413,6 +462,7 @@
         if self._evacuated and not evacuated:
             # The target may have become cold in the meantime.
             self._may_be_cold = True
+            self._request_pace("evacuation ended", INITIAL_SHARE)
         self._evacuated = evacuated
 
     def stop(self) -> None:
@@ -423,12 +473,93 @@
     def _slots(self) -> int:
         return self._target.announcement.slots if self._target else 0
 
+    @property
+    def _paced_slots(self) -> int:
+        return int(min(self._slots, self.pace.limit))
+
+    def _reported_running(self, now_s: float) -> int:
+        running = len(self._running) + self.occupied(now_s)
+        if self.pace.held_until_s(now_s):
+            # The target looks full until the next call may start.
+            return max(running, self._paced_slots)
+        return running
+
+    def _request_start_pace(self, announcement: Announcement, now_s: float) -> None:
+        """Begin a pace if the target is newer than those that share its load.
+
+        Without other targets it is new if the last lifetime has run calls.
+        Targets of a system that starts as a whole are as new as each other,
+        and have to serve from the first second.
+        """
+        known = self._target
+        self.pace.end("new lifetime")
+        self._pace_reason = ""
+        before = self.peers.started_before(announcement.started_ms)
+        if before or (before is None and known is not None and known.runs > 0):
+            self._request_pace("started", INITIAL_SHARE)
+        elif known is None and announcement.sequence <= MAX_START_SEQUENCE:
+            self._start_unclear_until_s = now_s + PEER_WAIT_S
+
+    def _request_recovery_pace(self, now_s: float) -> None:
+        if self._failing:
+            self._request_pace("runs have failed", 0.0)
+        elif self._unreachable:
+            short = now_s - self._down_since_s < SHORT_DOWN_S
+            share = SHORT_DOWN_SHARE if short else INITIAL_SHARE
+            self._request_pace("was unreachable", share)
+        self._down_since_s = inf
+
+    def _request_pace(self, reason: str, share: float) -> None:
+        self._pace_reason, self._pace_share = reason, share
+        self._was_cold = False
+
+    def _begin_pace_if_due(self, now_s: float) -> None:
+        if now_s < self._start_unclear_until_s and self._target is not None:
+            started_ms = self._target.announcement.started_ms
+            if self.peers.started_before(started_ms):
+                self._request_pace("started", INITIAL_SHARE)
+                self._start_unclear_until_s = -inf
+        if not self._pace_reason:
+            return
+        if self._is_rate_limited(now_s):
+            self._was_cold = True
+            return
+        # A target that is down again while it recovers gets no more calls.
+        limit = min(self.pace.limit, self._pace_share * self._slots)
+        if self._was_cold:
+            # So many calls were at the target at its rate while it was cold.
+            limit = min(limit, self.cold_calls_per_s * self._run_time_s)
+        self.pace.begin(limit, self._pace_reason, now_s)
+        self._pace_reason = ""
+
+    def _record_pace(
+        self, job: GateJob, kind: AttemptKind, *, failed: bool, now_s: float
+    ) -> None:
+        """Let a run raise or lower the number of calls at the target."""
+        if failed or kind is AttemptKind.REFUSED:
+            share = self.peers.failure_share()
+            self.pace.record_failure(job.started_s, share, now_s)
+        elif kind is AttemptKind.ANSWERED and job.slot_s < now_s:
+            route = job.call.route
+            expected_s = self.peers.run_ms(route) / 1000.0
+            if not expected_s:
+                figure = self._speed.usual_figure
+                expected_s = self._speed.expected_s(route, figure) or 0.0
+            taken_s = max(MIN_RUN_TIME_S, now_s - job.slot_s)
+            self.pace.record_success(
+                taken_s / expected_s if expected_s else 0.0,
+                job.started_s,
+                len(self._running) + 1,
+                self._slots + PREFETCHED_CALLS,
+                now_s,
+            )
+
     def _is_rate_limited(self, now_s: float) -> bool:
         return self._may_be_cold or now_s < self._cold_until_s
 
     def _effective_slots(self, now_s: float) -> int:
         if not self._is_rate_limited(now_s):
-            return self._slots
+            return self._paced_slots
         concurrency = int(self.cold_calls_per_s * self._run_time_s)
         return max(1, min(self._slots, concurrency))
 
@@ -448,11 +579,14 @@
 
     def _can_start(self, now_s: float) -> bool:
         held = len(self._running) + self.occupied(now_s)
-        if held >= self._slots + PREFETCHED_CALLS:
+        # A limit of 2.7 calls is one of 2.
+        if held + 1 > min(self._slots + PREFETCHED_CALLS, self.pace.limit):
+            return False
+        if self.pace.held_until_s(now_s):
             return False
         if not self._is_rate_limited(now_s):
             return True
-        self._cold_bucket.refill(self.cold_calls_per_s, now_s)
+        self._cold_bucket.refill(COLD_RATE_SHARE * self.cold_calls_per_s, now_s)
         return self._cold_bucket.has_token
 
     def _start(self, job: GateJob, now_s: float) -> Admitted:
@@ -524,7 +658,7 @@
         return self._rate_limited_wait_s(work_s, position, now_s)
 
     def _rate_limited_wait_s(self, work_s: float, position: int, now_s: float) -> float:
-        wait_s = work_s / max(1, self._slots)
+        wait_s = work_s / max(1, self._paced_slots)
         if self._is_rate_limited(now_s) and self.cold_calls_per_s > 0:
             wait_s = max(wait_s, position / self.cold_calls_per_s)
         return wait_s
--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -94,6 +94,8 @@
         self._refused_load = b""
         self._slow_logged = False
         self._occupied_logged = False
+        self._pace_changes = 0
+        self._pace_logged_s = -inf
         self._state = gate.state(self._clock.monotonic())
 
     @property
@@ -200,6 +202,8 @@
         for decision in self._gate.decide(now_s):
             self._execute(decision)
         self._schedule_wakeup(now_s)
+        if self._gate.pace.changes != self._pace_changes:
+            self._log_pace(now_s)
         state = self._gate.state(now_s)
         if state is not self._state:
             logger.info(
@@ -355,6 +359,20 @@
             body=call.body,
         )
 
+    def _log_pace(self, now_s: float) -> None:
+        if now_s - self._pace_logged_s < LOAD_LOG_INTERVAL_S:
+            return
+        pace = self._gate.pace
+        logger.info(
+            "target pace",
+            limit=round(pace.limit, 1) if pace.in_force else None,
+            reason=pace.reason,
+            changes=pace.changes - self._pace_changes,
+            lifetime=self._gate.lifetime,
+        )
+        self._pace_changes = pace.changes
+        self._pace_logged_s = now_s
+
     def _log_load(self) -> None:
         speed = self._gate.speed(self._clock.monotonic())
         slow = 0.0 < speed < (SLOW_LOG_END if self._slow_logged else SLOW_LOG_START)
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -58,6 +58,7 @@
 from catkinhollow.relay.moves.versions import VersionPolicy
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.relay.placement.placer import Distances, LeastWaitPlacer
+from catkinhollow.relay.placement.service_peers import DirectoryPeers
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestHandler, RequestServer
@@ -175,7 +176,11 @@
             self._count_sent,
         )
         self._gate = GateService(
-            gate=Gate(awaits_history=True, link_wait_s=lambda: self._link.backlog_s),
+            gate=Gate(
+                awaits_history=True,
+                link_wait_s=lambda: self._link.backlog_s,
+                peers=DirectoryPeers(self._directory, settings.service),
+            ),
             address=settings.target,
             service=settings.service,
             client=client,
@@ -451,6 +456,7 @@
         metrics.gate_calls.set({"state": "waiting"}, gate.waiting)
         now_s = self._clock.monotonic()
         metrics.target_speed.set({}, gate.speed(now_s))
+        metrics.target_pace.set({}, gate.pace.limit if gate.pace.in_force else 0)
         metrics.target_occupied.set({}, gate.occupied(now_s))
         metrics.dials.set({}, self._link.counters.dials)
         metrics.link_wait_seconds.set({}, self._link.backlog_s)
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -38,6 +38,11 @@
             "Calls that the target holds beyond those that its gate knows",
             registry=registry,
         )
+        self.target_pace = Gauge(
+            "catkinhollow_relay_target_pace",
+            "Calls that may be at a target that recovers, 0 without such a limit",
+            registry=registry,
+        )
         self.target_speed = Gauge(
             "catkinhollow_relay_target_speed",
             "Speed of the target relative to its usual one, 0 if none is known",
--- a/tests/relay/admission/test_gate_service.py
+++ b/tests/relay/admission/test_gate_service.py
@@ -104,7 +104,7 @@
 
 
 async def test_run_without_an_answer_has_an_unknown_outcome(service, autojump_clock):
-    """Guards against the promise that an order at a hung target has not run."""
+    """Guards against the promise that an order has not run."""
     service._client.kind = AttemptKind.TIMEOUT
     answers = []
     service.submit(make_call(idempotent=False), answers.append)
