--- a/tests/relay/placement/test_speed_placement.py
+++ b/tests/relay/placement/test_speed_placement.py
@@ -157,3 +157,12 @@
     clock.now_s = 5.0
     usual.update_report(make_report(runs=99, speed=1.0), 5.0)
     assert share_of_slowed() > 0.0
+
+
+def test_run_times_are_kept_until_the_version_changes():
+    """Guards against run times that the next answer makes unknown again."""
+    peer = make_peer("t", report=make_report(route_ms={"r": 100}))
+    peer.update_report(make_report(), 0.1)
+    assert peer.route_ms == {"r": 100}
+    peer.update_report(make_report(version="v2"), 0.2)
+    assert peer.route_ms == {}
