--- a/catkinhollow/platform/headers.py
+++ b/catkinhollow/platform/headers.py
@@ -12,6 +12,7 @@
     cold_remaining=b"x-cold-ms",
     caller_service=b"x-caller-service",
     organisation=b"x-tenant",
+    load=b"x-server-load",
 )
 
 # Rises by one each time the store comes back from a copy; 0 if it is missing.
--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -31,6 +31,16 @@
     ArrivalRate,
     estimate_overtaken_wait_s,
 )
+from catkinhollow.relay.admission.pace import (
+    INITIAL_SHARE,
+    SHORT_DOWN_S,
+    SHORT_DOWN_SHARE,
+    NoPeers,
+    Pace,
+    ServicePeers,
+)
+from catkinhollow.relay.admission.target_load import LoadFigures, UnknownLoad
+from catkinhollow.relay.admission.target_speed import TargetSpeed
 from catkinhollow.relay.admission.token_bucket import TokenBucket
 from catkinhollow.relay.links.link_pacer import MIN_BULK_BYTES
 from catkinhollow.relay.organisations.fair_order import FairOrder
@@ -56,8 +66,16 @@
 # Added to the announced cold time, because the announcement is sent some time
 # before it arrives.
 COLD_MARGIN_S = 0.3
-# Calls that may start at once on a cold target, beyond its rate.
-COLD_BURST_CALLS = 2.0
+# Capacity of the rate limit of a cold target: calls start one by one. With
+# more, a second may contain more calls than the rate.
+COLD_BURST_CALLS = 1.0
+# Share of its rate at which calls start on a cold target, because the time
+# that they take to reach it varies.
+COLD_RATE_SHARE = 0.98
+# Announcements after which a target that a new daemon finds has not just
+# started, and the time for which the daemon waits for reports of its peers.
+MAX_START_SEQUENCE = 5
+PEER_WAIT_S = 2.0
 # Rate limit of a cold target until the first configuration arrives.
 DEFAULT_COLD_CALLS_PER_S = 10.0
 # Retry hint while it is unknown when the target will accept calls again.
@@ -109,6 +127,9 @@
     """Whether earlier departures at the address are still unknown."""
     link_wait_s: Callable[[], float] = lambda: 0.0
     """Return how long the body of an answer waits for the link."""
+    peers: ServicePeers = field(factory=NoPeers)
+    """The other targets of the service."""
+    pace: Pace = field(factory=Pace)
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -136,6 +157,20 @@
     """Arrival rate of each urgency: the rank and latency of the calls."""
     _fair_order: FairOrder = field(factory=FairOrder)
     """Turns of the organisations whose calls wait."""
+    _speed: TargetSpeed = field(factory=TargetSpeed)
+    _unknown_load: UnknownLoad = field(factory=UnknownLoad)
+    _pace_reason: str = ""
+    """Why a pace begins as soon as the target is not rate limited."""
+    _pace_share: float = INITIAL_SHARE
+    _was_cold: bool = False
+    """Whether the target was rate limited when the pace was requested."""
+    _start_unclear_until_s: float = -inf
+    """Until when the peers' reports tell whether the target is new."""
+    _down_since_s: float = inf
+    _slowness: float = 0.0
+    """Slowness at the last event, 0 while no speed is in force."""
+    _in_target_queue: GateJob | None = None
+    """The call at the target that last had no slot there."""
     _departed_lifetimes: dict[str, int] = field(factory=dict)
     """Start in Unix ms of the lifetimes that departed last, oldest first."""
 
@@ -176,9 +211,33 @@
             return GateState.COLD
         return GateState.SERVING
 
-    def report(self, now_s: float) -> TargetReport:
-        """Return the report from which peers choose a target for a call."""
+    def speed(self, now_s: float) -> float:
+        """Return the speed of the target relative to its usual one.
+
+        It is 0 if none is known.
+        """
+        return self._speed.speed(now_s)
+
+    def occupied(self, now_s: float) -> int:
+        """Return how many calls the target holds beyond those of the gate."""
+        return self._unknown_load.count(now_s)
+
+    def needs_load(self, now_s: float) -> bool:
+        """Return whether a health check would clarify the target's load."""
+        if not self._unknown_load.seen:
+            return False
+        if self._unknown_load.count(now_s):
+            return True
+        return bool(self._running) and self._unknown_load.is_old(now_s)
+
+    def report(self, now_s: float, *, routes: bool = False) -> TargetReport:
+        """Return the report from which peers choose a target for a call.
+
+        The run times of the routes change slowly and are added on request.
+        """
         target = self._target
+        self._update_slowness(now_s)
+        self._begin_pace_if_due(now_s)
         return TargetReport(
             state=self.state(now_s),
             lifetime=self.lifetime,
@@ -187,13 +246,16 @@
             and (target.departed or target.announcement.draining),
             version=target.announcement.version if target else "",
             slots=self._effective_slots(now_s),
-            running=len(self._running),
+            running=self._reported_running(now_s),
             waiting=len(self._waiting),
             service_ms=self._run_time_s * 1000.0,
             transfer_ms=self.link_wait_s() * 1000.0,
             taken_ms=int(now_s * 1000),
             runs=target.runs if target else 0,
             failures=target.failures if target else 0,
+            speed=self._speed.speed(now_s),
+            held_ms=self._held_ms() if self._slowness else 0.0,
+            route_ms=self._speed.route_times_ms() if routes else {},
         )
 
     def offer(self, job: GateJob, now_s: float) -> Admitted | Queued | Refused:
@@ -201,6 +263,8 @@
         state = self.state(now_s)
         if state not in OPEN_STATES:
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
+        self._update_slowness(now_s)
+        self._begin_pace_if_due(now_s)
         urgency = (job.call.rank, job.call.latency_ms)
         self._arrival_rates.setdefault(urgency, ArrivalRate()).add(now_s)
         self._set_turn(job, now_s)
@@ -224,6 +288,7 @@
     def decide(self, now_s: float) -> list[Decision]:
         """Decide which waiting calls start now and which are refused."""
         decisions: list[Decision] = []
+        self._begin_pace_if_due(now_s)
         state = self.state(now_s)
         if state not in OPEN_STATES:
             refused = [
@@ -234,6 +299,7 @@
                 self._give_back_turn(job)
             self._waiting.clear()
             return list(refused)
+        self._update_slowness(now_s)
         while self._waiting and self._can_start(now_s):
             job = self._waiting.pop(0)
             if now_s > self._latest_start_s(job):
@@ -251,12 +317,15 @@
         if not self._waiting:
             return inf
         due_s = min(self._latest_start_s(job) for job in self._waiting)
+        due_s = min(due_s, self._unknown_load.changes_s(now_s))
+        due_s = min(due_s, self.pace.held_until_s(now_s) or inf)
         if (
             self._is_rate_limited(now_s)
             and len(self._running) < self._slots + PREFETCHED_CALLS
         ):
-            self._cold_bucket.refill(self.cold_calls_per_s, now_s)
-            due_s = min(due_s, now_s + self._cold_bucket.wait_s(self.cold_calls_per_s))
+            rate = COLD_RATE_SHARE * self.cold_calls_per_s
+            self._cold_bucket.refill(rate, now_s)
+            due_s = min(due_s, now_s + self._cold_bucket.wait_s(rate))
         return due_s
 
     def remove_waiting(self, job: GateJob) -> bool:
@@ -267,6 +336,15 @@
         self._give_back_turn(job)
         return True
 
+    def record_load(self, figures: LoadFigures, now_s: float) -> None:
+        """Handle a report of the target about its load.
+
+        The call whose answer carries the report still counts as running.
+        """
+        self._unknown_load.record(figures, len(self._running), now_s)
+        if figures.slowness:
+            self._speed.report_figure(figures.slowness, now_s)
+
     def record_answer(self, job: GateJob, size_bytes: int) -> None:
         """Learn the size of the answers of a route."""
         route = job.call.route
@@ -279,29 +357,48 @@
         self, job: GateJob, kind: AttemptKind, status: int, now_s: float
     ) -> None:
         """Free the slot of a run and update the target's state from it."""
+        if kind in (AttemptKind.CANCELLED, AttemptKind.TIMEOUT):
+            self._unknown_load.abandon(now_s)
+        else:
+            self._unknown_load.record_end(len(self._running), now_s)
         self._running.discard(job)
+        self._pass_slot(job, now_s)
         broken = kind in (AttemptKind.BROKEN, AttemptKind.TIMEOUT)
         failed = broken or status >= SERVER_ERROR
-        target = self._target
-        if target is not None and job.lifetime == target.announcement.lifetime:
-            if kind in _RUN_KINDS:
-                target.runs += 1
-                target.failures += failed
-            if status == MISDIRECTED_STATUS:
-                target.replaced = True
+        if self.pace.in_force and job.lifetime == self.lifetime:
+            self._record_pace(job, kind, failed=failed, now_s=now_s)
+        self._count_run(job, kind, status, failed=failed)
         if kind is AttemptKind.NOT_CONNECTED:
             self._unreachable = True
+            self._down_since_s = min(self._down_since_s, now_s)
         if kind is AttemptKind.BROKEN:
             # The target is not treated as cold: one that has exited refuses
             # the next connection, and a lost answer does not mean a restart.
             self._probe_requested = True
             self._consecutive_broken += 1
             self._failing = self._consecutive_broken >= MAX_CONSECUTIVE_BROKEN
+            if self._failing:
+                self._down_since_s = min(self._down_since_s, now_s)
         elif kind is AttemptKind.ANSWERED:
             self._consecutive_broken = 0
             self._failing = False
         if kind is AttemptKind.ANSWERED and not failed or kind is AttemptKind.TIMEOUT:
             self._update_run_times(job, now_s - job.started_s)
+            if job.slot_s < now_s:
+                taken_s = max(MIN_RUN_TIME_S, now_s - job.slot_s)
+                self._speed.record_run(job.call.route, taken_s, job.slowness, now_s)
+
+    def _count_run(
+        self, job: GateJob, kind: AttemptKind, status: int, *, failed: bool
+    ) -> None:
+        target = self._target
+        if target is None or job.lifetime != target.announcement.lifetime:
+            return
+        if kind in _RUN_KINDS:
+            target.runs += 1
+            target.failures += failed
+        if status == MISDIRECTED_STATUS:
+            target.replaced = True
 
     def announce(self, announcement: Announcement, now_s: float) -> bool:
         """Handle an announcement; return False if a newer one is known."""
@@ -312,6 +409,10 @@
         if restarted or self._target is None:
             if known is None or announcement.version != known.version:
                 self._run_time_samples = 0
+                self._speed.forget_routes()
+            self._speed.restart()
+            self._unknown_load.restart()
+            self._request_start_pace(announcement, now_s)
             departed = announcement.started_ms <= self._departed_lifetimes.get(
                 announcement.lifetime, -1
             )
@@ -320,6 +421,9 @@
             self._target.announcement = announcement
             self._target.replaced = False
         self._set_cold_time(announcement.cold_s, now_s)
+        if not restarted:
+            self._request_recovery_pace(now_s)
+        self._down_since_s = inf
         self._unreachable = self._failing = False
         self._consecutive_broken = 0
         return True
@@ -358,6 +462,8 @@
         target = self._target
         if target is not None and target.announcement.lifetime == lifetime:
             self._set_cold_time(cold_s, now_s)
+            if not self._failing:
+                self._request_recovery_pace(now_s)
             self._unreachable = False
 
     def probe_failed(self) -> None:
@@ -369,6 +475,7 @@
         if self._evacuated and not evacuated:
             # The target may have become cold in the meantime.
             self._may_be_cold = True
+            self._request_pace("evacuation ended", INITIAL_SHARE)
         self._evacuated = evacuated
 
     def stop(self) -> None:
@@ -379,12 +486,93 @@
     def _slots(self) -> int:
         return self._target.announcement.slots if self._target else 0
 
+    @property
+    def _paced_slots(self) -> int:
+        return int(min(self._slots, self.pace.limit))
+
+    def _reported_running(self, now_s: float) -> int:
+        running = len(self._running) + self.occupied(now_s)
+        if self.pace.held_until_s(now_s):
+            # The target looks full until the next call may start.
+            return max(running, self._paced_slots)
+        return running
+
+    def _request_start_pace(self, announcement: Announcement, now_s: float) -> None:
+        """Begin a pace if the target is newer than those that share its load.
+
+        Without other targets it is new if the last lifetime has run calls.
+        Targets of a system that starts as a whole are as new as each other,
+        and have to serve from the first second.
+        """
+        known = self._target
+        self.pace.end("new lifetime")
+        self._pace_reason = ""
+        before = self.peers.started_before(announcement.started_ms)
+        if before or (before is None and known is not None and known.runs > 0):
+            self._request_pace("started", INITIAL_SHARE)
+        elif known is None and announcement.sequence <= MAX_START_SEQUENCE:
+            self._start_unclear_until_s = now_s + PEER_WAIT_S
+
+    def _request_recovery_pace(self, now_s: float) -> None:
+        if self._failing:
+            self._request_pace("runs have failed", 0.0)
+        elif self._unreachable:
+            short = now_s - self._down_since_s < SHORT_DOWN_S
+            share = SHORT_DOWN_SHARE if short else INITIAL_SHARE
+            self._request_pace("was unreachable", share)
+        self._down_since_s = inf
+
+    def _request_pace(self, reason: str, share: float) -> None:
+        self._pace_reason, self._pace_share = reason, share
+        self._was_cold = False
+
+    def _begin_pace_if_due(self, now_s: float) -> None:
+        if now_s < self._start_unclear_until_s and self._target is not None:
+            started_ms = self._target.announcement.started_ms
+            if self.peers.started_before(started_ms):
+                self._request_pace("started", INITIAL_SHARE)
+                self._start_unclear_until_s = -inf
+        if not self._pace_reason:
+            return
+        if self._is_rate_limited(now_s):
+            self._was_cold = True
+            return
+        # A target that is down again while it recovers gets no more calls.
+        limit = min(self.pace.limit, self._pace_share * self._slots)
+        if self._was_cold:
+            # So many calls were at the target at its rate while it was cold.
+            limit = min(limit, self.cold_calls_per_s * self._run_time_s)
+        self.pace.begin(limit, self._pace_reason, now_s)
+        self._pace_reason = ""
+
+    def _record_pace(
+        self, job: GateJob, kind: AttemptKind, *, failed: bool, now_s: float
+    ) -> None:
+        """Let a run raise or lower the number of calls at the target."""
+        if failed or kind is AttemptKind.REFUSED:
+            share = self.peers.failure_share()
+            self.pace.record_failure(job.started_s, share, now_s)
+        elif kind is AttemptKind.ANSWERED and job.slot_s < now_s:
+            route = job.call.route
+            expected_s = self.peers.run_ms(route) / 1000.0
+            if not expected_s:
+                figure = self._speed.usual_figure
+                expected_s = self._speed.expected_s(route, figure) or 0.0
+            taken_s = max(MIN_RUN_TIME_S, now_s - job.slot_s)
+            self.pace.record_success(
+                taken_s / expected_s if expected_s else 0.0,
+                job.started_s,
+                len(self._running) + 1,
+                self._slots + PREFETCHED_CALLS,
+                now_s,
+            )
+
     def _is_rate_limited(self, now_s: float) -> bool:
         return self._may_be_cold or now_s < self._cold_until_s
 
     def _effective_slots(self, now_s: float) -> int:
         if not self._is_rate_limited(now_s):
-            return self._slots
+            return self._paced_slots
         concurrency = int(self.cold_calls_per_s * self._run_time_s)
         return max(1, min(self._slots, concurrency))
 
@@ -403,11 +591,15 @@
         )
 
     def _can_start(self, now_s: float) -> bool:
-        if len(self._running) >= self._slots + PREFETCHED_CALLS:
+        held = len(self._running) + self.occupied(now_s)
+        # A limit of 2.7 calls is one of 2.
+        if held + 1 > min(self._slots + PREFETCHED_CALLS, self.pace.limit):
+            return False
+        if self.pace.held_until_s(now_s):
             return False
         if not self._is_rate_limited(now_s):
             return True
-        self._cold_bucket.refill(self.cold_calls_per_s, now_s)
+        self._cold_bucket.refill(COLD_RATE_SHARE * self.cold_calls_per_s, now_s)
         return self._cold_bucket.has_token
 
     def _set_turn(self, job: GateJob, now_s: float) -> None:
@@ -429,7 +621,11 @@
             self._cold_bucket.take()
         if job.turn is not None:
             self._fair_order.start(job.turn)
-        job.started_s = now_s
+        job.started_s = job.slot_s = now_s
+        if len(self._running) >= self._slots:
+            job.slot_s = inf
+            self._in_target_queue = job
+        job.slowness = self._speed.figure(now_s)
         job.lifetime = self.lifetime
         self._running.add(job)
         return Admitted(job)
@@ -441,7 +637,32 @@
                 return index
         return len(self._waiting)
 
+    def _pass_slot(self, job: GateJob, now_s: float) -> None:
+        """Let the call in the target's queue take the slot of a run."""
+        queued = self._in_target_queue
+        if queued is None:
+            return
+        if queued is not job and len(self._running) <= self._slots:
+            queued.slot_s = now_s
+            self._in_target_queue = None
+        elif queued is job:
+            self._in_target_queue = None
+
+    def _update_slowness(self, now_s: float) -> None:
+        speed = self._speed
+        self._slowness = speed.slowness(now_s) if speed.in_force else 0.0
+
+    def _held_ms(self) -> float:
+        """Return the usual run time of all calls together, in milliseconds."""
+        held_s = sum(map(self._expected_run_s, self._running))
+        held_s += sum(map(self._expected_run_s, self._waiting))
+        return round(1000.0 * held_s * self._speed.usual_figure / self._slowness, 1)
+
     def _expected_run_s(self, job: GateJob) -> float:
+        if self._slowness:
+            run_s = self._speed.expected_s(job.call.route, self._slowness)
+            if run_s is not None:
+                return run_s
         return self._route_run_time_s.get(job.call.route, self._run_time_s)
 
     def _expected_transfer_s(self, job: GateJob) -> float:
@@ -459,10 +680,14 @@
         # On average a slot becomes free after one run time divided by the
         # number of slots.
         work_s += self._mean_running_s()
+        occupied = self.occupied(now_s)
+        if occupied:
+            excess = len(self._running) + occupied - self._slots
+            work_s += max(0, excess) * self._run_time_s
         return self._rate_limited_wait_s(work_s, position, now_s)
 
     def _rate_limited_wait_s(self, work_s: float, position: int, now_s: float) -> float:
-        wait_s = work_s / max(1, self._slots)
+        wait_s = work_s / max(1, self._paced_slots)
         if self._is_rate_limited(now_s) and self.cold_calls_per_s > 0:
             wait_s = max(wait_s, position / self.cold_calls_per_s)
         return wait_s
--- a/catkinhollow/relay/header_names.py
+++ b/catkinhollow/relay/header_names.py
@@ -22,3 +22,4 @@
     cold_remaining: bytes = b"x-target-cold-ms"
     caller_service: bytes = b"x-caller-service"
     organisation: bytes = b"x-organisation"
+    load: bytes = b"x-target-load"
