Let urgent calls wait for slots that less urgent work holds

Urgent calls that fit into the capacity were refused as soon as their wait exceeded a share of the time to the soft deadline, while the free slots went to less urgent work that can wait for seconds. Lookups of running requests, which nobody repeats, were nearly all lost. The estimate of later, more urgent calls also used the mean run time of all calls, and so counted short calls for several times their work.

--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -49,6 +49,10 @@
 # to its deadline if the run alone takes longer than to the soft one. A refusal
 # after a longer wait leaves the caller too little time to retry.
 MAX_WAIT_SHARE = 0.6
+# Share of the time to its deadline that a call may wait for runs of less
+# urgent work to end. Its answer may be late, but a refusal would be worse: a
+# target that needs the answer does not ask again, and its own run fails.
+URGENT_WAIT_SHARE = 0.75
 # Added to the announced cold time, because the announcement is sent some time
 # before it arrives.
 COLD_MARGIN_S = 0.3
@@ -105,8 +109,8 @@
     """Whether earlier departures at the address are still unknown."""
     link_wait_s: Callable[[], float] = lambda: 0.0
     """Return how long the body of an answer waits for the link."""
-    limits_standing_queues: bool = False
-    """Whether waits are limited while more work arrives than can be run."""
+    controls_overload: bool = False
+    """Whether waits depend on the work that is offered by rank."""
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -208,7 +212,7 @@
         wait_s = estimate_overtaken_wait_s(
             self._expected_wait_s(position, now_s), self._overtakers(urgency, now_s)
         )
-        if now_s + wait_s > self._latest_start_s(job):
+        if now_s + wait_s > self._latest_start_s(job, now_s):
             return Refused(job, "cannot start in time", self._queue_drain_s(now_s))
         self._waiting.insert(position, job)
         return Queued()
@@ -239,7 +243,7 @@
         """Return when `decide` must be called next, infinity if never."""
         if not self._waiting:
             return inf
-        due_s = min(self._latest_start_s(job) for job in self._waiting)
+        due_s = min(self._latest_start_s(job, now_s) for job in self._waiting)
         if (
             self._is_rate_limited(now_s)
             and len(self._running) < self._slots + PREFETCHED_CALLS
@@ -448,18 +452,24 @@
         the given urgency.
         """
         rank, latency_ms = urgency
-        run_share = self._run_time_s / max(1, self._slots)
+        slots = max(1, self._slots)
         overtakers = []
-        for other, calls_per_s in self._offered.rates(now_s):
+        for other, load in self._offered.loads.items():
             if other >= urgency:
                 continue
             window_s = inf
             if other[0] == rank:
                 window_s = URGENCY_SHARE * (latency_ms - other[1]) / 1000.0
-            overtakers.append((calls_per_s * run_share, window_s))
+            run_s = self._run_time_s
+            if self.controls_overload and load.run_s is not None:
+                # With the mean of all calls, short urgent calls beside long
+                # ones count for several times their work.
+                run_s = load.run_s
+            share = load.arrivals.per_s(now_s) * run_s / slots
+            overtakers.append((share, window_s))
         return overtakers
 
-    def _latest_start_s(self, job: GateJob) -> float:
+    def _latest_start_s(self, job: GateJob, now_s: float) -> float:
         """Return the time after which a call must not start any more.
 
         A call whose run takes longer than the time to its soft deadline is
@@ -470,12 +480,27 @@
         run_s = self._expected_run_s(job) + self._expected_transfer_s(job)
         soft_deadline_s = min(job.soft_deadline_s, job.deadline_s)
         soft_budget_s = soft_deadline_s - job.arrived_s
-        if run_s < soft_budget_s:
-            late_s = soft_deadline_s - run_s / LATE_START_FACTOR
-            return min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
-        return min(
-            job.deadline_s - run_s,
-            job.arrived_s + MAX_WAIT_SHARE * (job.deadline_s - job.arrived_s),
+        budget_s = job.deadline_s - job.arrived_s
+        last_s = job.deadline_s - run_s
+        if run_s >= soft_budget_s:
+            return min(last_s, job.arrived_s + MAX_WAIT_SHARE * budget_s)
+        late_s = soft_deadline_s - run_s / LATE_START_FACTOR
+        latest_s = min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
+        if self._would_yield(job.call.rank, now_s):
+            urgent_s = min(last_s, job.arrived_s + URGENT_WAIT_SHARE * budget_s)
+            return max(latest_s, urgent_s)
+        return latest_s
+
+    def _would_yield(self, rank: int, now_s: float) -> bool:
+        """Return whether a refused call leaves its slot to less urgent work.
+
+        That is so if the calls of its rank and above fit into the capacity,
+        and less urgent ones wait for the slots beside them.
+        """
+        return (
+            self.controls_overload
+            and self._offered.has_less_urgent(rank, now_s)
+            and not self._offered.is_saturated(rank, self._slots, now_s)
         )
 
     def _latest_wait_end_s(
@@ -486,7 +511,7 @@
         It is earlier under overload if a neighbour in the queue, which has the
         same rank, would use the slot.
         """
-        latest_s = self._latest_start_s(job)
+        latest_s = self._latest_start_s(job, now_s)
         rank = job.call.rank
         if any(other.call.rank == rank for other in neighbours) and (
             self._is_saturated(rank, now_s)
@@ -513,7 +538,7 @@
         return wait_s > self._offered.wait_limit(rank, now_s).wait_s
 
     def _is_saturated(self, rank: int, now_s: float) -> bool:
-        return self.limits_standing_queues and self._offered.is_saturated(
+        return self.controls_overload and self._offered.is_saturated(
             rank, self._slots, now_s
         )
 
--- a/catkinhollow/relay/admission/offered_load.py
+++ b/catkinhollow/relay/admission/offered_load.py
@@ -8,9 +8,13 @@
 its wait would leave less than the usual time of a run, with its spread, until
 the soft deadline. Without sustained overload calls wait as long as their
 deadlines allow, because a late answer is better than none.
+
+Answers also the overload by less urgent work alone: urgent calls that fit into
+the capacity find all slots held by long runs. Refusing them would leave the
+next free slot to less urgent work.
 """
 
-from collections.abc import Iterator
+from collections.abc import Mapping
 from math import inf
 
 from attrs import define, field, frozen
@@ -21,6 +25,8 @@
 # above which a queue does not shrink by itself. The margin above 1 is for the
 # noise of the estimate, so that short bursts still wait.
 SATURATED_SHARE = 1.1
+# Offered work of less urgent ranks, in slots, from which they hold up others.
+MIN_LESS_URGENT_WORK = 0.5
 # Mean deviations of the run time that are reserved beyond its mean. They cover
 # about nineteen in twenty runs whose times are normally distributed.
 RESERVED_DEVIATIONS = 2.5
@@ -34,7 +40,7 @@
 
 
 @define
-class _UrgencyLoad:
+class UrgencyLoad:
     """Represent the calls of one urgency."""
 
     arrivals: ArrivalRate = field(factory=ArrivalRate)
@@ -72,30 +78,34 @@
 class OfferedLoad:
     """Estimate the load by urgency from the arrivals and the ended runs."""
 
-    _loads: dict[Urgency, _UrgencyLoad] = field(factory=dict)
+    _loads: dict[Urgency, UrgencyLoad] = field(factory=dict)
+    _work_by_rank: dict[int, float] = field(factory=dict)
+    _work_s: float = -inf
+    """Time for which the work by rank has been calculated."""
+
+    @property
+    def loads(self) -> Mapping[Urgency, UrgencyLoad]:
+        """Return the load of each urgency."""
+        return self._loads
 
     def add_arrival(self, urgency: Urgency, now_s: float) -> None:
         """Count a call that is offered, whether it is admitted or not."""
-        self._loads.setdefault(urgency, _UrgencyLoad()).arrivals.add(now_s)
+        self._loads.setdefault(urgency, UrgencyLoad()).arrivals.add(now_s)
 
     def add_run(self, urgency: Urgency, taken_s: float) -> None:
         """Learn the time of a run that has ended."""
-        self._loads.setdefault(urgency, _UrgencyLoad()).add_run(taken_s)
-
-    def rates(self, now_s: float) -> Iterator[tuple[Urgency, float]]:
-        """Return the arrivals per second of each urgency."""
-        for urgency, load in self._loads.items():
-            yield urgency, load.arrivals.per_s(now_s)
+        self._loads.setdefault(urgency, UrgencyLoad()).add_run(taken_s)
 
     def is_saturated(self, rank: int, slots: int, now_s: float) -> bool:
         """Return whether calls of a rank and above exceed the capacity."""
-        work = sum(
-            load.work(now_s)
-            for (other_rank, _), load in self._loads.items()
-            if other_rank <= rank
-        )
+        work = sum(work for other, work in self._work(now_s).items() if other <= rank)
         return work > SATURATED_SHARE * max(1, slots)
 
+    def has_less_urgent(self, rank: int, now_s: float) -> bool:
+        """Return whether less urgent calls occupy slots."""
+        work = sum(work for other, work in self._work(now_s).items() if other > rank)
+        return work > MIN_LESS_URGENT_WORK
+
     def wait_limit(self, rank: int, now_s: float) -> WaitLimit:
         """Return how long calls of a saturated rank should wait at most.
 
@@ -122,3 +132,16 @@
             wait_s=weighted_s / total_work,
             soft_budget_s=weighted_budget_s / total_work,
         )
+
+    def _work(self, now_s: float) -> dict[int, float]:
+        """Return the offered work in slots by rank.
+
+        One decision asks for it once for each waiting call.
+        """
+        if now_s != self._work_s:
+            self._work_s = now_s
+            self._work_by_rank = {}
+            for (rank, _), load in self._loads.items():
+                known = self._work_by_rank.get(rank, 0.0)
+                self._work_by_rank[rank] = known + load.work(now_s)
+        return self._work_by_rank
