--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -17,7 +17,12 @@
 from attrs import define, field
 
 from catkinhollow.calls.retries import SERVER_ERROR, AttemptKind
-from catkinhollow.generated.relay import Departure, GateState, TargetReport
+from catkinhollow.generated.relay import (
+    Departure,
+    GateState,
+    OverloadControl,
+    TargetReport,
+)
 from catkinhollow.relay.admission.gate_jobs import (
     OPEN_STATES,
     Admitted,
@@ -27,10 +32,8 @@
     Queued,
     Refused,
 )
-from catkinhollow.relay.admission.gate_rates import (
-    ArrivalRate,
-    estimate_overtaken_wait_s,
-)
+from catkinhollow.relay.admission.gate_rates import estimate_overtaken_wait_s
+from catkinhollow.relay.admission.offered_load import OfferedLoad, Urgency
 from catkinhollow.relay.admission.pace import (
     INITIAL_SHARE,
     SHORT_DOWN_S,
@@ -63,6 +66,10 @@
 # to its deadline if the run alone takes longer than to the soft one. A refusal
 # after a longer wait leaves the caller too little time to retry.
 MAX_WAIT_SHARE = 0.6
+# Share of the time to its deadline that a call may wait for runs of less
+# urgent work to end. Its answer may be late, but a refusal would be worse: a
+# target that needs the answer does not ask again, and its own run fails.
+URGENT_WAIT_SHARE = 0.75
 # Added to the announced cold time, because the announcement is sent some time
 # before it arrives.
 COLD_MARGIN_S = 0.3
@@ -130,6 +137,8 @@
     peers: ServicePeers = field(factory=NoPeers)
     """The other targets of the service."""
     pace: Pace = field(factory=Pace)
+    overload_control: OverloadControl = OverloadControl.AUTO
+    """Whether waits depend on the work that is offered by rank."""
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -153,8 +162,9 @@
     """Average run time of each route."""
     _route_answer_bytes: dict[str, float] = field(factory=dict)
     """Average size of the answers of each route."""
-    _arrival_rates: dict[tuple[int, int], ArrivalRate] = field(factory=dict)
-    """Arrival rate of each urgency: the rank and latency of the calls."""
+    _offered: OfferedLoad = field(factory=OfferedLoad)
+    _shares_machine: bool = False
+    """Whether the target reports how long work takes at the moment."""
     _fair_order: FairOrder = field(factory=FairOrder)
     """Turns of the organisations whose calls wait."""
     _speed: TargetSpeed = field(factory=TargetSpeed)
@@ -265,8 +275,8 @@
             return Refused(job, f"target is {state}", UNAVAILABLE_RETRY_S)
         self._update_slowness(now_s)
         self._begin_pace_if_due(now_s)
-        urgency = (job.call.rank, job.call.latency_ms)
-        self._arrival_rates.setdefault(urgency, ArrivalRate()).add(now_s)
+        urgency = _urgency(job)
+        self._offered.add_arrival(urgency, now_s)
         self._set_turn(job, now_s)
         if not self._waiting and self._can_start(now_s):
             if job.turn is not None:
@@ -275,10 +285,12 @@
         if len(self._waiting) >= MAX_WAITING_CALLS:
             return Refused(job, "too many calls wait", self._queue_drain_s(now_s))
         position = self._queue_position(job)
+        if self._is_queue_too_long(job, now_s):
+            return Refused(job, "too much work waits", self._queue_drain_s(now_s))
         wait_s = estimate_overtaken_wait_s(
             self._expected_wait_s(position, now_s), self._overtakers(urgency, now_s)
         )
-        if now_s + wait_s > self._latest_start_s(job):
+        if now_s + wait_s > self._latest_start_s(job, now_s):
             return Refused(job, "cannot start in time", self._queue_drain_s(now_s))
         self._waiting.insert(position, job)
         if job.turn is not None:
@@ -302,7 +314,7 @@
         self._update_slowness(now_s)
         while self._waiting and self._can_start(now_s):
             job = self._waiting.pop(0)
-            if now_s > self._latest_start_s(job):
+            if now_s > self._latest_wait_end_s(job, self._waiting[:1], now_s):
                 self._give_back_turn(job)
                 decisions.append(
                     Refused(job, "waited too long", self._queue_drain_s(now_s))
@@ -316,7 +328,7 @@
         """Return when `decide` must be called next, infinity if never."""
         if not self._waiting:
             return inf
-        due_s = min(self._latest_start_s(job) for job in self._waiting)
+        due_s = min(self._latest_start_s(job, now_s) for job in self._waiting)
         due_s = min(due_s, self._unknown_load.changes_s(now_s))
         due_s = min(due_s, self.pace.held_until_s(now_s) or inf)
         if (
@@ -343,6 +355,7 @@
         """
         self._unknown_load.record(figures, len(self._running), now_s)
         if figures.slowness:
+            self._shares_machine = True
             self._speed.report_figure(figures.slowness, now_s)
 
     def record_answer(self, job: GateJob, size_bytes: int) -> None:
@@ -582,6 +595,7 @@
 
     def _update_run_times(self, job: GateJob, taken_s: float) -> None:
         taken_s = max(MIN_RUN_TIME_S, taken_s)
+        self._offered.add_run(_urgency(job), taken_s)
         self._run_time_samples += 1
         weight = max(MIN_RUN_WEIGHT, 1.0 / self._run_time_samples)
         self._run_time_s += weight * (taken_s - self._run_time_s)
@@ -692,9 +706,7 @@
             wait_s = max(wait_s, position / self.cold_calls_per_s)
         return wait_s
 
-    def _overtakers(
-        self, urgency: tuple[int, int], now_s: float
-    ) -> list[tuple[float, float]]:
+    def _overtakers(self, urgency: Urgency, now_s: float) -> list[tuple[float, float]]:
         """Return the load of each more urgent kind of later calls.
 
         Each item is the share of the target's capacity that the kind takes,
@@ -702,18 +714,24 @@
         the given urgency.
         """
         rank, latency_ms = urgency
-        run_share = self._run_time_s / max(1, self._slots)
+        slots = max(1, self._paced_slots)
         overtakers = []
-        for other, arrivals in self._arrival_rates.items():
+        for other, load in self._offered.loads.items():
             if other >= urgency:
                 continue
             window_s = inf
             if other[0] == rank:
                 window_s = URGENCY_SHARE * (latency_ms - other[1]) / 1000.0
-            overtakers.append((arrivals.per_s(now_s) * run_share, window_s))
+            run_s = self._run_time_s
+            if self._controls_overload and load.run_s is not None:
+                # With the mean of all calls, short urgent calls beside long
+                # ones count for several times their work.
+                run_s = load.run_s
+            share = load.arrivals.per_s(now_s) * run_s / slots
+            overtakers.append((share, window_s))
         return overtakers
 
-    def _latest_start_s(self, job: GateJob) -> float:
+    def _latest_start_s(self, job: GateJob, now_s: float) -> float:
         """Return the time after which a call must not start any more.
 
         A call whose run takes longer than the time to its soft deadline is
@@ -724,12 +742,72 @@
         run_s = self._expected_run_s(job) + self._expected_transfer_s(job)
         soft_deadline_s = min(job.soft_deadline_s, job.deadline_s)
         soft_budget_s = soft_deadline_s - job.arrived_s
-        if run_s < soft_budget_s:
-            late_s = soft_deadline_s - run_s / LATE_START_FACTOR
-            return min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
-        return min(
-            job.deadline_s - run_s,
-            job.arrived_s + MAX_WAIT_SHARE * (job.deadline_s - job.arrived_s),
+        budget_s = job.deadline_s - job.arrived_s
+        last_s = job.deadline_s - run_s
+        if run_s >= soft_budget_s:
+            return min(last_s, job.arrived_s + MAX_WAIT_SHARE * budget_s)
+        late_s = soft_deadline_s - run_s / LATE_START_FACTOR
+        latest_s = min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
+        if self._would_yield(job.call.rank, now_s):
+            urgent_s = min(last_s, job.arrived_s + URGENT_WAIT_SHARE * budget_s)
+            return max(latest_s, urgent_s)
+        return latest_s
+
+    def _would_yield(self, rank: int, now_s: float) -> bool:
+        """Return whether a refused call leaves its slot to less urgent work.
+
+        That is so if the calls of its rank and above fit into the capacity,
+        and less urgent ones wait for the slots beside them.
+        """
+        return (
+            self._controls_overload
+            and self._offered.has_less_urgent(rank, now_s)
+            and not self._offered.is_saturated(rank, self._paced_slots, now_s)
+        )
+
+    def _latest_wait_end_s(
+        self, job: GateJob, neighbours: list[GateJob], now_s: float
+    ) -> float:
+        """Return the time after which a waiting call is refused.
+
+        It is earlier under overload if a neighbour in the queue, which has the
+        same rank, would use the slot.
+        """
+        latest_s = self._latest_start_s(job, now_s)
+        rank = job.call.rank
+        if any(other.call.rank == rank for other in neighbours) and (
+            self._is_saturated(rank, now_s)
+        ):
+            limit = self._offered.wait_limit(rank, now_s)
+            # The order of the queue lets calls with more time wait longer.
+            order_s = _queue_key(job)[1] - URGENCY_SHARE * limit.soft_budget_s
+            return min(latest_s, order_s + limit.wait_s)
+        return latest_s
+
+    def _is_queue_too_long(self, job: GateJob, now_s: float) -> bool:
+        """Return whether a new call would prolong a standing queue.
+
+        The wait is that behind all waiting calls of its rank, whichever of
+        them it would overtake, so that no kind of calls is preferred.
+        """
+        rank = job.call.rank
+        ahead = sum(other.call.rank <= rank for other in self._waiting)
+        if not ahead or not self._is_saturated(rank, now_s):
+            return False
+        wait_s = estimate_overtaken_wait_s(
+            self._expected_wait_s(ahead, now_s), self._overtakers((rank, 0), now_s)
+        )
+        return wait_s > self._offered.wait_limit(rank, now_s).wait_s
+
+    @property
+    def _controls_overload(self) -> bool:
+        if self.overload_control is OverloadControl.AUTO:
+            return self._shares_machine
+        return self.overload_control is OverloadControl.ALWAYS
+
+    def _is_saturated(self, rank: int, now_s: float) -> bool:
+        return self._controls_overload and self._offered.is_saturated(
+            rank, self._paced_slots, now_s
         )
 
     def _queue_drain_s(self, now_s: float) -> float:
@@ -742,7 +820,8 @@
         ahead_s = self._mean_running_s()
         for job in self._waiting:
             wait_s = self._rate_limited_wait_s(ahead_s, len(kept), now_s)
-            if now_s + wait_s / LATE_START_FACTOR > self._latest_start_s(job):
+            latest_s = self._latest_wait_end_s(job, kept[-1:], now_s)
+            if now_s + wait_s / LATE_START_FACTOR > latest_s:
                 retry_s = self._queue_drain_s(now_s)
                 self._give_back_turn(job)
                 refused.append(Refused(job, "cannot start in time", retry_s))
@@ -757,6 +836,10 @@
 _RUN_KINDS = (AttemptKind.ANSWERED, AttemptKind.BROKEN, AttemptKind.TIMEOUT)
 
 
+def _urgency(job: GateJob) -> Urgency:
+    return job.call.rank, job.call.latency_ms
+
+
 def _queue_key(job: GateJob) -> tuple[int, float]:
     """Return the sort key of a waiting call."""
     urgent_s = URGENCY_SHARE * (job.soft_deadline_s - job.arrived_s)
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -214,6 +214,7 @@
                 awaits_history=True,
                 link_wait_s=lambda: self._link.backlog_s,
                 peers=DirectoryPeers(self._directory, settings.service),
+                overload_control=settings.overload_control,
             ),
             address=settings.target,
             service=settings.service,
