--- a/catkinhollow/relay/admission/offered_load.py
+++ b/catkinhollow/relay/admission/offered_load.py
@@ -91,10 +91,12 @@
     def add_arrival(self, urgency: Urgency, now_s: float) -> None:
         """Count a call that is offered, whether it is admitted or not."""
         self._loads.setdefault(urgency, UrgencyLoad()).arrivals.add(now_s)
+        self._work_s = -inf
 
     def add_run(self, urgency: Urgency, taken_s: float) -> None:
         """Learn the time of a run that has ended."""
         self._loads.setdefault(urgency, UrgencyLoad()).add_run(taken_s)
+        self._work_s = -inf
 
     def is_saturated(self, rank: int, slots: int, now_s: float) -> bool:
         """Return whether calls of a rank and above exceed the capacity."""
