--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -345,7 +345,8 @@
     ) -> None:
         """Free the slot of a run and update the target's state from it."""
         if kind in (AttemptKind.CANCELLED, AttemptKind.TIMEOUT):
-            self._unknown_load.abandon(now_s)
+            if job.lifetime == self.lifetime:
+                self._unknown_load.abandon(now_s)
         else:
             self._unknown_load.record_end(len(self._running), now_s)
         self._running.discard(job)
--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -286,7 +286,7 @@
     def _finish(self, submission: Submission, attempt: SendResult) -> None:
         job = submission.job
         now_s = self._clock.monotonic()
-        if attempt.response is not None:
+        if attempt.response is not None and job.lifetime == self._gate.lifetime:
             self._read_load(attempt.response, now_s)
         self._gate.finish(job, attempt.kind, attempt.status, now_s)
         self._submissions.pop(job, None)
--- a/tests/relay/admission/test_gate_service.py
+++ b/tests/relay/admission/test_gate_service.py
@@ -111,3 +111,12 @@
     await trio.sleep(0.1)
     assert [answer.outcome for answer in answers] == [CallOutcome.UNKNOWN]
     assert answers[0].reached_target
+
+
+async def test_load_header_of_an_earlier_lifetime_is_ignored(service, autojump_clock):
+    """Guards against a late answer that fills the slots of a new target."""
+    service._client.headers = [(b"x-target-load", b"2,9,2")]
+    service.submit(make_call(), lambda answer: None)
+    service.announce(make_announcement("t2", started_ms=9000))
+    await trio.sleep(0.1)
+    assert service.gate.occupied(trio.current_time()) == 0
--- a/tests/relay/admission/test_unknown_load.py
+++ b/tests/relay/admission/test_unknown_load.py
@@ -64,6 +64,16 @@
     assert gate.occupied(0.1) == 0
 
 
+def test_run_of_an_earlier_lifetime_is_not_held_by_the_new_one():
+    """Guards against a restarted target that counts lost runs as its own."""
+    gate = make_gate(slots=2)
+    job = start(gate, 1)
+    gate.announce(make_announcement("t2", started_ms=9000), 0.1)
+    gate.record_load(LoadFigures(0, 0, 2), 0.2)
+    gate.finish(job, AttemptKind.TIMEOUT, 0, 0.3)
+    assert gate.occupied(0.3) == 0
+
+
 class HangingTarget:
     """Run calls on 4 slots, queue 2 more, and never answer any other.
 
