--- a/catkinhollow/platform/deferred_methods.py
+++ b/catkinhollow/platform/deferred_methods.py
@@ -27,8 +27,12 @@
 
     def method(self: Any, *arguments: Any, **named: Any) -> Any:
         owner = next(
-            kind for kind in type(self).__mro__ if vars(kind).get(name) is method
+            (kind for kind in type(self).__mro__ if vars(kind).get(name) is method),
+            None,
         )
+        if owner is None:
+            # A reference to this method from before its replacement.
+            return getattr(type(self), name)(self, *arguments, **named)
         generate(owner)
         return getattr(owner, name)(self, *arguments, **named)
 
--- a/tests/platform/test_deferred_methods.py
+++ b/tests/platform/test_deferred_methods.py
@@ -79,6 +79,18 @@
     assert "Base(_a=1, parts=[1])" in repr(Base(1))
 
 
+def test_reference_to_a_replaced_method_still_works(deferred):
+    """Guards against a call of a method that has been replaced meanwhile."""
+
+    @define
+    class Point:
+        x: int
+
+    bound = Point(1).__eq__
+    assert Point(1) == Point(1)
+    assert bound(Point(1)) is True and bound(Point(2)) is False
+
+
 def test_own_methods_are_kept(deferred):
     """Guards against generated methods in place of a class's own."""
 
