Write records and progress again that a restored store lacks

Cause: each daemon took its record for stored, and moves that were done were shown as running by the store for ever.

Change: the record keeper checks the record once per era and writes it 0.5 to 4.5 s after it learns of the era, at once if a departure waits. The move driver writes lost progress before the next step, and no step of an order that the store lacks. A stale record that the store lacks is forgotten by the daemons.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -37,7 +37,12 @@
     DocumentValidator,
 )
 from catkinhollow.relay.documents.document_sync import DocumentChanged
-from catkinhollow.relay.documents.document_table import STORE_SOURCE, DocumentTable
+from catkinhollow.relay.documents.document_table import (
+    STORE_SOURCE,
+    DocumentTable,
+    delete_kept,
+    is_unstored,
+)
 from catkinhollow.relay.documents.follower_election import FollowerElection
 from catkinhollow.relay.documents.kinds import CONFIGURATION, DAEMONS
 from catkinhollow.relay.documents.own_record import OwnRecordKeeper
@@ -404,6 +409,10 @@
             document = self._documents.get(f"{DAEMONS}/{name}")
             if document is None:
                 continue
+            if is_unstored(document):
+                self._network.offer_document(delete_kept(document), STORE_SOURCE)
+                logger.info("stale daemon record that the store lost", name=name)
+                continue
             result = await self._store.delete(
                 DAEMONS, name, if_revision=document.revision
             )
@@ -412,6 +421,8 @@
 
     def _on_document(self, event: DocumentChanged) -> None:
         kind, _, name = event.document.name.partition("/")
+        if self._documents.era > self._record_keeper.era:
+            self._record_keeper.record_changed()
         if event.source != STORE_SOURCE and not event.document.deleted:
             self._follower.expect(kind, event.document.revision)
         if kind == CONFIGURATION:
@@ -456,6 +467,7 @@
         metrics.peers.set({"state": "linked"}, linked)
         metrics.peers.set({"state": "missing"}, missing)
         metrics.peers.set({"state": "known"}, len(self._directory.addresses))
+        metrics.store_era.set({}, self._documents.era)
         metrics.follows_store.set({}, int(self._follower.following))
         metrics.store_answer_age_seconds.set({}, self._follower.answer_age_s)
         return metrics
--- a/catkinhollow/relay/documents/document_handler.py
+++ b/catkinhollow/relay/documents/document_handler.py
@@ -14,7 +14,7 @@
 from catkinhollow.relay.admission.gate_service import GateService
 from catkinhollow.relay.documents.configuration_check import find_error
 from catkinhollow.relay.documents.document_sync import DocumentChanged
-from catkinhollow.relay.documents.document_table import DocumentTable
+from catkinhollow.relay.documents.document_table import DocumentTable, is_unstored
 from catkinhollow.relay.documents.kinds import (
     CONFIGURATION,
     DAEMONS,
@@ -158,7 +158,12 @@
             self._moves.remove_order(service)
             return
         order = _decode(document, MoveOrder)
-        self._moves.update_order(order, document.revision)
+        self._moves.update_order(
+            order,
+            document.revision,
+            kept=document.kept is not None,
+            unstored=is_unstored(document),
+        )
         progress = order.progress
         logger.info(
             "move order",
--- a/catkinhollow/relay/documents/own_record.py
+++ b/catkinhollow/relay/documents/own_record.py
@@ -11,18 +11,24 @@
 from catkinhollow.configuration.backoff import Backoff
 from catkinhollow.configuration.store import StoreClient
 from catkinhollow.errors import StoreErrorKind
-from catkinhollow.generated.relay import DaemonRecord, Departure
+from catkinhollow.generated.relay import DaemonRecord, Departure, Document
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.admission.gate import MAX_DEPARTURES
-from catkinhollow.relay.documents.document_table import DocumentTable
+from catkinhollow.relay.documents.document_table import DocumentTable, is_unstored
 from catkinhollow.relay.documents.kinds import DAEMONS
 from catkinhollow.relay.documents.store_follower import StoreFollower
+from catkinhollow.relay.documents.store_revision import era_of
 
 logger = get_logger(__name__)
 
 # Records must be written again within 2 s after the store's return.
 RETRY_BASE_S = 0.2
 RETRY_MAX_S = 1.2
+# Daemons whose records a store lacks that has come back from a copy write them
+# between these times: 75 writes per second in a fleet of 300. Until the first
+# one they learn which records the store has.
+MIN_ERA_DELAY_S = 0.5
+MAX_ERA_DELAY_S = 4.5
 # A target waits 1 s for the acknowledgement of its departure.
 STORE_DEPARTURE_S = 0.8
 
@@ -33,6 +39,9 @@
 class OwnRecordKeeper:
     """Write this daemon's record if it is missing or different.
 
+    It is missing or different as well when the store has come back from a copy
+    that lacks the last write.
+
     The record also holds the latest departures of targets at the address. A
     restarted daemon reads it before it changes it.
     """
@@ -58,6 +67,13 @@
         self._history_known = False
         # Revision of the record when it was last read from the store itself.
         self._read_revision = 0
+        # Era of the store in which the record was last checked.
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the era of the store in which the record was last checked."""
+        return self._era
 
     def record_changed(self) -> None:
         """Check the record again after another revision has arrived."""
@@ -78,12 +94,33 @@
         await self._follower.daemons_listed.wait()
         while True:
             self._changed = trio.Event()
+            await self._spread_write()
             if await self._ensure_record():
                 backoff.reset()
                 await self._changed.wait()
             else:
                 await trio.sleep(backoff.next_delay())
 
+    async def _spread_write(self) -> None:
+        """Wait in a new era, which every daemon learns of at the same time.
+
+        A write that a target waits for is not delayed.
+        """
+        if self._table.era <= self._era:
+            return
+        self._era = self._table.era
+        delay_s = self._random.uniform(MIN_ERA_DELAY_S, MAX_ERA_DELAY_S)
+        with trio.move_on_after(delay_s):
+            while self._stored.is_set():
+                await self._changed.wait()
+                self._changed = trio.Event()
+
+    def _find_revision(self, known: Document | None) -> int:
+        """Return the revision of the record in the store, 0 if it lacks it."""
+        if known is None or era_of(known.revision) < self._table.era:
+            return 0
+        return 0 if is_unstored(known) else known.revision
+
     def _set_departures(self, departures: list[Departure]) -> None:
         self._record = evolve(self._record, departures=departures[-MAX_DEPARTURES:])
         self._stored = trio.Event()
@@ -98,11 +135,13 @@
                 return False
             known = self._table.get(f"{DAEMONS}/{name}")
         record = self._record
-        if known is not None and known.body == encode_message(record):
+        revision = self._find_revision(known)
+        is_shown = known is not None and revision > 0 and known.kept is None
+        if known is not None and is_shown and known.body == encode_message(record):
             self._stored.set()
             return True
         # The table lacks a record that cannot be decoded.
-        revision = max(known.revision if known else 0, self._read_revision)
+        revision = max(revision, self._read_revision)
         result = await self._store.put(
             DAEMONS, name, to_plain(record), if_revision=revision
         )
--- a/catkinhollow/relay/moves/move_driver.py
+++ b/catkinhollow/relay/moves/move_driver.py
@@ -29,6 +29,10 @@
     due: MoveProgress | None = None
     due_since_s: float = 0.0
     writing: bool = False
+    kept: bool = False
+    """Whether the store, back from a copy, lacks the progress."""
+    unstored: bool = False
+    """Whether the store lacks the order, so that no step can be written."""
 
 
 class MoveDriver:
@@ -38,6 +42,9 @@
     tracks every order, so that a daemon that takes over knows the order's age.
     The first daemons by rendezvous hash may write a step; each waits longer
     than the one before it.
+
+    Progress that the store lost when it came back from a copy is written again
+    before the next step.
     """
 
     def __init__(
@@ -53,8 +60,15 @@
         """Return whether there are orders."""
         return bool(self._orders)
 
-    def update_order(self, order: MoveOrder, revision: int) -> None:
-        """Track a new or changed order."""
+    def update_order(
+        self,
+        order: MoveOrder,
+        revision: int,
+        *,
+        kept: bool = False,
+        unstored: bool = False,
+    ) -> None:
+        """Track a new or changed order, or one that the store has lost."""
         known = self._orders.get(order.service)
         same = known is not None and (
             known.plan.order.version,
@@ -64,9 +78,13 @@
             known.plan.order = order
             known.revision = revision
             known.due = None
+            known.kept = kept
+            known.unstored = unstored
             return
         plan = MovePlan(order, self._clock.monotonic())
-        self._orders[order.service] = _TrackedOrder(plan, revision)
+        self._orders[order.service] = _TrackedOrder(
+            plan, revision, kept=kept, unstored=unstored
+        )
 
     def remove_order(self, service: str) -> None:
         """Stop tracking a deleted order."""
@@ -83,9 +101,7 @@
     def _find_due_step(
         self, service: str, tracked: _TrackedOrder, now_s: float
     ) -> tuple[MoveProgress, str] | None:
-        peers = self._directory.for_service(service)
-        reports = [peer.report for peer in peers if peer.report]
-        due = tracked.plan.next_progress(reports, now_s)
+        due = self._find_next_progress(service, tracked, now_s)
         if due is None:
             tracked.due = None
             return None
@@ -97,6 +113,18 @@
             return None
         return due
 
+    def _find_next_progress(
+        self, service: str, tracked: _TrackedOrder, now_s: float
+    ) -> tuple[MoveProgress, str] | None:
+        if tracked.unstored:
+            return None
+        progress = tracked.plan.order.progress
+        if tracked.kept and progress is not None:
+            return progress, "the store has lost it"
+        peers = self._directory.for_service(service)
+        reports = [peer.report for peer in peers if peer.report]
+        return tracked.plan.next_progress(reports, now_s)
+
     def _own_rank(self, service: str) -> int | None:
         writers = choose_move_writers(self._directory, service)
         own = self._directory.own.record.address
@@ -122,6 +150,7 @@
         if result.is_ok():
             logger.info("move step written", revision=result.ok.revision, **fields)
             tracked.revision = result.ok.revision
+            tracked.kept = False
         elif result.error.kind is StoreErrorKind.CONFLICT:
             logger.info("move step written by another daemon", **fields)
             tracked.due_since_s = self._clock.monotonic()
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -53,6 +53,11 @@
             "Time since the store's last answer, 0 if this daemon does not follow it",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "catkinhollow_relay_store_era",
+            "How often the store has come back from a copy",
+            registry=registry,
+        )
         self.dials = Gauge(
             "catkinhollow_relay_dials",
             "Attempts to connect to other daemons since the start",
