Let the stand-in store of the plain daemons come back from a copy

Change: StoreState takes and restores copies; StoreApp sends Store-Era from the first return on. A watch of a revision that it lacks gets a complete listing as before, which is this protocol's form of 410.

--- a/catkinhollow/testbed/store.py
+++ b/catkinhollow/testbed/store.py
@@ -1,6 +1,7 @@
 """Serve the stand-in store over HTTP."""
 
 from math import inf
+from typing import Any
 from urllib.parse import parse_qs, unquote
 
 import trio
@@ -24,6 +25,7 @@
     ResponseLoss,
     StoreFaults,
 )
+from catkinhollow.platform.headers import STORE_ERA_HEADER
 from catkinhollow.testbed.faults import merge_faults
 from catkinhollow.testbed.responses import cancel_on_disconnect, send_truncated
 from catkinhollow.testbed.store_state import StoreState
@@ -56,6 +58,16 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
+
+        async def send_with_era(message: Any) -> None:
+            if self._state.era and message["type"] == "http.response.start":
+                era = (STORE_ERA_HEADER, str(self._state.era).encode())
+                message = {**message, "headers": [*message["headers"], era]}
+            await send(message)
+
+        await self._serve(scope, receive, send_with_era)
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         read = await read_request(scope, receive, MAX_BODY_BYTES)
         if read.is_error():
             await send_response(send, read.error)
--- a/catkinhollow/testbed/store_state.py
+++ b/catkinhollow/testbed/store_state.py
@@ -20,7 +20,7 @@
 
 
 @define
-class _Snapshot:
+class StoreSnapshot:
     """Represent the objects and tombstones at one revision."""
 
     objects: dict[tuple[str, str], StoredObject]
@@ -28,10 +28,12 @@
     # Revision of the newest discarded tombstone.
     discarded_revision: int = 0
 
-    def copy(self) -> "_Snapshot":
+    def copy(self) -> "StoreSnapshot":
+        """Return a copy that later writes do not change."""
         return evolve(self, objects=dict(self.objects))
 
     def list_live(self, kind: str | None = None) -> list[StoredObject]:
+        """Return the existing objects, all or those of a kind."""
         return [
             stored
             for stored in self.objects.values()
@@ -44,10 +46,26 @@
 
     def __init__(self, *, tombstone_limit: int = DEFAULT_TOMBSTONE_LIMIT) -> None:
         self._tombstone_limit = tombstone_limit
-        self._current = _Snapshot({})
-        self._stale: _Snapshot | None = None
+        self._current = StoreSnapshot({})
+        self._stale: StoreSnapshot | None = None
         self._calls: Counter[str] = Counter()
         self._faults = StoreFaults()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return how often the store has come back from a copy."""
+        return self._era
+
+    def take_copy(self) -> StoreSnapshot:
+        """Return a copy of all objects."""
+        return self._current.copy()
+
+    def restore(self, copy: StoreSnapshot) -> None:
+        """Come back from a copy and forget what was written since."""
+        self._era += 1
+        self._current = copy.copy()
+        self._stale = None
 
     @property
     def faults(self) -> StoreFaults:
@@ -160,7 +178,7 @@
         self._faults = evolve(self._faults, lose_writes=remaining - 1)
         return self._faults.lose_mode
 
-    def _read_snapshot(self) -> _Snapshot:
+    def _read_snapshot(self) -> StoreSnapshot:
         return self._stale or self._current
 
     def _find_object(self, kind: str, name: str) -> StoredObject | None:
--- a/tests/configuration/test_http_store.py
+++ b/tests/configuration/test_http_store.py
@@ -159,3 +159,18 @@
     assert wrong.status == 400
     body = encode_json({"outage": outage})
     assert (await state.pool.request("POST", url, content=body)).status == 200
+
+
+def test_answers_tell_the_era_of_a_store_that_came_back_from_a_copy():
+    """Guards against a stand-in that hides its return from a copy."""
+
+    async def scenario(state, client):
+        url = "http://127.0.0.1:1/v1/objects/config"
+        response = await state.pool.request("GET", url)
+        assert all(name != b"store-era" for name, _ in response.headers)
+        state.restore(state.take_copy())
+        response = await state.pool.request("GET", url)
+        assert (b"store-era", b"1") in response.headers
+        assert (await client.list_objects("config")).is_ok()
+
+    run_scenario(scenario)
--- a/tests/testbed/test_store_state.py
+++ b/tests/testbed/test_store_state.py
@@ -98,3 +98,21 @@
     assert state.changes("k", 2) is None
     state.set_faults(StoreFaults())
     assert state.get("k", "a").revision == 2
+
+
+def test_copy_undoes_later_writes_and_begins_an_era():
+    """Guards against a copy that changes with the store."""
+    state = StoreState()
+    write = ObjectWrite(value=1, writer_id="w")
+    state.put("k", "a", write, if_revision=0)
+    copy = state.take_copy()
+    state.put("k", "b", write, if_revision=0)
+    state.delete("k", "a", "w", if_revision=1)
+    for era in (1, 2):
+        state.restore(copy)
+        assert state.era == era
+        assert state.revision == 1
+        assert [it.name for it in state.list_objects("k").objects] == ["a"]
+        # A watch of a revision that the store lacks gets a complete listing.
+        assert state.changes("k", 3).complete
+        state.put("k", "c", write, if_revision=0)
