Keep the outcome of repeated moves, and end unreadable evacuations

Change: settled moves of an older era are remembered by version until the store tells a deletion of the order; an evacuation that a listing lacks counts as removed if the store has reached its number.

--- a/catkinhollow/relay/documents/document_sync.py
+++ b/catkinhollow/relay/documents/document_sync.py
@@ -137,6 +137,7 @@
             return
         if known is not None:
             self._keeper.record_replaced(known, document)
+        self._keeper.record_stored(document)
         if self._documents.era > era:
             logger.warning(
                 "store came back from a copy",
--- a/catkinhollow/relay/documents/document_table.py
+++ b/catkinhollow/relay/documents/document_table.py
@@ -16,7 +16,8 @@
 from xxhash import xxh3_64_intdigest
 
 from catkinhollow.generated.relay import Document, DocumentVersion, KeptContent
-from catkinhollow.relay.documents.store_revision import era_of
+from catkinhollow.relay.documents.kinds import EVACUATIONS
+from catkinhollow.relay.documents.store_revision import era_of, own_number
 
 # The store delivers a change to all daemons within milliseconds; documents are
 # only requested from a peer if a difference lasts longer than this.
@@ -170,13 +171,19 @@
 
         Documents newer than the listing's revision are kept. A document of an
         older era may be missing because the store has lost it: it keeps its
-        content until its writer writes it again.
+        content until its writer writes it again. An evacuation whose number
+        the store has reached may as well have been removed since, and nobody
+        could remove it again; it counts as removed.
         """
         changes = []
         for document in self.of_kind(kind):
             if document.name in names or document.revision >= revision:
                 continue
-            if era_of(document.revision) < era_of(revision):
+            is_of_older_era = era_of(document.revision) < era_of(revision)
+            is_reached = own_number(document.revision) <= own_number(revision)
+            if is_of_older_era and not (
+                kind == EVACUATIONS and document.kept is None and is_reached
+            ):
                 changes.append(keep_content(document, revision, unstored=True))
             elif not is_unstored(document):
                 changes.append(
--- a/catkinhollow/relay/documents/kept_documents.py
+++ b/catkinhollow/relay/documents/kept_documents.py
@@ -29,6 +29,7 @@
 )
 from catkinhollow.relay.documents.restored_store import (
     ContentHistory,
+    SettledMoves,
     carry_progress,
     is_same_move,
     keeps_configuration,
@@ -46,6 +47,7 @@
 
     def __init__(self) -> None:
         self._history = ContentHistory()
+        self._settled = SettledMoves()
         self._choices: dict[str, Callable[[Document, Document], Document]] = {
             CONFIGURATION: self._choose_configuration,
             ORDERS: self._choose_order,
@@ -53,6 +55,18 @@
             DAEMONS: self._choose_record,
         }
 
+    def record_stored(self, document: Document) -> None:
+        """Remember the outcome of a move, or forget it with its order."""
+        kind, _, name = document.name.partition("/")
+        if kind != ORDERS:
+            return
+        if document.deleted:
+            self._settled.forget(name)
+            return
+        order = decode_message(document.body, MoveOrder)
+        if order.is_ok():
+            self._settled.record(order.ok, content_revision(document))
+
     def record_replaced(self, known: Document, document: Document) -> None:
         """Remember a document that another one replaces."""
         if known.kept is not None or known.deleted:
@@ -64,10 +78,27 @@
 
     def choose(self, known: Document | None, offered: Document) -> Document:
         """Return the document that takes the place of the known one."""
-        if known is None or not _is_disputed(known, offered):
+        if known is None:
+            return offered
+        kind = offered.name.partition("/")[0]
+        choose = self._choices.get(kind)
+        if choose is not None and _is_disputed(known, offered):
+            offered = choose(known, offered)
+        return self._settle(offered) if kind == ORDERS else offered
+
+    def _settle(self, offered: Document) -> Document:
+        """Return an order with the outcome that it had in an older era."""
+        if offered.deleted or offered.kept is not None:
+            return offered
+        order = decode_message(offered.body, MoveOrder)
+        found = order.is_ok() and self._settled.find(order.ok, offered.revision)
+        if not found:
+            return offered
+        settled = carry_progress(found[0], order.ok)
+        if settled is None:
             return offered
-        choose = self._choices.get(offered.name.partition("/")[0])
-        return offered if choose is None else choose(known, offered)
+        kept = KeptContent(revision=found[1])
+        return evolve(offered, body=encode_message(settled), kept=kept)
 
     def _choose_configuration(self, known: Document, offered: Document) -> Document:
         both = _decode_both(known, offered, RelayConfiguration)
--- a/catkinhollow/relay/documents/restored_store.py
+++ b/catkinhollow/relay/documents/restored_store.py
@@ -16,7 +16,7 @@
     OrderState,
     RelayConfiguration,
 )
-from catkinhollow.relay.documents.store_revision import own_number
+from catkinhollow.relay.documents.store_revision import era_of, own_number
 
 # Contents that are remembered for each object. A move takes six steps, and the
 # copy is some seconds old.
@@ -51,6 +51,36 @@
         return _Shown(own_number(revision), digest) in self._shown.get(name, ())
 
 
+class SettledMoves:
+    """Remember the outcomes of moves, in case their orders are repeated.
+
+    Operators who repeat lost writes may order several moves one after another.
+    A move counts as repeated if its outcome is from an older era and the store
+    has told no deletion of the order since.
+    """
+
+    def __init__(self) -> None:
+        self._settled: dict[tuple[str, str], tuple[MoveOrder, int]] = {}
+
+    def record(self, order: MoveOrder, revision: int) -> None:
+        """Remember an order that is done or withdrawn, and its revision."""
+        progress = _find_current(order)
+        if progress is not None and progress.state is not OrderState.RUNNING:
+            self._settled[order.service, order.version] = order, revision
+
+    def forget(self, service: str) -> None:
+        """Forget the outcomes of a service whose order was deleted."""
+        for key in [key for key in self._settled if key[0] == service]:
+            del self._settled[key]
+
+    def find(self, offered: MoveOrder, revision: int) -> tuple[MoveOrder, int] | None:
+        """Return the outcome that an order repeats, and its revision."""
+        found = self._settled.get((offered.service, offered.version))
+        if found is None or era_of(found[1]) >= era_of(revision):
+            return None
+        return found
+
+
 def keeps_configuration(known: RelayConfiguration, offered: RelayConfiguration) -> bool:
     """Return whether the known configuration remains in force."""
     return offered.version < known.version
--- a/tests/relay/documents/test_restored_store.py
+++ b/tests/relay/documents/test_restored_store.py
@@ -199,6 +199,8 @@
     fleet.app.remove("orders", SERVICE)
     await trio.sleep(1.0)
     fleet.settled.clear()
+    for member in fleet.members.values():
+        member.settled.clear()
     fleet.order("v2")
     await trio.sleep(1.0)
     assert fleet.members["d3"].progress.state is OrderState.RUNNING
@@ -436,3 +438,36 @@
         assert len(member.app.writes) == 1
         assert member.table.era == 0
         assert era_of(member.table.revision("configuration/main")) == 0
+
+
+async def test_moves_that_the_operator_repeats_one_after_another_do_not_run(
+    fleet, autojump_clock
+):
+    """Guards against a withdrawn version that gets calls in a repetition."""
+    copy = fleet.app.take_copy()
+    fleet.set_reports(runs=0)
+    for version in ("v2", "v1"):
+        fleet.order(version)
+        await trio.sleep(10.0)
+    fleet.app.restore(copy)
+    await trio.sleep(5.0)
+    for version in ("v2", "v1"):
+        fleet.order(version)
+        await trio.sleep(2.0)
+        status = fleet.stored("orders", SERVICE)["status"]
+        assert (status["target_version"], status["state"]) == (version, "completed")
+    assert fleet.all_agree()
+
+
+async def test_evacuation_that_is_removed_before_the_store_is_read_ends(
+    fleet, autojump_clock
+):
+    """Guards against an evacuation that nobody can end any more."""
+    fleet.evacuate()
+    await trio.sleep(1.0)
+    copy = fleet.app.take_copy()
+    fleet.app.restore(copy)
+    fleet.app.remove("evacuations", DOMAIN)
+    await trio.sleep(5.0)
+    assert not any(it.gate.evacuated for it in fleet.members.values())
+    assert fleet.all_agree()
--- a/tests/relay/documents/test_restored_store_machine.py
+++ b/tests/relay/documents/test_restored_store_machine.py
@@ -18,6 +18,8 @@
 # The operator has repeated its writes by then, and daemons theirs.
 SETTLE_S = 40.0
 MAX_MOVE_S = 5.0
+# Followers have read the store again, also one whose answers come late.
+READ_S = 6.0
 
 
 class Operator:
@@ -54,6 +56,13 @@
             fleet.order(self.order_version, MAX_MOVE_S)
         self._write_evacuation(again=True)
 
+    async def end_lost_evacuation(self):
+        """End one whose removal no daemon saw, as docs/OPERATIONS.md says."""
+        if not self.evacuated:
+            self.fleet.evacuate()
+            await trio.sleep(READ_S)
+            self.fleet.app.remove("evacuations", DOMAIN)
+
     def _write_evacuation(self, *, again=False):
         is_stored = self.fleet.stored("evacuations", DOMAIN) is not None
         if self.evacuated and not is_stored:
@@ -98,6 +107,8 @@
         app.down = False
         await trio.sleep(repeat_s)
         self.operator.repeat_lost_writes()
+        # A removal that no daemon can have seen is taken for a loss.
+        await trio.sleep(READ_S)
 
     async def lose_write(self, name):
         self.fleet.members[name].app.lost_writes += 1
@@ -115,6 +126,7 @@
             member.cut_off = False
             member.app.late_answers = 0
         fleet.set_reports(runs=0)
+        await operator.end_lost_evacuation()
         await trio.sleep(SETTLE_S)
         for name, member in fleet.members.items():
             assert member.validator.version == operator.version
