Report usage from one relay daemon at a time

The platform asks for the runs of each organisation in windows of 5 s, from one holder with a fencing token.

Count runs at the end of a run at the gate, send them to the holder over links of their own, tell the holder in the statuses, keep the lease and the decided windows in the store, and send `POST /usage`. All of it is off, and its modules are not imported, unless the settings name the address of the API and the duty `usage_report`.

--- a/catkinhollow/platform/objects.py
+++ b/catkinhollow/platform/objects.py
@@ -8,10 +8,12 @@
 from catkinhollow.errors import DecodeError
 from catkinhollow.generated.relay import (
     DaemonRecord,
+    DecidedWindows,
     MoveOrder,
     MoveProgress,
     OrderState,
     RelayConfiguration,
+    UsageLease,
 )
 from catkinhollow.generated.store import StoredObject
 from catkinhollow.platform.generated import (
@@ -25,7 +27,10 @@
     CONFIGURATION_NAME,
     DAEMONS,
     EVACUATIONS,
+    LEASES,
     ORDERS,
+    USAGE_LEASE_NAME,
+    USAGE_WINDOWS_NAME,
 )
 
 # Maps the project's kinds to the store's names for them.
@@ -34,6 +39,7 @@
     ORDERS: "rollouts",
     EVACUATIONS: "evacuations",
     DAEMONS: "catkinhollow-daemons",
+    LEASES: "catkinhollow-leases",
 }
 # Kinds whose objects belong to operators; the system writes only the status.
 STATUS_KINDS = {ORDERS}
@@ -59,6 +65,10 @@
             return from_plain(item.spec, DaemonRecord)
         case "evacuations":
             return Ok(stored.name)
+        case "leases" if stored.name == USAGE_LEASE_NAME:
+            return from_plain(item.spec, UsageLease)
+        case "leases" if stored.name == USAGE_WINDOWS_NAME:
+            return from_plain(item.spec, DecidedWindows)
         case _:
             return Error(DecodeError(reason=f"no such object: {stored.name}"))
 
--- a/catkinhollow/platform/process.py
+++ b/catkinhollow/platform/process.py
@@ -6,6 +6,7 @@
 from math import inf
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 import trio
 from attrs import evolve
@@ -24,8 +25,12 @@
 SETTINGS_VARIABLE = "CATKINHOLLOW_SETTINGS"
 # The platform tells the capacity of the instance's link in this variable.
 LINK_VARIABLE = "CATKINHOLLOW_LINK_MBPS"
+USAGE_DUTY = "usage_report"
 INVALID_SETTINGS = 1
 
+if TYPE_CHECKING:
+    from catkinhollow.platform.usage_api import PlatformUsageApi
+
 
 class ProcessSettings:
     """Read the settings file, and the link's capacity from the environment."""
@@ -58,6 +63,7 @@
 
 async def _run(settings: RelaySettings, process_settings: ProcessSettings) -> None:
     store = PlatformStore(settings.store)
+    usage_api = _make_usage_api(settings)
     daemon = RelayDaemon(
         settings=settings,
         store=store,
@@ -68,12 +74,25 @@
         ),
         reload_settings=process_settings.read,
         random=Random(),
+        usage_api=usage_api,
     )
     try:
         await daemon.run()
     finally:
         with trio.CancelScope(shield=True):
             await store.aclose()
+            if usage_api is not None:
+                await usage_api.aclose()
+
+
+def _make_usage_api(settings: RelaySettings) -> "PlatformUsageApi | None":
+    """Return the API if the settings call for reports, None otherwise."""
+    if not settings.usage_api or USAGE_DUTY not in settings.duties:
+        return None
+    # Daemons without reports are started without these modules.
+    from catkinhollow.platform.usage_api import PlatformUsageApi
+
+    return PlatformUsageApi(settings.usage_api)
 
 
 def _parse_link_mbps(text: str) -> float:
--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from math import inf
+from typing import TypeAlias
 
 import trio
 from attrs import define, field
@@ -39,6 +40,9 @@
 # late answer still completes the HTTP exchange with the target.
 RUN_TIMEOUT_MARGIN_S = 0.1
 
+CountRun: TypeAlias = Callable[[str, float], None]
+"""Count a run of an organisation that the target began some time ago."""
+
 
 @define(eq=False, kw_only=True)
 class Submission:
@@ -66,6 +70,7 @@
         log: RequestLog,
         on_state_change: Callable[[], None],
         on_run_failure: Callable[[], None],
+        count_run: CountRun = lambda organisation, ago_s: None,
     ) -> None:
         self._gate = gate
         self._address = address
@@ -77,6 +82,7 @@
         self._log = log
         self._on_state_change = on_state_change
         self._on_run_failure = on_run_failure
+        self._count_run = count_run
         self._submissions: dict[GateJob, Submission] = {}
         self._nursery: trio.Nursery | None = None
         self._wakeup: Subscription | None = None
@@ -270,6 +276,8 @@
     def _finish(self, submission: Submission, attempt: SendResult) -> None:
         job = submission.job
         now_s = self._clock.monotonic()
+        if attempt.kind not in (AttemptKind.REFUSED, AttemptKind.NOT_CONNECTED):
+            self._count_run(job.call.organisation, now_s - job.started_s)
         self._gate.finish(job, attempt.kind, attempt.status, now_s)
         self._submissions.pop(job, None)
         if attempt.response is not None:
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from math import inf
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 from expression import Result
@@ -89,6 +89,11 @@
 FAILURE_REPORT_INTERVAL_S = 0.15
 
 
+if TYPE_CHECKING:
+    from catkinhollow.relay.usage.interfaces import UsageApi
+    from catkinhollow.relay.usage.usage_service import UsageService
+
+
 class AnnouncementAppFactory(Protocol):
     """Build the application that receives the target's announcements."""
 
@@ -116,6 +121,7 @@
         announcement_app: AnnouncementAppFactory,
         reload_settings: SettingsReader,
         random: Random,
+        usage_api: "UsageApi | None" = None,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -137,6 +143,7 @@
         self._directory = PeerDirectory(self._own_record())
         self._build_call_path()
         self._build_control(decode)
+        self._usage = self._build_usage(decode, usage_api)
         handler = DocumentHandler(
             failure_domain=settings.failure_domain,
             validator=self._validator,
@@ -187,11 +194,13 @@
             log=self._log,
             on_state_change=self._on_gate_state_change,
             on_run_failure=self._on_run_failure,
+            count_run=self._count_run,
         )
         self._plan = LinkPlan(self._directory)
         self._election = FollowerElection(self._directory, self._clock.monotonic())
+        self._incarnation = self._clock.unix_ms()
         self._network = PeerNetwork(
-            incarnation=self._clock.unix_ms(),
+            incarnation=self._incarnation,
             directory=self._directory,
             documents=self._documents,
             gate=self._gate,
@@ -250,6 +259,30 @@
         )
         self._moves = MoveDriver(self._store, self._directory, self._clock)
 
+    def _build_usage(
+        self, decode: ObjectDecoder, api: "UsageApi | None"
+    ) -> "UsageService | None":
+        if api is None:
+            return None
+        # Daemons without reports are started without these modules.
+        from catkinhollow.relay.usage.interfaces import BootClock
+        from catkinhollow.relay.usage.usage_metrics import UsageMetrics
+        from catkinhollow.relay.usage.usage_service import UsageService
+
+        usage = UsageService(
+            settings=self._settings,
+            incarnation=self._incarnation,
+            store=self._store,
+            decode=decode,
+            api=api,
+            links=self._network,
+            directory=self._directory,
+            clock=BootClock(),
+            metrics=UsageMetrics(self._metrics.registry),
+        )
+        self._network.attach_usage(usage)
+        return usage
+
     @property
     def gate(self) -> GateService:
         """Return the gate of the target on the instance."""
@@ -288,6 +321,8 @@
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._record_keeper.run)
             nursery.start_soon(self._watch_settings)
+            if self._usage is not None:
+                nursery.start_soon(self._usage.run)
             self._timer.subscribe(
                 STEP_INTERVAL_S, lambda: self._start_move_step(nursery)
             )
@@ -434,6 +469,10 @@
     def _on_gate_state_change(self) -> None:
         self._network.broadcast_status()
 
+    def _count_run(self, organisation: str, ago_s: float) -> None:
+        if self._usage is not None:
+            self._usage.count_run(organisation, ago_s)
+
     def _on_run_failure(self) -> None:
         """Report failures of the new version of a running move immediately."""
         order = self._versions.orders.get(self._settings.service)
@@ -462,6 +501,8 @@
         metrics.peers.set({"state": "known"}, len(self._directory.addresses))
         metrics.follows_store.set({}, int(self._follower.following))
         metrics.store_answer_age_seconds.set({}, self._follower.answer_age_s)
+        if self._usage is not None:
+            self._usage.update_metrics()
         return metrics
 
 
--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -12,6 +12,8 @@
     Document,
     Frame,
     Status,
+    UsageBeacon,
+    UsageMessage,
 )
 from catkinhollow.logs import get_logger
 from catkinhollow.mesh.links import LinkDown, LinkUp
@@ -30,6 +32,7 @@
 )
 from catkinhollow.relay.links.remote_calls import RemoteCalls, SentCall
 from catkinhollow.relay.placement.peers import Peer, PeerDirectory
+from catkinhollow.relay.usage.news import UsageNews
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -111,6 +114,7 @@
         self._needed_s: dict[str, float] = {}
         self._wanted: set[str] = set()
         self._link_update_due = False
+        self._usage: UsageNews | None = None
 
     @property
     def directory(self) -> PeerDirectory:
@@ -194,6 +198,19 @@
         for address in self._sender.linked:
             self._send_status(address, reply=True)
 
+    def attach_usage(self, news: UsageNews) -> None:
+        """Pass on what peers tell about usage, and tell it in statuses."""
+        self._usage = news
+
+    def send_usage(self, address: str, message: UsageMessage) -> bool:
+        """Send a message about usage, over a link of its own if needed.
+
+        The link is kept while messages follow, without regular statuses.
+        """
+        self._needed_s[address] = self._clock.monotonic()
+        self._link.connect(address)
+        return self._sender.is_up(address) and self._sender.send_usage(address, message)
+
     async def run(self) -> None:
         """Process events of the links until cancelled."""
         self._timer.subscribe(LINK_WATCH_INTERVAL_S, self._watch_links)
@@ -312,6 +329,9 @@
             self._calls.handle_cancel(sender, frame.cancel)
         elif frame.status is not None:
             self._handle_status(sender, frame.status, now_s)
+        elif frame.usage is not None:
+            if self._usage is not None:
+                self._usage.receive(sender, frame.incarnation, frame.usage)
         else:
             self._handle_document_frame(sender, frame)
 
@@ -376,6 +396,7 @@
             peer.update_report(status.report, now_s)
         if status.store_age_ms is not None:
             self._election.hear(status.store_age_ms / 1000.0, now_s)
+        self._hear_usage(status.usage)
         for departure in status.departures:
             self._gate.depart(departure.lifetime, departure.started_ms)
         link_works = self._calls.handle_status(sender, status)
@@ -393,6 +414,10 @@
             self._sync.announce_all(sender)
         self._sync.compare(sender, status.digest, configured=status.configured)
 
+    def _hear_usage(self, beacon: UsageBeacon | None) -> None:
+        if beacon is not None and self._usage is not None:
+            self._usage.hear(beacon)
+
     def _send_status(self, address: str, *, reply: bool, resumed: bool = False) -> None:
         now_s = self._clock.monotonic()
         self._election.store_reached(self._store_reached_s())
@@ -415,6 +440,7 @@
             store_age_ms=int(1000 * self._election.store_age_s(now_s)),
             open_calls=self._calls.open_calls(address),
             report=self._gate.gate.report(now_s),
+            usage=self._usage.beacon if self._usage is not None else None,
         )
         if self._sender.send_status(address, status):
             self._watch.record_status_sent(address, sent_ms)
--- a/catkinhollow/relay/links/peer_sender.py
+++ b/catkinhollow/relay/links/peer_sender.py
@@ -12,6 +12,7 @@
     Documents,
     Frame,
     Status,
+    UsageMessage,
 )
 from catkinhollow.relay.links.nng_link import FrameLink
 from catkinhollow.relay.placement.peers import PeerDirectory
@@ -98,6 +99,10 @@
         """Request documents by name."""
         return self._link.send(address, self._frame(document_request=message))
 
+    def send_usage(self, address: str, message: UsageMessage) -> bool:
+        """Send counts of runs, or their receipts."""
+        return self._link.send(address, self._frame(usage=message))
+
     def _frame(
         self,
         *,
@@ -109,6 +114,7 @@
         documents: Documents | None = None,
         announcement: DocumentAnnouncement | None = None,
         document_request: DocumentRequest | None = None,
+        usage: UsageMessage | None = None,
     ) -> Frame:
         return Frame(
             sender=self._address,
@@ -121,4 +127,5 @@
             documents=documents,
             announcement=announcement,
             document_request=document_request,
+            usage=usage,
         )
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -85,6 +85,11 @@
             registry=registry,
         )
 
+    @property
+    def registry(self) -> Registry:
+        """Return the registry, for the metrics of optional parts."""
+        return self._registry
+
     def render(self) -> Response:
         """Return the metrics in text form."""
         return render_response(self._registry)
--- a/catkinhollow/relay/relay_settings.py
+++ b/catkinhollow/relay/relay_settings.py
@@ -74,6 +74,8 @@
     names = [*ADDRESS_SETTINGS]
     if decoded.ok.peer_listen:
         names.append("peer_listen")
+    if decoded.ok.usage_api:
+        names.append("usage_api")
     for name in names:
         address = parse_address(getattr(decoded.ok, name))
         if address.is_error():
--- a/tests/platform/test_deploy_files.py
+++ b/tests/platform/test_deploy_files.py
@@ -49,6 +49,25 @@
     assert settings.revoke_ms == 4000
 
 
+def test_settings_of_usage_reports_are_taken():
+    """Guards against a daemon that does not know that it has to report."""
+    changes = {
+        "cloud.address": "127.0.0.1:9",
+        "cloud.duties": ["usage_report", "other"],
+        "cloud.duty_per_s": 40,
+        "bounds.lease_ms": 2500,
+        "bounds.report_window_s": 4,
+        "bounds.usage_late_s": 8,
+        "bounds.thaw_slack_ms": 200,
+    }
+    settings = render({**VALUES, **changes})
+    assert settings.usage_api == "127.0.0.1:9"
+    assert settings.duties == ["usage_report", "other"]
+    assert settings.usage_calls_per_s == 40
+    assert (settings.lease_ms, settings.thaw_slack_ms) == (2500, 200)
+    assert (settings.usage_window_s, settings.usage_late_s) == (4, 8)
+
+
 def test_template_gives_complete_settings():
     """Guards against a template that lacks a required setting.
 
@@ -58,6 +77,7 @@
     assert settings.instance == "n1"
     assert settings.peer == "127.0.0.1:7620"
     assert not settings.strict_revoke
+    assert not settings.usage_api
     assert settings.grace_s == 6.0
 
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -14,10 +14,12 @@
 from catkinhollow.codec import from_plain, to_plain
 from catkinhollow.generated.relay import (
     DaemonRecord,
+    DecidedWindows,
     MoveOrder,
     MoveProgress,
     RelayConfiguration,
     RelaySettings,
+    UsageLease,
 )
 from catkinhollow.generated.store import ObjectList, StoredObject
 from catkinhollow.relay.application import RelayDaemon
@@ -31,6 +33,7 @@
     "orders": MoveOrder,
     "daemons": DaemonRecord,
 }
+LEASE_TYPES = {"usage": UsageLease, "usage-windows": DecidedWindows}
 
 
 class WatchableStore(MemoryStore):
@@ -87,6 +90,8 @@
 def decode(stored: StoredObject):
     if stored.kind == "evacuations":
         return Ok(stored.name)
+    if stored.kind == "leases":
+        return from_plain(stored.value, LEASE_TYPES[stored.name])
     return from_plain(stored.value, OBJECT_TYPES[stored.kind])
 
 
@@ -152,6 +157,7 @@
         service="stock",
         failure_domain="a",
         announce=True,
+        usage_api=None,
         **changes,
     ):
         ports = free_ports(6)
@@ -179,6 +185,7 @@
             announcement_app=lambda gate, service: answer_announcement,
             reload_settings=lambda: Ok(settings),
             random=Random(name),
+            usage_api=usage_api,
         )
         member = Member(settings, daemon, target)
         self.members[name] = member
