Replace the link to the holder of the usage lease when it carries nothing

The direct link to the holder is not watched by regular statuses, so a dead one would have kept the counts of a gate until they were too old.

Reset it after six messages without a receipt (3 s), unless the link is watched anyway. Test as well that daemons without reports do not load the modules.

--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -211,6 +211,12 @@
         self._link.connect(address)
         return self._sender.is_up(address) and self._sender.send_usage(address, message)
 
+    def reset_usage(self, address: str) -> None:
+        """Replace a link that carries no receipts, unless it is watched."""
+        is_watched = address in self._wanted or self._calls.is_busy(address)
+        if self._sender.is_up(address) and not is_watched:
+            self._link.reset(address)
+
     async def run(self) -> None:
         """Process events of the links until cancelled."""
         self._timer.subscribe(LINK_WATCH_INTERVAL_S, self._watch_links)
--- a/catkinhollow/relay/usage/interfaces.py
+++ b/catkinhollow/relay/usage/interfaces.py
@@ -41,6 +41,9 @@
         Return False if no byte of it will be sent.
         """
 
+    def reset_usage(self, address: str) -> None:
+        """Replace a link that carries no receipts."""
+
     def broadcast_status(self) -> None:
         """Send the current status, with the beacon, to all linked peers."""
 
--- a/catkinhollow/relay/usage/usage_service.py
+++ b/catkinhollow/relay/usage/usage_service.py
@@ -58,6 +58,9 @@
 # Time after which parts without a receipt are sent again. It leaves several
 # tries before the window is decided.
 RESEND_S = 0.5
+# Messages without a receipt after which the link to the holder is replaced. No
+# regular statuses show whether it still carries anything.
+MAX_UNANSWERED = 6
 # Interval of the checks, and while a call of the store may be due.
 CALM_INTERVAL_S = 0.5
 BUSY_INTERVAL_S = 0.1
@@ -116,7 +119,7 @@
         self._lost_runs = 0
         self._asked_s = now_s
         self._part_interval_s = settings.usage_window_s / PARTS_PER_WINDOW
-        self._unanswered = False
+        self._unanswered = 0
         self._rank: int | None = None
         self._ranked_s = now_s - RANK_INTERVAL_S
         self._known_epoch = -1
@@ -158,7 +161,7 @@
             and message.beacon.epoch == beacon.epoch
         )
         if message.receipts and is_current:
-            self._unanswered = False
+            self._unanswered = 0
             self._own.receive(message.receipts)
         receipts: list[UsageReceipt] = []
         if self.is_holder:
@@ -238,7 +241,11 @@
         parts = self._own.unreceived()
         # The candidates have to notice soon that the holder is gone.
         if parts or self._find_rank(now_s) is not None:
-            self._unanswered = bool(parts)
+            self._unanswered = self._unanswered + 1 if parts else 0
+            if self._unanswered > MAX_UNANSWERED:
+                self._unanswered = 1
+                logger.warning("usage link reset", address=beacon.address)
+                self._links.reset_usage(beacon.address)
             message = UsageMessage(beacon=beacon, parts=parts, asks=True)
             self._links.send_usage(beacon.address, message)
 
@@ -293,6 +300,7 @@
         self._own.change_holder(beacon.decided)
         # Ask at once, so that the holder has all counts within its first wait.
         self._asked_s = -inf
+        self._unanswered = 0
         self._wakeup.set()
         self._links.broadcast_status()
 
--- a/tests/platform/test_usage_api.py
+++ b/tests/platform/test_usage_api.py
@@ -1,6 +1,8 @@
 """Tests of the client of the usage API against scripted responses."""
 
 import json
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -124,3 +126,19 @@
         **changes,
     )
     assert (_make_usage_api(settings) is not None) is reports
+
+
+def test_daemons_without_reports_do_not_load_them():
+    """Guards against starts that pay for a part that is switched off."""
+    program = (
+        "import sys, catkinhollow.platform.process; "
+        "print([name for name in sys.modules if 'usage_' in name])"
+    )
+    process = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        timeout=60.0,
+        check=True,
+    )
+    assert process.stdout.strip() == "[]"
--- a/tests/relay/usage/test_usage_service.py
+++ b/tests/relay/usage/test_usage_service.py
@@ -64,6 +64,20 @@
     assert len(set(windows)) == len(windows)
     assert len(fleet.holders) == 1
     assert {report.epoch for _, report in fleet.api.calls} == {1}
+    assert not any(member.resets for member in fleet.members.values())
+
+
+@in_virtual_time
+async def test_link_without_receipts_is_replaced(fleet):
+    """Guards against counts that wait for a dead link."""
+    await fleet.load(12.0)
+    (holder,) = fleet.holders
+    name = next(name for name in fleet.members if name != holder)
+    fleet.cut_off.add(name)
+    await fleet.load(22.0)
+    resets = fleet.members[name].resets
+    assert set(resets) == {f"{holder}:1"}
+    assert len(resets) <= 4
 
 
 @in_virtual_time
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -142,6 +142,7 @@
             if other != name:
                 self.directory.put(make_peer(other).record)
         self.sent_bytes = 0
+        self.resets = []
         self.service = UsageService(
             settings=RelaySettings(
                 instance=name,
@@ -173,6 +174,9 @@
         self.fleet.deliver(self, address, decoded)
         return True
 
+    def reset_usage(self, address):
+        self.resets.append(address)
+
     def broadcast_status(self):
         self.fleet.send_statuses(self)
 
