--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from math import inf
+from typing import TypeAlias
 
 import trio
 from attrs import define, field
@@ -51,6 +52,9 @@
 # Bytes of a malformed header in its log line.
 MAX_LOGGED_BYTES = 64
 
+CountRun: TypeAlias = Callable[[str, float], None]
+"""Count a run of an organisation that the target began some time ago."""
+
 
 @define(eq=False, kw_only=True)
 class Submission:
@@ -79,6 +83,7 @@
         on_state_change: Callable[[], None],
         on_run_failure: Callable[[], None],
         find_run_refusal: Callable[[Call], str] = lambda call: "",
+        count_run: CountRun = lambda organisation, ago_s: None,
     ) -> None:
         self._gate = gate
         self._address = address
@@ -91,6 +96,7 @@
         self._on_state_change = on_state_change
         self._on_run_failure = on_run_failure
         self._find_run_refusal = find_run_refusal
+        self._count_run = count_run
         self._submissions: dict[GateJob, Submission] = {}
         self._nursery: trio.Nursery | None = None
         self._wakeup: Subscription | None = None
@@ -299,6 +305,8 @@
         now_s = self._clock.monotonic()
         if attempt.response is not None and job.lifetime == self._gate.lifetime:
             self._read_load(attempt.response, now_s)
+        if attempt.kind not in (AttemptKind.REFUSED, AttemptKind.NOT_CONNECTED):
+            self._count_run(job.call.organisation, now_s - job.started_s)
         self._gate.finish(job, attempt.kind, attempt.status, now_s)
         self._submissions.pop(job, None)
         if attempt.response is not None:
--- a/catkinhollow/relay/links/peer_sender.py
+++ b/catkinhollow/relay/links/peer_sender.py
@@ -13,6 +13,7 @@
     Frame,
     Knowledge,
     Status,
+    UsageMessage,
 )
 from catkinhollow.relay.links.nng_link import FrameLink
 from catkinhollow.relay.placement.peers import PeerDirectory
@@ -103,6 +104,10 @@
         """Tell how old the knowledge of the newest configuration is."""
         return self._link.send(address, self._frame(knowledge=message))
 
+    def send_usage(self, address: str, message: UsageMessage) -> bool:
+        """Send counts of runs, or their receipts."""
+        return self._link.send(address, self._frame(usage=message))
+
     def _frame(
         self,
         *,
@@ -115,6 +120,7 @@
         announcement: DocumentAnnouncement | None = None,
         document_request: DocumentRequest | None = None,
         knowledge: Knowledge | None = None,
+        usage: UsageMessage | None = None,
     ) -> Frame:
         return Frame(
             sender=self._address,
@@ -128,4 +134,5 @@
             announcement=announcement,
             document_request=document_request,
             knowledge=knowledge,
+            usage=usage,
         )
