Add the command check for configurations of the relay daemons

Operators could only find out from the daemons' logs that a version is refused, and not at all that an entry never matches.

--- a/catkinhollow/commands/application.py
+++ b/catkinhollow/commands/application.py
@@ -14,6 +14,7 @@
     BenchReportCommand,
     BenchRunCommand,
 )
+from catkinhollow.commands.check import CheckCommand
 from catkinhollow.commands.daemon import DaemonCommand
 from catkinhollow.commands.demo import DemoCommand
 from catkinhollow.commands.domain import DomainInCommand, DomainOutCommand
@@ -36,6 +37,7 @@
     """Return every command of the command line."""
     return [
         ValidateCommand(),
+        CheckCommand(),
         ApplyCommand(connector),
         DomainOutCommand(connector),
         DomainInCommand(connector),
--- a/catkinhollow/commands/exit_codes.py
+++ b/catkinhollow/commands/exit_codes.py
@@ -11,4 +11,5 @@
     CONFLICT = 2
     UNREACHABLE = 3
     NOT_MOVED = 4
+    DOUBTFUL = 5
     USAGE = 64
--- a/catkinhollow/relay/documents/configuration_check.py
+++ b/catkinhollow/relay/documents/configuration_check.py
@@ -9,13 +9,14 @@
         return f"version {configuration.version} is older than {known_version}"
     services = {service.name for service in configuration.services}
     for route in configuration.routes:
-        error = _find_route_error(route, services)
+        error = find_route_error(route, services)
         if error:
             return f"route {route.name}: {error}"
     return ""
 
 
-def _find_route_error(route: RelayRoute, services: set[str]) -> str:
+def find_route_error(route: RelayRoute, services: set[str]) -> str:
+    """Return why daemons refuse a route, "" if they accept it."""
     prefix = route.path_prefix
     if not (prefix.startswith("/") and prefix.endswith("/")):
         return f"prefix {prefix!r} does not start and end with a slash"
