--- a/catkinhollow/relay/documents/configuration_check.py
+++ b/catkinhollow/relay/documents/configuration_check.py
@@ -21,14 +21,15 @@
     if valid is not None and services.issuperset(item.name for item in valid.services):
         checked = {id(route) for route in valid.routes}
     for route in configuration.routes:
-        error = "" if id(route) in checked else _find_route_error(route, services)
+        error = "" if id(route) in checked else find_route_error(route, services)
         if error:
             return f"route {route.name}: {error}"
     error = find_organisation_error(configuration.organisations)
     return f"organisation {error}" if error else ""
 
 
-def _find_route_error(route: RelayRoute, services: set[str]) -> str:
+def find_route_error(route: RelayRoute, services: set[str]) -> str:
+    """Return why daemons refuse a route, "" if they accept it."""
     prefix = route.path_prefix
     if not (prefix.startswith("/") and prefix.endswith("/")):
         return f"prefix {prefix!r} does not start and end with a slash"
