--- a/catkinhollow/relay/usage/usage_service.py
+++ b/catkinhollow/relay/usage/usage_service.py
@@ -26,6 +26,7 @@
     USAGE_WINDOWS_NAME,
 )
 from catkinhollow.relay.documents.store_follower import ObjectDecoder
+from catkinhollow.relay.documents.store_revision import era_of
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.relay.usage.counts import FleetCounts, RunCounter, Source
 from catkinhollow.relay.usage.interfaces import (
@@ -276,7 +277,7 @@
         result = await self._put(USAGE_LEASE_NAME, command.lease, command.if_revision)
         now_s = self._clock.steady_s()
         if isinstance(result, int):
-            self._lease.on_written(now_s, command, result)
+            self._lease.on_written(now_s, command, result, era_of(result))
         elif result is StoreErrorKind.CONFLICT:
             self._lease.on_conflict(now_s)
         else:
@@ -310,7 +311,8 @@
         if read is None:
             self._lease.on_unavailable(now_s)
         else:
-            self._lease.on_read(now_s, *read)
+            lease, revision = read
+            self._lease.on_read(now_s, lease, revision, era_of(revision))
 
     async def _serve_term(self, epoch: int) -> None:
         """Decide windows and send reports while the term lasts."""
