--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -5,7 +5,6 @@
 
 import trio
 from attrs import define, evolve, field
-from httpcore import AsyncNetworkStream, ConnectError, ReadError
 from trio.testing import memory_stream_pair
 
 from catkinhollow.calls.dispatch import Dispatcher
@@ -31,23 +30,17 @@
 STEP_S = 0.05
 
 
-class Stream(AsyncNetworkStream):
-    """Adapt a trio stream as httpcore's trio backend does."""
+class Stream:
+    """Adapt a trio stream to that of a connection to a target."""
 
     def __init__(self, stream):
         self._stream = stream
 
     async def read(self, max_bytes, timeout=None):
-        try:
-            return await self._stream.receive_some(max_bytes)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ReadError(error) from error
+        return await self._stream.receive_some(max_bytes)
 
-    async def write(self, buffer, timeout=None):
-        try:
-            await self._stream.send_all(buffer)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ReadError(error) from error
+    async def write(self, data, timeout=None):
+        await self._stream.send_all(data)
 
     async def aclose(self):
         await self._stream.aclose()
@@ -112,7 +105,7 @@
         """Open a connection to a target in place of the TCP backend."""
         await self.apply_fault("order-connect", host)
         if host in self.stopped_targets:
-            raise ConnectError("refused")
+            raise ConnectionRefusedError("refused")
         client_stream, target_stream = memory_stream_pair()
         self.nursery.start_soon(self._serve, host, target_stream)
         await trio.sleep(0.001)
