Test the lease and the decisions against the stand-in store

The fleets of the other tests keep objects in memory, without the platform's format. Test creating, conditional writing and reading both objects over HTTP.

--- a/tests/platform/test_usage_api.py
+++ b/tests/platform/test_usage_api.py
@@ -9,8 +9,18 @@
 
 from catkinhollow.calls.exchange import plain_response
 from catkinhollow.calls.http_server import read_request, send_response
-from catkinhollow.generated.relay import RelaySettings
+from catkinhollow.codec import to_plain
+from catkinhollow.errors import StoreErrorKind
+from catkinhollow.generated.relay import (
+    DecidedWindow,
+    DecidedWindows,
+    RelaySettings,
+    UsageLease,
+)
+from catkinhollow.platform.object_store import PlatformStore
+from catkinhollow.platform.objects import decode_object
 from catkinhollow.platform.process import _make_usage_api
+from catkinhollow.platform.standin_store import StandInStore
 from catkinhollow.platform.usage_api import PlatformUsageApi
 from catkinhollow.relay.usage.interfaces import UsageReport
 from catkinhollow.relay.usage.report_plan import ReportOutcome
@@ -128,6 +138,30 @@
     assert (_make_usage_api(settings) is not None) is reports
 
 
+async def test_lease_and_decisions_are_kept_in_the_store(nursery):
+    """Guards against objects that a later holder can't read."""
+    (port,) = free_ports(1)
+    await nursery.start(serve_on_loopback, StandInStore(), port)
+    store = PlatformStore(f"127.0.0.1:{port}")
+    lease = UsageLease(holder="n1", address="n1:1", epoch=3, renewal=1)
+    decided = DecidedWindow(window=7, epoch=3, counts={"acme": 12})
+    values = {"usage": lease, "usage-windows": DecidedWindows(windows=[decided])}
+    for name, value in values.items():
+        missing = await store.get("leases", name)
+        assert missing.error.kind is StoreErrorKind.NOT_FOUND
+        written = await store.put("leases", name, to_plain(value), if_revision=0)
+        again = await store.put("leases", name, to_plain(value), if_revision=0)
+        assert again.error.kind is StoreErrorKind.CONFLICT
+        revision = written.ok.revision
+        written = await store.put("leases", name, to_plain(value), if_revision=revision)
+        late = await store.put("leases", name, to_plain(value), if_revision=revision)
+        assert late.error.kind is StoreErrorKind.CONFLICT
+        read = await store.get("leases", name)
+        assert read.ok.revision == written.ok.revision
+        assert decode_object(read.ok).ok == value
+    nursery.cancel_scope.cancel()
+
+
 def test_daemons_without_reports_do_not_load_them():
     """Guards against starts that pay for a part that is switched off."""
     program = (
