Make longer waits of urgent calls a setting of their own

They stay off unless urgent_calls_wait is set. Calls that can still be in time start before those of their rank that cannot.

--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -139,6 +139,8 @@
     pace: Pace = field(factory=Pace)
     overload_control: OverloadControl = OverloadControl.AUTO
     """Whether waits depend on the work that is offered by rank."""
+    urgent_calls_wait: bool = False
+    """Whether urgent calls wait for slots that less urgent work holds."""
     _target: _Target | None = None
     _unreachable: bool = False
     """Whether the last connect to the target has failed."""
@@ -313,7 +315,7 @@
             return list(refused)
         self._update_slowness(now_s)
         while self._waiting and self._can_start(now_s):
-            job = self._waiting.pop(0)
+            job = self._waiting.pop(self._next_index(now_s))
             if now_s > self._latest_wait_end_s(job, self._waiting[:1], now_s):
                 self._give_back_turn(job)
                 decisions.append(
@@ -740,19 +742,47 @@
         the daemon that would cancel the call at it may have ended. An answer
         with a large body also waits for the link.
         """
-        run_s = self._expected_run_s(job) + self._expected_transfer_s(job)
+        latest_s = self._in_time_start_s(job)
+        if self._would_yield(job.call.rank, now_s):
+            budget_s = job.deadline_s - job.arrived_s
+            urgent_s = min(
+                job.deadline_s - self._expected_end_s(job),
+                job.arrived_s + URGENT_WAIT_SHARE * budget_s,
+            )
+            return max(latest_s, urgent_s)
+        return latest_s
+
+    def _expected_end_s(self, job: GateJob) -> float:
+        """Return the expected time from the start of a run to its answer."""
+        return self._expected_run_s(job) + self._expected_transfer_s(job)
+
+    def _in_time_start_s(self, job: GateJob) -> float:
+        """Return the latest start that the deadlines of the call allow."""
+        run_s = self._expected_end_s(job)
         soft_deadline_s = min(job.soft_deadline_s, job.deadline_s)
         soft_budget_s = soft_deadline_s - job.arrived_s
-        budget_s = job.deadline_s - job.arrived_s
-        last_s = job.deadline_s - run_s
         if run_s >= soft_budget_s:
-            return min(last_s, job.arrived_s + MAX_WAIT_SHARE * budget_s)
+            budget_s = job.deadline_s - job.arrived_s
+            return min(
+                job.deadline_s - run_s, job.arrived_s + MAX_WAIT_SHARE * budget_s
+            )
         late_s = soft_deadline_s - run_s / LATE_START_FACTOR
-        latest_s = min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
-        if self._would_yield(job.call.rank, now_s):
-            urgent_s = min(last_s, job.arrived_s + URGENT_WAIT_SHARE * budget_s)
-            return max(latest_s, urgent_s)
-        return latest_s
+        return min(late_s, job.arrived_s + MAX_WAIT_SHARE * soft_budget_s)
+
+    def _next_index(self, now_s: float) -> int:
+        """Return the position of the waiting call that starts next.
+
+        Under overload control it is one that can still be answered in time,
+        before those of its rank that wait although their answer will be late.
+        """
+        rank = self._waiting[0].call.rank
+        if self._would_yield(rank, now_s):
+            for index, job in enumerate(self._waiting):
+                if job.call.rank != rank:
+                    break
+                if now_s <= self._in_time_start_s(job):
+                    return index
+        return 0
 
     def _would_yield(self, rank: int, now_s: float) -> bool:
         """Return whether a refused call leaves its slot to less urgent work.
@@ -761,7 +791,8 @@
         and less urgent ones wait for the slots beside them.
         """
         return (
-            self._controls_overload
+            self.urgent_calls_wait
+            and self._controls_overload
             and self._offered.has_less_urgent(rank, now_s)
             and not self._offered.is_saturated(rank, self._paced_slots, now_s)
         )
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -222,6 +222,7 @@
                 link_wait_s=lambda: self._link.backlog_s,
                 peers=DirectoryPeers(self._directory, settings.service),
                 overload_control=settings.overload_control,
+                urgent_calls_wait=settings.urgent_calls_wait,
             ),
             address=settings.target,
             service=settings.service,
--- a/tests/overload_simulation.py
+++ b/tests/overload_simulation.py
@@ -49,6 +49,7 @@
     kinds: list[Kind]
     offered_share: float
     controls_overload: bool
+    urgent_calls_wait: bool = False
     seed: int = 1
     slots: int = 6
     seconds: float = 60.0
@@ -70,6 +71,7 @@
         self._gate = make_gate(slots=self.slots)
         if self.controls_overload:
             self._gate.overload_control = OverloadControl.ALWAYS
+            self._gate.urgent_calls_wait = self.urgent_calls_wait
         self._free_slots = self.slots
 
     def run(self):
--- a/tests/relay/admission/test_offered_load.py
+++ b/tests/relay/admission/test_offered_load.py
@@ -79,13 +79,14 @@
 )
 
 
-def play(kinds, offered_share, seed):
+def play(kinds, offered_share, seed, *, urgent_calls_wait=False):
     """Return the results with the limit and without it."""
     return [
         OverloadSimulation(
             kinds=kinds,
             offered_share=offered_share,
             controls_overload=limited,
+            urgent_calls_wait=urgent_calls_wait,
             seed=seed,
         ).run()
         for limited in (True, False)
@@ -129,7 +130,7 @@
     All slots are held by long runs of less urgent calls, and the free slot
     would go to another one of these.
     """
-    plays = [play(RECORDS, 1.6, seed) for seed in SEEDS]
+    plays = [play(RECORDS, 1.6, seed, urgent_calls_wait=True) for seed in SEEDS]
     limited, baseline = zip(*plays, strict=True)
     assert mean_served(limited, "chart") >= 0.99 > mean_served(baseline, "chart")
     assert mean_served(limited, "hours") >= mean_served(baseline, "hours") - 0.03
@@ -141,7 +142,8 @@
     At 1.2 times the capacity their share must not be lower than that of the
     long work, which is the least urgent.
     """
-    plays = [play([*RECORDS, LOOKUP], 1.2, seed) for seed in SEEDS]
+    kinds = [*RECORDS, LOOKUP]
+    plays = [play(kinds, 1.2, seed, urgent_calls_wait=True) for seed in SEEDS]
     limited, baseline = zip(*plays, strict=True)
     lookups = mean_served(limited, "lookup")
     assert lookups >= mean_served(limited, "hours")
