--- a/catkinhollow/platform/sidecar.py
+++ b/catkinhollow/platform/sidecar.py
@@ -12,10 +12,10 @@
     # for tens of milliseconds.
     gc.disable()
     # Before all libraries, so that none of them is imported as a whole.
-    from catkinhollow.platform.partial_imports import install_partial_imports
+    from catkinhollow.startup.partial_imports import install_partial_imports
 
     install_partial_imports()
-    from catkinhollow.platform.deferred_methods import install_deferred_methods
+    from catkinhollow.startup.deferred_methods import install_deferred_methods
 
     install_deferred_methods()
     from catkinhollow.platform.process import run_process
--- /dev/null
+++ b/catkinhollow/startup/__init__.py
@@ -0,0 +1,1 @@
+"""Start the process of a daemon with little processor time."""
--- a/tests/platform/test_deferred_methods.py
+++ b/tests/startup/test_deferred_methods.py
@@ -8,15 +8,15 @@
 import pytest
 from attrs import Factory, define, field, frozen
 
-from catkinhollow.platform import deferred_methods
-from catkinhollow.platform.deferred_methods import install_deferred_methods
+from catkinhollow.startup import deferred_methods
+from catkinhollow.startup.deferred_methods import install_deferred_methods
 
 _make = import_module("attr._make")
 
 COMPARE = """
 import sys
 if sys.argv[1] == "deferred":
-    from catkinhollow.platform.deferred_methods import install_deferred_methods
+    from catkinhollow.startup.deferred_methods import install_deferred_methods
     assert install_deferred_methods()
 import msgspec
 from catkinhollow.generated import relay
--- a/tests/platform/test_partial_imports.py
+++ b/tests/startup/test_partial_imports.py
@@ -5,7 +5,7 @@
 
 LOAD = """
 import sys
-from catkinhollow.platform.partial_imports import install_partial_imports
+from catkinhollow.startup.partial_imports import install_partial_imports
 install_partial_imports()
 """
 LOAD_DAEMON = (
