--- a/catkinhollow/relay/placement/placer.py
+++ b/catkinhollow/relay/placement/placer.py
@@ -233,10 +233,10 @@
         )
 
     def _tier_cost_ms(self, tier: list[_Candidate], profile: CallProfile) -> float:
-        best = min(tier, key=lambda candidate: candidate.wait_ms)
+        best = min(tier, key=lambda candidate: candidate.end_ms)
         distance = self._distance(best.peer)
         if not distance:
-            return best.wait_ms
+            return best.end_ms
         distances = self._distances
         cost_ms = distances.other_domain_ms_per_kb * profile.answer_kb
         cost_ms += distances.other_domain_ms
@@ -244,7 +244,7 @@
         cost_ms = max(cost_ms, distances.spare_time_share * spare_ms)
         if distance > 1:
             cost_ms += distances.other_region_ms
-        return best.wait_ms + cost_ms
+        return best.end_ms + cost_ms
 
     def _choose_new(
         self, available: Sequence[tuple[Peer, TargetReport]], now_s: float
