--- a/catkinhollow/relay/admission/gate.py
+++ b/catkinhollow/relay/admission/gate.py
@@ -21,6 +21,7 @@
     Departure,
     GateState,
     OverloadControl,
+    PaceControl,
     TargetReport,
 )
 from catkinhollow.relay.admission.gate_jobs import (
@@ -137,6 +138,8 @@
     peers: ServicePeers = field(factory=NoPeers)
     """The other targets of the service."""
     pace: Pace = field(factory=Pace)
+    pace_control: PaceControl = PaceControl.ALWAYS
+    """Whether a target that has just started or recovered gets a pace."""
     overload_control: OverloadControl = OverloadControl.AUTO
     """Whether waits depend on the work that is offered by rank."""
     urgent_calls_wait: bool = False
@@ -539,6 +542,10 @@
         self._down_since_s = inf
 
     def _request_pace(self, reason: str, share: float) -> None:
+        if self.pace_control is PaceControl.NEVER or (
+            self.pace_control is PaceControl.AUTO and not self._shares_machine
+        ):
+            return
         self._pace_reason, self._pace_share = reason, share
         self._was_cold = False
 
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -223,6 +223,7 @@
                 peers=DirectoryPeers(self._directory, settings.service),
                 overload_control=settings.overload_control,
                 urgent_calls_wait=settings.urgent_calls_wait,
+                pace_control=settings.pace_control,
             ),
             address=settings.target,
             service=settings.service,
--- a/tests/relay/admission/test_pace.py
+++ b/tests/relay/admission/test_pace.py
@@ -18,10 +18,11 @@
 )
 
 from catkinhollow.calls.retries import AttemptKind
-from catkinhollow.generated.relay import GateState
+from catkinhollow.generated.relay import GateState, PaceControl
 from catkinhollow.relay.admission.gate import MAX_CONSECUTIVE_BROKEN, Gate
 from catkinhollow.relay.admission.gate_jobs import Admitted
 from catkinhollow.relay.admission.pace import NoPeers, Pace
+from catkinhollow.relay.admission.target_load import LoadFigures
 from catkinhollow.relay.placement.peers import PeerDirectory
 from catkinhollow.relay.placement.service_peers import DirectoryPeers
 
@@ -279,3 +280,21 @@
     assert peers.run_ms("r") == 110.0
     assert peers.run_ms("other") == 0.0
     assert peers.failure_share() == 0.1
+
+
+def test_pace_applies_only_where_it_is_asked_for():
+    """Guards against a pace at deployments that are served without one."""
+    for control, figure, in_force in (
+        (PaceControl.AUTO, 0.0, False),
+        (PaceControl.AUTO, 1.2, True),
+        (PaceControl.NEVER, 1.2, False),
+        (PaceControl.ALWAYS, 0.0, True),
+    ):
+        gate = make_gate(slots=8)
+        gate.pace_control = control
+        figures = LoadFigures(running=0, waiting=0, slots=8, slowness=figure)
+        gate.record_load(figures, 0.0)
+        gate.probe_failed()
+        gate.announce(make_announcement(sequence=2, slots=8), 5.0)
+        gate.report(5.0)
+        assert gate.pace.in_force is in_force
