Log restarts of peers and the calls that are forgotten with them

The logs told neither that a gate had taken a peer for restarted nor which calls it had forgotten, so that three hypotheses could not be told apart.

Log peer restarted (with both start times), calls of a peer forgotten and call unknown to the gate.

--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -432,6 +432,12 @@
         arrivals = self._arrivals.get(sender)
         if arrivals is None or arrivals.incarnation != incarnation:
             if arrivals is not None:
+                logger.info(
+                    "peer restarted",
+                    address=sender,
+                    incarnation=incarnation,
+                    before=arrivals.incarnation,
+                )
                 # The peer has restarted and will not answer the open calls.
                 self._calls.peer_restarted(sender)
             arrivals = self._arrivals[sender] = _Arrivals(incarnation)
--- a/catkinhollow/relay/links/remote_calls.py
+++ b/catkinhollow/relay/links/remote_calls.py
@@ -178,7 +178,8 @@
         """Fail the calls to a peer that has restarted, and forget its own."""
         self._fail_calls(address)
         self._answers.remove_caller(address)
-        self._cancel_incoming([key for key in self._incoming if key[0] == address])
+        calls = [key for key in self._incoming if key[0] == address]
+        self._cancel_incoming(calls, "peer restarted")
 
     def _fail_if_down(self, address: str) -> None:
         if not self._link.is_up(address):
@@ -191,15 +192,21 @@
 
     def _cancel_abandoned_calls(self, sender: str, status: Status) -> None:
         """Cancel the calls that a peer gave up while its link was down."""
-        self._cancel_incoming(
-            [
-                key
-                for key in self._incoming
-                if key[0] == sender and key[1] not in status.open_calls
-            ]
-        )
-
-    def _cancel_incoming(self, keys: list[tuple[str, int]]) -> None:
+        calls = [
+            key
+            for key in self._incoming
+            if key[0] == sender and key[1] not in status.open_calls
+        ]
+        self._cancel_incoming(calls, "given up while the link was down")
+
+    def _cancel_incoming(self, keys: list[tuple[str, int]], reason: str) -> None:
+        if keys:
+            logger.info(
+                "calls of a peer forgotten",
+                peer=keys[0][0],
+                calls=len(keys),
+                reason=reason,
+            )
         for key in keys:
             # The gate may have answered it when an earlier one was cancelled.
             submission = self._incoming.pop(key, None)
@@ -219,6 +226,13 @@
             else:
                 self._refused_s[key] = now_s
                 answer = _not_run(call_id, "lost with its link")
+            logger.info(
+                "call unknown to the gate",
+                peer=sender,
+                call_id=call_id,
+                outcome=answer.outcome.value,
+                reason=answer.reason,
+            )
             # The own link may be down, or may have gone silent as well.
             self._answers.add(sender, answer, now_s, now_s + REFUSE_LOST_CALLS_S)
             self._link.send_answer(sender, answer, inf)
