Disregard frames of ended processes of a peer

Cause: each change of the incarnation in a frame counted as a restart of the peer, also back to the process that had been killed. Its held frames arrived after those of the next process; the gate gave up and forgot the running calls of the running process, and said "not run" when that process asked for them over its next link.

PeerProcesses decides which process of a peer runs. Another one takes its place when its status names a status that was sent to it after the known process had been heard of; start times don't order processes, because wall clocks are stepped back. A process that is not known to run is asked, its calls are answered "not run" and are not run, its statuses are used for departures only, its answers go to the calls that wait for them. Frames carry the number of their link, which earlier releases don't send; for those the later start time still decides.

--- a/catkinhollow/relay/links/frame_queue.py
+++ b/catkinhollow/relay/links/frame_queue.py
@@ -49,6 +49,7 @@
             Frame(
                 sender=frame.sender,
                 incarnation=frame.incarnation,
+                link=frame.link,
                 fragment=Fragment(
                     frame=number,
                     index=index,
--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -4,7 +4,7 @@
 from math import inf
 from random import Random
 
-from attrs import define, frozen
+from attrs import frozen
 
 from catkinhollow.events import EventManager
 from catkinhollow.generated.relay import (
@@ -26,6 +26,11 @@
 from catkinhollow.relay.documents.follower_election import FollowerElection
 from catkinhollow.relay.links.link_plan import LinkPlan
 from catkinhollow.relay.links.nng_link import FrameLink, LinkEvent
+from catkinhollow.relay.links.peer_processes import (
+    FrameOrigin,
+    PeerProcess,
+    PeerProcesses,
+)
 from catkinhollow.relay.links.peer_sender import PeerSender
 from catkinhollow.relay.links.peer_watch import (
     PeerWatch,
@@ -79,16 +84,6 @@
     message: Knowledge
 
 
-@define
-class _Arrivals:
-    """Count what has arrived from one process of a peer."""
-
-    incarnation: int
-    status_ms: int = 0
-    """When the last status was sent, in the sender's steady time."""
-    messages: int = 0
-
-
 class PeerNetwork:
     """Maintain the links to peers and dispatch the frames on them."""
 
@@ -135,8 +130,7 @@
             # Differs between daemons, also if they start together.
             random=Random(directory.own.record.address),
         )
-        # Of each daemon that has sent a frame.
-        self._arrivals: dict[str, _Arrivals] = {}
+        self._processes = PeerProcesses(incarnation)
         self._contacted_s: dict[str, float] = {}
         # Since when nothing has come from each peer whose link was replaced
         # for this.
@@ -276,6 +270,7 @@
             self.schedule_link_update()
 
     def _disconnect_unneeded(self, now_s: float) -> None:
+        self._processes.forget_silent(now_s)
         for address, contacted_s in list(self._contacted_s.items()):
             if now_s - contacted_s > KEEP_CONTACTED_S:
                 del self._contacted_s[address]
@@ -290,7 +285,6 @@
                     continue
                 peer.missing_since_s = inf
             del self._needed_s[address]
-            self._arrivals.pop(address, None)
             self._silent_since_s.pop(address, None)
             self._watch.forget(address)
             self._link.disconnect(address)
@@ -388,17 +382,65 @@
                 self._send_status(address, reply=True)
 
     def _handle_frame(self, frame: Frame) -> None:
-        sender = frame.sender
         now_s = self._clock.monotonic()
+        known = self._processes.running(frame.sender)
+        origin = self._processes.record(frame, now_s)
+        if origin.is_late:
+            self._handle_late_frame(frame, origin, now_s)
+            return
+        if origin is FrameOrigin.RESTARTED and known is not None:
+            self._on_restart(frame, known)
         self._record_contact(frame, now_s)
         if frame.call is not None:
-            self._calls.handle_call(sender, frame.call)
+            self._calls.handle_call(frame.sender, frame.call)
         elif frame.answer is not None:
-            self._handle_answer(sender, frame.answer, now_s)
-        elif frame.cancel is not None:
-            self._calls.handle_cancel(sender, frame.cancel)
+            self._handle_answer(frame.sender, frame.answer, now_s)
+        elif frame.status is not None:
+            self._handle_status(frame.sender, frame.status, now_s)
+        else:
+            self._handle_unordered_frame(frame)
+
+    def _on_restart(self, frame: Frame, known: PeerProcess) -> None:
+        logger.info(
+            "peer restarted",
+            address=frame.sender,
+            incarnation=frame.incarnation,
+            before=known.incarnation,
+        )
+        # The earlier process will not answer the open calls.
+        self._calls.peer_restarted(frame.sender)
+
+    def _handle_late_frame(
+        self, frame: Frame, origin: FrameOrigin, now_s: float
+    ) -> None:
+        """Handle a frame that says nothing about the running process."""
+        if origin is FrameOrigin.OTHER_PROCESS:
+            self._ask_process(frame.sender, now_s)
+        if frame.call is not None:
+            self._calls.refuse_late(frame.sender, frame.call, origin)
+        elif frame.answer is not None:
+            # Its report about the target is out of date.
+            self._calls.handle_answer(frame.sender, frame.answer)
         elif frame.status is not None:
-            self._handle_status(sender, frame.status, now_s)
+            self._handle_departures(frame.status)
+        else:
+            self._handle_unordered_frame(frame)
+
+    def _ask_process(self, address: str, now_s: float) -> None:
+        """Ask whether a process runs that is not the known one of a peer."""
+        self._keep_link(address, now_s)
+        if not self._sender.is_up(address):
+            # The first status on the link asks for an answer, too.
+            return
+        process = self._processes.take_question(address, now_s)
+        if process is not None:
+            self._send_status(address, reply=False, asked=process)
+
+    def _handle_unordered_frame(self, frame: Frame) -> None:
+        """Handle a message whose content tells how old it is."""
+        sender = frame.sender
+        if frame.cancel is not None:
+            self._calls.handle_cancel(sender, frame.cancel)
         elif frame.knowledge is not None:
             received = KnowledgeReceived(
                 sender=sender, incarnation=frame.incarnation, message=frame.knowledge
@@ -421,32 +463,23 @@
             self._sync.handle_request(sender, frame.document_request)
 
     def _record_contact(self, frame: Frame, now_s: float) -> None:
-        sender, incarnation = frame.sender, frame.incarnation
+        sender = frame.sender
         is_bulk = any((frame.call, frame.answer, frame.fragment))
         self._watch.record_contact(sender, now_s, is_bulk=is_bulk)
         self._silent_since_s.pop(sender, None)
-        self._contacted_s[sender] = now_s
         peer = self._directory.by_address(sender)
         if peer is not None and peer.linked:
             peer.unresponsive = self._watch.is_unresponsive(sender, now_s)
-        arrivals = self._arrivals.get(sender)
-        if arrivals is None or arrivals.incarnation != incarnation:
-            if arrivals is not None:
-                logger.info(
-                    "peer restarted",
-                    address=sender,
-                    incarnation=incarnation,
-                    before=arrivals.incarnation,
-                )
-                # The peer has restarted and will not answer the open calls.
-                self._calls.peer_restarted(sender)
-            arrivals = self._arrivals[sender] = _Arrivals(incarnation)
-        arrivals.messages += 1
-        if sender not in self._needed_s:
-            self._needed_s[sender] = now_s
-            self._link.connect(sender)
-        if not self._sender.is_up(sender):
-            self._link.contacted(sender)
+        self._keep_link(sender, now_s)
+
+    def _keep_link(self, address: str, now_s: float) -> None:
+        """Maintain a link to a daemon that has sent a frame."""
+        self._contacted_s[address] = now_s
+        if address not in self._needed_s:
+            self._needed_s[address] = now_s
+            self._link.connect(address)
+        if not self._sender.is_up(address):
+            self._link.contacted(address)
 
     def _handle_answer(self, sender: str, answer: Answer, now_s: float) -> None:
         peer = self._directory.by_address(sender)
@@ -457,8 +490,6 @@
             self._watch.record_delivery(sender, sent_s)
 
     def _handle_status(self, sender: str, status: Status, now_s: float) -> None:
-        arrivals = self._arrivals[sender]
-        arrivals.status_ms = max(arrivals.status_ms, status.sent_ms)
         if status.receiver == self._incarnation:
             self._record_heard(sender, status, now_s)
         if status.silent_ms:
@@ -471,8 +502,7 @@
         if status.store_age_ms is not None:
             self._election.hear(status.store_age_ms / 1000.0, now_s)
         self._hear_usage(status.usage)
-        for departure in status.departures:
-            self._gate.depart(departure.lifetime, departure.started_ms)
+        self._handle_departures(status)
         link_works = self._calls.handle_status(sender, status)
         if (
             not link_works
@@ -488,6 +518,10 @@
             self._sync.announce_all(sender)
         self._sync.compare(sender, status.digest, configured=status.configured)
 
+    def _handle_departures(self, status: Status) -> None:
+        for departure in status.departures:
+            self._gate.depart(departure.lifetime, departure.started_ms)
+
     def _record_heard(self, sender: str, status: Status, now_s: float) -> None:
         """Record what a peer tells about the link to it."""
         # Earlier releases know the receiver, but not what has arrived.
@@ -518,22 +552,34 @@
             return self._gate.gate.report(now_s, routes=True)
         return None if asks else self._gate.gate.report(now_s)
 
-    def _send_status(self, address: str, *, reply: bool, resumed: bool = False) -> None:
+    def _send_status(
+        self,
+        address: str,
+        *,
+        reply: bool,
+        resumed: bool = False,
+        asked: PeerProcess | None = None,
+    ) -> None:
+        """Send the current status to a peer.
+
+        It tells what has arrived from the running process of the peer, or from
+        another process that is asked whether it runs.
+        """
         now_s = self._clock.monotonic()
         self._election.store_reached(self._store_reached_s())
         peer = self._directory.by_address(address)
         departure = peer.departure if peer is not None and resumed else None
-        arrivals = self._arrivals.get(address) or _Arrivals(0)
+        process = asked or self._processes.running(address)
         sent_ms = int(now_s * 1000)
         silent_since_s = self._silent_since_s.get(address, now_s)
         status = Status(
             departures=[departure] if departure is not None else [],
             reply=reply,
             resumed=resumed,
-            receiver=arrivals.incarnation,
+            receiver=process.incarnation if process else 0,
             sent_ms=sent_ms,
-            heard_ms=arrivals.status_ms,
-            received=arrivals.messages,
+            heard_ms=process.status_ms if process else 0,
+            received=process.messages if process else 0,
             silent_ms=int((now_s - silent_since_s) * 1000),
             digest=self._sync.digest,
             configured=self._is_configured(),
--- a/catkinhollow/relay/links/nng_link.py
+++ b/catkinhollow/relay/links/nng_link.py
@@ -52,7 +52,9 @@
 _RECEIVE_BATCH_FRAMES = 64
 
 _MESSAGE_FIELDS = tuple(
-    item.name for item in fields(Frame) if item.name not in ("sender", "incarnation")
+    item.name
+    for item in fields(Frame)
+    if item.name not in ("sender", "incarnation", "link")
 )
 
 LinkEvent: TypeAlias = LinkUp | LinkDown | Frame
--- /dev/null
+++ b/catkinhollow/relay/links/peer_processes.py
@@ -0,0 +1,132 @@
+"""Tell frames of the running process of a peer from those that come late.
+
+A partition holds frames up and delivers them when it has ended, even if their
+process was killed or their link was replaced meanwhile. They say nothing about
+the present. The wall clock of an instance may be stepped back, so that start
+times don't order the processes of a peer. A process takes the place of the
+known one when it has received a status that was sent after the known one had
+been heard of: the known one has ended then, as both use the same address.
+
+Load: one look-up for each frame.
+"""
+
+from enum import StrEnum
+from math import inf
+
+from attrs import define
+
+from catkinhollow.generated.relay import Frame, Status
+
+# Time after which a peer that sends nothing is forgotten. Linux resends
+# unacknowledged data for about 15 minutes.
+FORGET_S = 20 * 60.0
+# Time between two questions whether a process runs. A process that does not
+# answer has ended, or will be asked with its next frame.
+QUESTION_INTERVAL_S = 0.25
+
+
+class FrameOrigin(StrEnum):
+    """Tell which process of a peer has sent a frame."""
+
+    CURRENT = "current"
+    """The running process."""
+    RESTARTED = "restarted"
+    """The running process, which was not known to run before this frame."""
+    OTHER_PROCESS = "other process"
+    """A process that is not known to run; most likely it has ended."""
+
+    @property
+    def is_late(self) -> bool:
+        """Return whether the frame says nothing about the present."""
+        return self is FrameOrigin.OTHER_PROCESS
+
+
+@define(eq=False)
+class PeerProcess:
+    """Represent what has arrived from one process of a peer."""
+
+    incarnation: int
+    seen_s: float
+    """When the first frame arrived."""
+    heard_s: float
+    """When the last frame arrived."""
+    status_ms: int = 0
+    """When the last status was sent, in the sender's steady time."""
+    messages: int = 0
+    asked_s: float = -inf
+
+    def record(self, frame: Frame, now_s: float) -> None:
+        """Record a frame."""
+        self.heard_s = now_s
+        self.messages += 1
+        if frame.status is not None:
+            self.status_ms = max(self.status_ms, frame.status.sent_ms)
+
+
+class PeerProcesses:
+    """Track the running process of each peer.
+
+    The incarnation is that of the own process.
+    """
+
+    def __init__(self, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._running: dict[str, PeerProcess] = {}
+        # The last other process of each peer that has sent a frame.
+        self._others: dict[str, PeerProcess] = {}
+
+    def running(self, address: str) -> PeerProcess | None:
+        """Return the running process of a peer, None if none is known."""
+        return self._running.get(address)
+
+    def record(self, frame: Frame, now_s: float) -> FrameOrigin:
+        """Record a frame that has arrived and return its origin."""
+        running = self._running.get(frame.sender)
+        process = self._find(frame, running, now_s)
+        process.record(frame, now_s)
+        if running is None or process is running:
+            return FrameOrigin.CURRENT
+        if not self._replaces(frame, running):
+            return FrameOrigin.OTHER_PROCESS
+        self._running[frame.sender] = self._others.pop(frame.sender)
+        return FrameOrigin.RESTARTED
+
+    def take_question(self, address: str, now_s: float) -> PeerProcess | None:
+        """Return the process to ask whether it runs, None if none is due."""
+        other = self._others.get(address)
+        if other is None or now_s - other.asked_s < QUESTION_INTERVAL_S:
+            return None
+        other.asked_s = now_s
+        return other
+
+    def forget_silent(self, now_s: float) -> None:
+        """Forget the peers that have sent nothing for long."""
+        for processes in (self._running, self._others):
+            for address, process in list(processes.items()):
+                if now_s - process.heard_s > FORGET_S:
+                    del processes[address]
+
+    def _find(
+        self, frame: Frame, running: PeerProcess | None, now_s: float
+    ) -> PeerProcess:
+        """Return the process that has sent a frame, added if unknown."""
+        processes = self._running if running is None else self._others
+        known = running
+        if running is not None and running.incarnation != frame.incarnation:
+            known = self._others.get(frame.sender)
+        if known is None or known.incarnation != frame.incarnation:
+            known = PeerProcess(frame.incarnation, seen_s=now_s, heard_s=now_s)
+            processes[frame.sender] = known
+        return known
+
+    def _replaces(self, frame: Frame, known: PeerProcess) -> bool:
+        """Return whether a frame shows that its process is the later one."""
+        if frame.status is not None and self._has_heard_since(frame.status, known):
+            return True
+        # Earlier releases number no links, and may not tell what they heard.
+        return frame.link == 0 and frame.incarnation > known.incarnation
+
+    def _has_heard_since(self, status: Status, known: PeerProcess) -> bool:
+        """Return whether the sender has heard of this daemon since then."""
+        seen_ms = int(known.seen_s * 1000)
+        return status.receiver == self._incarnation and status.heard_ms > seen_ms
--- a/catkinhollow/relay/links/remote_calls.py
+++ b/catkinhollow/relay/links/remote_calls.py
@@ -135,6 +135,15 @@
         if not submission.answered:
             self._incoming[key] = submission
 
+    def refuse_late(self, sender: str, call: Call, reason: str) -> None:
+        """Refuse a call from an earlier link or from a process that has ended.
+
+        Its caller may have been told that it has not run.
+        """
+        logger.info("late call refused", peer=sender, id=call.request_id, reason=reason)
+        answer = _not_run(call.call_id, "arrived late at the gate")
+        self._link.send_answer(sender, answer, inf)
+
     def handle_answer(self, sender: str, answer: Answer) -> float | None:
         """Deliver an answer to the call that waits for it, once.
 
