Disregard frames that arrive after those of a newer link

Callers could see orders run twice, or answered 503 although they had run, without any restart: when a link was replaced and frames of the old one arrived after those of the new one.

Cause: a late status was taken for the newest. Its list of open calls confirmed answers that the caller still waited for, and the first status of a replaced link cancelled running calls; the gate then said "not run" of both. A late call was refused for 30 s only after it had been reported as "not run"; data that a long partition held up came later and ran.

Frames of the running process with a lower number of the link than the newest, and statuses that were sent before the last one, say nothing about the present: calls are refused, lists and figures are not read. Answers are delivered all the same, and messages whose content tells their age (documents, usage, knowledge, cancellations) are handled as before.

--- a/catkinhollow/relay/links/peer_processes.py
+++ b/catkinhollow/relay/links/peer_processes.py
@@ -26,19 +26,20 @@
 
 
 class FrameOrigin(StrEnum):
-    """Tell which process of a peer has sent a frame."""
+    """Tell which process and which link of a peer have sent a frame."""
 
     CURRENT = "current"
-    """The running process."""
+    """The running process, over its newest link."""
     RESTARTED = "restarted"
     """The running process, which was not known to run before this frame."""
+    EARLIER_LINK = "earlier link"
     OTHER_PROCESS = "other process"
     """A process that is not known to run; most likely it has ended."""
 
     @property
     def is_late(self) -> bool:
         """Return whether the frame says nothing about the present."""
-        return self is FrameOrigin.OTHER_PROCESS
+        return self in (FrameOrigin.EARLIER_LINK, FrameOrigin.OTHER_PROCESS)
 
 
 @define(eq=False)
@@ -50,17 +51,28 @@
     """When the first frame arrived."""
     heard_s: float
     """When the last frame arrived."""
+    link: int = 0
+    """Number of the newest link."""
     status_ms: int = 0
     """When the last status was sent, in the sender's steady time."""
     messages: int = 0
     asked_s: float = -inf
 
+    def is_late(self, frame: Frame) -> bool:
+        """Return whether a newer link or a newer status is known."""
+        if frame.link < self.link:
+            return True
+        status = frame.status
+        # Earlier releases tell neither the link nor the time.
+        return status is not None and 0 < status.sent_ms < self.status_ms
+
     def record(self, frame: Frame, now_s: float) -> None:
-        """Record a frame."""
+        """Record a frame that is not late."""
         self.heard_s = now_s
+        self.link = frame.link
         self.messages += 1
         if frame.status is not None:
-            self.status_ms = max(self.status_ms, frame.status.sent_ms)
+            self.status_ms = frame.status.sent_ms
 
 
 class PeerProcesses:
@@ -83,6 +95,9 @@
         """Record a frame that has arrived and return its origin."""
         running = self._running.get(frame.sender)
         process = self._find(frame, running, now_s)
+        if process.is_late(frame):
+            is_running = process is running
+            return FrameOrigin.EARLIER_LINK if is_running else FrameOrigin.OTHER_PROCESS
         process.record(frame, now_s)
         if running is None or process is running:
             return FrameOrigin.CURRENT
--- a/tests/relay/links/test_late_frames.py
+++ b/tests/relay/links/test_late_frames.py
@@ -1,11 +1,15 @@
 """Tests of late frames, from replaced links and ended processes."""
 
+from functools import partial
+from random import Random
+
 import pytest
-from frame_network import WORK_S, FrameNetwork
+from frame_network import CONNECT_S, WORK_S, FrameNetwork
 
 from catkinhollow.generated.relay import CallOutcome
 
 ADDRESSES = M1, M2, M3 = "m1:1", "m2:1", "m3:1"
+SEEDS = 40
 RESTART_S = 0.3
 # A restarted daemon is used again within this time.
 REJOIN_S = 2.0
@@ -99,3 +103,147 @@
     network.release(held)
     network.time.advance(2 * WORK_S)
     assert [network.runs[order.request_id] for order in orders] == [0] * 4
+
+
+def test_late_status_of_a_replaced_link_confirms_no_answer():
+    """Guards against "not run" because of an outdated list of open calls."""
+    network = FrameNetwork(["m1", "m2"])
+    caller = network.processes[M1]
+    late = hold(links(network, M1, M2))
+    caller.peers.broadcast_status()
+    caller.link.reset(M2)
+    network.time.advance(0.1)
+    order = network.order(M1)
+    # The answer is lost with the link that carries it.
+    hold(links(network, M2, M1))
+    network.time.advance(WORK_S + 0.01)
+    network.release(late)
+    network.time.advance(0.01)
+    network.processes[M2].link.reset(M1)
+    caller.link.reset(M2)
+    network.time.advance(0.1)
+    network.check()
+    assert order.outcome is CallOutcome.ANSWERED
+
+
+def test_late_first_status_of_a_replaced_link_cancels_no_call():
+    """Guards against running orders that the gate gives up and forgets."""
+    network = FrameNetwork(["m1", "m2"])
+    caller = network.processes[M1]
+    caller.link.reset(M2)
+    network.time.advance(CONNECT_S)
+    late = hold(links(network, M1, M2))
+    caller.link.reset(M2)
+    network.time.advance(0.1)
+    order = network.order(M1)
+    network.time.advance(0.1)
+    network.release(late)
+    network.time.advance(0.01)
+    caller.link.reset(M2)
+    network.time.advance(2 * WORK_S)
+    network.check()
+    assert order.outcome is CallOutcome.ANSWERED
+
+
+@pytest.mark.parametrize("late_s", [0.5, 10.0, 90.0])
+def test_call_that_was_sent_elsewhere_is_never_run(late_s):
+    """Guards against orders that run again when a long partition ends."""
+    network = FrameNetwork()
+    caller = network.processes[M1]
+    held = hold(links(network, M1, M2))
+    orders = place_orders(network, M1, 4)
+    caller.link.reset(M2)
+    network.time.advance(late_s)
+    caller.link.reset(M2)
+    network.time.advance(0.1)
+    network.release(held)
+    network.time.advance(2 * WORK_S)
+    network.check()
+    assert {order.outcome for order in orders} == {CallOutcome.ANSWERED}
+
+
+class Disturbances:
+    """Place orders and disturb daemons at random times that overlap."""
+
+    SECONDS = 30.0
+    ORDERS_PER_S = 4.0
+    FAULTS_PER_S = 0.7
+
+    def __init__(self, seed):
+        self.network = FrameNetwork()
+        self.random = Random(seed)
+        # Most faults hit the same daemon, so that they meet each other.
+        self._victim = self.random.choice(ADDRESSES)
+
+    def run(self):
+        for rate, event in (
+            (self.ORDERS_PER_S, self._order),
+            (self.FAULTS_PER_S, self._disturb),
+        ):
+            for _ in range(int(rate * self.SECONDS)):
+                at_s = self.random.uniform(0.0, self.SECONDS)
+                self.network.time.schedule(at_s, event)
+        self.network.time.advance(self.SECONDS)
+        self._end_faults()
+        self.network.check()
+
+    def _order(self):
+        address = self._choose()
+        if address in self.network.processes:
+            self.network.order(address)
+
+    def _disturb(self):
+        fault = self.random.choice(
+            [self._cut, self._cut, self._kill, self._pause, self._replace]
+        )
+        fault(self._choose(), self.random.choice([0.2, 0.8, 1.5, 3.0]))
+
+    def _choose(self):
+        is_victim = self.random.random() < 0.7
+        return self._victim if is_victim else self.random.choice(ADDRESSES)
+
+    def _cut(self, address, seconds):
+        """Cut a daemon off; each connection is held for a while longer."""
+        held = self.network.cut(address)
+        time = self.network.time
+        time.schedule(seconds, lambda: self.network.heal(address))
+        for connection in held:
+            late_s = seconds + self.random.uniform(0.0, 5.0)
+            time.schedule(late_s, partial(self.network.release, [connection]))
+
+    def _kill(self, address, seconds):
+        if address in self.network.processes:
+            self.network.kill(address)
+            step_ms = self.random.choice([0, 0, -60_000])
+            start = partial(self.network.start, address, unix_step_ms=step_ms)
+            self.network.time.schedule(seconds, start)
+
+    def _pause(self, address, seconds):
+        process = self.network.processes.get(address)
+        if process is not None:
+            process.timer.paused = True
+            self.network.time.schedule(seconds, process.timer.resume)
+
+    def _replace(self, address, seconds):
+        for process in self.network.processes.values():
+            if address in process.link.connections:
+                process.timer.run(partial(process.link.reset, address))
+
+    def _end_faults(self):
+        """Let all faults end, and expect that all daemons are in touch."""
+        self.network.time.advance(15.0)
+        orders = [self.network.order(address) for address in ADDRESSES]
+        self.network.time.advance(2 * WORK_S)
+        assert [order.outcome for order in orders] == [CallOutcome.ANSWERED] * 3
+
+
+@pytest.mark.parametrize("batch", range(8))
+def test_orders_run_once_and_not_run_is_true_whatever_arrives_late(batch):
+    """Guards against orders that run twice or are falsely refused.
+
+    Links are cut and replaced, daemons killed, restarted and paused, and
+    frames are delivered after newer ones.
+    """
+    for seed in range(SEEDS * batch, SEEDS * (batch + 1)):
+        print("seed", seed)
+        Disturbances(seed).run()
