Name the process that receipts of usage belong to

Runs of a daemon were never reported after a restart, if a message of its earlier process reached the holder of the usage lease late.

Cause: the holder answers with receipts to the address of the sender, where the next process takes them for its own; it counts from zero and does not send runs again that a receipt covers.

Messages with receipts name the incarnation that they belong to, and others are not counted. Messages of earlier releases name none and are believed.

--- a/catkinhollow/relay/usage/usage_service.py
+++ b/catkinhollow/relay/usage/usage_service.py
@@ -161,7 +161,8 @@
             and beacon is not None
             and message.beacon.epoch == beacon.epoch
         )
-        if message.receipts and is_current:
+        is_own = message.receiver in (0, self._source.incarnation)
+        if message.receipts and is_current and is_own:
             self._unanswered = 0
             self._own.receive(message.receipts)
         receipts: list[UsageReceipt] = []
@@ -169,7 +170,9 @@
             source = Source(address, incarnation)
             receipts = self._merge(source, message)
         if message.asks:
-            answer = UsageMessage(beacon=self._lease.beacon, receipts=receipts)
+            answer = UsageMessage(
+                beacon=self._lease.beacon, receipts=receipts, receiver=incarnation
+            )
             self._links.send_usage(address, answer)
 
     async def run(self) -> None:
--- a/tests/relay/usage/test_usage_service.py
+++ b/tests/relay/usage/test_usage_service.py
@@ -7,6 +7,7 @@
 from trio.testing import MockClock
 from usage_fleet import START_UNIX_S, UsageFleet
 
+from catkinhollow.generated.relay import UsageMessage
 from catkinhollow.relay.usage.report_plan import ReportOutcome
 
 WINDOW_S = 5.0
@@ -224,6 +225,34 @@
     check_reports(fleet, 36.0)
 
 
+@in_virtual_time
+async def test_receipt_for_an_ended_process_does_not_count_for_the_next(fleet):
+    """Guards against runs that are never reported after a late message."""
+    await fleet.load(13.0)
+    (holder,) = fleet.holders
+    name = next(name for name in fleet.members if name != holder)
+    await trio.sleep(window_at(13.0) * WINDOW_S + 5.1 - START_UNIX_S - fleet.now_s)
+    ended = fleet.members[name]
+    fleet.cut_off.add(name)
+    for _ in range(60):
+        fleet.count(name, "acme")
+    late = UsageMessage(
+        beacon=ended.service.beacon,
+        parts=ended.service._own.unreceived(),
+        asks=True,
+    )
+    fleet.kill(name)
+    fleet.start(name, 2)
+    fleet.cut_off.discard(name)
+    await trio.sleep(1.1)
+    fleet.deliver(ended, f"{holder}:1", late)
+    await trio.sleep(0.0)
+    for _ in range(20):
+        fleet.count(name, "acme")
+    await run_until(fleet, 36.0)
+    check_reports(fleet, 36.0)
+
+
 @in_virtual_time
 async def test_wrong_wall_clock_of_one_daemon_does_little(fleet):
     """Guards against windows that one wrong clock spoils."""
