Hold connections in the soak and deliver their frames late

No seed of the soak showed orders that run twice after late frames: its faults cut connections for good or hold all of them, so that no newer link worked meanwhile, and all runs took 20 ms.

A generator of its own plans these faults, so that the other faults of each seed are the same as before.

--- a/catkinhollow/testbed/loopback_proxy.py
+++ b/catkinhollow/testbed/loopback_proxy.py
@@ -1,7 +1,7 @@
 """Inject faults into the connections to one server on loopback."""
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import TypeAlias
 
@@ -44,6 +44,8 @@
     scope: trio.CancelScope
     cut: set[Direction] = field(factory=set)
     """Directions in which nothing is forwarded any more."""
+    held: int = 0
+    """Number of holds that have not been released yet."""
 
     def source(self, direction: Direction) -> trio.SocketStream:
         return self.client if direction is Direction.TO_SERVER else self.server
@@ -71,8 +73,7 @@
     @silent.setter
     def silent(self, value: bool) -> None:
         self._silent = value
-        self._changed.set()
-        self._changed = trio.Event()
+        self._wake_waiting()
 
     def reset(self) -> None:
         """Reset every open connection that still forwards bytes both ways."""
@@ -88,6 +89,23 @@
         for connection in self._connections:
             connection.cut.update(directions)
 
+    def hold_open(self) -> Callable[[], None]:
+        """Hold back all bytes of the open connections; return the release.
+
+        Connections that are opened later work. What an end has sent is
+        delivered after the release, even if its process has ended meanwhile.
+        """
+        connections = list(self._connections)
+        for connection in connections:
+            connection.held += 1
+
+        def release() -> None:
+            for connection in connections:
+                connection.held -= 1
+            self._wake_waiting()
+
+        return release
+
     async def serve(
         self,
         port: int,
@@ -166,9 +184,13 @@
         self, connection: _Connection, direction: Direction
     ) -> None:
         """Wait while a direction is blocked, forever if it is cut."""
-        while self._silent or direction in connection.cut:
+        while self._silent or connection.held or direction in connection.cut:
             await self._changed.wait()
 
+    def _wake_waiting(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
 
 def _abort(stream: trio.SocketStream) -> None:
     """Close a connection with a TCP reset."""
--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -23,7 +23,7 @@
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.logs import get_logger
-from catkinhollow.testbed.soak_faults import Fault, plan_faults
+from catkinhollow.testbed.soak_faults import Fault, plan_faults, plan_late_frames
 from catkinhollow.testbed.soak_fleet import CALLER_TIMEOUT_S, TIMEOUT_S, SoakFleet
 from catkinhollow.testbed.soak_injector import FaultInjector
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, SoakLedger
@@ -84,11 +84,18 @@
     """Run the soak test with one seed."""
 
     def __init__(
-        self, seed: int, *, daemons: int, seconds: float, directory: Path
+        self,
+        seed: int,
+        *,
+        daemons: int,
+        seconds: float,
+        directory: Path,
+        late_frames: bool = False,
     ) -> None:
         self._seed = seed
         self._random = Random(seed)
         self._seconds = seconds
+        self._late_frames = late_frames
         self._clock = TrioClock()
         self._names = [f"d{number}" for number in range(daemons)]
         self._touch = TouchRecord(self._names, self._clock)
@@ -100,6 +107,7 @@
             directory=directory,
             record_run=self._ledger.record_run,
             clock=self._clock,
+            long_runs=late_frames,
         )
         self._checker = VersionChecker(self._fleet, self._versions, self._clock)
         self._injector = FaultInjector(
@@ -114,7 +122,7 @@
 
     async def run(self) -> SoakResult:
         """Run the test and return the violations that it found."""
-        faults = plan_faults(self._random, self._names, self._seconds)
+        faults = self._plan_faults()
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch_stalls, self._clock, self._record_stall)
@@ -144,6 +152,14 @@
             quiet_windows=len(self._ledger.quiet_windows()),
         )
 
+    def _plan_faults(self) -> list[Fault]:
+        faults = plan_faults(self._random, self._names, self._seconds)
+        if self._late_frames:
+            # A generator of its own keeps the other faults of a seed the same.
+            random = Random(f"late frames {self._seed}")
+            faults += plan_late_frames(random, self._names, self._seconds, faults)
+        return sorted(faults, key=lambda fault: fault.at_s)
+
     async def _call_during_faults(self, faults: list[Fault]) -> float:
         """Call all daemons during the faults; return the last fault's end."""
         async with trio.open_nursery() as callers:
--- a/catkinhollow/testbed/soak_faults.py
+++ b/catkinhollow/testbed/soak_faults.py
@@ -1,6 +1,6 @@
 """Plan the faults of a soak test from a seed."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from enum import StrEnum
 from random import Random
 
@@ -19,6 +19,10 @@
 MAX_FAULT_S = 2.5
 # Mean time between two configuration versions, in series and quiet times.
 MEAN_VERSION_GAP_S = 1.5
+# Mean time between two holds of the connections between daemons, and their
+# shortest duration. A link is replaced after 1.3 s of silence.
+MEAN_HOLD_GAP_S = 2.0
+MIN_HOLD_S = 1.0
 MIN_DELAY_S = 0.05
 MAX_DELAY_S = 0.4
 
@@ -48,6 +52,8 @@
     """Forward nothing more on the open connections; new ones work."""
     SILENT_FOR_A_TIME = "silent for a time"
     """Hold all bytes back for the duration and deliver them afterwards."""
+    HELD = "held"
+    """The same on the open connections only; new ones work."""
 
 
 class Place(StrEnum):
@@ -134,6 +140,39 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def plan_late_frames(
+    random: Random, instances: Sequence[str], until_s: float, faults: Iterable[Fault]
+) -> list[Fault]:
+    """Return holds of connections between daemons, and kills beside them.
+
+    The frames of a daemon that is killed meanwhile are delivered after those
+    of its next process.
+    """
+    planned = list(faults)
+    late: list[Fault] = []
+    for at_s in _plan_times(random, MEAN_HOLD_GAP_S, 0.0, until_s - MAX_FAULT_S):
+        count = random.choice((1, (len(instances) + 1) // 2, len(instances)))
+        held = tuple(sorted(random.sample(instances, count)))
+        hold = Fault(
+            at_s=at_s,
+            kind=FaultKind.HELD,
+            place=Place.PEER,
+            instances=held,
+            duration_s=random.uniform(MIN_HOLD_S, MAX_FAULT_S),
+        )
+        kill = Fault(
+            at_s=at_s + random.uniform(0.0, MIN_HOLD_S),
+            kind=FaultKind.KILL,
+            instances=(random.choice(instances),),
+            duration_s=MIN_FAULT_S,
+        )
+        late.append(hold)
+        if not any(_conflicts(kill, other) for other in planned):
+            planned.append(kill)
+            late.append(kill)
+    return sorted(late, key=lambda fault: fault.at_s)
+
+
 def _plan_series(random: Random, until_s: float) -> Iterator[float]:
     """Return the times of the faults."""
     begin_s = 0.0
--- a/catkinhollow/testbed/soak_fleet.py
+++ b/catkinhollow/testbed/soak_fleet.py
@@ -69,12 +69,14 @@
         directory: Path,
         record_run: Callable[[str], None],
         clock: Clock,
+        long_runs: bool = False,
     ) -> None:
         self._names = names
         self._failure_domains = failure_domains
         self._directory = directory
         self._record_run = record_run
         self._clock = clock
+        self._long_runs = long_runs
         self._group = ProcessGroup(directory)
         self._store = StandInStore()
         self._members: dict[str, Member] = {}
@@ -125,7 +127,13 @@
         )
         member = Member(
             settings=settings,
-            target=SoakTarget(settings, ports[7], self._record_run, self._clock),
+            target=SoakTarget(
+                settings,
+                ports[7],
+                self._record_run,
+                self._clock,
+                long_runs=self._long_runs,
+            ),
             to_target=LoopbackProxy(ports[7]),
             to_store=LoopbackProxy(store_port),
             to_peer=LoopbackProxy(ports[8]),
--- a/catkinhollow/testbed/soak_injector.py
+++ b/catkinhollow/testbed/soak_injector.py
@@ -125,6 +125,12 @@
         proxies = [_find_proxy(member, fault.place) for member in members]
         is_touched = fault.place is not Place.TARGET
         with self._touch.disturb(fault.instances if is_touched else ()):
+            if fault.kind is FaultKind.HELD:
+                releases = [proxy.hold_open() for proxy in proxies]
+                await trio.sleep(fault.duration_s)
+                for release in releases:
+                    release()
+                return
             for proxy in proxies:
                 _disturb(proxy, fault)
             if fault.kind in _LASTING_KINDS:
--- a/catkinhollow/testbed/soak_target.py
+++ b/catkinhollow/testbed/soak_target.py
@@ -24,6 +24,9 @@
 logger = get_logger(__name__)
 
 WORK_S = 0.02
+# Work of one run in ten, which is still running when links are replaced.
+LONG_WORK_S = 0.6
+LONG_RUN_INTERVAL = 10
 SLOTS = 4
 ANNOUNCE_INTERVAL_S = 0.5
 MAX_BODY_BYTES = 100_000
@@ -38,11 +41,15 @@
         port: int,
         record_run: Callable[[str], None],
         clock: Clock,
+        *,
+        long_runs: bool = False,
     ) -> None:
         self._settings = settings
         self._port = port
         self._record_run = record_run
         self._clock = clock
+        self._long_runs = long_runs
+        self._runs = count(1)
         self._lifetime = ""
         self._lifetimes = count(1)
         self._down_s = 0.0
@@ -81,12 +88,16 @@
             await send_response(send, plain_response(421, "another lifetime", headers))
             return
         self._record_run(request_id.decode())
-        await trio.sleep(WORK_S)
+        await trio.sleep(self._work_s())
         headers += [(NAMES.request_id, request_id), (NAMES.signature, b"soak")]
         await send_response(
             send, Response(status=200, headers=headers, body=request_id)
         )
 
+    def _work_s(self) -> float:
+        is_long = self._long_runs and next(self._runs) % LONG_RUN_INTERVAL == 0
+        return LONG_WORK_S if is_long else WORK_S
+
     async def _announce(self) -> None:
         started_ms = self._clock.unix_ms()
         url = f"http://{self._settings.announcements}/instances/{self._lifetime}"
--- a/tests/testbed/test_loopback_proxy.py
+++ b/tests/testbed/test_loopback_proxy.py
@@ -138,6 +138,19 @@
         assert await new_client.receive_some() == b"ping"
 
 
+async def test_held_bytes_arrive_after_those_of_newer_connections():
+    """Guards against frames of a killed daemon that are lost, not late."""
+    async with open_site() as site:
+        client, server = await site.connect()
+        release = site.proxy.hold_open()
+        assert not await carries(client, server)
+        await client.aclose()
+        await site.connect()
+        release()
+        assert await server.receive_some() == b"ping"
+        assert await server.receive_some() == b""
+
+
 async def test_delayed_bytes_arrive_later_and_in_order():
     """Guards against chunks that overtake, and against added delays."""
     async with open_site() as site:
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -16,9 +16,11 @@
 from catkinhollow.testbed.soak_faults import (
     CONNECTION_FAULTS,
     MAX_FAULT_S,
+    MIN_HOLD_S,
     FaultKind,
     Place,
     plan_faults,
+    plan_late_frames,
 )
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, WINDOW_S, SoakLedger
 from catkinhollow.testbed.soak_versions import STABLE_WINDOW_S, TouchRecord
@@ -41,6 +43,10 @@
 )
 
 
+# A minute of faults in which frames are held up and delivered late.
+LATE_FRAMES_RUNS = ((401, 6, 20.0), (402, 6, 20.0), (403, 6, 20.0))
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize(("seed", "daemons", "seconds"), CI_RUNS)
 async def test_daemons_keep_the_call_invariants_under_faults(
@@ -58,6 +64,34 @@
     assert result.violations == []
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize(("seed", "daemons", "seconds"), LATE_FRAMES_RUNS)
+async def test_daemons_keep_the_call_invariants_when_frames_arrive_late(
+    seed, daemons, seconds, tmp_path
+):
+    """Guards against orders that run twice beside kills and replaced links."""
+    soak = Soak(
+        seed, daemons=daemons, seconds=seconds, directory=tmp_path, late_frames=True
+    )
+    result = await soak.run()
+    held = [fault for fault in result.faults if fault.kind is FaultKind.HELD]
+    assert held
+    assert result.statuses[200] > 0
+    print(*result.timeline, sep="\n")
+    assert result.violations == []
+
+
+def test_late_frames_leave_the_other_faults_of_a_seed_as_they_are():
+    """Guards against seeds that stop showing what they have found."""
+    names = ["d0", "d1", "d2"]
+    faults = plan_faults(Random(3), names, 60.0)
+    late = plan_late_frames(Random(3), names, 60.0, faults)
+    assert {fault.kind for fault in late} == {FaultKind.HELD, FaultKind.KILL}
+    assert faults == plan_faults(Random(3), names, 60.0)
+    held = [fault for fault in late if fault.kind is FaultKind.HELD]
+    assert all(fault.duration_s >= MIN_HOLD_S for fault in held)
+
+
 def test_same_seed_gives_the_same_faults_and_all_end():
     """Guards against a failed seed that can't be reproduced."""
     names = ["d0", "d1", "d2"]
@@ -94,7 +128,7 @@
             is_played = place is not Place.TARGET or kind is not FaultKind.DELAYED
             for count in (1, 3, 6):
                 assert ((kind, place, count) in played) is is_played
-    assert {kind for kind, _, _ in played} == set(FaultKind)
+    assert {kind for kind, _, _ in played} == set(FaultKind) - {FaultKind.HELD}
 
 
 def test_faults_come_in_series_that_overlap():
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,6 +22,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--daemons", type=int, default=6)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--late-frames", action="store_true")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -31,6 +32,7 @@
             daemons=options.daemons,
             seconds=options.seconds,
             directory=directory,
+            late_frames=options.late_frames,
         )
         result = trio.run(soak.run)
         statuses = dict(sorted(result.statuses.items()))
