--- a/tests/relay/links/test_late_frames.py
+++ b/tests/relay/links/test_late_frames.py
@@ -6,7 +6,7 @@
 import pytest
 from frame_network import CONNECT_S, WORK_S, FrameNetwork
 
-from catkinhollow.generated.relay import CallOutcome
+from catkinhollow.generated.relay import CallOutcome, Departure, Frame, Status
 
 ADDRESSES = M1, M2, M3 = "m1:1", "m2:1", "m3:1"
 SEEDS = 40
@@ -145,6 +145,18 @@
     assert order.outcome is CallOutcome.ANSWERED
 
 
+def test_departure_in_a_late_status_is_kept():
+    """Guards against a departed target that a restarted daemon uses again."""
+    process = FrameNetwork().processes[M1]
+    departed = []
+    process.peers._gate.depart = lambda *departure: departed.append(departure)
+    earlier = process.peers._processes.running(M2).incarnation - 1
+    departure = Departure(lifetime="t1", started_ms=5)
+    status = Status(digest=0, departures=[departure])
+    process.receive(Frame(sender=M2, incarnation=earlier, link=1, status=status))
+    assert departed == [("t1", 5)]
+
+
 @pytest.mark.parametrize("late_s", [0.5, 10.0, 90.0])
 def test_call_that_was_sent_elsewhere_is_never_run(late_s):
     """Guards against orders that run again when a long partition ends."""
