Move the decision which links are kept into a module of its own

LinkKeeper decides without I/O which links are no longer needed; the behaviour is unchanged. tests/relay/links and tests/relay/usage: 215 passed.

--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -24,6 +24,7 @@
 from catkinhollow.relay.documents.document_sync import DocumentSync
 from catkinhollow.relay.documents.document_table import DocumentTable
 from catkinhollow.relay.documents.follower_election import FollowerElection
+from catkinhollow.relay.links.link_keeper import LinkKeeper
 from catkinhollow.relay.links.link_plan import LinkPlan
 from catkinhollow.relay.links.nng_link import FrameLink, LinkEvent
 from catkinhollow.relay.links.peer_processes import (
@@ -51,12 +52,6 @@
 # take processor time: no status is due and no limit can have passed.
 CALM_WATCH_INTERVAL_S = 0.2
 LINK_UPDATE_INTERVAL_S = 1.0
-# Links to peers that this daemon does not need, but that call it, are kept for
-# this long after the last frame. Callers send a status every few seconds.
-KEEP_CONTACTED_S = 20.0
-# Links that are not needed any more are closed after this time, because the
-# choice of peers may change back.
-KEEP_UNWANTED_S = 10.0
 # Interval of the reports about the own target to those who decide its move.
 MOVE_REPORT_INTERVAL_S = 0.5
 
@@ -131,12 +126,10 @@
             random=Random(directory.own.record.address),
         )
         self._processes = PeerProcesses(incarnation)
-        self._contacted_s: dict[str, float] = {}
+        self._keeper = LinkKeeper()
         # Since when nothing has come from each peer whose link was replaced
         # for this.
         self._silent_since_s: dict[str, float] = {}
-        # When each connected peer was last wanted or needed for its calls.
-        self._needed_s: dict[str, float] = {}
         self._wanted: set[str] = set()
         self._link_update_due = False
         self._early_watch_due = False
@@ -219,7 +212,7 @@
         self._wanted = self._plan.wanted(now_s)
         self._sender.set_neighbours(self._plan.neighbours(now_s))
         for address in self._wanted:
-            self._needed_s[address] = now_s
+            self._keeper.need(address, now_s)
             peer = self._directory.by_address(address)
             if peer is not None and not self._sender.is_up(address):
                 peer.missing_since_s = min(peer.missing_since_s, now_s)
@@ -248,7 +241,7 @@
 
         The link is kept while messages follow, without regular statuses.
         """
-        self._needed_s[address] = self._clock.monotonic()
+        self._keeper.need(address, self._clock.monotonic())
         self._link.connect(address)
         return self._sender.is_up(address) and self._sender.send_usage(address, message)
 
@@ -271,20 +264,16 @@
 
     def _disconnect_unneeded(self, now_s: float) -> None:
         self._processes.forget_silent(now_s)
-        for address, contacted_s in list(self._contacted_s.items()):
-            if now_s - contacted_s > KEEP_CONTACTED_S:
-                del self._contacted_s[address]
-        for address, needed_s in list(self._needed_s.items()):
-            if address in self._wanted or address in self._contacted_s:
-                continue
-            if self._calls.is_busy(address):
-                continue
+        unneeded = self._keeper.take_unneeded(
+            self._wanted,
+            self._calls.is_busy,
+            lambda address: self._directory.by_address(address) is not None,
+            now_s,
+        )
+        for address in unneeded:
             peer = self._directory.by_address(address)
             if peer is not None:
-                if now_s - needed_s <= KEEP_UNWANTED_S:
-                    continue
                 peer.missing_since_s = inf
-            del self._needed_s[address]
             self._silent_since_s.pop(address, None)
             self._watch.forget(address)
             self._link.disconnect(address)
@@ -474,9 +463,7 @@
 
     def _keep_link(self, address: str, now_s: float) -> None:
         """Maintain a link to a daemon that has sent a frame."""
-        self._contacted_s[address] = now_s
-        if address not in self._needed_s:
-            self._needed_s[address] = now_s
+        if self._keeper.contacted(address, now_s):
             self._link.connect(address)
         if not self._sender.is_up(address):
             self._link.contacted(address)
--- a/tests/relay/links/test_peer_directory.py
+++ b/tests/relay/links/test_peer_directory.py
@@ -27,8 +27,9 @@
 from catkinhollow.relay.documents.document_sync import DocumentChanged
 from catkinhollow.relay.documents.document_table import DocumentTable
 from catkinhollow.relay.documents.follower_election import FollowerElection
+from catkinhollow.relay.links.link_keeper import KEEP_CONTACTED_S
 from catkinhollow.relay.links.link_plan import LinkPlan
-from catkinhollow.relay.links.network import KEEP_CONTACTED_S, PeerNetwork
+from catkinhollow.relay.links.network import PeerNetwork
 from catkinhollow.relay.links.remote_calls import ANSWER_TRANSFER_S
 from catkinhollow.relay.organisations.access import AccessPolicy
 from catkinhollow.relay.placement.peers import PeerDirectory
