--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -24,7 +24,7 @@
 from catkinhollow.clock import TrioClock
 from catkinhollow.logs import get_logger
 from catkinhollow.testbed.soak_faults import Fault, plan_faults, plan_late_frames
-from catkinhollow.testbed.soak_fleet import CALLER_TIMEOUT_S, TIMEOUT_S, SoakFleet
+from catkinhollow.testbed.soak_fleet import CALLER_TIMEOUT_S, SoakFleet, route_timeout_s
 from catkinhollow.testbed.soak_injector import FaultInjector
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, SoakLedger
 from catkinhollow.testbed.soak_stalls import watch_stalls, watch_starvation
@@ -40,6 +40,8 @@
 
 FAILURE_DOMAINS = 2
 CALLERS_PER_DAEMON = 2
+# The same with late frames, of whose calls many are open at any time.
+LATE_FRAMES_CALLERS = 4
 # Mean pause of a caller between two requests, and limit of the requests per
 # second, as one process runs the callers, targets and proxies of all daemons.
 MEAN_PAUSE_S = 0.1
@@ -96,10 +98,12 @@
         self._random = Random(seed)
         self._seconds = seconds
         self._late_frames = late_frames
+        self._callers = LATE_FRAMES_CALLERS if late_frames else CALLERS_PER_DAEMON
         self._clock = TrioClock()
         self._names = [f"d{number}" for number in range(daemons)]
         self._touch = TouchRecord(self._names, self._clock)
-        self._ledger = SoakLedger(TIMEOUT_S, self._touch)
+        timeout_s = route_timeout_s(long_runs=late_frames)
+        self._ledger = SoakLedger(timeout_s, self._touch)
         self._versions = VersionLedger(self._touch)
         self._fleet = SoakFleet(
             self._names,
@@ -164,7 +168,7 @@
         """Call all daemons during the faults; return the last fault's end."""
         async with trio.open_nursery() as callers:
             for name in self._names:
-                for _ in range(CALLERS_PER_DAEMON):
+                for _ in range(self._callers):
                     random = Random(self._random.random())
                     callers.start_soon(self._run_caller, name, random)
             await self._injector.run(faults)
@@ -188,7 +192,7 @@
     async def _run_caller(self, name: str, random: Random) -> None:
         """Call one daemon over a persistent connection."""
         pool = AsyncConnectionPool(max_connections=1)
-        callers = CALLERS_PER_DAEMON * len(self._names)
+        callers = self._callers * len(self._names)
         mean_pause_s = max(MEAN_PAUSE_S, callers / MAX_CALLS_PER_S)
         while self._is_calling:
             await trio.sleep(random.expovariate(1.0 / mean_pause_s))
--- a/catkinhollow/testbed/soak_faults.py
+++ b/catkinhollow/testbed/soak_faults.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from random import Random
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from catkinhollow.testbed.loopback_proxy import Direction
 
@@ -21,8 +21,11 @@
 MEAN_VERSION_GAP_S = 1.5
 # Mean time between two holds of the connections between daemons, and their
 # shortest duration. A link is replaced after 1.3 s of silence.
-MEAN_HOLD_GAP_S = 2.0
+MEAN_HOLD_GAP_S = 3.0
 MIN_HOLD_S = 1.0
+# Time between a hold and its repetition. Calls that were sent between them are
+# open while the link is replaced once more.
+MAX_HOLD_PAUSE_S = 0.6
 MIN_DELAY_S = 0.05
 MAX_DELAY_S = 0.4
 
@@ -146,7 +149,7 @@
     """Return holds of connections between daemons, and kills beside them.
 
     The frames of a daemon that is killed meanwhile are delivered after those
-    of its next process.
+    of its next process. Each hold is repeated.
     """
     planned = list(faults)
     late: list[Fault] = []
@@ -166,7 +169,8 @@
             instances=(random.choice(instances),),
             duration_s=MIN_FAULT_S,
         )
-        late.append(hold)
+        again = evolve(hold, at_s=hold.end_s + random.uniform(0.1, MAX_HOLD_PAUSE_S))
+        late += [hold, again] if again.end_s <= until_s else [hold]
         if not any(_conflicts(kill, other) for other in planned):
             planned.append(kill)
             late.append(kill)
--- a/catkinhollow/testbed/soak_fleet.py
+++ b/catkinhollow/testbed/soak_fleet.py
@@ -39,12 +39,19 @@
 HOST = b"shop.example"
 # Timeout of every route.
 TIMEOUT_S = 1.5
+# The same with long runs, which outlive the replacement of a link.
+LONG_TIMEOUT_S = 4.0
 # A request without a response after this time counts as lost.
 CALLER_TIMEOUT_S = 6.0
 # Time limit for all daemons to start; long enough for a busy machine.
 START_LIMIT_S = 30.0
 
 
+def route_timeout_s(*, long_runs: bool) -> float:
+    """Return the timeout of every route, in seconds."""
+    return LONG_TIMEOUT_S if long_runs else TIMEOUT_S
+
+
 @define(eq=False)
 class Member:
     """Represent one daemon with its target and the proxies in between."""
@@ -77,6 +84,7 @@
         self._record_run = record_run
         self._clock = clock
         self._long_runs = long_runs
+        self._timeout_s = route_timeout_s(long_runs=long_runs)
         self._group = ProcessGroup(directory)
         self._store = StandInStore()
         self._members: dict[str, Member] = {}
@@ -170,9 +178,9 @@
         for version in range(1, self._version + 1):
             prefixes[f"version-{version}"] = f"/v{version}/"
         routes = [
-            _make_route(name, prefix, "safe") for name, prefix in prefixes.items()
+            self._make_route(name, prefix, "safe") for name, prefix in prefixes.items()
         ]
-        routes.append(_make_route("unsafe", "/u/", "unsafe"))
+        routes.append(self._make_route("unsafe", "/u/", "unsafe"))
         configuration = RelayConfiguration(
             version=self._version, routes=routes, services=[RelayService(name=SERVICE)]
         )
@@ -213,14 +221,13 @@
         path = f"/v{self._version}/x"
         return [name for name in self._members if not await self.is_serving(name, path)]
 
-
-def _make_route(name: str, prefix: str, kind: str) -> RelayRoute:
-    return RelayRoute(
-        name=name,
-        host=HOST.decode(),
-        path_prefix=prefix,
-        kind=kind,
-        service=SERVICE,
-        timeout_ms=TIMEOUT_S * 1000.0,
-        max_attempts=2,
-    )
+    def _make_route(self, name: str, prefix: str, kind: str) -> RelayRoute:
+        return RelayRoute(
+            name=name,
+            host=HOST.decode(),
+            path_prefix=prefix,
+            kind=kind,
+            service=SERVICE,
+            timeout_ms=self._timeout_s * 1000.0,
+            max_attempts=2,
+        )
--- a/catkinhollow/testbed/soak_target.py
+++ b/catkinhollow/testbed/soak_target.py
@@ -24,9 +24,9 @@
 logger = get_logger(__name__)
 
 WORK_S = 0.02
-# Work of one run in ten, which is still running when links are replaced.
-LONG_WORK_S = 0.6
-LONG_RUN_INTERVAL = 10
+# Work of one run in four, which is still running when links are replaced.
+LONG_WORK_S = 1.0
+LONG_RUN_INTERVAL = 4
 SLOTS = 4
 ANNOUNCE_INTERVAL_S = 0.5
 MAX_BODY_BYTES = 100_000
