Replace a link over which a restarted peer can't be asked

With the order of processes a gate could refuse all calls of a restarted daemon for as long as they came: if its own link to the daemon had gone silent and it did not need the daemon, nothing watched that link, so that no question arrived and the next process was never recognized.

Seen in the review of the change, not with real processes. If neither the process that is asked nor the known one answers within 1.3 s, the link is replaced, and its first status asks again.

--- a/catkinhollow/relay/links/network.py
+++ b/catkinhollow/relay/links/network.py
@@ -421,6 +421,13 @@
         if not self._sender.is_up(address):
             # The first status on the link asks for an answer, too.
             return
+        silent_s = self._processes.take_silence_s(address, now_s)
+        reset = None
+        if silent_s is not None:
+            reset = self._watch.reset_undelivered(address, silent_s, now_s)
+        if reset is not None:
+            self._reset_dead_link(reset, now_s)
+            return
         process = self._processes.take_question(address, now_s)
         if process is not None:
             self._send_status(address, reply=False, asked=process)
--- a/catkinhollow/relay/links/peer_processes.py
+++ b/catkinhollow/relay/links/peer_processes.py
@@ -23,6 +23,9 @@
 # Time between two questions whether a process runs. A process that does not
 # answer has ended, or will be asked with its next frame.
 QUESTION_INTERVAL_S = 0.25
+# A link is considered dead if a question over it has no answer for this long,
+# neither from the process that is asked nor from the known one.
+QUESTION_LIMIT_S = 1.3
 
 
 class FrameOrigin(StrEnum):
@@ -57,6 +60,9 @@
     """When the last status was sent, in the sender's steady time."""
     messages: int = 0
     asked_s: float = -inf
+    """When it was last asked whether it runs."""
+    asked_since_s: float = inf
+    """When it was first asked over the present link to it."""
 
     def is_late(self, frame: Frame) -> bool:
         """Return whether a newer link or a newer status is known."""
@@ -112,8 +118,23 @@
         if other is None or now_s - other.asked_s < QUESTION_INTERVAL_S:
             return None
         other.asked_s = now_s
+        other.asked_since_s = min(other.asked_since_s, now_s)
         return other
 
+    def take_silence_s(self, address: str, now_s: float) -> float | None:
+        """Return for how long questions have no answer if the link is dead.
+
+        A new link is expected to replace it, on which the time starts anew.
+        """
+        other, running = self._others.get(address), self._running.get(address)
+        if other is None or running is None:
+            return None
+        silent_s = now_s - max(other.asked_since_s, running.heard_s)
+        if other.asked_since_s == inf or silent_s <= QUESTION_LIMIT_S:
+            return None
+        other.asked_since_s = inf
+        return silent_s
+
     def forget_silent(self, now_s: float) -> None:
         """Forget the peers that have sent nothing for long."""
         for processes in (self._running, self._others):
--- a/catkinhollow/relay/links/peer_watch.py
+++ b/catkinhollow/relay/links/peer_watch.py
@@ -307,6 +307,14 @@
             return None
         return self._reset(address, Silence.REPORTED, silent_s, now_s)
 
+    def reset_undelivered(
+        self, address: str, silent_s: float, now_s: float
+    ) -> ResetLink | None:
+        """Return how to replace a link whose questions have no answer."""
+        if address not in self._peers:
+            return None
+        return self._reset(address, Silence.NOT_DELIVERED, silent_s, now_s)
+
     def find_unresponsive(self, now_s: float) -> set[str]:
         """Return the watched peers that should get no new calls for now."""
         return {
--- a/tests/frame_network.py
+++ b/tests/frame_network.py
@@ -225,6 +225,8 @@
                 directory.put(other)
         plan = LinkPlan(directory)
         plan.set_services(["stock"])
+        if record.address in network.passive:
+            plan.wanted = lambda now_s: set()
         self.peers = PeerNetwork(
             incarnation=self.timer.unix_ms(),
             directory=directory,
@@ -266,8 +268,10 @@
 class FrameNetwork:
     """Run daemons, place orders at them and disturb their connections."""
 
-    def __init__(self, names=("m1", "m2", "m3")):
+    def __init__(self, names=("m1", "m2", "m3"), *, passive=()):
         self.time = VirtualTime()
+        # Addresses of daemons that need no peer, so that they watch no link.
+        self.passive = passive
         self.records = [make_peer(name).record for name in names]
         self.processes = {}
         self.connections = []
@@ -283,14 +287,15 @@
         self.processes[address] = Process(self, record, unix_step_ms)
 
     def kill(self, address):
-        """Kill a process; what it has sent stays in its connections."""
+        """Kill a process; what it has sent stays in its connections.
+
+        Over a connection that is held up, its sender does not learn of it.
+        """
         process = self.processes.pop(address)
         process.kill()
         for connection in self.connections:
-            if connection.receiver is process and not connection.closed:
-                connection.frames.clear()
-                sender = connection.sender
-                sender.timer.run(partial(self._on_broken, connection))
+            if connection.receiver is process and not connection.held:
+                self._break(connection)
 
     def is_cut(self, *addresses):
         return not self._cut.isdisjoint(addresses)
@@ -316,7 +321,10 @@
         """Deliver what connections hold."""
         for connection in held:
             connection.held = False
-            connection.deliver()
+            if connection.receiver.timer.alive:
+                connection.deliver()
+            else:
+                self._break(connection)
 
     def order(self, address):
         """Place an order at a daemon."""
@@ -341,6 +349,10 @@
     def outcomes(self):
         return Counter(order.outcome for order in self.orders)
 
+    def _break(self, connection):
+        connection.frames.clear()
+        connection.sender.timer.run(partial(self._on_broken, connection))
+
     def _on_broken(self, connection):
         link = connection.sender.link
         if link.connections.get(connection.address) is connection:
--- a/tests/relay/links/test_late_frames.py
+++ b/tests/relay/links/test_late_frames.py
@@ -157,6 +157,21 @@
     assert departed == [("t1", 5)]
 
 
+def test_restarted_caller_is_recognized_over_a_link_that_went_silent():
+    """Guards against a gate that refuses all calls of a restarted daemon.
+
+    The gate does not need the daemon, so that it does not watch its own link.
+    """
+    network = FrameNetwork(["m1", "m2"], passive=[M2])
+    hold(links(network, M2, M1))
+    restart(network, M1)
+    network.time.advance(3.0)
+    orders = place_orders(network, M1, 4)
+    network.time.advance(2 * WORK_S)
+    network.check()
+    assert {order.outcome for order in orders} == {CallOutcome.ANSWERED}
+
+
 @pytest.mark.parametrize("late_s", [0.5, 10.0, 90.0])
 def test_call_that_was_sent_elsewhere_is_never_run(late_s):
     """Guards against orders that run again when a long partition ends."""
@@ -182,8 +197,10 @@
     FAULTS_PER_S = 0.7
 
     def __init__(self, seed):
-        self.network = FrameNetwork()
         self.random = Random(seed)
+        # The others link to the one that needs no peer.
+        passive = self.random.sample(ADDRESSES, self.random.randint(0, 1))
+        self.network = FrameNetwork(passive=passive)
         # Most faults hit the same daemon, so that they meet each other.
         self._victim = self.random.choice(ADDRESSES)
 
@@ -206,7 +223,14 @@
 
     def _disturb(self):
         fault = self.random.choice(
-            [self._cut, self._cut, self._kill, self._pause, self._replace]
+            [
+                self._cut,
+                self._cut,
+                self._kill,
+                self._pause,
+                self._replace,
+                self._silence,
+            ]
         )
         fault(self._choose(), self.random.choice([0.2, 0.8, 1.5, 3.0]))
 
@@ -241,6 +265,11 @@
             if address in process.link.connections:
                 process.timer.run(partial(process.link.reset, address))
 
+    def _silence(self, address, seconds):
+        """Let one link of a daemon carry nothing any more, for good."""
+        if address in self.network.processes:
+            hold(links(self.network, address, self.random.choice(ADDRESSES)))
+
     def _end_faults(self):
         """Let all faults end, and expect that all daemons are in touch."""
         self.network.time.advance(15.0)
