--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -128,7 +128,14 @@
             is_played = place is not Place.TARGET or kind is not FaultKind.DELAYED
             for count in (1, 3, 6):
                 assert ((kind, place, count) in played) is is_played
-    assert {kind for kind, _, _ in played} == set(FaultKind) - {FaultKind.HELD}
+    late = {
+        (fault.kind, len(fault.instances))
+        for seed in range(40)
+        for fault in plan_late_frames(Random(seed), names, 60.0, [])
+    }
+    assert {(FaultKind.HELD, count) for count in (1, 3, 6)} < late
+    kinds = {kind for kind, _, _ in played} | {kind for kind, _ in late}
+    assert kinds == set(FaultKind)
 
 
 def test_faults_come_in_series_that_overlap():
