--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -191,6 +191,15 @@
             writer.close()
 
 
+@dataclass
+class StoreCopy:
+    """Hold all that the store held at one time."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    events: list[tuple[int, str, dict[str, Any]]]
+
+
 class Store:
     """Serve objects, conditional writes and watches."""
 
@@ -200,10 +209,36 @@
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = asyncio.Event()
+        self._era = 0
+        self._connections: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen."""
-        await asyncio.start_server(self._serve, HOST, self.port, backlog=256)
+        self._server = await asyncio.start_server(
+            self._serve, HOST, self.port, backlog=256
+        )
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds."""
+        return StoreCopy(self._revision, dict(self._objects), list(self._events))
+
+    async def restore(self, copy: StoreCopy, away_s: float) -> None:
+        """Be away for a moment and come back from a copy, in the next era."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._connections):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        self._era += 1
+        self._revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._events = list(copy.events)
+        await self.start()
+
+    def find(self, kind: str, name: str) -> Any:
+        """Return the spec of an object, None if there is none."""
+        return self._objects.get((kind, name), {}).get("spec")
 
     def write(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as the operator does."""
@@ -216,16 +251,20 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._connections.add(writer)
         try:
             while True:
                 request = await read_message(reader)
                 status, value = await self._handle(request)
                 body = json.dumps(value).encode()
                 headers = {"Content-Type": "application/json"}
+                headers["Store-Era"] = str(self._era)
                 writer.write(encode_response(status, body, headers))
                 await writer.drain()
         except (OSError, EOFError, asyncio.CancelledError):
             writer.close()
+        finally:
+            self._connections.discard(writer)
 
     async def _handle(self, request: Message) -> tuple[int, Any]:
         path, _, query = request.target.partition("?")
@@ -249,6 +288,8 @@
 
     async def _watch(self, kind: str, options: dict[str, str]) -> tuple[int, Any]:
         after = int(options["watch"])
+        if after > self._revision:
+            return 410, {}
         wait_s = min(WATCH_LIMIT_S, int(options.get("wait_ms", "0")) / 1000.0)
         end_s = time.monotonic() + wait_s
         while not (events := self._since(kind, after)):
@@ -358,6 +399,8 @@
     runs: list[Run] = field(default_factory=list)
     running: int = 0
 
+    beats: bool = True
+    """Whether the upstream reports its status at intervals."""
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -386,14 +429,23 @@
     async def beat(self) -> None:
         """Report the status until cancelled."""
         while True:
-            if self.server is not None:
+            if self.server is not None and self.beats:
                 await self.report()
             await asyncio.sleep(BEAT_S)
 
     async def report(self) -> int:
         """Report the status once; return the answer's status, 0 for none."""
+        return await self.send_report(self.make_report())
+
+    async def send_report(self, value: dict[str, Any]) -> int:
+        """Send a report, perhaps late; return the answer's status."""
+        answer = await call(self.control, "PUT", f"/instances/{self.lifetime}", value)
+        return answer.status if answer is not None else 0
+
+    def make_report(self) -> dict[str, Any]:
+        """Return the next report of the status."""
         self.seq += 1
-        value = {
+        return {
             "service": self.service,
             "address": f"{HOST}:{self.port}",
             "failure_domain": self.zone,
@@ -404,8 +456,6 @@
             "seq": self.seq,
             "born": self.born_ms,
         }
-        answer = await call(self.control, "PUT", f"/instances/{self.lifetime}", value)
-        return answer.status if answer is not None else 0
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
