--- a/review/12/case.py
+++ b/review/12/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 import time
@@ -18,9 +19,10 @@
     make_configuration,
     make_route,
     run_case,
-    trouble,
 )
 
+# TROUBLE=0 plays the case without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ORDERS_PER_S = 10.0
 WORK_S = 0.5
 GRACE_S = 6.0
@@ -57,7 +59,7 @@
     record.say(f"the upstream of m1 reports draining, ack {ack}")
     await asyncio.sleep(DRAIN_S)
     stopped_s = time.monotonic()
-    if trouble():
+    if TROUBLE:
         record.say("SIGTERM to m1, which is restarted in turn")
         stopped.signal(signal.SIGTERM)
     await asyncio.sleep(RESTART_BEFORE_S)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
 """Stop a daemon whose callers pipeline requests and read slowly."""
 
 import asyncio
+import os
 import signal
 import socket
 import sys
@@ -21,9 +22,10 @@
     make_route,
     run_case,
     split_messages,
-    trouble,
 )
 
+# TROUBLE=0 plays the case without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # The site file has `insert-pack`s of up to 540,000 bytes.
 PACK_BYTES = 200_000
 # The callers read 1.25 Mbit/s: this much in one interval.
@@ -148,7 +150,7 @@
         tasks.append(asyncio.ensure_future(caller.run()))
         await asyncio.sleep(START_INTERVAL_S)
     stopped_s = time.monotonic()
-    if trouble():
+    if TROUBLE:
         record.say("SIGTERM to m1")
         stopped.signal(signal.SIGTERM)
     await asyncio.wait(tasks, timeout=GRACE_S + 4.0)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -65,11 +65,6 @@
         print(text, flush=True)
 
 
-def trouble() -> bool:
-    """Return whether the case brings its disruption about."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that nobody uses.
 
