Log open requests of a shutdown, unread connections and failed writes

A shutdown logged neither its open requests nor its length, nothing told how much of its responses a caller had acknowledged when its connection was closed, and a failed write to a target was not logged.

Change: fields of "stopping" and "stopped", the line and metric for connections that are closed unread, and "request not written". Behaviour is unchanged.

--- a/catkinhollow/calls/socket_stream.py
+++ b/catkinhollow/calls/socket_stream.py
@@ -5,13 +5,18 @@
 tasks run whenever one of them has to wait.
 """
 
+import fcntl
 import select
 import socket
+import sys
+import termios
 from typing import Any, Protocol
 
 import trio
 
 READ_BYTES = 65536
+# Size of the number that the kernel returns for TIOCOUTQ.
+INT_BYTES = 4
 
 
 class ByteStream(Protocol):
@@ -106,6 +111,15 @@
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how much the peer has not acknowledged yet.
+
+        The end of the sending side counts as one byte. Raises OSError.
+        """
+        self._check_open()
+        answer = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(INT_BYTES))
+        return int.from_bytes(answer, sys.byteorder, signed=True)
+
     def get_extra_info(self, info: str) -> Any:
         """Return a property of the connection, None if it is unknown."""
         if info == "socket":
--- a/catkinhollow/calls/target_connection.py
+++ b/catkinhollow/calls/target_connection.py
@@ -10,6 +10,9 @@
 from catkinhollow.calls.httptools_parser import HttptoolsResponseParser
 from catkinhollow.calls.response_bodies import ResponseBodies, ResponseBody
 from catkinhollow.calls.socket_stream import ByteStream
+from catkinhollow.logs import get_logger
+
+logger = get_logger(__name__)
 
 READ_BYTES = 65536
 # A longer body is written apart from its head rather than copied.
@@ -84,6 +87,9 @@
             if is_silence(error):
                 raise
             # The target may have answered before it has read the request.
+            logger.info(
+                "request not written", reason=f"{type(error).__name__}: {error}"
+            )
         parser: ResponseParser = HttptoolsResponseParser(
             to_head=to_head, max_overhead_bytes=self._max_head_bytes
         )
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -276,6 +276,7 @@
             lambda: self._ingress.limits,
             count_sent=self._count_response,
             on_failure=lambda: self._metrics.connection_failures.inc({}),
+            on_unread=lambda: self._metrics.connections_unread.inc({}),
         )
 
     def _build_control(self, decode: ObjectDecoder) -> None:
@@ -406,9 +407,14 @@
                 link_mbps=self._settings.link_mbps,
             )
             await wait_for_shutdown()
+            stopping_s = self._clock.monotonic()
             await self._drain()
+            logger.info(
+                "stopped",
+                requests=self._server.open_requests,
+                taken_ms=int((self._clock.monotonic() - stopping_s) * 1000),
+            )
             nursery.cancel_scope.cancel()
-        logger.info("stopped")
 
     def _stop_awaiting_history(self) -> None:
         """Let the gate open although the store has not been read."""
@@ -439,7 +445,11 @@
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
-                logger.info("stopping", signal=signal.Signals(number).name)
+                logger.info(
+                    "stopping",
+                    signal=signal.Signals(number).name,
+                    requests=self._server.open_requests,
+                )
                 return
 
     async def _watch_settings(self) -> None:
--- a/catkinhollow/relay/relay_metrics.py
+++ b/catkinhollow/relay/relay_metrics.py
@@ -141,6 +141,11 @@
             "Connections of callers that ended with an unexpected error",
             registry=registry,
         )
+        self.connections_unread = Counter(
+            "catkinhollow_relay_connections_closed_unread_total",
+            "Connections closed before their callers acknowledged all responses",
+            registry=registry,
+        )
 
     @property
     def registry(self) -> Registry:
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -20,7 +20,7 @@
     RequestParser,
 )
 from catkinhollow.calls.httptools_parser import HttptoolsRequestParser
-from catkinhollow.calls.socket_stream import take_socket
+from catkinhollow.calls.socket_stream import SocketStream, take_socket
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
@@ -83,11 +83,13 @@
         limits: Callable[[], RequestLimits],
         count_sent: Callable[[int], None] = lambda size_bytes: None,
         on_failure: Callable[[], None] = lambda: None,
+        on_unread: Callable[[], None] = lambda: None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._count_sent = count_sent
         self._on_failure = on_failure
+        self._on_unread = on_unread
         self._closing = False
         self._open_requests = 0
 
@@ -96,6 +98,11 @@
         """Return whether a request has been read but not yet answered."""
         return self._open_requests > 0
 
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that have been read, not answered."""
+        return self._open_requests
+
     @property
     def handler(self) -> RequestHandler:
         """Return the handler of requests."""
@@ -155,8 +162,16 @@
             self._on_failure()
         finally:
             connection.abandon()
+            self._report_unread(stream)
             await trio.aclose_forcefully(stream)
 
+    def _report_unread(self, stream: trio.abc.HalfCloseableStream) -> None:
+        """Count a connection that ends before its caller has read it all."""
+        unread = _unacknowledged_bytes(stream)
+        if unread > 0:
+            logger.info("connection closed unread", unacknowledged_bytes=unread)
+            self._on_unread()
+
 
 class _Connection:
     """Serve one connection."""
@@ -372,6 +387,17 @@
 _NO_RESPONSE = b""
 
 
+def _unacknowledged_bytes(stream: trio.abc.HalfCloseableStream) -> int:
+    """Return how much the caller has not acknowledged, 0 if it is unknown."""
+    if not isinstance(stream, SocketStream):
+        return 0
+    try:
+        return stream.unacknowledged_bytes()
+    except NETWORK_ERRORS:
+        # Nothing more can be sent on a connection that has been lost.
+        return 0
+
+
 def _describe(errors: BaseExceptionGroup[BaseException]) -> str:
     """Return the first error of a group for the log."""
     error = errors.exceptions[0]
