Go on with a shutdown when another signal arrives

Cause: the daemon opened its signal receiver for the first signal only. Leaving the receiver restores the default action, so that the next SIGTERM ended the process in the middle of its shutdown.

Evidence: exit status -15, no "stopped", connections cut 5 ms after the second signal. Ruled out: the departure of the target (with TROUBLE=0 nothing is cut off) and a shutdown that does not count calls at other gates (the process would have ended with status 0).

Change: one receiver for SIGTERM, SIGINT and SIGHUP is open from before the listeners until the tasks of the daemon have ended. Reloads are a subscription to the timer in place of a task with a receiver of its own.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 from collections.abc import Awaitable, Callable
 from math import inf
 from random import Random
@@ -28,6 +27,7 @@
 )
 from catkinhollow.generated.settings import Address, HttpSettings
 from catkinhollow.logs import get_logger
+from catkinhollow.process_signals import ProcessSignals
 from catkinhollow.relay.admission.gate import Gate
 from catkinhollow.relay.admission.gate_service import GateService
 from catkinhollow.relay.admission.target_listener import TargetListener
@@ -375,7 +375,14 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish open requests."""
-        await self.serve_until(self._wait_for_signal)
+        signals = ProcessSignals(
+            on_stop=self._log_stop, on_reload=self._reload_on_signal
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(signals.run)
+            if not signals.stop_requested:
+                await self.serve_until(signals.wait_for_stop)
+            nursery.cancel_scope.cancel()
 
     async def serve_until(
         self, wait_for_shutdown: Callable[[], Awaitable[None]]
@@ -392,7 +399,7 @@
             nursery.start_soon(self._record_keeper.run)
             if self._knowledge is not None:
                 nursery.start_soon(self._knowledge.run)
-            nursery.start_soon(self._watch_settings)
+            self._timer.subscribe(RELOAD_INTERVAL_S, self._reload)
             self._nursery = nursery
             self._schedule_move_steps()
             if self._usage is not None:
@@ -442,24 +449,12 @@
         server = RequestServer(handler, lambda: CONTROL_LIMITS)
         await nursery.start(server.serve, _parse_listen_address(address))
 
-    async def _wait_for_signal(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                logger.info(
-                    "stopping",
-                    signal=signal.Signals(number).name,
-                    requests=self._server.open_requests,
-                )
-                return
+    def _log_stop(self, signal_name: str) -> None:
+        logger.info("stopping", signal=signal_name, requests=self._server.open_requests)
 
-    async def _watch_settings(self) -> None:
-        """Reload the settings on SIGHUP and at regular intervals."""
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            while True:
-                with trio.move_on_after(RELOAD_INTERVAL_S):
-                    await signals.__anext__()
-                    logger.info("reload requested")
-                self._reload()
+    def _reload_on_signal(self) -> None:
+        logger.info("reload requested")
+        self._reload()
 
     def _reload(self) -> None:
         read = self._reload_settings()
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -160,6 +160,7 @@
         failure_domain="a",
         announce=True,
         usage_api=None,
+        handles_signals=False,
         **changes,
     ):
         ports = free_ports(6)
@@ -192,13 +193,16 @@
         member = Member(settings, daemon, target)
         self.members[name] = member
         await self.nursery.start(serve_on_loopback, target, ports[0])
-        self.nursery.start_soon(self._run, member)
+        self.nursery.start_soon(self._run, member, handles_signals)
         if announce:
             daemon.gate.announce(make_announcement(name, slots=9))
         return member
 
-    async def _run(self, member):
-        await member.daemon.serve_until(member.stop.wait)
+    async def _run(self, member, handles_signals):
+        if handles_signals:
+            await member.daemon.run()
+        else:
+            await member.daemon.serve_until(member.stop.wait)
         member.stopped.set()
 
     def configure(self, version=1, **changes):
