Hold signals while a daemon starts and exits

Cause: signals had a handler only while the loop waited for the first one.

Change: HeldSignals records signals from the first line of the program on. The loop takes those that came before it; a daemon that is asked to stop before its loop runs exits with status 0 and serves nothing. At the exit signals are ignored, because Python would restore their default actions first. The time until the interpreter runs the program can't be covered from within.

--- a/catkinhollow/platform/process.py
+++ b/catkinhollow/platform/process.py
@@ -21,6 +21,7 @@
 from catkinhollow.platform.objects import decode_object
 from catkinhollow.relay.application import RelayDaemon
 from catkinhollow.relay.relay_settings import SettingsFile
+from catkinhollow.startup.held_signals import HeldSignals
 
 SETTINGS_VARIABLE = "CATKINHOLLOW_SETTINGS"
 # The platform tells the capacity of the instance's link in this variable.
@@ -49,7 +50,7 @@
         return evolve(settings, link_mbps=self._link_mbps)
 
 
-def run_process() -> int:
+def run_process(held_signals: HeldSignals) -> int:
     """Run the daemon until it is stopped and return its exit code."""
     process_settings = ProcessSettings(os.environ)
     settings = process_settings.read()
@@ -57,11 +58,17 @@
         print(settings.error.reason, file=sys.stderr)
         return INVALID_SETTINGS
     configure_logging(settings.ok.log_level.value, sys.stdout)
-    trio.run(_run, settings.ok, process_settings)
+    if not held_signals.stop_requested:
+        trio.run(_run, settings.ok, process_settings, held_signals)
+    held_signals.ignore()
     return 0
 
 
-async def _run(settings: RelaySettings, process_settings: ProcessSettings) -> None:
+async def _run(
+    settings: RelaySettings,
+    process_settings: ProcessSettings,
+    held_signals: HeldSignals,
+) -> None:
     store = PlatformStore(settings.store)
     usage_api = _make_usage_api(settings)
     daemon = RelayDaemon(
@@ -77,7 +84,7 @@
         usage_api=usage_api,
     )
     try:
-        await daemon.run()
+        await daemon.run(held_signals)
     finally:
         with trio.CancelScope(shield=True):
             await store.aclose()
--- a/catkinhollow/platform/sidecar.py
+++ b/catkinhollow/platform/sidecar.py
@@ -6,6 +6,10 @@
 
 def main() -> int:
     """Load the daemon, run it and return its exit code."""
+    from catkinhollow.startup.held_signals import HeldSignals
+
+    held_signals = HeldSignals()
+    held_signals.install()
     # The imports create objects that live as long as the process.
     # Collections while they run would take a tenth of the time of a start,
     # and later full collections that visit their objects would stop all calls
@@ -22,7 +26,7 @@
 
     gc.freeze()
     gc.enable()
-    return run_process()
+    return run_process(held_signals)
 
 
 if __name__ == "__main__":
--- a/catkinhollow/process_signals.py
+++ b/catkinhollow/process_signals.py
@@ -6,7 +6,8 @@
 import trio
 
 from catkinhollow.logs import get_logger
-from catkinhollow.signal_policy import HANDLED_SIGNALS, SignalAction, SignalPolicy
+from catkinhollow.signal_policy import SignalAction, SignalPolicy
+from catkinhollow.startup.held_signals import HANDLED_SIGNALS, HeldSignals
 
 logger = get_logger(__name__)
 
@@ -16,10 +17,12 @@
 
     def __init__(
         self,
+        held: HeldSignals,
         *,
         on_stop: Callable[[str], None],
         on_reload: Callable[[], None],
     ) -> None:
+        self._held = held
         self._on_stop = on_stop
         self._on_reload = on_reload
         self._policy = SignalPolicy()
@@ -37,8 +40,10 @@
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Handle signals until cancelled."""
+        """Handle signals until cancelled, those that were held first."""
         with trio.open_signal_receiver(*HANDLED_SIGNALS) as received:
+            for number in self._held.take():
+                self._handle(number)
             task_status.started()
             async for number in received:
                 self._handle(number)
--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -79,6 +79,7 @@
 from catkinhollow.relay.request_log import RequestLog
 from catkinhollow.relay.request_server import RequestHandler, RequestServer
 from catkinhollow.relay.shutdown_plan import ShutdownPlan
+from catkinhollow.startup.held_signals import HeldSignals
 from catkinhollow.timer import Subscription, Timer
 
 if TYPE_CHECKING:
@@ -373,10 +374,10 @@
         """Return whether callers on the instance may send requests."""
         return self._listening and self._ingress.configured and not self._stopping
 
-    async def run(self) -> None:
+    async def run(self, held_signals: HeldSignals) -> None:
         """Serve until SIGTERM or SIGINT, then finish open requests."""
         signals = ProcessSignals(
-            on_stop=self._log_stop, on_reload=self._reload_on_signal
+            held_signals, on_stop=self._log_stop, on_reload=self._reload_on_signal
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(signals.run)
--- a/catkinhollow/signal_policy.py
+++ b/catkinhollow/signal_policy.py
@@ -5,11 +5,9 @@
 counts, because the grace period of the requests that are open has begun.
 """
 
-import signal
 from enum import StrEnum
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
+from catkinhollow.startup.held_signals import STOP_SIGNALS
 
 
 class SignalAction(StrEnum):
--- a/tests/relay/test_stop_signals.py
+++ b/tests/relay/test_stop_signals.py
@@ -9,7 +9,7 @@
 from relay_builders import make_route
 from relay_fleet import RelayFleet
 
-from catkinhollow.signal_policy import HANDLED_SIGNALS
+from catkinhollow.startup.held_signals import HANDLED_SIGNALS, HeldSignals
 
 pytestmark = pytest.mark.processes
 
@@ -38,7 +38,7 @@
     fleet = RelayFleet(nursery)
     fleet.configure(routes=[make_route(kind="unsafe")])
     with collected_signals() as stray:
-        one = await fleet.start("one", service="shop", handles_signals=True)
+        one = await fleet.start("one", service="shop", held_signals=HeldSignals())
         two = await fleet.start("two")
         await fleet.wait_linked()
         two.target.run_time_s = 0.6
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -160,7 +160,7 @@
         failure_domain="a",
         announce=True,
         usage_api=None,
-        handles_signals=False,
+        held_signals=None,
         **changes,
     ):
         ports = free_ports(6)
@@ -193,16 +193,16 @@
         member = Member(settings, daemon, target)
         self.members[name] = member
         await self.nursery.start(serve_on_loopback, target, ports[0])
-        self.nursery.start_soon(self._run, member, handles_signals)
+        self.nursery.start_soon(self._run, member, held_signals)
         if announce:
             daemon.gate.announce(make_announcement(name, slots=9))
         return member
 
-    async def _run(self, member, handles_signals):
-        if handles_signals:
-            await member.daemon.run()
-        else:
+    async def _run(self, member, held_signals):
+        if held_signals is None:
             await member.daemon.serve_until(member.stop.wait)
+        else:
+            await member.daemon.run(held_signals)
         member.stopped.set()
 
     def configure(self, version=1, **changes):
--- a/tests/test_signal_policy.py
+++ b/tests/test_signal_policy.py
@@ -5,12 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinhollow.signal_policy import (
-    HANDLED_SIGNALS,
-    STOP_SIGNALS,
-    SignalAction,
-    SignalPolicy,
-)
+from catkinhollow.signal_policy import SignalAction, SignalPolicy
+from catkinhollow.startup.held_signals import HANDLED_SIGNALS, STOP_SIGNALS
 
 
 @given(st.lists(st.sampled_from(HANDLED_SIGNALS), max_size=12))
