Handle all signals of the daemons of the mesh

Seen by callers: calls in flight at a daemon of the mesh were cut off when a second signal arrived during its shutdown, and SIGHUP ended the daemon at any time.

Cause: as in the relay daemon, its receiver was left after the first SIGTERM or SIGINT. SIGHUP had no handler at all.

Change: the daemon uses ProcessSignals and HeldSignals.

--- a/catkinhollow/application.py
+++ b/catkinhollow/application.py
@@ -1,7 +1,6 @@
 """Assemble and run the parts of a daemon."""
 
-import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from random import Random
 from typing import Any
@@ -51,6 +50,8 @@
 from catkinhollow.mesh.elections import Elections
 from catkinhollow.mesh.mesh_service import MeshService
 from catkinhollow.mesh.peers import NngPeerLink, format_address
+from catkinhollow.process_signals import ProcessSignals
+from catkinhollow.startup.held_signals import HeldSignals
 from catkinhollow.timer import Timer
 
 logger = get_logger(__name__)
@@ -223,8 +224,24 @@
             self._metrics.members.set({"state": state.value}, count)
         return self._metrics
 
-    async def run(self) -> None:
+    async def run(self, held_signals: HeldSignals) -> None:
         """Serve until SIGTERM or SIGINT, then finish the calls in flight."""
+        signals = ProcessSignals(
+            held_signals,
+            on_stop=lambda name: logger.info("shutting down", signal=name),
+            on_reload=lambda: logger.info("settings are read at the start only"),
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(signals.run)
+            if not signals.stop_requested:
+                await self._serve_until(signals.wait_for_stop)
+            nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            await self._client.aclose()
+            await self._supervisor.aclose()
+            await self._store.aclose()
+
+    async def _serve_until(self, wait_for_stop: Callable[[], Awaitable[None]]) -> None:
         async with trio.open_nursery() as nursery:
             await self._start_listeners(nursery)
             for task in (
@@ -236,13 +253,9 @@
             ):
                 nursery.start_soon(task)
             self._schedule_periodic_tasks(nursery)
-            await self._wait_for_signal()
+            await wait_for_stop()
             await self._drain()
             nursery.cancel_scope.cancel()
-        with trio.CancelScope(shield=True):
-            await self._client.aclose()
-            await self._supervisor.aclose()
-            await self._store.aclose()
 
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         settings = self._settings
@@ -316,12 +329,6 @@
             logger.info("setting initial versions", versions=versions)
             await update_fleet(self._store, SetInitialSplits(versions))
 
-    async def _wait_for_signal(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                logger.info("shutting down", signal=signal.Signals(number).name)
-                return
-
     async def _drain(self) -> None:
         self._mesh.leave()
         self._shutdown.set()
--- a/tests/daemon/test_daemon_imports.py
+++ b/tests/daemon/test_daemon_imports.py
@@ -8,7 +8,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 UNWANTED_LIBRARIES = {"cleo", "hdrh", "jsonschema", "opentelemetry", "psutil", "yaml"}
-SCRIPT = "import sys, catkinhollow.daemon.__main__; print(*sys.modules)"
+SCRIPT = """
+import sys, catkinhollow.daemon.__main__, catkinhollow.daemon.process
+print(*sys.modules)
+"""
 
 
 @pytest.mark.processes
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -112,8 +112,15 @@
     assert log.count(CallResult.OK) > 0.9 * report.requests > 100
 
 
-async def test_shutdown_finishes_calls_in_flight(tmp_path):
-    """Guards against a graceful shutdown that interrupts a request."""
+@pytest.mark.parametrize(
+    "later",
+    [(), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)],
+)
+async def test_shutdown_finishes_calls_in_flight(tmp_path, later):
+    """Guards against a graceful shutdown that interrupts a request.
+
+    Further signals must not cut it short.
+    """
     log = CallLog()
     async with running_cluster(tmp_path) as cluster:
         # No slow start, so that eight slow calls find slots at the same time.
@@ -127,6 +134,9 @@
             await trio.sleep(0.5)
             child = cluster.daemon("orders-0")
             child.send(signal.SIGTERM)
+            for number in later:
+                await trio.sleep(0.1)
+                child.send(number)
             assert await child.wait(LIMIT_S)
         assert child.process.returncode == 0
     assert [record.result for record in log.records] == [CallResult.OK] * 8
