--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -36,6 +36,7 @@
     MetricsApplication,
     ReadyApplication,
 )
+from catkinhollow.relay.connections.caller_connection import RequestHandler
 from catkinhollow.relay.documents.document_handler import (
     DocumentHandler,
     DocumentValidator,
@@ -77,8 +78,9 @@
 from catkinhollow.relay.placement.service_peers import DirectoryPeers
 from catkinhollow.relay.relay_metrics import RelayMetrics
 from catkinhollow.relay.request_log import RequestLog
-from catkinhollow.relay.request_server import RequestHandler, RequestServer
-from catkinhollow.relay.shutdown_plan import ShutdownPlan
+from catkinhollow.relay.request_server import RequestServer
+from catkinhollow.relay.shutdown.shutdown import Shutdown
+from catkinhollow.relay.shutdown.shutdown_plan import ShutdownPlan
 from catkinhollow.startup.held_signals import HeldSignals
 from catkinhollow.timer import Subscription, Timer
 
@@ -94,10 +96,6 @@
 # Idle connections to the target are not reused after this time, well before
 # the target closes them.
 IDLE_EXPIRY_S = 3.0
-# Time to send the responses to the requests that the shutdown has aborted.
-LAST_RESPONSES_S = 0.3
-LAST_RESPONSES_POLL_S = 0.02
-DRAIN_POLL_S = 0.1
 # Limits of announcements and of checks; each fits into some hundred bytes.
 CONTROL_LIMITS = RequestLimits(max_body_bytes=65536)
 RELOAD_INTERVAL_S = 2.0
@@ -467,33 +465,15 @@
 
     async def _drain(self) -> None:
         self._stopping = True
-        self._server.begin_closing()
-        plan = ShutdownPlan(self._settings.grace_s)
-        started_s = self._clock.monotonic()
-        self._timer.call_after(plan.refuse_calls_s, self._gate.stop)
-        self._timer.call_after(plan.refuse_requests_s, self._ingress.stop)
-        was_idle = False
-        while (elapsed_s := self._clock.monotonic() - started_s) < plan.abort_s:
-            idle = not (self._gate.busy or self._server.busy or self._link.busy)
-            # Only return after a second idle check, so that the links can send
-            # the last answers.
-            if idle and was_idle and elapsed_s > plan.min_end_s:
-                # A request that is read before the tasks are cancelled would
-                # be passed on and cut off.
-                self._ingress.stop()
-                self._gate.stop()
-                return
-            was_idle = idle
-            await trio.sleep(DRAIN_POLL_S)
-        await self._abort_requests()
-
-    async def _abort_requests(self) -> None:
-        """Tell the callers of all open requests that there is no answer."""
-        count = self._ingress.abort()
-        logger.warning("shutdown aborted open requests", requests=count)
-        with trio.move_on_after(LAST_RESPONSES_S):
-            while self._server.busy:
-                await trio.sleep(LAST_RESPONSES_POLL_S)
+        shutdown = Shutdown(
+            ShutdownPlan(self._settings.grace_s),
+            server=self._server,
+            ingress=self._ingress,
+            gate=self._gate,
+            link=self._link,
+            timer=self._timer,
+        )
+        await shutdown.run()
 
     def _schedule_move_steps(self) -> None:
         """Step the moves at intervals while there are orders."""
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -1,77 +1,25 @@
-"""Serve HTTP/1.1 and run the pipelined requests of a connection concurrently.
+"""Serve HTTP/1.1 to callers, and to the target that announces itself."""
 
-hypercorn starts a pipelined request only after the response to the previous
-one, so that the second of two requests waits for both runs. The responses of
-this server keep the order of their requests.
-"""
-
-from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 import trio
-from attrs import define, frozen
 
-from catkinhollow.calls.exchange import Request, Response, plain_response
-from catkinhollow.calls.http_encoding import EncodingError, encode_response
-from catkinhollow.calls.http_parser import (
-    InvalidRequestError,
-    ParseLimits,
-    RequestParser,
-)
-from catkinhollow.calls.httptools_parser import HttptoolsRequestParser
+from catkinhollow.calls.http_encoding import EncodingError
 from catkinhollow.calls.socket_stream import SocketStream, take_socket
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.disconnection import Disconnection
-from catkinhollow.relay.timed_write import send_in_time
+from catkinhollow.relay.connections.caller_connection import (
+    NETWORK_ERRORS,
+    CallerConnection,
+    RequestHandler,
+)
 
 logger = get_logger(__name__)
 
-READ_BYTES = 65536
 # Connections that wait to be accepted; a simultaneous restart of many callers
 # overflows smaller queues.
 BACKLOG = 1024
-# Concurrent requests of one connection; further requests are not read yet.
-MAX_PIPELINED = 16
-# Requests with other methods may change something. They start after all
-# earlier requests have ended, because callers assume that requests behind a
-# response that closes the connection have not been read.
-PIPELINED_METHODS = ("GET", "HEAD", "OPTIONS")
-CONTINUE = b"HTTP/1.1 100 \r\n\r\n"
-
-NETWORK_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
-
-
-class RequestHandler(Protocol):
-    """Answer requests."""
-
-    async def __call__(
-        self, request: Request, wait_for_disconnect: Disconnection, /
-    ) -> Response | None:
-        """Return the whole response, None if the caller has disconnected.
-
-        What has become of the request is then unknown.
-        """
-
-
-@define(eq=False)
-class _Exchange:
-    """Represent a request and the bytes of its response."""
-
-    request: Request
-    closes_connection: bool
-    response_bytes: bytes | None = None
-
-
-@frozen
-class _InvalidRequest:
-    """Represent an invalid request by the response to it."""
-
-    response: Response
-    method: str = "GET"
-    """Method of the request, which decides whether a response has a body."""
 
 
 class RequestServer:
@@ -151,7 +99,7 @@
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends."""
-        connection = _Connection(self, stream)
+        connection = CallerConnection(self, stream)
         try:
             await connection.run()
         except* NETWORK_ERRORS as errors:
@@ -173,220 +121,6 @@
             self._on_unread()
 
 
-class _Connection:
-    """Serve one connection."""
-
-    def __init__(
-        self, server: RequestServer, stream: trio.abc.HalfCloseableStream
-    ) -> None:
-        self._server = server
-        self._stream = stream
-        self._parser: RequestParser = HttptoolsRequestParser()
-        self._limits = server.limits
-        self._limits_of_parser = _to_parse_limits(self._limits)
-        self._exchanges: deque[_Exchange] = deque()
-        # Set when no response is due and no more requests are read.
-        self._finished = trio.Event()
-        # Replaced each time a request waits for the responses before it.
-        self._turn = trio.Event()
-        self._disconnected = Disconnection()
-        self._sending = False
-        # Set when no more requests are read, because a response closes the
-        # connection or the caller has disconnected.
-        self._closing = False
-
-    async def run(self) -> None:
-        """Read requests and answer them until the connection ends."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_requests, nursery)
-            await self._finished.wait()
-            nursery.cancel_scope.cancel()
-        if not self._disconnected.happened:
-            await self._stream.send_eof()
-
-    def abandon(self) -> None:
-        """Forget the requests that a failed connection leaves unanswered."""
-        while self._exchanges:
-            self._exchanges.popleft()
-            self._server.request_ended()
-
-    async def _read_requests(self, nursery: trio.Nursery) -> None:
-        while not self._closing:
-            incoming = await self._read_request()
-            if incoming is None:
-                self._on_disconnect()
-                return
-            if isinstance(incoming, _InvalidRequest):
-                self._start_invalid(incoming)
-                await self._send_finished()
-            else:
-                await self._wait_for_turn(incoming)
-                if self._closing:
-                    # The caller sees the closing response and retries.
-                    break
-                self._start_exchange(incoming, nursery)
-        await self._discard_input()
-
-    async def _read_request(self) -> _Exchange | _InvalidRequest | None:
-        """Return the next request, None if the caller has disconnected."""
-        parser = self._parser
-        while True:
-            try:
-                received = parser.next_request(self._parse_limits())
-            except InvalidRequestError as error:
-                logger.info("malformed request", reason=str(error))
-                return self._refuse(error.status, error.reason)
-            if received is not None:
-                return _Exchange(received.request, not received.keeps_open)
-            if parser.ended:
-                return None
-            failure = await self._read_more()
-            if failure is not None:
-                return failure
-
-    def _parse_limits(self) -> ParseLimits:
-        limits = self._server.limits
-        if limits is not self._limits:
-            self._limits = limits
-            self._limits_of_parser = _to_parse_limits(limits)
-        return self._limits_of_parser
-
-    def _refuse(self, status: int, reason: str) -> _InvalidRequest:
-        """Return the refusal of a request that need not be whole."""
-        return _InvalidRequest(plain_response(status, reason), self._parser.method)
-
-    async def _read_more(self) -> _InvalidRequest | None:
-        """Feed more bytes to the parser, or return the error response."""
-        limits = self._server.limits
-        parser = self._parser
-        started = parser.started
-        limit_ms = limits.header_timeout_ms if started else limits.idle_timeout_ms
-        data = b""
-        if parser.awaits_continue and not self._exchanges:
-            await self._send_continue(limit_ms / 1000.0)
-        with trio.move_on_after(limit_ms / 1000.0) as scope:
-            data = await self._receive()
-        if scope.cancelled_caught:
-            if started:
-                return self._refuse(408, "the request did not arrive in time")
-            if self._exchanges:
-                # A connection with open requests is not idle.
-                return None
-        # Empty data, after an idle timeout or a disconnect, tells the parser
-        # that the connection has ended.
-        parser.feed(data)
-        return None
-
-    async def _receive(self) -> bytes:
-        try:
-            return bytes(await self._stream.receive_some(READ_BYTES))
-        except NETWORK_ERRORS as error:
-            logger.debug("connection lost", reason=str(error))
-            return b""
-
-    async def _send_continue(self, limit_s: float) -> None:
-        try:
-            await send_in_time(self._stream, CONTINUE, limit_s)
-            self._parser.continue_sent()
-        except NETWORK_ERRORS as error:
-            # The next read finds the end of the connection.
-            logger.debug("continuation not sent", reason=str(error))
-
-    async def _wait_for_turn(self, exchange: _Exchange) -> None:
-        sequential = exchange.request.method not in PIPELINED_METHODS
-        while self._exchanges and (
-            sequential
-            or len(self._exchanges) >= MAX_PIPELINED
-            or self._exchanges[-1].request.method not in PIPELINED_METHODS
-        ):
-            self._turn = trio.Event()
-            await self._turn.wait()
-
-    def _start_exchange(self, exchange: _Exchange, nursery: trio.Nursery) -> None:
-        self._closing = exchange.closes_connection
-        self._append(exchange)
-        nursery.start_soon(self._respond, exchange)
-
-    def _start_invalid(self, invalid: _InvalidRequest) -> None:
-        request = Request(
-            method=invalid.method, path="", query=b"", headers=[], body=b""
-        )
-        exchange = _Exchange(request, closes_connection=True)
-        exchange.response_bytes = _encode_response(exchange, invalid.response)
-        self._closing = True
-        self._append(exchange)
-
-    def _append(self, exchange: _Exchange) -> None:
-        self._exchanges.append(exchange)
-        self._server.request_started()
-
-    def _on_disconnect(self) -> None:
-        self._disconnected.set()
-        self._closing = True
-        self._notify_state_change()
-
-    async def _discard_input(self) -> None:
-        """Discard input after the last request until the caller disconnects.
-
-        Closing with unread bytes would reset the connection, and the caller
-        could lose the last response.
-        """
-        while await self._receive():
-            pass
-        self._on_disconnect()
-
-    async def _respond(self, exchange: _Exchange) -> None:
-        response = await self._server.handler(exchange.request, self._disconnected)
-        if response is None:
-            self._on_disconnect()
-            exchange.response_bytes = _NO_RESPONSE
-        else:
-            if self._server.closing and self._is_last(exchange):
-                exchange.closes_connection = self._closing = True
-            exchange.response_bytes = _encode_response(exchange, response)
-        await self._send_finished()
-
-    def _is_last(self, exchange: _Exchange) -> bool:
-        return bool(self._exchanges) and exchange is self._exchanges[-1]
-
-    async def _send_finished(self) -> None:
-        """Send finished responses in the order of their requests.
-
-        A task that sends already takes those that finish meanwhile as well.
-        """
-        if self._sending:
-            return
-        self._sending = True
-        while self._exchanges and self._exchanges[0].response_bytes is not None:
-            data = self._exchanges[0].response_bytes
-            if data == _NO_RESPONSE:
-                # A caller that has closed only its sending side would take
-                # the next response for the missing one.
-                self.abandon()
-                break
-            self._server.response_sent(len(data))
-            limit_s = self._server.limits.idle_timeout_ms / 1000.0
-            try:
-                await send_in_time(self._stream, data, limit_s)
-            except NETWORK_ERRORS as error:
-                logger.debug("response not sent", reason=str(error))
-                self._on_disconnect()
-            self._exchanges.popleft()
-            self._server.request_ended()
-            self._turn.set()
-        self._sending = False
-        self._notify_state_change()
-
-    def _notify_state_change(self) -> None:
-        self._turn.set()
-        if self._closing and not self._exchanges:
-            self._finished.set()
-
-
-# Replaces the response to a request whose caller has disconnected.
-_NO_RESPONSE = b""
-
-
 def _unacknowledged_bytes(stream: trio.abc.HalfCloseableStream) -> int:
     """Return how much the caller has not acknowledged, 0 if it is unknown."""
     if not isinstance(stream, SocketStream):
@@ -404,19 +138,3 @@
     if isinstance(error, BaseExceptionGroup):
         return _describe(error)
     return f"{type(error).__name__}: {error}"
-
-
-def _to_parse_limits(limits: RequestLimits) -> ParseLimits:
-    return ParseLimits(
-        max_head_bytes=limits.max_header_bytes,
-        max_body_bytes=limits.max_body_bytes,
-    )
-
-
-def _encode_response(exchange: _Exchange, response: Response) -> bytes:
-    """Return the bytes of a response."""
-    return encode_response(
-        response,
-        method=exchange.request.method,
-        closes=exchange.closes_connection,
-    )
--- /dev/null
+++ b/catkinhollow/relay/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""Decide when a daemon that is stopped gives up which work."""
--- a/tests/relay/test_shutdown_plan.py
+++ b/tests/relay/shutdown/test_shutdown_plan.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from catkinhollow.relay.shutdown_plan import ShutdownPlan
+from catkinhollow.relay.shutdown.shutdown_plan import ShutdownPlan
 
 # A request that is sent this long after the start of a shutdown must not be
 # cut off at its end.
