Close connections once their callers have read the responses

Seen by callers: responses of requests that had run were cut off when a daemon was stopped.

Cause: as soon as the last response was in the kernel's buffer, the daemon closed the socket. A request that arrived later met a closed socket; the kernel answered with a reset and dropped what the caller had not received. The same held for each connection that the daemon ended: after a response to "connection: close", after the refusal of a malformed request or of a body over the limit, after an idle time, and on the addresses for announcements, checks and metrics.

Evidence: 8,302 to 55,918 unacknowledged bytes at the close, 0.7 s after the signal, while the process ran. Ruled out: the end of the process and the limit for callers that do not read; neither is in the log.

Change: ClosingConnections closes the sending side only, reads and drops what still arrives, and keeps the socket until the caller closes its end or ClosingPlan gives it up. The plan follows the bytes that the caller has not acknowledged: 2 s after everything is delivered, after idle_timeout_ms without progress, 60 s in all, a permitted body of further input, 512 connections. A shutdown waits for these connections, within the limit for open requests. A connection on which no response has announced the close is not kept once everything is acknowledged, as its caller may leave it open.

Weighed against it: a fixed time, which either cuts off slow callers or keeps those that never close; waiting in the process only when it stops, which leaves refused uploads and idle connections as they were.

--- a/catkinhollow/relay/application.py
+++ b/catkinhollow/relay/application.py
@@ -160,6 +160,7 @@
         self._failure_reported_s = -inf
         self._nursery: trio.Nursery | None = None
         self._move_steps: Subscription | None = None
+        self._control_servers: list[RequestServer] = []
         self._listening = False
         self._stopping = False
         self._directory = PeerDirectory(self._own_record())
@@ -446,6 +447,7 @@
         self, nursery: trio.Nursery, handler: RequestHandler, address: str
     ) -> None:
         server = RequestServer(handler, lambda: CONTROL_LIMITS)
+        self._control_servers.append(server)
         await nursery.start(server.serve, _parse_listen_address(address))
 
     def _log_stop(self, signal_name: str) -> None:
@@ -468,6 +470,7 @@
         shutdown = Shutdown(
             ShutdownPlan(self._settings.grace_s),
             server=self._server,
+            other_servers=self._control_servers,
             ingress=self._ingress,
             gate=self._gate,
             link=self._link,
--- a/catkinhollow/relay/connections/caller_connection.py
+++ b/catkinhollow/relay/connections/caller_connection.py
@@ -112,8 +112,20 @@
         self._disconnected = Disconnection()
         self._sending = False
         # Set when no more requests are read, because a response closes the
-        # connection or the caller has disconnected.
+        # connection, the caller has disconnected, or the connection is idle.
         self._closing = False
+        self._idle = False
+        self._announced_close = False
+
+    @property
+    def ended_by_caller(self) -> bool:
+        """Return whether the caller has disconnected."""
+        return self._disconnected.happened
+
+    @property
+    def announced_close(self) -> bool:
+        """Return whether a response has told the caller to close."""
+        return self._announced_close
 
     async def run(self) -> None:
         """Read requests and answer them until the connection ends."""
@@ -121,8 +133,14 @@
             nursery.start_soon(self._read_requests, nursery)
             await self._finished.wait()
             nursery.cancel_scope.cancel()
-        if not self._disconnected.happened:
-            await self._stream.send_eof()
+        # Frees the part of a body that has not been read to its end.
+        self._parser = HttptoolsRequestParser()
+
+    def end_if_idle(self) -> None:
+        """Read no more requests if none is open."""
+        if not self._exchanges:
+            self._closing = True
+            self._notify_state_change()
 
     def abandon(self) -> None:
         """Forget the requests that a failed connection leaves unanswered."""
@@ -134,7 +152,10 @@
         while not self._closing:
             incoming = await self._read_request()
             if incoming is None:
-                self._on_disconnect()
+                if self._idle:
+                    self.end_if_idle()
+                else:
+                    self._on_disconnect()
                 return
             if isinstance(incoming, _InvalidRequest):
                 self._start_invalid(incoming)
@@ -148,7 +169,7 @@
         await self._discard_input()
 
     async def _read_request(self) -> _Exchange | _InvalidRequest | None:
-        """Return the next request, None if the caller has disconnected."""
+        """Return the next request, None if no more are read."""
         parser = self._parser
         while True:
             try:
@@ -158,7 +179,7 @@
                 return self._refuse(error.status, error.reason)
             if received is not None:
                 return _Exchange(received.request, not received.keeps_open)
-            if parser.ended:
+            if parser.ended or self._idle:
                 return None
             failure = await self._read_more()
             if failure is not None:
@@ -189,11 +210,10 @@
         if scope.cancelled_caught:
             if started:
                 return self._refuse(408, "the request did not arrive in time")
-            if self._exchanges:
-                # A connection with open requests is not idle.
-                return None
-        # Empty data, after an idle timeout or a disconnect, tells the parser
-        # that the connection has ended.
+            # A connection with open requests is not idle.
+            self._idle = not self._exchanges
+            return None
+        # Empty data tells the parser that the caller has disconnected.
         parser.feed(data)
         return None
 
@@ -248,8 +268,8 @@
     async def _discard_input(self) -> None:
         """Discard input after the last request until the caller disconnects.
 
-        Closing with unread bytes would reset the connection, and the caller
-        could lose the last response.
+        Unread bytes would fill the connection and stop a caller that reads
+        only after it has sent everything.
         """
         while await self._receive():
             pass
@@ -285,6 +305,7 @@
                 self.abandon()
                 break
             self._server.response_sent(len(data))
+            self._announced_close = self._exchanges[0].closes_connection
             limit_s = self._server.limits.idle_timeout_ms / 1000.0
             try:
                 await send_in_time(self._stream, data, limit_s)
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -5,7 +5,7 @@
 import trio
 
 from catkinhollow.calls.http_encoding import EncodingError
-from catkinhollow.calls.socket_stream import SocketStream, take_socket
+from catkinhollow.calls.socket_stream import take_socket
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
@@ -14,6 +14,7 @@
     CallerConnection,
     RequestHandler,
 )
+from catkinhollow.relay.connections.closing_connections import ClosingConnections
 
 logger = get_logger(__name__)
 
@@ -37,7 +38,7 @@
         self._limits = limits
         self._count_sent = count_sent
         self._on_failure = on_failure
-        self._on_unread = on_unread
+        self._closing_connections = ClosingConnections(on_unread)
         self._closing = False
         self._open_requests = 0
 
@@ -51,6 +52,11 @@
         """Return the number of requests that have been read, not answered."""
         return self._open_requests
 
+    @property
+    def delivering(self) -> bool:
+        """Return whether connections wait for callers that still read."""
+        return len(self._closing_connections) > 0
+
     @property
     def handler(self) -> RequestHandler:
         """Return the handler of requests."""
@@ -100,6 +106,21 @@
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends."""
         connection = CallerConnection(self, stream)
+        try:
+            await self._run_connection(connection)
+            connection.abandon()
+            if not connection.ended_by_caller:
+                await self._closing_connections.close(
+                    stream,
+                    stall_s=self.limits.idle_timeout_ms / 1000.0,
+                    max_input_bytes=self.limits.max_body_bytes,
+                    awaits_caller=connection.announced_close,
+                )
+        finally:
+            connection.abandon()
+            await trio.aclose_forcefully(stream)
+
+    async def _run_connection(self, connection: CallerConnection) -> None:
         try:
             await connection.run()
         except* NETWORK_ERRORS as errors:
@@ -108,28 +129,6 @@
             # Other connections have other responses.
             logger.error("connection failed", reason=_describe(errors))
             self._on_failure()
-        finally:
-            connection.abandon()
-            self._report_unread(stream)
-            await trio.aclose_forcefully(stream)
-
-    def _report_unread(self, stream: trio.abc.HalfCloseableStream) -> None:
-        """Count a connection that ends before its caller has read it all."""
-        unread = _unacknowledged_bytes(stream)
-        if unread > 0:
-            logger.info("connection closed unread", unacknowledged_bytes=unread)
-            self._on_unread()
-
-
-def _unacknowledged_bytes(stream: trio.abc.HalfCloseableStream) -> int:
-    """Return how much the caller has not acknowledged, 0 if it is unknown."""
-    if not isinstance(stream, SocketStream):
-        return 0
-    try:
-        return stream.unacknowledged_bytes()
-    except NETWORK_ERRORS:
-        # Nothing more can be sent on a connection that has been lost.
-        return 0
 
 
 def _describe(errors: BaseExceptionGroup[BaseException]) -> str:
--- a/catkinhollow/relay/shutdown/shutdown.py
+++ b/catkinhollow/relay/shutdown/shutdown.py
@@ -1,5 +1,7 @@
 """Finish the open work of a daemon that is being stopped."""
 
+from collections.abc import Sequence
+
 import trio
 
 from catkinhollow.logs import get_logger
@@ -19,13 +21,14 @@
 
 
 class Shutdown:
-    """Wait for open requests and calls, and abort those that take too long."""
+    """Wait for open requests and unread responses, up to a limit."""
 
     def __init__(
         self,
         plan: ShutdownPlan,
         *,
         server: RequestServer,
+        other_servers: Sequence[RequestServer],
         ingress: Ingress,
         gate: GateService,
         link: NngFrameLink,
@@ -33,6 +36,7 @@
     ) -> None:
         self._plan = plan
         self._server = server
+        self._servers = [server, *other_servers]
         self._ingress = ingress
         self._gate = gate
         self._link = link
@@ -48,7 +52,7 @@
         self._timer.call_after(plan.refuse_requests_s, self._ingress.stop)
         was_idle = False
         while (elapsed_s := self._clock.monotonic() - started_s) < plan.abort_s:
-            idle = not (self._gate.busy or self._server.busy or self._link.busy)
+            idle = not (self._gate.busy or self._link.busy or self._has_callers())
             # Only return after a second idle check, so that the links can send
             # the last answers.
             if idle and was_idle and elapsed_s > plan.min_end_s:
@@ -61,10 +65,14 @@
             await trio.sleep(DRAIN_POLL_S)
         await self._abort_requests()
 
+    def _has_callers(self) -> bool:
+        """Return whether callers wait for a response, or read one."""
+        return any(server.busy or server.delivering for server in self._servers)
+
     async def _abort_requests(self) -> None:
         """Tell the callers of all open requests that there is no answer."""
         count = self._ingress.abort()
         logger.warning("shutdown aborted open requests", requests=count)
         with trio.move_on_after(LAST_RESPONSES_S):
-            while self._server.busy:
+            while self._has_callers():
                 await trio.sleep(LAST_RESPONSES_POLL_S)
