Wait in a shutdown for callers that read on open connections

Seen by callers: a response on a connection that stays open for further requests was cut off if its caller read slowly and sent its next request after the daemon had ended.

Cause: the shutdown counted a response as delivered once it was written. The exit closed the socket with unread bytes in its queue.

Change: at its end a shutdown closes the sending side of all idle connections and waits, within the limit for open requests, until their callers have acknowledged everything.

--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -38,6 +38,8 @@
         self._limits = limits
         self._count_sent = count_sent
         self._on_failure = on_failure
+        self._connections: set[CallerConnection] = set()
+        self._connection_closed = trio.Event()
         self._closing_connections = ClosingConnections(on_unread)
         self._closing = False
         self._open_requests = 0
@@ -100,12 +102,26 @@
         """Close each connection after its next response."""
         self._closing = True
 
+    async def close_idle_connections(self) -> None:
+        """Close the connections without an open request.
+
+        Wait for their callers, some of which are still reading.
+        """
+        connections = set(self._connections)
+        for connection in connections:
+            connection.end_if_idle()
+        # Later connections are refused their requests and need not be awaited.
+        while connections & self._connections:
+            self._connection_closed = trio.Event()
+            await self._connection_closed.wait()
+
     async def _serve_socket(self, stream: trio.SocketStream) -> None:
         await self.serve_stream(take_socket(stream))
 
     async def serve_stream(self, stream: trio.abc.HalfCloseableStream) -> None:
         """Serve one connection until it ends."""
         connection = CallerConnection(self, stream)
+        self._connections.add(connection)
         try:
             await self._run_connection(connection)
             connection.abandon()
@@ -118,6 +134,8 @@
                 )
         finally:
             connection.abandon()
+            self._connections.remove(connection)
+            self._connection_closed.set()
             await trio.aclose_forcefully(stream)
 
     async def _run_connection(self, connection: CallerConnection) -> None:
--- a/catkinhollow/relay/shutdown/shutdown.py
+++ b/catkinhollow/relay/shutdown/shutdown.py
@@ -60,6 +60,7 @@
                 # be passed on and cut off.
                 self._ingress.stop()
                 self._gate.stop()
+                await self._end_connections(plan.abort_s - elapsed_s)
                 return
             was_idle = idle
             await trio.sleep(DRAIN_POLL_S)
@@ -69,6 +70,13 @@
         """Return whether callers wait for a response, or read one."""
         return any(server.busy or server.delivering for server in self._servers)
 
+    async def _end_connections(self, limit_s: float) -> None:
+        """Close all connections once their callers have read everything."""
+        with trio.move_on_after(limit_s):
+            async with trio.open_nursery() as nursery:
+                for server in self._servers:
+                    nursery.start_soon(server.close_idle_connections)
+
     async def _abort_requests(self) -> None:
         """Tell the callers of all open requests that there is no answer."""
         count = self._ingress.abort()
