Read the response of a target while its request is being sent

Cause: the response was read after the last byte of the request had been sent. A target that has answered may read on later, or not at all, and the kernels take only a part of a long request.

Change: what does not fit into the first send is written by a task beside the read. The gate passes an early response on and frees its slot; the rest of the request is sent meanwhile, up to its deadline, as the target may still expect it. Only then may the connection carry another request. A response that closes the connection, or one to another request, ends the upload. Input is read before the next write, so that a response that ends in order is whole although a reset follows. Short requests are sent and answered without a further task.

Weighed against it: closing the connection after an early response, which cuts off the body at targets that read on.

Streams of connections send what they can at once instead of all, in the stand-ins of the tests as well, which check what they checked before.

--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -1,6 +1,7 @@
 """Send requests to targets over persistent HTTP connections."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Protocol
 
 import trio
@@ -62,13 +63,24 @@
         return self.response.status if self.response else 0
 
 
+OnEarly = Callable[[SendResult], None]
+
+
 class TargetClient(Protocol):
     """Send single requests to targets."""
 
     async def send(
-        self, address: str, request: Request, timeout_s: float
+        self,
+        address: str,
+        request: Request,
+        timeout_s: float,
+        on_early: OnEarly | None = None,
     ) -> SendResult:
-        """Make one attempt; the timeout is in seconds."""
+        """Make one attempt; the timeout is in seconds.
+
+        The callback gets the result if the target responds before it has read
+        the request, the rest of which is then sent before this returns.
+        """
 
 
 class Classify(Protocol):
@@ -140,7 +152,11 @@
         self._bodies = ResponseBodies(max(MAX_BODIES_BYTES, settings.max_body_bytes))
 
     async def send(
-        self, address: str, request: Request, timeout_s: float
+        self,
+        address: str,
+        request: Request,
+        timeout_s: float,
+        on_early: OnEarly | None = None,
     ) -> SendResult:
         """Make one attempt; the timeout is in seconds."""
         deadline_s = trio.current_time() + timeout_s
@@ -159,7 +175,7 @@
         started_s = trio.current_time()
         attempt = SendResult(kind=AttemptKind.CANCELLED)
         try:
-            attempt = await self._exchange(connection, request, deadline_s)
+            attempt = await self._exchange(connection, request, deadline_s, on_early)
         finally:
             reusable = attempt.kind in REUSABLE_KINDS
             await self._release_connection(connections, connection, reusable)
@@ -215,7 +231,11 @@
         return _Connection(http, unacknowledged_ms=self._silence.unacknowledged_ms)
 
     async def _exchange(
-        self, connection: _Connection, request: Request, deadline_s: float
+        self,
+        connection: _Connection,
+        request: Request,
+        deadline_s: float,
+        on_early: OnEarly | None,
     ) -> SendResult:
         if trio.current_time() >= deadline_s:
             # A request that is sent after a pause of this process could run
@@ -228,20 +248,31 @@
         except EncodingError as error:
             return SendResult(kind=AttemptKind.BROKEN, reason=str(error))
         self._limit_unacknowledged(connection, len(head) + len(request.body))
+        early: SendResult | None = None
+
+        def take_early(response: Response) -> bool:
+            """Return whether the rest of the request is sent."""
+            nonlocal early
+            if on_early is None:
+                return False
+            early = self._classify(request, response, reused=connection.reused)
+            on_early(early)
+            return early.kind in REUSABLE_KINDS
+
         with trio.move_on_at(deadline_s):
             try:
                 response = await connection.http.exchange(
-                    head, request.body, to_head=request.method == "HEAD"
+                    head,
+                    request.body,
+                    to_head=request.method == "HEAD",
+                    on_early=take_early,
                 )
             except InvalidResponseError as error:
                 return SendResult(kind=AttemptKind.BROKEN, reason=str(error))
             except NETWORK_ERRORS as error:
-                reason = f"{type(error).__name__}: {error}"
-                silent = is_silence(error)
-                kind = AttemptKind.SILENT if silent else AttemptKind.BROKEN
-                return SendResult(kind=kind, reason=reason)
-            return self._classify(request, response, reused=connection.reused)
-        return SendResult(kind=AttemptKind.TIMEOUT, reason="timeout")
+                return _classify_error(error)
+            return early or self._classify(request, response, reused=connection.reused)
+        return early or SendResult(kind=AttemptKind.TIMEOUT, reason="timeout")
 
     def _limit_unacknowledged(self, connection: _Connection, size_bytes: int) -> None:
         limit_ms = self._silence.unacknowledged_ms
@@ -296,6 +327,11 @@
                 await connection.http.aclose()
 
 
+def _classify_error(error: Exception) -> SendResult:
+    kind = AttemptKind.SILENT if is_silence(error) else AttemptKind.BROKEN
+    return SendResult(kind=kind, reason=f"{type(error).__name__}: {error}")
+
+
 def _shows_silence(
     connection: _Connection, kind: AttemptKind, started_s: float
 ) -> bool:
--- a/catkinhollow/calls/socket_stream.py
+++ b/catkinhollow/calls/socket_stream.py
@@ -25,8 +25,11 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes, none at the end."""
 
-    async def write(self, data: bytes, timeout: float | None = None) -> None:
-        """Send all bytes."""
+    def try_send(self, data: bytes | memoryview) -> int:
+        """Send what can be sent at once and return its size."""
+
+    async def wait_writable(self) -> None:
+        """Wait until some bytes can be sent."""
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -76,7 +79,7 @@
             return
         view = memoryview(data)
         while sent < len(data):
-            await self.wait_send_all_might_not_block()
+            await self.wait_writable()
             sent += self.try_send(view[sent:])
 
     def try_send(self, data: bytes | memoryview) -> int:
@@ -95,11 +98,15 @@
         """Send all bytes."""
         await self.write(memoryview(data))
 
-    async def wait_send_all_might_not_block(self) -> None:
+    async def wait_writable(self) -> None:
         """Wait until some bytes can be sent."""
         self._check_open()
         await trio.lowlevel.wait_writable(self._socket)
 
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until some bytes can be sent."""
+        await self.wait_writable()
+
     async def send_eof(self) -> None:
         """Close the sending side."""
         self._check_open()
--- a/catkinhollow/calls/target_connection.py
+++ b/catkinhollow/calls/target_connection.py
@@ -1,5 +1,6 @@
 """Exchange requests and responses with a target over one connection."""
 
+from collections.abc import Callable
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
 import trio
@@ -25,6 +26,30 @@
 NETWORK_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
+class _RequestWriter:
+    """Track what of a request has been sent."""
+
+    def __init__(self, stream: ByteStream, head: bytes, body: bytes) -> None:
+        self._stream = stream
+        if len(body) <= MAX_JOINED_BYTES:
+            head, body = head + body, b""
+        self._unsent = memoryview(head)
+        self._body = memoryview(body)
+
+    @property
+    def done(self) -> bool:
+        """Return whether everything has been sent."""
+        return not self._unsent
+
+    def send_some(self) -> None:
+        """Send what can be sent at once; raise the errors of streams."""
+        sent = self._stream.try_send(self._unsent)
+        self._unsent = self._unsent[sent:]
+        if not self._unsent and self._body:
+            self._unsent, self._body = self._body, memoryview(b"")
+            self.send_some()
+
+
 class TargetConnection:
     """Send requests over one connection, each after the last response.
 
@@ -46,6 +71,10 @@
         self._max_body_bytes = max_body_bytes
         self._silent = False
         self._reusable = False
+        self._response_read = False
+        self._write_error: Exception | None = None
+        # Replaced each time that bytes, or the end, are read.
+        self._input_taken = trio.Event()
 
     @property
     def stream(self) -> ByteStream:
@@ -74,45 +103,101 @@
         """
         return bool(self._stream.get_extra_info("is_readable"))
 
-    async def exchange(self, head: bytes, body: bytes, *, to_head: bool) -> Response:
+    async def exchange(
+        self,
+        head: bytes,
+        body: bytes,
+        *,
+        to_head: bool,
+        on_early: Callable[[Response], bool] = lambda response: False,
+    ) -> Response:
         """Send an encoded request and return the whole response.
 
+        A target may respond before it has read the request. The callback gets
+        such a response at once, and decides whether the rest of the request is
+        sent before this method returns.
+
         Raises InvalidResponseError and the errors of streams.
         """
         self._reusable = False
         self._silent = True
-        try:
-            await self._write(head, body)
-        except NETWORK_ERRORS as error:
-            if is_silence(error):
-                raise
-            # The target may have answered before it has read the request.
-            logger.info(
-                "request not written", reason=f"{type(error).__name__}: {error}"
-            )
+        self._response_read = False
+        self._write_error = None
         parser: ResponseParser = HttptoolsResponseParser(
             to_head=to_head, max_overhead_bytes=self._max_head_bytes
         )
-        await self._read_head(parser)
-        response_body = await self._read_body(parser)
-        self._reusable = parser.keeps_open and not parser.has_extra_data
-        return Response(
-            status=parser.status,
-            headers=end_to_end_headers(parser.headers),
-            body=response_body,
-        )
+        writer = _RequestWriter(self._stream, head, body)
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self._send_some(writer)
+        if writer.done or self._write_error is not None:
+            response = await self._read_response(parser)
+        else:
+            response = await self._read_while_writing(writer, parser, on_early)
+        self._reusable = writer.done and parser.keeps_open and not parser.has_extra_data
+        return response
+
+    async def _read_while_writing(
+        self,
+        writer: "_RequestWriter",
+        parser: ResponseParser,
+        on_early: Callable[[Response], bool],
+    ) -> Response:
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write_rest, writer)
+            try:
+                response = await self._read_response(parser)
+            except (InvalidResponseError, *NETWORK_ERRORS) as error:
+                failure = error
+            sends_rest = failure is None and not writer.done and on_early(response)
+            if not (sends_rest and parser.keeps_open):
+                nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return response
+
+    async def _write_rest(self, writer: "_RequestWriter") -> None:
+        """Send the rest of a request, until nobody reads it any more."""
+        while not writer.done and self._write_error is None:
+            try:
+                await self._stream.wait_writable()
+            except NETWORK_ERRORS as error:
+                self._on_write_error(error)
+                return
+            # What has arrived is read first: the kernel reports the end of a
+            # connection by an error to one call only.
+            while self.has_input:
+                if self._response_read:
+                    return
+                await self._input_taken.wait()
+            self._send_some(writer)
+
+    def _send_some(self, writer: "_RequestWriter") -> None:
+        try:
+            writer.send_some()
+        except NETWORK_ERRORS as error:
+            self._on_write_error(error)
+
+    def _on_write_error(self, error: Exception) -> None:
+        # The target may have responded before it has read the request.
+        self._write_error = error
+        reason = f"{type(error).__name__}: {error}"
+        logger.info("request not written", reason=reason)
 
     async def aclose(self) -> None:
         """Close the connection."""
         self._reusable = False
         await self._stream.aclose()
 
-    async def _write(self, head: bytes, body: bytes) -> None:
-        if len(body) <= MAX_JOINED_BYTES:
-            await self._stream.write(head + body if body else head)
-            return
-        await self._stream.write(head)
-        await self._stream.write(body)
+    async def _read_response(self, parser: ResponseParser) -> Response:
+        await self._read_head(parser)
+        body = await self._read_body(parser)
+        self._response_read = True
+        return Response(
+            status=parser.status,
+            headers=end_to_end_headers(parser.headers),
+            body=body,
+        )
 
     async def _read_head(self, parser: ResponseParser) -> None:
         # Informational responses count, so that they can't come without end.
@@ -122,7 +207,7 @@
                 raise InvalidResponseError(
                     f"no response in {self._max_head_bytes} bytes"
                 )
-            data = await self._stream.read(min(READ_BYTES, left))
+            data = await self._receive(min(READ_BYTES, left))
             self._silent = self._silent and not data
             left -= len(data)
             parser.feed(data)
@@ -136,12 +221,26 @@
         with self._bodies.collect() as collected:
             self._collect(parser, collected)
             while not parser.complete and not collected.dropped:
-                parser.feed(await self._stream.read(READ_BYTES))
+                parser.feed(await self._receive(READ_BYTES))
                 self._collect(parser, collected)
         if collected.dropped:
             raise InvalidResponseError("the largest of too many")
         return bytes(collected.data)
 
+    async def _receive(self, max_bytes: int) -> bytes:
+        """Return the next bytes, none at the end."""
+        data = await self._stream.read(max_bytes)
+        self._input_taken.set()
+        self._input_taken = trio.Event()
+        if not data and self._write_error is not None:
+            self._raise_silence(self._write_error)
+        return data
+
+    def _raise_silence(self, error: Exception) -> None:
+        """Raise an error that a write got, if it shows a silent connection."""
+        if is_silence(error):
+            raise error
+
     def _collect(self, parser: ResponseParser, body: ResponseBody) -> None:
         """Add what has arrived to a body, which may be dropped for it."""
         self._bodies.append(body, parser.take_body())
--- a/catkinhollow/relay/admission/gate_service.py
+++ b/catkinhollow/relay/admission/gate_service.py
@@ -282,11 +282,15 @@
         attempt = SendResult(kind=AttemptKind.CANCELLED, reason="cancelled")
         try:
             with submission.cancel_scope:
-                timeout_s = left_s + RUN_TIMEOUT_MARGIN_S
-                request = self._build_target_request(job)
-                attempt = await self._client.send(self._address, request, timeout_s)
+                attempt = await self._client.send(
+                    self._address,
+                    self._build_target_request(job),
+                    left_s + RUN_TIMEOUT_MARGIN_S,
+                    on_early=lambda early: self._finish(submission, early),
+                )
         finally:
-            self._finish(submission, attempt)
+            if job in self._submissions:
+                self._finish(submission, attempt)
 
     def _drop_unsent(
         self, submission: Submission, reason: str, retry_after_s: float
--- a/tests/calls/test_egress.py
+++ b/tests/calls/test_egress.py
@@ -49,8 +49,9 @@
         self.clock.jump(5.0)
         return self
 
-    async def write(self, data, timeout=None):
+    def try_send(self, data):
         self.written.append(data)
+        return len(data)
 
     async def aclose(self):
         pass
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -35,13 +35,18 @@
 
     def __init__(self, stream):
         self._stream = stream
+        self._unsent = b""
+
+    def try_send(self, data):
+        # trio's streams in memory send asynchronously only.
+        self._unsent += bytes(data)
+        return len(data)
 
     async def read(self, max_bytes, timeout=None):
+        unsent, self._unsent = self._unsent, b""
+        await self._stream.send_all(unsent)
         return await self._stream.receive_some(max_bytes)
 
-    async def write(self, data, timeout=None):
-        await self._stream.send_all(data)
-
     async def aclose(self):
         await self._stream.aclose()
 
--- a/tests/relay/admission/test_gate_service.py
+++ b/tests/relay/admission/test_gate_service.py
@@ -23,14 +23,19 @@
         self.timeouts_s = []
         self.headers = []
         self.kind = AttemptKind.ANSWERED
+        self.rest_s = 0.0
 
-    async def send(self, address, request, timeout_s):
+    async def send(self, address, request, timeout_s, on_early=None):
         self.timeouts_s.append(timeout_s)
         await trio.lowlevel.checkpoint()
         if self.kind is not AttemptKind.ANSWERED:
             return SendResult(kind=self.kind)
         response = Response(status=200, headers=self.headers, body=b"")
-        return SendResult(kind=AttemptKind.ANSWERED, response=response)
+        result = SendResult(kind=AttemptKind.ANSWERED, response=response)
+        if self.rest_s:
+            on_early(result)
+            await trio.sleep(self.rest_s)
+        return result
 
 
 @pytest.fixture
@@ -69,6 +74,19 @@
     assert service.gate.running == 0
 
 
+async def test_early_response_is_answered_once_and_at_once(service, autojump_clock):
+    """Guards against an answer that waits for the rest of its request."""
+    service._client.rest_s = 5.0
+    answers = []
+    service.submit(make_call(), answers.append)
+    await trio.sleep(0.1)
+    assert [answer.outcome for answer in answers] == [CallOutcome.ANSWERED]
+    assert service.gate.running == 0
+    await trio.sleep(10.0)
+    assert len(answers) == 1
+    assert service.gate.running == 0
+
+
 async def test_key_is_checked_again_when_the_run_starts(service, autojump_clock):
     """Guards against runs for a key that was revoked during the wait."""
     answers = []
--- a/tests/relay/test_odd_connections.py
+++ b/tests/relay/test_odd_connections.py
@@ -213,10 +213,11 @@
         self.unread = b""
         self.end = "silent"
 
-    async def write(self, data, timeout=None):
+    def try_send(self, data):
         if self.script:
             answer, self.end = self.script.pop(0)
             self.unread += answer
+        return len(data)
 
     async def read(self, max_bytes, timeout=None):
         if not self.unread and self.end != "close":
--- a/tools/measure_call_path.py
+++ b/tools/measure_call_path.py
@@ -142,8 +142,12 @@
 class MockStream:
     """Answer each request of a connection with the same bytes."""
 
-    async def write(self, data: bytes, timeout: float | None = None) -> None:
+    def try_send(self, data: bytes | memoryview) -> int:
         """Take a request."""
+        return len(data)
+
+    async def wait_writable(self) -> None:
+        """Do nothing."""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return a whole response."""
