Do not take a reset that a write has reported for the end of a response

Cause: the kernel reports the reset of a connection to one call. The failed write got it and the client went on to read, because a target may respond before it has read a request. The read returned what had arrived and then an end like that of an orderly close, which ends a body without a length.

Evidence: "request not written" with ConnectionResetError and no error of the read. Ruled out: with a short request the same target gets its caller a 502, so that neither the parser nor an orderly close of the target is at fault.

Change: an end that is read after a failed write is the error of the write. A response whose length or last chunk has arrived stays whole, as does one whose orderly end was read before.

--- a/catkinhollow/calls/target_connection.py
+++ b/catkinhollow/calls/target_connection.py
@@ -233,14 +233,11 @@
         self._input_taken.set()
         self._input_taken = trio.Event()
         if not data and self._write_error is not None:
-            self._raise_silence(self._write_error)
+            # The kernel has reported the reset to the write, and reports the
+            # end of what had arrived like that of a whole response.
+            raise self._write_error
         return data
 
-    def _raise_silence(self, error: Exception) -> None:
-        """Raise an error that a write got, if it shows a silent connection."""
-        if is_silence(error):
-            raise error
-
     def _collect(self, parser: ResponseParser, body: ResponseBody) -> None:
         """Add what has arrived to a body, which may be dropped for it."""
         self._bodies.append(body, parser.take_body())
--- a/tests/calls/test_early_responses.py
+++ b/tests/calls/test_early_responses.py
@@ -161,3 +161,66 @@
         attempt = await client.send(address, make_request(), 30.0)
         assert attempt.kind is AttemptKind.ANSWERED, attempt.reason
         assert attempt.response.body == PART
+
+
+@pytest.mark.parametrize("framing", ["end", "length", "chunks"])
+async def test_response_that_is_reset_is_whole_only_if_its_length_says_so(
+    nursery, framing
+):
+    """Guards against a part of a response that reaches a caller as a whole."""
+    _, client, address = await start(nursery, encode_early(framing), reset)
+    for _ in range(30):
+        attempt = await client.send(address, make_request(), 30.0)
+        if framing == "end":
+            assert attempt.kind is AttemptKind.BROKEN
+        elif attempt.kind is AttemptKind.ANSWERED:
+            assert attempt.response.body == PART
+
+
+class ResetStream:
+    """Report a reset to the write; what has arrived before can be read."""
+
+    def __init__(self, arrived):
+        self.arrived = [arrived]
+
+    async def write(self, data, timeout=None):
+        raise ConnectionResetError("reset")
+
+    def try_send(self, data):
+        raise ConnectionResetError("reset")
+
+    async def read(self, max_bytes, timeout=None):
+        await trio.lowlevel.checkpoint()
+        return self.arrived.pop() if self.arrived else b""
+
+    async def aclose(self):
+        pass
+
+    def get_extra_info(self, info):
+        return None
+
+
+class ResetBackend:
+    """Open connections that are reset."""
+
+    def __init__(self, arrived):
+        self.arrived = arrived
+
+    async def connect_tcp(self, host, port, timeout):
+        return ResetStream(self.arrived)
+
+
+@pytest.mark.parametrize(
+    ("framing", "kind"),
+    [
+        ("end", AttemptKind.BROKEN),
+        ("length", AttemptKind.ANSWERED),
+        ("chunks", AttemptKind.ANSWERED),
+    ],
+)
+async def test_reset_of_a_write_is_no_end_of_a_response(framing, kind):
+    """Guards against a reset that the kernel reports to the write only."""
+    client = HttpTargetClient(SETTINGS, make_classifier(NAMES))
+    client._backend = ResetBackend(encode_early(framing))
+    attempt = await client.send("127.0.0.1:1", make_request(b"short"), 30.0)
+    assert attempt.kind is kind
