Do not take a reset during a write for the end of the store's response

Cause: httpcore reads a response after a failed write, as a server may respond before it has read a request. The read then ends as in the client for targets, and a part of a body without a length counted as whole. A part of an object in JSON can't be decoded, so that no harm is known; a status alone counted where the body is not used (reports of usage).

Change: BoundedStream raises ReadError at an end that follows a failed write.

--- a/catkinhollow/platform/bounded_backend.py
+++ b/catkinhollow/platform/bounded_backend.py
@@ -9,6 +9,7 @@
     AsyncNetworkStream,
     ReadError,
     TrioBackend,
+    WriteError,
 )
 
 # Some hundred versions of a large configuration in one response.
@@ -19,17 +20,21 @@
     """Fail reads after the limit until the next request is written.
 
     httpcore limits neither bodies nor the number of informational responses,
-    and its timeouts apply to single reads.
+    and its timeouts apply to single reads. It reads a response after a failed
+    write as well, whose error the end of the connection is then.
     """
 
     def __init__(self, stream: AsyncNetworkStream, max_response_bytes: int) -> None:
         self._stream = stream
         self._max_response_bytes = max_response_bytes
         self._bytes_left = max_response_bytes
+        self._write_error: WriteError | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes, none at the end; raise ReadError."""
         data = await self._stream.read(max_bytes, timeout)
+        if not data and self._write_error is not None:
+            raise ReadError(f"request not written: {self._write_error}")
         self._bytes_left -= len(data)
         if self._bytes_left < 0:
             raise ReadError(f"more than {self._max_response_bytes} bytes")
@@ -38,7 +43,11 @@
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all bytes; raise WriteError."""
         self._bytes_left = self._max_response_bytes
-        await self._stream.write(buffer, timeout)
+        try:
+            await self._stream.write(buffer, timeout)
+        except WriteError as error:
+            self._write_error = error
+            raise
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/catkinhollow/startup/partial_imports.py
+++ b/catkinhollow/startup/partial_imports.py
@@ -52,6 +52,7 @@
         "TimeoutException": "httpcore._exceptions",
         "TrioBackend": "httpcore._backends.trio",
         "URL": "httpcore._models",
+        "WriteError": "httpcore._exceptions",
     },
     "httpcore._async": {},
     "importlib.resources": {},
--- a/tests/platform/test_bounded_backend.py
+++ b/tests/platform/test_bounded_backend.py
@@ -1,9 +1,12 @@
 """Tests of responses of the store that never end."""
 
+import socket
+import struct
 from functools import partial
 
 import pytest
 import trio
+from httpcore import AsyncConnectionPool, ReadError
 
 from catkinhollow.errors import StoreErrorKind
 from catkinhollow.platform.bounded_backend import MAX_RESPONSE_BYTES, BoundedBackend
@@ -74,3 +77,25 @@
         await stream.write(b"12345678")
         assert await stream.read(100) == b"12345678"
     await stream.aclose()
+
+
+async def test_response_that_is_reset_during_a_write_is_not_whole(nursery):
+    """Guards against a part of a response that counts as the whole one.
+
+    The part is a valid listing.
+    """
+
+    async def answer_and_reset(stream):
+        await stream.receive_some(1024)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n{}")
+        sock = stream.socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
+    port = await serve(nursery, answer_and_reset)
+    pool = AsyncConnectionPool(network_backend=BoundedBackend())
+    with pytest.raises(ReadError):
+        await pool.request(
+            "PUT", f"http://127.0.0.1:{port}/", content=bytes(20_000_000)
+        )
+    await pool.aclose()
