Send signals in series in the soak, and call it with slow readers

Cause: the soak sent one signal to a daemon, did not look at how it ended, and its callers had one request open at a time, which they read at once.

One more caller for each daemon pipelines requests behind a download and reads at 0.25 to 1 MB a second into a small receive buffer. New violations: "stop" (status other than 0, or killed at the end of the grace period; in all soaks) and "mixed".

--- a/catkinhollow/testbed/processes.py
+++ b/catkinhollow/testbed/processes.py
@@ -69,6 +69,12 @@
         if self.running:
             self.process.send_signal(number)
 
+    async def wait_status(self) -> int:
+        """Wait for the end of the process and return its exit status."""
+        while (status := self.process.poll()) is None:
+            await trio.sleep(0.02)
+        return status
+
     async def wait(self, limit_s: float) -> bool:
         """Wait for the end of the process; return whether it ended in time."""
         with trio.move_on_after(limit_s):
--- a/catkinhollow/testbed/soak.py
+++ b/catkinhollow/testbed/soak.py
@@ -23,10 +23,16 @@
 
 from catkinhollow.clock import TrioClock
 from catkinhollow.logs import get_logger
-from catkinhollow.testbed.soak_faults import Fault, plan_faults, plan_late_frames
+from catkinhollow.testbed.soak_faults import (
+    Fault,
+    plan_faults,
+    plan_late_frames,
+    plan_signals,
+)
 from catkinhollow.testbed.soak_fleet import CALLER_TIMEOUT_S, SoakFleet, route_timeout_s
 from catkinhollow.testbed.soak_injector import FaultInjector
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, SoakLedger
+from catkinhollow.testbed.soak_pipelines import PipeliningCaller
 from catkinhollow.testbed.soak_stalls import watch_stalls, watch_starvation
 from catkinhollow.testbed.soak_version_checker import VersionChecker
 from catkinhollow.testbed.soak_versions import (
@@ -93,11 +99,13 @@
         seconds: float,
         directory: Path,
         late_frames: bool = False,
+        signals: bool = False,
     ) -> None:
         self._seed = seed
         self._random = Random(seed)
         self._seconds = seconds
         self._late_frames = late_frames
+        self._signals = signals
         self._callers = LATE_FRAMES_CALLERS if late_frames else CALLERS_PER_DAEMON
         self._clock = TrioClock()
         self._names = [f"d{number}" for number in range(daemons)]
@@ -162,6 +170,9 @@
             # A generator of its own keeps the other faults of a seed the same.
             random = Random(f"late frames {self._seed}")
             faults += plan_late_frames(random, self._names, self._seconds, faults)
+        if self._signals:
+            random = Random(f"signals {self._seed}")
+            faults += plan_signals(random, self._names, self._seconds, faults)
         return sorted(faults, key=lambda fault: fault.at_s)
 
     async def _call_during_faults(self, faults: list[Fault]) -> float:
@@ -171,6 +182,9 @@
                 for _ in range(self._callers):
                     random = Random(self._random.random())
                     callers.start_soon(self._run_caller, name, random)
+                if self._signals:
+                    caller = self._make_pipelining_caller(name)
+                    callers.start_soon(caller.run, lambda: self._is_calling)
             await self._injector.run(faults)
             last_fault_s = self._clock.monotonic()
             end_s = last_fault_s + RECOVERY_S + AFTER_RECOVERY_S
@@ -181,6 +195,19 @@
             self._is_calling = False
         return last_fault_s
 
+    def _make_pipelining_caller(self, name: str) -> PipeliningCaller:
+        return PipeliningCaller(
+            name,
+            fleet=self._fleet,
+            ledger=self._ledger,
+            clock=self._clock,
+            random=Random(f"pipelines {name} {self._seed}"),
+            next_id=self._next_request_id,
+        )
+
+    def _next_request_id(self) -> str:
+        return f"{self._seed}-{next(self._request_ids)}"
+
     def _record_stall(self, begin_s: float, end_s: float) -> None:
         self._ledger.record_stall(begin_s, end_s)
         self._touch.record_stall(begin_s, end_s)
@@ -201,7 +228,7 @@
     async def _call(
         self, pool: AsyncConnectionPool, name: str, *, unsafe: bool
     ) -> None:
-        request_id = f"{self._seed}-{next(self._request_ids)}"
+        request_id = self._next_request_id()
         method, path = ("POST", "/u/x") if unsafe else ("GET", "/s/x")
         self._ledger.record_request(
             request_id, name, unsafe=unsafe, now_s=self._clock.monotonic()
--- a/catkinhollow/testbed/soak_faults.py
+++ b/catkinhollow/testbed/soak_faults.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from enum import StrEnum
 from random import Random
+from signal import Signals
 
 from attrs import evolve, frozen
 
@@ -26,6 +27,11 @@
 # Time between a hold and its repetition. Calls that were sent between them are
 # open while the link is replaced once more.
 MAX_HOLD_PAUSE_S = 0.6
+# Mean time between two stops or reloads by signals, and the further signals of
+# a stop.
+MEAN_SIGNALS_GAP_S = 2.5
+MAX_FURTHER_SIGNALS = 4
+STOP_SIGNALS = (Signals.SIGTERM, Signals.SIGINT)
 MIN_DELAY_S = 0.05
 MAX_DELAY_S = 0.4
 
@@ -57,6 +63,10 @@
     """Hold all bytes back for the duration and deliver them afterwards."""
     HELD = "held"
     """The same on the open connections only; new ones work."""
+    SIGNALS = "signals"
+    """Stop a daemon with several signals; start it again after its exit."""
+    RELOAD = "reload"
+    """Send SIGHUP to a daemon."""
 
 
 class Place(StrEnum):
@@ -84,6 +94,8 @@
     direction: Direction = Direction.TO_SERVER
     """Direction that a cut of one direction hits."""
     delay_s: float = 0.0
+    signals: tuple[Signals, ...] = ()
+    """Signals that a daemon gets within the duration, first a stop."""
 
     def __str__(self) -> str:
         """Return the line that is printed."""
@@ -95,6 +107,7 @@
             words.append(self.direction.value)
         if self.kind is FaultKind.DELAYED:
             words.append(f"by {self.delay_s:.2f} s")
+        words += [signal.name for signal in self.signals]
         return f"{' '.join(words)}, {self.duration_s:.1f} s: {' '.join(self.instances)}"
 
     @property
@@ -104,6 +117,7 @@
 
 
 _PROCESS_FAULTS = (FaultKind.KILL, FaultKind.TERMINATE, FaultKind.PAUSE)
+_SIGNAL_FAULTS = (FaultKind.SIGNALS, FaultKind.RELOAD)
 CONNECTION_FAULTS = (
     FaultKind.RESET,
     FaultKind.DELAYED,
@@ -177,6 +191,36 @@
     return sorted(late, key=lambda fault: fault.at_s)
 
 
+def plan_signals(
+    random: Random, instances: Sequence[str], until_s: float, faults: Iterable[Fault]
+) -> list[Fault]:
+    """Return stops by several signals, and reloads, beside other faults."""
+    planned = list(faults)
+    added: list[Fault] = []
+    for at_s in _plan_times(random, MEAN_SIGNALS_GAP_S, 0.0, until_s - MAX_FAULT_S):
+        fault = Fault(
+            at_s=at_s,
+            kind=FaultKind.RELOAD,
+            instances=(random.choice(instances),),
+            duration_s=0.0,
+        )
+        if random.random() < 0.75:
+            further = random.choices(
+                (*STOP_SIGNALS, Signals.SIGHUP),
+                k=random.randint(1, MAX_FURTHER_SIGNALS),
+            )
+            fault = evolve(
+                fault,
+                kind=FaultKind.SIGNALS,
+                duration_s=random.uniform(MIN_FAULT_S, MAX_FAULT_S),
+                signals=(random.choice(STOP_SIGNALS), *further),
+            )
+        if not any(_conflicts(fault, other) for other in planned):
+            planned.append(fault)
+            added.append(fault)
+    return added
+
+
 def _plan_series(random: Random, until_s: float) -> Iterator[float]:
     """Return the times of the faults."""
     begin_s = 0.0
@@ -224,11 +268,15 @@
         return False
     if _is_target_fault(fault) and _is_target_fault(earlier):
         return fault.at_s < earlier.end_s + _RESTART_S
-    if fault.kind in _PROCESS_FAULTS and earlier.kind in _PROCESS_FAULTS:
+    if _is_process_fault(fault) and _is_process_fault(earlier):
         return fault.at_s < earlier.end_s + _RESTART_S
     same = (fault.kind, fault.place) == (earlier.kind, earlier.place)
     return same and fault.at_s < earlier.end_s
 
 
+def _is_process_fault(fault: Fault) -> bool:
+    return fault.kind in _PROCESS_FAULTS or fault.kind in _SIGNAL_FAULTS
+
+
 def _is_target_fault(fault: Fault) -> bool:
     return fault.kind is FaultKind.TARGET_CRASH or fault.place is Place.TARGET
--- a/catkinhollow/testbed/soak_fleet.py
+++ b/catkinhollow/testbed/soak_fleet.py
@@ -29,7 +29,7 @@
 from catkinhollow.testbed.loopback_proxy import LoopbackProxy
 from catkinhollow.testbed.loopback_server import serve_on_loopback
 from catkinhollow.testbed.processes import Child, ProcessGroup, free_ports
-from catkinhollow.testbed.soak_target import SoakTarget
+from catkinhollow.testbed.soak_target import DOWNLOAD_PREFIX, SoakTarget
 from catkinhollow.timer import Clock
 
 logger = get_logger(__name__)
@@ -181,6 +181,7 @@
             self._make_route(name, prefix, "safe") for name, prefix in prefixes.items()
         ]
         routes.append(self._make_route("unsafe", "/u/", "unsafe"))
+        routes.append(self._make_route("download", DOWNLOAD_PREFIX, "download"))
         configuration = RelayConfiguration(
             version=self._version, routes=routes, services=[RelayService(name=SERVICE)]
         )
--- a/catkinhollow/testbed/soak_injector.py
+++ b/catkinhollow/testbed/soak_injector.py
@@ -1,12 +1,13 @@
 """Inject planned faults into the daemons of a soak test."""
 
 import signal
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import trio
 
 from catkinhollow.logs import get_logger
 from catkinhollow.testbed.loopback_proxy import LoopbackProxy
+from catkinhollow.testbed.processes import Child
 from catkinhollow.testbed.soak_faults import Fault, FaultKind, Place
 from catkinhollow.testbed.soak_fleet import (
     CALLER_TIMEOUT_S,
@@ -61,7 +62,12 @@
             case FaultKind.KILL:
                 await self._kill(fault.instances[0], fault.duration_s)
             case FaultKind.TERMINATE:
-                await self._terminate(fault.instances[0])
+                await self._terminate(fault.instances[0], [signal.SIGTERM], 0.0)
+            case FaultKind.SIGNALS:
+                name = fault.instances[0]
+                await self._terminate(name, fault.signals, fault.duration_s)
+            case FaultKind.RELOAD:
+                self._reload(fault.instances[0])
             case FaultKind.PAUSE:
                 await self._pause(fault.instances[0], fault.duration_s)
             case FaultKind.TARGET_CRASH:
@@ -90,19 +96,42 @@
             self._fleet.start_daemon(name)
         await self._record_restart(name, begin_s)
 
-    async def _terminate(self, name: str) -> None:
+    async def _terminate(
+        self, name: str, signals: Sequence[signal.Signals], duration_s: float
+    ) -> None:
         member = self._fleet.members[name]
         begin_s = self._clock.monotonic()
         with self._touch.disturb([name]):
             if member.child is not None:
-                member.child.send(signal.SIGTERM)
-                if not await member.child.wait(member.settings.grace_s):
-                    member.child.send(signal.SIGKILL)
+                await self._stop(name, member.child, signals, duration_s)
             end_s = self._clock.monotonic()
             self._ledger.record_shutdown(name, begin_s, end_s)
             self._fleet.start_daemon(name)
         await self._record_restart(name, end_s)
 
+    async def _stop(
+        self,
+        name: str,
+        child: Child,
+        signals: Sequence[signal.Signals],
+        duration_s: float,
+    ) -> None:
+        """Send the signals, and kill the process after its grace period."""
+        status: int | None = None
+        with trio.move_on_after(self._fleet.members[name].settings.grace_s):
+            for number in signals:
+                child.send(number)
+                await trio.sleep(duration_s / len(signals))
+            status = await child.wait_status()
+        if status is None:
+            child.send(signal.SIGKILL)
+        self._ledger.record_stop(name, self._clock.monotonic(), status)
+
+    def _reload(self, name: str) -> None:
+        child = self._fleet.members[name].child
+        if child is not None:
+            child.send(signal.SIGHUP)
+
     async def _record_restart(self, name: str, begin_s: float) -> None:
         # The final checks report a daemon that does not serve by then.
         with trio.move_on_after(START_LIMIT_S):
--- a/catkinhollow/testbed/soak_ledger.py
+++ b/catkinhollow/testbed/soak_ledger.py
@@ -41,6 +41,10 @@
     ended_s: float = inf
     status: int = 0
     """HTTP status of the response, 0 if the connection ended without one."""
+    reads_slowly: bool = False
+    """Whether the caller reads slowly, so that it is not timed."""
+    behind_close: bool = False
+    """Whether a response before it has closed the connection."""
 
 
 class SoakLedger:
@@ -53,6 +57,8 @@
         self._runs: Counter[str] = Counter()
         self._outages: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self._shutdowns: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._mixed: list[tuple[str, str]] = []
+        self._stops: list[tuple[str, float, int | None]] = []
         self._target_faults: list[tuple[float, float]] = []
         self._stalls: list[tuple[float, float]] = []
         self._starvations: dict[str, list[tuple[float, float]]] = defaultdict(list)
@@ -77,16 +83,40 @@
         return Counter(request.status for request in self._requests.values())
 
     def record_request(
-        self, request_id: str, instance: str, *, unsafe: bool, now_s: float
+        self,
+        request_id: str,
+        instance: str,
+        *,
+        unsafe: bool,
+        now_s: float,
+        reads_slowly: bool = False,
     ) -> None:
         """Record a request that a caller is about to send."""
-        self._requests[request_id] = _SentRequest(request_id, instance, unsafe, now_s)
+        self._requests[request_id] = _SentRequest(
+            request_id, instance, unsafe, now_s, reads_slowly=reads_slowly
+        )
 
     def record_response(self, request_id: str, status: int, now_s: float) -> None:
         """Record a response, or with status 0 the end of the connection."""
         request = self._requests[request_id]
         request.status, request.ended_s = status, now_s
 
+    def record_unread(self, request_id: str, now_s: float, *, announced: bool) -> None:
+        """Record that a connection ended before a response.
+
+        It counts as not read if a response has announced the close.
+        """
+        request = self._requests[request_id]
+        request.ended_s, request.behind_close = now_s, announced
+
+    def record_mixed(self, request_id: str, other_id: str) -> None:
+        """Record a response that names another request."""
+        self._mixed.append((request_id, other_id))
+
+    def record_stop(self, instance: str, now_s: float, status: int | None) -> None:
+        """Record the exit status of a daemon, None if it was killed."""
+        self._stops.append((instance, now_s, status))
+
     def discard_request(self, request_id: str) -> None:
         """Discard a request for which no connection could be opened."""
         del self._requests[request_id]
@@ -134,6 +164,8 @@
                 )
                 for kind, reason in self._check(request)
             )
+        found.extend(self._check_stops())
+        found.extend(self._check_mixed())
         found.extend(self._check_windows())
         found.extend(self._check_recovery(last_fault_s + RECOVERY_S))
         return found
@@ -164,12 +196,31 @@
             )
         )
 
+    def _check_stops(self) -> Iterator[Violation]:
+        for instance, at_s, status in self._stops:
+            if status == 0:
+                continue
+            reason = "did not end within its grace period"
+            if status is not None:
+                reason = f"ended with status {status}"
+            yield Violation(kind="stop", at_s=at_s, instance=instance, reason=reason)
+
+    def _check_mixed(self) -> Iterator[Violation]:
+        for request_id, other_id in self._mixed:
+            request = self._requests[request_id]
+            yield Violation(
+                kind="mixed",
+                at_s=request.started_s,
+                instance=request.instance,
+                reason=f"{request_id} got the response to {other_id}",
+            )
+
     def _check_windows(self) -> Iterator[Violation]:
         for begin_s, end_s in self.quiet_windows():
             requests = [
                 request
                 for request in self._requests.values()
-                if begin_s <= request.started_s < end_s
+                if begin_s <= request.started_s < end_s and not request.behind_close
             ]
             failed = [request for request in requests if request.status != 200]
             if len(failed) > (1.0 - MIN_SERVED_SHARE) * len(requests):
@@ -186,7 +237,7 @@
         recovered = [
             request
             for request in self._requests.values()
-            if request.started_s > begin_s
+            if request.started_s > begin_s and not request.behind_close
         ]
         succeeded = sum(request.status == 200 for request in recovered)
         if not recovered or succeeded < MIN_RECOVERED_SHARE * len(recovered):
@@ -216,17 +267,27 @@
     ) -> Iterator[tuple[str, str]]:
         if self._overlaps_outage(request):
             return
-        if request.status == 0 and not self._raced_close(request, runs):
+        if request.status == 0 and not self._may_be_unread(request, runs):
             yield "lost", "got no response"
+        if request.reads_slowly:
+            return
         late_s = request.ended_s - request.started_s - self._timeout_s
         is_timed = not any(_overlaps(request, stall) for stall in self._stalls)
         if late_s > LATE_TOLERANCE_S and is_timed:
             yield "late", f"ended {late_s:.1f} s after the timeout"
 
+    def _may_be_unread(self, request: _SentRequest, runs: int) -> bool:
+        """Return whether a request may have ended without being read."""
+        if runs == 0 and request.behind_close:
+            return True
+        return self._raced_close(request, runs)
+
     def _raced_close(self, request: _SentRequest, runs: int) -> bool:
+        is_brief = request.ended_s - request.started_s <= CLOSE_RACE_S
         return (
             runs == 0
-            and request.ended_s - request.started_s <= CLOSE_RACE_S
+            # A pipelined request waits behind those before it.
+            and (is_brief or request.reads_slowly)
             and any(
                 _overlaps(request, span) for span in self._shutdowns[request.instance]
             )
--- a/catkinhollow/testbed/soak_target.py
+++ b/catkinhollow/testbed/soak_target.py
@@ -30,6 +30,9 @@
 SLOTS = 4
 ANNOUNCE_INTERVAL_S = 0.5
 MAX_BODY_BYTES = 100_000
+# Requests with this prefix get a long body.
+DOWNLOAD_PREFIX = "/p/"
+DOWNLOAD_BYTES = 150_000
 
 
 class SoakTarget:
@@ -90,9 +93,10 @@
         self._record_run(request_id.decode())
         await trio.sleep(self._work_s())
         headers += [(NAMES.request_id, request_id), (NAMES.signature, b"soak")]
-        await send_response(
-            send, Response(status=200, headers=headers, body=request_id)
-        )
+        body = request_id
+        if request.path.startswith(DOWNLOAD_PREFIX):
+            body = request_id.ljust(DOWNLOAD_BYTES)
+        await send_response(send, Response(status=200, headers=headers, body=body))
 
     def _work_s(self) -> float:
         is_long = self._long_runs and next(self._runs) % LONG_RUN_INTERVAL == 0
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -17,10 +17,12 @@
     CONNECTION_FAULTS,
     MAX_FAULT_S,
     MIN_HOLD_S,
+    STOP_SIGNALS,
     FaultKind,
     Place,
     plan_faults,
     plan_late_frames,
+    plan_signals,
 )
 from catkinhollow.testbed.soak_ledger import RECOVERY_S, WINDOW_S, SoakLedger
 from catkinhollow.testbed.soak_versions import STABLE_WINDOW_S, TouchRecord
@@ -46,6 +48,11 @@
 # A minute of faults in which frames are held up and delivered late.
 LATE_FRAMES_RUNS = ((401, 6, 20.0), (402, 6, 20.0), (403, 6, 20.0))
 
+# A minute of faults with further signals during shutdowns, and with callers
+# that pipeline requests and read slowly. On 5233bab each seed finds daemons
+# that a signal ends and responses that are cut off.
+SIGNAL_RUNS = ((501, 6, 20.0), (503, 6, 20.0), (504, 6, 20.0))
+
 
 @pytest.mark.processes
 @pytest.mark.parametrize(("seed", "daemons", "seconds"), CI_RUNS)
@@ -81,6 +88,36 @@
     assert result.violations == []
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize(("seed", "daemons", "seconds"), SIGNAL_RUNS)
+async def test_daemons_keep_the_call_invariants_under_series_of_signals(
+    seed, daemons, seconds, tmp_path
+):
+    """Guards against responses that a stop cuts off for slow callers."""
+    soak = Soak(
+        seed, daemons=daemons, seconds=seconds, directory=tmp_path, signals=True
+    )
+    result = await soak.run()
+    assert FaultKind.SIGNALS in {fault.kind for fault in result.faults}
+    assert result.statuses[200] > 0
+    print(*result.timeline, sep="\n")
+    assert result.violations == []
+
+
+def test_signals_leave_the_other_faults_of_a_seed_as_they_are():
+    """Guards against seeds that stop showing what they have found."""
+    names = ["d0", "d1", "d2"]
+    faults = plan_faults(Random(3), names, 60.0)
+    added = plan_signals(Random(3), names, 60.0, faults)
+    assert faults == plan_faults(Random(3), names, 60.0)
+    stops = [fault for fault in added if fault.kind is FaultKind.SIGNALS]
+    assert stops
+    for stop in stops:
+        assert stop.signals[0] in STOP_SIGNALS
+        assert len(stop.signals) > 1
+        assert stop.end_s <= 60.0
+
+
 def test_late_frames_leave_the_other_faults_of_a_seed_as_they_are():
     """Guards against seeds that stop showing what they have found."""
     names = ["d0", "d1", "d2"]
@@ -134,7 +171,12 @@
         for fault in plan_late_frames(Random(seed), names, 60.0, [])
     }
     assert {(FaultKind.HELD, count) for count in (1, 3, 6)} < late
-    kinds = {kind for kind, _, _ in played} | {kind for kind, _ in late}
+    signals = {
+        fault.kind
+        for seed in range(40)
+        for fault in plan_signals(Random(seed), names, 60.0, [])
+    }
+    kinds = {kind for kind, _, _ in played} | {kind for kind, _ in late} | signals
     assert kinds == set(FaultKind)
 
 
@@ -220,6 +262,33 @@
     assert bool(ledger.find_violations(0.0)) is lost
 
 
+@pytest.mark.parametrize(
+    ("runs", "announced", "lost"), [(0, True, False), (1, True, True), (0, False, True)]
+)
+def test_pipelined_request_without_a_response_may_only_be_unread(runs, announced, lost):
+    """Guards against responses that a closed connection cuts off."""
+    ledger = make_ledger(runs=runs, status=0)
+    ledger.record_unread("r", 1.0, announced=announced)
+    assert [each.kind for each in ledger.find_violations(0.0)] == ["lost"] * lost
+
+
+@pytest.mark.parametrize("status", [None, 1, -15])
+def test_stop_that_does_not_end_in_order_is_reported(status):
+    """Guards against daemons that a signal ends, or that have to be killed."""
+    ledger = make_ledger(runs=1, status=200)
+    ledger.record_stop("d0", 1.0, 0)
+    assert ledger.find_violations(0.0) == []
+    ledger.record_stop("d0", 1.0, status)
+    assert [each.kind for each in ledger.find_violations(0.0)] == ["stop"]
+
+
+def test_response_to_another_request_is_reported():
+    """Guards against responses that a connection mixes up."""
+    ledger = make_ledger(runs=1, status=200)
+    ledger.record_mixed("r", "last")
+    assert [each.kind for each in ledger.find_violations(0.0)] == ["mixed"]
+
+
 def test_requests_during_a_stall_of_the_test_process_are_not_late():
     """Guards against reported delays that the test process itself caused."""
     ledger = make_ledger(runs=1, status=504, ended_s=3.5)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,6 +23,7 @@
     parser.add_argument("--daemons", type=int, default=6)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--late-frames", action="store_true")
+    parser.add_argument("--signals", action="store_true")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -33,6 +34,7 @@
             seconds=options.seconds,
             directory=directory,
             late_frames=options.late_frames,
+            signals=options.signals,
         )
         result = trio.run(soak.run)
         statuses = dict(sorted(result.statuses.items()))
