Close connections of the mesh once their callers have read the responses

Cause: as in the relay daemon, a connection was closed as soon as its last response was written. Here hypercorn closes it, whose server takes no stream or listener of its own.

Change: serve_app accepts connections itself and gives hypercorn's connections a stream whose close waits for the caller (LingeringStream). ClosingPlan and ClosingConnections move to calls/, which both families use. Callers that take nothing are given up after 2 s, as hypercorn shields a close from cancellation.

Weighed against it: the relay's listener in the place of hypercorn, which would change the parser of the mesh as well.

--- a/catkinhollow/relay/connections/closing_connections.py
+++ b/catkinhollow/calls/closing_connections.py
@@ -6,8 +6,8 @@
 import trio
 from attrs import define, field
 
+from catkinhollow.calls.closing_plan import ClosingPlan
 from catkinhollow.logs import get_logger
-from catkinhollow.relay.connections.closing_plan import ClosingPlan
 
 logger = get_logger(__name__)
 
--- a/catkinhollow/calls/http_server.py
+++ b/catkinhollow/calls/http_server.py
@@ -1,6 +1,7 @@
 """Serve ASGI applications over HTTP with hypercorn."""
 
 from collections.abc import Awaitable, Callable, MutableMapping
+from functools import partial
 from sys import maxsize
 from time import time
 from typing import Any, cast
@@ -9,10 +10,13 @@
 import trio
 from expression import Error, Ok, Result
 from hypercorn.config import Config, Sockets
-from hypercorn.trio import serve
-from hypercorn.typing import Framework
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState, Framework
+from hypercorn.utils import wrap_app
 
 from catkinhollow.calls.exchange import Request, Response, plain_response
+from catkinhollow.calls.lingering_stream import LingeringListener, LingeringStream
 from catkinhollow.calls.silence import CALLER_LIMITS, limit_silence
 from catkinhollow.generated.settings import Address, HttpSettings
 
@@ -25,6 +29,9 @@
 # Connections that wait to be accepted; a mass restart of callers exceeds
 # hypercorn's default of 100.
 BACKLOG = 1024
+# A caller that takes nothing for this time is given up when its connection is
+# closed. hypercorn shields such a close from cancellation.
+STALL_S = 2.0
 # Time for the next part of a body to arrive.
 BODY_TIMEOUT_S = 15.0
 DATE_HEADER = b"date"
@@ -52,13 +59,32 @@
         await shutdown.wait()
         await trio.sleep(linger_s)
 
-    await serve(
-        cast(Framework, _ServedApp(app, shutdown)),
-        _config(address, http, drain_s),
-        shutdown_trigger=trigger,
-        task_status=task_status,
-        mode="asgi",
+    config = _config(address, http, drain_s)
+    context = WorkerContext(None)
+    served = wrap_app(
+        cast(Framework, _ServedApp(app, shutdown)), config.wsgi_max_body_size, "asgi"
     )
+    serve_connection = partial(TCPServer, served, config, context, ConnectionState({}))
+    # hypercorn's own function takes no listeners, and its connections close
+    # before their callers have read the responses.
+    listeners = _open_listeners(config, http)
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    cast(
+                        Callable[[LingeringStream], Awaitable[None]], serve_connection
+                    ),
+                    listeners,
+                    handler_nursery=connections,
+                )
+            )
+            task_status.started([listener.url for listener in listeners])
+            await trigger()
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        connections.cancel_scope.deadline = trio.current_time() + drain_s
 
 
 async def read_request(
@@ -117,16 +143,14 @@
 
 
 class _ServedApp:
-    """Wrap an application with lifespan and connection handling."""
+    """Wrap an application with connection handling."""
 
     def __init__(self, app: App, shutdown: trio.Event) -> None:
         self._app = app
         self._shutdown = shutdown
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        if scope["type"] == "lifespan":
-            await _handle_lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             await self._app(scope, receive, self._closing_send(send))
         else:
             await send({"type": "websocket.close"})
@@ -143,16 +167,6 @@
         return closing_send
 
 
-async def _handle_lifespan(receive: Receive, send: Send) -> None:
-    # Returning before the shutdown message makes hypercorn close its channel
-    # while it still sends to it, which stops the server with an error.
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 class _SilenceConfig(Config):
     """Let the kernel end connections of callers that have gone silent.
 
@@ -167,6 +181,15 @@
         return sockets
 
 
+def _open_listeners(config: Config, http: HttpSettings) -> list[LingeringListener]:
+    listeners = []
+    for sock in config.create_sockets().insecure_sockets:
+        sock.listen(config.backlog)
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+        listeners.append(LingeringListener(listener, STALL_S, http.max_body_bytes))
+    return listeners
+
+
 def _config(address: Address, http: HttpSettings, drain_s: float) -> Config:
     config = _SilenceConfig()
     config.bind = [f"{address.host}:{address.port}"]
--- a/catkinhollow/calls/socket_stream.py
+++ b/catkinhollow/calls/socket_stream.py
@@ -119,13 +119,9 @@
             self._socket.close()
 
     def unacknowledged_bytes(self) -> int:
-        """Return how much the peer has not acknowledged yet.
-
-        The end of the sending side counts as one byte. Raises OSError.
-        """
+        """Return how much the peer has not acknowledged; raise OSError."""
         self._check_open()
-        answer = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(INT_BYTES))
-        return int.from_bytes(answer, sys.byteorder, signed=True)
+        return read_unacknowledged_bytes(self._socket)
 
     def get_extra_info(self, info: str) -> Any:
         """Return a property of the connection, None if it is unknown."""
@@ -140,6 +136,22 @@
             raise trio.ClosedResourceError("this connection was closed")
 
 
+class Descriptor(Protocol):
+    """Provide a file descriptor."""
+
+    def fileno(self) -> int:
+        """Return its number."""
+
+
+def read_unacknowledged_bytes(sock: Descriptor) -> int:
+    """Return how much the peer of a TCP socket has not acknowledged yet.
+
+    The end of the sending side counts as one byte. Raises OSError.
+    """
+    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+    return int.from_bytes(answer, sys.byteorder, signed=True)
+
+
 def take_socket(stream: trio.SocketStream) -> SocketStream:
     """Return a stream that takes over the socket of another one."""
     return SocketStream(socket.socket(fileno=stream.socket.detach()))
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from catkinhollow.calls.closing_connections import ClosingConnections
 from catkinhollow.calls.http_encoding import EncodingError
 from catkinhollow.calls.socket_stream import take_socket
 from catkinhollow.generated.relay import RequestLimits
@@ -14,7 +15,6 @@
     CallerConnection,
     RequestHandler,
 )
-from catkinhollow.relay.connections.closing_connections import ClosingConnections
 
 logger = get_logger(__name__)
 
--- a/tests/relay/connections/test_closing_plan.py
+++ b/tests/calls/test_closing_plan.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinhollow.relay.connections.closing_plan import (
+from catkinhollow.calls.closing_plan import (
     DELIVERED_WAIT_S,
     MAX_WAIT_S,
     ClosingPlan,
--- a/tests/calls/test_http_server.py
+++ b/tests/calls/test_http_server.py
@@ -1,5 +1,8 @@
 """Tests of the HTTP listener on loopback."""
 
+import socket
+
+import pytest
 import trio
 import trio.testing
 from attrs import evolve
@@ -156,3 +159,51 @@
     with trio.fail_after(10):
         await ended.wait()
     served.shutdown.set()
+
+
+async def test_request_behind_the_last_response_does_not_cut_it_off(nursery):
+    """Guards against a reset that drops what a caller has not read yet."""
+
+    async def app(scope, receive, send):
+        await read_request(scope, receive, HTTP.max_body_bytes)
+        await send_response(send, plain_response(200, "x" * 60_000))
+
+    served = ServedApp(app)
+    [url] = await nursery.start(served.run)
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    await sock.connect(("127.0.0.1", int(url.rpartition(":")[2])))
+    stream = trio.SocketStream(sock)
+    request = b"GET / HTTP/1.1\r\nhost: x\r\n%s\r\n"
+    await stream.send_all(request % b"connection: close\r\n")
+    data = b""
+    # What is left then has been written to the kernel of the daemon.
+    while len(data) < 50_000:
+        data += await stream.receive_some(2048)
+    for _ in range(3):
+        await trio.sleep(0.05)
+        await stream.send_all(request % b"")
+    while part := await stream.receive_some(2048):
+        data += part
+    assert data.endswith(b"x\n")
+    assert len(data) > 60_000
+    await stream.aclose()
+    served.shutdown.set()
+
+
+async def test_caller_that_does_not_close_is_given_up(nursery):
+    """Guards against a shutdown that waits for callers without an end."""
+    app = GatedApp()
+    app.gate.set()
+    served = ServedApp(app)
+    [url] = await nursery.start(served.run)
+    stream = await trio.open_tcp_stream("127.0.0.1", int(url.rpartition(":")[2]))
+    await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+    with trio.fail_after(10.0):
+        while await stream.receive_some(65536):
+            pass
+        with pytest.raises(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(b"x")
+                await trio.sleep(0.1)
+    served.shutdown.set()
--- a/tests/relay/connections/test_closing_connections.py
+++ b/tests/relay/connections/test_closing_connections.py
@@ -6,10 +6,10 @@
 import trio
 from trio.testing import memory_stream_pair
 
+from catkinhollow.calls.closing_connections import ClosingConnections
 from catkinhollow.calls.exchange import plain_response
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.generated.settings import Address
-from catkinhollow.relay.connections.closing_connections import ClosingConnections
 from catkinhollow.relay.request_server import RequestServer
 from catkinhollow.testbed.processes import free_ports
 
