--- a/catkinhollow/calls/target_connection.py
+++ b/catkinhollow/calls/target_connection.py
@@ -73,8 +73,8 @@
         self._reusable = False
         self._response_read = False
         self._write_error: Exception | None = None
-        # Replaced each time that bytes, or the end, are read.
-        self._input_taken = trio.Event()
+        # Set while a write waits until what has arrived is read.
+        self._input_taken: trio.Event | None = None
 
     @property
     def stream(self) -> ByteStream:
@@ -138,7 +138,7 @@
 
     async def _read_while_writing(
         self,
-        writer: "_RequestWriter",
+        writer: _RequestWriter,
         parser: ResponseParser,
         on_early: Callable[[Response], bool],
     ) -> Response:
@@ -156,8 +156,8 @@
             raise failure
         return response
 
-    async def _write_rest(self, writer: "_RequestWriter") -> None:
-        """Send the rest of a request, until nobody reads it any more."""
+    async def _write_rest(self, writer: _RequestWriter) -> None:
+        """Send the rest of a request, unless the connection ends first."""
         while not writer.done and self._write_error is None:
             try:
                 await self._stream.wait_writable()
@@ -168,11 +168,13 @@
             # connection by an error to one call only.
             while self.has_input:
                 if self._response_read:
+                    # Nothing may follow the response to the last request.
                     return
+                self._input_taken = trio.Event()
                 await self._input_taken.wait()
             self._send_some(writer)
 
-    def _send_some(self, writer: "_RequestWriter") -> None:
+    def _send_some(self, writer: _RequestWriter) -> None:
         try:
             writer.send_some()
         except NETWORK_ERRORS as error:
@@ -230,8 +232,8 @@
     async def _receive(self, max_bytes: int) -> bytes:
         """Return the next bytes, none at the end."""
         data = await self._stream.read(max_bytes)
-        self._input_taken.set()
-        self._input_taken = trio.Event()
+        if self._input_taken is not None:
+            self._input_taken.set()
         if not data and self._write_error is not None:
             # The kernel has reported the reset to the write, and reports the
             # end of what had arrived like that of a whole response.
