Begin the fault of a play of silent connections after a judged answer

Cause, suspected: the play gave the judge four seconds, and a stall of the machine excuses the answers of the three seconds after it.

Change: the play waits for an answer that counts, 30 s at most, before the fault. What is checked is the same.

--- a/tests/testbed/test_silent_connections.py
+++ b/tests/testbed/test_silent_connections.py
@@ -18,6 +18,8 @@
 VERSIONS = 14
 VERSIONS_BEFORE_FAULT = 4
 WRITE_INTERVAL_S = 1.0
+# A stall of the machine excuses the answers of the next three seconds.
+JUDGED_LIMIT_S = 30.0
 
 
 class Play:
@@ -63,9 +65,16 @@
             version = self._fleet.write_version()
             self.ledger.record_version(version, self._clock.monotonic())
             if written == VERSIONS_BEFORE_FAULT:
+                await self._wait_until_judged()
                 self._silence(links=links, store=store)
         await trio.sleep(CONFIGURATION_APPLY_S + 2 * WRITE_INTERVAL_S)
 
+    async def _wait_until_judged(self):
+        """Wait for an answer that counts, of a time without a stall."""
+        with trio.fail_after(JUDGED_LIMIT_S):
+            while not self.ledger.judged:
+                await trio.sleep(WRITE_INTERVAL_S / 4)
+
     def _silence(self, *, links, store):
         self.judged_before_fault = self.ledger.judged
         with self._touch.disturb(self._touch.instances):
