Blame no daemon for responses that a stalled caller has given up

Change: a response that a caller has given up is lost unless the process of the callers was stalled meanwhile. Connections that end by themselves are judged as before.

--- a/catkinhollow/testbed/soak_ledger.py
+++ b/catkinhollow/testbed/soak_ledger.py
@@ -45,6 +45,8 @@
     """Whether the caller reads slowly, so that it is not timed."""
     behind_close: bool = False
     """Whether a response before it has closed the connection."""
+    given_up: bool = False
+    """Whether its caller has closed the connection after a long time."""
 
 
 class SoakLedger:
@@ -101,13 +103,16 @@
         request = self._requests[request_id]
         request.status, request.ended_s = status, now_s
 
-    def record_unread(self, request_id: str, now_s: float, *, announced: bool) -> None:
+    def record_unread(
+        self, request_id: str, now_s: float, *, announced: bool, given_up: bool
+    ) -> None:
         """Record that a connection ended before a response.
 
         It counts as not read if a response has announced the close.
         """
         request = self._requests[request_id]
-        request.ended_s, request.behind_close = now_s, announced
+        request.ended_s = now_s
+        request.behind_close, request.given_up = announced, given_up
 
     def record_mixed(self, request_id: str, other_id: str) -> None:
         """Record a response that names another request."""
@@ -267,7 +272,7 @@
     ) -> Iterator[tuple[str, str]]:
         if self._overlaps_outage(request):
             return
-        if request.status == 0 and not self._may_be_unread(request, runs):
+        if request.status == 0 and not self._may_lack_response(request, runs):
             yield "lost", "got no response"
         if request.reads_slowly:
             return
@@ -276,10 +281,13 @@
         if late_s > LATE_TOLERANCE_S and is_timed:
             yield "late", f"ended {late_s:.1f} s after the timeout"
 
-    def _may_be_unread(self, request: _SentRequest, runs: int) -> bool:
-        """Return whether a request may have ended without being read."""
+    def _may_lack_response(self, request: _SentRequest, runs: int) -> bool:
+        """Return whether a request may have ended without a response."""
         if runs == 0 and request.behind_close:
             return True
+        if request.given_up:
+            # A caller that was stalled itself had no time to read.
+            return any(_overlaps(request, stall) for stall in self._stalls)
         return self._raced_close(request, runs)
 
     def _raced_close(self, request: _SentRequest, runs: int) -> bool:
--- a/catkinhollow/testbed/soak_pipelines.py
+++ b/catkinhollow/testbed/soak_pipelines.py
@@ -29,7 +29,7 @@
 # with the daemon.
 RECEIVE_BUFFER_BYTES = 8192
 MEAN_PAUSE_S = 0.3
-# Limit of one connection; its requests are lost if it has not ended by then.
+# Limit of one connection; responses that have not come by then are lost.
 CONNECTION_LIMIT_S = 12.0
 NETWORK_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
@@ -137,7 +137,7 @@
     async def _use(self, connection: _Connection) -> None:
         """Send and read until the connection ends, and record the rest."""
         pause_s = self._random.uniform(MIN_READ_PAUSE_S, MAX_READ_PAUSE_S)
-        with trio.move_on_after(CONNECTION_LIMIT_S):
+        with trio.move_on_after(CONNECTION_LIMIT_S) as limit:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_requests, connection)
                 await self._read_responses(connection, pause_s)
@@ -145,7 +145,10 @@
         now_s = self._clock.monotonic()
         for request_id in connection.open:
             self._ledger.record_unread(
-                request_id, now_s, announced=connection.reader.announced_close
+                request_id,
+                now_s,
+                announced=connection.reader.announced_close,
+                given_up=limit.cancelled_caught,
             )
         await trio.aclose_forcefully(connection.stream)
 
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -268,10 +268,20 @@
 def test_pipelined_request_without_a_response_may_only_be_unread(runs, announced, lost):
     """Guards against responses that a closed connection cuts off."""
     ledger = make_ledger(runs=runs, status=0)
-    ledger.record_unread("r", 1.0, announced=announced)
+    ledger.record_unread("r", 1.0, announced=announced, given_up=False)
     assert [each.kind for each in ledger.find_violations(0.0)] == ["lost"] * lost
 
 
+@pytest.mark.parametrize("stalled", [False, True])
+def test_only_a_stalled_caller_may_give_up_a_response(stalled):
+    """Guards against a connection that hangs, and against false reports."""
+    ledger = make_ledger(runs=1, status=0)
+    ledger.record_unread("r", 12.0, announced=False, given_up=True)
+    if stalled:
+        ledger.record_stall(2.0, 8.0)
+    assert bool(ledger.find_violations(0.0)) is not stalled
+
+
 @pytest.mark.parametrize("status", [None, 1, -15])
 def test_stop_that_does_not_end_in_order_is_reported(status):
     """Guards against daemons that a signal ends, or that have to be killed."""
