--- a/catkinhollow/calls/lingering_stream.py
+++ b/catkinhollow/calls/lingering_stream.py
@@ -15,8 +15,8 @@
         """Close the sending side and return when the socket may be closed."""
 
 
-class _OpenSide(trio.abc.HalfCloseableStream):
-    """Provide the stream of a connection while its owner has closed it."""
+class _DelegatingStream(trio.abc.HalfCloseableStream):
+    """Pass calls on to a stream, and tell what it has not delivered."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
@@ -46,7 +46,7 @@
         await self._stream.aclose()
 
 
-class LingeringStream(_OpenSide):
+class LingeringStream(_DelegatingStream):
     """Wait for the caller before the socket is closed.
 
     A read that is open then ends as on a closed stream.
@@ -94,7 +94,7 @@
             self._reading.cancel()
             await self._reading_ended.wait()
         if not self._caller_closed:
-            await self._linger(_OpenSide(self._stream))
+            await self._linger(_DelegatingStream(self._stream))
 
 
 class LingeringListener(trio.abc.Listener[LingeringStream]):
--- a/tests/calls/test_http_server.py
+++ b/tests/calls/test_http_server.py
@@ -1,12 +1,11 @@
 """Tests of the HTTP listener on loopback."""
 
-import socket
-
 import pytest
 import trio
 import trio.testing
 from attrs import evolve
 from httpcore import AsyncConnectionPool
+from slow_callers import open_slow_connection, read_to_end
 
 from catkinhollow.calls.exchange import plain_response
 from catkinhollow.calls.http_server import (
@@ -170,10 +169,7 @@
 
     served = ServedApp(app)
     [url] = await nursery.start(served.run)
-    sock = trio.socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-    await sock.connect(("127.0.0.1", int(url.rpartition(":")[2])))
-    stream = trio.SocketStream(sock)
+    stream = await open_slow_connection(int(url.rpartition(":")[2]))
     request = b"GET / HTTP/1.1\r\nhost: x\r\n%s\r\n"
     await stream.send_all(request % b"connection: close\r\n")
     data = b""
@@ -183,8 +179,7 @@
     for _ in range(3):
         await trio.sleep(0.05)
         await stream.send_all(request % b"")
-    while part := await stream.receive_some(2048):
-        data += part
+    data += await read_to_end(stream)
     assert data.endswith(b"x\n")
     assert len(data) > 60_000
     await stream.aclose()
--- a/tests/relay/connections/test_closing_connections.py
+++ b/tests/relay/connections/test_closing_connections.py
@@ -1,9 +1,8 @@
 """Tests of callers that have not read everything when a connection ends."""
 
-import socket
-
 import pytest
 import trio
+from slow_callers import open_slow_connection, read_to_end, read_while
 from trio.testing import memory_stream_pair
 
 from catkinhollow.calls.closing_connections import ClosingConnections
@@ -16,7 +15,6 @@
 LIMITS = RequestLimits(max_header_bytes=2048, max_body_bytes=100_000)
 BODY = "x" * 60_000
 CLOSE = "connection: close\r\n"
-RECEIVE_BUFFER_BYTES = 2048
 
 
 def head(path="/", method="GET", fields=""):
@@ -27,38 +25,16 @@
     return plain_response(200, BODY)
 
 
-async def open_slow_connection(port):
-    """Return a connection whose kernel receives little in advance."""
-    sock = trio.socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    await sock.connect(("127.0.0.1", port))
-    return trio.SocketStream(sock)
-
-
-async def read_all(stream):
-    data = b""
-    try:
-        while part := await stream.receive_some(65536):
-            data += part
-    except trio.BrokenResourceError:
-        return data
-    return data
+async def wait_until(condition):
+    with trio.fail_after(10.0):
+        while not condition():
+            await trio.sleep(0.01)
 
 
 async def read_until_written(stream, server):
     """Read until the daemon has written the rest to its kernel."""
     await wait_until(lambda: server.busy)
-    data = b""
-    while server.busy:
-        data += await stream.receive_some(RECEIVE_BUFFER_BYTES)
-        await trio.sleep(0.002)
-    return data
-
-
-async def wait_until(condition):
-    with trio.fail_after(10.0):
-        while not condition():
-            await trio.sleep(0.01)
+    return await read_while(stream, lambda: server.busy)
 
 
 @pytest.fixture
@@ -90,7 +66,7 @@
     for _ in range(3):
         await stream.send_all(head())
         await trio.sleep(0.05)
-    data += await read_all(stream)
+    data += await read_to_end(stream)
     assert data.endswith(BODY.encode() + b"\n")
     assert b"connection: close" in data.lower()
     await stream.aclose()
@@ -108,7 +84,7 @@
     await wait_until(lambda: server.delivering)
     await stream.send_all(head())
     await trio.sleep(0.05)
-    data += await read_all(stream)
+    data += await read_to_end(stream)
     assert data.endswith(BODY.encode() + b"\n")
 
 
--- a/tests/relay/shutdown/test_shutdown.py
+++ b/tests/relay/shutdown/test_shutdown.py
@@ -1,26 +1,16 @@
 """Tests of callers that still read when their daemon is stopped."""
 
-import socket
-
 import pytest
 import trio
 from relay_builders import make_route
 from relay_fleet import NAMES, RelayFleet
+from slow_callers import open_slow_connection, read_to_end, read_while
 
 from catkinhollow.calls.exchange import plain_response
 
 pytestmark = pytest.mark.processes
 
 BODY = "x" * 60_000
-PART_BYTES = 2048
-
-
-async def open_slow_connection(address):
-    host, _, port = address.rpartition(":")
-    sock = trio.socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PART_BYTES)
-    await sock.connect((host, int(port)))
-    return trio.SocketStream(sock)
 
 
 def encode_request(request_id):
@@ -36,14 +26,12 @@
     two = await fleet.start("two")
     await fleet.wait_linked()
     two.target.answer = plain_response(200, BODY)
-    stream = await open_slow_connection(one.settings.requests)
+    port = int(one.settings.requests.rpartition(":")[2])
+    stream = await open_slow_connection(port)
     await stream.send_all(encode_request("c1"))
     server = one.daemon._server
     await fleet.wait_until(lambda: server.busy and two.target.runs)
-    data = b""
-    while server.busy:
-        data += await stream.receive_some(PART_BYTES)
-        await trio.sleep(0.002)
+    data = await read_while(stream, lambda: server.busy)
     return one, stream, data
 
 
@@ -63,8 +51,7 @@
     assert not one.stopped.is_set()
     for number in range(late_requests):
         await stream.send_all(encode_request(f"late-{number}"))
-    while part := await stream.receive_some(PART_BYTES):
-        data += part
+    data += await read_to_end(stream)
     assert data.endswith(BODY.encode() + b"\n")
     with trio.fail_after(1.0):
         await one.stopped.wait()
