--- a/catkinhollow/calls/closing_connections.py
+++ b/catkinhollow/calls/closing_connections.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from catkinhollow.calls.closing_plan import ClosingPlan
+from catkinhollow.calls.socket_stream import NETWORK_ERRORS
 from catkinhollow.logs import get_logger
 
 logger = get_logger(__name__)
@@ -15,7 +16,6 @@
 # Bounds the descriptors that callers which never close can hold. The one that
 # has waited longest is closed for the next.
 MAX_CLOSING = 512
-NETWORK_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
 @runtime_checkable
--- a/catkinhollow/calls/egress.py
+++ b/catkinhollow/calls/egress.py
@@ -23,12 +23,12 @@
     limit_silence,
     limit_unacknowledged,
 )
-from catkinhollow.calls.socket_stream import SocketBackend, StreamBackend
-from catkinhollow.calls.target_connection import (
+from catkinhollow.calls.socket_stream import (
     NETWORK_ERRORS,
-    TargetConnection,
-    is_silence,
+    SocketBackend,
+    StreamBackend,
 )
+from catkinhollow.calls.target_connection import TargetConnection, is_silence
 from catkinhollow.generated.settings import HttpSettings
 from catkinhollow.logs import get_logger
 
--- a/catkinhollow/calls/socket_stream.py
+++ b/catkinhollow/calls/socket_stream.py
@@ -15,6 +15,7 @@
 import trio
 
 READ_BYTES = 65536
+NETWORK_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 # Size of the number that the kernel returns for TIOCOUTQ.
 INT_BYTES = 4
 
--- a/catkinhollow/calls/target_connection.py
+++ b/catkinhollow/calls/target_connection.py
@@ -10,7 +10,7 @@
 from catkinhollow.calls.http_parser import InvalidResponseError, ResponseParser
 from catkinhollow.calls.httptools_parser import HttptoolsResponseParser
 from catkinhollow.calls.response_bodies import ResponseBodies, ResponseBody
-from catkinhollow.calls.socket_stream import ByteStream
+from catkinhollow.calls.socket_stream import NETWORK_ERRORS, ByteStream
 from catkinhollow.logs import get_logger
 
 logger = get_logger(__name__)
@@ -23,7 +23,6 @@
 MAX_BODY_PARTS = 16_384
 # Errors with which the kernel ends a connection that has gone silent.
 SILENCE_ERRORS = (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
-NETWORK_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class _RequestWriter:
--- a/catkinhollow/relay/connections/caller_connection.py
+++ b/catkinhollow/relay/connections/caller_connection.py
@@ -19,6 +19,7 @@
     RequestParser,
 )
 from catkinhollow.calls.httptools_parser import HttptoolsRequestParser
+from catkinhollow.calls.socket_stream import NETWORK_ERRORS
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.disconnection import Disconnection
@@ -35,8 +36,6 @@
 PIPELINED_METHODS = ("GET", "HEAD", "OPTIONS")
 CONTINUE = b"HTTP/1.1 100 \r\n\r\n"
 
-NETWORK_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
-
 
 class RequestHandler(Protocol):
     """Answer requests."""
--- a/catkinhollow/relay/request_server.py
+++ b/catkinhollow/relay/request_server.py
@@ -6,12 +6,11 @@
 
 from catkinhollow.calls.closing_connections import ClosingConnections
 from catkinhollow.calls.http_encoding import EncodingError
-from catkinhollow.calls.socket_stream import take_socket
+from catkinhollow.calls.socket_stream import NETWORK_ERRORS, take_socket
 from catkinhollow.generated.relay import RequestLimits
 from catkinhollow.generated.settings import Address
 from catkinhollow.logs import get_logger
 from catkinhollow.relay.connections.caller_connection import (
-    NETWORK_ERRORS,
     CallerConnection,
     RequestHandler,
 )
--- a/catkinhollow/testbed/soak_pipelines.py
+++ b/catkinhollow/testbed/soak_pipelines.py
@@ -8,6 +8,7 @@
 import trio
 from attrs import define, field, frozen
 
+from catkinhollow.calls.socket_stream import NETWORK_ERRORS
 from catkinhollow.logs import get_logger
 from catkinhollow.platform.headers import PLATFORM_HEADERS as NAMES
 from catkinhollow.testbed.soak_fleet import HOST, SoakFleet
@@ -31,7 +32,6 @@
 MEAN_PAUSE_S = 0.3
 # Limit of one connection; responses that have not come by then are lost.
 CONNECTION_LIMIT_S = 12.0
-NETWORK_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
 @frozen(kw_only=True)
